--- /dev/null
+++ b/src/rosemarysaddle/daemon/_gate.py
@@ -0,0 +1,339 @@
+"""What the worker threads ask of an entry host's decisions.
+
+One lock guards the decisions; a thread that waits for a change of
+them holds one of the waiting places of its group.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import threading
+import time
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from rosemarysaddle.decide import (
+    NS_PER_MS,
+    EntryNode,
+    GroupView,
+    LogPoint,
+    Outcome,
+    ReadChoice,
+    ReadWish,
+    Reason,
+    Refusal,
+    Step,
+    TargetView,
+    WriteTicket,
+    confirm_quorum,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from rosemarysaddle.decide import Effect, GroupTerm
+    from rosemarysaddle.schema import Group, Instance
+    from rosemarysaddle.target import InstanceStatus, TargetPool
+
+__all__ = ("Gate", "PrimaryChoice")
+
+REPLICA_WAIT_MS: Final = 60
+RETRY_AFTER_MS: Final = 500
+_NS_PER_S: Final = 1_000_000_000
+
+
+@attrs.frozen(kw_only=True)
+class PrimaryChoice:
+    """Primary chosen for a read, and the term that it serves."""
+
+    target: str
+    term: int
+
+
+@attrs.define(kw_only=True, eq=False)
+class Gate:
+    """Decisions of one entry host, shared with its worker threads.
+
+    :param node: the decisions
+    :param held_per_group: requests of a group that may wait at once
+    """
+
+    node: EntryNode
+    held_per_group: int
+    seed: int
+    groups: dict[str, GroupView] = attrs.field(factory=dict, init=False)
+    pools: dict[str, TargetPool] = attrs.field(factory=dict, init=False)
+    stopping: bool = attrs.field(default=False, init=False)
+    changed: threading.Condition = attrs.field(
+        factory=threading.Condition, init=False
+    )
+    _group_of: dict[str, str] = attrs.field(factory=dict, init=False)
+    _held: dict[str, int] = attrs.field(factory=dict, init=False)
+    _random: random.Random = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Seed the choice between equal targets."""
+        self._random = random.Random(self.seed)  # noqa: S311
+
+    def add_target(self, group: Group, instance: Instance) -> None:
+        """Start to know an instance."""
+        with self.changed:
+            view = self.groups.get(group.name)
+            if view is None:
+                pick = self._random.randrange
+                view = GroupView(group=group.name, pick=pick)
+                self.groups[group.name] = view
+            view.targets[instance.name] = TargetView(
+                name=instance.name, data_center=instance.data_center
+            )
+            self._group_of[instance.name] = group.name
+
+    def drop_target(self, name: str) -> None:
+        """Forget an instance."""
+        with self.changed:
+            group = self._group_of.pop(name)
+            self.groups[group].targets.pop(name, None)
+            self.changed.notify_all()
+
+    def observe(
+        self, name: str, status: InstanceStatus, asked_ns: int
+    ) -> None:
+        """Take over the status of an instance.
+
+        :param asked_ns: monotonic time at which it was asked for
+        """
+        with self.changed:
+            group = self._group_of.get(name)
+            if group is None:
+                return
+            now_ns = time.monotonic_ns()
+            self.groups[group].observe(
+                name,
+                role=status.role,
+                point=status.point,
+                asked_ns=asked_ns,
+                now_ns=now_ns,
+                is_primary=self._is_covered(group, name, status, now_ns),
+            )
+            self.changed.notify_all()
+
+    def run(self, work: Callable[[EntryNode], list[Effect]]) -> list[Effect]:
+        """Run a step of the decisions and wake whoever waits for it."""
+        with self.changed:
+            before = (self.node.state.index, self.node.lease.deadline_ns)
+            effects = work(self.node)
+            after = (self.node.state.index, self.node.lease.deadline_ns)
+            if effects or before != after:
+                self.changed.notify_all()
+            return effects
+
+    def begin_write(
+        self, group: str, *, deadline_ns: int
+    ) -> WriteTicket | Refusal:
+        """Wait for the right to write to a group.
+
+        :param deadline_ns: monotonic time, in nanoseconds
+        """
+        with self.changed:
+            result = self._try_write(group)
+            if isinstance(result, WriteTicket):
+                return result
+            with self._holding(group) as place:
+                if not place:
+                    return _overloaded(group)
+                while isinstance(result, Refusal):
+                    if not self._wait(deadline_ns):
+                        return _give_up(result)
+                    result = self._try_write(group)
+            return result
+
+    def end_write(self, ticket: WriteTicket) -> bool:
+        """End a write.
+
+        :return: whether it may be acknowledged
+        """
+        with self.changed:
+            return self.node.end_write(ticket, time.monotonic_ns())
+
+    def holds(self, ticket: WriteTicket) -> bool:
+        """Tell whether the right to write still stands."""
+        with self.changed:
+            return self.node.holds(ticket, time.monotonic_ns())
+
+    def wait_confirmed(
+        self, ticket: WriteTicket, point: LogPoint, *, deadline_ns: int
+    ) -> bool:
+        """Wait until enough instances hold a write.
+
+        :param point: position of the write
+        :param deadline_ns: monotonic time, in nanoseconds
+        """
+        with self.changed:
+            view = self.groups[ticket.group]
+            needed = confirm_quorum(len(view.targets))
+            while not view.is_confirmed(
+                point, primary=ticket.primary, needed=needed
+            ):
+                if not self.node.holds(ticket, time.monotonic_ns()):
+                    return False
+                if not self._wait(deadline_ns):
+                    return False
+            return True
+
+    def choose_read(
+        self, group: str, wish: ReadWish, *, deadline_ns: int
+    ) -> ReadChoice | PrimaryChoice | Refusal:
+        """Choose the target of a read.
+
+        :param deadline_ns: monotonic time, in nanoseconds
+        """
+        with self.changed:
+            if wish.allows_replica:
+                choice = self._wait_for_replica(group, wish, deadline_ns)
+                if isinstance(choice, ReadChoice):
+                    return choice
+            return self._choose_primary(group, deadline_ns)
+
+    def covers(self, group: str, term: int) -> bool:
+        """Tell whether the lease covers a term of a group."""
+        with self.changed:
+            current = self.node.state.terms.get(group)
+            if current is None or current.term != term:
+                return False
+            return self.node.covers(current, group, time.monotonic_ns())
+
+    def note_run(self, name: str, count: int, latency_ns: int = 0) -> None:
+        """Count a statement that starts or ends at a target."""
+        with self.changed:
+            group = self._group_of.get(name, "")
+            if group not in self.groups:
+                return
+            view = self.groups[group].targets[name]
+            view.running += count
+            if latency_ns:
+                view.latency_ns += (latency_ns - view.latency_ns) // 8
+
+    def _is_covered(
+        self, group: str, name: str, status: InstanceStatus, now_ns: int
+    ) -> bool:
+        term = self.node.state.terms.get(group)
+        if term is None or term.primary != name:
+            return False
+        if status.role != "primary" or status.point.term != term.term:
+            return False
+        return self.node.covers(term, group, now_ns)
+
+    def _try_write(self, group: str) -> WriteTicket | Refusal:
+        now_ns = time.monotonic_ns()
+        term = self.node.state.terms.get(group)
+        view = self.groups.get(group)
+        if self.stopping:
+            return _refusal(Reason.STOPPING, group)
+        if term is None or view is None:
+            return _refusal(Reason.NO_PRIMARY, group)
+        if not self._is_promoted(term, view):
+            return _refusal(Reason.NO_PRIMARY, group)
+        needed = confirm_quorum(len(view.targets))
+        if not view.lag_is_bounded(term, needed=needed, now_ns=now_ns):
+            return _refusal(Reason.REPLICAS_BEHIND, group)
+        return self.node.begin_write(group, now_ns)
+
+    def _is_promoted(self, term: GroupTerm, view: GroupView) -> bool:
+        primary = view.targets.get(term.primary)
+        if primary is None or primary.role != "primary":
+            return False
+        return primary.point.term == term.term
+
+    def _choose_primary(
+        self, group: str, deadline_ns: int
+    ) -> PrimaryChoice | Refusal:
+        result = self._try_primary(group)
+        if isinstance(result, PrimaryChoice):
+            return result
+        with self._holding(group) as place:
+            if not place:
+                return _overloaded(group)
+            while isinstance(result, Refusal):
+                if not self._wait(deadline_ns):
+                    return _give_up(result)
+                result = self._try_primary(group)
+        return result
+
+    def _try_primary(self, group: str) -> PrimaryChoice | Refusal:
+        term = self.node.state.terms.get(group)
+        view = self.groups.get(group)
+        if term is None or view is None:
+            return _refusal(Reason.NO_PRIMARY, group)
+        if not self._is_promoted(term, view):
+            return _refusal(Reason.NO_PRIMARY, group)
+        if not self.node.covers(term, group, time.monotonic_ns()):
+            return _refusal(Reason.NO_LEASE, group)
+        return PrimaryChoice(target=term.primary, term=term.term)
+
+    def _wait_for_replica(
+        self, group: str, wish: ReadWish, deadline_ns: int
+    ) -> ReadChoice | Refusal:
+        latest_ns = time.monotonic_ns() + REPLICA_WAIT_MS * NS_PER_MS
+        latest_ns = min(latest_ns, deadline_ns)
+        choice = self._try_replica(group, wish)
+        if isinstance(choice, ReadChoice):
+            return choice
+        with self._holding(group) as place:
+            if not place:
+                return choice
+            while isinstance(choice, Refusal):
+                if not self._wait(latest_ns):
+                    return choice
+                choice = self._try_replica(group, wish)
+        return choice
+
+    def _try_replica(self, group: str, wish: ReadWish) -> ReadChoice | Refusal:
+        view = self.groups.get(group)
+        term = self.node.state.terms.get(group)
+        if view is None:
+            return _refusal(Reason.NO_REPLICA, group)
+        return view.choose_replica(
+            wish,
+            primary=term.primary if term else "",
+            data_center=self.node.data_center,
+            now_ns=time.monotonic_ns(),
+        )
+
+    @contextlib.contextmanager
+    def _holding(self, group: str) -> Iterator[bool]:
+        held = self._held.get(group, 0)
+        if held >= self.held_per_group:
+            yield False
+            return
+        self._held[group] = held + 1
+        try:
+            yield True
+        finally:
+            self._held[group] -= 1
+
+    def _wait(self, deadline_ns: int) -> bool:
+        left_ns = deadline_ns - time.monotonic_ns()
+        if left_ns <= 0:
+            return False
+        self.changed.wait(left_ns / _NS_PER_S)
+        return time.monotonic_ns() < deadline_ns
+
+
+def _refusal(reason: Reason, group: str) -> Refusal:
+    return Refusal(reason=reason, step=Step.ROUTE, peer=group)
+
+
+def _overloaded(group: str) -> Refusal:
+    return Refusal(
+        reason=Reason.OVERLOADED,
+        step=Step.ADMIT,
+        peer=group,
+        outcome=Outcome.NOT_RUN,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+
+
+def _give_up(refusal: Refusal) -> Refusal:
+    return attrs.evolve(refusal, retry_after_ms=RETRY_AFTER_MS)
--- /dev/null
+++ b/src/rosemarysaddle/daemon/_host.py
@@ -0,0 +1,481 @@
+"""One host: its event loop, its decisions and what they need."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+from absl import logging
+
+from rosemarysaddle.daemon._gate import Gate
+from rosemarysaddle.daemon._orders import TargetOrders
+from rosemarysaddle.decide import (
+    ClusterState,
+    ControlNode,
+    EntryNode,
+    FollowPrimary,
+    LogNode,
+    ProbeGroup,
+    PromoteTarget,
+    SaveEntries,
+    SaveSnapshot,
+    SaveVote,
+    Send,
+    StoredLog,
+)
+from rosemarysaddle.link import Address, Fabric, PeerNetwork, PlainFabric
+from rosemarysaddle.schema import (
+    Announcement,
+    ChangeProposal,
+    ChangeReply,
+    CloseGroup,
+    LeaseGrant,
+    LeaseRefusal,
+    Switchover,
+    ViewDelta,
+    ViewSnapshot,
+)
+from rosemarysaddle.store import Journal
+from rosemarysaddle.target import (
+    MySqlConnector,
+    TargetPool,
+    TargetWatch,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine, Iterator, Sequence
+
+    from rosemarysaddle.decide import Effect
+    from rosemarysaddle.schema import Instance, Message, Settings
+    from rosemarysaddle.target import InstanceStatus, TargetConnector
+
+__all__ = ("HostDaemon",)
+
+TICK_S: Final = 0.02
+RESEND_S: Final = 0.25
+ELECTION_JITTER_MS: Final = 600
+_ENTRY_MESSAGES: Final = (
+    LeaseGrant,
+    LeaseRefusal,
+    ViewDelta,
+    ViewSnapshot,
+    CloseGroup,
+)
+
+
+@attrs.define(kw_only=True, eq=False)
+class HostDaemon:
+    """Entry host, control host or both, by its settings.
+
+    :param fabric: what lies between this host and the others
+    :param seed: seed of election jitter and of choices among equals
+    """
+
+    settings: Settings
+    fabric: Fabric = attrs.field(factory=PlainFabric)
+    seed: int = 0
+    gate: Gate = attrs.field(init=False)
+    control: ControlNode | None = attrs.field(default=None, init=False)
+    network: PeerNetwork = attrs.field(init=False)
+    connector: TargetConnector = attrs.field(init=False)
+    _journal: Journal | None = attrs.field(default=None, init=False)
+    _loop: asyncio.AbstractEventLoop = attrs.field(init=False)
+    _watches: dict[str, TargetWatch] = attrs.field(factory=dict, init=False)
+    _known: dict[str, Instance] = attrs.field(factory=dict, init=False)
+    _seen_version: int = attrs.field(default=-1, init=False)
+    _orders: TargetOrders = attrs.field(init=False)
+    _ticker: asyncio.Task[None] | None = attrs.field(default=None, init=False)
+    _replies: dict[str, asyncio.Future[ChangeReply]] = attrs.field(
+        factory=dict, init=False
+    )
+    _jobs: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Build the decisions and the connections."""
+        settings = self.settings
+        control = {c.host: Address.parse(c.address) for c in settings.control}
+        listen = Address.parse(settings.peers_address)
+        self.connector = MySqlConnector(
+            user=settings.target_user,
+            password=settings.target_password,
+            source_ip=settings.bind_address,
+        )
+        node = EntryNode(
+            host=settings.host,
+            data_center=settings.data_center,
+            address=settings.callers_address,
+            control=[c.host for c in settings.control],
+        )
+        self.gate = Gate(
+            node=node,
+            held_per_group=settings.held_per_group,
+            seed=self.seed,
+        )
+        self.network = PeerNetwork(
+            host=settings.host,
+            listen=listen,
+            addresses=control,
+            receive=self._receive,
+            fabric=self.fabric,
+        )
+        self._orders = TargetOrders(connector=self.connector)
+
+    async def start(self) -> None:
+        """Read the disk, listen and start to tick."""
+        self._loop = asyncio.get_running_loop()
+        names = [c.host for c in self.settings.control]
+        if self.settings.host in names:
+            self.control = self._open_control(tuple(names))
+        await self.network.start()
+        self._ticker = self._loop.create_task(self._tick_forever())
+        logging.info(
+            "event=started host=%s control=%s",
+            self.settings.host,
+            self.control is not None,
+        )
+
+    async def stop(self) -> None:
+        """Give leases and leadership back and stop."""
+        self.gate.stopping = True
+        self._carry_out(self.gate.run(lambda node: node.stop()))
+        if self.control is not None:
+            self._carry_out(self.control.step_down(time.monotonic_ns()))
+        await asyncio.sleep(TICK_S)
+        await self.kill()
+
+    async def kill(self) -> None:
+        """Stop without a farewell."""
+        if self._ticker is not None:
+            self._ticker.cancel()
+        for job in list(self._jobs):
+            job.cancel()
+        await self.network.stop()
+        for watch in self._watches.values():
+            watch.stop()
+        for watch in self._watches.values():
+            await asyncio.to_thread(watch.join)
+        for pool in self.gate.pools.values():
+            pool.close()
+        if self._journal is not None:
+            self._journal.close()
+
+    async def propose(
+        self, change: ChangeProposal, *, deadline_ns: int
+    ) -> ChangeReply | None:
+        """Send a change to the control leader until it answers.
+
+        :param deadline_ns: monotonic time, in nanoseconds
+        :return: the answer, or None where the deadline passed
+        """
+        while time.monotonic_ns() < deadline_ns:
+            reply = await self._propose_once(change)
+            if reply is not None and reply.reason != "not-leader":
+                return reply
+            await asyncio.sleep(TICK_S)
+        return None
+
+    def propose_from_thread(
+        self, change: ChangeProposal, *, deadline_ns: int
+    ) -> ChangeReply | None:
+        """Like :meth:`propose`, from a worker thread."""
+        work = self.propose(change, deadline_ns=deadline_ns)
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result()
+
+    def switch_over(self, group: str, target: str) -> str:
+        """Ask the control leader for a planned change of primary.
+
+        Called from a worker thread; the order may be lost.
+
+        :return: control host that was asked, or empty
+        """
+        leader = self.gate.node.lease.leader
+        if leader:
+            order = Switchover(group=group, target=target)
+            self._loop.call_soon_threadsafe(self.network.send, leader, order)
+        return leader
+
+    def announce(self, announcement: Announcement) -> None:
+        """Spread the announcement of a target, from any thread."""
+        self._loop.call_soon_threadsafe(self._spread, announcement)
+
+    def report(self) -> dict[str, Any]:
+        """Describe this host for operators, from a worker thread."""
+        found = self._report_entry()
+        if self.control is not None:
+            work = self._report_control(self.control)
+            future = asyncio.run_coroutine_threadsafe(work, self._loop)
+            found["control"] = future.result()
+        return found
+
+    def _report_entry(self) -> dict[str, Any]:
+        now_ns = time.monotonic_ns()
+        with self.gate.changed:
+            node = self.gate.node
+            return {
+                "host": self.settings.host,
+                "data_center": self.settings.data_center,
+                "applied_index": node.state.index,
+                "inventory_version": node.state.inventory_version,
+                "rules_version": node.state.rules_version,
+                "has_lease": now_ns < node.lease.deadline_ns,
+                "groups": {
+                    name: attrs.asdict(term, filter=_not_starts)
+                    for name, term in node.state.terms.items()
+                },
+                "announced": sorted(node.announced),
+            }
+
+    async def _report_control(self, control: ControlNode) -> dict[str, Any]:
+        return control.report(time.monotonic_ns())
+
+    # --- watch events, called by the watches' threads ---
+
+    def on_status(
+        self, name: str, status: InstanceStatus, asked_ns: int
+    ) -> None:
+        """Take a status of a target."""
+        self.gate.observe(name, status, asked_ns)
+
+    def on_unreachable(self, name: str, *, refused: bool) -> None:
+        """Take note that a target takes no new connection."""
+        group = self._group_of(name)
+        now_ns = time.monotonic_ns()
+        effects = self.gate.run(
+            lambda node: node.suspect(
+                group, name, refused=refused, now_ns=now_ns
+            )
+        )
+        if effects:
+            self._loop.call_soon_threadsafe(self._carry_out, effects)
+
+    def on_silent(self, name: str) -> None:
+        """Replace the open connections to a target."""
+        logging.info(
+            "event=silent host=%s step=execute peer=%s",
+            self.settings.host,
+            name,
+        )
+        pool = self.gate.pools.get(name)
+        if pool is not None:
+            pool.renew()
+
+    # --- loop ---
+
+    def _open_control(self, voters: tuple[str, ...]) -> ControlNode:
+        self._journal = Journal(folder=Path(self.settings.data_folder))
+        stored = self._journal.open()
+        log = LogNode(
+            host=self.settings.host,
+            voters=voters,
+            stored=stored,
+            jitter_ms=_jitter(self.seed, self.settings.host),
+            started_ns=time.monotonic_ns(),
+        )
+        return ControlNode(
+            log=log,
+            state=_stored_state(stored),
+            data_center=self.settings.data_center,
+        )
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self._tick(time.monotonic_ns())
+            await asyncio.sleep(TICK_S)
+
+    def _tick(self, now_ns: int) -> None:
+        self._carry_out(self.gate.run(lambda node: node.tick(now_ns)))
+        if self.control is not None:
+            self._carry_out(self.control.tick(now_ns))
+        self._follow_inventory()
+
+    def _receive(self, source: str, message: Message) -> None:
+        now_ns = time.monotonic_ns()
+        if isinstance(message, ChangeReply):
+            self._on_reply(message)
+            return
+        if isinstance(message, _ENTRY_MESSAGES):
+            work = self.gate.run(
+                lambda node: node.receive(source, message, now_ns)
+            )
+            self._carry_out(work)
+            self._follow_inventory()
+            return
+        if isinstance(message, Announcement):
+            self.gate.run(lambda node: node.receive(source, message, now_ns))
+        if self.control is not None:
+            effects = self.control.receive(source, message, now_ns)
+            self._carry_out(effects)
+
+    def _carry_out(self, effects: Sequence[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case Send():
+                    self.network.send(effect.peer, effect.message)
+                case SaveVote() | SaveEntries() | SaveSnapshot():
+                    self._save(effect)
+                case ProbeGroup():
+                    self._spawn(self._probe(effect))
+                case PromoteTarget():
+                    self._spawn(self._promote(effect))
+                case FollowPrimary():
+                    self._spawn(self._order_follow(effect))
+                case _:
+                    logging.error("event=unknown-effect kind=%s", effect)
+
+    def _save(self, effect: SaveVote | SaveEntries | SaveSnapshot) -> None:
+        if self._journal is None:
+            return
+        match effect:
+            case SaveVote():
+                self._journal.save_vote(effect.term, effect.voted_for)
+            case SaveEntries():
+                self._journal.save_entries(effect.entries)
+            case SaveSnapshot():
+                self._journal.save_snapshot(
+                    effect.index, effect.term, effect.state
+                )
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        job = self._loop.create_task(work)
+        self._jobs.add(job)
+        job.add_done_callback(self._jobs.discard)
+
+    # --- orders to targets ---
+
+    async def _probe(self, probe: ProbeGroup) -> None:
+        if self.control is None:
+            return
+        group = self.control.state.group(probe.group)
+        instances = group.instances if group else ()
+        reports = await self._orders.probe(probe, instances)
+        now_ns = time.monotonic_ns()
+        effects = self.control.on_probe(
+            probe.group, probe.attempt, reports, now_ns
+        )
+        self._carry_out(effects)
+
+    async def _promote(self, order: PromoteTarget) -> None:
+        if self.control is None:
+            return
+        instance = self.control.state.instance(order.target)
+        done = await self._orders.promote(order, instance)
+        logging.info(
+            "event=promoted group=%s target=%s term=%d done=%s",
+            order.group,
+            order.target,
+            order.term,
+            done,
+        )
+        effects = self.control.on_promoted(
+            order.group,
+            order.term,
+            done=done,
+            now_ns=time.monotonic_ns(),
+        )
+        self._carry_out(effects)
+
+    async def _order_follow(self, order: FollowPrimary) -> None:
+        if self.control is None:
+            return
+        instance = self.control.state.instance(order.target)
+        await self._orders.follow(order, instance)
+
+    # --- changes of documents ---
+
+    async def _propose_once(
+        self, change: ChangeProposal
+    ) -> ChangeReply | None:
+        future: asyncio.Future[ChangeReply] = self._loop.create_future()
+        self._replies[change.change_id] = future
+        leader = self.gate.node.lease.leader
+        peers = [leader] if leader else [c.host for c in self.settings.control]
+        for peer in peers:
+            self.network.send(peer, change)
+        try:
+            return await asyncio.wait_for(future, RESEND_S)
+        except TimeoutError:
+            return None
+        finally:
+            self._replies.pop(change.change_id, None)
+
+    def _on_reply(self, reply: ChangeReply) -> None:
+        future = self._replies.get(reply.change_id)
+        refused = reply.reason == "not-leader"
+        if future is not None and not future.done() and not refused:
+            future.set_result(reply)
+
+    # --- targets ---
+
+    def _follow_inventory(self) -> None:
+        state = self.gate.node.state
+        if state.inventory_version == self._seen_version:
+            return
+        self._seen_version = state.inventory_version
+        wanted = {
+            i.name: (g, i) for g in state.inventory.groups for i in g.instances
+        }
+        for name, known in list(self._known.items()):
+            if name not in wanted or wanted[name][1] != known:
+                self._drop_target(name)
+        for name, (group, instance) in wanted.items():
+            if name not in self._known:
+                self.gate.add_target(group, instance)
+                self._add_target(instance)
+
+    def _add_target(self, instance: Instance) -> None:
+        self._known[instance.name] = instance
+        address = Address.parse(instance.address)
+        self.gate.pools[instance.name] = TargetPool(
+            name=instance.name,
+            address=address,
+            connector=self.connector,
+            limit=self.settings.connections_per_target,
+        )
+        watch = TargetWatch(
+            name=instance.name,
+            address=address,
+            connector=self.connector,
+            events=self,
+        )
+        self._watches[instance.name] = watch
+        watch.start()
+
+    def _drop_target(self, name: str) -> None:
+        del self._known[name]
+        self.gate.drop_target(name)
+        self.gate.pools.pop(name).close()
+        self._watches.pop(name).stop()
+
+    def _group_of(self, name: str) -> str:
+        for group in self.gate.node.state.inventory.groups:
+            if any(i.name == name for i in group.instances):
+                return group.name
+        return ""
+
+    def _spread(self, announcement: Announcement) -> None:
+        for host in self.settings.control:
+            self.network.send(host.host, announcement)
+        now_ns = time.monotonic_ns()
+        source = self.settings.host
+        self.gate.run(lambda n: n.receive(source, announcement, now_ns))
+
+
+def _jitter(seed: int, host: str) -> Iterator[int]:
+    source = random.Random(f"{seed}:{host}")  # noqa: S311
+    while True:
+        yield source.randrange(ELECTION_JITTER_MS)
+
+
+def _stored_state(stored: StoredLog) -> ClusterState:
+    if stored.snapshot_state:
+        return ClusterState.load(stored.snapshot_state)
+    return ClusterState()
+
+
+def _not_starts(attribute: attrs.Attribute[Any], value: Any) -> bool:
+    del value
+    return attribute.name != "starts"
--- /dev/null
+++ b/src/rosemarysaddle/decide/_change.py
@@ -0,0 +1,170 @@
+"""Change of a group's primary: phases, fencing and choice."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from rosemarysaddle.decide._effects import TargetReport
+
+__all__ = (
+    "ChangeTimes",
+    "Evidence",
+    "GroupChange",
+    "Phase",
+    "choose_primary",
+    "confirm_quorum",
+    "promotion_quorum",
+)
+
+EVIDENCE_MS: Final = 2_000
+_NS_PER_MS: Final = 1_000_000
+
+
+class Phase(enum.StrEnum):
+    """Phase of a change of primary."""
+
+    CLOSE = "close"
+    FENCE = "fence"
+    PROBE = "probe"
+    OPEN = "open"
+    PROMOTE = "promote"
+
+
+@attrs.frozen(kw_only=True)
+class ChangeTimes:
+    """When each phase of a finished change ended, in nanoseconds."""
+
+    group: str
+    term: int
+    suspected_ns: int
+    started_ns: int
+    fenced_ns: int
+    chosen_ns: int
+    promoted_ns: int
+
+
+@attrs.define(kw_only=True)
+class GroupChange:
+    """One change of primary as the control leader drives it.
+
+    :param term: term that is being closed; 0 for a new group
+    :param preferred: instance to promote in a planned change, or empty
+    :param waiting_ns: lease deadline of each host that may still write
+    """
+
+    group: str
+    term: int
+    suspected_ns: int
+    started_ns: int
+    preferred: str = ""
+    phase: Phase = Phase.CLOSE
+    waiting_ns: dict[str, int] = attrs.field(factory=dict)
+    attempt: int = 0
+    retry_at_ns: int = 0
+    give_up_preferred_ns: int = 0
+    fenced_ns: int = 0
+    chosen_ns: int = 0
+    new_term: int = 0
+    chosen: str = ""
+    blocked: str = ""
+
+    def begin_fence(self, deadlines_ns: dict[str, int]) -> None:
+        """Start to wait for the hosts that may write.
+
+        :param deadlines_ns: lease deadline of each host
+        """
+        self.phase = Phase.FENCE
+        self.waiting_ns = deadlines_ns
+
+    def is_fenced(self, now_ns: int) -> bool:
+        """Tell whether nobody can write under the old term."""
+        return all(now_ns >= d for d in self.waiting_ns.values())
+
+    def times(self, now_ns: int) -> ChangeTimes:
+        """Sum the change up at its end."""
+        return ChangeTimes(
+            group=self.group,
+            term=self.new_term,
+            suspected_ns=self.suspected_ns,
+            started_ns=self.started_ns,
+            fenced_ns=self.fenced_ns,
+            chosen_ns=self.chosen_ns,
+            promoted_ns=now_ns,
+        )
+
+
+@attrs.define(kw_only=True)
+class Evidence:
+    """Reports that a primary takes no new connection.
+
+    :param first_ns: time of the oldest report
+    """
+
+    term: int
+    first_ns: int
+    _reports_ns: dict[str, int] = attrs.field(factory=dict)
+
+    def add(self, host: str, now_ns: int) -> None:
+        """Note the report of a host."""
+        if now_ns - max(self._reports_ns.values(), default=0) > (
+            EVIDENCE_MS * _NS_PER_MS
+        ):
+            self.first_ns = now_ns
+        self._reports_ns[host] = now_ns
+
+    def suffices(
+        self, centers: Mapping[str, str], *, live_centers: int, now_ns: int
+    ) -> bool:
+        """Tell whether several hosts agree.
+
+        Two hosts have to agree, from two data centres where the live
+        hosts span two.
+
+        :param centers: data centre of each known host
+        :param live_centers: data centres of hosts that hold a lease
+        :param now_ns: monotonic time, in nanoseconds
+        """
+        oldest_ns = now_ns - EVIDENCE_MS * _NS_PER_MS
+        recent = {h for h, at in self._reports_ns.items() if at > oldest_ns}
+        seen = {centers[h] for h in recent if h in centers}
+        return len(recent) >= 2 and len(seen) >= min(2, live_centers)  # noqa: PLR2004
+
+
+def confirm_quorum(instances: int) -> int:
+    """Count of instances that hold a write at its acknowledgement."""
+    return instances // 2 + 1
+
+
+def promotion_quorum(instances: int) -> int:
+    """Count of instances to read to see every acknowledged write."""
+    return instances - confirm_quorum(instances) + 1
+
+
+def choose_primary(
+    reports: Sequence[TargetReport],
+    *,
+    instances: int,
+    preferred: str,
+) -> TargetReport | None:
+    """Choose the instance that holds every acknowledged write.
+
+    :param reports: answers of the instances
+    :param instances: count of instances of the group
+    :param preferred: instance to choose among equals, or empty
+    :return: the choice, or None where too few instances answered
+    """
+    answers = [r for r in reports if r.reachable]
+    if len(answers) < promotion_quorum(instances):
+        return None
+    best = max(answers, key=lambda r: (r.term, r.position))
+    for report in answers:
+        same = (report.term, report.position) == (best.term, best.position)
+        if report.target == preferred and same:
+            return report
+    return best
--- /dev/null
+++ b/src/rosemarysaddle/decide/_effects.py
@@ -0,0 +1,138 @@
+"""Messages from the decisions to the daemon that carries them out."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from rosemarysaddle.schema import LogEntry, Message
+
+__all__ = (
+    "Committed",
+    "Effect",
+    "FollowPrimary",
+    "LoadSnapshot",
+    "ProbeGroup",
+    "PromoteTarget",
+    "SaveEntries",
+    "SaveSnapshot",
+    "SaveVote",
+    "Send",
+    "TargetReport",
+)
+
+
+@attrs.frozen(kw_only=True)
+class Send:
+    """Send one message to a peer; it may be lost."""
+
+    peer: str
+    message: Message
+
+
+@attrs.frozen(kw_only=True)
+class SaveVote:
+    """Store term and vote durably before the next effect."""
+
+    term: int
+    voted_for: str
+
+
+@attrs.frozen(kw_only=True)
+class SaveEntries:
+    """Store entries durably, cutting what follows the first index."""
+
+    entries: tuple[LogEntry, ...]
+
+
+@attrs.frozen(kw_only=True)
+class SaveSnapshot:
+    """Store a snapshot durably and drop the entries it covers."""
+
+    index: int
+    term: int
+    state: str
+
+
+@attrs.frozen(kw_only=True)
+class Committed:
+    """Entries that a quorum holds, in order."""
+
+    entries: tuple[LogEntry, ...]
+
+
+@attrs.frozen(kw_only=True)
+class LoadSnapshot:
+    """Replace the applied state by a snapshot of the leader."""
+
+    index: int
+    state: str
+
+
+@attrs.frozen(kw_only=True)
+class TargetReport:
+    """Status of one instance, read over a new connection.
+
+    :param reachable: whether the instance answered
+    :param refused: whether it refused the connection at once
+    """
+
+    target: str
+    reachable: bool
+    refused: bool = False
+    role: str = ""
+    term: int = 0
+    position: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class ProbeGroup:
+    """Read the status of every instance of a group.
+
+    :param deadline_ns: monotonic time at which to report what is known
+    :param quorum: instances whose answers suffice
+    """
+
+    group: str
+    attempt: int
+    deadline_ns: int
+    quorum: int
+
+
+@attrs.frozen(kw_only=True)
+class PromoteTarget:
+    """Order an instance to become primary under a term."""
+
+    group: str
+    target: str
+    term: int
+    deadline_ns: int
+
+
+@attrs.frozen(kw_only=True)
+class FollowPrimary:
+    """Order an instance to replicate from the primary of a term.
+
+    :param start: position at which the term began
+    """
+
+    group: str
+    target: str
+    primary: str
+    term: int
+    start: int
+
+
+Effect = (
+    Committed
+    | FollowPrimary
+    | LoadSnapshot
+    | ProbeGroup
+    | PromoteTarget
+    | SaveEntries
+    | SaveSnapshot
+    | SaveVote
+    | Send
+)
--- /dev/null
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -0,0 +1,287 @@
+"""Entry host: lease, copy of the state and right to write."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from rosemarysaddle.decide._effects import Effect, Send
+from rosemarysaddle.decide._lease import HostLease
+from rosemarysaddle.decide._reasons import Reason, Refusal, Step
+from rosemarysaddle.decide._state import ClusterState
+from rosemarysaddle.decide._times import NS_PER_MS, RENEWAL_MS
+from rosemarysaddle.schema import (
+    Announcement,
+    CloseGroup,
+    GroupClosed,
+    LeaseGrant,
+    LeaseRefusal,
+    LeaseRenewal,
+    LeaseReturn,
+    Suspicion,
+    ViewDelta,
+    ViewSnapshot,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from rosemarysaddle.decide._state import GroupTerm
+    from rosemarysaddle.schema import Message
+
+__all__ = ("EntryNode", "WriteTicket")
+
+RENEWAL_ANSWER_MS: Final = 300
+SUSPICION_MS: Final = 300
+DRAIN_MS: Final = 2_000
+
+
+@attrs.frozen(kw_only=True)
+class WriteTicket:
+    """Right to send writes of a group to its primary."""
+
+    group: str
+    term: int
+    primary: str
+
+
+@attrs.define(kw_only=True)
+class _Drain:
+    term: int
+    leader: str
+    deadline_ns: int
+
+
+@attrs.define(kw_only=True)
+class EntryNode:
+    """One entry host.
+
+    :param control: names of the control hosts
+    """
+
+    host: str
+    data_center: str
+    address: str
+    control: Sequence[str]
+    state: ClusterState = attrs.field(factory=ClusterState)
+    lease: HostLease = attrs.field(factory=HostLease)
+    announced: dict[str, Announcement] = attrs.field(factory=dict)
+    _renew_at_ns: int = attrs.field(default=0, init=False)
+    _asked: int = attrs.field(default=0, init=False)
+    _running: dict[str, int] = attrs.field(factory=dict, init=False)
+    _drains: dict[str, _Drain] = attrs.field(factory=dict, init=False)
+    _suspect_at_ns: dict[str, int] = attrs.field(factory=dict, init=False)
+    _stopping: bool = attrs.field(default=False, init=False)
+
+    def tick(self, now_ns: int) -> list[Effect]:
+        """Do what is due at this time.
+
+        :param now_ns: monotonic time, in nanoseconds
+        """
+        effects = self._finish_drains(now_ns)
+        if now_ns >= self._renew_at_ns and not self._stopping:
+            effects.append(self._renew(now_ns))
+        return effects
+
+    def receive(
+        self, source: str, message: Message, now_ns: int
+    ) -> list[Effect]:
+        """Handle a message of another host.
+
+        :param source: name of the sender
+        :param message: what it sent
+        :param now_ns: monotonic time, in nanoseconds
+        """
+        match message:
+            case LeaseGrant():
+                return self._on_grant(source, message, now_ns)
+            case LeaseRefusal():
+                self._on_refusal(message, now_ns)
+            case CloseGroup():
+                return self._on_close(source, message, now_ns)
+            case ViewDelta():
+                self._on_delta(message, now_ns)
+            case ViewSnapshot():
+                if message.index > self.state.index:
+                    self.state = ClusterState.load(message.state)
+            case Announcement():
+                self.announced[message.target] = message
+            case _:
+                pass
+        return []
+
+    def begin_write(self, group: str, now_ns: int) -> WriteTicket | Refusal:
+        """Ask for the right to write to a group.
+
+        The caller ends it with :meth:`end_write`.
+
+        :param group: name of the group
+        :param now_ns: monotonic time, in nanoseconds
+        """
+        term = self.state.terms.get(group)
+        if term is None or not term.is_open:
+            return _refuse(Reason.NO_PRIMARY, group)
+        if not self.covers(term, group, now_ns):
+            return _refuse(self._why_uncovered(now_ns), group)
+        self._running[group] = self._running.get(group, 0) + 1
+        return WriteTicket(group=group, term=term.term, primary=term.primary)
+
+    def end_write(self, ticket: WriteTicket, now_ns: int) -> bool:
+        """End a write.
+
+        :return: whether it may be acknowledged
+        """
+        self._running[ticket.group] -= 1
+        if self._running[ticket.group] == 0:
+            del self._running[ticket.group]
+        return self.holds(ticket, now_ns)
+
+    def holds(self, ticket: WriteTicket, now_ns: int) -> bool:
+        """Tell whether the right to write still stands."""
+        drain = self._drains.get(ticket.group)
+        if drain is not None and drain.term == ticket.term:
+            return now_ns < drain.deadline_ns
+        return self.lease.covers(
+            ticket.group,
+            ticket.term,
+            applied_index=self.state.index,
+            now_ns=now_ns,
+        )
+
+    def covers(self, term: GroupTerm, group: str, now_ns: int) -> bool:
+        """Tell whether the lease covers a term of a group."""
+        if not term.is_open or group in self._drains:
+            return False
+        return self.lease.covers(
+            group,
+            term.term,
+            applied_index=self.state.index,
+            now_ns=now_ns,
+        )
+
+    def suspect(
+        self, group: str, target: str, *, refused: bool, now_ns: int
+    ) -> list[Effect]:
+        """Report that a primary takes no new connection.
+
+        :param refused: whether it refused at once
+        :param now_ns: monotonic time, in nanoseconds
+        """
+        term = self.state.terms.get(group)
+        if term is None or term.primary != target:
+            return []
+        if now_ns < self._suspect_at_ns.get(group, 0):
+            return []
+        self._suspect_at_ns[group] = now_ns + SUSPICION_MS * NS_PER_MS
+        suspicion = Suspicion(
+            host=self.host,
+            group=group,
+            target=target,
+            term=term.term,
+            refused=refused,
+        )
+        return [Send(peer=self._leader(), message=suspicion)]
+
+    def stop(self) -> list[Effect]:
+        """Give the lease back before a planned stop."""
+        self._stopping = True
+        self.lease.give_back()
+        return [Send(peer=self._leader(), message=LeaseReturn(host=self.host))]
+
+    def _renew(self, now_ns: int) -> Send:
+        self._renew_at_ns = now_ns + RENEWAL_ANSWER_MS * NS_PER_MS
+        peer = self._leader()
+        if not self.lease.leader:
+            self._asked += 1
+        self.lease.leader = ""
+        renewal = LeaseRenewal(
+            host=self.host,
+            data_center=self.data_center,
+            sent_ns=now_ns,
+            applied_index=self.state.index,
+            address=self.address,
+        )
+        return Send(peer=peer, message=renewal)
+
+    def _leader(self) -> str:
+        if self.lease.leader:
+            return self.lease.leader
+        return self.control[self._asked % len(self.control)]
+
+    def _on_grant(
+        self, source: str, grant: LeaseGrant, now_ns: int
+    ) -> list[Effect]:
+        if self._stopping:
+            return []
+        self._asked = self._index_of(source)
+        self._renew_at_ns = now_ns + RENEWAL_MS * NS_PER_MS
+        effects: list[Effect] = []
+        for closing in grant.closing:
+            close = CloseGroup(
+                group=closing.group, term=closing.term, drain=closing.drain
+            )
+            effects.extend(self._on_close(source, close, now_ns))
+        self.lease.grant(source, attrs.evolve(grant, closing=()))
+        return effects
+
+    def _on_refusal(self, refusal: LeaseRefusal, now_ns: int) -> None:
+        if refusal.leader:
+            self._asked = self._index_of(refusal.leader)
+            self.lease.leader = refusal.leader
+            self._renew_at_ns = now_ns
+            return
+        self._asked += 1
+        self._renew_at_ns = now_ns + RENEWAL_ANSWER_MS * NS_PER_MS // 3
+
+    def _index_of(self, host: str) -> int:
+        names = list(self.control)
+        return names.index(host) if host in names else self._asked
+
+    def _on_delta(self, delta: ViewDelta, now_ns: int) -> None:
+        for entry in delta.entries:
+            if entry.index > self.state.index + 1:
+                self._renew_at_ns = now_ns
+                return
+            self.state.apply(entry)
+
+    def _on_close(
+        self, source: str, close: CloseGroup, now_ns: int
+    ) -> list[Effect]:
+        group = close.group
+        if close.drain and group not in self._drains:
+            if self._running.get(group, 0):
+                latest_ns = now_ns + DRAIN_MS * NS_PER_MS
+                self._drains[group] = _Drain(
+                    term=close.term,
+                    leader=source,
+                    deadline_ns=min(latest_ns, self.lease.deadline_ns),
+                )
+                return []
+        elif close.drain:
+            return []
+        return [self._closed(source, group, close.term)]
+
+    def _closed(self, leader: str, group: str, term: int) -> Send:
+        self._drains.pop(group, None)
+        self.lease.close(group, term)
+        message = GroupClosed(host=self.host, group=group, term=term)
+        return Send(peer=leader, message=message)
+
+    def _finish_drains(self, now_ns: int) -> list[Effect]:
+        effects: list[Effect] = []
+        for group, drain in list(self._drains.items()):
+            idle = not self._running.get(group, 0)
+            if idle or now_ns >= drain.deadline_ns:
+                sent = self._closed(drain.leader, group, drain.term)
+                effects.append(sent)
+        return effects
+
+    def _why_uncovered(self, now_ns: int) -> Reason:
+        if now_ns >= self.lease.deadline_ns:
+            return Reason.NO_LEASE
+        return Reason.NO_PRIMARY
+
+
+def _refuse(reason: Reason, group: str) -> Refusal:
+    return Refusal(reason=reason, step=Step.ROUTE, peer=group)
--- /dev/null
+++ b/src/rosemarysaddle/decide/_log.py
@@ -0,0 +1,557 @@
+"""Replicated log of the control hosts: election and replication."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from rosemarysaddle.decide._effects import (
+    Committed,
+    Effect,
+    LoadSnapshot,
+    SaveEntries,
+    SaveSnapshot,
+    SaveVote,
+    Send,
+)
+from rosemarysaddle.decide._times import (
+    HEARTBEAT_MS,
+    MIN_ELECTION_MS,
+    NS_PER_MS,
+    leader_deadline_ns,
+)
+from rosemarysaddle.schema import (
+    AppendReply,
+    AppendRequest,
+    LogEntry,
+    SnapshotInstall,
+    VoteReply,
+    VoteRequest,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Sequence
+
+    from rosemarysaddle.schema import Message
+
+__all__ = ("LogNode", "Role", "StoredLog")
+
+MAX_APPEND_ENTRIES: Final = 64
+NOOP: Final = "noop"
+
+
+class Role(enum.StrEnum):
+    """Role of a control host in the current term."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@attrs.frozen(kw_only=True)
+class StoredLog:
+    """What a control host read from its disk at the start."""
+
+    term: int = 0
+    voted_for: str = ""
+    snapshot_index: int = 0
+    snapshot_term: int = 0
+    snapshot_state: str = ""
+    entries: tuple[LogEntry, ...] = ()
+
+
+@attrs.define(kw_only=True)
+class _Follower:
+    next_index: int
+    match_index: int = 0
+    heard_sent_ns: int = 0
+    send_at_ns: int = 0
+
+
+@attrs.define(kw_only=True)
+class LogNode:
+    """One voter of the replicated log.
+
+    :param host: name of this host
+    :param voters: names of all voters, this one included
+    :param stored: what the disk held at the start
+    :param jitter_ms: endless source of election jitter, milliseconds
+    :param started_ns: monotonic time of the start, in nanoseconds
+    """
+
+    host: str
+    voters: tuple[str, ...]
+    stored: StoredLog
+    jitter_ms: Iterator[int]
+    started_ns: int
+
+    role: Role = attrs.field(default=Role.FOLLOWER, init=False)
+    leader: str = attrs.field(default="", init=False)
+    commit_index: int = attrs.field(init=False)
+    elected_ns: int = attrs.field(default=0, init=False)
+    term: int = attrs.field(init=False)
+    _voted_for: str = attrs.field(init=False)
+    _entries: list[LogEntry] = attrs.field(init=False)
+    _base_index: int = attrs.field(init=False)
+    _base_term: int = attrs.field(init=False)
+    _base_state: str = attrs.field(init=False)
+    _heard_ns: int = attrs.field(init=False)
+    _election_at_ns: int = attrs.field(init=False)
+    _votes: set[str] = attrs.field(factory=set, init=False)
+    _pre: bool = attrs.field(default=False, init=False)
+    _followers: dict[str, _Follower] = attrs.field(factory=dict, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Take over the stored state."""
+        self.term = self.stored.term
+        self._voted_for = self.stored.voted_for
+        self._entries = list(self.stored.entries)
+        self._base_index = self.stored.snapshot_index
+        self._base_term = self.stored.snapshot_term
+        self._base_state = self.stored.snapshot_state
+        self.commit_index = self._base_index
+        self._heard_ns = self.started_ns
+        self._election_at_ns = self._next_election_ns(self.started_ns)
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry held, committed or not."""
+        return self._base_index + len(self._entries)
+
+    @property
+    def held_entries(self) -> int:
+        """Count of entries held after the last snapshot."""
+        return len(self._entries)
+
+    def is_current(self, now_ns: int) -> bool:
+        """Tell whether no other leader can exist at this time.
+
+        :param now_ns: monotonic time, in nanoseconds
+        """
+        return self.role is Role.LEADER and now_ns < self.current_until_ns()
+
+    def current_until_ns(self) -> int:
+        """Compute until when no other leader can exist."""
+        heard = [f.heard_sent_ns for f in self._followers.values()]
+        needed = len(self.voters) // 2
+        if needed == 0:
+            return 1 << 62
+        heard.sort(reverse=True)
+        return leader_deadline_ns(heard[needed - 1])
+
+    def entries_after(self, index: int) -> tuple[LogEntry, ...] | None:
+        """List the committed entries after an index.
+
+        :param index: last index that the reader holds
+        :return: the entries, or None where a snapshot is needed
+        """
+        if index < self._base_index:
+            return None
+        last = self.commit_index - self._base_index
+        return tuple(self._entries[index - self._base_index : last])
+
+    def propose(self, kind: str, payload: str, now_ns: int) -> list[Effect]:
+        """Append an entry as leader.
+
+        :param kind: kind of the entry
+        :param payload: JSON text of the entry
+        :param now_ns: monotonic time, in nanoseconds
+        :return: effects; empty where this host does not lead
+        """
+        if self.role is not Role.LEADER:
+            return []
+        entry = LogEntry(
+            index=self.last_index + 1,
+            term=self.term,
+            kind=kind,
+            payload=payload,
+        )
+        self._entries.append(entry)
+        effects: list[Effect] = [SaveEntries(entries=(entry,))]
+        effects.extend(self._replicate_all(now_ns))
+        effects.extend(self._advance_commit())
+        return effects
+
+    def compact(self, index: int, state: str) -> list[Effect]:
+        """Replace the applied entries by a snapshot.
+
+        :param index: last index that the snapshot covers
+        :param state: the snapshot
+        :return: the saving of the snapshot
+        """
+        term = self._term_at(index)
+        del self._entries[: index - self._base_index]
+        self._base_index = index
+        self._base_term = term
+        self._base_state = state
+        return [SaveSnapshot(index=index, term=term, state=state)]
+
+    def tick(self, now_ns: int) -> list[Effect]:
+        """Do what is due at this time.
+
+        :param now_ns: monotonic time, in nanoseconds
+        """
+        if self.role is Role.LEADER:
+            if now_ns >= self.current_until_ns() and self._is_settled(now_ns):
+                self._become_follower(self.term, now_ns)
+                return []
+            return self._heartbeat(now_ns)
+        if now_ns >= self._election_at_ns:
+            return self._start_pre_vote(now_ns)
+        return []
+
+    def receive(
+        self, source: str, message: Message, now_ns: int
+    ) -> list[Effect]:
+        """Handle a message of another voter.
+
+        :param source: name of the sender
+        :param message: what it sent
+        :param now_ns: monotonic time, in nanoseconds
+        """
+        if source not in self.voters:
+            return []
+        match message:
+            case VoteRequest():
+                return self._on_vote_request(source, message, now_ns)
+            case VoteReply():
+                return self._on_vote_reply(source, message, now_ns)
+            case AppendRequest():
+                return self._on_append(source, message, now_ns)
+            case AppendReply():
+                return self._on_append_reply(source, message, now_ns)
+            case SnapshotInstall():
+                return self._on_snapshot(source, message, now_ns)
+            case _:
+                return []
+
+    def step_down(self, now_ns: int) -> list[Effect]:
+        """Give up leadership before a planned stop.
+
+        :param now_ns: monotonic time, in nanoseconds
+        """
+        if self.role is Role.LEADER:
+            self._become_follower(self.term, now_ns)
+        return []
+
+    # --- election ---
+
+    def _start_pre_vote(self, now_ns: int) -> list[Effect]:
+        self.role = Role.CANDIDATE
+        self.leader = ""
+        self._pre = True
+        self._votes = {self.host}
+        self._election_at_ns = self._next_election_ns(now_ns)
+        if self._has_quorum(self._votes):
+            return self._start_vote(now_ns)
+        return self._ask_votes(self.term + 1)
+
+    def _start_vote(self, now_ns: int) -> list[Effect]:
+        self._pre = False
+        self._votes = {self.host}
+        self._election_at_ns = self._next_election_ns(now_ns)
+        effects: list[Effect] = [self._set_term(self.term + 1, self.host)]
+        if self._has_quorum(self._votes):
+            return effects + self._become_leader(now_ns)
+        return effects + self._ask_votes(self.term)
+
+    def _ask_votes(self, term: int) -> list[Effect]:
+        request = VoteRequest(
+            term=term,
+            candidate=self.host,
+            last_index=self.last_index,
+            last_term=self._term_at(self.last_index),
+            pre=self._pre,
+        )
+        return [Send(peer=p, message=request) for p in self._others()]
+
+    def _on_vote_request(
+        self, source: str, request: VoteRequest, now_ns: int
+    ) -> list[Effect]:
+        if self._hears_leader(now_ns):
+            return [self._vote_reply(source, request, granted=False)]
+        effects: list[Effect] = []
+        if not request.pre and request.term > self.term:
+            self._become_follower(request.term, now_ns)
+            effects.append(self._set_term(request.term, ""))
+        granted = self._may_vote(request)
+        if granted and not request.pre:
+            self._election_at_ns = self._next_election_ns(now_ns)
+            effects.append(self._set_term(request.term, request.candidate))
+        effects.append(self._vote_reply(source, request, granted=granted))
+        return effects
+
+    def _may_vote(self, request: VoteRequest) -> bool:
+        mine = (self._term_at(self.last_index), self.last_index)
+        if (request.last_term, request.last_index) < mine:
+            return False
+        if request.pre:
+            return request.term > self.term
+        free = self._voted_for in {"", request.candidate}
+        return request.term == self.term and free
+
+    def _vote_reply(
+        self, source: str, request: VoteRequest, *, granted: bool
+    ) -> Send:
+        term = request.term if granted else self.term
+        reply = VoteReply(term=term, granted=granted, pre=request.pre)
+        return Send(peer=source, message=reply)
+
+    def _on_vote_reply(
+        self, source: str, reply: VoteReply, now_ns: int
+    ) -> list[Effect]:
+        if not reply.granted:
+            return self._adopt_term(reply.term, now_ns)
+        wanted = self.term + 1 if self._pre else self.term
+        if self.role is not Role.CANDIDATE or reply.pre is not self._pre:
+            return []
+        if reply.term != wanted:
+            return []
+        self._votes.add(source)
+        if not self._has_quorum(self._votes):
+            return []
+        if self._pre:
+            return self._start_vote(now_ns)
+        return self._become_leader(now_ns)
+
+    def _become_leader(self, now_ns: int) -> list[Effect]:
+        self.role = Role.LEADER
+        self.leader = self.host
+        self.elected_ns = now_ns
+        self._followers = {
+            peer: _Follower(next_index=self.last_index + 1)
+            for peer in self._others()
+        }
+        return self.propose(NOOP, "{}", now_ns)
+
+    def _become_follower(self, term: int, now_ns: int) -> None:
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        self._pre = False
+        self._followers = {}
+        self._election_at_ns = self._next_election_ns(now_ns)
+        if term > self.term:
+            self._voted_for = ""
+            self.term = term
+
+    def _adopt_term(self, term: int, now_ns: int) -> list[Effect]:
+        if term <= self.term:
+            return []
+        self._become_follower(term, now_ns)
+        return [self._set_term(term, "")]
+
+    def _set_term(self, term: int, voted_for: str) -> SaveVote:
+        self.term = term
+        self._voted_for = voted_for
+        return SaveVote(term=term, voted_for=voted_for)
+
+    def _hears_leader(self, now_ns: int) -> bool:
+        if self.role is Role.LEADER:
+            return self.is_current(now_ns)
+        return now_ns < self._heard_ns + MIN_ELECTION_MS * NS_PER_MS
+
+    def _is_settled(self, now_ns: int) -> bool:
+        return now_ns >= self.elected_ns + MIN_ELECTION_MS * NS_PER_MS
+
+    def _next_election_ns(self, now_ns: int) -> int:
+        return now_ns + (MIN_ELECTION_MS + next(self.jitter_ms)) * NS_PER_MS
+
+    def _has_quorum(self, hosts: set[str]) -> bool:
+        return 2 * len(hosts) > len(self.voters)
+
+    def _others(self) -> Sequence[str]:
+        return [peer for peer in self.voters if peer != self.host]
+
+    # --- replication ---
+
+    def _heartbeat(self, now_ns: int) -> list[Effect]:
+        effects: list[Effect] = []
+        for peer, follower in self._followers.items():
+            if now_ns >= follower.send_at_ns:
+                effects.append(self._replicate(peer, follower, now_ns))
+        return effects
+
+    def _replicate_all(self, now_ns: int) -> list[Effect]:
+        return [
+            self._replicate(peer, follower, now_ns)
+            for peer, follower in self._followers.items()
+        ]
+
+    def _replicate(self, peer: str, follower: _Follower, now_ns: int) -> Send:
+        follower.send_at_ns = now_ns + HEARTBEAT_MS * NS_PER_MS
+        if follower.next_index <= self._base_index:
+            return Send(peer=peer, message=self._snapshot(now_ns))
+        start = follower.next_index - self._base_index - 1
+        batch = self._entries[start : start + MAX_APPEND_ENTRIES]
+        previous = follower.next_index - 1
+        follower.next_index += len(batch)
+        request = AppendRequest(
+            term=self.term,
+            leader=self.host,
+            prev_index=previous,
+            prev_term=self._term_at(previous),
+            commit_index=self.commit_index,
+            sent_ns=now_ns,
+            entries=tuple(batch),
+        )
+        return Send(peer=peer, message=request)
+
+    def _snapshot(self, now_ns: int) -> SnapshotInstall:
+        return SnapshotInstall(
+            term=self.term,
+            leader=self.host,
+            index=self._base_index,
+            last_term=self._base_term,
+            sent_ns=now_ns,
+            state=self._base_state,
+        )
+
+    def _on_append(
+        self, source: str, request: AppendRequest, now_ns: int
+    ) -> list[Effect]:
+        if request.term < self.term:
+            return [self._append_reply(source, request, ok=False)]
+        effects = self._follow(source, request.term, now_ns)
+        if not self._matches(request):
+            return [*effects, self._append_reply(source, request, ok=False)]
+        effects.extend(self._store(request.entries))
+        match = request.prev_index + len(request.entries)
+        effects.extend(self._commit_to(min(request.commit_index, match)))
+        reply = self._append_reply(source, request, ok=True, match=match)
+        return [*effects, reply]
+
+    def _follow(self, leader: str, term: int, now_ns: int) -> list[Effect]:
+        effects = self._adopt_term(term, now_ns)
+        if self.role is not Role.FOLLOWER:
+            self._become_follower(term, now_ns)
+        self.leader = leader
+        self._heard_ns = now_ns
+        self._election_at_ns = self._next_election_ns(now_ns)
+        return effects
+
+    def _matches(self, request: AppendRequest) -> bool:
+        if request.prev_index < self._base_index:
+            return True  # entries under a snapshot are committed
+        if request.prev_index > self.last_index:
+            return False
+        return self._term_at(request.prev_index) == request.prev_term
+
+    def _store(self, entries: Sequence[LogEntry]) -> list[Effect]:
+        fresh = [e for e in entries if not self._holds(e)]
+        if not fresh:
+            return []
+        first = fresh[0].index
+        del self._entries[first - self._base_index - 1 :]
+        self._entries.extend(fresh)
+        return [SaveEntries(entries=tuple(fresh))]
+
+    def _holds(self, entry: LogEntry) -> bool:
+        if entry.index <= self._base_index:
+            return True
+        if entry.index > self.last_index:
+            return False
+        return self._term_at(entry.index) == entry.term
+
+    def _append_reply(
+        self, peer: str, request: AppendRequest, *, ok: bool, match: int = 0
+    ) -> Send:
+        reply = AppendReply(
+            term=self.term,
+            ok=ok,
+            match_index=match if ok else self.last_index,
+            sent_ns=request.sent_ns,
+        )
+        return Send(peer=peer, message=reply)
+
+    def _on_append_reply(
+        self, source: str, reply: AppendReply, now_ns: int
+    ) -> list[Effect]:
+        if reply.term > self.term:
+            return self._adopt_term(reply.term, now_ns)
+        follower = self._followers.get(source)
+        if follower is None or reply.term < self.term:
+            return []
+        newest = max(follower.heard_sent_ns, reply.sent_ns)
+        follower.heard_sent_ns = newest
+        if not reply.ok:
+            return self._back_up(source, follower, reply, now_ns)
+        follower.match_index = max(follower.match_index, reply.match_index)
+        follower.next_index = max(follower.next_index, reply.match_index + 1)
+        effects = self._advance_commit()
+        if follower.next_index <= self.last_index:
+            effects.append(self._replicate(source, follower, now_ns))
+        return effects
+
+    def _back_up(
+        self,
+        source: str,
+        follower: _Follower,
+        reply: AppendReply,
+        now_ns: int,
+    ) -> list[Effect]:
+        lower = min(reply.match_index + 1, follower.next_index - 1)
+        follower.next_index = max(lower, follower.match_index + 1, 1)
+        return [self._replicate(source, follower, now_ns)]
+
+    def _advance_commit(self) -> list[Effect]:
+        matches = [f.match_index for f in self._followers.values()]
+        matches.append(self.last_index)
+        matches.sort(reverse=True)
+        index = matches[len(self.voters) // 2]
+        if index <= self.commit_index or self._term_at(index) != self.term:
+            return []
+        return self._commit_to(index)
+
+    def _commit_to(self, index: int) -> list[Effect]:
+        if index <= self.commit_index:
+            return []
+        start = self.commit_index - self._base_index
+        entries = self._entries[start : index - self._base_index]
+        self.commit_index = index
+        return [Committed(entries=tuple(entries))]
+
+    def _on_snapshot(
+        self, source: str, install: SnapshotInstall, now_ns: int
+    ) -> list[Effect]:
+        if install.term < self.term:
+            return []
+        effects = self._follow(source, install.term, now_ns)
+        if install.index > self.commit_index:
+            effects.extend(self._load(install))
+        reply = AppendReply(
+            term=self.term,
+            ok=True,
+            match_index=install.index,
+            sent_ns=install.sent_ns,
+        )
+        return [*effects, Send(peer=source, message=reply)]
+
+    def _load(self, install: SnapshotInstall) -> list[Effect]:
+        keep: list[LogEntry] = []
+        if self._holds_at(install.index, install.last_term):
+            keep = self._entries[install.index - self._base_index :]
+        self._entries = keep
+        self._base_index = install.index
+        self._base_term = install.last_term
+        self._base_state = install.state
+        self.commit_index = install.index
+        return [
+            SaveSnapshot(
+                index=install.index,
+                term=install.last_term,
+                state=install.state,
+            ),
+            LoadSnapshot(index=install.index, state=install.state),
+        ]
+
+    def _holds_at(self, index: int, term: int) -> bool:
+        if index > self.last_index or index < self._base_index:
+            return False
+        return self._term_at(index) == term
+
+    def _term_at(self, index: int) -> int:
+        if index == self._base_index:
+            return self._base_term
+        return self._entries[index - self._base_index - 1].term
--- /dev/null
+++ b/src/rosemarysaddle/decide/_routing.py
@@ -0,0 +1,220 @@
+"""Choice of the target that serves a read or confirms a write."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from rosemarysaddle.decide._reasons import Reason, Refusal, Step
+from rosemarysaddle.decide._times import NS_PER_MS
+from rosemarysaddle.decide._token import LogPoint
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Sequence
+
+    from rosemarysaddle.decide._state import GroupTerm
+
+__all__ = ("GroupView", "ReadChoice", "ReadWish", "TargetView")
+
+SEEN_MS: Final = 1_500
+MAX_SAMPLES: Final = 256
+
+
+@attrs.define(kw_only=True)
+class TargetView:
+    """What this host knows of one instance.
+
+    :param asked_ns: monotonic time at which the status was asked for,
+        so that the status is at least as new
+    :param seen_ns: monotonic time of the last answer
+    :param running: statements of this host that run there
+    """
+
+    name: str
+    data_center: str
+    role: str = ""
+    point: LogPoint = attrs.field(factory=lambda: LogPoint(term=0, position=0))
+    asked_ns: int = 0
+    seen_ns: int = 0
+    latency_ns: int = 0
+    leaving: bool = False
+    running: int = 0
+
+    def is_live(self, now_ns: int) -> bool:
+        """Tell whether the instance answered lately."""
+        return now_ns < self.seen_ns + SEEN_MS * NS_PER_MS
+
+    def holds(self, point: LogPoint) -> bool:
+        """Tell whether the instance has applied a write."""
+        if self.point.term == point.term:
+            return self.point.position >= point.position
+        return self.point.term > point.term
+
+
+@attrs.frozen(kw_only=True)
+class _Sample:
+    asked_ns: int
+    point: LogPoint
+
+
+@attrs.frozen(kw_only=True)
+class ReadWish:
+    """What a read needs.
+
+    :param point: newest write of the session in the group
+    :param stale_ms: greatest age of the data, in milliseconds; 0 asks
+        for the primary
+    :param has_token: whether the session showed its token
+    """
+
+    point: LogPoint
+    stale_ms: int
+    has_token: bool
+
+    @property
+    def allows_replica(self) -> bool:
+        """Tell whether a replica may serve the read at all."""
+        return self.has_token and self.stale_ms > 0
+
+
+@attrs.frozen(kw_only=True)
+class ReadChoice:
+    """Replica chosen for a read.
+
+    :param age_ns: upper bound of the age of its data, in nanoseconds
+    """
+
+    target: str
+    point: LogPoint
+    age_ns: int
+
+
+@attrs.define(kw_only=True)
+class GroupView:
+    """What this host knows of one group.
+
+    :param pick: chooses a number below its argument
+    """
+
+    group: str
+    pick: Callable[[int], int]
+    targets: dict[str, TargetView] = attrs.field(factory=dict)
+    _samples: collections.deque[_Sample] = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_SAMPLES)
+    )
+
+    def observe(
+        self,
+        name: str,
+        *,
+        role: str,
+        point: LogPoint,
+        asked_ns: int,
+        now_ns: int,
+        is_primary: bool,
+    ) -> None:
+        """Take over the status of an instance.
+
+        :param asked_ns: monotonic time at which it was asked for
+        :param is_primary: whether a lease covered the instance as the
+            primary when the answer arrived
+        """
+        view = self.targets[name]
+        view.role = role
+        view.point = point
+        view.asked_ns = asked_ns
+        view.seen_ns = now_ns
+        if is_primary:
+            self._samples.append(_Sample(asked_ns=asked_ns, point=point))
+
+    def age_ns(self, view: TargetView, now_ns: int) -> int | None:
+        """Bound the age of the data of an instance.
+
+        :param now_ns: monotonic time, in nanoseconds
+        :return: upper bound in nanoseconds, or None where none is known
+        """
+        for sample in reversed(self._samples):
+            if view.holds(sample.point):
+                return now_ns - sample.asked_ns
+        return None
+
+    def choose_replica(
+        self, wish: ReadWish, *, primary: str, data_center: str, now_ns: int
+    ) -> ReadChoice | Refusal:
+        """Choose a replica for a read.
+
+        :param primary: instance that is left out
+        :param data_center: data centre to prefer
+        :param now_ns: monotonic time, in nanoseconds
+        :return: the choice, or why no replica may serve the read
+        """
+        fit = list(self._fitting(wish, primary, now_ns))
+        if not fit:
+            return self._refuse(primary, now_ns)
+        near = [c for c in fit if self._center(c) == data_center]
+        return self._less_loaded(near or fit)
+
+    def is_confirmed(
+        self, point: LogPoint, *, primary: str, needed: int
+    ) -> bool:
+        """Tell whether enough instances hold a write.
+
+        :param needed: count of instances, the primary included
+        """
+        holders = 1 + sum(
+            view.holds(point)
+            for name, view in self.targets.items()
+            if name != primary
+        )
+        return holders >= needed
+
+    def lag_is_bounded(
+        self, term: GroupTerm, *, needed: int, now_ns: int
+    ) -> bool:
+        """Tell whether a write could be confirmed soon.
+
+        :param needed: count of instances, the primary included
+        :param now_ns: monotonic time, in nanoseconds
+        """
+        live = sum(
+            view.is_live(now_ns) and view.point.term == term.term
+            for name, view in self.targets.items()
+            if name != term.primary
+        )
+        return live + 1 >= needed
+
+    def _fitting(
+        self, wish: ReadWish, primary: str, now_ns: int
+    ) -> Iterable[ReadChoice]:
+        for name, view in self.targets.items():
+            if name == primary or view.leaving or not view.is_live(now_ns):
+                continue
+            age_ns = self.age_ns(view, now_ns)
+            if age_ns is None or age_ns > wish.stale_ms * NS_PER_MS:
+                continue
+            if view.holds(wish.point):
+                yield ReadChoice(target=name, point=view.point, age_ns=age_ns)
+
+    def _center(self, choice: ReadChoice) -> str:
+        return self.targets[choice.target].data_center
+
+    def _less_loaded(self, choices: Sequence[ReadChoice]) -> ReadChoice:
+        first = choices[self.pick(len(choices))]
+        second = choices[self.pick(len(choices))]
+        return min(first, second, key=self._load)
+
+    def _load(self, choice: ReadChoice) -> tuple[int, int]:
+        view = self.targets[choice.target]
+        return (view.running, view.latency_ns)
+
+    def _refuse(self, primary: str, now_ns: int) -> Refusal:
+        live = any(
+            v.is_live(now_ns) for n, v in self.targets.items() if n != primary
+        )
+        return Refusal(
+            reason=Reason.REPLICAS_BEHIND if live else Reason.NO_REPLICA,
+            step=Step.ROUTE,
+            peer=self.group,
+        )
--- /dev/null
+++ b/src/rosemarysaddle/demo/_checker.py
@@ -0,0 +1,147 @@
+"""Checks of a run by targets' logs and callers' records only."""
+
+from __future__ import annotations
+
+import bisect
+import collections
+import re
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from rosemarysaddle.demo._deployments import CallKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping, Sequence
+
+    from rosemarysaddle.demo._records import CallRecord
+    from rosemarysaddle.standin import LogRecord
+
+__all__ = ("Checker", "Violation")
+
+_INSERT: Final = re.compile(
+    r"INSERT INTO marks \(mark, session\) VALUES \('([^']+)', '([^']+)'\)"
+)
+_MS_PER_S: Final = 1_000
+
+
+@attrs.frozen(kw_only=True)
+class Violation:
+    """One breach of what must always hold."""
+
+    rule: str
+    detail: str
+
+
+@attrs.frozen(kw_only=True)
+class _Placed:
+    mark: str
+    session: str
+    record: LogRecord
+
+
+@attrs.frozen(kw_only=True)
+class _GroupLog:
+    """Marks of the surviving log of one group, in order."""
+
+    placed: tuple[_Placed, ...]
+    term_starts_s: Mapping[int, float]
+
+    @classmethod
+    def read(cls, log: Sequence[LogRecord]) -> _GroupLog:
+        """Find the marks in a log."""
+        placed = []
+        starts_s: dict[int, float] = {}
+        for record in log:
+            starts_s.setdefault(record.term, record.committed_at_s)
+            for statement in record.statements:
+                match = _INSERT.fullmatch(statement.strip())
+                if match:
+                    found = _Placed(
+                        mark=match[1], session=match[2], record=record
+                    )
+                    placed.append(found)
+        return cls(placed=tuple(placed), term_starts_s=starts_s)
+
+
+@attrs.define(kw_only=True)
+class Checker:
+    """Compares the callers' records with the targets' logs.
+
+    :param logs: surviving log of each group
+    """
+
+    logs: Mapping[str, Sequence[LogRecord]]
+
+    def check(self, records: Sequence[CallRecord]) -> list[Violation]:
+        """List every breach.
+
+        :param records: what the callers saw
+        """
+        found: list[Violation] = []
+        for group, log in self.logs.items():
+            of_group = [r for r in records if r.group == group]
+            placed = _GroupLog.read(log)
+            found.extend(_check_writes(of_group, placed))
+            found.extend(_check_replaced(of_group, placed))
+            found.extend(_check_reads(of_group, placed))
+        found.extend(_check_echo(records))
+        return found
+
+
+def _check_writes(
+    records: Iterable[CallRecord], log: _GroupLog
+) -> Iterable[Violation]:
+    counts = collections.Counter(p.mark for p in log.placed)
+    for mark, count in counts.items():
+        if count > 1:
+            yield Violation(rule="doubled", detail=f"{mark} {count} times")
+    positions = {p.mark: p.record.position for p in log.placed}
+    for record in records:
+        stored = [m for m in record.marks if m in counts]
+        if record.outcome == "done" and len(stored) != len(record.marks):
+            yield Violation(rule="lost", detail=f"{record.marks}")
+        if record.outcome == "not-run" and stored:
+            yield Violation(rule="falsely-refused", detail=f"{record}")
+        if len({positions[m] for m in stored}) > 1:
+            yield Violation(rule="mixed", detail=f"{record.marks}")
+        if stored and len(stored) != len(record.marks):
+            yield Violation(rule="mixed", detail=f"part of {record.marks}")
+
+
+def _check_replaced(
+    records: Iterable[CallRecord], log: _GroupLog
+) -> Iterable[Violation]:
+    terms = sorted(log.term_starts_s)
+    for record in records:
+        if record.outcome != "done" or record.repeated or not record.marks:
+            continue
+        later = [t for t in terms if t > record.term]
+        if later and record.sent_s > log.term_starts_s[later[0]]:
+            detail = f"{record.marks} in term {record.term}"
+            yield Violation(rule="replaced-primary", detail=detail)
+
+
+def _check_reads(
+    records: Iterable[CallRecord], log: _GroupLog
+) -> Iterable[Violation]:
+    commits_s = [p.record.committed_at_s for p in log.placed]
+    for record in records:
+        if record.outcome != "done" or record.value < 0:
+            continue
+        if record.kind is CallKind.OWN_READ:
+            if record.value < record.own_marks:
+                detail = f"{record.session}: {record}"
+                yield Violation(rule="read-your-writes", detail=detail)
+            continue
+        oldest_s = record.sent_s - record.age_ms / _MS_PER_S
+        due = bisect.bisect_left(commits_s, oldest_s)
+        if record.value < due:
+            detail = f"{record.value} of {due} rows, {record}"
+            yield Violation(rule="stale", detail=detail)
+
+
+def _check_echo(records: Iterable[CallRecord]) -> Iterable[Violation]:
+    for record in records:
+        if record.outcome == "done" and not record.echoed:
+            yield Violation(rule="wrong-answer", detail=f"{record}")
--- /dev/null
+++ b/src/rosemarysaddle/demo/_clients.py
@@ -0,0 +1,283 @@
+"""Callers of a demonstration: sessions that roam between hosts."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import random
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+
+from rosemarysaddle.demo._deployments import CallKind, ClassSpec
+from rosemarysaddle.demo._records import CallRecord
+from rosemarysaddle.serve import Operation
+
+if TYPE_CHECKING:
+    import threading
+    from collections.abc import Sequence
+
+    from rosemarysaddle.demo._deployments import Deployment
+    from rosemarysaddle.demo._fabric import DemoFabric
+    from rosemarysaddle.demo._records import RecordBook
+    from rosemarysaddle.link import Address
+
+__all__ = ("Balancer", "CallerSession", "HostPort", "Reply")
+
+DEADLINE_MS: Final = 4_000
+TIMEOUT_S: Final = 6.0
+ROAM_SHARE: Final = 0.2
+KEY_LIFE_MS: Final = 3_600_000
+LOST: Final = "lost"
+
+
+@attrs.frozen(kw_only=True)
+class HostPort:
+    """Entry host as the balancer knows it."""
+
+    name: str
+    data_center: str
+    address: Address
+
+
+@attrs.define(kw_only=True, eq=False)
+class Balancer:
+    """The platform's balancer: hosts in service, by data centre."""
+
+    hosts: Sequence[HostPort]
+    fabric: DemoFabric
+    out_of_service: frozenset[str] = frozenset()
+
+    def pick(self, home: str, source: random.Random) -> HostPort:
+        """Pick a host for a caller in a data centre."""
+        usable = [
+            h
+            for h in self.hosts
+            if h.name not in self.out_of_service
+            and not self.fabric.are_apart(home, h.data_center)
+        ]
+        near = [h for h in usable if h.data_center == home]
+        if near and source.random() > ROAM_SHARE:
+            return source.choice(near)
+        return source.choice(usable)
+
+
+@attrs.frozen(kw_only=True)
+class Reply:
+    """Answer that a caller got; outcome is lost where none came."""
+
+    outcome: str
+    body: dict[str, Any]
+
+    @property
+    def reason(self) -> str:
+        """Last part of the problem type, or empty."""
+        return str(self.body.get("type", "")).rpartition(":")[2]
+
+
+@attrs.define(kw_only=True, eq=False)
+class CallerSession:
+    """One caller with its session token."""
+
+    name: str
+    home: str
+    deployment: Deployment
+    credential: str
+    balancer: Balancer
+    book: RecordBook
+    seed: int
+    think_s: float
+    token: str = attrs.field(default="", init=False)
+    own_marks: dict[str, int] = attrs.field(factory=dict, init=False)
+    _random: random.Random = attrs.field(init=False)
+    _connections: dict[str, http.client.HTTPConnection] = attrs.field(
+        factory=dict, init=False
+    )
+    _sequence: int = attrs.field(default=0, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Seed the caller's choices."""
+        self._random = random.Random(f"{self.seed}:{self.name}")
+
+    def run(self, stop: threading.Event) -> None:
+        """Call until told to stop."""
+        classes = self.deployment.classes
+        weights = [c.weight for c in classes]
+        while not stop.is_set():
+            spec = self._random.choices(classes, weights)[0]
+            group = self._random.choice(self.deployment.groups)
+            self.call(spec, group)
+            stop.wait(self._random.expovariate(1 / self.think_s))
+        for connection in self._connections.values():
+            connection.close()
+
+    def call(self, spec: ClassSpec, group: str) -> CallRecord:
+        """Make one call and note what came of it."""
+        sent_s = time.monotonic()
+        match spec.kind:
+            case CallKind.WRITE:
+                marks, reply = self._write(spec, group)
+            case CallKind.KEYED_WRITE:
+                marks, reply = self._keyed_write(spec, group)
+            case CallKind.TRANSACTION:
+                marks, reply = self._transaction(spec, group)
+            case _:
+                marks, reply = (), self._read(spec, group)
+        record = self._record(spec, group, marks, reply, sent_s)
+        self.book.add(record)
+        if record.outcome == "done":
+            self.token = reply.body.get("token", self.token)
+            owned = self.own_marks.get(group, 0)
+            self.own_marks[group] = owned + len(marks)
+        return record
+
+    def post(self, path: str, body: dict[str, Any]) -> Reply:
+        """Send one request through the balancer."""
+        host = self.balancer.pick(self.home, self._random)
+        time.sleep(self.deployment.client_delay_ms / 1_000)
+        reply = self._exchange(host, path, body)
+        time.sleep(self.deployment.client_delay_ms / 1_000)
+        return reply
+
+    def _record(
+        self,
+        spec: ClassSpec,
+        group: str,
+        marks: tuple[str, ...],
+        reply: Reply,
+        sent_s: float,
+    ) -> CallRecord:
+        served = reply.body.get("served_by", {})
+        value, echoed = _first_number(reply, self._nonce())
+        return CallRecord(
+            session=self.name,
+            group=group,
+            request_class=spec.name,
+            kind=spec.kind,
+            marks=marks,
+            outcome=reply.outcome,
+            reason=reply.reason,
+            sent_s=sent_s,
+            ended_s=time.monotonic(),
+            role=served.get("role", ""),
+            term=served.get("term", 0),
+            position=served.get("position", 0),
+            value=value,
+            own_marks=self.own_marks.get(group, 0),
+            age_ms=served.get("age_ms", 0),
+            echoed=echoed or bool(marks),
+            repeated=bool(reply.body.get("repeated")),
+        )
+
+    def _write(
+        self, spec: ClassSpec, group: str
+    ) -> tuple[tuple[str, ...], Reply]:
+        mark = self._mark()
+        body = self._body(spec, group, [_insert(mark, self.name)])
+        body["write"] = True
+        return (mark,), self.post(Operation.STATEMENTS, body)
+
+    def _keyed_write(
+        self, spec: ClassSpec, group: str
+    ) -> tuple[tuple[str, ...], Reply]:
+        mark = self._mark()
+        body = self._body(spec, group, [_insert(mark, self.name)])
+        body["write"] = True
+        body["key"] = f"key-{mark}"
+        body["key_expires_at_ms"] = int(time.time() * 1_000) + KEY_LIFE_MS
+        reply = self.post(Operation.STATEMENTS, body)
+        if reply.outcome in {LOST, "unknown"}:
+            reply = self.post(Operation.STATEMENTS, body)
+        return (mark,), reply
+
+    def _transaction(
+        self, spec: ClassSpec, group: str
+    ) -> tuple[tuple[str, ...], Reply]:
+        marks = (self._mark(), self._mark())
+        begun = self.post(Operation.BEGIN, self._body(spec, group, []))
+        handle = begun.body.get("transaction", "")
+        if not handle:
+            return marks, begun
+        for mark in marks:
+            body = self._body(spec, group, [_insert(mark, self.name)])
+            body.update({"write": True, "transaction": handle})
+            reply = self.post(Operation.EXECUTE, body)
+            if reply.outcome != "done":
+                return marks, attrs.evolve(reply, outcome="not-run")
+        body = self._body(spec, group, [])
+        body["transaction"] = handle
+        return marks, self.post(Operation.COMMIT, body)
+
+    def _read(self, spec: ClassSpec, group: str) -> Reply:
+        where = ""
+        args: list[Any] = [self._nonce()]
+        if spec.kind is CallKind.OWN_READ:
+            where = " WHERE session = %s"
+            args.append(self.name)
+        sql = f"SELECT %s AS nonce, COUNT(*) AS n FROM marks{where}"
+        body = self._body(spec, group, [{"sql": sql, "args": args}])
+        return self.post(Operation.STATEMENTS, body)
+
+    def _body(
+        self, spec: ClassSpec, group: str, statements: list[dict[str, Any]]
+    ) -> dict[str, Any]:
+        body: dict[str, Any] = {
+            "group": group,
+            "class": spec.name,
+            "deadline_ms": DEADLINE_MS,
+        }
+        if statements:
+            body["statements"] = statements
+        if self.token:
+            body["token"] = self.token
+        return body
+
+    def _mark(self) -> str:
+        self._sequence += 1
+        return f"{self.name}-{self._sequence}"
+
+    def _nonce(self) -> str:
+        return f"{self.name}/{self._sequence}"
+
+    def _exchange(
+        self, host: HostPort, path: str, body: dict[str, Any]
+    ) -> Reply:
+        connection = self._connections.get(host.name)
+        if connection is None:
+            connection = http.client.HTTPConnection(
+                host.address.ip, host.address.port, timeout=TIMEOUT_S
+            )
+            self._connections[host.name] = connection
+        headers = {
+            "X-Tenant": self.deployment.tenant,
+            "Authorization": f"Bearer {self.credential}",
+            "Content-Type": "application/json",
+        }
+        try:
+            if connection.sock is None:
+                connection.connect()
+        except OSError:
+            return Reply(outcome="not-run", body={"type": "x:no-host"})
+        try:
+            data = json.dumps(body)
+            connection.request("POST", path, body=data, headers=headers)
+            answer = connection.getresponse()
+            decoded = json.loads(answer.read())
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            connection.close()
+            return Reply(outcome=LOST, body={"type": f"x:{error!r}"})
+        return Reply(outcome=decoded.get("outcome", LOST), body=decoded)
+
+
+def _insert(mark: str, session: str) -> dict[str, Any]:
+    sql = "INSERT INTO marks (mark, session) VALUES (%s, %s)"
+    return {"sql": sql, "args": [mark, session]}
+
+
+def _first_number(reply: Reply, nonce: str) -> tuple[int, bool]:
+    results = reply.body.get("results") or []
+    if not results or not results[0]["rows"]:
+        return -1, reply.outcome != "done"
+    row = results[0]["rows"][0]
+    return int(row[1]), row[0] == nonce
--- /dev/null
+++ b/src/rosemarysaddle/demo/_cluster.py
@@ -0,0 +1,361 @@
+"""All parts of a deployment, started in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import concurrent.futures
+import hashlib
+import http.client
+import json
+import os
+import threading
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+import cattrs
+from absl import logging
+
+from rosemarysaddle.daemon import HostDaemon
+from rosemarysaddle.demo._clients import Balancer, HostPort
+from rosemarysaddle.demo._fabric import DemoFabric, Place
+from rosemarysaddle.link import Address
+from rosemarysaddle.schema import (
+    ControlHost,
+    Group,
+    Instance,
+    Inventory,
+    RequestClass,
+    Rules,
+    Settings,
+    Tenant,
+)
+from rosemarysaddle.serve import EntryServer
+from rosemarysaddle.standin import (
+    InstanceFaults,
+    StandInGroup,
+    StandInInstance,
+    StandInServer,
+    announce,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from pathlib import Path
+
+    from rosemarysaddle.demo._deployments import Deployment
+
+__all__ = ("Cluster", "LoopThread")
+
+CALLERS_PORT: Final = 8_100
+PEERS_PORT: Final = 8_200
+TARGETS_PORT: Final = 3_306
+CREDENTIAL: Final = "caller-credential"
+ADMIN_CREDENTIAL: Final = "operator-credential"
+TARGET_USER: Final = "rosemarysaddle"
+TARGET_PASSWORD: Final = "target-password"  # noqa: S105 - demonstration
+EXECUTOR_THREADS: Final = 64
+ANNOUNCE_S: Final = 1.0
+SCHEMA: Final = (
+    """CREATE TABLE IF NOT EXISTS marks (
+    mark VARCHAR(100) PRIMARY KEY, session VARCHAR(100) NOT NULL)""",
+    "CREATE INDEX IF NOT EXISTS marks_session ON marks (session)",
+)
+
+
+@attrs.define(kw_only=True, eq=False)
+class LoopThread:
+    """Event loop in a thread of its own."""
+
+    name: str
+    loop: asyncio.AbstractEventLoop = attrs.field(
+        factory=asyncio.new_event_loop, init=False
+    )
+    _thread: threading.Thread = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Start the loop."""
+        executor = concurrent.futures.ThreadPoolExecutor(EXECUTOR_THREADS)
+        self.loop.set_default_executor(executor)
+        self._thread = threading.Thread(
+            target=self.loop.run_forever, name=self.name, daemon=True
+        )
+        self._thread.start()
+
+    def run(self, work: Coroutine[Any, Any, Any]) -> Any:
+        """Run work in the loop and wait for it."""
+        return asyncio.run_coroutine_threadsafe(work, self.loop).result()
+
+    def stop(self) -> None:
+        """End the loop."""
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._thread.join()
+
+
+@attrs.define(kw_only=True, eq=False)
+class Cluster:
+    """Entry hosts, control hosts and stand-in targets of a deployment.
+
+    :param folder: folder for the state of all parts
+    """
+
+    deployment: Deployment
+    folder: Path
+    seed: int
+    fabric: DemoFabric = attrs.field(init=False)
+    servers: dict[str, EntryServer] = attrs.field(factory=dict, init=False)
+    instances: dict[str, StandInInstance] = attrs.field(
+        factory=dict, init=False
+    )
+    targets: dict[str, StandInServer] = attrs.field(factory=dict, init=False)
+    balancer: Balancer = attrs.field(init=False)
+    hosts: LoopThread = attrs.field(init=False)
+    standins: LoopThread = attrs.field(init=False)
+    _settings: dict[str, Settings] = attrs.field(factory=dict, init=False)
+    _groups: list[StandInGroup] = attrs.field(factory=list, init=False)
+    _octet: int = attrs.field(init=False)
+    _ended: threading.Event = attrs.field(factory=threading.Event, init=False)
+    _announcer: threading.Thread | None = attrs.field(default=None, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Lay out the addresses."""
+        self._octet = 64 + os.getpid() % 128
+        self.fabric = DemoFabric(
+            center_delay_ms=self.deployment.center_delay_ms,
+            region_delay_ms=self.deployment.region_delay_ms,
+        )
+        self._lay_out_hosts()
+        ports = [
+            HostPort(
+                name=s.host,
+                data_center=s.data_center,
+                address=Address.parse(s.callers_address),
+            )
+            for s in self._settings.values()
+        ]
+        self.balancer = Balancer(hosts=ports, fabric=self.fabric)
+
+    def start(self) -> None:
+        """Start every part."""
+        _quiet()
+        self.standins = LoopThread(name="stand-ins")
+        self.hosts = LoopThread(name="hosts")
+        self.standins.run(self._start_targets())
+        for name, settings in self._settings.items():
+            self.servers[name] = self._server(settings)
+            self.hosts.run(self.servers[name].start())
+        self._announcer = threading.Thread(
+            target=self._announce_forever, name="announcer", daemon=True
+        )
+        self._announcer.start()
+
+    def stop(self) -> None:
+        """Stop every part."""
+        self._ended.set()
+        if self._announcer is not None:
+            self._announcer.join()
+        for server in self.servers.values():
+            self.hosts.run(server.kill())
+        self.standins.run(self._stop_targets())
+        self.hosts.stop()
+        self.standins.stop()
+
+    def restart_host(self, name: str) -> None:
+        """Start a host again that was stopped or killed."""
+        self.servers[name] = self._server(self._settings[name])
+        self.hosts.run(self.servers[name].start())
+
+    def request(
+        self, method: str, path: str, body: Any = None, *, host: str = ""
+    ) -> tuple[int, Any]:
+        """Call the administration API of a host.
+
+        :return: status and decoded body
+        """
+        settings = self._settings[host or next(iter(self._settings))]
+        address = Address.parse(settings.callers_address)
+        connection = http.client.HTTPConnection(
+            address.ip, address.port, timeout=10
+        )
+        headers = {
+            "Authorization": f"Bearer {ADMIN_CREDENTIAL}",
+            "X-Operator": "demo",
+            "Content-Type": "application/json",
+        }
+        try:
+            data = None if body is None else json.dumps(body)
+            connection.request(method, path, body=data, headers=headers)
+            answer = connection.getresponse()
+            return answer.status, json.loads(answer.read() or b"null")
+        finally:
+            connection.close()
+
+    def inventory(self) -> dict[str, Any]:
+        """Build the inventory of the deployment."""
+        groups = tuple(
+            Group(
+                name=group,
+                instances=tuple(
+                    Instance(
+                        name=i.name,
+                        data_center=i.data_center,
+                        address=f"{i.ip}:{i.port}",
+                        connections=i.connections,
+                        slots=i.slots,
+                    )
+                    for i in self.instances.values()
+                    if i.group == group
+                ),
+            )
+            for group in self.deployment.groups
+        )
+        tenant = Tenant(
+            name=self.deployment.tenant,
+            credential_sha256=_digest(CREDENTIAL),
+            groups=self.deployment.groups,
+        )
+        found: dict[str, Any] = cattrs.unstructure(
+            Inventory(groups=groups, tenants=(tenant,))
+        )
+        return found
+
+    def rules(self) -> dict[str, Any]:
+        """Build the rules of the deployment."""
+        classes = tuple(
+            RequestClass(name=c.name, stale_ms=c.stale_ms, priority=c.priority)
+            for c in self.deployment.classes
+        )
+        found: dict[str, Any] = cattrs.unstructure(Rules(classes=classes))
+        return found
+
+    def primary_of(self, group: str) -> StandInInstance | None:
+        """Find the instance that is primary in the newest term."""
+        found = [
+            i
+            for i in self.instances.values()
+            if i.group == group and i.role == "primary"
+        ]
+        return max(found, key=lambda i: i.term, default=None)
+
+    def leader(self) -> str:
+        """Name the control leader, or nothing."""
+        for name, server in self.servers.items():
+            control = server.daemon.control
+            if control is not None and control.log.role == "leader":
+                return name
+        return ""
+
+    def _lay_out_hosts(self) -> None:
+        control: list[ControlHost] = []
+        drafts: list[tuple[str, str, str, str]] = []
+        for number, site in enumerate(self.deployment.sites, 1):
+            place = Place(data_center=site.data_center, region=site.region)
+            for host in range(1, site.entry_hosts + 1):
+                ip = f"127.{self._octet}.{number}.{host}"
+                name = f"entry-{site.data_center}-{host}"
+                self.fabric.places[ip] = place
+                drafts.append((name, site.data_center, site.region, ip))
+                if host == 1:
+                    peers = f"{ip}:{PEERS_PORT}"
+                    control.append(ControlHost(host=name, address=peers))
+        for name, center, region, ip in drafts:
+            self._settings[name] = Settings(
+                host=name,
+                data_center=center,
+                region=region,
+                callers_address=f"{ip}:{CALLERS_PORT}",
+                peers_address=f"{ip}:{PEERS_PORT}",
+                bind_address=ip,
+                data_folder=str(self.folder / name),
+                control=tuple(control),
+                token_keys=("5a" * 32,),
+                admin_credential_sha256=_digest(ADMIN_CREDENTIAL),
+                target_user=TARGET_USER,
+                target_password=TARGET_PASSWORD,
+            )
+
+    def _server(self, settings: Settings) -> EntryServer:
+        daemon = HostDaemon(
+            settings=settings, fabric=self.fabric, seed=self.seed
+        )
+        return EntryServer(daemon=daemon)
+
+    async def _start_targets(self) -> None:
+        for group_number, group in enumerate(self.deployment.groups, 1):
+            members = []
+            for number, site in enumerate(self.deployment.sites, 1):
+                ip = f"127.{self._octet}.{number}.{100 + group_number}"
+                instance = self._instance(
+                    group, f"{group}-{'abc'[number - 1]}", site.data_center, ip
+                )
+                self.fabric.places[ip] = Place(
+                    data_center=site.data_center, region=site.region
+                )
+                members.append(instance)
+                await self._serve(instance)
+            replication = StandInGroup(instances=members, fabric=self.fabric)
+            replication.start()
+            self._groups.append(replication)
+
+    def _instance(
+        self, group: str, name: str, center: str, ip: str
+    ) -> StandInInstance:
+        folder = self.folder / "targets"
+        folder.mkdir(parents=True, exist_ok=True)
+        instance = StandInInstance(
+            name=name,
+            group=group,
+            data_center=center,
+            ip=ip,
+            port=TARGETS_PORT,
+            folder=folder,
+            schema=SCHEMA,
+            connections=self.deployment.connections,
+            slots=self.deployment.slots,
+            faults=InstanceFaults(lag_ms=self.deployment.lag_ms),
+        )
+        self.instances[name] = instance
+        return instance
+
+    async def _serve(self, instance: StandInInstance) -> None:
+        server = StandInServer(
+            instance=instance,
+            fabric=self.fabric,
+            user=TARGET_USER,
+            password=TARGET_PASSWORD,
+            connect_ms=self.deployment.connect_ms,
+        )
+        await server.start()
+        self.targets[instance.name] = server
+
+    async def _stop_targets(self) -> None:
+        for group in self._groups:
+            await group.stop()
+        for server in self.targets.values():
+            await server.stop()
+
+    def _announce_forever(self) -> None:
+        while not self._ended.is_set():
+            for instance in self.instances.values():
+                if not instance.faults.crashed:
+                    self._announce(instance)
+            self._ended.wait(ANNOUNCE_S)
+
+    def _announce(self, instance: StandInInstance) -> None:
+        for host in self.balancer.hosts:
+            if host.data_center != instance.data_center:
+                continue
+            if host.name in self.balancer.out_of_service:
+                continue
+            if announce(instance, host.address):
+                return
+
+
+def _digest(credential: str) -> str:
+    return hashlib.sha256(credential.encode()).hexdigest()
+
+
+def _quiet() -> None:
+    logging.set_verbosity(logging.WARNING)
+    manager = logging.get_absl_logger().manager
+    manager.getLogger("mysql_mimic").setLevel("CRITICAL")
+    manager.getLogger("asyncio").setLevel("CRITICAL")
--- /dev/null
+++ b/src/rosemarysaddle/demo/_fabric.py
@@ -0,0 +1,58 @@
+"""Delays and cuts between the addresses of a demonstration."""
+
+from __future__ import annotations
+
+import attrs
+
+__all__ = ("DemoFabric", "Place")
+
+_MS_PER_S = 1_000
+
+
+@attrs.frozen(kw_only=True)
+class Place:
+    """Where an address is."""
+
+    data_center: str
+    region: str
+
+
+@attrs.define(kw_only=True, eq=False)
+class DemoFabric:
+    """Delays by place, and data centres that are cut off."""
+
+    center_delay_ms: float
+    region_delay_ms: float
+    places: dict[str, Place] = attrs.field(factory=dict)
+    cut_centers: frozenset[str] = frozenset()
+    cut_ips: frozenset[str] = frozenset()
+
+    def delay_s(self, source_ip: str, target_ip: str) -> float:
+        """One-way delay in seconds."""
+        source = self.places.get(source_ip)
+        target = self.places.get(target_ip)
+        if source is None or target is None or source == target:
+            return 0.0
+        if source.region == target.region:
+            return self.center_delay_ms / _MS_PER_S
+        return self.region_delay_ms / _MS_PER_S
+
+    def is_cut(self, source_ip: str, target_ip: str) -> bool:
+        """Tell whether nothing gets through."""
+        if source_ip == target_ip:
+            return False
+        if source_ip in self.cut_ips or target_ip in self.cut_ips:
+            return True
+        if not self.cut_centers:
+            return False
+        source = self.places.get(source_ip)
+        target = self.places.get(target_ip)
+        if source is None or target is None:
+            return False
+        return self.are_apart(source.data_center, target.data_center)
+
+    def are_apart(self, first: str, second: str) -> bool:
+        """Tell whether a cut lies between two data centres."""
+        if first == second:
+            return False
+        return first in self.cut_centers or second in self.cut_centers
--- /dev/null
+++ b/src/rosemarysaddle/demo/_play.py
@@ -0,0 +1,384 @@
+"""Course of a demonstration: workload, faults, checks and report."""
+
+from __future__ import annotations
+
+import collections
+import json
+import statistics
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+
+from rosemarysaddle.demo._checker import Checker
+from rosemarysaddle.demo._clients import CallerSession
+from rosemarysaddle.demo._cluster import CREDENTIAL, Cluster
+from rosemarysaddle.demo._deployments import CallKind
+from rosemarysaddle.demo._probe import GapProbe
+from rosemarysaddle.demo._records import RecordBook
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from rosemarysaddle.demo._deployments import Deployment
+    from rosemarysaddle.demo._records import CallRecord
+
+__all__ = ("DemoReport", "play")
+
+CALLERS: Final = 12
+THINK_S: Final = 0.12
+START_S: Final = 20.0
+SETTLE_S: Final = 10.0
+POLL_S: Final = 0.02
+PHASE_S: Final = 3.0
+REPAIR_S: Final = 2.0
+RULE_NAMES: Final = (
+    "lost",
+    "doubled",
+    "mixed",
+    "replaced-primary",
+    "falsely-refused",
+    "read-your-writes",
+    "stale",
+    "wrong-answer",
+    "configuration",
+    "cut-request",
+)
+
+
+@attrs.define(kw_only=True)
+class DemoReport:
+    """Result of a demonstration."""
+
+    deployment: str
+    seed: int
+    outcomes: dict[str, dict[str, int]]
+    replica_share: dict[str, float]
+    gaps_ms: dict[str, float]
+    in_force_ms: float
+    violations: list[dict[str, str]]
+    violation_counts: dict[str, int]
+    seconds: float
+
+    def to_json(self) -> str:
+        """Render as JSON."""
+        return json.dumps(attrs.asdict(self), indent=2)
+
+    def to_text(self) -> str:
+        """Render as a short table."""
+        lines = [f"deployment {self.deployment}, seed {self.seed}", ""]
+        lines.append("requests by outcome")
+        for name, counts in self.outcomes.items():
+            text = ", ".join(f"{k} {v}" for k, v in sorted(counts.items()))
+            lines.append(f"  {name:<24}{text}")
+        lines.append("share of reads served by replicas")
+        for name, share in self.replica_share.items():
+            lines.append(f"  {name:<24}{share:.1%}")
+        lines.append("failover gap, ms")
+        for name, gap_ms in self.gaps_ms.items():
+            lines.append(f"  {name:<24}{gap_ms:.0f}")
+        lines.append(f"rule change in force after {self.in_force_ms:.0f} ms")
+        lines.append("violations")
+        for name, count in self.violation_counts.items():
+            lines.append(f"  {name:<24}{count}")
+        lines.append(f"took {self.seconds:.1f} s")
+        return "\n".join(lines)
+
+
+def play(deployment: Deployment, *, seed: int) -> DemoReport:
+    """Run a deployment under faults and check it.
+
+    :param seed: seed of the callers' choices
+    """
+    with tempfile.TemporaryDirectory(
+        prefix="rosemarysaddle-", ignore_cleanup_errors=True
+    ) as folder:
+        cluster = Cluster(
+            deployment=deployment, folder=Path(folder), seed=seed
+        )
+        stage = _Stage(cluster=cluster, seed=seed)
+        try:
+            return stage.run()
+        finally:
+            cluster.stop()
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Stage:
+    cluster: Cluster
+    seed: int
+    book: RecordBook = attrs.field(factory=RecordBook)
+    gaps_ms: dict[str, float] = attrs.field(factory=dict)
+    in_force_ms: float = 0.0
+    extra: list[dict[str, str]] = attrs.field(factory=list)
+    started_s: float = attrs.field(factory=time.monotonic)
+
+    def run(self) -> DemoReport:
+        """Play all phases."""
+        self._say("start")
+        self.cluster.start()
+        self._configure()
+        stop = threading.Event()
+        threads = self._start_callers(stop)
+        time.sleep(PHASE_S)
+        self._crash_primary()
+        self._cut_center()
+        self._change_rule()
+        self._switch_over()
+        self._stop_host()
+        time.sleep(PHASE_S / 2)
+        stop.set()
+        for thread in threads:
+            thread.join()
+        self._say("check")
+        self._settle()
+        return self._report()
+
+    def _configure(self) -> None:
+        cluster = self.cluster
+        _wait(lambda: bool(cluster.leader()), START_S)
+        self._change("inventory", 0, cluster.inventory())
+        self._change("rules", 0, cluster.rules())
+        _wait(self._all_primaries, START_S)
+
+    def _change(self, kind: str, version: int, document: Any) -> None:
+        change = {
+            "change_id": f"demo-{kind}-{version + 1}",
+            "base_version": version,
+            "document": document,
+        }
+        path = f"/admin/documents/{kind}"
+        status, answer = self.cluster.request("POST", path, change)
+        if status != 200:  # noqa: PLR2004
+            self._breach("configuration", f"{kind}: {answer}")
+
+    def _all_primaries(self) -> bool:
+        for group in self.cluster.deployment.groups:
+            if self.cluster.primary_of(group) is None:
+                return False
+        return True
+
+    def _start_callers(self, stop: threading.Event) -> list[threading.Thread]:
+        deployment = self.cluster.deployment
+        threads = []
+        for number in range(CALLERS):
+            site = deployment.sites[number % len(deployment.sites)]
+            session = CallerSession(
+                name=f"s{number}",
+                home=site.data_center,
+                deployment=deployment,
+                credential=CREDENTIAL,
+                balancer=self.cluster.balancer,
+                book=self.book,
+                seed=self.seed,
+                think_s=THINK_S,
+            )
+            thread = threading.Thread(
+                target=session.run, args=(stop,), daemon=True
+            )
+            thread.start()
+            threads.append(thread)
+        return threads
+
+    def _crash_primary(self) -> None:
+        self._say("crash of a primary")
+        group = self.cluster.deployment.groups[0]
+        primary = self.cluster.primary_of(group)
+        if primary is None:
+            return
+        target = self.cluster.targets[primary.name]
+        probe = self._probe(group, "crash", primary.data_center)
+        self.cluster.standins.run(target.crash())
+        probe.wait()
+        time.sleep(PHASE_S / 2)
+        self.cluster.standins.run(target.restart())
+        time.sleep(REPAIR_S)
+
+    def _cut_center(self) -> None:
+        self._say("cut of a data centre")
+        group = self.cluster.deployment.groups[1]
+        primary = self.cluster.primary_of(group)
+        if primary is None:
+            return
+        probe = self._probe(group, "cut", primary.data_center)
+        cut = frozenset({primary.data_center})
+        self.cluster.fabric.cut_centers = cut
+        probe.wait()
+        time.sleep(PHASE_S)
+        self.cluster.fabric.cut_centers = frozenset()
+        time.sleep(REPAIR_S)
+
+    def _probe(self, group: str, name: str, avoid: str) -> GapProbe:
+        homes = [
+            s.data_center
+            for s in self.cluster.deployment.sites
+            if s.data_center != avoid
+        ]
+        probe = GapProbe.for_group(
+            self.cluster,
+            group=group,
+            name=name,
+            home=homes[0],
+            seed=self.seed,
+            book=self.book,
+        )
+        probe.start(on_gap=lambda ms: self.gaps_ms.update({name: ms}))
+        return probe
+
+    def _change_rule(self) -> None:
+        self._say("change of a rule")
+        status, found = self.cluster.request("GET", "/admin/documents/rules")
+        if status != 200:  # noqa: PLR2004
+            self._breach("configuration", str(found))
+            return
+        version = int(found["version"])
+        document = found["document"]
+        for item in document["classes"]:
+            if item["stale_ms"]:
+                item["stale_ms"] += 500
+        self._change("rules", version, document)
+        began_s = time.monotonic()
+        in_force = _wait(lambda: self._all_have(version + 1), SETTLE_S)
+        self.in_force_ms = (time.monotonic() - began_s) * 1_000
+        if not in_force:
+            self._breach("configuration", "not in force everywhere")
+
+    def _all_have(self, version: int) -> bool:
+        return all(
+            s.daemon.gate.node.state.rules_version >= version
+            for s in self.cluster.servers.values()
+        )
+
+    def _switch_over(self) -> None:
+        self._say("planned change of a primary")
+        group = self.cluster.deployment.groups[2]
+        primary = self.cluster.primary_of(group)
+        if primary is None:
+            return
+        others = [
+            i.name
+            for i in self.cluster.instances.values()
+            if i.group == group and i.name != primary.name
+        ]
+        probe = self._probe(group, "planned", primary.data_center)
+        self.cluster.request(
+            "POST",
+            f"/admin/switchover?group={group}&target={others[0]}",
+            {},
+        )
+        probe.wait()
+        time.sleep(PHASE_S / 2)
+
+    def _stop_host(self) -> None:
+        self._say("planned stop of an entry host")
+        name = next(
+            n
+            for n, s in self.cluster.servers.items()
+            if s.daemon.control is None
+        )
+        self.cluster.balancer.out_of_service = frozenset({name})
+        lost = self._count_lost()
+        self.cluster.hosts.run(self.cluster.servers[name].stop())
+        time.sleep(PHASE_S / 2)
+        cut = self._count_lost() - lost
+        if cut:
+            self._breach("cut-request", f"{cut} requests at {name}")
+        self.cluster.restart_host(name)
+        self.cluster.balancer.out_of_service = frozenset()
+
+    def _count_lost(self) -> int:
+        return sum(r.outcome == "lost" for r in self.book.records)
+
+    def _settle(self) -> None:
+        _wait(self._is_settled, SETTLE_S)
+
+    def _is_settled(self) -> bool:
+        for group in self.cluster.deployment.groups:
+            members = [
+                i for i in self.cluster.instances.values() if i.group == group
+            ]
+            if len({(i.log_term, i.position) for i in members}) > 1:
+                return False
+        return True
+
+    def _report(self) -> DemoReport:
+        logs = {}
+        for group in self.cluster.deployment.groups:
+            primary = self.cluster.primary_of(group)
+            logs[group] = list(primary.log) if primary else []
+        records = self.book.records
+        found = Checker(logs=logs).check(records)
+        violations = self.extra + [attrs.asdict(v) for v in found]
+        counts = dict.fromkeys(RULE_NAMES, 0)
+        for violation in violations:
+            counts[violation["rule"]] += 1
+        return DemoReport(
+            deployment=self.cluster.deployment.name,
+            seed=self.seed,
+            outcomes=_outcomes(records),
+            replica_share=_replica_share(records),
+            gaps_ms=_with_summary(self.gaps_ms),
+            in_force_ms=self.in_force_ms,
+            violations=violations,
+            violation_counts=counts,
+            seconds=time.monotonic() - self.started_s,
+        )
+
+    def _breach(self, rule: str, detail: str) -> None:
+        self.extra.append({"rule": rule, "detail": detail})
+
+    def _say(self, phase: str) -> None:
+        if sys.stderr.isatty():
+            spent_s = time.monotonic() - self.started_s
+            print(f"\r{spent_s:5.1f} s  {phase:<40}", end="", file=sys.stderr)
+
+
+def _outcomes(records: Sequence[CallRecord]) -> dict[str, dict[str, int]]:
+    found: dict[str, dict[str, int]] = {}
+    for record in records:
+        counts = found.setdefault(record.request_class, {})
+        name = record.outcome
+        if record.outcome != "done" and record.reason:
+            name = f"{name} ({record.reason})"
+        counts[name] = counts.get(name, 0) + 1
+    return dict(sorted(found.items()))
+
+
+def _replica_share(records: Sequence[CallRecord]) -> dict[str, float]:
+    reads = {CallKind.FRESH_READ, CallKind.OWN_READ, CallKind.COUNT_READ}
+    counts: dict[str, collections.Counter[str]] = {}
+    for record in records:
+        if record.kind in reads and record.outcome == "done":
+            names = (record.request_class, "all")
+            for name in names:
+                tally = counts.setdefault(name, collections.Counter())
+                tally[record.role] += 1
+    return {
+        name: tally["replica"] / tally.total()
+        for name, tally in sorted(counts.items())
+    }
+
+
+def _with_summary(gaps_ms: dict[str, float]) -> dict[str, float]:
+    if not gaps_ms:
+        return {}
+    values = list(gaps_ms.values())
+    return {
+        **gaps_ms,
+        "min": min(values),
+        "median": statistics.median(values),
+        "max": max(values),
+    }
+
+
+def _wait(done: Callable[[], bool], limit_s: float) -> bool:
+    deadline_s = time.monotonic() + limit_s
+    while time.monotonic() < deadline_s:
+        if done():
+            return True
+        time.sleep(POLL_S)
+    return done()
--- /dev/null
+++ b/src/rosemarysaddle/demo/_probe.py
@@ -0,0 +1,127 @@
+"""Measurement of the time during which writes cannot succeed."""
+
+from __future__ import annotations
+
+import itertools
+import threading
+import time
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from rosemarysaddle.demo._clients import CallerSession
+from rosemarysaddle.demo._deployments import CallKind, ClassSpec
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from rosemarysaddle.demo._cluster import Cluster
+    from rosemarysaddle.demo._records import RecordBook
+
+__all__ = ("GapProbe",)
+
+LANES: Final = 4
+LANE_STEP_S: Final = 0.02
+LIMIT_S: Final = 20.0
+TAIL_S: Final = 0.5
+_WRITE: Final = ClassSpec(
+    name="gap-probe", kind=CallKind.WRITE, weight=1, priority=0
+)
+
+
+@attrs.define(kw_only=True, eq=False)
+class GapProbe:
+    """Writes to one group all the time, from several sessions.
+
+    The gap is the longest time between two successive successful
+    writes that overlaps the fault.
+    """
+
+    group: str
+    sessions: list[CallerSession]
+    _done_s: list[float] = attrs.field(factory=list, init=False)
+    _stop: threading.Event = attrs.field(factory=threading.Event, init=False)
+    _threads: list[threading.Thread] = attrs.field(factory=list, init=False)
+    _began_s: float = attrs.field(default=0.0, init=False)
+    _on_gap: Callable[[float], None] = attrs.field(init=False)
+
+    @classmethod
+    def for_group(
+        cls,
+        cluster: Cluster,
+        *,
+        group: str,
+        name: str,
+        home: str,
+        seed: int,
+        book: RecordBook,
+    ) -> GapProbe:
+        """Build a probe.
+
+        :param home: data centre of the probing sessions
+        """
+        from rosemarysaddle.demo._cluster import CREDENTIAL  # noqa: PLC0415
+
+        sessions = [
+            CallerSession(
+                name=f"{name}-{lane}",
+                home=home,
+                deployment=cluster.deployment,
+                credential=CREDENTIAL,
+                balancer=cluster.balancer,
+                book=book,
+                seed=seed,
+                think_s=LANE_STEP_S,
+            )
+            for lane in range(LANES)
+        ]
+        return cls(group=group, sessions=sessions)
+
+    def start(self, *, on_gap: Callable[[float], None]) -> None:
+        """Start to write; returns once writes succeed.
+
+        :param on_gap: takes the gap in milliseconds
+        """
+        self._on_gap = on_gap
+        for session in self.sessions:
+            thread = threading.Thread(
+                target=self._write, args=(session,), daemon=True
+            )
+            thread.start()
+            self._threads.append(thread)
+        time.sleep(TAIL_S)
+        self._began_s = time.monotonic()
+
+    def wait(self) -> None:
+        """Wait until writes succeed again and report the gap."""
+        deadline_s = time.monotonic() + LIMIT_S
+        while time.monotonic() < deadline_s and not self._has_recovered():
+            time.sleep(LANE_STEP_S)
+        self._stop.set()
+        for thread in self._threads:
+            thread.join()
+        self._on_gap(self._longest_gap_s() * 1_000)
+
+    def _write(self, session: CallerSession) -> None:
+        while not self._stop.is_set():
+            record = session.call(_WRITE, self.group)
+            if record.outcome == "done":
+                self._done_s.append(record.ended_s)
+            self._stop.wait(LANE_STEP_S)
+
+    def _has_recovered(self) -> bool:
+        now_s = time.monotonic()
+        if now_s < self._began_s + TAIL_S:
+            return False
+        longest_s = self._longest_gap_s()
+        recent = [d for d in self._done_s if d > now_s - TAIL_S]
+        return len(recent) > LANES and longest_s < now_s - self._began_s
+
+    def _longest_gap_s(self) -> float:
+        times = sorted(self._done_s)
+        before = [t for t in times if t <= self._began_s][-1:]
+        after = [t for t in times if t > self._began_s]
+        marks = [*(before or [self._began_s]), *after]
+        if not after:
+            return LIMIT_S
+        return max(b - a for a, b in itertools.pairwise(marks))
--- /dev/null
+++ b/src/rosemarysaddle/link/_codec.py
@@ -0,0 +1,122 @@
+"""Coding of envelopes as packed Cap'n Proto messages."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+import capnp
+
+import rosemarysaddle.schema
+from rosemarysaddle.schema import Envelope
+from rosemarysaddle.schema._messages import BODIES
+
+if TYPE_CHECKING:
+    from rosemarysaddle.schema import Message
+
+__all__ = ("MAX_MESSAGE_BYTES", "DecodeFault", "decode", "encode")
+
+MAX_MESSAGE_BYTES: Final = 64 * 1024 * 1024
+_FOLDER: Final = Path(rosemarysaddle.schema.__file__).parent
+_MODULE: Final = capnp.load(str(_FOLDER / "messages.capnp"))
+_NAMES: Final = {kind: wire for wire, kind in BODIES.items()}
+
+
+@attrs.frozen(kw_only=True)
+class DecodeFault:
+    """Sentinel for bytes that are no envelope."""
+
+    reason: str
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Render an envelope.
+
+    :return: packed message without the length prefix
+    """
+    body = {_NAMES[type(envelope.body)]: _to_wire(envelope.body)}
+    message = _MODULE.Envelope.new_message(
+        source=envelope.source, requestId=envelope.request_id, body=body
+    )
+    packed: bytes = message.to_bytes_packed()
+    return packed
+
+
+def decode(data: bytes) -> Envelope | DecodeFault:
+    """Read an envelope.
+
+    :param data: packed message without the length prefix
+    :return: the envelope, or what is wrong with the bytes
+    """
+    if len(data) > MAX_MESSAGE_BYTES:
+        return DecodeFault(reason="too large")
+    try:
+        message = _MODULE.Envelope.from_bytes_packed(
+            data, traversal_limit_in_words=MAX_MESSAGE_BYTES
+        )
+        wire = message.body.which()
+        kind = BODIES[str(wire)]
+        values = getattr(message.body, str(wire)).to_dict()
+        return Envelope(
+            source=message.source,
+            request_id=message.requestId,
+            body=_from_wire(kind, values),
+        )
+    except (capnp.KjException, ValueError, KeyError, TypeError) as error:
+        return DecodeFault(reason=str(error).splitlines()[0])
+
+
+def _to_wire(message: Any) -> dict[str, Any]:
+    return {
+        wire: _value_to_wire(getattr(message, name))
+        for name, wire in _FIELDS[type(message)]
+    }
+
+
+def _value_to_wire(value: Any) -> Any:
+    if isinstance(value, tuple):
+        return [_to_wire(item) for item in value]
+    return value
+
+
+def _from_wire(kind: type[Message], values: dict[str, Any]) -> Message:
+    return kind(**_arguments(kind, values))
+
+
+def _arguments(kind: type, values: dict[str, Any]) -> dict[str, Any]:
+    found: dict[str, Any] = {}
+    nested = _NESTED.get(kind, {})
+    for name, wire in _FIELDS[kind]:
+        value = values[wire]
+        item = nested.get(name)
+        if item is not None:
+            value = tuple(item(**_arguments(item, v)) for v in value)
+        found[name] = value
+    return found
+
+
+def _camel(name: str) -> str:
+    head, *tail = name.split("_")
+    return head + "".join(part.title() for part in tail)
+
+
+def _field_names(kind: type) -> tuple[tuple[str, str], ...]:
+    return tuple((f.name, _camel(f.name)) for f in attrs.fields(kind))
+
+
+def _nested_types(kind: type) -> dict[str, type]:
+    found: dict[str, type] = {}
+    for field in attrs.fields(kind):
+        match = re.fullmatch(r"tuple\[(\w+), \.\.\.\]", str(field.type))
+        if match:
+            found[field.name] = getattr(rosemarysaddle.schema, match[1])
+    return found
+
+
+_NESTED: Final = {kind: _nested_types(kind) for kind in BODIES.values()}
+_ITEMS: Final = {item for found in _NESTED.values() for item in found.values()}
+_FIELDS: Final = {
+    kind: _field_names(kind) for kind in {*BODIES.values(), *_ITEMS}
+}
--- /dev/null
+++ b/src/rosemarysaddle/link/_peers.py
@@ -0,0 +1,282 @@
+"""Connections to the other hosts.
+
+A message goes over the connection on which the peer was heard last,
+else over one dialled to its address.  Messages may be lost; whoever
+needs an answer sends again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+from typing import TYPE_CHECKING, Final
+
+import attrs
+from absl import logging
+
+from rosemarysaddle.link._codec import (
+    MAX_MESSAGE_BYTES,
+    DecodeFault,
+    decode,
+    encode,
+)
+from rosemarysaddle.schema import Envelope
+
+if TYPE_CHECKING:
+    import ssl
+    from collections.abc import Callable, Mapping
+
+    from rosemarysaddle.link._address import Address
+    from rosemarysaddle.link._fabric import Fabric
+    from rosemarysaddle.schema import Message
+
+__all__ = ("PeerNetwork",)
+
+SILENCE_S: Final = 1.2
+DIAL_S: Final = 1.0
+REDIAL_S: Final = 0.1
+MAX_BUFFERED_BYTES: Final = 8 * 1024 * 1024
+_LENGTH: Final = struct.Struct(">I")
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Connection:
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    local_ip: str
+    remote_ip: str
+    dialled: bool
+    heard_at_s: float
+    sent_at_s: float = 0.0
+    source: str = ""
+
+
+@attrs.define(kw_only=True, eq=False)
+class PeerNetwork:
+    """All connections of one host to the others.
+
+    :param host: name of this host
+    :param listen: address for the other hosts
+    :param addresses: address of each host that is dialled
+    :param receive: takes the sender's name and its message
+    """
+
+    host: str
+    listen: Address
+    addresses: Mapping[str, Address]
+    receive: Callable[[str, Message], None]
+    fabric: Fabric
+    server_tls: ssl.SSLContext | None = None
+    client_tls: ssl.SSLContext | None = None
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    _heard: dict[str, _Connection] = attrs.field(factory=dict, init=False)
+    _dialled: dict[str, _Connection] = attrs.field(factory=dict, init=False)
+    _dialling: set[str] = attrs.field(factory=set, init=False)
+    _redial_at_s: dict[str, float] = attrs.field(factory=dict, init=False)
+    _tasks: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
+    _server: asyncio.Server | None = attrs.field(default=None, init=False)
+    _request_id: int = attrs.field(default=0, init=False)
+    _queued: dict[str, list[bytes]] = attrs.field(factory=dict, init=False)
+
+    async def start(self) -> None:
+        """Listen for other hosts."""
+        self._server = await asyncio.start_server(
+            self._accept,
+            self.listen.ip,
+            self.listen.port,
+            ssl=self.server_tls,
+            reuse_address=True,
+        )
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        for connection in {*self._heard.values(), *self._dialled.values()}:
+            connection.writer.close()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def send(self, peer: str, message: Message) -> None:
+        """Send a message; it may be lost.
+
+        :param peer: name of the receiver
+        """
+        if peer == self.host:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self.receive, peer, message)
+            return
+        self._request_id += 1
+        envelope = Envelope(
+            source=self.host, request_id=self._request_id, body=message
+        )
+        data = encode(envelope)
+        frame = _LENGTH.pack(len(data)) + data
+        connection = self._connection_to(peer)
+        if connection is not None:
+            self._write(connection, frame)
+        elif peer in self.addresses:
+            self._dial_later(peer, frame)
+
+    def neighbors(self) -> tuple[str, ...]:
+        """Name the hosts that a connection is open to."""
+        return tuple({*self._heard, *self._dialled})
+
+    def _connection_to(self, peer: str) -> _Connection | None:
+        found = [
+            table[peer]
+            for table in (self._dialled, self._heard)
+            if peer in table
+        ]
+        usable = [c for c in found if not self._is_silent(c)]
+        if usable:
+            return max(usable, key=lambda c: c.heard_at_s)
+        for connection in found:
+            self._drop(connection)
+        return None
+
+    def _is_silent(self, connection: _Connection) -> bool:
+        if connection.writer.is_closing():
+            return True
+        now_s = asyncio.get_running_loop().time()
+        unanswered = connection.sent_at_s > connection.heard_at_s
+        return unanswered and now_s > connection.heard_at_s + SILENCE_S
+
+    def _write(self, connection: _Connection, frame: bytes) -> None:
+        ends = (connection.local_ip, connection.remote_ip)
+        connection.sent_at_s = asyncio.get_running_loop().time()
+        if self.fabric.is_cut(*ends):
+            return
+        delay_s = self.fabric.delay_s(*ends)
+        if delay_s:
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self._write_now, connection, frame)
+        else:
+            self._write_now(connection, frame)
+
+    def _write_now(self, connection: _Connection, frame: bytes) -> None:
+        transport = connection.writer.transport
+        if transport.is_closing():
+            return
+        if transport.get_write_buffer_size() > MAX_BUFFERED_BYTES:
+            self._drop(connection)
+            return
+        self.sent_bytes += len(frame)
+        connection.writer.write(frame)
+
+    def _dial_later(self, peer: str, frame: bytes) -> None:
+        self._queued[peer] = [*self._queued.get(peer, [])[-8:], frame]
+        now_s = asyncio.get_running_loop().time()
+        if peer in self._dialling or now_s < self._redial_at_s.get(peer, 0):
+            return
+        self._dialling.add(peer)
+        self._spawn(self._dial(peer))
+
+    async def _dial(self, peer: str) -> None:
+        loop = asyncio.get_running_loop()
+        try:
+            connection = await self._connect(self.addresses[peer])
+        except (OSError, TimeoutError):
+            self._queued.pop(peer, None)
+            return
+        finally:
+            self._dialling.discard(peer)
+            self._redial_at_s[peer] = loop.time() + REDIAL_S
+        connection.source = peer
+        self._dialled[peer] = connection
+        for frame in self._queued.pop(peer, []):
+            self._write(connection, frame)
+        await self._read(connection)
+
+    async def _connect(self, address: Address) -> _Connection:
+        local_ip = self.listen.ip
+        if self.fabric.is_cut(local_ip, address.ip):
+            await asyncio.sleep(DIAL_S)
+            raise TimeoutError
+        await asyncio.sleep(2 * self.fabric.delay_s(local_ip, address.ip))
+        reader, writer = await asyncio.wait_for(
+            asyncio.open_connection(
+                address.ip,
+                address.port,
+                local_addr=(local_ip, 0),
+                ssl=self.client_tls,
+            ),
+            DIAL_S,
+        )
+        return _Connection(
+            reader=reader,
+            writer=writer,
+            local_ip=local_ip,
+            remote_ip=address.ip,
+            dialled=True,
+            heard_at_s=asyncio.get_running_loop().time(),
+        )
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connection = _Connection(
+            reader=reader,
+            writer=writer,
+            local_ip=self.listen.ip,
+            remote_ip=writer.get_extra_info("peername")[0],
+            dialled=False,
+            heard_at_s=asyncio.get_running_loop().time(),
+        )
+        task = asyncio.current_task()
+        if task is not None:
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        await self._read(connection)
+
+    async def _read(self, connection: _Connection) -> None:
+        try:
+            while await self._read_one(connection):
+                pass
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self._drop(connection)
+
+    async def _read_one(self, connection: _Connection) -> bool:
+        head = await connection.reader.readexactly(_LENGTH.size)
+        (length,) = _LENGTH.unpack(head)
+        if length > MAX_MESSAGE_BYTES:
+            return False
+        data = await connection.reader.readexactly(length)
+        envelope = decode(data)
+        if isinstance(envelope, DecodeFault):
+            logging.warning(
+                "event=bad-frame step=decode peer=%s reason=%r",
+                connection.remote_ip,
+                envelope.reason,
+            )
+            return False
+        self._take(connection, envelope, length)
+        return True
+
+    def _take(
+        self, connection: _Connection, envelope: Envelope, length: int
+    ) -> None:
+        self.received_bytes += length
+        ends = (connection.remote_ip, connection.local_ip)
+        if self.fabric.is_cut(*ends):
+            return
+        connection.heard_at_s = asyncio.get_running_loop().time()
+        if not connection.dialled:
+            connection.source = envelope.source
+            self._heard[envelope.source] = connection
+        self.receive(envelope.source, envelope.body)
+
+    def _drop(self, connection: _Connection) -> None:
+        connection.writer.close()
+        for table in (self._heard, self._dialled):
+            if table.get(connection.source) is connection:
+                del table[connection.source]
+
+    def _spawn(self, work: asyncio._CoroutineLike[None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/src/rosemarysaddle/schema/_check.py
@@ -0,0 +1,101 @@
+"""Reading and checking of documents in JSON with comments."""
+
+from __future__ import annotations
+
+import functools
+import json
+import re
+from pathlib import Path
+from typing import Any, Final, TypeVar
+
+import attrs
+import cattrs
+import jsonschema
+import pyjson5
+
+__all__ = ("SchemaFault", "load_document", "load_file", "parse_document")
+
+MAX_DOCUMENT_BYTES: Final = 64 * 1024 * 1024
+_FOLDER: Final = Path(__file__).parent
+_CONVERTER: Final = cattrs.Converter()
+
+T = TypeVar("T")
+
+
+@attrs.frozen(kw_only=True)
+class SchemaFault:
+    """Sentinel for a document that does not match its schema.
+
+    :param source: file or peer that the document came from
+    :param path: JSON path of the faulty value
+    :param reason: what is wrong with it
+    """
+
+    source: str
+    path: str
+    reason: str
+
+    def __str__(self) -> str:
+        """Render as one line."""
+        return f"{self.source}: {self.path}: {self.reason}"
+
+
+def load_file(kind: type[T], path: str) -> T | SchemaFault:
+    """Read and check one file.
+
+    :param kind: generated class of the document
+    :param path: path of the file
+    :return: the document, or what is wrong with it
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return SchemaFault(source=path, path="$", reason=str(error))
+    return load_document(kind, text, source=path)
+
+
+def load_document(kind: type[T], text: str, *, source: str) -> T | SchemaFault:
+    """Parse and check one document.
+
+    :param kind: generated class of the document
+    :param text: JSON with comments
+    :param source: file or peer named in a fault
+    :return: the document, or what is wrong with it
+    """
+    if len(text) > MAX_DOCUMENT_BYTES:
+        return SchemaFault(source=source, path="$", reason="too large")
+    try:
+        value = pyjson5.decode(text, maxdepth=32)
+    except (pyjson5.Json5Exception, ValueError) as error:
+        reason = str(error.args[0] if error.args else error)
+        return SchemaFault(source=source, path="$", reason=reason)
+    return parse_document(kind, value, source=source)
+
+
+def parse_document(
+    kind: type[T], value: Any, *, source: str
+) -> T | SchemaFault:
+    """Check one decoded document.
+
+    :param kind: generated class of the document
+    :param value: decoded JSON value
+    :param source: file or peer named in a fault
+    :return: the document, or what is wrong with it
+    """
+    error = jsonschema.exceptions.best_match(
+        _validator(_stem(kind)).iter_errors(value)
+    )
+    if error is not None:
+        path = error.json_path
+        return SchemaFault(source=source, path=path, reason=error.message)
+    return _CONVERTER.structure(value, kind)
+
+
+def _stem(kind: type) -> str:
+    return re.sub("(?<!^)([A-Z])", r"_\1", kind.__name__).lower()
+
+
+@functools.cache
+def _validator(stem: str) -> jsonschema.Draft202012Validator:
+    schema = json.loads((_FOLDER / f"{stem}.schema.json").read_text())
+    return jsonschema.Draft202012Validator(schema)
--- /dev/null
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -0,0 +1,167 @@
+@0xc5a1f3b27d9e4406;
+
+# Messages between the processes of one deployment.  The attrs classes in
+# _messages.py are generated from this file.
+
+struct LogEntry {
+  index @0 :UInt64;
+  term @1 :UInt64;
+  kind @2 :Text;
+  payload @3 :Text;
+}
+
+struct VoteRequest {
+  term @0 :UInt64;
+  candidate @1 :Text;
+  lastIndex @2 :UInt64;
+  lastTerm @3 :UInt64;
+  pre @4 :Bool;
+}
+
+struct VoteReply {
+  term @0 :UInt64;
+  granted @1 :Bool;
+  pre @2 :Bool;
+}
+
+struct AppendRequest {
+  term @0 :UInt64;
+  leader @1 :Text;
+  prevIndex @2 :UInt64;
+  prevTerm @3 :UInt64;
+  commitIndex @4 :UInt64;
+  sentNs @5 :UInt64;
+  entries @6 :List(LogEntry);
+}
+
+struct AppendReply {
+  term @0 :UInt64;
+  ok @1 :Bool;
+  matchIndex @2 :UInt64;
+  sentNs @3 :UInt64;
+}
+
+struct SnapshotInstall {
+  term @0 :UInt64;
+  leader @1 :Text;
+  index @2 :UInt64;
+  lastTerm @3 :UInt64;
+  sentNs @4 :UInt64;
+  state @5 :Text;
+}
+
+struct ClosingGroup {
+  group @0 :Text;
+  term @1 :UInt64;
+  drain @2 :Bool;
+}
+
+struct LeaseRenewal {
+  host @0 :Text;
+  dataCenter @1 :Text;
+  sentNs @2 :UInt64;
+  appliedIndex @3 :UInt64;
+  address @4 :Text;
+}
+
+struct LeaseGrant {
+  sentNs @0 :UInt64;
+  leaseMs @1 :UInt32;
+  minIndex @2 :UInt64;
+  closing @3 :List(ClosingGroup);
+}
+
+struct LeaseRefusal {
+  sentNs @0 :UInt64;
+  leader @1 :Text;
+}
+
+struct LeaseReturn {
+  host @0 :Text;
+}
+
+struct CloseGroup {
+  group @0 :Text;
+  term @1 :UInt64;
+  drain @2 :Bool;
+}
+
+struct GroupClosed {
+  host @0 :Text;
+  group @1 :Text;
+  term @2 :UInt64;
+}
+
+struct Suspicion {
+  host @0 :Text;
+  group @1 :Text;
+  target @2 :Text;
+  term @3 :UInt64;
+  refused @4 :Bool;
+}
+
+struct ViewDelta {
+  entries @0 :List(LogEntry);
+}
+
+struct ViewSnapshot {
+  index @0 :UInt64;
+  state @1 :Text;
+}
+
+struct Announcement {
+  target @0 :Text;
+  group @1 :Text;
+  dataCenter @2 :Text;
+  address @3 :Text;
+  role @4 :Text;
+  term @5 :UInt64;
+  position @6 :UInt64;
+  leaving @7 :Bool;
+}
+
+struct ChangeProposal {
+  changeId @0 :Text;
+  kind @1 :Text;
+  baseVersion @2 :UInt64;
+  author @3 :Text;
+  payload @4 :Text;
+}
+
+struct ChangeReply {
+  changeId @0 :Text;
+  accepted @1 :Bool;
+  version @2 :UInt64;
+  reason @3 :Text;
+  path @4 :Text;
+}
+
+struct Switchover {
+  group @0 :Text;
+  target @1 :Text;
+}
+
+struct Envelope {
+  source @0 :Text;
+  requestId @1 :UInt64;
+  body :union {
+    voteRequest @2 :VoteRequest;
+    voteReply @3 :VoteReply;
+    appendRequest @4 :AppendRequest;
+    appendReply @5 :AppendReply;
+    snapshotInstall @6 :SnapshotInstall;
+    leaseRenewal @7 :LeaseRenewal;
+    leaseGrant @8 :LeaseGrant;
+    leaseRefusal @9 :LeaseRefusal;
+    leaseReturn @10 :LeaseReturn;
+    closeGroup @11 :CloseGroup;
+    groupClosed @12 :GroupClosed;
+    suspicion @13 :Suspicion;
+    viewDelta @14 :ViewDelta;
+    viewSnapshot @15 :ViewSnapshot;
+    announcement @16 :Announcement;
+    changeProposal @17 :ChangeProposal;
+    changeReply @18 :ChangeReply;
+    switchover @19 :Switchover;
+  }
+}
--- /dev/null
+++ b/src/rosemarysaddle/serve/__init__.py
@@ -0,0 +1,9 @@
+"""HTTP interface for callers, operators and targets."""
+
+from __future__ import annotations
+
+from rosemarysaddle.serve._entry import EntryServer
+from rosemarysaddle.serve._server import HttpServer
+from rosemarysaddle.serve._service import Operation, StatementService
+
+__all__ = ("EntryServer", "HttpServer", "Operation", "StatementService")
--- /dev/null
+++ b/src/rosemarysaddle/serve/_admin.py
@@ -0,0 +1,157 @@
+"""Administration API for operators and announcements of targets."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import json
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+import cattrs
+import cherrypy
+
+from rosemarysaddle.decide import NS_PER_MS, DocumentKind
+from rosemarysaddle.schema import Announcement, ChangeProposal, ChangeReply
+
+if TYPE_CHECKING:
+    from rosemarysaddle.daemon import HostDaemon
+    from rosemarysaddle.observe import Metrics
+
+__all__ = ("AdminApp", "AnnouncementApp")
+
+CHANGE_MS: Final = 8_000
+MAX_NAME_CHARS: Final = 64
+_JSON: Final = "application/json"
+
+
+class AdminApp:
+    """CherryPy handlers under ``/admin``."""
+
+    def __init__(self, *, daemon: HostDaemon, metrics: Metrics) -> None:
+        self._daemon = daemon
+        self._metrics = metrics
+
+    @cherrypy.expose
+    def status(self) -> bytes:
+        """Describe this host."""
+        return _render(self._daemon.report())
+
+    @cherrypy.expose
+    def metrics(self) -> bytes:
+        """Render the figures of this host."""
+        return _render(self._metrics.report())
+
+    @cherrypy.expose
+    def documents(self, kind: str) -> bytes:
+        """Show a document in force, or change it with POST."""
+        if kind not in {DocumentKind.INVENTORY, DocumentKind.RULES}:
+            raise cherrypy.HTTPError(404, "no such document")
+        if cherrypy.request.method == "POST":
+            return self._change(kind)
+        state = self._daemon.gate.node.state
+        document: Any = state.rules
+        if kind == DocumentKind.INVENTORY:
+            document = state.inventory
+        return _render(
+            {
+                "version": state.version_of(kind),
+                "document": cattrs.unstructure(document),
+            }
+        )
+
+    @cherrypy.expose
+    def history(self) -> bytes:
+        """List the accepted changes."""
+        history = self._daemon.gate.node.state.history
+        return _render([cattrs.unstructure(r) for r in history])
+
+    @cherrypy.expose
+    def switchover(self, group: str, target: str) -> bytes:
+        """Order a planned change of primary."""
+        self._authorize()
+        _require_post()
+        leader = self._daemon.switch_over(group, target)
+        cherrypy.response.status = 202 if leader else 503
+        return _render({"leader": leader})
+
+    def _change(self, kind: str) -> bytes:
+        author = self._authorize()
+        body = _read_json()
+        change = ChangeProposal(
+            change_id=str(body.get("change_id", ""))[:MAX_NAME_CHARS],
+            kind=kind,
+            base_version=int(body.get("base_version", -1)),
+            author=author,
+            payload=json.dumps(body.get("document")),
+        )
+        if not change.change_id:
+            raise cherrypy.HTTPError(400, "change_id is missing")
+        deadline_ns = time.monotonic_ns() + CHANGE_MS * NS_PER_MS
+        reply = self._daemon.propose_from_thread(
+            change, deadline_ns=deadline_ns
+        )
+        return _answer_change(reply)
+
+    def _authorize(self) -> str:
+        headers = cherrypy.request.headers
+        text = headers.get("Authorization", "").removeprefix("Bearer ")
+        digest = hashlib.sha256(text.encode()).hexdigest()
+        wanted = self._daemon.settings.admin_credential_sha256
+        if not wanted or not hmac.compare_digest(digest, wanted):
+            raise cherrypy.HTTPError(401, "bad credential")
+        return str(headers.get("X-Operator", "operator"))[:MAX_NAME_CHARS]
+
+
+class AnnouncementApp:
+    """CherryPy handler for announcements of targets."""
+
+    def __init__(self, *, daemon: HostDaemon) -> None:
+        self._daemon = daemon
+
+    @cherrypy.expose
+    def index(self) -> bytes:
+        """Take the announcement of a target."""
+        _require_post()
+        try:
+            announcement = cattrs.structure(_read_json(), Announcement)
+        except (cattrs.BaseValidationError, TypeError, ValueError) as error:
+            raise cherrypy.HTTPError(400, "bad announcement") from error
+        self._daemon.announce(announcement)
+        return _render({"accepted": True})
+
+
+def _answer_change(reply: ChangeReply | None) -> bytes:
+    if reply is None:
+        cherrypy.response.status = 503
+        return _render({"outcome": "unknown", "reason": "no-control-leader"})
+    if not reply.accepted:
+        cherrypy.response.status = 409
+    return _render(
+        {
+            "outcome": "done" if reply.accepted else "not-run",
+            "version": reply.version,
+            "reason": reply.reason,
+            "path": reply.path,
+        }
+    )
+
+
+def _require_post() -> None:
+    if cherrypy.request.method != "POST":
+        raise cherrypy.HTTPError(405, "use POST")
+
+
+def _read_json() -> dict[str, Any]:
+    try:
+        body = json.loads(cherrypy.request.body.read() or b"{}")
+    except ValueError as error:
+        raise cherrypy.HTTPError(400, str(error)) from error
+    if not isinstance(body, dict):
+        raise cherrypy.HTTPError(400, "not an object")
+    return body
+
+
+def _render(value: Any) -> bytes:
+    cherrypy.response.headers["Content-Type"] = _JSON
+    return json.dumps(value).encode()
--- /dev/null
+++ b/src/rosemarysaddle/serve/_entry.py
@@ -0,0 +1,105 @@
+"""Entry host: the daemon and its HTTP interface together."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+
+from rosemarysaddle.decide import NS_PER_MS, TokenCodec
+from rosemarysaddle.link import Address
+from rosemarysaddle.observe import Metrics
+from rosemarysaddle.serve._admin import AdminApp, AnnouncementApp
+from rosemarysaddle.serve._server import HttpServer
+from rosemarysaddle.serve._service import StatementService
+from rosemarysaddle.serve._wsgi import CallerApp
+
+if TYPE_CHECKING:
+    from rosemarysaddle.daemon import HostDaemon
+
+__all__ = ("EntryServer",)
+
+EXPIRE_S: Final = 0.5
+DRAIN_MS: Final = 10_000
+DRAIN_POLL_S: Final = 0.02
+_CONFIG: Final[dict[str, dict[str, Any]]] = {
+    "/": {"request.show_tracebacks": False, "tools.encode.on": False}
+}
+
+
+@attrs.define(kw_only=True, eq=False)
+class EntryServer:
+    """One entry host."""
+
+    daemon: HostDaemon
+    metrics: Metrics = attrs.field(init=False)
+    service: StatementService = attrs.field(init=False)
+    _http: HttpServer | None = attrs.field(default=None, init=False)
+    _expiry: asyncio.Task[None] | None = attrs.field(default=None, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Build the service."""
+        settings = self.daemon.settings
+        self.metrics = Metrics(statsd_address=settings.statsd_address)
+        self.service = StatementService(
+            gate=self.daemon.gate,
+            tokens=TokenCodec.from_hex(settings.token_keys),
+            metrics=self.metrics,
+        )
+
+    async def start(self) -> None:
+        """Start the daemon, then serve callers."""
+        await self.daemon.start()
+        settings = self.daemon.settings
+        if not settings.callers_address:
+            return
+        self._http = HttpServer(
+            address=Address.parse(settings.callers_address),
+            threads=settings.worker_threads,
+        )
+        self._mount(self._http.tree)
+        self._http.start()
+        loop = asyncio.get_running_loop()
+        self._expiry = loop.create_task(self._expire_forever())
+
+    async def stop(self) -> None:
+        """Finish what runs up to a deadline, then stop."""
+        gate = self.daemon.gate
+        gate.stopping = True
+        deadline_ns = time.monotonic_ns() + DRAIN_MS * NS_PER_MS
+        while self.service.transactions.count():
+            if time.monotonic_ns() >= deadline_ns:
+                break
+            await asyncio.sleep(DRAIN_POLL_S)
+        await self._stop_http()
+        await self.daemon.stop()
+
+    async def kill(self) -> None:
+        """Stop without a farewell."""
+        self.daemon.gate.stopping = True
+        await self.daemon.kill()
+        await self._stop_http()
+
+    def _mount(self, tree: Any) -> None:
+        tree.graft(CallerApp(service=self.service), "/v1")
+        admin = AdminApp(daemon=self.daemon, metrics=self.metrics)
+        announcements = AnnouncementApp(daemon=self.daemon)
+        for path, app in (
+            ("/admin", admin),
+            ("/announcements", announcements),
+        ):
+            mounted = tree.mount(app, path, _CONFIG)
+            mounted.log.access_log.disabled = True
+
+    async def _stop_http(self) -> None:
+        if self._expiry is not None:
+            self._expiry.cancel()
+        if self._http is not None:
+            await asyncio.to_thread(self._http.stop)
+
+    async def _expire_forever(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRE_S)
+            await asyncio.to_thread(self.service.transactions.expire)
--- /dev/null
+++ b/src/rosemarysaddle/serve/_reads.py
@@ -0,0 +1,166 @@
+"""Reads: choice of the target, retry, and proof of freshness."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from rosemarysaddle.decide import (
+    NS_PER_MS,
+    LogPoint,
+    Outcome,
+    ReadChoice,
+    ReadWish,
+    Reason,
+    Refusal,
+    Step,
+)
+from rosemarysaddle.serve._answers import Answer, ServedBy, result_of
+from rosemarysaddle.target import FaultKind, TargetFault
+
+if TYPE_CHECKING:
+    from typing import Any
+
+    from rosemarysaddle.daemon import Gate
+    from rosemarysaddle.daemon._gate import PrimaryChoice
+    from rosemarysaddle.decide import SessionToken, TokenCodec
+    from rosemarysaddle.serve._requests import StatementRequest
+    from rosemarysaddle.target import TargetSession
+
+__all__ = ("ReadRunner",)
+
+MAX_TRIES: Final = 3
+TRY_MS: Final = 1_000
+
+
+@attrs.frozen(kw_only=True)
+class ReadRunner:
+    """Runs the reads of one entry host."""
+
+    gate: Gate
+    tokens: TokenCodec
+
+    def run(
+        self, request: StatementRequest, token: SessionToken, stale_ms: int
+    ) -> Answer | Refusal:
+        """Run a read on a replica or on the primary.
+
+        :param token: what the session has written
+        :param stale_ms: greatest age of the data, in milliseconds
+        """
+        wish = ReadWish(
+            point=token.point(request.group),
+            stale_ms=stale_ms,
+            has_token=bool(request.token),
+        )
+        result: Answer | Refusal = _passed(request)
+        for _ in range(MAX_TRIES):
+            if time.monotonic_ns() >= request.deadline_ns:
+                return result
+            result = self._try(request, wish, token)
+            if isinstance(result, Answer) or not _may_repeat(result):
+                return result
+        return result
+
+    def _try(
+        self, request: StatementRequest, wish: ReadWish, token: SessionToken
+    ) -> Answer | Refusal:
+        deadline_ns = request.deadline_ns
+        choice = self.gate.choose_read(
+            request.group, wish, deadline_ns=deadline_ns
+        )
+        if isinstance(choice, Refusal):
+            return choice
+        pool = self.gate.pools[choice.target]
+        session = pool.borrow(deadline_ns=deadline_ns)
+        if isinstance(session, Refusal):
+            return session
+        self.gate.note_run(choice.target, 1)
+        started_ns = time.monotonic_ns()
+        results = _run_all(session, request, started_ns)
+        spent_ns = time.monotonic_ns() - started_ns
+        self.gate.note_run(choice.target, -1, spent_ns)
+        usable = not isinstance(results, TargetFault) or results.is_answer
+        pool.give_back(session, usable=usable)
+        if isinstance(results, TargetFault):
+            if not usable:
+                pool.renew()
+            return _refusal(results)
+        return self._answer(request, choice, results, token)
+
+    def _answer(
+        self,
+        request: StatementRequest,
+        choice: ReadChoice | PrimaryChoice,
+        results: tuple[dict[str, Any], ...],
+        token: SessionToken,
+    ) -> Answer | Refusal:
+        if isinstance(choice, ReadChoice):
+            point, role = choice.point, "replica"
+            age_ms = -(-choice.age_ns // NS_PER_MS)
+        elif self.gate.covers(request.group, choice.term):
+            point, role = LogPoint(term=choice.term, position=0), "primary"
+            age_ms = 0
+        else:
+            return Refusal(
+                reason=Reason.LEASE_ENDED,
+                step=Step.CONFIRM,
+                peer=choice.target,
+            )
+        return Answer(
+            results=results,
+            token=self.tokens.encode(token),
+            served_by=ServedBy(
+                host=self.gate.node.host,
+                target=choice.target,
+                role=role,
+                term=point.term,
+                position=point.position,
+                age_ms=age_ms,
+            ),
+        )
+
+
+def _run_all(
+    session: TargetSession, request: StatementRequest, now_ns: int
+) -> tuple[dict[str, Any], ...] | TargetFault:
+    latest_ns = now_ns + TRY_MS * NS_PER_MS
+    session.set_deadline(min(request.deadline_ns, latest_ns))
+    found = []
+    for statement in request.statements:
+        result = session.read(statement.sql, statement.args)
+        if isinstance(result, TargetFault):
+            return result
+        found.append(result_of(result))
+    return tuple(found)
+
+
+def _may_repeat(refusal: Refusal) -> bool:
+    return refusal.reason in {
+        Reason.CONNECTION_LOST,
+        Reason.LEASE_ENDED,
+        Reason.NO_CONNECTION,
+    }
+
+
+def _refusal(fault: TargetFault) -> Refusal:
+    reason = Reason.CONNECTION_LOST
+    if fault.kind is FaultKind.STATEMENT:
+        reason = Reason.STATEMENT_FAILED
+    return Refusal(
+        reason=reason,
+        step=Step.EXECUTE,
+        peer=fault.peer,
+        detail=fault.detail,
+    )
+
+
+def _passed(request: StatementRequest) -> Refusal:
+    return Refusal(
+        reason=Reason.DEADLINE_PASSED,
+        step=Step.ADMIT,
+        peer=request.group,
+        outcome=Outcome.NOT_RUN,
+    )
--- /dev/null
+++ b/src/rosemarysaddle/serve/_requests.py
@@ -0,0 +1,209 @@
+"""Requests of callers: reading, checking and typed form."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+import cattrs
+import jsonschema
+
+from rosemarysaddle.decide import NS_PER_MS, Reason, Refusal, Step
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+__all__ = (
+    "MAX_BODY_BYTES",
+    "RequestKey",
+    "Statement",
+    "StatementRequest",
+    "parse_body",
+    "read_request",
+)
+
+MAX_BODY_BYTES: Final = 1024 * 1024
+MAX_KEY_AHEAD_MS: Final = 7 * 24 * 3_600 * 1_000
+DEFAULT_DEADLINE_MS: Final = 5_000
+_READ_WORDS: Final = frozenset({"select", "show"})
+_WRITE_WORDS: Final = frozenset({"insert", "update", "delete", "replace"})
+
+_STATEMENT: Final = {
+    "type": "object",
+    "additionalProperties": False,
+    "required": ["sql"],
+    "properties": {
+        "sql": {"type": "string", "minLength": 1, "maxLength": 100_000},
+        "args": {
+            "type": "array",
+            "maxItems": 1_000,
+            "items": {"type": ["string", "number", "boolean", "null"]},
+        },
+    },
+}
+_REQUEST: Final[dict[str, Any]] = {
+    "type": "object",
+    "additionalProperties": False,
+    "properties": {
+        "group": {"type": "string", "maxLength": 64},
+        "class": {"type": "string", "maxLength": 64},
+        "write": {"type": "boolean"},
+        "statements": {
+            "type": "array",
+            "minItems": 1,
+            "maxItems": 64,
+            "items": _STATEMENT,
+        },
+        "stale_ms": {"type": "integer", "minimum": 0, "maximum": 86_400_000},
+        "deadline_ms": {"type": "integer", "minimum": 1, "maximum": 60_000},
+        "key": {"type": "string", "minLength": 8, "maxLength": 100},
+        "key_expires_at_ms": {"type": "integer", "minimum": 1},
+        "token": {"type": "string", "maxLength": 4_096},
+        "transaction": {"type": "string", "maxLength": 200},
+    },
+    "dependentRequired": {"key": ["key_expires_at_ms"]},
+}
+_VALIDATOR: Final = jsonschema.Draft202012Validator(_REQUEST)
+
+
+@attrs.frozen(kw_only=True)
+class Statement:
+    """One statement with its arguments."""
+
+    sql: str
+    args: tuple[Any, ...] = ()
+
+    @property
+    def word(self) -> str:
+        """First word of the statement, in lower case."""
+        words = self.sql.split(maxsplit=1)
+        return words[0].lower() if words else ""
+
+
+@attrs.frozen(kw_only=True)
+class RequestKey:
+    """Idempotency key of a request that may not be repeated.
+
+    :param digest: digest of the statements, to tell a reuse
+    :param expires_at_ms: wall-clock time after which the key is
+        refused, in milliseconds since the epoch
+    """
+
+    name: str
+    digest: str
+    expires_at_ms: int
+
+
+@attrs.frozen(kw_only=True)
+class StatementRequest:
+    """One request of a caller.
+
+    :param stale_ms: greatest age asked for, or None for the rule's
+    :param deadline_ns: monotonic time, in nanoseconds
+    """
+
+    tenant: str
+    credential: str
+    group: str
+    request_class: str
+    write: bool
+    statements: tuple[Statement, ...]
+    stale_ms: int | None
+    deadline_ns: int
+    key: RequestKey | None
+    token: str
+    transaction: str
+
+
+def parse_body(data: bytes) -> dict[str, Any] | Refusal:
+    """Decode a JSON body and check its shape."""
+    try:
+        value = json.loads(data or b"{}")
+    except (ValueError, RecursionError) as error:
+        return _bad(f"$: {error}")
+    fault = jsonschema.exceptions.best_match(_VALIDATOR.iter_errors(value))
+    if fault is not None:
+        return _bad(f"{fault.json_path}: {fault.message[:200]}")
+    found: dict[str, Any] = value
+    return found
+
+
+def read_request(
+    body: dict[str, Any], *, tenant: str, credential: str, now_ns: int
+) -> StatementRequest | Refusal:
+    """Build the typed form of a checked body.
+
+    :param now_ns: monotonic time of arrival, in nanoseconds
+    """
+    statements = cattrs.structure(
+        body.get("statements", []), tuple[Statement, ...]
+    )
+    write = bool(body.get("write", False))
+    fault = _check_words(statements, write=write)
+    if fault:
+        return _bad(fault)
+    key = _key(body, tenant, statements)
+    if isinstance(key, Refusal):
+        return key
+    wait_ms = int(body.get("deadline_ms", DEFAULT_DEADLINE_MS))
+    return StatementRequest(
+        tenant=tenant,
+        credential=credential,
+        group=str(body.get("group", "")),
+        request_class=str(body.get("class", "")),
+        write=write,
+        statements=statements,
+        stale_ms=body.get("stale_ms"),
+        deadline_ns=now_ns + wait_ms * NS_PER_MS,
+        key=key,
+        token=str(body.get("token", "")),
+        transaction=str(body.get("transaction", "")),
+    )
+
+
+def _check_words(statements: Sequence[Statement], *, write: bool) -> str:
+    allowed = _READ_WORDS | _WRITE_WORDS if write else _READ_WORDS
+    for number, statement in enumerate(statements):
+        if statement.word not in allowed:
+            kind = "write" if write else "read"
+            return (
+                f"$.statements[{number}].sql: {statement.word[:20]!r}"
+                f" does not start a {kind} statement"
+            )
+    return ""
+
+
+def _key(
+    body: dict[str, Any], tenant: str, statements: Sequence[Statement]
+) -> RequestKey | Refusal | None:
+    if "key" not in body:
+        return None
+    expires_at_ms = int(body["key_expires_at_ms"])
+    now_ms = time.time_ns() // NS_PER_MS
+    if expires_at_ms <= now_ms:
+        return Refusal(
+            reason=Reason.KEY_EXPIRED,
+            step=Step.DECODE,
+            peer="caller",
+            detail="the deadline of the idempotency key has passed",
+        )
+    if expires_at_ms > now_ms + MAX_KEY_AHEAD_MS:
+        return _bad("$.key_expires_at_ms: more than 7 days ahead")
+    text = json.dumps([[s.sql, s.args] for s in statements])
+    return RequestKey(
+        name=f"{tenant}/{body['key']}",
+        digest=hashlib.sha256(text.encode()).hexdigest(),
+        expires_at_ms=expires_at_ms,
+    )
+
+
+def _bad(detail: str) -> Refusal:
+    return Refusal(
+        reason=Reason.BAD_REQUEST,
+        step=Step.DECODE,
+        peer="caller",
+        detail=detail,
+    )
--- /dev/null
+++ b/src/rosemarysaddle/serve/_server.py
@@ -0,0 +1,165 @@
+"""HTTP server that gives a connection to a thread once it is readable.
+
+A new connection, or one whose request is not complete, waits in the
+selector thread or in a list with a deadline, so that silent and slow
+callers hold no worker thread.
+"""
+
+from __future__ import annotations
+
+import re
+import socket
+import threading
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+import cherrypy
+from cherrypy._cpserver import Server
+from cherrypy._cptree import Tree
+from cherrypy._cpwsgi_server import CPWSGIServer
+
+from rosemarysaddle.serve._requests import MAX_BODY_BYTES
+
+if TYPE_CHECKING:
+    from rosemarysaddle.link import Address
+
+__all__ = ("HttpServer",)
+
+REQUEST_S: Final = 5.0
+IDLE_S: Final = 3_600.0
+POLL_S: Final = 0.02
+MAX_HEADER_BYTES: Final = 32 * 1024
+MAX_QUEUED: Final = 1_024
+STOP_S: Final = 5
+_PEEK_BYTES: Final = 65_536
+_LENGTH: Final = re.compile(rb"\r\ncontent-length:[ \t]*(\d+)", re.IGNORECASE)
+
+
+@attrs.define(kw_only=True, eq=False)
+class HttpServer:
+    """CherryPy's WSGI server with parked connections.
+
+    :param address: address for callers and operators
+    :param threads: count of worker threads
+    """
+
+    address: Address
+    threads: int
+    tree: Any = attrs.field(factory=Tree, init=False)
+    _server: Any = attrs.field(default=None, init=False)
+    _thread: threading.Thread | None = attrs.field(default=None, init=False)
+
+    def start(self) -> None:
+        """Bind, then serve in a thread of its own."""
+        cherrypy.config.update(
+            {"log.screen": False, "checker.on": False, "environment": None}
+        )
+        adapter = Server()
+        adapter.socket_host = self.address.ip
+        adapter.socket_port = self.address.port
+        adapter.thread_pool = self.threads
+        adapter.socket_queue_size = MAX_QUEUED
+        adapter.accepted_queue_size = MAX_QUEUED
+        adapter.accepted_queue_timeout = 1
+        adapter.socket_timeout = IDLE_S
+        adapter.shutdown_timeout = STOP_S
+        adapter.max_request_body_size = MAX_BODY_BYTES
+        adapter.max_request_header_size = MAX_HEADER_BYTES
+        self._server = _ParkingServer(adapter)
+        self._server.wsgi_app = self.tree
+        self._server.max_request_body_size = MAX_BODY_BYTES
+        self._server.max_request_header_size = MAX_HEADER_BYTES
+        self._server.prepare()
+        self._thread = threading.Thread(
+            target=self._server.serve, name="http", daemon=True
+        )
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Finish the requests that run, then close."""
+        if self._server is not None:
+            self._server.stop()
+        if self._thread is not None:
+            self._thread.join()
+
+
+class _ParkingServer(CPWSGIServer):
+    keep_alive_conn_limit = None
+
+    def __init__(self, adapter: Any) -> None:
+        super().__init__(adapter)
+        self._partial: dict[Any, float] = {}
+        self._partial_lock = threading.Lock()
+        self._ended = threading.Event()
+        self._poller = threading.Thread(
+            target=self._poll, name="http-partial", daemon=True
+        )
+
+    def prepare(self) -> None:
+        """Bind, and watch the incomplete requests."""
+        super().prepare()
+        self._poller.start()
+
+    def process_conn(self, conn: Any) -> None:
+        """Hand a connection to a worker or park it."""
+        if conn.rfile.has_data() or _is_complete(conn.socket):
+            self._hand_over(conn)
+            return
+        if not hasattr(conn, "parked"):
+            conn.parked = True
+            self.put_conn(conn)
+            return
+        with self._partial_lock:
+            self._partial[conn] = time.monotonic() + REQUEST_S
+
+    def stop(self) -> None:
+        """Finish the requests that run, then close."""
+        self._ended.set()
+        super().stop()
+
+    def _poll(self) -> None:
+        while not self._ended.wait(POLL_S):
+            with self._partial_lock:
+                waiting = list(self._partial.items())
+            for conn, deadline_s in waiting:
+                self._review(conn, deadline_s)
+
+    def _review(self, conn: Any, deadline_s: float) -> None:
+        complete = _is_complete(conn.socket)
+        if not complete and time.monotonic() < deadline_s:
+            return
+        with self._partial_lock:
+            self._partial.pop(conn, None)
+        if complete:
+            self._hand_over(conn)
+        else:
+            conn.close()
+
+    def _hand_over(self, conn: Any) -> None:
+        conn.socket.settimeout(REQUEST_S)
+        super().process_conn(conn)
+
+
+def _is_complete(sock: Any) -> bool:
+    """Tell whether a worker can read without waiting for the caller.
+
+    An ended or broken connection counts, so that it gets closed.
+    """
+    if not isinstance(sock, socket.socket) or hasattr(sock, "pending"):
+        return True
+    flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+    try:
+        data = sock.recv(_PEEK_BYTES, flags)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    if not data:
+        return True
+    head, separator, body = data.partition(b"\r\n\r\n")
+    if not separator:
+        return len(data) > MAX_HEADER_BYTES
+    match = _LENGTH.search(head)
+    wanted = int(match[1]) if match else 0
+    return len(body) >= min(wanted, _PEEK_BYTES // 2)
--- /dev/null
+++ b/src/rosemarysaddle/serve/_writes.py
@@ -0,0 +1,313 @@
+"""Writes: one transaction on the primary, confirmed by replicas.
+
+Until COMMIT is sent the target undoes the transaction when the
+connection ends, so every fault before it is "not-run"; a fault from
+COMMIT on is "unknown" unless the target answered it.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+
+from rosemarysaddle.decide import (
+    LogPoint,
+    Outcome,
+    Reason,
+    Refusal,
+    Step,
+    WriteTicket,
+)
+from rosemarysaddle.serve._answers import Answer, ServedBy, result_of
+from rosemarysaddle.target import FaultKind, TargetFault
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from rosemarysaddle.daemon import Gate
+    from rosemarysaddle.decide import SessionToken, TokenCodec
+    from rosemarysaddle.serve._requests import (
+        RequestKey,
+        Statement,
+        StatementRequest,
+    )
+    from rosemarysaddle.target import TargetSession
+
+__all__ = ("WriteRunner",)
+
+MAX_TRIES: Final = 3
+INSERT_KEY: Final = (
+    "INSERT INTO rosemarysaddle_keys"
+    " (request_key, digest, expires_at_ms) VALUES (%s, %s, %s)"
+)
+STORE_RESULT: Final = (
+    "UPDATE rosemarysaddle_keys SET result = %s WHERE request_key = %s"
+)
+FIND_KEY: Final = (
+    "SELECT digest, result FROM rosemarysaddle_keys WHERE request_key = %s"
+)
+
+
+@attrs.frozen(kw_only=True)
+class _Executed:
+    results: tuple[dict[str, Any], ...]
+    repeated: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class WriteRunner:
+    """Runs the writes of one entry host."""
+
+    gate: Gate
+    tokens: TokenCodec
+
+    def run(
+        self, request: StatementRequest, token: SessionToken
+    ) -> Answer | Refusal:
+        """Run a write in one transaction.
+
+        A try that certainly did not run is made again within the
+        deadline.
+
+        :param token: what the session has written
+        """
+        result: Answer | Refusal = _refuse(
+            Reason.DEADLINE_PASSED, Step.ADMIT, request.group
+        )
+        for _ in range(MAX_TRIES):
+            if time.monotonic_ns() >= request.deadline_ns:
+                return result
+            result = self._try(request, token)
+            if isinstance(result, Answer) or not _may_repeat(result):
+                return result
+        return result
+
+    def begin(
+        self, group: str, *, deadline_ns: int
+    ) -> tuple[WriteTicket, TargetSession] | Refusal:
+        """Get the right to write and a connection to the primary.
+
+        :param deadline_ns: monotonic time, in nanoseconds
+        """
+        ticket = self.gate.begin_write(group, deadline_ns=deadline_ns)
+        if isinstance(ticket, Refusal):
+            return ticket
+        pool = self.gate.pools.get(ticket.primary)
+        session: TargetSession | Refusal = _refuse(
+            Reason.NO_PRIMARY, Step.ROUTE, group
+        )
+        if pool is not None:
+            session = pool.borrow(deadline_ns=deadline_ns)
+        if isinstance(session, Refusal):
+            self.gate.end_write(ticket)
+            return session
+        session.set_deadline(deadline_ns)
+        return ticket, session
+
+    def release(
+        self, ticket: WriteTicket, session: TargetSession, *, usable: bool
+    ) -> None:
+        """Return a connection to the pool of the primary."""
+        pool = self.gate.pools.get(ticket.primary)
+        if pool is None:
+            session.close()
+            return
+        pool.give_back(session, usable=usable)
+
+    def finish(
+        self,
+        ticket: WriteTicket,
+        session: TargetSession,
+        *,
+        deadline_ns: int,
+    ) -> LogPoint | Refusal:
+        """Commit and wait until enough instances hold the write.
+
+        Ends the ticket and returns the connection.
+
+        :param deadline_ns: monotonic time, in nanoseconds
+        :return: position of the write, or why it is not acknowledged
+        """
+        if not self.gate.holds(ticket):
+            self.abandon(ticket, session)
+            return _refuse(Reason.LEASE_ENDED, Step.COMMIT, ticket.primary)
+        point = _commit(session, ticket.term)
+        usable = isinstance(point, LogPoint)
+        self.release(ticket, session, usable=usable)
+        if isinstance(point, Refusal):
+            self.gate.end_write(ticket)
+            return point
+        confirmed = self.gate.wait_confirmed(
+            ticket, point, deadline_ns=deadline_ns
+        )
+        if not self.gate.end_write(ticket):
+            return _unknown(Reason.LEASE_ENDED, Step.CONFIRM, ticket.primary)
+        if not confirmed:
+            return _unknown(Reason.UNCONFIRMED, Step.CONFIRM, ticket.primary)
+        return point
+
+    def abandon(self, ticket: WriteTicket, session: TargetSession) -> None:
+        """Undo an uncommitted transaction and end its ticket."""
+        usable = session.rollback() is None
+        self.release(ticket, session, usable=usable)
+        self.gate.end_write(ticket)
+
+    def answer(
+        self,
+        results: tuple[dict[str, Any], ...],
+        ticket: WriteTicket,
+        point: LogPoint,
+        token: SessionToken,
+        *,
+        repeated: bool = False,
+    ) -> Answer:
+        """Build the answer to a write that is acknowledged."""
+        advanced = token.advance(ticket.group, point)
+        return Answer(
+            results=results,
+            token=self.tokens.encode(advanced),
+            served_by=ServedBy(
+                host=self.gate.node.host,
+                target=ticket.primary,
+                role="primary",
+                term=point.term,
+                position=point.position,
+            ),
+            repeated=repeated,
+        )
+
+    def _try(
+        self, request: StatementRequest, token: SessionToken
+    ) -> Answer | Refusal:
+        begun = self.begin(request.group, deadline_ns=request.deadline_ns)
+        if isinstance(begun, Refusal):
+            return begun
+        ticket, session = begun
+        executed = _execute(session, request)
+        if isinstance(executed, Refusal):
+            self.abandon(ticket, session)
+            return executed
+        point = self.finish(ticket, session, deadline_ns=request.deadline_ns)
+        if isinstance(point, Refusal):
+            return point
+        return self.answer(
+            executed.results,
+            ticket,
+            point,
+            token,
+            repeated=executed.repeated,
+        )
+
+
+def run_statements(
+    session: TargetSession, statements: Sequence[Statement]
+) -> tuple[dict[str, Any], ...] | TargetFault:
+    """Run statements in the open transaction."""
+    found = []
+    for statement in statements:
+        result = session.execute(statement.sql, statement.args)
+        if isinstance(result, TargetFault):
+            return result
+        found.append(result_of(result))
+    return tuple(found)
+
+
+def refusal_of(fault: TargetFault) -> Refusal:
+    """Refusal for a fault before COMMIT was sent."""
+    reason = Reason.CONNECTION_LOST
+    if fault.kind in {FaultKind.STATEMENT, FaultKind.DUPLICATE}:
+        reason = Reason.STATEMENT_FAILED
+    if fault.kind is FaultKind.READ_ONLY:
+        reason = Reason.NO_PRIMARY
+    return _refuse(reason, Step.EXECUTE, fault.peer, detail=fault.detail)
+
+
+def _execute(
+    session: TargetSession, request: StatementRequest
+) -> _Executed | Refusal:
+    if request.key is not None:
+        args = (
+            request.key.name,
+            request.key.digest,
+            request.key.expires_at_ms,
+        )
+        fault = session.execute(INSERT_KEY, args)
+        if isinstance(fault, TargetFault):
+            if fault.kind is FaultKind.DUPLICATE:
+                return _first_result(session, request.key)
+            return refusal_of(fault)
+    results = run_statements(session, request.statements)
+    if isinstance(results, TargetFault):
+        return refusal_of(results)
+    if request.key is not None:
+        stored = session.execute(
+            STORE_RESULT, (json.dumps(results, default=str), request.key.name)
+        )
+        if isinstance(stored, TargetFault):
+            return refusal_of(stored)
+    return _Executed(results=results)
+
+
+def _first_result(
+    session: TargetSession, key: RequestKey
+) -> _Executed | Refusal:
+    found = session.execute(FIND_KEY, (key.name,))
+    if isinstance(found, TargetFault):
+        return refusal_of(found)
+    if not found.rows:
+        return _refuse(Reason.CONNECTION_LOST, Step.EXECUTE, "target")
+    digest, result = found.rows[0]
+    if digest != key.digest:
+        return _refuse(Reason.KEY_REUSED, Step.EXECUTE, "target")
+    results = tuple(json.loads(result))
+    return _Executed(results=results, repeated=True)
+
+
+def _commit(session: TargetSession, term: int) -> LogPoint | Refusal:
+    fault = session.commit()
+    if fault is not None:
+        if fault.is_answer:
+            return refusal_of(fault)
+        return _unknown(
+            Reason.CONNECTION_LOST, Step.COMMIT, fault.peer, fault.detail
+        )
+    status = session.status(after=0, wait_ms=0)
+    if isinstance(status, TargetFault):
+        return _unknown(
+            Reason.CONNECTION_LOST, Step.COMMIT, status.peer, status.detail
+        )
+    if status.role != "primary" or status.point.term != term:
+        return _unknown(Reason.LEASE_ENDED, Step.COMMIT, "target")
+    return status.point
+
+
+def _may_repeat(refusal: Refusal) -> bool:
+    if refusal.outcome is not Outcome.NOT_RUN:
+        return False
+    return refusal.reason in {
+        Reason.CONNECTION_LOST,
+        Reason.NO_CONNECTION,
+        Reason.NO_PRIMARY,
+        Reason.LEASE_ENDED,
+    }
+
+
+def _refuse(
+    reason: Reason, step: Step, peer: str, *, detail: str = ""
+) -> Refusal:
+    return Refusal(reason=reason, step=step, peer=peer, detail=detail)
+
+
+def _unknown(
+    reason: Reason, step: Step, peer: str, detail: str = ""
+) -> Refusal:
+    return Refusal(
+        reason=reason,
+        step=step,
+        peer=peer,
+        outcome=Outcome.UNKNOWN,
+        detail=detail,
+    )
--- /dev/null
+++ b/src/rosemarysaddle/serve/_wsgi.py
@@ -0,0 +1,92 @@
+"""WSGI callable of the callers' interface."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any, Final, Protocol
+
+import attrs
+
+from rosemarysaddle.decide import Reason, Refusal, Step
+from rosemarysaddle.serve._answers import problem
+from rosemarysaddle.serve._requests import MAX_BODY_BYTES
+from rosemarysaddle.serve._service import PROBLEM_TYPE, Operation, Reply
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from rosemarysaddle.serve._service import StatementService
+
+__all__ = ("CallerApp",)
+
+BEARER: Final = "Bearer "
+_PATHS: Final = frozenset(
+    {
+        Operation.STATEMENTS,
+        Operation.BEGIN,
+        Operation.EXECUTE,
+        Operation.COMMIT,
+        Operation.ROLLBACK,
+    }
+)
+
+
+class _StartResponse(Protocol):
+    def __call__(
+        self, status: str, headers: list[tuple[str, str]], /
+    ) -> Callable[[bytes], object]:
+        """Begin the answer."""
+
+
+@attrs.frozen(kw_only=True)
+class CallerApp:
+    """WSGI application for statements and transactions."""
+
+    service: StatementService
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: _StartResponse
+    ) -> Iterable[bytes]:
+        """Serve one HTTP request."""
+        reply = self._serve(environ)
+        headers = [
+            ("Content-Type", reply.content_type),
+            ("Content-Length", str(len(reply.body))),
+        ]
+        if reply.retry_after_ms:
+            seconds = -(-reply.retry_after_ms // 1_000)
+            headers.append(("Retry-After", str(seconds)))
+        status = HTTPStatus(reply.status)
+        start_response(f"{status.value} {status.phrase}", headers)
+        return [reply.body]
+
+    def _serve(self, environ: dict[str, Any]) -> Reply:
+        path = environ.get("SCRIPT_NAME", "") + environ.get("PATH_INFO", "")
+        if path not in _PATHS:
+            return _bad(HTTPStatus.NOT_FOUND, "no such path")
+        if environ.get("REQUEST_METHOD") != "POST":
+            return _bad(HTTPStatus.METHOD_NOT_ALLOWED, "use POST")
+        length_text = environ.get("CONTENT_LENGTH") or "0"
+        length = int(length_text) if length_text.isdigit() else -1
+        if not 0 <= length <= MAX_BODY_BYTES:
+            return _bad(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, "body too large")
+        data = environ["wsgi.input"].read(length)
+        authorization = environ.get("HTTP_AUTHORIZATION", "")
+        return self.service.handle(
+            path,
+            data,
+            tenant=environ.get("HTTP_X_TENANT", ""),
+            credential=authorization.removeprefix(BEARER),
+        )
+
+
+def _bad(status: HTTPStatus, detail: str) -> Reply:
+    refusal = Refusal(
+        reason=Reason.BAD_REQUEST,
+        step=Step.DECODE,
+        peer="caller",
+        detail=detail,
+    )
+    return Reply(
+        status=status, content_type=PROBLEM_TYPE, body=problem(refusal)
+    )
--- /dev/null
+++ b/src/rosemarysaddle/standin/_group.py
@@ -0,0 +1,100 @@
+"""Asynchronous replication between the instances of one group."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from rosemarysaddle.standin._instance import REPLICA
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from rosemarysaddle.link import Fabric
+    from rosemarysaddle.standin._instance import StandInInstance
+
+__all__ = ("StandInGroup",)
+
+POLL_S: Final = 0.02
+
+
+@attrs.define(kw_only=True, eq=False)
+class StandInGroup:
+    """The instances of one group."""
+
+    instances: Sequence[StandInInstance]
+    fabric: Fabric
+    _tasks: list[asyncio.Task[None]] = attrs.field(factory=list, init=False)
+
+    def start(self) -> None:
+        """Start to replicate."""
+        loop = asyncio.get_running_loop()
+        for instance in self.instances:
+            task = loop.create_task(self._replicate(instance))
+            self._tasks.append(task)
+
+    async def stop(self) -> None:
+        """Stop to replicate."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _replicate(self, replica: StandInInstance) -> None:
+        while True:
+            primary = self._source_of(replica)
+            if primary is None:
+                await asyncio.sleep(POLL_S)
+                continue
+            self._align(replica, primary)
+            await self._next_record(replica, primary)
+
+    def _source_of(self, replica: StandInInstance) -> StandInInstance | None:
+        if replica.role != REPLICA or replica.faults.crashed:
+            return None
+        for instance in self.instances:
+            if instance.name != replica.following:
+                continue
+            if instance.faults.crashed:
+                return None
+            if self.fabric.is_cut(instance.ip, replica.ip):
+                return None
+            return instance
+        return None
+
+    def _align(
+        self, replica: StandInInstance, primary: StandInInstance
+    ) -> None:
+        position = min(replica.position, primary.position)
+        while (
+            position
+            and replica.log[position - 1] != (primary.log[position - 1])
+        ):
+            position -= 1
+        if position < replica.position and primary.term >= replica.term:
+            replica.rewind(position)
+
+    async def _next_record(
+        self, replica: StandInInstance, primary: StandInInstance
+    ) -> None:
+        if primary.position <= replica.position:
+            changed = primary.changed
+            await _wait_briefly(changed)
+            return
+        record = primary.log[replica.position]
+        due_s = record.committed_at_s + replica.faults.lag_ms / 1_000
+        due_s += self.fabric.delay_s(primary.ip, replica.ip)
+        wait_s = due_s - time.monotonic()
+        if wait_s > 0:
+            await asyncio.sleep(min(wait_s, POLL_S))
+            return
+        replica.apply(record)
+
+
+async def _wait_briefly(changed: asyncio.Event) -> None:
+    try:
+        await asyncio.wait_for(changed.wait(), POLL_S)
+    except TimeoutError:
+        return
--- /dev/null
+++ b/src/rosemarysaddle/standin/_instance.py
@@ -0,0 +1,192 @@
+"""One stand-in instance: its log, its database and its role."""
+
+from __future__ import annotations
+
+import asyncio
+import sqlite3
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from pathlib import Path
+
+__all__ = ("InstanceFaults", "LogRecord", "StandInInstance")
+
+PRIMARY: Final = "primary"
+REPLICA: Final = "replica"
+KEYS_TABLE: Final = (
+    "CREATE TABLE IF NOT EXISTS rosemarysaddle_keys ("
+    "request_key VARCHAR(200) PRIMARY KEY, digest VARCHAR(64) NOT NULL,"
+    " result TEXT, expires_at_ms BIGINT NOT NULL)"
+)
+
+
+@attrs.frozen(kw_only=True)
+class LogRecord:
+    """One committed transaction.
+
+    :param position: 1 for the first record, without gaps
+    :param committed_at_s: time of the commit at the primary, seconds of
+        the monotonic clock
+    """
+
+    term: int
+    position: int
+    statements: tuple[str, ...]
+    committed_at_s: float
+
+
+@attrs.define(kw_only=True)
+class InstanceFaults:
+    """Faults that an instance shows on order.
+
+    :param lag_ms: delay of replication
+    :param slow_ms: time that each statement takes in addition
+    :param late_ms: time that each answer is held back
+    """
+
+    lag_ms: float = 0.0
+    slow_ms: float = 0.0
+    late_ms: float = 0.0
+    crashed: bool = False
+    frozen_connections: frozenset[int] = frozenset()
+
+
+@attrs.define(kw_only=True, eq=False)
+class StandInInstance:
+    """Database of one instance with its log.
+
+    :param folder: folder of the database file
+    :param schema: statements that create the tables
+    """
+
+    name: str
+    group: str
+    data_center: str
+    ip: str
+    port: int
+    folder: Path
+    schema: Sequence[str]
+    connections: int = 30
+    slots: int = 5
+    faults: InstanceFaults = attrs.field(factory=InstanceFaults)
+    role: str = REPLICA
+    term: int = 0
+    following: str = ""
+    log: list[LogRecord] = attrs.field(factory=list)
+    discarded: list[LogRecord] = attrs.field(factory=list)
+    leaving: bool = False
+    generation: int = 0
+    write_lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    slot_pool: asyncio.Semaphore = attrs.field(init=False)
+    reader: sqlite3.Connection = attrs.field(init=False)
+    writer: sqlite3.Connection = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the database."""
+        self.slot_pool = asyncio.Semaphore(self.slots)
+        self._create()
+
+    @property
+    def position(self) -> int:
+        """Position of the last record."""
+        return len(self.log)
+
+    @property
+    def log_term(self) -> int:
+        """Term of the last record."""
+        return self.log[-1].term if self.log else 0
+
+    def append(self, statements: Sequence[str], now_s: float) -> LogRecord:
+        """Add a committed transaction to the log.
+
+        :param now_s: seconds of the monotonic clock
+        """
+        record = LogRecord(
+            term=self.term,
+            position=self.position + 1,
+            statements=tuple(statements),
+            committed_at_s=now_s,
+        )
+        self._store(record)
+        return record
+
+    def apply(self, record: LogRecord) -> None:
+        """Apply a record of the primary."""
+        self.writer.execute("BEGIN IMMEDIATE")
+        for statement in record.statements:
+            self.writer.execute(statement)
+        self.writer.execute("COMMIT")
+        self.term = max(self.term, record.term)
+        self._store(record)
+
+    def promote(self, term: int, now_s: float) -> bool:
+        """Become primary under a term.
+
+        :return: whether the instance is primary under the term
+        """
+        if term < self.term or (term == self.term and self.role != PRIMARY):
+            return False
+        if term == self.term:
+            return True
+        self.role = PRIMARY
+        self.term = term
+        self.following = ""
+        self.append((), now_s)
+        return True
+
+    def follow(self, primary: str, term: int) -> bool:
+        """Replicate from a primary.
+
+        :return: whether the order is not older than the state
+        """
+        if term < self.term and self.role == REPLICA:
+            return False
+        if term == self.term and self.role == PRIMARY:
+            return False
+        self.role = REPLICA
+        self.following = primary
+        return True
+
+    def rewind(self, position: int) -> None:
+        """Drop the records after a position; rebuild the database."""
+        kept = self.log[:position]
+        self.discarded.extend(self.log[position:])
+        self.log = []
+        self.close()
+        self.generation += 1
+        self._create()
+        for record in kept:
+            self.apply(record)
+
+    def wake(self) -> None:
+        """Wake everyone who waits for a change."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _store(self, record: LogRecord) -> None:
+        self.log.append(record)
+        self.wake()
+
+    def close(self) -> None:
+        """Close the database."""
+        self.reader.close()
+        self.writer.close()
+
+    def _create(self) -> None:
+        self.writer = self._connect()
+        self.writer.execute("PRAGMA journal_mode=WAL")
+        for statement in (*self.schema, KEYS_TABLE):
+            self.writer.execute(statement)
+        self.reader = self._connect()
+
+    def _connect(self) -> sqlite3.Connection:
+        path = self.folder / f"{self.name}-{self.generation}.sqlite"
+        connection = sqlite3.connect(
+            path, isolation_level=None, check_same_thread=False
+        )
+        connection.execute("PRAGMA synchronous=OFF")
+        return connection
