--- /dev/null
+++ b/src/rosemarysaddle/standin/_server.py
@@ -0,0 +1,356 @@
+"""MySQL server of one stand-in instance."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import functools
+import sqlite3
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+from mysql_mimic import MysqlServer
+from mysql_mimic.auth import (
+    IdentityProvider,
+    NativePasswordAuthPlugin,
+    User,
+)
+from mysql_mimic.control import LocalControl, TooManyConnections
+from mysql_mimic.errors import MysqlError
+from mysql_mimic.session import BaseSession
+from mysql_mimic.types import ServerStatus
+from mysql_mimic.variables import GlobalVariables, SessionVariables
+from pymysql.constants import ER
+
+from rosemarysaddle.standin._instance import PRIMARY
+from rosemarysaddle.standin._sql import StatementKind, kind_of, parse_call
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from mysql_mimic.auth import AuthPlugin
+    from mysql_mimic.connection import Connection
+
+    from rosemarysaddle.link import Fabric
+    from rosemarysaddle.standin._instance import StandInInstance
+
+__all__ = ("StandInServer",)
+
+CUT_POLL_S: Final = 0.02
+BUSY_TIMEOUT_S: Final = 5.0
+_READ_ONLY: Final = ER.OPTION_PREVENTS_STATEMENT
+
+Rows = tuple[list[tuple[Any, ...]], list[str]]
+
+
+@attrs.define(kw_only=True, eq=False)
+class StandInServer:
+    """Serves one instance over the MySQL protocol.
+
+    :param connect_ms: cost of a new connection, in milliseconds
+    """
+
+    instance: StandInInstance
+    fabric: Fabric
+    user: str
+    password: str
+    connect_ms: float = 0.0
+    sessions: set[_Session] = attrs.field(factory=set, init=False)
+    _server: MysqlServer | None = attrs.field(default=None, init=False)
+
+    async def start(self) -> None:
+        """Start to listen."""
+        self._server = _Listener(
+            server=self,
+            session_factory=self._session,
+            control=_LimitedControl(self.instance),
+            identity_provider=_Identities(self.user, self.password),
+        )
+        await self._server.start_server(
+            host=self.instance.ip, port=self.instance.port, backlog=256
+        )
+
+    async def stop(self) -> None:
+        """Stop to listen and close every connection."""
+        if self._server is None:
+            return
+        self._server.close()
+        for session in list(self.sessions):
+            session.abort()
+        self._server = None
+
+    async def crash(self) -> None:
+        """Die at once."""
+        self.instance.faults.crashed = True
+        await self.stop()
+
+    async def restart(self) -> None:
+        """Come back with the data of before."""
+        self.instance.faults.crashed = False
+        await self.start()
+
+    def freeze_connections(self) -> None:
+        """Let all open connections go silent; new ones work."""
+        for session in self.sessions:
+            session.frozen = True
+
+    async def reach(self, peer_ip: str) -> None:
+        """Spend the time that a new connection costs.
+
+        :param peer_ip: address of the caller
+        """
+        delay_s = self.fabric.delay_s(peer_ip, self.instance.ip)
+        await asyncio.sleep(self.connect_ms / 1_000 + 2 * delay_s)
+        while self.fabric.is_cut(peer_ip, self.instance.ip):  # noqa: ASYNC110
+            await asyncio.sleep(CUT_POLL_S)
+
+    async def _session(self) -> _Session:
+        session = _Session(self)
+        self.sessions.add(session)
+        return session
+
+
+class _Listener(MysqlServer):
+    def __init__(self, *, server: StandInServer, **kwargs: Any) -> None:
+        super().__init__(**kwargs)
+        self._stand_in = server
+
+    async def _client_connected_cb(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await self._stand_in.reach(writer.get_extra_info("peername")[0])
+            await super()._client_connected_cb(reader, writer)
+        except (asyncio.CancelledError, OSError):
+            writer.close()
+
+
+class _Identities(IdentityProvider):
+    def __init__(self, user: str, password: str) -> None:
+        self._user = user
+        self._auth = NativePasswordAuthPlugin.create_auth_string(password)
+
+    def get_plugins(self) -> Sequence[AuthPlugin]:
+        return [NativePasswordAuthPlugin()]
+
+    async def get_user(self, username: str) -> User | None:
+        if username != self._user:
+            return None
+        return User(
+            name=username,
+            auth_string=self._auth,
+            auth_plugin=NativePasswordAuthPlugin.name,
+        )
+
+
+class _LimitedControl(LocalControl):
+    def __init__(self, instance: StandInInstance) -> None:
+        super().__init__(server_id=1)
+        self._instance = instance
+
+    async def add(self, connection: Connection) -> int:
+        if len(self._connections) >= self._instance.connections:
+            raise TooManyConnections
+        found: int = await super().add(connection)
+        return found
+
+
+class _Session(BaseSession):
+    """One connection to a stand-in."""
+
+    def __init__(self, server: StandInServer) -> None:
+        self.variables = SessionVariables(GlobalVariables())
+        self.username = None
+        self.database = None
+        self.frozen = False
+        self._server = server
+        self._instance = server.instance
+        self._generation = server.instance.generation
+        self._autocommit = True
+        self._statements: list[str] = []
+        self._holds_lock = False
+        self._connection: Connection | None = None
+        self._peer_ip = ""
+
+    async def init(self, connection: Connection) -> None:
+        """Take the connection over once the caller is authenticated."""
+        self._connection = connection
+        writer = connection.stream.writer
+        self._peer_ip = writer.get_extra_info("peername")[0]
+        connection.status_flags |= (
+            ServerStatus.SERVER_STATUS_NO_BACKSLASH_ESCAPES
+        )
+
+    async def close(self) -> None:
+        """Undo what is open when the caller goes."""
+        self._server.sessions.discard(self)
+        self._undo()
+
+    def abort(self) -> None:
+        """Cut the connection without a farewell."""
+        if self._connection is not None:
+            self._connection.stream.writer.transport.abort()
+
+    async def handle_query(self, sql: str, attrs: dict[str, str]) -> Any:
+        """Run one statement with the delays and faults on order."""
+        del attrs
+        await self._travel(self._peer_ip, self._instance.ip)
+        result = await self._run(sql)
+        if self._instance.faults.late_ms:
+            await asyncio.sleep(self._instance.faults.late_ms / 1_000)
+        await self._travel(self._instance.ip, self._peer_ip)
+        return result
+
+    async def _travel(self, source_ip: str, target_ip: str) -> None:
+        fabric = self._server.fabric
+        delay_s = fabric.delay_s(source_ip, target_ip)
+        if delay_s:
+            await asyncio.sleep(delay_s)
+        while self._hears_nothing(source_ip, target_ip):  # noqa: ASYNC110
+            await asyncio.sleep(CUT_POLL_S)
+
+    def _hears_nothing(self, source_ip: str, target_ip: str) -> bool:
+        return self.frozen or self._server.fabric.is_cut(source_ip, target_ip)
+
+    async def _run(self, sql: str) -> Any:
+        kind = kind_of(sql)
+        match kind:
+            case StatementKind.READ | StatementKind.WRITE:
+                return await self._in_slot(sql, kind)
+            case StatementKind.AUTOCOMMIT_ON | StatementKind.AUTOCOMMIT_OFF:
+                self._commit()
+                self._autocommit = kind is StatementKind.AUTOCOMMIT_ON
+            case StatementKind.COMMIT:
+                self._commit()
+            case StatementKind.ROLLBACK:
+                self._undo()
+            case StatementKind.CALL:
+                return await self._call(sql)
+            case StatementKind.SET | StatementKind.BEGIN:
+                pass
+            case StatementKind.OTHER:
+                raise MysqlError("not supported", ER.PARSE_ERROR)
+        return None
+
+    async def _in_slot(self, sql: str, kind: StatementKind) -> Any:
+        async with self._instance.slot_pool:
+            if self._instance.faults.slow_ms:
+                await asyncio.sleep(self._instance.faults.slow_ms / 1_000)
+            if kind is StatementKind.READ:
+                return self._read(sql)
+        return await self._write(sql)
+
+    def _read(self, sql: str) -> Rows:
+        cursor = self._execute(sql)
+        names = [d[0] for d in cursor.description or ()]
+        return cursor.fetchall(), names
+
+    async def _write(self, sql: str) -> None:
+        self._require_primary()
+        await self._lock()
+        self._require_primary()
+        cursor = self._execute(sql)
+        self._statements.append(sql)
+        self._answer_count(max(0, cursor.rowcount))
+        if self._autocommit:
+            self._commit()
+
+    async def _lock(self) -> None:
+        if self._holds_lock:
+            return
+        try:
+            await asyncio.wait_for(
+                self._instance.write_lock.acquire(), BUSY_TIMEOUT_S
+            )
+        except TimeoutError as error:
+            raise MysqlError(
+                "lock wait timeout", ER.LOCK_WAIT_TIMEOUT
+            ) from error
+        self._holds_lock = True
+        self._generation = self._instance.generation
+        self._instance.writer.execute("BEGIN IMMEDIATE")
+
+    def _execute(self, sql: str) -> sqlite3.Cursor:
+        if self._holds_lock and self._is_outdated():
+            raise MysqlError("no longer the primary", _READ_ONLY)
+        instance = self._instance
+        database = instance.writer if self._holds_lock else instance.reader
+        try:
+            return database.execute(sql)
+        except sqlite3.IntegrityError as error:
+            raise MysqlError(str(error), ER.DUP_ENTRY) from error
+        except sqlite3.Error as error:
+            raise MysqlError(str(error), ER.PARSE_ERROR) from error
+
+    def _commit(self) -> None:
+        if not self._holds_lock:
+            return
+        if self._is_outdated():
+            self._undo()
+            raise MysqlError("no longer the primary", _READ_ONLY)
+        self._instance.writer.execute("COMMIT")
+        self._instance.append(self._statements, time.monotonic())
+        self._end()
+
+    def _undo(self) -> None:
+        if not self._holds_lock:
+            return
+        same = self._generation == self._instance.generation
+        if same and self._instance.writer.in_transaction:
+            self._instance.writer.execute("ROLLBACK")
+        self._end()
+
+    def _end(self) -> None:
+        self._statements = []
+        self._holds_lock = False
+        self._instance.write_lock.release()
+
+    def _is_outdated(self) -> bool:
+        stale = self._generation != self._instance.generation
+        return stale or self._instance.role != PRIMARY
+
+    def _require_primary(self) -> None:
+        if self._instance.role != PRIMARY:
+            raise MysqlError("running with --read-only", _READ_ONLY)
+
+    def _answer_count(self, affected_rows: int) -> None:
+        connection = self._connection
+        if connection is None:
+            return
+        plain = type(connection).ok
+
+        def ok(**kwargs: Any) -> bytes:
+            connection.ok = functools.partial(plain, connection)
+            packet: bytes = plain(
+                connection, affected_rows=affected_rows, **kwargs
+            )
+            return packet
+
+        connection.ok = ok
+
+    async def _call(self, sql: str) -> Any:
+        call = parse_call(sql)
+        if call is None:
+            raise MysqlError("no such procedure", ER.PARSE_ERROR)
+        if call.name == "instance_status":
+            return await self._status(*map(int, call.args))
+        if call.name == "instance_promote":
+            done = self._instance.promote(int(call.args[0]), time.monotonic())
+        elif call.name == "instance_follow":
+            done = self._instance.follow(call.args[0], int(call.args[1]))
+        else:
+            raise MysqlError("no such procedure", ER.PARSE_ERROR)
+        self._instance.wake()
+        if not done:
+            raise MysqlError("the order is outdated", _READ_ONLY)
+        return None
+
+    async def _status(self, after: int, wait_ms: int) -> Rows:
+        instance = self._instance
+        if wait_ms and instance.position == after:
+            changed = instance.changed
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(changed.wait(), wait_ms / 1_000)
+        row = (instance.role, instance.log_term, instance.position)
+        return [row], ["role", "term", "position"]
--- /dev/null
+++ b/src/rosemarysaddle/store/_journal.py
@@ -0,0 +1,199 @@
+"""Journal of votes, entries and snapshots in one file.
+
+A record is a magic number, its length, a checksum and JSON.  Every
+write is synced before it returns.  A torn record at the end is cut; a
+damaged record before a valid one stops the host.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import struct
+import zlib
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+
+from rosemarysaddle.decide import StoredLog
+from rosemarysaddle.schema import LogEntry
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from pathlib import Path
+
+__all__ = ("CorruptJournal", "Journal")
+
+FILE_NAME: Final = "control.journal"
+_MAGIC: Final = b"RSJ1"
+_HEADER: Final = struct.Struct(">4sII")
+_MAX_RECORD_BYTES: Final = 256 * 1024 * 1024
+
+
+class CorruptJournal(Exception):  # noqa: N818 - names what was found
+    """A synced record was damaged; the host must not vote."""
+
+
+@attrs.define(kw_only=True)
+class Journal:
+    """The journal file of one control host.
+
+    :param folder: data folder of the host
+    """
+
+    folder: Path
+    _descriptor: int = attrs.field(default=-1, init=False)
+    _log: StoredLog = attrs.field(factory=StoredLog, init=False)
+
+    def open(self) -> StoredLog:
+        """Read the journal, cut a torn tail and open it for writing.
+
+        :return: what the journal holds
+        :raises CorruptJournal: where a synced record is damaged
+        """
+        self.folder.mkdir(parents=True, exist_ok=True)
+        path = self.folder / FILE_NAME
+        data = path.read_bytes() if path.exists() else b""
+        records, valid_bytes = _read_records(data, str(path))
+        for record in records:
+            self._log = _replay(self._log, record)
+        flags = os.O_RDWR | os.O_CREAT
+        self._descriptor = os.open(path, flags, 0o600)
+        os.ftruncate(self._descriptor, valid_bytes)
+        os.lseek(self._descriptor, valid_bytes, os.SEEK_SET)
+        os.fsync(self._descriptor)
+        _sync_folder(self.folder)
+        return self._log
+
+    def save_vote(self, term: int, voted_for: str) -> None:
+        """Store term and vote."""
+        self._append({"vote": [term, voted_for]})
+
+    def save_entries(self, entries: Sequence[LogEntry]) -> None:
+        """Store entries, cutting what follows the first index."""
+        rows = [[e.index, e.term, e.kind, e.payload] for e in entries]
+        self._append({"entries": rows})
+
+    def save_snapshot(self, index: int, term: int, state: str) -> None:
+        """Store a snapshot and drop the entries it covers.
+
+        :param index: last index that the snapshot covers
+        :param term: term of that entry
+        """
+        self._log = _with_snapshot(self._log, index, term, state)
+        self._rewrite()
+
+    def close(self) -> None:
+        """Close the file."""
+        os.close(self._descriptor)
+
+    def _append(self, record: dict[str, Any]) -> None:
+        self._log = _replay(self._log, record)
+        _write_all(self._descriptor, _encode(record))
+        os.fsync(self._descriptor)
+
+    def _rewrite(self) -> None:
+        path = self.folder / FILE_NAME
+        fresh = path.with_suffix(".new")
+        log = self._log
+        rows = [[e.index, e.term, e.kind, e.payload] for e in log.entries]
+        snapshot = [log.snapshot_index, log.snapshot_term, log.snapshot_state]
+        data = _encode({"snapshot": snapshot})
+        data += _encode({"vote": [log.term, log.voted_for]})
+        data += _encode({"entries": rows}) if rows else b""
+        flags = os.O_RDWR | os.O_CREAT | os.O_TRUNC
+        descriptor = os.open(fresh, flags, 0o600)
+        _write_all(descriptor, data)
+        os.fsync(descriptor)
+        fresh.replace(path)
+        _sync_folder(self.folder)
+        os.close(self._descriptor)
+        self._descriptor = descriptor
+
+
+def _replay(log: StoredLog, record: dict[str, Any]) -> StoredLog:
+    if "vote" in record:
+        term, voted_for = record["vote"]
+        return attrs.evolve(log, term=term, voted_for=voted_for)
+    if "snapshot" in record:
+        return _with_snapshot(log, *record["snapshot"])
+    fresh = tuple(
+        LogEntry(index=i, term=t, kind=k, payload=p)
+        for i, t, k, p in record["entries"]
+    )
+    kept = log.entries[: fresh[0].index - log.snapshot_index - 1]
+    return attrs.evolve(log, entries=kept + fresh)
+
+
+def _with_snapshot(
+    log: StoredLog, index: int, term: int, state: str
+) -> StoredLog:
+    covered = index - log.snapshot_index
+    holds = (
+        0 < covered <= len(log.entries)
+        and log.entries[covered - 1].term == term
+    )
+    return attrs.evolve(
+        log,
+        snapshot_index=index,
+        snapshot_term=term,
+        snapshot_state=state,
+        entries=log.entries[covered:] if holds else (),
+    )
+
+
+def _encode(record: dict[str, Any]) -> bytes:
+    body = json.dumps(record, separators=(",", ":")).encode()
+    return _HEADER.pack(_MAGIC, len(body), zlib.crc32(body)) + body
+
+
+def _read_records(
+    data: bytes, source: str
+) -> tuple[list[dict[str, Any]], int]:
+    records: list[dict[str, Any]] = []
+    offset = 0
+    while offset < len(data):
+        body = _body_at(data, offset)
+        if body is None:
+            _check_torn(data, offset, source)
+            break
+        records.append(json.loads(body))
+        offset += _HEADER.size + len(body)
+    return records, offset
+
+
+def _body_at(data: bytes, offset: int) -> bytes | None:
+    if offset + _HEADER.size > len(data):
+        return None
+    magic, length, checksum = _HEADER.unpack_from(data, offset)
+    start = offset + _HEADER.size
+    if magic != _MAGIC or length > _MAX_RECORD_BYTES:
+        return None
+    body = data[start : start + length]
+    if len(body) < length or zlib.crc32(body) != checksum:
+        return None
+    return body
+
+
+def _check_torn(data: bytes, offset: int, source: str) -> None:
+    found = data.find(_MAGIC, offset + 1)
+    while found >= 0:
+        if _body_at(data, found) is not None:
+            message = f"{source}: damaged record at byte {offset}"
+            raise CorruptJournal(message)
+        found = data.find(_MAGIC, found + 1)
+
+
+def _write_all(descriptor: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        written = os.write(descriptor, view)
+        view = view[written:]
+
+
+def _sync_folder(folder: Path) -> None:
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
--- /dev/null
+++ b/src/rosemarysaddle/target/_mysql.py
@@ -0,0 +1,236 @@
+"""Targets that speak the MySQL protocol."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+import pymysql
+from pymysql.connections import Connection
+from pymysql.constants import CR, ER
+
+from rosemarysaddle.decide import LogPoint
+from rosemarysaddle.target._protocol import (
+    FaultKind,
+    InstanceStatus,
+    StatementResult,
+    TargetFault,
+    TargetSession,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from rosemarysaddle.link import Address
+
+__all__ = ("MySqlConnector", "MySqlSession")
+
+MIN_WAIT_S: Final = 0.001
+_NS_PER_S: Final = 1_000_000_000
+_KINDS: Final = {
+    ER.OPTION_PREVENTS_STATEMENT: FaultKind.READ_ONLY,
+    ER.DUP_ENTRY: FaultKind.DUPLICATE,
+    ER.CON_COUNT_ERROR: FaultKind.FULL,
+}
+_LOST: Final = {
+    CR.CR_SERVER_GONE_ERROR,
+    CR.CR_SERVER_LOST,
+    CR.CR_CONN_HOST_ERROR,
+    CR.CR_COMMANDS_OUT_OF_SYNC,
+    0,
+}
+
+
+class _Connection(Connection):
+    """Connection whose time-outs can change between statements."""
+
+    if TYPE_CHECKING:
+
+        def _force_close(self) -> None: ...
+
+    def set_timeout(self, timeout_s: float) -> None:
+        """Bound each later read and write.
+
+        :param timeout_s: bound in seconds
+        """
+        self._read_timeout = timeout_s
+        self._write_timeout = timeout_s
+
+    def abort(self) -> None:
+        """Close the socket without a farewell."""
+        self._force_close()
+
+
+@attrs.frozen(kw_only=True)
+class MySqlConnector:
+    """Opens connections over the MySQL protocol.
+
+    :param source_ip: local address of the connections, or empty
+    """
+
+    user: str
+    password: str
+    source_ip: str = ""
+
+    def connect(
+        self, name: str, address: Address, *, deadline_ns: int
+    ) -> TargetSession | TargetFault:
+        """Open a connection.
+
+        :param name: name of the instance
+        :param deadline_ns: monotonic time, in nanoseconds
+        """
+        timeout_s = _left_s(deadline_ns)
+        try:
+            connection = _Connection(
+                host=address.ip,
+                port=address.port,
+                user=self.user,
+                password=self.password,
+                bind_address=self.source_ip or None,
+                connect_timeout=timeout_s,
+                read_timeout=timeout_s,
+                write_timeout=timeout_s,
+                autocommit=None,
+                ssl_disabled=True,
+            )
+        except (pymysql.MySQLError, OSError) as error:
+            return _connect_fault(error, name)
+        return MySqlSession(name=name, connection=connection)
+
+
+@attrs.define(kw_only=True)
+class MySqlSession:
+    """One connection over the MySQL protocol."""
+
+    name: str
+    connection: _Connection
+    _autocommit: bool = attrs.field(default=True, init=False)
+
+    def set_deadline(self, deadline_ns: int) -> None:
+        """Bound the exchanges that follow.
+
+        :param deadline_ns: monotonic time, in nanoseconds
+        """
+        self.connection.set_timeout(_left_s(deadline_ns))
+
+    def read(
+        self, sql: str, args: Sequence[Any]
+    ) -> StatementResult | TargetFault:
+        """Run one statement outside a transaction."""
+        return self._run(sql, args, autocommit=True)
+
+    def execute(
+        self, sql: str, args: Sequence[Any]
+    ) -> StatementResult | TargetFault:
+        """Run one statement in the transaction, starting one."""
+        return self._run(sql, args, autocommit=False)
+
+    def commit(self) -> TargetFault | None:
+        """Commit the transaction."""
+        return self._order("COMMIT")
+
+    def rollback(self) -> TargetFault | None:
+        """Undo the transaction."""
+        return self._order("ROLLBACK")
+
+    def status(
+        self, *, after: int, wait_ms: int
+    ) -> InstanceStatus | TargetFault:
+        """Read role, term and position.
+
+        :param after: position known; an answer may wait for a newer one
+        :param wait_ms: greatest wait, in milliseconds
+        """
+        result = self._query("CALL instance_status(%s, %s)", (after, wait_ms))
+        if isinstance(result, TargetFault):
+            return result
+        role, term, position = result.rows[0]
+        point = LogPoint(term=int(term), position=int(position))
+        return InstanceStatus(role=str(role), point=point)
+
+    def promote(self, term: int) -> TargetFault | None:
+        """Order the instance to become primary under a term."""
+        return self._order("CALL instance_promote(%s)", (term,))
+
+    def follow(
+        self, *, primary: str, term: int, start: int
+    ) -> TargetFault | None:
+        """Order the instance to replicate from a primary.
+
+        :param start: position at which the term began
+        """
+        sql = "CALL instance_follow(%s, %s, %s)"
+        return self._order(sql, (primary, term, start))
+
+    def close(self) -> None:
+        """Close the connection without waiting for the target."""
+        self.connection.abort()
+
+    def _run(
+        self, sql: str, args: Sequence[Any], *, autocommit: bool
+    ) -> StatementResult | TargetFault:
+        if self._autocommit is not autocommit:
+            fault = self._order(f"SET autocommit = {int(autocommit)}")
+            if fault is not None:
+                return fault
+            self._autocommit = autocommit
+        return self._query(sql, args)
+
+    def _order(self, sql: str, args: Sequence[Any] = ()) -> TargetFault | None:
+        result = self._query(sql, args)
+        return result if isinstance(result, TargetFault) else None
+
+    def _query(
+        self, sql: str, args: Sequence[Any]
+    ) -> StatementResult | TargetFault:
+        try:
+            cursor = self.connection.cursor()
+            cursor.execute(sql, tuple(args) or None)
+            columns = tuple(d[0] for d in cursor.description or ())
+            return StatementResult(
+                columns=columns,
+                rows=tuple(cursor.fetchall()),
+                affected_rows=max(0, cursor.rowcount),
+            )
+        except (pymysql.MySQLError, OSError) as error:
+            return _fault(error, self.name, sql)
+        except (TypeError, ValueError) as error:
+            return TargetFault(
+                kind=FaultKind.STATEMENT,
+                peer=self.name,
+                step="format",
+                detail=str(error),
+            )
+
+
+def _fault(error: Exception, name: str, sql: str) -> TargetFault:
+    code = error.args[0] if error.args else 0
+    kind = _KINDS.get(code, FaultKind.STATEMENT)
+    if isinstance(error, OSError) or code in _LOST:
+        kind = FaultKind.TIMEOUT if _timed_out(error) else FaultKind.LOST
+    step = sql.split(maxsplit=1)[0].lower()
+    return TargetFault(kind=kind, peer=name, step=step, detail=str(error))
+
+
+def _connect_fault(error: Exception, name: str) -> TargetFault:
+    kind = FaultKind.TIMEOUT
+    code = error.args[0] if error.args else 0
+    cause = getattr(error, "original_exception", None)
+    if isinstance(cause, ConnectionError):
+        kind = FaultKind.REFUSED
+    elif code in _KINDS:
+        kind = _KINDS[code]
+    elif code == CR.CR_SERVER_LOST and not _timed_out(error):
+        kind = FaultKind.REFUSED
+    return TargetFault(kind=kind, peer=name, step="connect", detail=str(error))
+
+
+def _timed_out(error: Exception) -> bool:
+    return "timed out" in str(error)
+
+
+def _left_s(deadline_ns: int) -> float:
+    left_s = (deadline_ns - time.monotonic_ns()) / _NS_PER_S
+    return max(MIN_WAIT_S, left_s)
