Bound the fence of a new leader and end silent exchanges early

Change: votes carry how long ago a leader was heard, so that the wait starts there; a target that takes no new connection, or whose watch went silent, has its running exchanges ended; lease 1500 ms, election from 600 ms. The operators' commands come over the administration API. A host asked before it knew its targets failed with a KeyError, now waits.

--- a/src/rosemarysaddle/daemon/_gate.py
+++ b/src/rosemarysaddle/daemon/_gate.py
@@ -348,14 +348,15 @@
 
     @contextlib.contextmanager
     def _interested(self, group: str) -> Iterator[None]:
+        event = self._interest.setdefault(group, threading.Event())
         self._awaiting[group] = self._awaiting.get(group, 0) + 1
-        self._interest[group].set()
+        event.set()
         try:
             yield
         finally:
             self._awaiting[group] -= 1
             if not self._awaiting[group]:
-                self._interest[group].clear()
+                event.clear()
 
     @contextlib.contextmanager
     def _holding(self, group: str) -> Iterator[bool]:
--- a/src/rosemarysaddle/daemon/_host.py
+++ b/src/rosemarysaddle/daemon/_host.py
@@ -57,7 +57,7 @@
 
 TICK_S: Final = 0.04
 RESEND_S: Final = 0.25
-ELECTION_JITTER_MS: Final = 600
+ELECTION_JITTER_MS: Final = 400
 _ENTRY_MESSAGES: Final = (
     LeaseGrant,
     LeaseRefusal,
@@ -245,6 +245,9 @@
         group = self._group_of(name)
         now_ns = time.monotonic_ns()
         self.gate.mark_unreachable(name)
+        pool = self.gate.pools.get(name)
+        if pool is not None:
+            pool.interrupt(now_ns)
         effects = self.gate.run(
             lambda node: node.suspect(
                 group, name, refused=refused, now_ns=now_ns
@@ -257,8 +260,11 @@
         """Wait until a request needs a newer status of a target."""
         self.gate.wait_interest(name, limit_s)
 
-    def on_silent(self, name: str) -> None:
-        """Replace the open connections to a target."""
+    def on_silent(self, name: str, since_ns: int) -> None:
+        """Replace the open connections to a target.
+
+        :param since_ns: monotonic time since which one is silent
+        """
         logging.info(
             "event=silent host=%s step=execute peer=%s",
             self.settings.host,
@@ -267,6 +273,7 @@
         pool = self.gate.pools.get(name)
         if pool is not None:
             pool.renew()
+            pool.interrupt(since_ns)
 
     # --- loop ---
 
--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -283,7 +283,7 @@
 
     def _take_office(self) -> None:
         self._lease_term = self.log.term
-        self._leases = LeaseTable.for_new_leader(self.log.elected_ns)
+        self._leases = LeaseTable.for_new_leader(self.log.others_led_until_ns)
         self._evidence.clear()
 
     # --- leases ---
--- a/src/rosemarysaddle/decide/_lease.py
+++ b/src/rosemarysaddle/decide/_lease.py
@@ -73,12 +73,13 @@
     _deadlines_ns: dict[str, int] = attrs.field(factory=dict)
 
     @classmethod
-    def for_new_leader(cls, elected_ns: int) -> LeaseTable:
+    def for_new_leader(cls, others_led_until_ns: int) -> LeaseTable:
         """Start a table at an election.
 
-        :param elected_ns: monotonic time of it, in nanoseconds
+        :param others_led_until_ns: monotonic time until which earlier
+            leaders can have granted leases, in nanoseconds
         """
-        return cls(blind_until_ns=elected_ns + LEASE_MS * NS_PER_MS)
+        return cls(blind_until_ns=others_led_until_ns + LEASE_MS * NS_PER_MS)
 
     def grant(self, host: str, now_ns: int) -> None:
         """Note a lease granted now."""
--- a/src/rosemarysaddle/decide/_log.py
+++ b/src/rosemarysaddle/decide/_log.py
@@ -91,6 +91,7 @@
     leader: str = attrs.field(default="", init=False)
     commit_index: int = attrs.field(init=False)
     elected_ns: int = attrs.field(default=0, init=False)
+    others_led_until_ns: int = attrs.field(default=0, init=False)
     term: int = attrs.field(init=False)
     _voted_for: str = attrs.field(init=False)
     _entries: list[LogEntry] = attrs.field(init=False)
@@ -251,6 +252,8 @@
     def _start_vote(self, now_ns: int) -> list[Effect]:
         self._pre = False
         self._votes = {self.host}
+        self.others_led_until_ns = 0
+        self._note_heard(self._heard_ns)
         self._election_at_ns = self._next_election_ns(now_ns)
         effects: list[Effect] = [self._set_term(self.term + 1, self.host)]
         if self._has_quorum(self._votes):
@@ -271,7 +274,8 @@
         self, source: str, request: VoteRequest, now_ns: int
     ) -> list[Effect]:
         if self._hears_leader(now_ns):
-            return [self._vote_reply(source, request, granted=False)]
+            reply = self._vote_reply(source, request, now_ns, granted=False)
+            return [reply]
         effects: list[Effect] = []
         if not request.pre and request.term > self.term:
             self._become_follower(request.term, now_ns)
@@ -280,8 +284,8 @@
         if granted and not request.pre:
             self._election_at_ns = self._next_election_ns(now_ns)
             effects.append(self._set_term(request.term, request.candidate))
-        effects.append(self._vote_reply(source, request, granted=granted))
-        return effects
+        reply = self._vote_reply(source, request, now_ns, granted=granted)
+        return [*effects, reply]
 
     def _may_vote(self, request: VoteRequest) -> bool:
         mine = (self._term_at(self.last_index), self.last_index)
@@ -293,10 +297,20 @@
         return request.term == self.term and free
 
     def _vote_reply(
-        self, source: str, request: VoteRequest, *, granted: bool
+        self,
+        source: str,
+        request: VoteRequest,
+        now_ns: int,
+        *,
+        granted: bool,
     ) -> Send:
         term = request.term if granted else self.term
-        reply = VoteReply(term=term, granted=granted, pre=request.pre)
+        reply = VoteReply(
+            term=term,
+            granted=granted,
+            pre=request.pre,
+            heard_age_ns=now_ns - self._heard_ns,
+        )
         return Send(peer=source, message=reply)
 
     def _on_vote_reply(
@@ -310,12 +324,19 @@
         if reply.term != wanted:
             return []
         self._votes.add(source)
+        self._note_heard(now_ns - reply.heard_age_ns)
         if not self._has_quorum(self._votes):
             return []
         if self._pre:
             return self._start_vote(now_ns)
         return self._become_leader(now_ns)
 
+    def _note_heard(self, heard_ns: int) -> None:
+        # An earlier leader is current only while a quorum answers it,
+        # and each quorum shares a voter with the one that elects.
+        until_ns = heard_ns + MIN_ELECTION_MS * NS_PER_MS
+        self.others_led_until_ns = max(self.others_led_until_ns, until_ns)
+
     def _become_leader(self, now_ns: int) -> list[Effect]:
         self.role = Role.LEADER
         self.leader = self.host
--- a/src/rosemarysaddle/decide/_reasons.py
+++ b/src/rosemarysaddle/decide/_reasons.py
@@ -59,6 +59,7 @@
     LEASE_ENDED = "lease-ended"
     HOST_UNREACHABLE = "host-unreachable"
     NOT_LEADER = "not-leader"
+    DEFECT = "defect"
     VERSION_CONFLICT = "version-conflict"
 
 
--- a/src/rosemarysaddle/decide/_times.py
+++ b/src/rosemarysaddle/decide/_times.py
@@ -17,8 +17,8 @@
 
 NS_PER_MS: Final = 1_000_000
 HEARTBEAT_MS: Final = 150
-MIN_ELECTION_MS: Final = 800
-LEASE_MS: Final = 1_800
+MIN_ELECTION_MS: Final = 600
+LEASE_MS: Final = 1_500
 RENEWAL_MS: Final = 400
 CLOCK_DRIFT_PPM: Final = 1_000
 
--- /dev/null
+++ b/src/rosemarysaddle/operate/_documents.py
@@ -0,0 +1,95 @@
+"""Changes of the inventory and of the rules."""
+
+from __future__ import annotations
+
+import difflib
+import json
+import time
+import uuid
+from typing import TYPE_CHECKING, Any, Final
+
+import cattrs
+
+from rosemarysaddle.decide import DocumentKind
+from rosemarysaddle.operate._client import AdminFault
+from rosemarysaddle.schema import Inventory, Rules, SchemaFault, load_file
+
+if TYPE_CHECKING:
+    from rosemarysaddle.operate._client import AdminClient
+
+__all__ = ("apply_document", "diff_document", "load_for_change")
+
+TRIES: Final = 3
+WAIT_S: Final = 0.2
+IN_FORCE_S: Final = 10.0
+_KINDS: Final[dict[str, type[Inventory | Rules]]] = {
+    DocumentKind.INVENTORY: Inventory,
+    DocumentKind.RULES: Rules,
+}
+
+
+def load_for_change(kind: str, path: str) -> Any | SchemaFault:
+    """Read and check a document from a file.
+
+    :return: its JSON form, or what is wrong with it
+    """
+    loaded = load_file(_KINDS[kind], path)
+    if isinstance(loaded, SchemaFault):
+        return loaded
+    return cattrs.unstructure(loaded)
+
+
+def diff_document(
+    client: AdminClient, kind: str, document: Any
+) -> str | AdminFault:
+    """Compare a document with the one in force.
+
+    :return: the difference in unified form; empty where there is none
+    """
+    current = client.request("GET", f"/admin/documents/{kind}")
+    if isinstance(current, AdminFault):
+        return current
+    _, body = current
+    lines = difflib.unified_diff(
+        _lines(body["document"]),
+        _lines(document),
+        f"version {body['version']}",
+        "file",
+        lineterm="",
+    )
+    return "\n".join(lines)
+
+
+def apply_document(
+    client: AdminClient,
+    kind: str,
+    document: Any,
+    *,
+    base_version: int,
+    change_id: str = "",
+) -> dict[str, Any] | AdminFault:
+    """Send a change; send it again under the same id if no answer came.
+
+    :param base_version: version that the change was made from
+    :param change_id: id of an earlier try, or empty for a new one
+    :return: the answer with its ``change_id``, or what failed
+    """
+    change_id = change_id or str(uuid.uuid4())
+    body = {
+        "change_id": change_id,
+        "base_version": base_version,
+        "document": document,
+    }
+    result: tuple[int, Any] | AdminFault
+    for _ in range(TRIES):
+        result = client.request("POST", f"/admin/documents/{kind}", body)
+        if isinstance(result, tuple) and isinstance(result[1], dict):
+            return {**result[1], "change_id": change_id}
+        time.sleep(WAIT_S)
+    if isinstance(result, AdminFault):
+        return result
+    return {"outcome": "unknown", "reason": str(result[1])}
+
+
+def _lines(document: Any) -> list[str]:
+    return json.dumps(document, indent=2, sort_keys=True).splitlines()
--- a/src/rosemarysaddle/run.py
+++ b/src/rosemarysaddle/run.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import enum
+import http
+import json
+import os
 import signal
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final, Literal
 
 import defopt
 from absl import logging
@@ -15,6 +17,13 @@
 from rosemarysaddle._limits import raise_file_limit
 from rosemarysaddle.daemon import HostDaemon
 from rosemarysaddle.demo import DEPLOYMENTS, play
+from rosemarysaddle.operate import (
+    AdminClient,
+    AdminFault,
+    apply_document,
+    diff_document,
+    load_for_change,
+)
 from rosemarysaddle.schema import (
     Inventory,
     Rules,
@@ -30,25 +39,15 @@
 
 __all__ = ("main",)
 
+DEFAULT_HOST: Final = "127.0.0.1:8100"
+CREDENTIAL_VARIABLE: Final = "ROSEMARYSADDLE_CREDENTIAL"
 
-class DeploymentName(enum.StrEnum):
-    """Deployments that the demonstration plays."""
-
-    CO_OPERATIVE = "co-operative"
-    FOUNDATION = "foundation"
-
-
-class DocumentName(enum.StrEnum):
-    """Kinds of files that can be checked."""
-
-    SETTINGS = "settings"
-    INVENTORY = "inventory"
-    RULES = "rules"
+Kind = Literal["inventory", "rules"]
 
 
 def demo(
     *,
-    deployment: DeploymentName = DeploymentName.CO_OPERATIVE,
+    deployment: Literal["co-operative", "foundation"] = "co-operative",
     seed: int = 1,
     report: str = "",
 ) -> int:
@@ -62,6 +61,8 @@
     if report:
         Path(report).write_text(result.to_json(), encoding="utf-8")
     print(result.to_text())
+    for violation in result.violations:
+        print(violation, file=sys.stderr)
     return 1 if result.violations else 0
 
 
@@ -93,24 +94,104 @@
     return _serve(server.start, server.stop)
 
 
-def check(kind: DocumentName, file: str) -> int:
-    """Check a file and say what is wrong with it.
+def check_settings(file: str) -> int:
+    """Check a settings file and say what is wrong with it.
 
-    :param kind: kind of the file
     :param file: path of the file
     """
-    kinds: dict[str, type[Settings | Inventory | Rules]] = {
-        DocumentName.SETTINGS: Settings,
-        DocumentName.INVENTORY: Inventory,
-        DocumentName.RULES: Rules,
-    }
-    loaded = load_file(kinds[kind], file)
-    if isinstance(loaded, SchemaFault):
-        return _complain(loaded)
-    print(f"{file}: good")
+    return _check(Settings, file)
+
+
+def check_inventory(file: str) -> int:
+    """Check an inventory file and say what is wrong with it.
+
+    :param file: path of the file
+    """
+    return _check(Inventory, file)
+
+
+def check_rules(file: str) -> int:
+    """Check a rules file and say what is wrong with it.
+
+    :param file: path of the file
+    """
+    return _check(Rules, file)
+
+
+def show(kind: Kind, *, host: str = DEFAULT_HOST) -> int:
+    """Show the document in force at a host.
+
+    :param kind: inventory or rules
+    :param host: address and port of the host
+    """
+    return _get(host, f"/admin/documents/{kind}")
+
+
+def history(*, host: str = DEFAULT_HOST) -> int:
+    """List the accepted changes.
+
+    :param host: address and port of the host
+    """
+    return _get(host, "/admin/history")
+
+
+def status(*, host: str = DEFAULT_HOST) -> int:
+    """Show the state of a host.
+
+    :param host: address and port of the host
+    """
+    return _get(host, "/admin/status")
+
+
+def diff(kind: Kind, file: str, *, host: str = DEFAULT_HOST) -> int:
+    """Compare a file with the document in force.
+
+    :param kind: inventory or rules
+    :param file: path of the file
+    :param host: address and port of the host
+    """
+    document = load_for_change(kind, file)
+    if isinstance(document, SchemaFault):
+        return _complain(document)
+    found = diff_document(_client(host), kind, document)
+    if isinstance(found, AdminFault):
+        return _complain(found)
+    print(found)
     return 0
 
 
+def apply(
+    kind: Kind,
+    file: str,
+    *,
+    base_version: int,
+    change_id: str = "",
+    host: str = DEFAULT_HOST,
+) -> int:
+    """Put a document in force.
+
+    :param kind: inventory or rules
+    :param file: path of the file
+    :param base_version: version that the file was made from
+    :param change_id: id of an earlier try whose answer was lost
+    :param host: address and port of the host
+    """
+    document = load_for_change(kind, file)
+    if isinstance(document, SchemaFault):
+        return _complain(document)
+    answer = apply_document(
+        _client(host),
+        kind,
+        document,
+        base_version=base_version,
+        change_id=change_id,
+    )
+    if isinstance(answer, AdminFault):
+        return _complain(answer)
+    print(json.dumps(answer, indent=2))
+    return 0 if answer.get("outcome") == "done" else 1
+
+
 def main() -> None:
     """Run the command that the arguments name."""
     raise_file_limit()
@@ -121,7 +202,14 @@
         "entry": entry,
         "control": control,
         "stand-in": stand_in,
-        "check": check,
+        "settings": {"check": check_settings},
+        "inventory": {"check": check_inventory},
+        "rules": {"check": check_rules},
+        "show": show,
+        "diff": diff,
+        "apply": apply,
+        "history": history,
+        "status": status,
     }
     sys.exit(defopt.run(commands, show_defaults=True))
 
@@ -150,7 +238,32 @@
     return 0
 
 
-def _complain(fault: SchemaFault) -> int:
+def _check(kind: type[Settings | Inventory | Rules], file: str) -> int:
+    loaded = load_file(kind, file)
+    if isinstance(loaded, SchemaFault):
+        return _complain(loaded)
+    print(f"{file}: good")
+    return 0
+
+
+def _client(host: str) -> AdminClient:
+    return AdminClient(
+        address=host,
+        credential=os.environ.get(CREDENTIAL_VARIABLE, ""),
+        operator=os.environ.get("USER", "operator"),
+    )
+
+
+def _get(host: str, path: str) -> int:
+    result = _client(host).request("GET", path)
+    if isinstance(result, AdminFault):
+        return _complain(result)
+    code, body = result
+    print(json.dumps(body, indent=2))
+    return 0 if code == http.HTTPStatus.OK else 1
+
+
+def _complain(fault: SchemaFault | AdminFault) -> int:
     print(fault, file=sys.stderr)
     return 2
 
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -222,6 +222,7 @@
     term: int
     granted: bool
     pre: bool
+    heard_age_ns: int
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarysaddle/schema/messages.capnp
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -22,6 +22,7 @@
   term @0 :UInt64;
   granted @1 :Bool;
   pre @2 :Bool;
+  heardAgeNs @3 :UInt64;
 }
 
 struct AppendRequest {
--- a/src/rosemarysaddle/serve/_reads.py
+++ b/src/rosemarysaddle/serve/_reads.py
@@ -152,4 +152,3 @@
         peer=fault.peer,
         detail=fault.detail,
     )
-
--- a/src/rosemarysaddle/serve/_writes.py
+++ b/src/rosemarysaddle/serve/_writes.py
@@ -181,9 +181,13 @@
         if isinstance(begun, Refusal):
             return begun
         ticket, session = begun
-        executed = _execute(session, request)
+        executed: _Executed | Refusal | None = None
+        try:
+            executed = _execute(session, request)
+        finally:
+            if not isinstance(executed, _Executed):
+                self.abandon(ticket, session)
         if isinstance(executed, Refusal):
-            self.abandon(ticket, session)
             return executed
         point = self.finish(ticket, session, deadline_ns=request.deadline_ns)
         if isinstance(point, Refusal):
--- a/src/rosemarysaddle/serve/_wsgi.py
+++ b/src/rosemarysaddle/serve/_wsgi.py
@@ -6,8 +6,9 @@
 from typing import TYPE_CHECKING, Any, Final, Protocol
 
 import attrs
+from absl import logging
 
-from rosemarysaddle.decide import Reason, Refusal, Step
+from rosemarysaddle.decide import Outcome, Reason, Refusal, Step
 from rosemarysaddle.serve._answers import problem
 from rosemarysaddle.serve._requests import MAX_BODY_BYTES
 from rosemarysaddle.serve._service import PROBLEM_TYPE, Operation, Reply
@@ -48,7 +49,11 @@
         self, environ: dict[str, Any], start_response: _StartResponse
     ) -> Iterable[bytes]:
         """Serve one HTTP request."""
-        reply = self._serve(environ)
+        try:
+            reply = self._serve(environ)
+        except Exception as error:  # noqa: BLE001 - boundary of a request
+            logging.exception("event=defect step=execute")
+            reply = _defect(error)
         headers = [
             ("Content-Type", reply.content_type),
             ("Content-Length", str(len(reply.body))),
@@ -80,6 +85,21 @@
         )
 
 
+def _defect(error: Exception) -> Reply:
+    refusal = Refusal(
+        reason=Reason.DEFECT,
+        step=Step.EXECUTE,
+        peer="proxy",
+        outcome=Outcome.UNKNOWN,
+        detail=type(error).__name__,
+    )
+    return Reply(
+        status=HTTPStatus.INTERNAL_SERVER_ERROR,
+        content_type=PROBLEM_TYPE,
+        body=problem(refusal),
+    )
+
+
 def _bad(status: HTTPStatus, detail: str) -> Reply:
     refusal = Refusal(
         reason=Reason.BAD_REQUEST,
--- a/src/rosemarysaddle/target/_mysql.py
+++ b/src/rosemarysaddle/target/_mysql.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
 import time
 from typing import TYPE_CHECKING, Any, Final
 
@@ -46,6 +48,7 @@
     """Connection whose time-outs can change between statements."""
 
     if TYPE_CHECKING:
+        _sock: socket.socket | None
 
         def _force_close(self) -> None: ...
 
@@ -57,6 +60,13 @@
         self._read_timeout = timeout_s
         self._write_timeout = timeout_s
 
+    def interrupt(self) -> None:
+        """Wake the thread that waits for the target."""
+        sock = self._sock
+        if sock is not None:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+
     def abort(self) -> None:
         """Close the socket without a farewell."""
         self._force_close()
@@ -164,6 +174,10 @@
         sql = "CALL instance_follow(%s, %s, %s)"
         return self._order(sql, (primary, term, start))
 
+    def interrupt(self) -> None:
+        """End the exchange that runs, from another thread."""
+        self.connection.interrupt()
+
     def close(self) -> None:
         """Close the connection without waiting for the target."""
         self.connection.abort()
--- a/src/rosemarysaddle/target/_pool.py
+++ b/src/rosemarysaddle/target/_pool.py
@@ -31,6 +31,12 @@
     generation: int
 
 
+@attrs.frozen(kw_only=True)
+class _Borrowed:
+    session: TargetSession
+    since_ns: int
+
+
 @attrs.define(kw_only=True, eq=False)
 class TargetPool:
     """Bounded set of connections to one target.
@@ -45,6 +51,7 @@
     opened: int = 0
     _open: int = attrs.field(default=0, init=False)
     _generation: int = attrs.field(default=0, init=False)
+    _borrowed: dict[int, _Borrowed] = attrs.field(factory=dict, init=False)
     _idle: list[_Idle] = attrs.field(factory=list, init=False)
     _free: threading.Condition = attrs.field(
         factory=threading.Condition, init=False
@@ -60,7 +67,7 @@
             while True:
                 self._close_outdated()
                 if self._idle:
-                    return self._idle.pop().session
+                    return self._lend(self._idle.pop().session)
                 if self._open < self.limit:
                     self._open += 1
                     break
@@ -75,6 +82,7 @@
         :param usable: whether it may serve another statement
         """
         with self._free:
+            self._borrowed.pop(id(session), None)
             if usable and self._open <= self.limit:
                 idle = _Idle(session=session, generation=self._generation)
                 self._idle.append(idle)
@@ -89,6 +97,16 @@
             self._generation += 1
             self._close_outdated()
 
+    def interrupt(self, before_ns: int) -> None:
+        """End the exchanges on connections lent before a time.
+
+        :param before_ns: monotonic time, in nanoseconds
+        """
+        with self._free:
+            for borrowed in self._borrowed.values():
+                if borrowed.since_ns < before_ns:
+                    borrowed.session.interrupt()
+
     def close(self) -> None:
         """Close the idle connections and accept no more back."""
         with self._free:
@@ -96,6 +114,12 @@
             self._generation += 1
             self._close_outdated()
 
+    def _lend(self, session: TargetSession) -> TargetSession:
+        now_ns = time.monotonic_ns()
+        borrowed = _Borrowed(session=session, since_ns=now_ns)
+        self._borrowed[id(session)] = borrowed
+        return session
+
     def _close_outdated(self) -> None:
         for idle in list(self._idle):
             if idle.generation < self._generation:
@@ -110,7 +134,8 @@
         )
         if not isinstance(session, TargetFault):
             self.opened += 1
-            return session
+            with self._free:
+                return self._lend(session)
         with self._free:
             self._open -= 1
             self._free.notify()
--- a/src/rosemarysaddle/target/_protocol.py
+++ b/src/rosemarysaddle/target/_protocol.py
@@ -123,6 +123,9 @@
         :param start: position at which the term began
         """
 
+    def interrupt(self) -> None:
+        """End the exchange that runs, from another thread."""
+
     def close(self) -> None:
         """Close the connection."""
 
--- a/src/rosemarysaddle/target/_watch.py
+++ b/src/rosemarysaddle/target/_watch.py
@@ -47,8 +47,11 @@
         :param refused: whether the target refused it at once
         """
 
-    def on_silent(self, name: str) -> None:
-        """Take note that an open connection went silent."""
+    def on_silent(self, name: str, since_ns: int) -> None:
+        """Take note that an open connection went silent.
+
+        :param since_ns: monotonic time of the last question
+        """
 
     def wait_interest(self, name: str, limit_s: float) -> None:
         """Wait until somebody needs a newer status.
@@ -112,7 +115,7 @@
             status = session.status(after=after, wait_ms=wait_ms)
             if isinstance(status, TargetFault):
                 if status.kind is FaultKind.TIMEOUT:
-                    self.events.on_silent(self.name)
+                    self.events.on_silent(self.name, asked_ns)
                 return
             self.events.on_status(self.name, status, asked_ns)
             after = status.point.position
