Keep the control leader's target connections through a change

Change: connections are opened when a change begins and kept for 5 s; suspicion is still confirmed over new connections only. Conclusion: kept; the drain is now the largest part of a planned change.

--- a/src/rosemarysaddle/daemon/_host.py
+++ b/src/rosemarysaddle/daemon/_host.py
@@ -160,6 +160,7 @@
             await asyncio.to_thread(watch.join)
         for pool in self.gate.pools.values():
             pool.close()
+        self._orders.close()
         if self._journal is not None:
             self._journal.close()
 
--- a/src/rosemarysaddle/daemon/_orders.py
+++ b/src/rosemarysaddle/daemon/_orders.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import threading
 import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final, TypeVar
 
 import attrs
 
@@ -25,26 +26,51 @@
 
 __all__ = ("TargetOrders",)
 
-FOLLOW_MS = 1_000
+FOLLOW_MS: Final = 1_000
+EXCHANGE_MS: Final = 300
+KEEP_MS: Final = 5_000
+
+T = TypeVar("T")
 
 
 @attrs.frozen(kw_only=True)
+class _Kept:
+    session: TargetSession
+    deadline_ns: int
+
+
+@attrs.define(kw_only=True, eq=False)
 class TargetOrders:
-    """Reads the status of targets and gives them orders."""
+    """Reads the status of targets and gives them orders.
+
+    A connection is kept for a few seconds after its use, so that the
+    steps of a change of primary do not each open one.
+    """
 
     connector: TargetConnector
+    _kept: dict[str, _Kept] = attrs.field(factory=dict, init=False)
+    _lock: threading.Lock = attrs.field(factory=threading.Lock, init=False)
 
     async def probe(
         self, probe: ProbeGroup, instances: Sequence[Instance]
     ) -> list[TargetReport]:
         """Read the status of the instances of a group.
 
+        :param probe: what to read and until when
+        :param instances: instances of the group
+
         :return: one report for each instance, as far as known when
             enough have answered or the deadline has passed
         """
+        self._close_later()
         tasks = [
             asyncio.create_task(
-                asyncio.to_thread(self._read, instance, probe.deadline_ns)
+                asyncio.to_thread(
+                    self._read,
+                    instance,
+                    probe.deadline_ns,
+                    fresh=probe.fresh,
+                )
             )
             for instance in instances
         ]
@@ -88,6 +114,14 @@
             ),
         )
 
+    def close(self) -> None:
+        """Close the kept connections."""
+        with self._lock:
+            kept = list(self._kept.values())
+            self._kept.clear()
+        for entry in kept:
+            entry.session.close()
+
     async def _order(
         self,
         instance: Instance | None,
@@ -96,39 +130,25 @@
     ) -> bool:
         if instance is None:
             return False
-        return await asyncio.to_thread(
-            self._order_now, instance, deadline_ns, give
+        result = await asyncio.to_thread(
+            self._exchange, instance, deadline_ns, give, fresh=False
         )
+        return result is None
 
-    def _order_now(
-        self,
-        instance: Instance,
-        deadline_ns: int,
-        give: Callable[[TargetSession], TargetFault | None],
-    ) -> bool:
-        session = self._connect(instance, deadline_ns)
-        if isinstance(session, TargetFault):
-            return False
-        try:
-            session.set_deadline(deadline_ns)
-            return give(session) is None
-        finally:
-            session.close()
-
-    def _read(self, instance: Instance, deadline_ns: int) -> TargetReport:
-        session = self._connect(instance, deadline_ns)
-        if isinstance(session, TargetFault):
-            refused = session.kind is FaultKind.REFUSED
+    def _read(
+        self, instance: Instance, deadline_ns: int, *, fresh: bool
+    ) -> TargetReport:
+        status = self._exchange(
+            instance,
+            deadline_ns,
+            lambda session: session.status(after=0, wait_ms=0),
+            fresh=fresh,
+        )
+        if isinstance(status, TargetFault):
+            refused = status.kind is FaultKind.REFUSED
             return TargetReport(
                 target=instance.name, reachable=False, refused=refused
             )
-        try:
-            session.set_deadline(deadline_ns)
-            status = session.status(after=0, wait_ms=0)
-        finally:
-            session.close()
-        if isinstance(status, TargetFault):
-            return TargetReport(target=instance.name, reachable=False)
         return TargetReport(
             target=instance.name,
             reachable=True,
@@ -137,10 +157,67 @@
             position=status.point.position,
         )
 
-    def _connect(
-        self, instance: Instance, deadline_ns: int
-    ) -> TargetSession | TargetFault:
+    def _exchange(
+        self,
+        instance: Instance,
+        deadline_ns: int,
+        give: Callable[[TargetSession], T | TargetFault],
+        *,
+        fresh: bool,
+    ) -> T | TargetFault:
+        kept = None if fresh else self._take(instance.name)
+        if kept is not None:
+            result = self._use(instance, kept, deadline_ns, give)
+            if not isinstance(result, TargetFault) or result.is_answer:
+                return result
         address = Address.parse(instance.address)
-        return self.connector.connect(
+        session = self.connector.connect(
             instance.name, address, deadline_ns=deadline_ns
         )
+        if isinstance(session, TargetFault):
+            return session
+        return self._use(instance, session, deadline_ns, give)
+
+    def _use(
+        self,
+        instance: Instance,
+        session: TargetSession,
+        deadline_ns: int,
+        give: Callable[[TargetSession], T | TargetFault],
+    ) -> T | TargetFault:
+        latest_ns = time.monotonic_ns() + EXCHANGE_MS * NS_PER_MS
+        session.set_deadline(min(deadline_ns, latest_ns))
+        result = give(session)
+        if isinstance(result, TargetFault) and not result.is_answer:
+            session.close()
+        else:
+            self._keep(instance.name, session)
+        return result
+
+    def _take(self, name: str) -> TargetSession | None:
+        with self._lock:
+            kept = self._kept.pop(name, None)
+        if kept is None:
+            return None
+        if time.monotonic_ns() >= kept.deadline_ns:
+            kept.session.close()
+            return None
+        return kept.session
+
+    def _keep(self, name: str, session: TargetSession) -> None:
+        deadline_ns = time.monotonic_ns() + KEEP_MS * NS_PER_MS
+        with self._lock:
+            if name not in self._kept:
+                self._kept[name] = _Kept(
+                    session=session, deadline_ns=deadline_ns
+                )
+                return
+        session.close()
+
+    def _close_later(self) -> None:
+        now_ns = time.monotonic_ns()
+        with self._lock:
+            due = [n for n, k in self._kept.items() if now_ns >= k.deadline_ns]
+            ended = [self._kept.pop(name) for name in due]
+        for kept in ended:
+            kept.session.close()
--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -61,6 +61,7 @@
 COMPACT_ENTRIES: Final = 1_000
 KEPT_TIMES: Final = 256
 CONFIRM_ATTEMPT: Final = 0
+WARM_UP_ATTEMPT: Final = -1
 
 
 @attrs.define(kw_only=True)
@@ -464,6 +465,7 @@
                 attempt=CONFIRM_ATTEMPT,
                 deadline_ns=now_ns + CONFIRM_PROBE_MS * NS_PER_MS,
                 quorum=len(self._instances(group)),
+                fresh=True,
             )
         ]
 
@@ -513,7 +515,14 @@
             give_up_preferred_ns=now_ns + PREFERRED_MS * NS_PER_MS,
         )
         payload = json.dumps({"group": group, "term": term})
-        return self._propose(EntryKind.CLOSE, payload, now_ns)
+        effects = self._propose(EntryKind.CLOSE, payload, now_ns)
+        warm_up = ProbeGroup(
+            group=group,
+            attempt=WARM_UP_ATTEMPT,
+            deadline_ns=now_ns + PROBE_MS * NS_PER_MS,
+            quorum=len(self._instances(group)),
+        )
+        return [*effects, warm_up]
 
     def _fence(self, change: GroupChange, now_ns: int) -> list[Effect]:
         change.begin_fence(self._leases.deadlines_ns(now_ns))
--- a/src/rosemarysaddle/decide/_effects.py
+++ b/src/rosemarysaddle/decide/_effects.py
@@ -93,12 +93,14 @@
 
     :param deadline_ns: monotonic time at which to report what is known
     :param quorum: instances whose answers suffice
+    :param fresh: whether to ask over new connections only
     """
 
     group: str
     attempt: int
     deadline_ns: int
     quorum: int
+    fresh: bool = False
 
 
 @attrs.frozen(kw_only=True)
