Refuse acknowledgement of a term that a host missed the end of

Cause: a host that was cut off through a whole change and then renewed its lease could acknowledge a write it had begun under the old term; the close had never reached it. Found by writing the fence table. Change: a ticket holds only while its term is the group's current one. Tests: log and fence state machines, a fault table of the control leader; the new case failed before and passes after.

--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -142,6 +142,9 @@
         drain = self._drains.get(ticket.group)
         if drain is not None and drain.term == ticket.term:
             return now_ns < drain.deadline_ns
+        current = self.state.terms.get(ticket.group)
+        if current is None or current.term != ticket.term:
+            return False
         return self.lease.covers(
             ticket.group,
             ticket.term,
--- /dev/null
+++ b/tests/decide/test_control.py
@@ -0,0 +1,557 @@
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+)
+
+from rosemarysaddle.decide import (
+    LEASE_MS,
+    ControlNode,
+    EntryNode,
+    FollowPrimary,
+    ProbeGroup,
+    PromoteTarget,
+    Reason,
+    Refusal,
+    Send,
+    TargetReport,
+    WriteTicket,
+    choose_primary,
+    confirm_quorum,
+    promotion_quorum,
+)
+from rosemarysaddle.schema import (
+    Announcement,
+    ChangeProposal,
+    ChangeReply,
+    Suspicion,
+    Switchover,
+)
+from tests.helpers import MS, make_leader
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+GROUP = "db-1"
+TARGETS = ("db-1a", "db-1b", "db-1c")
+START_NS = 10_000 * MS
+
+
+def _inventory() -> str:
+    instances = [
+        {
+            "name": name,
+            "data_center": f"dc-{number}",
+            "address": f"127.0.0.{number}:3306",
+        }
+        for number, name in enumerate(TARGETS, 1)
+    ]
+    return json.dumps(
+        {
+            "groups": [{"name": GROUP, "instances": instances}],
+            "tenants": [],
+        }
+    )
+
+
+def _announcement(name: str, role: str = "replica") -> Announcement:
+    number = TARGETS.index(name) + 1
+    return Announcement(
+        target=name,
+        group=GROUP,
+        data_center=f"dc-{number}",
+        address=f"127.0.0.{number}:3306",
+        role=role,
+        term=0,
+        position=0,
+        leaving=False,
+    )
+
+
+def _report(name: str, position: int = 0, term: int = 1) -> TargetReport:
+    return TargetReport(
+        target=name, reachable=True, term=term, position=position
+    )
+
+
+def _gone(name: str) -> TargetReport:
+    return TargetReport(target=name, reachable=False)
+
+
+@attrs.define(kw_only=True)
+class Stage:
+    """One control leader and entry hosts that it can or cannot reach."""
+
+    now_ns: int = START_NS
+    leader: ControlNode = attrs.field(
+        factory=lambda: make_leader(START_NS - 5_000 * MS)
+    )
+    hosts: dict[str, EntryNode] = attrs.field(factory=dict)
+    cut: set[str] = attrs.field(factory=set)
+    effects: list[Any] = attrs.field(factory=list)
+
+    @classmethod
+    def open(cls) -> Stage:
+        """Build a stage with an open group in term 1 on db-1a."""
+        stage = cls()
+        for number in (1, 2, 3):
+            stage.hosts[f"h{number}"] = EntryNode(
+                host=f"h{number}",
+                data_center=f"dc-{number}",
+                address="",
+                control=["a"],
+            )
+        stage.send("op", _change(0))
+        for name in TARGETS:
+            stage.send("h1", _announcement(name))
+        stage.elapse(500)
+        stage.probe([_report(n, term=0) for n in TARGETS])
+        stage.promote()
+        stage.elapse(500)
+        return stage
+
+    def send(self, source: str, message: Any) -> None:
+        """Give the leader a message."""
+        found = self.leader.receive(source, message, self.now_ns)
+        self.deliver(found)
+
+    def deliver(self, effects: Sequence[Any]) -> None:
+        """Carry messages to the hosts that are not cut off."""
+        for effect in effects:
+            if not isinstance(effect, Send):
+                self.effects.append(effect)
+            elif effect.peer in self.hosts and effect.peer not in self.cut:
+                node = self.hosts[effect.peer]
+                found = node.receive("a", effect.message, self.now_ns)
+                self.answer(effect.peer, found)
+            elif effect.peer not in self.hosts:
+                self.effects.append(effect)
+
+    def answer(self, host: str, effects: Sequence[Any]) -> None:
+        """Carry messages of a host to the leader."""
+        if host in self.cut:
+            return
+        for effect in effects:
+            self.send(host, effect.message)
+
+    def elapse(self, spent_ms: int) -> None:
+        """Let time pass in steps of 50 ms."""
+        for _ in range(spent_ms // 50):
+            self.now_ns += 50 * MS
+            self.deliver(self.leader.tick(self.now_ns))
+            for name, node in self.hosts.items():
+                self.answer(name, node.tick(self.now_ns))
+
+    def suspect(self, *hosts: str, target: str = TARGETS[0]) -> None:
+        """Let hosts report the primary."""
+        term = self.leader.state.terms[GROUP].term
+        for host in hosts:
+            suspicion = Suspicion(
+                host=host,
+                group=GROUP,
+                target=target,
+                term=term,
+                refused=True,
+            )
+            self.send(host, suspicion)
+
+    def probe(self, reports: list[TargetReport]) -> None:
+        """Answer the newest probe of the change that runs."""
+        change = self.leader.changes[GROUP]
+        effects = self.leader.on_probe(
+            GROUP, change.attempt, reports, self.now_ns
+        )
+        self.deliver(effects)
+
+    def promote(self, *, done: bool = True) -> None:
+        """Answer the order to promote."""
+        term = self.leader.changes[GROUP].new_term
+        effects = self.leader.on_promoted(
+            GROUP, term, done=done, now_ns=self.now_ns
+        )
+        self.deliver(effects)
+
+    def write(self, host: str) -> WriteTicket | Refusal:
+        """Ask a host for the right to write."""
+        return self.hosts[host].begin_write(GROUP, self.now_ns)
+
+    def phase(self) -> str:
+        """Phase of the change that runs, or empty."""
+        change = self.leader.changes.get(GROUP)
+        return "" if change is None else str(change.phase)
+
+
+def _change(base: int, change_id: str = "c1") -> ChangeProposal:
+    return ChangeProposal(
+        change_id=change_id,
+        kind="inventory",
+        base_version=base,
+        author="op",
+        payload=_inventory(),
+    )
+
+
+def _replies(stage: Stage) -> list[ChangeReply]:
+    sent = [e.message for e in stage.effects if isinstance(e, Send)]
+    return [m for m in sent if isinstance(m, ChangeReply)]
+
+
+def test_new_group_is_opened_once_all_instances_announced() -> None:
+    stage = Stage.open()
+
+    term = stage.leader.state.terms[GROUP]
+    assert (term.term, term.is_open) == (1, True)
+    assert isinstance(stage.write("h1"), WriteTicket)
+    follows = [e for e in stage.effects if isinstance(e, FollowPrimary)]
+    assert {f.target for f in follows} == set(TARGETS) - {term.primary}
+
+
+def test_change_of_primary_waits_for_no_lease_when_all_close() -> None:
+    stage = Stage.open()
+    tickets = [stage.write(h) for h in stage.hosts]
+
+    stage.suspect("h1", "h2")
+
+    assert stage.phase() == "probe"
+    stage.probe([_gone("db-1a"), _report("db-1b", 7), _report("db-1c", 9)])
+    orders = [e for e in stage.effects if isinstance(e, PromoteTarget)]
+    assert (orders[-1].target, orders[-1].term) == ("db-1c", 2)
+    for host, ticket in zip(stage.hosts, tickets, strict=True):
+        assert isinstance(ticket, WriteTicket)
+        assert not stage.hosts[host].end_write(ticket, stage.now_ns)
+
+
+def test_change_of_primary_waits_for_lease_of_silent_host() -> None:
+    stage = Stage.open()
+    ticket = stage.write("h3")
+    assert isinstance(ticket, WriteTicket)
+    stage.cut.add("h3")
+
+    stage.suspect("h1", "h2")
+    assert stage.phase() == "fence"
+    while stage.phase() == "fence":
+        can_write = stage.hosts["h3"].holds(ticket, stage.now_ns)
+        stage.elapse(50)
+
+    assert stage.phase() == "probe"
+    assert not stage.hosts["h3"].holds(ticket, stage.now_ns)
+    assert can_write is False or stage.now_ns > START_NS + LEASE_MS * MS
+
+
+@pytest.mark.parametrize(
+    ("reporters", "changes"),
+    [
+        pytest.param(["h1"], False, id="one-host"),
+        pytest.param(["h1", "h1"], False, id="one-host-twice"),
+        pytest.param(["h1", "h2"], True, id="two-data-centres"),
+    ],
+)
+def test_suspicion_needs_two_data_centres(
+    reporters: list[str], *, changes: bool
+) -> None:
+    stage = Stage.open()
+
+    stage.suspect(*reporters)
+
+    assert bool(stage.phase()) is changes
+
+
+def test_suspicion_of_one_host_is_confirmed_over_new_connection() -> None:
+    stage = Stage.open()
+    stage.suspect("h2")
+    probe = stage.effects[-1]
+    assert isinstance(probe, ProbeGroup)
+    assert probe.fresh
+
+    reports = [_gone("db-1a"), _report("db-1b"), _report("db-1c")]
+    found = stage.leader.on_probe(GROUP, 0, reports, stage.now_ns)
+    stage.deliver(found)
+
+    assert stage.phase() == "probe"
+
+
+def test_suspicion_of_reachable_primary_changes_nothing() -> None:
+    stage = Stage.open()
+    stage.suspect("h2")
+
+    reports = [_report(n) for n in TARGETS]
+    found = stage.leader.on_probe(GROUP, 0, reports, stage.now_ns)
+
+    assert found == []
+    assert stage.phase() == ""
+
+
+def test_suspicion_of_earlier_primary_is_ignored() -> None:
+    stage = Stage.open()
+
+    stage.suspect("h1", "h2", target="db-1b")
+
+    assert stage.phase() == ""
+
+
+def test_change_of_primary_waits_for_enough_instances() -> None:
+    stage = Stage.open()
+    stage.suspect("h1", "h2")
+
+    stage.probe([_gone("db-1a"), _gone("db-1b"), _report("db-1c")])
+
+    assert stage.leader.changes[GROUP].blocked
+    stage.elapse(1_000)
+    stage.probe([_gone("db-1a"), _report("db-1b", 3), _report("db-1c")])
+    assert stage.leader.state.terms[GROUP].primary == "db-1b"
+
+
+def test_promotion_that_fails_is_made_again_under_newer_term() -> None:
+    stage = Stage.open()
+    stage.suspect("h1", "h2")
+    stage.probe([_gone("db-1a"), _report("db-1b"), _report("db-1c")])
+
+    stage.promote(done=False)
+    stage.probe([_gone("db-1a"), _report("db-1b"), _report("db-1c", 5)])
+
+    term = stage.leader.state.terms[GROUP]
+    assert (term.primary, term.term) == ("db-1c", 3)
+
+
+def test_planned_change_lets_running_writes_finish() -> None:
+    stage = Stage.open()
+    ticket = stage.write("h1")
+    assert isinstance(ticket, WriteTicket)
+
+    stage.send("h2", Switchover(group=GROUP, target="db-1b"))
+
+    assert stage.phase() == "fence"
+    refusal = stage.write("h1")
+    assert isinstance(refusal, Refusal)
+    assert refusal.reason is Reason.NO_PRIMARY
+    assert stage.hosts["h1"].end_write(ticket, stage.now_ns + 20 * MS)
+    stage.elapse(50)
+    assert stage.phase() == "probe"
+    stage.probe([_report("db-1a", 9), _report("db-1b", 9), _report("db-1c")])
+    assert stage.leader.state.terms[GROUP].primary == "db-1b"
+
+
+def test_planned_change_waits_until_preferred_has_caught_up() -> None:
+    stage = Stage.open()
+    stage.send("h2", Switchover(group=GROUP, target="db-1b"))
+
+    stage.probe([_report("db-1a", 9), _report("db-1b", 4), _report("db-1c")])
+    assert stage.phase() == "probe"
+    stage.probe([_report("db-1a", 9), _report("db-1b", 9), _report("db-1c")])
+
+    assert stage.leader.state.terms[GROUP].primary == "db-1b"
+
+
+def test_drain_ends_with_lease_at_the_latest() -> None:
+    stage = Stage.open()
+    ticket = stage.write("h1")
+    assert isinstance(ticket, WriteTicket)
+    stage.send("h2", Switchover(group=GROUP, target="db-1b"))
+    stage.cut.add("h1")
+
+    stage.elapse(LEASE_MS + 100)
+
+    assert stage.phase() == "probe"
+    assert not stage.hosts["h1"].end_write(ticket, stage.now_ns)
+
+
+def test_host_that_missed_a_change_acknowledges_nothing_of_before() -> None:
+    stage = Stage.open()
+    ticket = stage.write("h3")
+    assert isinstance(ticket, WriteTicket)
+    stage.cut.add("h3")
+    stage.suspect("h1", "h2")
+    stage.elapse(2 * LEASE_MS)
+    stage.probe([_gone("db-1a"), _report("db-1b"), _report("db-1c")])
+    stage.promote()
+    stage.cut.clear()
+    stage.elapse(1_000)
+
+    assert isinstance(stage.write("h3"), WriteTicket)
+    assert not stage.hosts["h3"].end_write(ticket, stage.now_ns)
+
+
+def test_lease_renewed_during_change_does_not_cover_closing_term() -> None:
+    stage = Stage.open()
+    ticket = stage.write("h3")
+    assert isinstance(ticket, WriteTicket)
+    stage.cut.add("h3")
+    stage.suspect("h1", "h2")
+    stage.cut.clear()
+
+    stage.elapse(500)
+
+    assert not stage.hosts["h3"].end_write(ticket, stage.now_ns)
+
+
+def test_lease_covers_nothing_before_the_view_has_caught_up() -> None:
+    stage = Stage.open()
+    host = stage.hosts["h1"]
+    assert isinstance(stage.write("h1"), WriteTicket)
+
+    host.lease.min_index = host.state.index + 1
+
+    assert isinstance(stage.write("h1"), Refusal)
+
+
+def test_host_that_stops_returns_its_lease() -> None:
+    stage = Stage.open()
+    stage.answer("h3", stage.hosts["h3"].stop())
+    stage.cut.add("h3")
+
+    stage.suspect("h1", "h2")
+
+    assert stage.phase() == "probe"
+
+
+def test_change_of_document_has_one_winner() -> None:
+    stage = Stage.open()
+    stage.send("op-1", _change(1, "first"))
+    stage.send("op-2", _change(1, "second"))
+    stage.send("op-2", _change(1, "second"))
+
+    first, second, again = _replies(stage)[-3:]
+    assert (first.accepted, first.version) == (True, 2)
+    assert not second.accepted
+    assert "first" in second.reason
+    assert again == second
+
+
+def test_resent_change_gets_first_answer() -> None:
+    stage = Stage.open()
+    stage.send("op", _change(0))
+
+    first, again = _replies(stage)[0], _replies(stage)[-1]
+    assert first == again
+    assert stage.leader.state.inventory_version == 1
+
+
+def test_old_primary_that_returns_is_told_to_follow() -> None:
+    stage = Stage.open()
+    stage.suspect("h1", "h2")
+    stage.probe([_gone("db-1a"), _report("db-1b", 3), _report("db-1c", 2)])
+    stage.promote()
+    stage.effects.clear()
+
+    stage.send("h1", _announcement("db-1a", role="primary"))
+
+    (order,) = stage.effects
+    assert isinstance(order, FollowPrimary)
+    assert (order.target, order.primary, order.start) == ("db-1a", "db-1b", 3)
+
+
+@pytest.mark.parametrize(
+    ("positions", "chosen"),
+    [
+        pytest.param([(1, 5), (1, 7), (1, 6)], 1, id="newest-position"),
+        pytest.param([(1, 99), (2, 3), (2, 4)], 2, id="newest-term-first"),
+        pytest.param([None, (1, 5), (1, 4)], 1, id="one-gone"),
+        pytest.param([None, None, (1, 9)], None, id="two-gone"),
+        pytest.param([None, None, None], None, id="all-gone"),
+    ],
+)
+def test_choose_primary(
+    positions: list[tuple[int, int] | None], chosen: int | None
+) -> None:
+    reports = [
+        _gone(name) if found is None else _report(name, found[1], found[0])
+        for name, found in zip(TARGETS, positions, strict=True)
+    ]
+
+    choice = choose_primary(reports, instances=3, preferred="")
+
+    assert (choice.target if choice else None) == (
+        None if chosen is None else TARGETS[chosen]
+    )
+
+
+@pytest.mark.parametrize("instances", range(1, 10))
+def test_promotion_reads_every_confirmed_write(instances: int) -> None:
+    total = confirm_quorum(instances) + promotion_quorum(instances)
+
+    assert total > instances
+
+
+class FenceMachine(RuleBasedStateMachine):
+    """Writes under leases while primaries change and hosts are cut."""
+
+    @initialize()
+    def start(self) -> None:
+        self.stage = Stage.open()
+        self.tickets: list[tuple[str, WriteTicket]] = []
+        self.opened_ns: dict[int, int] = {1: 0}
+
+    def _note_terms(self) -> None:
+        term = self.stage.leader.state.terms[GROUP]
+        self.opened_ns.setdefault(term.term, self.stage.now_ns)
+
+    @rule(host=st.sampled_from(["h1", "h2", "h3"]))
+    def begin(self, host: str) -> None:
+        ticket = self.stage.write(host)
+        if isinstance(ticket, WriteTicket):
+            self.tickets.append((host, ticket))
+
+    @rule(data=st.data())
+    @precondition(lambda self: self.tickets)
+    def end(self, data: st.DataObject) -> None:
+        numbers = st.integers(0, len(self.tickets) - 1)
+        host, ticket = self.tickets.pop(data.draw(numbers))
+        if self.stage.hosts[host].end_write(ticket, self.stage.now_ns):
+            assert ticket.term + 1 not in self.opened_ns
+            newest = self.stage.leader.state.terms[GROUP].term
+            assert newest == ticket.term, "acknowledged by a replaced primary"
+
+    @rule(spent_ms=st.sampled_from([50, 200, 450, 1_500]))
+    def elapse(self, spent_ms: int) -> None:
+        self.stage.elapse(spent_ms)
+
+    @rule(hosts=st.sets(st.sampled_from(["h1", "h2", "h3"])))
+    def cut(self, hosts: set[str]) -> None:
+        self.stage.cut = hosts
+
+    @rule(planned=st.booleans())
+    def change(self, *, planned: bool) -> None:
+        primary = self.stage.leader.state.terms[GROUP].primary
+        if planned:
+            target = next(t for t in TARGETS if t != primary)
+            self.stage.send("op", Switchover(group=GROUP, target=target))
+        else:
+            self.stage.suspect("h1", "h2", target=primary)
+            self.stage.suspect("h2", "h3", target=primary)
+
+    @rule()
+    def answer_probe(self) -> None:
+        if self.stage.phase() == "probe":
+            self.stage.probe([_report(n, 5) for n in TARGETS])
+        self._note_terms()
+
+    @rule()
+    def complete_change(self) -> None:
+        for _ in range(40):
+            if self.stage.phase() == "":
+                return
+            self.stage.elapse(50)
+            self.answer_probe()
+            self.answer_promotion(done=True)
+
+    @rule(done=st.booleans())
+    def answer_promotion(self, *, done: bool) -> None:
+        if self.stage.phase() == "promote":
+            self.stage.promote(done=done)
+        self._note_terms()
+
+
+FenceMachine.TestCase.settings = settings(
+    max_examples=120, stateful_step_count=50, deadline=None, derandomize=True
+)
+TestFenceMachine = FenceMachine.TestCase
--- /dev/null
+++ b/tests/decide/test_log.py
@@ -0,0 +1,251 @@
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from rosemarysaddle.decide import Committed, LogNode, Role, Send
+from rosemarysaddle.schema import (
+    AppendRequest,
+    LogEntry,
+    VoteReply,
+    VoteRequest,
+)
+from tests.helpers import MS, VOTERS, FakeDisk, make_log
+
+HOSTS = st.sampled_from(VOTERS)
+
+
+class LogMachine(RuleBasedStateMachine):
+    """Three voters under loss, reorder, duplicates, cuts and crashes."""
+
+    @initialize()
+    def start(self) -> None:
+        self.now_ns = 0
+        self.disks = {h: FakeDisk() for h in VOTERS}
+        self.nodes: dict[str, LogNode] = {h: make_log(h) for h in VOTERS}
+        self.flying: list[tuple[str, Send]] = []
+        self.cut: set[str] = set()
+        self.applied: dict[str, list[LogEntry]] = {h: [] for h in VOTERS}
+        self.accepted: dict[int, LogEntry] = {}
+        self.leaders: dict[int, str] = {}
+        self.proposals = 0
+
+    def _absorb(self, host: str, effects: list[Any]) -> None:
+        self.disks[host].save(effects)
+        for effect in effects:
+            if isinstance(effect, Send):
+                self.flying.append((host, effect))
+            if isinstance(effect, Committed):
+                self._commit(host, effect)
+
+    def _commit(self, host: str, committed: Committed) -> None:
+        for entry in committed.entries:
+            known = self.accepted.setdefault(entry.index, entry)
+            assert known == entry, "two entries committed at one index"
+            self.applied[host].append(entry)
+
+    @rule(host=HOSTS, spent_ms=st.integers(min_value=1, max_value=900))
+    def tick(self, host: str, spent_ms: int) -> None:
+        self.now_ns += spent_ms * MS
+        self._absorb(host, self.nodes[host].tick(self.now_ns))
+
+    @rule(data=st.data(), twice=st.booleans())
+    @precondition(lambda self: self.flying)
+    def deliver(self, data: st.DataObject, *, twice: bool) -> None:
+        numbers = st.integers(min_value=0, max_value=len(self.flying) - 1)
+        number = data.draw(numbers)
+        source, send = self.flying[number]
+        if not twice:
+            del self.flying[number]
+        if source in self.cut or send.peer in self.cut:
+            return
+        node = self.nodes[send.peer]
+        effects = node.receive(source, send.message, self.now_ns)
+        self._absorb(send.peer, effects)
+
+    @rule(rounds=st.integers(min_value=1, max_value=30))
+    def elapse(self, rounds: int) -> None:
+        for _ in range(rounds):
+            self.now_ns += 50 * MS
+            for host, node in self.nodes.items():
+                self._absorb(host, node.tick(self.now_ns))
+            self._deliver_all()
+
+    def _deliver_all(self) -> None:
+        for _ in range(60):
+            if not self.flying:
+                return
+            source, send = self.flying.pop(0)
+            if source in self.cut or send.peer in self.cut:
+                continue
+            node = self.nodes[send.peer]
+            effects = node.receive(source, send.message, self.now_ns)
+            self._absorb(send.peer, effects)
+
+    @rule(host=HOSTS)
+    def propose(self, host: str) -> None:
+        self.proposals += 1
+        effects = self.nodes[host].propose(
+            "change", f'"{self.proposals}"', self.now_ns
+        )
+        self._absorb(host, effects)
+
+    @rule(host=HOSTS)
+    def crash_and_restart(self, host: str) -> None:
+        stored = self.disks[host].stored
+        self.nodes[host] = make_log(host, stored=stored, now_ns=self.now_ns)
+        self.applied[host] = []
+
+    @rule(host=HOSTS)
+    def cut_off(self, host: str) -> None:
+        self.cut = {host}
+
+    @rule()
+    def heal(self) -> None:
+        self.cut = set()
+
+    @rule(host=HOSTS)
+    @precondition(lambda self: self.accepted)
+    def compact(self, host: str) -> None:
+        node = self.nodes[host]
+        if node.commit_index and node.held_entries:
+            effects = node.compact(node.commit_index, "state")
+            self._absorb(host, effects)
+
+    @invariant()
+    def one_leader_for_each_term(self) -> None:
+        for host, node in getattr(self, "nodes", {}).items():
+            if node.role is Role.LEADER:
+                assert self.leaders.setdefault(node.term, host) == host
+
+    @invariant()
+    def at_most_one_current_leader(self) -> None:
+        nodes = getattr(self, "nodes", {}).values()
+        current = [n.host for n in nodes if n.is_current(self.now_ns)]
+        assert len(current) <= 1
+
+    @invariant()
+    def leader_holds_all_committed(self) -> None:
+        for node in getattr(self, "nodes", {}).values():
+            if node.is_current(self.now_ns):
+                highest = max(self.accepted, default=0)
+                assert node.last_index >= highest
+
+
+LogMachine.TestCase.settings = settings(
+    max_examples=150, stateful_step_count=60, deadline=None, derandomize=True
+)
+TestLogMachine = LogMachine.TestCase
+
+
+def _request(term: int, *, pre: bool = False, last: int = 0) -> VoteRequest:
+    return VoteRequest(
+        term=term, candidate="b", last_index=last, last_term=last, pre=pre
+    )
+
+
+def _append(term: int, sent_ns: int) -> AppendRequest:
+    return AppendRequest(
+        term=term,
+        leader="c",
+        prev_index=0,
+        prev_term=0,
+        commit_index=0,
+        sent_ns=sent_ns,
+        entries=(),
+    )
+
+
+def _reply(node: LogNode, request: VoteRequest, now_ns: int) -> VoteReply:
+    effects = node.receive("b", request, now_ns)
+    (reply,) = [e.message for e in effects if isinstance(e, Send)]
+    assert isinstance(reply, VoteReply)
+    return reply
+
+
+@pytest.mark.parametrize(
+    ("heard_ms", "asked_ms", "granted"),
+    [
+        pytest.param(1_000, 1_100, False, id="leader-heard-lately"),
+        pytest.param(1_000, 1_599, False, id="within-election-time"),
+        pytest.param(1_000, 1_700, True, id="leader-silent"),
+    ],
+)
+def test_vote_waits_until_leader_is_silent(
+    heard_ms: int, asked_ms: int, granted: bool
+) -> None:
+    node = make_log("a")
+    node.receive("c", _append(1, heard_ms * MS), heard_ms * MS)
+
+    reply = _reply(node, _request(2), asked_ms * MS)
+
+    assert reply.granted is granted
+    assert reply.heard_age_ns == (asked_ms - heard_ms) * MS
+
+
+def test_vote_is_refused_after_restart() -> None:
+    node = make_log("a", now_ns=5_000 * MS)
+
+    reply = _reply(node, _request(9), 5_100 * MS)
+
+    assert not reply.granted
+
+
+def test_vote_is_given_once_a_term() -> None:
+    node = make_log("a")
+    assert _reply(node, _request(2), 1_000 * MS).granted
+
+    other = attrs.evolve(_request(2), candidate="c")
+    effects = node.receive("c", other, 1_010 * MS)
+
+    replies = [e.message for e in effects if isinstance(e, Send)]
+    assert [getattr(r, "granted", None) for r in replies] == [False]
+
+
+def test_pre_vote_leaves_term_unchanged() -> None:
+    node = make_log("a")
+
+    reply = _reply(node, _request(7, pre=True), 1_000 * MS)
+
+    assert reply.granted
+    assert node.term == 0
+
+
+def test_leader_steps_down_without_quorum() -> None:
+    node = make_log("a")
+    node.tick(700 * MS)
+    pre = VoteReply(term=1, granted=True, pre=True, heard_age_ns=700 * MS)
+    node.receive("b", pre, 710 * MS)
+    vote = VoteReply(term=1, granted=True, pre=False, heard_age_ns=720 * MS)
+    node.receive("b", vote, 720 * MS)
+    assert node.role is Role.LEADER
+    assert not node.is_current(730 * MS)
+
+    node.tick(1_400 * MS)
+
+    assert node.role is not Role.LEADER
+
+
+def test_new_leader_knows_until_when_others_led() -> None:
+    node = make_log("a")
+    node.receive("c", _append(1, 0), 100 * MS)
+    node.tick(900 * MS)
+    pre = VoteReply(term=2, granted=True, pre=True, heard_age_ns=650 * MS)
+    node.receive("b", pre, 910 * MS)
+    vote = VoteReply(term=2, granted=True, pre=False, heard_age_ns=660 * MS)
+
+    node.receive("b", vote, 920 * MS)
+
+    assert node.role is Role.LEADER
+    assert node.others_led_until_ns == (920 - 660 + 600) * MS
