--- a/src/rosemarysaddle/target/_mysql.py
+++ b/src/rosemarysaddle/target/_mysql.py
@@ -206,7 +206,7 @@
             return StatementResult(
                 columns=columns,
                 rows=tuple(cursor.fetchall()),
-                affected_rows=max(0, cursor.rowcount),
+                affected_rows=0 if columns else max(0, cursor.rowcount),
             )
         except (pymysql.MySQLError, OSError) as error:
             return _fault(error, self.name, sql)
--- a/tests/decide/test_control.py
+++ b/tests/decide/test_control.py
@@ -90,7 +90,7 @@
 
 @attrs.define(kw_only=True)
 class Stage:
-    """One control leader and entry hosts that it can or cannot reach."""
+    """One control leader and entry hosts that may be cut off."""
 
     now_ns: int = START_NS
     leader: ControlNode = attrs.field(
--- a/tests/decide/test_log.py
+++ b/tests/decide/test_log.py
@@ -27,7 +27,7 @@
 
 
 class LogMachine(RuleBasedStateMachine):
-    """Three voters under loss, reorder, duplicates, cuts and crashes."""
+    """Three voters under loss, reorder, cuts and crashes."""
 
     @initialize()
     def start(self) -> None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import itertools
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
@@ -11,17 +11,25 @@
     ClusterState,
     ControlNode,
     LogNode,
+    LogPoint,
     SaveEntries,
     SaveSnapshot,
     SaveVote,
     StoredLog,
 )
-from rosemarysaddle.schema import LogEntry
+from rosemarysaddle.target import (
+    FaultKind,
+    InstanceStatus,
+    StatementResult,
+    TargetFault,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from rosemarysaddle.decide import Effect
+    from rosemarysaddle.link import Address
+    from rosemarysaddle.schema import LogEntry
 
 MS = 1_000_000
 VOTERS = ("a", "b", "c")
@@ -92,3 +100,149 @@
     )
     node.tick(now_ns + 2_000 * MS)
     return node
+
+
+@attrs.define(kw_only=True)
+class FakeTarget:
+    """Target in memory whose steps can be made to fail.
+
+    :param faults: kind of fault by step: connect, read, execute,
+        commit, status
+    """
+
+    name: str
+    role: str = "primary"
+    term: int = 1
+    position: int = 5
+    faults: dict[str, FaultKind] = attrs.field(factory=dict)
+    keys: dict[str, tuple[str, str | None]] = attrs.field(factory=dict)
+    stored: list[str] = attrs.field(factory=list)
+    opened: int = 0
+    closed: int = 0
+
+    def connect(
+        self, name: str, address: Address, *, deadline_ns: int
+    ) -> FakeSession | TargetFault:
+        """Open a connection."""
+        del name, address, deadline_ns
+        fault = self.fault("connect")
+        if fault is not None:
+            return fault
+        self.opened += 1
+        return FakeSession(target=self)
+
+    def fault(self, step: str) -> TargetFault | None:
+        """Fault on order at a step."""
+        kind = self.faults.get(step)
+        if kind is None:
+            return None
+        return TargetFault(kind=kind, peer=self.name, step=step)
+
+
+@attrs.define(kw_only=True, eq=False)
+class FakeSession:
+    """Connection to a fake target."""
+
+    target: FakeTarget
+    pending: list[str] = attrs.field(factory=list)
+    new_keys: dict[str, tuple[str, str | None]] = attrs.field(factory=dict)
+
+    def set_deadline(self, deadline_ns: int) -> None:
+        """Bound the exchanges that follow."""
+
+    def read(
+        self, sql: str, args: Sequence[Any]
+    ) -> StatementResult | TargetFault:
+        """Run one statement outside a transaction."""
+        del args
+        fault = self.target.fault("read")
+        if fault is not None:
+            return fault
+        return _rows([sql])
+
+    def execute(
+        self, sql: str, args: Sequence[Any]
+    ) -> StatementResult | TargetFault:
+        """Run one statement in the transaction."""
+        fault = self.target.fault("execute")
+        if fault is not None:
+            return fault
+        if "rosemarysaddle_keys" in sql:
+            return self._use_key(sql, args)
+        self.pending.append(sql)
+        return StatementResult(columns=(), rows=(), affected_rows=1)
+
+    def commit(self) -> TargetFault | None:
+        """Commit the transaction."""
+        fault = self.target.fault("commit")
+        if fault is None or self.target.faults["commit"] in STORES_ANYWAY:
+            self.target.stored.extend(self.pending)
+            self.target.keys.update(self.new_keys)
+            self.target.position += 1
+        self._forget()
+        return fault
+
+    def rollback(self) -> TargetFault | None:
+        """Undo the transaction."""
+        self._forget()
+        return None
+
+    def status(
+        self, *, after: int, wait_ms: int
+    ) -> InstanceStatus | TargetFault:
+        """Read role, term and position."""
+        del after, wait_ms
+        fault = self.target.fault("status")
+        if fault is not None:
+            return fault
+        point = LogPoint(term=self.target.term, position=self.target.position)
+        return InstanceStatus(role=self.target.role, point=point)
+
+    def promote(self, term: int) -> TargetFault | None:
+        """Order the instance to become primary."""
+        self.target.role = "primary"
+        self.target.term = term
+        return None
+
+    def follow(
+        self, *, primary: str, term: int, start: int
+    ) -> TargetFault | None:
+        """Order the instance to replicate."""
+        del primary, term, start
+        self.target.role = "replica"
+        return None
+
+    def interrupt(self) -> None:
+        """End the exchange that runs."""
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._forget()
+        self.target.closed += 1
+
+    def _forget(self) -> None:
+        self.pending.clear()
+        self.new_keys.clear()
+
+    def _use_key(
+        self, sql: str, args: Sequence[Any]
+    ) -> StatementResult | TargetFault:
+        if sql.startswith("INSERT"):
+            if args[0] in self.target.keys:
+                return TargetFault(
+                    kind=FaultKind.DUPLICATE, peer="t", step="execute"
+                )
+            self.new_keys[args[0]] = (args[1], None)
+        if sql.startswith("UPDATE"):
+            digest, _ = self.new_keys[args[1]]
+            self.new_keys[args[1]] = (digest, args[0])
+        if sql.startswith("SELECT"):
+            return _rows(list(self.target.keys[args[0]]))
+        return StatementResult(columns=(), rows=(), affected_rows=1)
+
+
+STORES_ANYWAY = (FaultKind.LOST, FaultKind.TIMEOUT)
+
+
+def _rows(row: list[Any]) -> StatementResult:
+    return StatementResult(columns=("a",), rows=(row,), affected_rows=0)
--- /dev/null
+++ b/tests/serve/test_service.py
@@ -0,0 +1,500 @@
+from __future__ import annotations
+
+import hashlib
+import json
+import time
+from typing import Any
+
+import attrs
+import pytest
+
+from rosemarysaddle.daemon import Gate
+from rosemarysaddle.decide import (
+    ClusterState,
+    EntryNode,
+    GroupTerm,
+    LogPoint,
+    TokenCodec,
+)
+from rosemarysaddle.link import Address
+from rosemarysaddle.observe import Metrics
+from rosemarysaddle.schema import (
+    Group,
+    Instance,
+    Inventory,
+    RequestClass,
+    Rules,
+    Tenant,
+)
+from rosemarysaddle.serve import Operation, StatementService
+from rosemarysaddle.target import FaultKind, InstanceStatus, TargetPool
+from tests.helpers import MS, FakeTarget
+
+NAMES = ("db-1a", "db-1b", "db-1c")
+FAR_NS = 1 << 62
+INSERT = {"sql": "INSERT INTO t VALUES (%s)", "args": [1]}
+SELECT = {"sql": "SELECT 1"}
+
+
+@attrs.define(kw_only=True)
+class Bench:
+    """A statement service before three fake targets."""
+
+    targets: dict[str, FakeTarget]
+    gate: Gate
+    service: StatementService
+
+    @classmethod
+    def build(cls, *, replicas_hold: bool = True) -> Bench:
+        """Build a bench whose first target is the primary."""
+        node = EntryNode(
+            host="h1",
+            data_center="dc-1",
+            address="127.0.0.1:8100",
+            control=["a"],
+            state=_state(),
+        )
+        node.lease.deadline_ns = FAR_NS
+        gate = Gate(node=node, held_per_group=2, seed=1)
+        targets = {n: FakeTarget(name=n, role="replica") for n in NAMES}
+        targets["db-1a"].role = "primary"
+        bench = cls(
+            targets=targets,
+            gate=gate,
+            service=StatementService(
+                gate=gate,
+                tokens=TokenCodec(keys=(b"k" * 32,)),
+                metrics=Metrics(),
+            ),
+        )
+        bench._add_targets()
+        bench.observe("db-1a", 5)
+        for name in NAMES[1:]:
+            bench.observe(name, 100 if replicas_hold else 5)
+        return bench
+
+    def observe(self, name: str, position: int, term: int = 1) -> None:
+        """Let the gate see the status of a target."""
+        role = "primary" if name == "db-1a" else "replica"
+        point = LogPoint(term=term, position=position)
+        status = InstanceStatus(role=role, point=point)
+        self.gate.observe(name, status, time.monotonic_ns())
+
+    def call(
+        self, path: str = Operation.STATEMENTS, **body: Any
+    ) -> dict[str, Any]:
+        """Make a request and decode the answer."""
+        fields = {"group": "db-1", "deadline_ms": 150, **body}
+        reply = self.service.handle(
+            path,
+            json.dumps(fields).encode(),
+            tenant="sample",
+            credential="secret",
+        )
+        found: dict[str, Any] = json.loads(reply.body)
+        found["http"] = reply.status
+        return found
+
+    def write(self, **body: Any) -> dict[str, Any]:
+        """Write one row."""
+        return self.call(write=True, statements=[INSERT], **body)
+
+    def keyed(self, key: str = "key-0001", **body: Any) -> dict[str, Any]:
+        """Write one row under an idempotency key."""
+        expires_at_ms = int(time.time() * 1_000) + 60_000
+        return self.write(key=key, key_expires_at_ms=expires_at_ms, **body)
+
+    def _add_targets(self) -> None:
+        group = self.gate.node.state.inventory.groups[0]
+        for instance in group.instances:
+            self.gate.add_target(group, instance)
+            self.gate.pools[instance.name] = TargetPool(
+                name=instance.name,
+                address=Address.parse(instance.address),
+                connector=self.targets[instance.name],
+                limit=2,
+            )
+
+
+def _state() -> ClusterState:
+    instances = tuple(
+        Instance(
+            name=name,
+            data_center=f"dc-{number}",
+            address=f"127.0.0.{number}:3306",
+        )
+        for number, name in enumerate(NAMES, 1)
+    )
+    tenant = Tenant(
+        name="sample",
+        credential_sha256=hashlib.sha256(b"secret").hexdigest(),
+        groups=("db-1",),
+    )
+    return ClusterState(
+        inventory_version=1,
+        inventory=Inventory(
+            groups=(
+                Group(name="db-1", instances=instances),
+                Group(name="db-2", instances=()),
+            ),
+            tenants=(tenant,),
+        ),
+        rules=Rules(classes=(RequestClass(name="summary", stale_ms=2_000),)),
+        terms={"db-1": GroupTerm(term=1, primary="db-1a", is_open=True)},
+    )
+
+
+def test_write_is_done_once_confirmed() -> None:
+    bench = Bench.build()
+
+    answer = bench.write()
+
+    assert answer["outcome"] == "done"
+    assert answer["served_by"]["position"] == 6
+    assert bench.targets["db-1a"].stored == [INSERT["sql"]]
+
+
+def test_write_that_no_replica_holds_is_unknown() -> None:
+    bench = Bench.build(replicas_hold=False)
+
+    answer = bench.write()
+
+    assert (answer["outcome"], answer["type"]) == (
+        "unknown",
+        "urn:rosemarysaddle:problem:unconfirmed",
+    )
+
+
+@pytest.mark.parametrize(
+    ("step", "kind", "outcome", "stored"),
+    [
+        pytest.param("connect", FaultKind.REFUSED, "not-run", 0, id="connect"),
+        pytest.param("connect", FaultKind.FULL, "not-run", 0, id="full"),
+        pytest.param("execute", FaultKind.LOST, "not-run", 0, id="lost"),
+        pytest.param("execute", FaultKind.TIMEOUT, "not-run", 0, id="silent"),
+        pytest.param("execute", FaultKind.STATEMENT, "not-run", 0, id="sql"),
+        pytest.param(
+            "execute", FaultKind.READ_ONLY, "not-run", 0, id="read-only"
+        ),
+        pytest.param("commit", FaultKind.LOST, "unknown", 1, id="commit-lost"),
+        pytest.param(
+            "commit", FaultKind.TIMEOUT, "unknown", 1, id="commit-silent"
+        ),
+        pytest.param(
+            "commit", FaultKind.READ_ONLY, "not-run", 0, id="commit-refused"
+        ),
+        pytest.param("status", FaultKind.LOST, "unknown", 1, id="position"),
+    ],
+)
+def test_write_tells_truth_about_fault(
+    step: str, kind: FaultKind, outcome: str, stored: int
+) -> None:
+    bench = Bench.build()
+    bench.targets["db-1a"].faults[step] = kind
+
+    answer = bench.write()
+
+    assert answer["outcome"] == outcome
+    assert len(bench.targets["db-1a"].stored) == stored
+    assert not bench.gate.node._running
+
+
+def test_write_is_refused_without_lease() -> None:
+    bench = Bench.build()
+    bench.gate.node.lease.deadline_ns = 0
+
+    answer = bench.write()
+
+    assert answer["type"].endswith("no-lease")
+    assert (answer["outcome"], answer["http"]) == ("not-run", 503)
+    assert answer["retry_after_ms"] > 0
+
+
+def test_write_whose_lease_ends_while_it_commits_is_unknown() -> None:
+    bench = Bench.build(replicas_hold=False)
+    bench.gate.node.lease.deadline_ns = time.monotonic_ns() + 50 * MS
+
+    answer = bench.write()
+
+    assert (answer["outcome"], answer["type"]) == (
+        "unknown",
+        "urn:rosemarysaddle:problem:lease-ended",
+    )
+
+
+def test_write_is_pushed_back_before_sending_when_replicas_are_gone() -> None:
+    bench = Bench.build()
+    for name in NAMES[1:]:
+        bench.gate.mark_unreachable(name)
+
+    answer = bench.write()
+
+    assert answer["outcome"] == "not-run"
+    assert answer["type"].endswith("replicas-behind")
+    assert bench.targets["db-1a"].opened == 0
+
+
+def test_key_returns_first_result() -> None:
+    bench = Bench.build()
+    first = bench.keyed()
+
+    again = bench.keyed(resend=True)
+
+    assert again["repeated"] is True
+    assert again["results"] == first["results"]
+    assert len(bench.targets["db-1a"].stored) == 1
+
+
+def test_key_survives_lost_answer() -> None:
+    bench = Bench.build()
+    bench.targets["db-1a"].faults["commit"] = FaultKind.LOST
+    assert bench.keyed()["outcome"] == "unknown"
+    bench.targets["db-1a"].faults.clear()
+
+    again = bench.keyed(resend=True)
+
+    assert (again["outcome"], again["repeated"]) == ("done", True)
+    assert len(bench.targets["db-1a"].stored) == 1
+
+
+def test_key_with_other_statements_is_refused() -> None:
+    bench = Bench.build()
+    bench.keyed()
+    other = {"sql": "DELETE FROM t"}
+    expires_at_ms = int(time.time() * 1_000) + 60_000
+
+    answer = bench.call(
+        write=True,
+        statements=[other],
+        key="key-0001",
+        key_expires_at_ms=expires_at_ms,
+    )
+
+    assert (answer["outcome"], answer["http"]) == ("not-run", 409)
+    assert len(bench.targets["db-1a"].stored) == 1
+
+
+def test_key_past_its_deadline_is_refused() -> None:
+    answer = Bench.build().write(key="key-0001", key_expires_at_ms=1)
+
+    assert answer["type"].endswith("key-expired")
+
+
+def test_resend_that_cannot_run_does_not_claim_that_nothing_ran() -> None:
+    bench = Bench.build()
+    bench.gate.node.lease.deadline_ns = 0
+
+    assert bench.keyed()["outcome"] == "not-run"
+    assert bench.keyed(resend=True)["outcome"] == "unknown"
+
+
+def test_read_without_token_goes_to_primary() -> None:
+    bench = Bench.build()
+
+    answer = bench.call(statements=[SELECT], **{"class": "summary"})
+
+    assert answer["served_by"]["role"] == "primary"
+
+
+def test_read_with_token_goes_to_replica() -> None:
+    bench = Bench.build()
+    token = bench.write()["token"]
+
+    answer = bench.call(
+        statements=[SELECT], token=token, **{"class": "summary"}
+    )
+
+    assert answer["served_by"]["role"] == "replica"
+    assert answer["served_by"]["age_ms"] <= 2_000
+
+
+def test_read_waits_for_no_replica_that_lacks_own_write() -> None:
+    bench = Bench.build()
+    token = bench.write()["token"]
+    for name in NAMES[1:]:
+        bench.observe(name, 5)
+
+    answer = bench.call(
+        statements=[SELECT], token=token, **{"class": "summary"}
+    )
+
+    assert answer["served_by"]["role"] == "primary"
+
+
+@pytest.mark.parametrize(
+    "kind", [FaultKind.LOST, FaultKind.TIMEOUT, FaultKind.STATEMENT]
+)
+def test_read_that_fails_is_not_run(kind: FaultKind) -> None:
+    bench = Bench.build()
+    bench.targets["db-1a"].faults["read"] = kind
+
+    answer = bench.call(statements=[SELECT])
+
+    assert answer["outcome"] == "not-run"
+
+
+def test_transaction_commits_all_or_nothing() -> None:
+    bench = Bench.build()
+    handle = bench.call(Operation.BEGIN)["transaction"]
+    for _ in range(2):
+        done = bench.call(
+            Operation.EXECUTE,
+            transaction=handle,
+            write=True,
+            statements=[INSERT],
+        )
+        assert done["outcome"] == "done"
+    assert bench.targets["db-1a"].stored == []
+
+    answer = bench.call(Operation.COMMIT, transaction=handle)
+
+    assert answer["outcome"] == "done"
+    assert len(bench.targets["db-1a"].stored) == 2
+    ended = bench.call(Operation.COMMIT, transaction=handle)
+    assert ended["type"].endswith("unknown-transaction")
+
+
+def test_transaction_of_closed_term_is_not_committed() -> None:
+    bench = Bench.build()
+    handle = bench.call(Operation.BEGIN)["transaction"]
+    bench.call(
+        Operation.EXECUTE,
+        transaction=handle,
+        write=True,
+        statements=[INSERT],
+    )
+    bench.gate.node.lease.close("db-1", 1)
+
+    answer = bench.call(Operation.COMMIT, transaction=handle)
+
+    assert answer["outcome"] == "not-run"
+    assert bench.targets["db-1a"].stored == []
+
+
+def test_transaction_of_other_tenant_is_unknown() -> None:
+    bench = Bench.build()
+    handle = bench.call(Operation.BEGIN)["transaction"]
+    found = next(iter(bench.service.transactions._open.values()))
+    found.tenant = "other"
+
+    answer = bench.call(Operation.COMMIT, transaction=handle)
+
+    assert answer["http"] == 404
+
+
+def test_transaction_left_alone_is_undone() -> None:
+    bench = Bench.build()
+    bench.call(Operation.BEGIN)
+    found = next(iter(bench.service.transactions._open.values()))
+    found.idle_deadline_ns = 0
+
+    assert bench.service.transactions.expire() == 1
+    assert bench.service.transactions.count() == 0
+    assert not bench.gate.node._running
+
+
+@pytest.mark.parametrize(
+    ("body", "http", "problem"),
+    [
+        pytest.param({}, 400, "bad-request", id="no-statements"),
+        pytest.param(
+            {"statements": [{"sql": "DROP TABLE t"}]},
+            400,
+            "bad-request",
+            id="verb",
+        ),
+        pytest.param(
+            {"statements": [INSERT]}, 400, "bad-request", id="write-as-read"
+        ),
+        pytest.param(
+            {"statements": [SELECT], "extra": 1},
+            400,
+            "bad-request",
+            id="extra-field",
+        ),
+        pytest.param(
+            {"statements": [SELECT] * 65}, 400, "bad-request", id="too-many"
+        ),
+        pytest.param(
+            {"statements": [SELECT], "deadline_ms": "soon"},
+            400,
+            "bad-request",
+            id="type",
+        ),
+        pytest.param(
+            {"statements": [SELECT], "group": "db-9"},
+            404,
+            "unknown-group",
+            id="group",
+        ),
+        pytest.param(
+            {"statements": [SELECT], "group": "db-2"},
+            403,
+            "forbidden-group",
+            id="forbidden",
+        ),
+        pytest.param(
+            {"statements": [SELECT], "class": "gold"},
+            400,
+            "unknown-class",
+            id="class",
+        ),
+        pytest.param(
+            {"statements": [SELECT], "token": "forged"},
+            400,
+            "bad-token",
+            id="token",
+        ),
+        pytest.param(
+            {"statements": [INSERT], "write": True, "key": "key-00001"},
+            400,
+            "bad-request",
+            id="key-without-deadline",
+        ),
+        pytest.param(
+            {"transaction": "h9~127.0.0.1:1~aa~00"},
+            400,
+            "bad-request",
+            id="forged-handle",
+        ),
+    ],
+)
+def test_bad_request_is_refused(
+    body: dict[str, Any], http: int, problem: str
+) -> None:
+    answer = Bench.build().call(**body)
+
+    assert (answer["http"], answer["outcome"]) == (http, "not-run")
+    assert answer["type"] == f"urn:rosemarysaddle:problem:{problem}"
+
+
+@pytest.mark.parametrize(
+    ("tenant", "credential", "problem"),
+    [
+        pytest.param("nobody", "secret", "unknown-tenant", id="tenant"),
+        pytest.param("sample", "wrong", "bad-credential", id="credential"),
+        pytest.param("", "", "unknown-tenant", id="none"),
+    ],
+)
+def test_bad_credential_is_refused(
+    tenant: str, credential: str, problem: str
+) -> None:
+    body = json.dumps({"group": "db-1", "statements": [SELECT]}).encode()
+
+    reply = Bench.build().service.handle(
+        Operation.STATEMENTS, body, tenant=tenant, credential=credential
+    )
+
+    assert reply.status == 401
+    assert json.loads(reply.body)["type"].endswith(problem)
+
+
+@pytest.mark.parametrize(
+    "data", [b"{", b"[]", b"\xff", b"[" * 100_000, b"3", b'"x"']
+)
+def test_body_that_is_no_object_is_refused(data: bytes) -> None:
+    reply = Bench.build().service.handle(
+        Operation.STATEMENTS, data, tenant="sample", credential="secret"
+    )
+
+    assert reply.status == 400
