Stop one silent caller from holding the selector thread

Cause: the test with 500 silent callers hung: a socket with a time-out waits in recv in spite of MSG_DONTWAIT, so the first new connection without data stopped the whole server. Ruled out: the file limit (raised first, no change). Change: the socket is not blocking while its data is looked at. Before: 10 silent connections, a request timed out after 3 s. After: 500 silent and 50 slow ones, answered at once.

--- a/src/rosemarysaddle/serve/_server.py
+++ b/src/rosemarysaddle/serve/_server.py
@@ -148,9 +148,9 @@
     """
     if not isinstance(sock, socket.socket) or hasattr(sock, "pending"):
         return True
-    flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+    sock.setblocking(False)  # a socket with a timeout waits in spite of flags
     try:
-        data = sock.recv(_PEEK_BYTES, flags)
+        data = sock.recv(_PEEK_BYTES, socket.MSG_PEEK)
     except BlockingIOError:
         return False
     except OSError:
--- /dev/null
+++ b/tests/serve/test_server.py
@@ -0,0 +1,106 @@
+from __future__ import annotations
+
+import http.client
+import json
+import socket
+import time
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from rosemarysaddle.link import Address
+from rosemarysaddle.serve import HttpServer
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+ADDRESS = Address(ip="127.13.1.1", port=18100)
+SILENT = 500
+SLOW = 50
+
+
+def _echo(environ: dict[str, Any], start_response: Any) -> list[bytes]:
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    data: bytes = environ["wsgi.input"].read(length)
+    start_response("200 OK", [("Content-Length", str(len(data)))])
+    return [data]
+
+
+@pytest.fixture
+def server() -> Iterator[HttpServer]:
+    """Server with four threads that echoes bodies."""
+    found = HttpServer(address=ADDRESS, threads=4)
+    found.tree.graft(_echo, "/echo")
+    found.start()
+    yield found
+    found.stop()
+
+
+def _connect() -> socket.socket:
+    return socket.create_connection((ADDRESS.ip, ADDRESS.port), timeout=10)
+
+
+def _post(connection: http.client.HTTPConnection, text: str) -> bytes:
+    connection.request("POST", "/echo", body=text)
+    return connection.getresponse().read()
+
+
+@pytest.mark.usefixtures("server")
+def test_server_serves_while_callers_are_silent_or_slow() -> None:
+    silent = [_connect() for _ in range(SILENT)]
+    slow = [_connect() for _ in range(SLOW)]
+    for sock in slow:
+        sock.sendall(b"P")
+    time.sleep(0.1)
+    for sock in slow:
+        sock.sendall(b"O")
+    connection = http.client.HTTPConnection(ADDRESS.ip, ADDRESS.port, 10)
+
+    answers = [_post(connection, str(n)) for n in range(50)]
+
+    assert answers == [str(n).encode() for n in range(50)]
+    for sock in (*silent, *slow):
+        sock.close()
+
+
+@pytest.mark.usefixtures("server")
+def test_server_serves_request_that_arrives_in_pieces() -> None:
+    sock = _connect()
+    request = b"POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\n\r\nabc"
+    for piece in (request[:10], request[10:], b"def"):
+        sock.sendall(piece)
+        time.sleep(0.05)
+
+    answer = http.client.HTTPResponse(sock)
+    answer.begin()
+
+    assert answer.read() == b"abcdef"
+    sock.close()
+
+
+@pytest.mark.usefixtures("server")
+def test_server_closes_request_that_never_ends(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("rosemarysaddle.serve._server.REQUEST_S", 0.2)
+    sock = _connect()
+    sock.sendall(b"POST /echo HTTP/1.1\r\nHo")
+
+    assert sock.recv(1) == b""
+    sock.close()
+
+
+@pytest.mark.usefixtures("server")
+def test_server_answers_pipelined_requests() -> None:
+    sock = _connect()
+    body = json.dumps([1]).encode()
+    head = f"POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}"
+    request = head.encode() + b"\r\n\r\n" + body
+
+    sock.sendall(request * 3)
+
+    for _ in range(3):
+        answer = http.client.HTTPResponse(sock)
+        answer.begin()
+        assert answer.read() == body
+    sock.close()
