Change the inventory by patches and follow only what they touch

Change: the state keeps the inventory by name; a patch names groups and tenants; a whole document is turned into its difference. Hosts follow touched groups only, the leader keeps a set of groups without an open term, announcements that say nothing new are forwarded every 3 s.

--- a/src/rosemarysaddle/daemon/_host.py
+++ b/src/rosemarysaddle/daemon/_host.py
@@ -13,7 +13,9 @@
 
 from rosemarysaddle.daemon._gate import Gate
 from rosemarysaddle.daemon._orders import TargetOrders
+from rosemarysaddle.daemon._roster import TargetRoster
 from rosemarysaddle.decide import (
+    NS_PER_MS,
     ClusterState,
     ControlNode,
     EntryNode,
@@ -40,23 +42,20 @@
     ViewSnapshot,
 )
 from rosemarysaddle.store import Journal
-from rosemarysaddle.target import (
-    MySqlConnector,
-    TargetPool,
-    TargetWatch,
-)
+from rosemarysaddle.target import MySqlConnector
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine, Iterator, Sequence
 
     from rosemarysaddle.decide import Effect
-    from rosemarysaddle.schema import Instance, Message, Settings
+    from rosemarysaddle.schema import Message, Settings
     from rosemarysaddle.target import InstanceStatus, TargetConnector
 
 __all__ = ("HostDaemon",)
 
 TICK_S: Final = 0.04
 RESEND_S: Final = 0.25
+REPEAT_ANNOUNCEMENT_MS: Final = 3_000
 ELECTION_JITTER_MS: Final = 400
 _ENTRY_MESSAGES: Final = (
     LeaseGrant,
@@ -67,6 +66,12 @@
 )
 
 
+@attrs.frozen(kw_only=True)
+class _Forwarded:
+    content: Announcement
+    repeat_at_ns: int
+
+
 @attrs.define(kw_only=True, eq=False)
 class HostDaemon:
     """Entry host, control host or both, by its settings.
@@ -84,9 +89,8 @@
     connector: TargetConnector = attrs.field(init=False)
     _journal: Journal | None = attrs.field(default=None, init=False)
     _loop: asyncio.AbstractEventLoop = attrs.field(init=False)
-    _watches: dict[str, TargetWatch] = attrs.field(factory=dict, init=False)
-    _known: dict[str, Instance] = attrs.field(factory=dict, init=False)
-    _seen_version: int = attrs.field(default=-1, init=False)
+    _roster: TargetRoster = attrs.field(init=False)
+    _forwarded: dict[str, _Forwarded] = attrs.field(factory=dict, init=False)
     _orders: TargetOrders = attrs.field(init=False)
     _ticker: asyncio.Task[None] | None = attrs.field(default=None, init=False)
     _replies: dict[str, asyncio.Future[ChangeReply]] = attrs.field(
@@ -123,6 +127,12 @@
             fabric=self.fabric,
         )
         self._orders = TargetOrders(connector=self.connector)
+        self._roster = TargetRoster(
+            gate=self.gate,
+            connector=self.connector,
+            events=self,
+            connections=settings.connections_per_target,
+        )
 
     async def start(self) -> None:
         """Read the disk, listen and start to tick."""
@@ -154,12 +164,7 @@
         for job in list(self._jobs):
             job.cancel()
         await self.network.stop()
-        for watch in self._watches.values():
-            watch.stop()
-        for watch in self._watches.values():
-            await asyncio.to_thread(watch.join)
-        for pool in self.gate.pools.values():
-            pool.close()
+        await self._roster.stop()
         self._orders.close()
         if self._journal is not None:
             self._journal.close()
@@ -243,7 +248,7 @@
 
     def on_unreachable(self, name: str, *, refused: bool) -> None:
         """Take note that a target takes no new connection."""
-        group = self._group_of(name)
+        group = self.gate.node.state.inventory.group_of(name)
         now_ns = time.monotonic_ns()
         self.gate.mark_unreachable(name)
         pool = self.gate.pools.get(name)
@@ -303,7 +308,7 @@
         self._carry_out(self.gate.run(lambda node: node.tick(now_ns)))
         if self.control is not None:
             self._carry_out(self.control.tick(now_ns))
-        self._follow_inventory()
+        self._roster.follow()
 
     def _receive(self, source: str, message: Message) -> None:
         now_ns = time.monotonic_ns()
@@ -315,7 +320,7 @@
                 lambda node: node.receive(source, message, now_ns)
             )
             self._carry_out(work)
-            self._follow_inventory()
+            self._roster.follow()
             return
         if isinstance(message, Announcement):
             self.gate.run(lambda node: node.receive(source, message, now_ns))
@@ -421,61 +426,28 @@
         if future is not None and not future.done() and not refused:
             future.set_result(reply)
 
-    # --- targets ---
-
-    def _follow_inventory(self) -> None:
-        state = self.gate.node.state
-        if state.inventory_version == self._seen_version:
-            return
-        self._seen_version = state.inventory_version
-        wanted = {
-            i.name: (g, i) for g in state.inventory.groups for i in g.instances
-        }
-        for name, known in list(self._known.items()):
-            if name not in wanted or wanted[name][1] != known:
-                self._drop_target(name)
-        for name, (group, instance) in wanted.items():
-            if name not in self._known:
-                self.gate.add_target(group, instance)
-                self._add_target(instance)
-
-    def _add_target(self, instance: Instance) -> None:
-        self._known[instance.name] = instance
-        address = Address.parse(instance.address)
-        self.gate.pools[instance.name] = TargetPool(
-            name=instance.name,
-            address=address,
-            connector=self.connector,
-            limit=self.settings.connections_per_target,
-        )
-        watch = TargetWatch(
-            name=instance.name,
-            address=address,
-            connector=self.connector,
-            events=self,
-        )
-        self._watches[instance.name] = watch
-        watch.start()
-
-    def _drop_target(self, name: str) -> None:
-        del self._known[name]
-        self.gate.drop_target(name)
-        self.gate.pools.pop(name).close()
-        self._watches.pop(name).stop()
-
-    def _group_of(self, name: str) -> str:
-        for group in self.gate.node.state.inventory.groups:
-            if any(i.name == name for i in group.instances):
-                return group.name
-        return ""
+    # --- announcements ---
 
     def _spread(self, announcement: Announcement) -> None:
-        for host in self.settings.control:
-            self.network.send(host.host, announcement)
         now_ns = time.monotonic_ns()
+        if self._is_news(announcement, now_ns):
+            for host in self.settings.control:
+                self.network.send(host.host, announcement)
         source = self.settings.host
         self.gate.run(lambda n: n.receive(source, announcement, now_ns))
 
+    def _is_news(self, announcement: Announcement, now_ns: int) -> bool:
+        content = attrs.evolve(announcement, position=0)
+        last = self._forwarded.get(announcement.target)
+        same = last is not None and last.content == content
+        if last is not None and same and now_ns < last.repeat_at_ns:
+            return False
+        self._forwarded[announcement.target] = _Forwarded(
+            content=content,
+            repeat_at_ns=now_ns + REPEAT_ANNOUNCEMENT_MS * NS_PER_MS,
+        )
+        return True
+
 
 def _jitter(seed: int, host: str) -> Iterator[int]:
     source = random.Random(f"{seed}:{host}")  # noqa: S311
--- /dev/null
+++ b/src/rosemarysaddle/daemon/_roster.py
@@ -0,0 +1,95 @@
+"""Watches and pools of the targets that the inventory names."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import attrs
+
+from rosemarysaddle.link import Address
+from rosemarysaddle.target import TargetPool, TargetWatch
+
+if TYPE_CHECKING:
+    from rosemarysaddle.daemon._gate import Gate
+    from rosemarysaddle.decide import ClusterState
+    from rosemarysaddle.schema import Group, Instance
+    from rosemarysaddle.target import TargetConnector, WatchEvents
+
+__all__ = ("TargetRoster",)
+
+
+@attrs.define(kw_only=True, eq=False)
+class TargetRoster:
+    """Follows the inventory with a watch and a pool for each target.
+
+    :param connections: connections of this host to one target
+    """
+
+    gate: Gate
+    connector: TargetConnector
+    events: WatchEvents
+    connections: int
+    _groups: dict[str, dict[str, Instance]] = attrs.field(
+        factory=dict, init=False
+    )
+    _watches: dict[str, TargetWatch] = attrs.field(factory=dict, init=False)
+    _followed: ClusterState | None = attrs.field(default=None, init=False)
+
+    def follow(self) -> None:
+        """Take over what changed in the inventory."""
+        state = self.gate.node.state
+        touched = set(state.inventory.touched)
+        if state is not self._followed:
+            touched.update(self._groups)
+            self._followed = state
+        if not touched:
+            return
+        state.inventory.touched.difference_update(touched)
+        for name in touched:
+            self._follow_group(name, state.group(name))
+
+    async def stop(self) -> None:
+        """End the watches and close the pools."""
+        for watch in self._watches.values():
+            watch.stop()
+        for watch in self._watches.values():
+            await asyncio.to_thread(watch.join)
+        for pool in self.gate.pools.values():
+            pool.close()
+
+    def _follow_group(self, name: str, group: Group | None) -> None:
+        known = self._groups.pop(name, {})
+        wanted = {i.name: i for i in group.instances} if group else {}
+        for instance in known.values():
+            if wanted.get(instance.name) != instance:
+                self._drop(instance.name)
+        if group is None:
+            return
+        for instance in wanted.values():
+            if known.get(instance.name) != instance:
+                self._add(group, instance)
+        self._groups[name] = wanted
+
+    def _add(self, group: Group, instance: Instance) -> None:
+        address = Address.parse(instance.address)
+        self.gate.add_target(group, instance)
+        self.gate.pools[instance.name] = TargetPool(
+            name=instance.name,
+            address=address,
+            connector=self.connector,
+            limit=self.connections,
+        )
+        watch = TargetWatch(
+            name=instance.name,
+            address=address,
+            connector=self.connector,
+            events=self.events,
+        )
+        self._watches[instance.name] = watch
+        watch.start()
+
+    def _drop(self, name: str) -> None:
+        self.gate.drop_target(name)
+        self.gate.pools.pop(name).close()
+        self._watches.pop(name).stop()
--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -27,6 +27,7 @@
     TargetReport,
 )
 from rosemarysaddle.decide._entry import EntryNode, WriteTicket
+from rosemarysaddle.decide._inventory import InventoryTable
 from rosemarysaddle.decide._lease import HostLease, LeaseTable
 from rosemarysaddle.decide._log import LogNode, Role, StoredLog
 from rosemarysaddle.decide._reasons import Outcome, Reason, Refusal, Step
@@ -40,9 +41,9 @@
     ClusterState,
     DocumentKind,
     EntryKind,
-    GroupTerm,
     check_change,
 )
+from rosemarysaddle.decide._terms import GroupTerm
 from rosemarysaddle.decide._times import LEASE_MS, NS_PER_MS
 from rosemarysaddle.decide._token import LogPoint, SessionToken, TokenCodec
 
@@ -61,6 +62,7 @@
     "GroupTerm",
     "GroupView",
     "HostLease",
+    "InventoryTable",
     "LeaseTable",
     "LoadSnapshot",
     "LogNode",
--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -83,6 +83,7 @@
     _lease_term: int = attrs.field(default=0, init=False)
     _centers: dict[str, str] = attrs.field(factory=dict, init=False)
     _evidence: dict[str, Evidence] = attrs.field(factory=dict, init=False)
+    _unopened: set[str] = attrs.field(factory=set, init=False)
     _confirming: set[str] = attrs.field(factory=set, init=False)
     _askers: dict[str, list[str]] = attrs.field(factory=dict, init=False)
 
@@ -277,6 +278,7 @@
         if change is None:
             return []
         if entry.kind == EntryKind.CLOSE and change.phase is Phase.CLOSE:
+            self._unopened.add(change.group)
             return self._fence(change, now_ns)
         if entry.kind == EntryKind.OPEN and change.phase is Phase.OPEN:
             return self._promote(change, now_ns)
@@ -286,6 +288,7 @@
         self._lease_term = self.log.term
         self._leases = LeaseTable.for_new_leader(self.log.others_led_until_ns)
         self._evidence.clear()
+        self._unopened = set(self.state.inventory.groups)
 
     # --- leases ---
 
@@ -415,19 +418,24 @@
     # --- changes of primary ---
 
     def _start_new_groups(self, now_ns: int) -> list[Effect]:
+        self._note_unopened()
         effects: list[Effect] = []
-        for group in self.state.inventory.groups:
-            if group.name in self.changes:
-                continue
-            term = self.state.terms.get(group.name)
-            if term is None and self._is_announced(group):
-                effects.extend(self._start_change(group.name, 0, now_ns))
-            elif term is not None and not term.is_open:
-                effects.extend(
-                    self._start_change(group.name, term.term, now_ns)
-                )
+        for name in sorted(self._unopened - self.changes.keys()):
+            term = self.state.terms.get(name)
+            group = self.state.group(name)
+            if group is None or (term is not None and term.is_open):
+                self._unopened.discard(name)
+            elif term is not None:
+                effects.extend(self._start_change(name, term.term, now_ns))
+            elif self._is_announced(group):
+                effects.extend(self._start_change(name, 0, now_ns))
         return effects
 
+    def _note_unopened(self) -> None:
+        touched = self.state.inventory.touched
+        self._unopened.update(touched)
+        touched.clear()
+
     def _is_announced(self, group: Group) -> bool:
         return all(
             self.addresses.get(i.name) is not None
@@ -550,6 +558,9 @@
     def _advance(self, change: GroupChange, now_ns: int) -> list[Effect]:
         if not self._leads(now_ns):
             return []
+        if self.state.group(change.group) is None:
+            self.changes.pop(change.group, None)
+            return []
         if change.phase is Phase.FENCE and self._is_fenced(change, now_ns):
             change.fenced_ns = now_ns
             change.phase = Phase.PROBE
--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -27,7 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from rosemarysaddle.decide._state import GroupTerm
+    from rosemarysaddle.decide._terms import GroupTerm
     from rosemarysaddle.schema import Message
 
 __all__ = ("EntryNode", "WriteTicket")
--- /dev/null
+++ b/src/rosemarysaddle/decide/_inventory.py
@@ -0,0 +1,217 @@
+"""Inventory in force, by name, with its changes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from rosemarysaddle.schema import Inventory, InventoryPatch, SchemaFault
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+    from rosemarysaddle.decide._terms import GroupTerm
+    from rosemarysaddle.schema import Group, Instance, Tenant
+
+__all__ = ("InventoryTable",)
+
+
+@attrs.define(kw_only=True)
+class InventoryTable:
+    """Groups and tenants; a patch costs what it names.
+
+    :param touched: groups that changed since they were last taken
+    """
+
+    groups: dict[str, Group] = attrs.field(factory=dict)
+    tenants: dict[str, Tenant] = attrs.field(factory=dict)
+    touched: set[str] = attrs.field(factory=set, eq=False)
+    _owners: dict[str, str] = attrs.field(factory=dict)
+    _addresses: dict[str, str] = attrs.field(factory=dict)
+    _users: dict[str, set[str]] = attrs.field(factory=dict)
+
+    @classmethod
+    def of(cls, inventory: Inventory) -> InventoryTable:
+        """Build the table of a whole inventory."""
+        table = cls()
+        table.patch(_as_patch(inventory))
+        return table
+
+    def document(self) -> Inventory:
+        """Render as a whole inventory."""
+        return Inventory(
+            groups=tuple(self.groups.values()),
+            tenants=tuple(self.tenants.values()),
+        )
+
+    def instance(self, name: str) -> Instance | None:
+        """Look an instance up by name."""
+        group = self.groups.get(self._owners.get(name, ""))
+        if group is None:
+            return None
+        return next(i for i in group.instances if i.name == name)
+
+    def group_of(self, instance: str) -> str:
+        """Name the group of an instance, or nothing."""
+        return self._owners.get(instance, "")
+
+    def patch(self, patch: InventoryPatch) -> None:
+        """Apply a patch that :meth:`check` found good."""
+        for name in patch.remove_groups:
+            self._drop_group(name)
+        for group in patch.put_groups:
+            self._drop_group(group.name)
+            self._put_group(group)
+        for name in patch.remove_tenants:
+            self._drop_tenant(name)
+        for tenant in patch.put_tenants:
+            self._drop_tenant(tenant.name)
+            self.tenants[tenant.name] = tenant
+            for used in tenant.groups:
+                self._users.setdefault(used, set()).add(tenant.name)
+
+    def difference(self, inventory: Inventory) -> InventoryPatch:
+        """Find the patch that leads to a whole inventory."""
+        groups = {g.name for g in inventory.groups}
+        tenants = {t.name for t in inventory.tenants}
+        return InventoryPatch(
+            put_groups=tuple(
+                g for g in inventory.groups if self.groups.get(g.name) != g
+            ),
+            remove_groups=tuple(n for n in self.groups if n not in groups),
+            put_tenants=tuple(
+                t for t in inventory.tenants if self.tenants.get(t.name) != t
+            ),
+            remove_tenants=tuple(n for n in self.tenants if n not in tenants),
+        )
+
+    def check(
+        self,
+        patch: InventoryPatch,
+        terms: Mapping[str, GroupTerm],
+        *,
+        source: str,
+    ) -> SchemaFault | None:
+        """Check a patch against the inventory in force.
+
+        :param terms: current term of each group
+        :param source: change named in a fault
+        :return: path and reason of a refusal, else None
+        """
+        return (
+            _check_twice(patch, source)
+            or self._check_taken(patch, source)
+            or self._check_tenants(patch, source)
+            or self._check_groups(patch, terms, source)
+        )
+
+    def _put_group(self, group: Group) -> None:
+        self.groups[group.name] = group
+        self.touched.add(group.name)
+        for instance in group.instances:
+            self._owners[instance.name] = group.name
+            self._addresses[instance.address] = instance.name
+
+    def _drop_group(self, name: str) -> None:
+        group = self.groups.pop(name, None)
+        if group is None:
+            return
+        self.touched.add(name)
+        for instance in group.instances:
+            self._owners.pop(instance.name, None)
+            self._addresses.pop(instance.address, None)
+
+    def _drop_tenant(self, name: str) -> None:
+        tenant = self.tenants.pop(name, None)
+        for used in tenant.groups if tenant else ():
+            self._users[used].discard(name)
+
+    def _check_taken(
+        self, patch: InventoryPatch, source: str
+    ) -> SchemaFault | None:
+        leaving = {*patch.remove_groups, *(g.name for g in patch.put_groups)}
+        for number, group in enumerate(patch.put_groups):
+            path = f"$.put_groups[{number}].instances"
+            for instance in group.instances:
+                owner = self._owners.get(instance.name, "")
+                if owner and owner not in leaving:
+                    reason = f"instance named twice: {instance.name}"
+                    return _fault(source, path, reason)
+                user = self._addresses.get(instance.address, "")
+                if user and self._owners[user] not in leaving:
+                    reason = f"address used twice: {instance.address}"
+                    return _fault(source, path, reason)
+        return None
+
+    def _check_tenants(
+        self, patch: InventoryPatch, source: str
+    ) -> SchemaFault | None:
+        names = (set(patch.remove_groups) ^ self.groups.keys()) & (
+            self.groups.keys()
+        )
+        added = {g.name for g in patch.put_groups}
+        for number, tenant in enumerate(patch.put_tenants):
+            for group in tenant.groups:
+                if group not in names and group not in added:
+                    path = f"$.put_tenants[{number}].groups"
+                    reason = f"strands tenant {tenant.name}: no group {group}"
+                    return _fault(source, path, reason)
+        return None
+
+    def _check_groups(
+        self,
+        patch: InventoryPatch,
+        terms: Mapping[str, GroupTerm],
+        source: str,
+    ) -> SchemaFault | None:
+        changed = {t.name for t in patch.put_tenants}
+        changed.update(patch.remove_tenants)
+        for number, name in enumerate(patch.remove_groups):
+            users = self._users.get(name, set()) - changed
+            if users:
+                path = f"$.remove_groups[{number}]"
+                reason = f"strands tenant {min(users)}: no group {name}"
+                return _fault(source, path, reason)
+        for number, group in enumerate(patch.put_groups):
+            term = terms.get(group.name)
+            members = {i.name for i in group.instances}
+            if term is not None and term.primary not in members:
+                path = f"$.put_groups[{number}].instances"
+                reason = f"strands group: {term.primary} is its primary"
+                return _fault(source, path, reason)
+        return None
+
+
+def _as_patch(inventory: Inventory) -> InventoryPatch:
+    return InventoryPatch(
+        put_groups=inventory.groups, put_tenants=inventory.tenants
+    )
+
+
+def _check_twice(patch: InventoryPatch, source: str) -> SchemaFault | None:
+    instances = [i for g in patch.put_groups for i in g.instances]
+    checks = (
+        ("$.groups", (g.name for g in patch.put_groups), "group"),
+        ("$.groups", (i.name for i in instances), "instance"),
+        ("$.groups", (i.address for i in instances), "address"),
+        ("$.tenants", (t.name for t in patch.put_tenants), "tenant"),
+    )
+    for path, values, what in checks:
+        twice = _first_twice(values)
+        if twice:
+            return _fault(source, path, f"{what} given twice: {twice}")
+    return None
+
+
+def _first_twice(values: Iterable[str]) -> str:
+    seen: set[str] = set()
+    for value in values:
+        if value in seen:
+            return value
+        seen.add(value)
+    return ""
+
+
+def _fault(source: str, path: str, reason: str) -> SchemaFault:
+    return SchemaFault(source=source, path=path, reason=reason)
--- a/src/rosemarysaddle/decide/_routing.py
+++ b/src/rosemarysaddle/decide/_routing.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
 
-    from rosemarysaddle.decide._state import GroupTerm
+    from rosemarysaddle.decide._terms import GroupTerm
 
 __all__ = ("GroupView", "ReadChoice", "ReadWish", "TargetView")
 
--- a/src/rosemarysaddle/decide/_state.py
+++ b/src/rosemarysaddle/decide/_state.py
@@ -8,10 +8,17 @@
 import attrs
 import cattrs
 
+from rosemarysaddle.decide._inventory import InventoryTable
+from rosemarysaddle.decide._terms import (
+    MAX_KEPT_STARTS,
+    GroupTerm,
+    TermStart,
+)
 from rosemarysaddle.schema import (
     ChangeProposal,
     ChangeReply,
     Inventory,
+    InventoryPatch,
     LogEntry,
     Rules,
     SchemaFault,
@@ -26,13 +33,10 @@
     "ClusterState",
     "DocumentKind",
     "EntryKind",
-    "GroupTerm",
-    "TermStart",
     "check_change",
 )
 
 MAX_KEPT_CHANGES: Final = 4_096
-MAX_KEPT_STARTS: Final = 64
 
 
 class EntryKind:
@@ -45,42 +49,15 @@
 
 
 class DocumentKind:
-    """Kinds of documents that operators change."""
-
-    INVENTORY: Final = "inventory"
-    RULES: Final = "rules"
-
-
-@attrs.frozen(kw_only=True)
-class TermStart:
-    """Position at which a term of a group began."""
-
-    term: int
-    position: int
-
+    """Kinds of changes that operators make.
 
-@attrs.frozen(kw_only=True)
-class GroupTerm:
-    """Current term of a group.
-
-    :param is_open: whether writes may run under the term
-    :param starts: where recent terms began, oldest first
+    A patch changes parts of the inventory and counts as a version of
+    it.
     """
 
-    term: int
-    primary: str
-    is_open: bool
-    starts: tuple[TermStart, ...] = ()
-
-    def start_of(self, term: int) -> int | None:
-        """Find where a term began.
-
-        :return: position, or None where it is not on record
-        """
-        for start in self.starts:
-            if start.term == term:
-                return start.position
-        return None
+    INVENTORY: Final = "inventory"
+    INVENTORY_PATCH: Final = "inventory-patch"
+    RULES: Final = "rules"
 
 
 @attrs.frozen(kw_only=True)
@@ -101,21 +78,16 @@
     index: int = 0
     inventory_version: int = 0
     rules_version: int = 0
-    inventory: Inventory = attrs.field(
-        factory=lambda: Inventory(groups=(), tenants=())
-    )
+    inventory: InventoryTable = attrs.field(factory=InventoryTable)
     rules: Rules = attrs.field(factory=lambda: Rules(classes=()))
     terms: dict[str, GroupTerm] = attrs.field(factory=dict)
     replies: dict[str, ChangeReply] = attrs.field(factory=dict)
     history: list[AuditRecord] = attrs.field(factory=list)
-    _groups: dict[str, Group] = attrs.field(factory=dict, init=False)
-    _tenants: dict[str, Tenant] = attrs.field(factory=dict, init=False)
     _classes: dict[str, RequestClass] = attrs.field(factory=dict, init=False)
-    _instances: dict[str, Instance] = attrs.field(factory=dict, init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Build the look-up tables."""
-        self._reindex()
+        """Build the look-up table of classes."""
+        self._set_rules(self.rules)
 
     def apply(self, entry: LogEntry) -> ChangeReply | None:
         """Apply one committed entry; entries come in order.
@@ -138,15 +110,15 @@
 
     def group(self, name: str) -> Group | None:
         """Look a group up by name."""
-        return self._groups.get(name)
+        return self.inventory.groups.get(name)
 
     def tenant(self, name: str) -> Tenant | None:
         """Look a tenant up by name."""
-        return self._tenants.get(name)
+        return self.inventory.tenants.get(name)
 
     def instance(self, name: str) -> Instance | None:
         """Look an instance up by name."""
-        return self._instances.get(name)
+        return self.inventory.instance(name)
 
     def request_class(self, name: str) -> RequestClass | None:
         """Look a class of requests up by name."""
@@ -154,18 +126,40 @@
 
     def version_of(self, kind: str) -> int:
         """Version of a document in force."""
-        if kind == DocumentKind.INVENTORY:
-            return self.inventory_version
-        return self.rules_version
+        if kind == DocumentKind.RULES:
+            return self.rules_version
+        return self.inventory_version
 
     def dump(self) -> str:
         """Render the state as JSON text for a snapshot."""
-        return json.dumps(_CONVERTER.unstructure(self))
+        body = {
+            "index": self.index,
+            "versions": [self.inventory_version, self.rules_version],
+            "inventory": _CONVERTER.unstructure(self.inventory.document()),
+            "rules": _CONVERTER.unstructure(self.rules),
+            "terms": _CONVERTER.unstructure(self.terms),
+            "replies": _CONVERTER.unstructure(self.replies),
+            "history": _CONVERTER.unstructure(self.history),
+        }
+        return json.dumps(body, separators=(",", ":"))
 
     @classmethod
     def load(cls, text: str) -> ClusterState:
         """Rebuild a state from the text of a snapshot."""
-        return _CONVERTER.structure(json.loads(text), cls)
+        body = json.loads(text)
+        inventory = _CONVERTER.structure(body["inventory"], Inventory)
+        return cls(
+            index=body["index"],
+            inventory_version=body["versions"][0],
+            rules_version=body["versions"][1],
+            inventory=InventoryTable.of(inventory),
+            rules=_CONVERTER.structure(body["rules"], Rules),
+            terms=_CONVERTER.structure(body["terms"], dict[str, GroupTerm]),
+            replies=_CONVERTER.structure(
+                body["replies"], dict[str, ChangeReply]
+            ),
+            history=_CONVERTER.structure(body["history"], list[AuditRecord]),
+        )
 
     def _change(self, change: ChangeProposal) -> ChangeReply:
         known = self.replies.get(change.change_id)
@@ -200,16 +194,17 @@
     def _store(
         self,
         change: ChangeProposal,
-        document: Inventory | Rules,
+        document: InventoryPatch | Rules,
         version: int,
     ) -> None:
-        if isinstance(document, Inventory):
-            self.inventory = document
-            self.inventory_version = version
-        else:
-            self.rules = document
+        if isinstance(document, Rules):
+            self._set_rules(document)
             self.rules_version = version
-        self._reindex()
+        else:
+            self.inventory.patch(document)
+            self.inventory_version = version
+            for group in document.remove_groups:
+                self.terms.pop(group, None)
         record = AuditRecord(
             index=self.index,
             change_id=change.change_id,
@@ -221,8 +216,9 @@
         del self.history[:-MAX_KEPT_CHANGES]
 
     def _last_change(self, kind: str) -> str:
+        rules = kind == DocumentKind.RULES
         for record in reversed(self.history):
-            if record.kind == kind:
+            if (record.kind == DocumentKind.RULES) is rules:
                 return f"{record.author} with {record.change_id}"
         return "nobody"
 
@@ -248,86 +244,41 @@
             starts=(*starts, start)[-MAX_KEPT_STARTS:],
         )
 
-    def _reindex(self) -> None:
-        self._groups = {g.name: g for g in self.inventory.groups}
-        self._tenants = {t.name: t for t in self.inventory.tenants}
-        self._classes = {c.name: c for c in self.rules.classes}
-        self._instances = {
-            instance.name: instance
-            for group in self.inventory.groups
-            for instance in group.instances
-        }
+    def _set_rules(self, rules: Rules) -> None:
+        self.rules = rules
+        self._classes = {c.name: c for c in rules.classes}
 
 
 def check_change(
     change: ChangeProposal, state: ClusterState
-) -> Inventory | Rules | SchemaFault:
-    """Check the document of a change against the state in force.
+) -> InventoryPatch | Rules | SchemaFault:
+    """Check a change against the state in force.
 
-    :return: the document, or path and reason of the refusal
+    :return: the rules or the patch of the inventory that it makes, or
+        path and reason of the refusal
     """
     source = change.change_id
     if change.kind == DocumentKind.RULES:
         return load_document(Rules, change.payload, source=source)
+    patch = _read_patch(change, state)
+    if isinstance(patch, SchemaFault):
+        return patch
+    fault = state.inventory.check(patch, state.terms, source=source)
+    return patch if fault is None else fault
+
+
+def _read_patch(
+    change: ChangeProposal, state: ClusterState
+) -> InventoryPatch | SchemaFault:
+    source = change.change_id
+    if change.kind == DocumentKind.INVENTORY_PATCH:
+        return load_document(InventoryPatch, change.payload, source=source)
     if change.kind != DocumentKind.INVENTORY:
         return SchemaFault(source=source, path="kind", reason="unknown kind")
     document = load_document(Inventory, change.payload, source=source)
     if isinstance(document, SchemaFault):
         return document
-    fault = _cross_check(document, state, source)
-    return document if fault is None else fault
-
-
-def _cross_check(
-    inventory: Inventory, state: ClusterState, source: str
-) -> SchemaFault | None:
-    names = [g.name for g in inventory.groups]
-    instances = [i for g in inventory.groups for i in g.instances]
-    checks = (
-        ("$.groups", names, "group named twice"),
-        ("$.groups", [i.name for i in instances], "instance named twice"),
-        ("$.groups", [i.address for i in instances], "address used twice"),
-        ("$.tenants", [t.name for t in inventory.tenants], "named twice"),
-    )
-    for path, values, reason in checks:
-        twice = _first_twice(values)
-        if twice:
-            text = f"{reason}: {twice}"
-            return SchemaFault(source=source, path=path, reason=text)
-    return _find_stranded(inventory, state, source)
-
-
-def _find_stranded(
-    inventory: Inventory, state: ClusterState, source: str
-) -> SchemaFault | None:
-    names = {g.name for g in inventory.groups}
-    for number, tenant in enumerate(inventory.tenants):
-        missing = sorted(set(tenant.groups) - names)
-        if missing:
-            return SchemaFault(
-                source=source,
-                path=f"$.tenants[{number}].groups",
-                reason=f"strands tenant {tenant.name}: no group {missing[0]}",
-            )
-    for number, group in enumerate(inventory.groups):
-        term = state.terms.get(group.name)
-        members = {i.name for i in group.instances}
-        if term is not None and term.primary not in members:
-            return SchemaFault(
-                source=source,
-                path=f"$.groups[{number}].instances",
-                reason=f"strands group: {term.primary} is its primary",
-            )
-    return None
-
-
-def _first_twice(values: list[str]) -> str:
-    seen: set[str] = set()
-    for value in values:
-        if value in seen:
-            return value
-        seen.add(value)
-    return ""
+    return state.inventory.difference(document)
 
 
 def _refuse(
--- a/src/rosemarysaddle/schema/_check.py
+++ b/src/rosemarysaddle/schema/_check.py
@@ -97,5 +97,13 @@
 
 @functools.cache
 def _validator(stem: str) -> jsonschema.Draft202012Validator:
-    schema = json.loads((_FOLDER / f"{stem}.schema.json").read_text())
+    schema = _schema(stem)
+    if "x-defs-from" in schema:
+        schema["$defs"] = _schema(schema["x-defs-from"])["$defs"]
     return jsonschema.Draft202012Validator(schema)
+
+
+def _schema(stem: str) -> dict[str, Any]:
+    text = (_FOLDER / f"{stem}.schema.json").read_text()
+    found: dict[str, Any] = json.loads(text)
+    return found
--- a/src/rosemarysaddle/schema/_documents.py
+++ b/src/rosemarysaddle/schema/_documents.py
@@ -9,6 +9,7 @@
     "Group",
     "Instance",
     "Inventory",
+    "InventoryPatch",
     "RequestClass",
     "Rules",
     "Settings",
@@ -133,6 +134,22 @@
     tenants: tuple[Tenant, ...]
 
 
+@attrs.frozen(kw_only=True)
+class InventoryPatch:
+    """Change of parts of the inventory.
+
+    :param put_groups: Groups to add, or to replace by name
+    :param remove_groups: Names of the groups to remove
+    :param put_tenants: Tenants to add, or to replace by name
+    :param remove_tenants: Names of the tenants to remove
+    """
+
+    put_groups: tuple[Group, ...] = ()
+    remove_groups: tuple[str, ...] = ()
+    put_tenants: tuple[Tenant, ...] = ()
+    remove_tenants: tuple[str, ...] = ()
+
+
 @attrs.frozen(kw_only=True)
 class RequestClass:
     """One class of requests.
--- a/src/rosemarysaddle/schema/generate.py
+++ b/src/rosemarysaddle/schema/generate.py
@@ -16,7 +16,13 @@
 __all__ = ("render_documents", "render_messages", "write_all")
 
 FOLDER: Final = Path(__file__).parent
-DOCUMENT_SCHEMAS: Final = ("settings", "inventory", "rules", "stand_in")
+DOCUMENT_SCHEMAS: Final = (
+    "settings",
+    "inventory",
+    "inventory_patch",
+    "rules",
+    "stand_in",
+)
 _SCALARS: Final = {"text": "str", "bool": "bool"}
 _JSON_TYPES: Final = {
     "string": "str",
@@ -72,7 +78,7 @@
     for stem in DOCUMENT_SCHEMAS:
         text = (FOLDER / f"{stem}.schema.json").read_text()
         schema = json.loads(text)
-        classes.extend(schema["$defs"].items())
+        classes.extend(schema.get("$defs", {}).items())
         classes.append((schema["title"], schema))
     exported = sorted(name for name, _ in classes)
     parts = [_header("the JSON schemas", exported)]
--- a/src/rosemarysaddle/serve/_admin.py
+++ b/src/rosemarysaddle/serve/_admin.py
@@ -45,14 +45,14 @@
     @cherrypy.expose
     def documents(self, kind: str) -> bytes:
         """Show a document in force, or change it with POST."""
-        if kind not in {DocumentKind.INVENTORY, DocumentKind.RULES}:
-            raise cherrypy.HTTPError(404, "no such document")
         if cherrypy.request.method == "POST":
             return self._change(kind)
+        if kind not in {DocumentKind.INVENTORY, DocumentKind.RULES}:
+            raise cherrypy.HTTPError(404, "no such document")
         state = self._daemon.gate.node.state
         document: Any = state.rules
         if kind == DocumentKind.INVENTORY:
-            document = state.inventory
+            document = state.inventory.document()
         return _render(
             {
                 "version": state.version_of(kind),
--- a/src/rosemarysaddle/serve/_server.py
+++ b/src/rosemarysaddle/serve/_server.py
@@ -148,7 +148,7 @@
     """
     if not isinstance(sock, socket.socket) or hasattr(sock, "pending"):
         return True
-    sock.setblocking(False)  # a socket with a timeout waits in spite of flags
+    sock.settimeout(0)  # a socket with a timeout waits in spite of flags
     try:
         data = sock.recv(_PEEK_BYTES, socket.MSG_PEEK)
     except BlockingIOError:
