--- a/src/rosemarysaddle/decide/_inventory.py
+++ b/src/rosemarysaddle/decide/_inventory.py
@@ -147,13 +147,13 @@
     def _check_tenants(
         self, patch: InventoryPatch, source: str
     ) -> SchemaFault | None:
-        names = (set(patch.remove_groups) ^ self.groups.keys()) & (
-            self.groups.keys()
-        )
+        removed = set(patch.remove_groups)
         added = {g.name for g in patch.put_groups}
         for number, tenant in enumerate(patch.put_tenants):
             for group in tenant.groups:
-                if group not in names and group not in added:
+                if group in added:
+                    continue
+                if group in removed or group not in self.groups:
                     path = f"$.put_tenants[{number}].groups"
                     reason = f"strands tenant {tenant.name}: no group {group}"
                     return _fault(source, path, reason)
--- a/src/rosemarysaddle/decide/_routing.py
+++ b/src/rosemarysaddle/decide/_routing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import collections
 from typing import TYPE_CHECKING, Final
 
@@ -135,10 +136,13 @@
         :param now_ns: monotonic time, in nanoseconds
         :return: upper bound in nanoseconds, or None where none is known
         """
-        for sample in reversed(self._samples):
-            if view.holds(sample.point):
-                return now_ns - sample.asked_ns
-        return None
+        # Samples grow in time and position, so those held come first.
+        held = bisect.bisect_left(
+            self._samples, x=True, key=lambda s: not view.holds(s.point)
+        )
+        if not held:
+            return None
+        return now_ns - self._samples[held - 1].asked_ns
 
     def choose_replica(
         self, wish: ReadWish, *, primary: str, data_center: str, now_ns: int
--- a/src/rosemarysaddle/link/_codec.py
+++ b/src/rosemarysaddle/link/_codec.py
@@ -4,7 +4,7 @@
 
 import re
 from pathlib import Path
-from typing import TYPE_CHECKING, Any, Final
+from typing import Any, Final
 
 import attrs
 import capnp
@@ -13,9 +13,6 @@
 from rosemarysaddle.schema import Envelope
 from rosemarysaddle.schema._messages import BODIES
 
-if TYPE_CHECKING:
-    from rosemarysaddle.schema import Message
-
 __all__ = ("MAX_MESSAGE_BYTES", "DecodeFault", "decode", "encode")
 
 MAX_MESSAGE_BYTES: Final = 64 * 1024 * 1024
@@ -36,10 +33,11 @@
 
     :return: packed message without the length prefix
     """
-    body = {_NAMES[type(envelope.body)]: _to_wire(envelope.body)}
-    message = _MODULE.Envelope.new_message(
-        source=envelope.source, requestId=envelope.request_id, body=body
-    )
+    message = _MODULE.Envelope.new_message()
+    message.source = envelope.source
+    message.requestId = envelope.request_id
+    wire = _NAMES[type(envelope.body)]
+    _fill(message.body.init(wire), envelope.body)
     packed: bytes = message.to_bytes_packed()
     return packed
 
@@ -58,38 +56,32 @@
         )
         wire = message.body.which()
         kind = BODIES[str(wire)]
-        values = getattr(message.body, str(wire)).to_dict()
+        reader = getattr(message.body, str(wire))
         return Envelope(
             source=message.source,
             request_id=message.requestId,
-            body=_from_wire(kind, values),
+            body=kind(**_arguments(kind, reader)),
         )
     except (capnp.KjException, ValueError, KeyError, TypeError) as error:
         return DecodeFault(reason=str(error).splitlines()[0])
 
 
-def _to_wire(message: Any) -> dict[str, Any]:
-    return {
-        wire: _value_to_wire(getattr(message, name))
-        for name, wire in _FIELDS[type(message)]
-    }
-
-
-def _value_to_wire(value: Any) -> Any:
-    if isinstance(value, tuple):
-        return [_to_wire(item) for item in value]
-    return value
-
+def _fill(builder: Any, message: Any) -> None:
+    for name, wire in _FIELDS[type(message)]:
+        value = getattr(message, name)
+        if isinstance(value, tuple):
+            items = builder.init(wire, len(value))
+            for number, item in enumerate(value):
+                _fill(items[number], item)
+        else:
+            setattr(builder, wire, value)
 
-def _from_wire(kind: type[Message], values: dict[str, Any]) -> Message:
-    return kind(**_arguments(kind, values))
 
-
-def _arguments(kind: type, values: dict[str, Any]) -> dict[str, Any]:
-    found: dict[str, Any] = {}
+def _arguments(kind: type, reader: Any) -> dict[str, Any]:
     nested = _NESTED.get(kind, {})
+    found: dict[str, Any] = {}
     for name, wire in _FIELDS[kind]:
-        value = values[wire]
+        value = getattr(reader, wire)
         item = nested.get(name)
         if item is not None:
             value = tuple(item(**_arguments(item, v)) for v in value)
--- a/src/rosemarysaddle/link/_peers.py
+++ b/src/rosemarysaddle/link/_peers.py
@@ -78,6 +78,9 @@
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
     _server: asyncio.Server | None = attrs.field(default=None, init=False)
     _request_id: int = attrs.field(default=0, init=False)
+    _framed: tuple[Message | None, bytes] = attrs.field(
+        default=(None, b""), init=False
+    )
     _queued: dict[str, list[bytes]] = attrs.field(factory=dict, init=False)
 
     async def start(self) -> None:
@@ -121,6 +124,14 @@
         return tuple({*self._heard, *self._dialled})
 
     def _frame(self, message: Message) -> bytes:
+        # A view goes to all hosts as one object and is encoded once.
+        if message is self._framed[0]:
+            return self._framed[1]
+        frame = self._encode(message)
+        self._framed = (message, frame)
+        return frame
+
+    def _encode(self, message: Message) -> bytes:
         self._request_id += 1
         envelope = Envelope(
             source=self.host, request_id=self._request_id, body=message
--- a/src/rosemarysaddle/store/_journal.py
+++ b/src/rosemarysaddle/store/_journal.py
@@ -34,6 +34,57 @@
     """A synced record was damaged; the host must not vote."""
 
 
+@attrs.define(kw_only=True)
+class _Held:
+    """What the journal holds, kept up with each record."""
+
+    term: int = 0
+    voted_for: str = ""
+    snapshot_index: int = 0
+    snapshot_term: int = 0
+    snapshot_state: str = ""
+    entries: list[LogEntry] = attrs.field(factory=list)
+
+    def replay(self, record: dict[str, Any]) -> None:
+        """Take over one record."""
+        if "vote" in record:
+            self.term, self.voted_for = record["vote"]
+        elif "snapshot" in record:
+            self.set_snapshot(*record["snapshot"])
+        else:
+            self._add(record["entries"])
+
+    def set_snapshot(self, index: int, term: int, state: str) -> None:
+        """Take over a snapshot and drop what it covers."""
+        covered = index - self.snapshot_index
+        holds = (
+            0 < covered <= len(self.entries)
+            and self.entries[covered - 1].term == term
+        )
+        self.entries = self.entries[covered:] if holds else []
+        self.snapshot_index = index
+        self.snapshot_term = term
+        self.snapshot_state = state
+
+    def stored(self) -> StoredLog:
+        """Copy for the decisions."""
+        return StoredLog(
+            term=self.term,
+            voted_for=self.voted_for,
+            snapshot_index=self.snapshot_index,
+            snapshot_term=self.snapshot_term,
+            snapshot_state=self.snapshot_state,
+            entries=tuple(self.entries),
+        )
+
+    def _add(self, rows: list[list[Any]]) -> None:
+        first = rows[0][0] - self.snapshot_index - 1
+        del self.entries[first:]
+        self.entries.extend(
+            LogEntry(index=i, term=t, kind=k, payload=p) for i, t, k, p in rows
+        )
+
+
 @attrs.define(kw_only=True)
 class Journal:
     """The journal file of one control host.
@@ -43,7 +94,7 @@
 
     folder: Path
     _descriptor: int = attrs.field(default=-1, init=False)
-    _log: StoredLog = attrs.field(factory=StoredLog, init=False)
+    _held: _Held = attrs.field(factory=_Held, init=False)
 
     def open(self) -> StoredLog:
         """Read the journal, cut a torn tail and open it for writing.
@@ -56,14 +107,14 @@
         data = path.read_bytes() if path.exists() else b""
         records, valid_bytes = _read_records(data, str(path))
         for record in records:
-            self._log = _replay(self._log, record)
+            self._held.replay(record)
         flags = os.O_RDWR | os.O_CREAT
         self._descriptor = os.open(path, flags, 0o600)
         os.ftruncate(self._descriptor, valid_bytes)
         os.lseek(self._descriptor, valid_bytes, os.SEEK_SET)
         os.fsync(self._descriptor)
         _sync_folder(self.folder)
-        return self._log
+        return self._held.stored()
 
     def save_vote(self, term: int, voted_for: str) -> None:
         """Store term and vote."""
@@ -80,7 +131,7 @@
         :param index: last index that the snapshot covers
         :param term: term of that entry
         """
-        self._log = _with_snapshot(self._log, index, term, state)
+        self._held.set_snapshot(index, term, state)
         self._rewrite()
 
     def close(self) -> None:
@@ -88,14 +139,14 @@
         os.close(self._descriptor)
 
     def _append(self, record: dict[str, Any]) -> None:
-        self._log = _replay(self._log, record)
+        self._held.replay(record)
         _write_all(self._descriptor, _encode(record))
         os.fsync(self._descriptor)
 
     def _rewrite(self) -> None:
         path = self.folder / FILE_NAME
         fresh = path.with_suffix(".new")
-        log = self._log
+        log = self._held
         rows = [[e.index, e.term, e.kind, e.payload] for e in log.entries]
         snapshot = [log.snapshot_index, log.snapshot_term, log.snapshot_state]
         data = _encode({"snapshot": snapshot})
@@ -111,37 +162,6 @@
         self._descriptor = descriptor
 
 
-def _replay(log: StoredLog, record: dict[str, Any]) -> StoredLog:
-    if "vote" in record:
-        term, voted_for = record["vote"]
-        return attrs.evolve(log, term=term, voted_for=voted_for)
-    if "snapshot" in record:
-        return _with_snapshot(log, *record["snapshot"])
-    fresh = tuple(
-        LogEntry(index=i, term=t, kind=k, payload=p)
-        for i, t, k, p in record["entries"]
-    )
-    kept = log.entries[: fresh[0].index - log.snapshot_index - 1]
-    return attrs.evolve(log, entries=kept + fresh)
-
-
-def _with_snapshot(
-    log: StoredLog, index: int, term: int, state: str
-) -> StoredLog:
-    covered = index - log.snapshot_index
-    holds = (
-        0 < covered <= len(log.entries)
-        and log.entries[covered - 1].term == term
-    )
-    return attrs.evolve(
-        log,
-        snapshot_index=index,
-        snapshot_term=term,
-        snapshot_state=state,
-        entries=log.entries[covered:] if holds else (),
-    )
-
-
 def _encode(record: dict[str, Any]) -> bytes:
     body = json.dumps(record, separators=(",", ":")).encode()
     return _HEADER.pack(_MAGIC, len(body), zlib.crc32(body)) + body
