Count an instance for a promotion only under its known identity

Cause: an instance that lost its disk came back empty under its old name and counted as an answer; a write confirmed by it and the primary was lost with the primary's end, and an empty primary was promoted again. Change: identities in the status and in the group's state, ADMIT entries once a newcomer has caught up, a start position in the promotion.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -547,6 +547,7 @@
         term=12,
         position=123_456_789,
         leaving=False,
+        identity="",
     )
 
 
--- a/src/rosemarysaddle/daemon/_gate.py
+++ b/src/rosemarysaddle/daemon/_gate.py
@@ -289,7 +289,9 @@
         primary = view.targets.get(term.primary)
         if primary is None or primary.role != "primary":
             return False
-        return primary.point.term == term.term
+        start = term.start_of(term.term) or 0
+        same_term = primary.point.term == term.term
+        return same_term and primary.point.position >= start
 
     def _choose_primary(
         self, group: str, deadline_ns: int
--- a/src/rosemarysaddle/daemon/_orders.py
+++ b/src/rosemarysaddle/daemon/_orders.py
@@ -96,7 +96,7 @@
         return await self._order(
             instance,
             order.deadline_ns,
-            lambda session: session.promote(order.term),
+            lambda session: session.promote(order.term, start=order.start),
         )
 
     async def follow(
@@ -155,6 +155,7 @@
             role=status.role,
             term=status.point.term,
             position=status.point.position,
+            identity=status.identity,
         )
 
     def _exchange(
--- a/src/rosemarysaddle/decide/_change.py
+++ b/src/rosemarysaddle/decide/_change.py
@@ -19,6 +19,7 @@
     "Phase",
     "choose_primary",
     "confirm_quorum",
+    "counted",
     "promotion_quorum",
 )
 
@@ -146,6 +147,23 @@
     return instances - confirm_quorum(instances) + 1
 
 
+def counted(
+    reports: Sequence[TargetReport], identities: Mapping[str, str]
+) -> list[TargetReport]:
+    """Pick the answers that count for a promotion.
+
+    An instance whose disk was lost has another identity and may lack
+    writes that it held before; it counts once it is admitted again.
+
+    :param identities: identity of each instance that counts, or empty
+        for a group that had no term yet
+    """
+    answers = [r for r in reports if r.reachable]
+    if not identities:
+        return answers
+    return [r for r in answers if identities.get(r.target) == r.identity]
+
+
 def choose_primary(
     reports: Sequence[TargetReport],
     *,
@@ -154,7 +172,7 @@
 ) -> TargetReport | None:
     """Choose the instance that holds every acknowledged write.
 
-    :param reports: answers of the instances
+    :param reports: answers of the instances that count
     :param instances: count of instances of the group
     :param preferred: instance to choose among equals, or empty
     :return: the choice, or None where too few instances answered
--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -13,6 +13,7 @@
     GroupChange,
     Phase,
     choose_primary,
+    counted,
     promotion_quorum,
 )
 from rosemarysaddle.decide._effects import (
@@ -47,8 +48,9 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable, Mapping, Sequence
 
+    from rosemarysaddle.decide._terms import GroupTerm
     from rosemarysaddle.schema import Group, LogEntry, Message
 
 __all__ = ("ControlNode",)
@@ -62,6 +64,7 @@
 KEPT_TIMES: Final = 256
 CONFIRM_ATTEMPT: Final = 0
 WARM_UP_ATTEMPT: Final = -1
+ADMIT_ATTEMPT: Final = -2
 
 
 @attrs.define(kw_only=True)
@@ -83,6 +86,9 @@
     _lease_term: int = attrs.field(default=0, init=False)
     _centers: dict[str, str] = attrs.field(factory=dict, init=False)
     _evidence: dict[str, Evidence] = attrs.field(factory=dict, init=False)
+    _marks: dict[tuple[str, str, str, int], int] = attrs.field(
+        factory=dict, init=False
+    )
     _unopened: set[str] = attrs.field(factory=set, init=False)
     _confirming: set[str] = attrs.field(factory=set, init=False)
     _askers: dict[str, list[str]] = attrs.field(factory=dict, init=False)
@@ -170,6 +176,8 @@
         """
         if attempt == CONFIRM_ATTEMPT:
             return self._on_confirmation(group, reports, now_ns)
+        if attempt == ADMIT_ATTEMPT:
+            return self._on_newcomers(group, reports, now_ns)
         change = self.changes.get(group)
         if change is None or change.attempt != attempt:
             return []
@@ -288,6 +296,7 @@
         self._lease_term = self.log.term
         self._leases = LeaseTable.for_new_leader(self.log.others_led_until_ns)
         self._evidence.clear()
+        self._marks.clear()
         self._unopened = set(self.state.inventory.groups)
 
     # --- leases ---
@@ -375,21 +384,87 @@
             return []
         if announcement.target == term.primary:
             return self._check_primary(announcement, now_ns)
+        if announcement.identity != term.identities.get(announcement.target):
+            return [
+                *self._check_newcomer(announcement, now_ns),
+                *self._follow_if_behind(announcement, term),
+            ]
+        return self._follow_if_behind(announcement, term)
+
+    def _follow_if_behind(
+        self, announcement: Announcement, term: GroupTerm
+    ) -> list[Effect]:
         if announcement.role == "primary" or announcement.term < term.term:
             return [self._follow(announcement.group, announcement.target)]
         return []
 
+    def _check_newcomer(
+        self, announcement: Announcement, now_ns: int
+    ) -> list[Effect]:
+        return [
+            ProbeGroup(
+                group=announcement.group,
+                attempt=ADMIT_ATTEMPT,
+                deadline_ns=now_ns + PROBE_MS * NS_PER_MS,
+                quorum=len(self._instances(announcement.group)),
+            )
+        ]
+
+    def _on_newcomers(
+        self, group: str, reports: Sequence[TargetReport], now_ns: int
+    ) -> list[Effect]:
+        term = self.state.terms.get(group)
+        if term is None or not term.is_open or not self._leads(now_ns):
+            return []
+        primary = next((r for r in reports if r.target == term.primary), None)
+        if primary is None or primary.term != term.term:
+            return []
+        effects: list[Effect] = []
+        for report in reports:
+            if report.identity in {"", term.identities.get(report.target)}:
+                continue
+            if self._has_caught_up(group, report, primary):
+                effects.extend(self._admit(group, term.term, report, now_ns))
+        return effects
+
+    def _has_caught_up(
+        self, group: str, report: TargetReport, primary: TargetReport
+    ) -> bool:
+        # What the instance confirmed before its disk was lost is older
+        # than the primary's position when the newcomer was first seen.
+        key = (group, report.target, report.identity, primary.term)
+        mark = self._marks.setdefault(key, primary.position)
+        return report.term == primary.term and report.position >= mark
+
+    def _admit(
+        self, group: str, term: int, report: TargetReport, now_ns: int
+    ) -> list[Effect]:
+        payload = json.dumps(
+            {
+                "group": group,
+                "term": term,
+                "target": report.target,
+                "identity": report.identity,
+            }
+        )
+        return self._propose(EntryKind.ADMIT, payload, now_ns)
+
     def _check_primary(
         self, announcement: Announcement, now_ns: int
     ) -> list[Effect]:
-        term = self.state.terms[announcement.group]
+        group = announcement.group
+        term = self.state.terms[group]
+        known = term.identities.get(term.primary, "")
+        if announcement.identity != known:
+            return self._start_change(group, term.term, now_ns)
         if announcement.term >= term.term and announcement.role == "primary":
             return []
         return [
             PromoteTarget(
-                group=announcement.group,
+                group=group,
                 target=term.primary,
                 term=term.term,
+                start=term.start_of(term.term) or 0,
                 deadline_ns=now_ns + PROMOTE_MS * NS_PER_MS,
             )
         ]
@@ -593,8 +668,9 @@
         now_ns: int,
     ) -> list[Effect]:
         count = len(self._instances(change.group))
+        valid = counted(reports, self._identities(change.group))
         choice = choose_primary(
-            reports, instances=count, preferred=change.preferred
+            valid, instances=count, preferred=change.preferred
         )
         if choice is None:
             change.blocked = "too few instances answer"
@@ -603,7 +679,7 @@
         behind = change.preferred not in {"", choice.target}
         if behind and now_ns < change.give_up_preferred_ns:
             return self._probe(change, now_ns)
-        return self._open(change, choice, reports, now_ns)
+        return self._open(change, choice, valid, now_ns)
 
     def _open(
         self,
@@ -624,21 +700,31 @@
                 "term": change.new_term,
                 "primary": choice.target,
                 "start": choice.position,
+                "identities": {
+                    **self._identities(change.group),
+                    **{r.target: r.identity for r in reports},
+                },
             }
         )
         return self._propose(EntryKind.OPEN, payload, now_ns)
 
     def _promote(self, change: GroupChange, now_ns: int) -> list[Effect]:
         change.phase = Phase.PROMOTE
+        term = self.state.terms[change.group]
         return [
             PromoteTarget(
                 group=change.group,
                 target=change.chosen,
                 term=change.new_term,
+                start=term.start_of(change.new_term) or 0,
                 deadline_ns=now_ns + PROMOTE_MS * NS_PER_MS,
             )
         ]
 
+    def _identities(self, group: str) -> Mapping[str, str]:
+        term = self.state.terms.get(group)
+        return {} if term is None else term.identities
+
     def _instances(self, group: str) -> tuple[Any, ...]:
         found = self.state.group(group)
         return () if found is None else found.instances
--- a/src/rosemarysaddle/decide/_effects.py
+++ b/src/rosemarysaddle/decide/_effects.py
@@ -76,6 +76,7 @@
     """Status of one instance, read over a new connection.
 
     :param reachable: whether the instance answered
+    :param identity: name that the instance made when its disk was new
     :param refused: whether it refused the connection at once
     """
 
@@ -85,6 +86,7 @@
     role: str = ""
     term: int = 0
     position: int = 0
+    identity: str = ""
 
 
 @attrs.frozen(kw_only=True)
@@ -105,11 +107,15 @@
 
 @attrs.frozen(kw_only=True)
 class PromoteTarget:
-    """Order an instance to become primary under a term."""
+    """Order an instance to become primary under a term.
+
+    :param start: position that the instance must have reached
+    """
 
     group: str
     target: str
     term: int
+    start: int
     deadline_ns: int
 
 
--- a/src/rosemarysaddle/decide/_state.py
+++ b/src/rosemarysaddle/decide/_state.py
@@ -46,6 +46,7 @@
     CHANGE: Final = "change"
     CLOSE: Final = "close"
     OPEN: Final = "open"
+    ADMIT: Final = "admit"
 
 
 class DocumentKind:
@@ -106,6 +107,8 @@
             self._close(payload["group"], payload["term"])
         if entry.kind == EntryKind.OPEN:
             self._open(payload)
+        if entry.kind == EntryKind.ADMIT:
+            self._admit(payload)
         return None
 
     def group(self, name: str) -> Group | None:
@@ -242,8 +245,18 @@
             primary=str(payload["primary"]),
             is_open=True,
             starts=(*starts, start)[-MAX_KEPT_STARTS:],
+            identities=payload.get("identities", {}),
         )
 
+    def _admit(self, payload: dict[str, Any]) -> None:
+        current = self.terms.get(payload["group"])
+        if current is None or current.term != payload["term"]:
+            return
+        identities = dict(current.identities)
+        identities[payload["target"]] = payload["identity"]
+        admitted = attrs.evolve(current, identities=identities)
+        self.terms[payload["group"]] = admitted
+
     def _set_rules(self, rules: Rules) -> None:
         self.rules = rules
         self._classes = {c.name: c for c in rules.classes}
--- a/src/rosemarysaddle/decide/_terms.py
+++ b/src/rosemarysaddle/decide/_terms.py
@@ -23,12 +23,15 @@
 
     :param is_open: whether writes may run under the term
     :param starts: where recent terms began, oldest first
+    :param identities: identity under which each instance counts for a
+        promotion
     """
 
     term: int
     primary: str
     is_open: bool
     starts: tuple[TermStart, ...] = ()
+    identities: dict[str, str] = attrs.field(factory=dict)
 
     def start_of(self, term: int) -> int | None:
         """Find where a term began.
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -63,6 +63,7 @@
     term: int
     position: int
     leaving: bool
+    identity: str
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarysaddle/schema/messages.capnp
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -119,6 +119,7 @@
   term @5 :UInt64;
   position @6 :UInt64;
   leaving @7 :Bool;
+  identity @8 :Text;
 }
 
 struct ChangeProposal {
--- a/src/rosemarysaddle/standin/_daemon.py
+++ b/src/rosemarysaddle/standin/_daemon.py
@@ -44,6 +44,7 @@
         term=instance.log_term,
         position=instance.position,
         leaving=instance.leaving,
+        identity=instance.identity,
     )
 
 
--- a/src/rosemarysaddle/standin/_instance.py
+++ b/src/rosemarysaddle/standin/_instance.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import sqlite3
+import uuid
 from typing import TYPE_CHECKING, Final
 
 import attrs
@@ -78,6 +79,7 @@
     log: list[LogRecord] = attrs.field(factory=list)
     discarded: list[LogRecord] = attrs.field(factory=list)
     leaving: bool = False
+    identity: str = attrs.field(factory=lambda: str(uuid.uuid4()))
     generation: int = 0
     write_lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -123,11 +125,14 @@
         self.term = max(self.term, record.term)
         self._store(record)
 
-    def promote(self, term: int, now_s: float) -> bool:
+    def promote(self, term: int, now_s: float, *, start: int) -> bool:
         """Become primary under a term.
 
+        :param start: position that must have been reached
         :return: whether the instance is primary under the term
         """
+        if self.position < start:
+            return False
         if term < self.term or (term == self.term and self.role != PRIMARY):
             return False
         if term == self.term:
@@ -171,6 +176,15 @@
         self.log.append(record)
         self.wake()
 
+    def lose_disk(self) -> None:
+        """Come back empty, with a new identity and as a replica."""
+        self.rewind(0)
+        self.discarded.clear()
+        self.identity = str(uuid.uuid4())
+        self.role = REPLICA
+        self.term = 0
+        self.following = ""
+
     def close(self) -> None:
         """Close the database."""
         self.reader.close()
--- a/src/rosemarysaddle/standin/_server.py
+++ b/src/rosemarysaddle/standin/_server.py
@@ -336,7 +336,9 @@
         if call.name == "instance_status":
             return await self._status(*map(int, call.args))
         if call.name == "instance_promote":
-            done = self._instance.promote(int(call.args[0]), time.monotonic())
+            term, start = map(int, call.args)
+            now_s = time.monotonic()
+            done = self._instance.promote(term, now_s, start=start)
         elif call.name == "instance_follow":
             done = self._instance.follow(call.args[0], int(call.args[1]))
         else:
@@ -352,5 +354,10 @@
             changed = instance.changed
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(changed.wait(), wait_ms / 1_000)
-        row = (instance.role, instance.log_term, instance.position)
-        return [row], ["role", "term", "position"]
+        row = (
+            instance.role,
+            instance.log_term,
+            instance.position,
+            instance.identity,
+        )
+        return [row], ["role", "term", "position", "identity"]
--- a/src/rosemarysaddle/target/_mysql.py
+++ b/src/rosemarysaddle/target/_mysql.py
@@ -156,13 +156,18 @@
         result = self._query("CALL instance_status(%s, %s)", (after, wait_ms))
         if isinstance(result, TargetFault):
             return result
-        role, term, position = result.rows[0]
+        role, term, position, identity = result.rows[0]
         point = LogPoint(term=int(term), position=int(position))
-        return InstanceStatus(role=str(role), point=point)
+        return InstanceStatus(
+            role=str(role), point=point, identity=str(identity)
+        )
 
-    def promote(self, term: int) -> TargetFault | None:
-        """Order the instance to become primary under a term."""
-        return self._order("CALL instance_promote(%s)", (term,))
+    def promote(self, term: int, *, start: int) -> TargetFault | None:
+        """Order the instance to become primary under a term.
+
+        :param start: position that it must have reached
+        """
+        return self._order("CALL instance_promote(%s, %s)", (term, start))
 
     def follow(
         self, *, primary: str, term: int, start: int
--- a/src/rosemarysaddle/target/_protocol.py
+++ b/src/rosemarysaddle/target/_protocol.py
@@ -72,10 +72,14 @@
 
 @attrs.frozen(kw_only=True)
 class InstanceStatus:
-    """Role and log position of an instance."""
+    """Role and log position of an instance.
+
+    :param identity: name that the instance made when its disk was new
+    """
 
     role: str
     point: LogPoint
+    identity: str = ""
 
 
 class TargetSession(Protocol):
@@ -112,8 +116,11 @@
         :param wait_ms: greatest wait, in milliseconds
         """
 
-    def promote(self, term: int) -> TargetFault | None:
-        """Order the instance to become primary under a term."""
+    def promote(self, term: int, *, start: int) -> TargetFault | None:
+        """Order the instance to become primary under a term.
+
+        :param start: position that it must have reached
+        """
 
     def follow(
         self, *, primary: str, term: int, start: int
--- a/tests/decide/test_control.py
+++ b/tests/decide/test_control.py
@@ -64,7 +64,9 @@
     )
 
 
-def _announcement(name: str, role: str = "replica") -> Announcement:
+def _announcement(
+    name: str, role: str = "replica", identity: str = "1"
+) -> Announcement:
     number = TARGETS.index(name) + 1
     return Announcement(
         target=name,
@@ -75,12 +77,19 @@
         term=0,
         position=0,
         leaving=False,
+        identity=identity,
     )
 
 
-def _report(name: str, position: int = 0, term: int = 1) -> TargetReport:
+def _report(
+    name: str, position: int = 0, term: int = 1, identity: str = "1"
+) -> TargetReport:
     return TargetReport(
-        target=name, reachable=True, term=term, position=position
+        target=name,
+        reachable=True,
+        term=term,
+        position=position,
+        identity=identity,
     )
 
 
@@ -436,6 +445,63 @@
     assert stage.leader.state.inventory_version == 1
 
 
+def _admit(stage: Stage, *, primary: int, newcomer: int) -> None:
+    """Let the leader see a newcomer and the primary's position."""
+    stage.send("h1", _announcement("db-1b", identity="2"))
+    reports = [
+        _report("db-1a", primary),
+        _report("db-1b", newcomer, identity="2"),
+        _report("db-1c", primary),
+    ]
+    found = stage.leader.on_probe(GROUP, -2, reports, stage.now_ns)
+    stage.deliver(found)
+
+
+def test_instance_after_disk_loss_does_not_count_for_promotion() -> None:
+    stage = Stage.open()
+    _admit(stage, primary=9, newcomer=0)
+    stage.suspect("h1", "h2")
+
+    stage.probe(
+        [
+            _gone("db-1a"),
+            _report("db-1b", 0, identity="2"),
+            _report("db-1c", 7),
+        ]
+    )
+
+    assert stage.leader.changes[GROUP].blocked
+
+
+def test_instance_after_disk_loss_counts_once_it_has_caught_up() -> None:
+    stage = Stage.open()
+    _admit(stage, primary=9, newcomer=0)
+    _admit(stage, primary=20, newcomer=8)
+    _admit(stage, primary=30, newcomer=9)
+    stage.suspect("h1", "h2")
+
+    stage.probe(
+        [
+            _gone("db-1a"),
+            _report("db-1b", 31, identity="2"),
+            _report("db-1c", 30),
+        ]
+    )
+
+    assert stage.leader.state.terms[GROUP].primary == "db-1b"
+
+
+def test_primary_that_lost_its_disk_is_not_promoted_again() -> None:
+    stage = Stage.open()
+    stage.effects.clear()
+
+    stage.send("h1", _announcement("db-1a", identity="2"))
+
+    assert stage.phase() == "probe"
+    orders = [e for e in stage.effects if isinstance(e, PromoteTarget)]
+    assert orders == []
+
+
 def test_old_primary_that_returns_is_told_to_follow() -> None:
     stage = Stage.open()
     stage.suspect("h1", "h2")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -198,8 +198,9 @@
         point = LogPoint(term=self.target.term, position=self.target.position)
         return InstanceStatus(role=self.target.role, point=point)
 
-    def promote(self, term: int) -> TargetFault | None:
+    def promote(self, term: int, *, start: int) -> TargetFault | None:
         """Order the instance to become primary."""
+        del start
         self.target.role = "primary"
         self.target.term = term
         return None
--- a/tests/target/test_contract.py
+++ b/tests/target/test_contract.py
@@ -112,7 +112,7 @@
     """Three instances, of which the first is primary in term 1."""
     found = Targets(folder=tmp_path)
     found.start()
-    assert found.session(0).promote(1) is None
+    assert found.session(0).promote(1, start=0) is None
     for number in (1, 2):
         session = found.session(number)
         assert session.follow(primary="t0", term=1, start=0) is None
@@ -230,9 +230,9 @@
 ) -> None:
     session = targets.session(1)
 
-    assert session.promote(2) is None
-    assert session.promote(2) is None
-    outdated = session.promote(1)
+    assert session.promote(2, start=0) is None
+    assert session.promote(2, start=0) is None
+    outdated = session.promote(1, start=0)
 
     assert isinstance(outdated, TargetFault)
     assert (_status(session).role, _status(session).point.term) == (
@@ -241,10 +241,34 @@
     )
 
 
+def test_promotion_is_refused_by_an_instance_that_lacks_records(
+    targets: Targets,
+) -> None:
+    session = targets.session(1)
+
+    fault = session.promote(2, start=99)
+
+    assert isinstance(fault, TargetFault)
+    assert _status(session).role == "replica"
+
+
+def test_instance_that_lost_its_disk_has_another_identity(
+    targets: Targets,
+) -> None:
+    before = _status(targets.session(1)).identity
+    targets.loop.call_soon_threadsafe(targets.instances[1].lose_disk)
+
+    after = _status(targets.session(1))
+
+    assert before
+    assert after.identity != before
+    assert (after.role, after.point.position) == ("replica", 0)
+
+
 def test_old_primary_drops_what_no_one_else_has(targets: Targets) -> None:
     old, new = targets.session(0), targets.session(1)
     assert _wait_for(new, 1)
-    assert new.promote(2) is None
+    assert new.promote(2, start=0) is None
     old.execute(INSERT, ("lost", 1))
     old.commit()
     new.execute(INSERT, ("kept", 1))
@@ -265,7 +289,7 @@
     writer = targets.session(0)
     writer.execute(INSERT, ("a", 1))
     new = targets.session(1)
-    assert new.promote(2) is None
+    assert new.promote(2, start=0) is None
     targets.session(0).follow(primary="t1", term=2, start=0)
 
     fault = writer.commit()
