--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,185 @@
+"""Writes docs/CAPACITY.md from freshly measured slopes.
+
+Run ``python -m benchmarks.capacity``.
+"""
+
+from __future__ import annotations
+
+import string
+from pathlib import Path
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from benchmarks import slopes
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+DAEMONS: Final = 2_600
+DATABASES: Final = 32_000
+INSTANCES: Final = 3 * DATABASES
+CENTERS: Final = 13
+CONNECTIONS: Final = 4_615
+STATEMENTS: Final = 1_077
+CHANGES_DAY: Final = 25_000
+RESTARTS_DAY: Final = 2_500
+DAY_S: Final = 86_400
+RENEWAL_S: Final = 0.4
+PACKET_B: Final = 40
+LINK_B_S: Final = 125_000_000
+WATCH_S: Final = 0.45
+HANDLER_S: Final = 1.7e-3
+IN_FORCE_S: Final = 8
+ANNOUNCE_S: Final = 1.0
+CPU_BOUND: Final = 0.024
+MEMORY_BOUND_B: Final = 256_000_000
+BYTES_BOUND: Final = 2_000
+FOLDER: Final = Path(__file__).parent
+PAGE: Final = FOLDER.parent / "docs" / "CAPACITY.md"
+
+
+@attrs.frozen(kw_only=True)
+class Figures:
+    """Fits and constants, by name."""
+
+    fits: Mapping[str, slopes.Slope]
+    constants: Mapping[str, float]
+
+    def at(self, name: str, size: float) -> float:
+        """Value of a fit at a size."""
+        fit = self.fits[name]
+        return fit.base + fit.each * size
+
+    def largest(self, name: str) -> float:
+        """Value measured at the largest size."""
+        return self.fits[name].values[-1]
+
+
+def derive(found: Figures) -> dict[str, float]:
+    """Work the figures of the two-year size out."""
+    constant = found.constants
+    message_us = constant["message and answer, both ends us"] / 2
+    changes_s = CHANGES_DAY / DAY_S
+    renewal_b = constant["renewal B"] + constant["grant B"] + 3 * PACKET_B
+    change_b = constant["change of one database B"] + 2 * PACKET_B
+    snapshot_b = found.largest("snapshot size")
+    patch_us = found.largest("patch applied, by databases")
+    state_b = found.largest("state of a database at a host")
+    spread_us = found.at(
+        "change spread to all hosts, without sockets", DAEMONS
+    )
+    spread_us += DAEMONS * message_us / 2
+    renewals_s = DAEMONS / RENEWAL_S
+    watch_us = constant["status of a target, reader us"]
+    watch_share = watch_us / 1e6 / WATCH_S
+    view_b = found.fits["watch view of a database"].each
+    connection_b = found.fits["caller connection"].each * CONNECTIONS
+    renewal_cpu = message_us * 1e-6 / RENEWAL_S
+    control_cpu = renewal_cpu + changes_s * (patch_us + message_us) * 1e-6
+    base_b = constant["resident B of the benchmark at its start"]
+    return {
+        "message_us": message_us,
+        "renewals_s": renewals_s,
+        "leader_renewal_cpu": renewals_s * message_us * 1e-6,
+        "leader_kb_s": renewals_s * renewal_b / 1e3,
+        "daemon_b_s": renewal_b / RENEWAL_S + changes_s * change_b,
+        "restart_b_s": snapshot_b * RESTARTS_DAY / DAEMONS / DAY_S,
+        "daemon_control_cpu": control_cpu,
+        "daemon_state_b": state_b,
+        "daemon_memory_b": base_b + state_b + connection_b,
+        "base_b": base_b,
+        "connections_b": connection_b,
+        "snapshot_b": snapshot_b,
+        "snapshot_write_ms": found.largest("snapshot written") / 1e3,
+        "snapshot_read_ms": found.largest("snapshot read") / 1e3,
+        "spread_ms": spread_us / 1e3,
+        "spread_mb": DAEMONS * change_b / 1e6,
+        "burst_s": 100 * spread_us / 1e6,
+        "watch_cpu": watch_share,
+        "watches_allowed": CPU_BOUND / watch_share,
+        "databases_allowed": CPU_BOUND / watch_share / 3,
+        "all_watches_cpu": INSTANCES * watch_share,
+        "all_views_b": DATABASES * view_b,
+        "announcements_s": INSTANCES / ANNOUNCE_S,
+        "announcements_daemon_s": INSTANCES / ANNOUNCE_S / DAEMONS,
+        "announce_cpu": INSTANCES / ANNOUNCE_S / DAEMONS * HANDLER_S,
+        "announce_control_cpu": INSTANCES / 3.0 * message_us * 1e-6,
+        "rack_s": 40 * snapshot_b / LINK_B_S,
+        "center_s": DAEMONS / CENTERS * snapshot_b / LINK_B_S,
+        "log_day_mb": CHANGES_DAY
+        * found.fits["log entry in memory"].each
+        / 1e6,
+        "append_ms": constant["journal append and sync us"] / 1e3,
+        "journal_read_ms": found.largest("journal read at the start") / 1e3,
+        "route_us": found.largest("route, replicas far behind"),
+        "ticket_us": constant["write begun and ended us"],
+        "token_us": constant["token signed us"]
+        + constant["token verified us"],
+        "decision_cpu": STATEMENTS
+        * 1e-6
+        * (
+            found.largest("route, replicas far behind")
+            + constant["write begun and ended us"]
+            + constant["token signed us"]
+            + constant["token verified us"]
+        ),
+        "patch_us": patch_us,
+        "control_ratio": control_cpu / CPU_BOUND,
+        "watch_ratio": INSTANCES * watch_share / CPU_BOUND,
+        "announce_ratio": INSTANCES
+        / ANNOUNCE_S
+        / DAEMONS
+        * HANDLER_S
+        / CPU_BOUND,
+        "memory_ratio": (base_b + state_b + connection_b) / MEMORY_BOUND_B,
+        "bytes_ratio": (
+            renewal_b / RENEWAL_S
+            + changes_s * change_b
+            + snapshot_b * RESTARTS_DAY / DAEMONS / DAY_S
+        )
+        / BYTES_BOUND,
+        "spread_ratio": spread_us / 1e6 / IN_FORCE_S,
+        "center_ratio": DAEMONS / CENTERS * snapshot_b / LINK_B_S / IN_FORCE_S,
+        "tick_us": found.largest("leader tick, by databases"),
+    }
+
+
+def table(found: Figures) -> str:
+    """Render the slopes as a table."""
+    rows = [
+        "| what | unit | sizes | values | for one more | error |",
+        "| --- | --- | --- | --- | --- | --- |",
+    ]
+    for fit in found.fits.values():
+        sizes = ", ".join(f"{s:,}" for s in fit.sizes)
+        values = ", ".join(f"{v:,.4g}" for v in fit.values)
+        rows.append(
+            f"| {fit.name} | {fit.unit} | {sizes} | {values}"
+            f" | {fit.each:.3g} | {fit.error:.1%} |"
+        )
+    rows.extend(["", "| single call or message | value |", "| --- | --- |"])
+    rows.extend(f"| {n} | {v:,.4g} |" for n, v in found.constants.items())
+    return "\n".join(rows)
+
+
+def main() -> None:
+    """Measure, derive and write the page."""
+    fits, constants = slopes.measure()
+    found = Figures(fits={f.name: f for f in fits}, constants=constants)
+    values = {k: _text(v) for k, v in derive(found).items()}
+    for name, value in derive(found).items():
+        values[f"{name}_pct"] = f"{value * 100:.3g} %"
+        values[f"{name}_mb"] = f"{value / 1e6:.3g} MB"
+    template = (FOLDER / "capacity.md.in").read_text(encoding="utf-8")
+    page = string.Template(template).substitute(values, slopes=table(found))
+    PAGE.write_text(page, encoding="utf-8")
+    print(f"wrote {PAGE.name}")
+
+
+def _text(value: float) -> str:
+    return f"{value:,.0f}" if value >= 100 else f"{value:.3g}"
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import functools
 import gc
 import itertools
@@ -15,6 +16,7 @@
 import socket
 import statistics
 import tempfile
+import threading
 import time
 import tracemalloc
 from pathlib import Path
@@ -39,7 +41,13 @@
     TargetView,
     TokenCodec,
 )
-from rosemarysaddle.link import Address, decode, encode
+from rosemarysaddle.link import (
+    Address,
+    PeerNetwork,
+    PlainFabric,
+    decode,
+    encode,
+)
 from rosemarysaddle.schema import (
     Announcement,
     AppendRequest,
@@ -51,7 +59,9 @@
     ViewDelta,
 )
 from rosemarysaddle.serve import HttpServer
+from rosemarysaddle.standin import StandInInstance, StandInServer
 from rosemarysaddle.store import Journal
+from rosemarysaddle.target import MySqlConnector, TargetFault
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -294,18 +304,57 @@
     server.start()
     kept: list[socket.socket] = []
     values = []
-    before = _resident_bytes()
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
     for size in CONNECTION_SIZES:
         while len(kept) < size:
             kept.append(socket.create_connection(("127.14.1.1", 18_200)))
-        time.sleep(0.5)
-        values.append(float(_resident_bytes() - before))
+        time.sleep(1.0)
+        now, _ = tracemalloc.get_traced_memory()
+        values.append(float(now - before))
+    tracemalloc.stop()
     for sock in kept:
         sock.close()
     server.stop()
     return [fit("caller connection", "B", CONNECTION_SIZES, values)]
 
 
+def measure_peers() -> float:
+    """Measure the CPU of one message and its answer, both ends.
+
+    :return: microseconds
+    """
+    return asyncio.run(_us_of_peers())
+
+
+def measure_status() -> float:
+    """Measure the CPU that reading a target's status costs the reader.
+
+    :return: microseconds
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        loop = asyncio.new_event_loop()
+        threading.Thread(target=loop.run_forever, daemon=True).start()
+        started = _stand_in(Path(folder))
+        asyncio.run_coroutine_threadsafe(started, loop).result()
+        connector = MySqlConnector(user="u", password="p")
+        session = connector.connect(
+            "t",
+            Address(ip="127.14.2.1", port=13_306),
+            deadline_ns=time.monotonic_ns() + 5_000 * MS,
+        )
+        if isinstance(session, TargetFault):
+            raise SystemExit(session.detail)
+        session.set_deadline(time.monotonic_ns() + 60_000 * MS)
+        began = time.thread_time_ns()
+        for _ in range(2_000):
+            session.status(after=0, wait_ms=0)
+        spent_us = (time.thread_time_ns() - began) / 2_000 / 1_000
+        session.close()
+        loop.call_soon_threadsafe(loop.stop)
+        return spent_us
+
+
 def measure_constants() -> dict[str, float]:
     """Measure single calls and message sizes."""
     tokens = TokenCodec(keys=(b"k" * 32,))
@@ -326,6 +375,9 @@
         "log append of one change B": wire_bytes(_append(delta.entries)),
         "log heartbeat B": wire_bytes(_append(())),
         "session token chars": len(text),
+        "message and answer, both ends us": measure_peers(),
+        "status of a target, reader us": measure_status(),
+        "resident B of the benchmark at its start": _START_BYTES,
         "encode us": us_of(
             lambda: encode(Envelope(source="h", request_id=1, body=renewal))
         ),
@@ -573,10 +625,75 @@
     )
 
 
+async def _us_of_peers() -> float:
+    addresses = {
+        "p": Address(ip="127.14.3.1", port=18_301),
+        "q": Address(ip="127.14.3.2", port=18_302),
+    }
+    left = 5_000
+    done = asyncio.Event()
+
+    def on_p(source: str, message: Message) -> None:
+        nonlocal left
+        left -= 1
+        if left:
+            first.send(source, message)
+        else:
+            done.set()
+
+    def on_q(source: str, message: Message) -> None:
+        second.send(source, message)
+
+    first = _network("p", addresses, on_p)
+    second = _network("q", addresses, on_q)
+    await first.start()
+    await second.start()
+    began = time.process_time_ns()
+    first.send("q", _renewal(1))
+    await done.wait()
+    spent_us = (time.process_time_ns() - began) / 5_000 / 1_000
+    await first.stop()
+    await second.stop()
+    return spent_us
+
+
+def _network(
+    host: str,
+    addresses: dict[str, Address],
+    receive: Callable[[str, Message], None],
+) -> PeerNetwork:
+    return PeerNetwork(
+        host=host,
+        listen=addresses[host],
+        addresses=addresses,
+        receive=receive,
+        fabric=PlainFabric(),
+    )
+
+
+async def _stand_in(folder: Path) -> None:
+    instance = StandInInstance(
+        name="t",
+        group="g",
+        data_center="dc",
+        ip="127.14.2.1",
+        port=13_306,
+        folder=folder,
+        schema=(),
+    )
+    server = StandInServer(
+        instance=instance, fabric=PlainFabric(), user="u", password="p"
+    )
+    await server.start()
+
+
 def _resident_bytes() -> int:
     text = Path("/proc/self/statm").read_text(encoding="ascii")
     return int(text.split()[1]) * resource.getpagesize()
 
 
+_START_BYTES: Final = float(_resident_bytes())
+
+
 if __name__ == "__main__":
     defopt.run(main)
--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -83,6 +83,7 @@
     addresses: dict[str, Announcement] = attrs.field(factory=dict, init=False)
     applied_by_host: dict[str, int] = attrs.field(factory=dict, init=False)
     _leases: LeaseTable = attrs.field(init=False)
+    _snapshot: ViewSnapshot | None = attrs.field(default=None, init=False)
     _lease_term: int = attrs.field(default=0, init=False)
     _centers: dict[str, str] = attrs.field(factory=dict, init=False)
     _evidence: dict[str, Evidence] = attrs.field(factory=dict, init=False)
@@ -332,11 +333,17 @@
     def _view_for(self, host: str, applied_index: int) -> Send:
         entries = self.log.entries_after(applied_index)
         if entries is None:
-            state = self.state.dump()
-            snapshot = ViewSnapshot(index=self.state.index, state=state)
-            return Send(peer=host, message=snapshot)
+            return Send(peer=host, message=self._view_snapshot())
         return Send(peer=host, message=ViewDelta(entries=entries))
 
+    def _view_snapshot(self) -> ViewSnapshot:
+        # Hosts that start together get one snapshot, rendered once.
+        index = self.state.index
+        if self._snapshot is None or self._snapshot.index != index:
+            state = self.state.dump()
+            self._snapshot = ViewSnapshot(index=index, state=state)
+        return self._snapshot
+
     # --- documents ---
 
     def _on_proposal(
--- a/src/rosemarysaddle/link/_peers.py
+++ b/src/rosemarysaddle/link/_peers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import struct
 from typing import TYPE_CHECKING, Final
 
@@ -244,7 +245,8 @@
         if task is not None:
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-        await self._read(connection)
+        with contextlib.suppress(asyncio.CancelledError):
+            await self._read(connection)
 
     async def _read(self, connection: _Connection) -> None:
         try:
