--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -437,8 +437,8 @@
     )
     leader = ControlNode(log=log, state=ClusterState(), data_center="dc-1")
     leader.tick(time.monotonic_ns())
-    leader.state = state
     state.index = 0
+    leader._replace_state(state)  # noqa: SLF001
     leader.tick(time.monotonic_ns())
     return leader
 
--- /dev/null
+++ b/src/rosemarysaddle/decide/_members.py
@@ -0,0 +1,151 @@
+"""Announcements of targets: roles to correct, newcomers to admit."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from rosemarysaddle.decide._effects import (
+    Effect,
+    ProbeGroup,
+    PromoteTarget,
+    TargetReport,
+)
+from rosemarysaddle.decide._primaries import PROBE_MS, PROMOTE_MS
+from rosemarysaddle.decide._state import EntryKind
+from rosemarysaddle.decide._times import NS_PER_MS
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from rosemarysaddle.decide._office import Office
+    from rosemarysaddle.decide._primaries import PrimaryKeeper
+    from rosemarysaddle.decide._terms import GroupTerm
+    from rosemarysaddle.schema import Announcement
+
+__all__ = ("ADMIT_ATTEMPT", "MemberKeeper")
+
+ADMIT_ATTEMPT: Final = -2
+
+
+@attrs.define(kw_only=True)
+class MemberKeeper:
+    """Brings announced instances into the role that the state gives."""
+
+    office: Office
+    primaries: PrimaryKeeper
+    _marks: dict[tuple[str, str, str, int], int] = attrs.field(
+        factory=dict, init=False
+    )
+
+    def take_office(self) -> None:
+        """Start afresh as leader."""
+        self._marks.clear()
+
+    def on_announcement(
+        self, announcement: Announcement, now_ns: int
+    ) -> list[Effect]:
+        """Take the announcement of a target."""
+        self.primaries.announced[announcement.target] = announcement
+        if (
+            not self.office.leads(now_ns)
+            or announcement.group in self.primaries.changes
+        ):
+            return []
+        term = self.office.state.terms.get(announcement.group)
+        instance = self.office.state.instance(announcement.target)
+        if term is None or instance is None or not term.is_open:
+            return []
+        if instance.address != announcement.address:
+            return []
+        if announcement.target == term.primary:
+            return self._check_primary(announcement, now_ns)
+        if announcement.identity != term.identities.get(announcement.target):
+            return [
+                *self._check_newcomer(announcement, now_ns),
+                *self._follow_if_behind(announcement, term),
+            ]
+        return self._follow_if_behind(announcement, term)
+
+    def _follow_if_behind(
+        self, announcement: Announcement, term: GroupTerm
+    ) -> list[Effect]:
+        if announcement.role == "primary" or announcement.term < term.term:
+            return [
+                self.primaries.follow(announcement.group, announcement.target)
+            ]
+        return []
+
+    def _check_newcomer(
+        self, announcement: Announcement, now_ns: int
+    ) -> list[Effect]:
+        return [
+            ProbeGroup(
+                group=announcement.group,
+                attempt=ADMIT_ATTEMPT,
+                deadline_ns=now_ns + PROBE_MS * NS_PER_MS,
+                quorum=len(self.office.instances(announcement.group)),
+            )
+        ]
+
+    def on_newcomers(
+        self, group: str, reports: Sequence[TargetReport], now_ns: int
+    ) -> list[Effect]:
+        """Admit instances of new identity that have caught up."""
+        term = self.office.state.terms.get(group)
+        if term is None or not term.is_open or not self.office.leads(now_ns):
+            return []
+        primary = next((r for r in reports if r.target == term.primary), None)
+        if primary is None or primary.term != term.term:
+            return []
+        effects: list[Effect] = []
+        for report in reports:
+            if report.identity in {"", term.identities.get(report.target)}:
+                continue
+            if self._has_caught_up(group, report, primary):
+                effects.extend(self._admit(group, term.term, report, now_ns))
+        return effects
+
+    def _has_caught_up(
+        self, group: str, report: TargetReport, primary: TargetReport
+    ) -> bool:
+        # What the instance confirmed before its disk was lost is older
+        # than the primary's position when the newcomer was first seen.
+        key = (group, report.target, report.identity, primary.term)
+        mark = self._marks.setdefault(key, primary.position)
+        return report.term == primary.term and report.position >= mark
+
+    def _admit(
+        self, group: str, term: int, report: TargetReport, now_ns: int
+    ) -> list[Effect]:
+        payload = json.dumps(
+            {
+                "group": group,
+                "term": term,
+                "target": report.target,
+                "identity": report.identity,
+            }
+        )
+        return self.office.propose(EntryKind.ADMIT, payload, now_ns)
+
+    def _check_primary(
+        self, announcement: Announcement, now_ns: int
+    ) -> list[Effect]:
+        group = announcement.group
+        term = self.office.state.terms[group]
+        known = term.identities.get(term.primary, "")
+        if announcement.identity != known:
+            return self.primaries.start_change(group, term.term, now_ns)
+        if announcement.term >= term.term and announcement.role == "primary":
+            return []
+        return [
+            PromoteTarget(
+                group=group,
+                target=term.primary,
+                term=term.term,
+                start=term.start_of(term.term) or 0,
+                deadline_ns=now_ns + PROMOTE_MS * NS_PER_MS,
+            )
+        ]
--- /dev/null
+++ b/src/rosemarysaddle/decide/_office.py
@@ -0,0 +1,45 @@
+"""What the parts of a control leader share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from rosemarysaddle.decide._effects import Effect
+    from rosemarysaddle.decide._lease import LeaseTable
+    from rosemarysaddle.decide._state import ClusterState
+    from rosemarysaddle.schema import Instance
+
+__all__ = ("Office",)
+
+
+@attrs.define(kw_only=True)
+class Office:
+    """State and rights of a control host, shared by its parts.
+
+    :param centers: data centre of each entry host heard
+    :param propose: appends an entry of a kind with a JSON payload
+    :param leads: tells whether this host is the current leader
+    """
+
+    host: str
+    data_center: str
+    state: ClusterState
+    leases: LeaseTable
+    propose: Callable[[str, str, int], list[Effect]]
+    leads: Callable[[int], bool]
+    centers: dict[str, str] = attrs.field(factory=dict)
+
+    def instances(self, group: str) -> tuple[Instance, ...]:
+        """List the instances of a group."""
+        found = self.state.group(group)
+        return () if found is None else found.instances
+
+    def identities(self, group: str) -> Mapping[str, str]:
+        """Map each instance that counts to its identity."""
+        term = self.state.terms.get(group)
+        return {} if term is None else term.identities
--- /dev/null
+++ b/src/rosemarysaddle/decide/_primaries.py
@@ -0,0 +1,440 @@
+"""Changes of primary as the control leader drives them."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from rosemarysaddle.decide._change import (
+    ChangeTimes,
+    Evidence,
+    GroupChange,
+    Phase,
+    choose_primary,
+    counted,
+    promotion_quorum,
+)
+from rosemarysaddle.decide._effects import (
+    Effect,
+    FollowPrimary,
+    ProbeGroup,
+    PromoteTarget,
+    Send,
+    TargetReport,
+)
+from rosemarysaddle.decide._state import EntryKind
+from rosemarysaddle.decide._times import NS_PER_MS
+from rosemarysaddle.schema import (
+    Announcement,
+    CloseGroup,
+    ClosingGroup,
+    GroupClosed,
+    LogEntry,
+    Suspicion,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from rosemarysaddle.decide._office import Office
+    from rosemarysaddle.schema import Group
+
+__all__ = ("CONFIRM_ATTEMPT", "PROBE_MS", "PROMOTE_MS", "PrimaryKeeper")
+
+PROBE_MS: Final = 500
+CONFIRM_PROBE_MS: Final = 400
+PROMOTE_MS: Final = 1_000
+RETRY_MS: Final = 100
+PREFERRED_MS: Final = 5_000
+KEPT_TIMES: Final = 256
+CONFIRM_ATTEMPT: Final = 0
+WARM_UP_ATTEMPT: Final = -1
+
+
+@attrs.define(kw_only=True)
+class PrimaryKeeper:
+    """Keeps one primary for each group.
+
+    :param announced: newest announcement of each instance
+    :param changes: changes that run, by group
+    :param times: times of the last changes
+    """
+
+    office: Office
+    announced: dict[str, Announcement] = attrs.field(factory=dict)
+    changes: dict[str, GroupChange] = attrs.field(factory=dict)
+    times: list[ChangeTimes] = attrs.field(factory=list)
+    _evidence: dict[str, Evidence] = attrs.field(factory=dict, init=False)
+    _unopened: set[str] = attrs.field(factory=set, init=False)
+    _confirming: set[str] = attrs.field(factory=set, init=False)
+
+    def take_office(self) -> None:
+        """Start afresh as leader."""
+        self._evidence.clear()
+        self._unopened = set(self.office.state.inventory.groups)
+
+    def leave_office(self) -> None:
+        """Drop what only a leader may go on with."""
+        self.changes.clear()
+        self._confirming.clear()
+
+    def tick(self, now_ns: int) -> list[Effect]:
+        """Do what is due at this time."""
+        effects = self._start_new_groups(now_ns)
+        for change in list(self.changes.values()):
+            effects.extend(self._advance(change, now_ns))
+        return effects
+
+    def closing(self) -> tuple[ClosingGroup, ...]:
+        """List the groups whose term is being closed."""
+        return tuple(
+            ClosingGroup(group=c.group, term=c.term, drain=bool(c.preferred))
+            for c in self.changes.values()
+            if c.phase in {Phase.FENCE, Phase.PROBE, Phase.OPEN}
+        )
+
+    def on_applied(self, entry: LogEntry, now_ns: int) -> list[Effect]:
+        """Go on with a change whose entry is committed."""
+        if entry.kind not in {EntryKind.CLOSE, EntryKind.OPEN}:
+            return []
+        change = self.changes.get(json.loads(entry.payload)["group"])
+        if change is None:
+            return []
+        if entry.kind == EntryKind.CLOSE and change.phase is Phase.CLOSE:
+            self._unopened.add(change.group)
+            return self._fence(change, now_ns)
+        if entry.kind == EntryKind.OPEN and change.phase is Phase.OPEN:
+            return self._promote(change, now_ns)
+        return []
+
+    def start_planned(
+        self, group: str, preferred: str, now_ns: int
+    ) -> list[Effect]:
+        """Begin a planned change of primary.
+
+        :param group: name of the group
+        :param preferred: instance to promote
+        :param now_ns: monotonic time, in nanoseconds
+        """
+        term = self.office.state.terms.get(group)
+        if (
+            term is None
+            or group in self.changes
+            or not self.office.leads(now_ns)
+        ):
+            return []
+        if term.primary == preferred:
+            return []
+        return self.start_change(group, term.term, now_ns, preferred)
+
+    def on_probe(
+        self,
+        group: str,
+        attempt: int,
+        reports: Sequence[TargetReport],
+        now_ns: int,
+    ) -> list[Effect]:
+        """Take the answers of a group's instances.
+
+        :param attempt: attempt named by the probe
+        :param reports: one report for each instance
+        :param now_ns: monotonic time, in nanoseconds
+        """
+        if attempt == CONFIRM_ATTEMPT:
+            return self._on_confirmation(group, reports, now_ns)
+        change = self.changes.get(group)
+        if change is None or change.attempt != attempt:
+            return []
+        if change.phase is not Phase.PROBE or not self.office.leads(now_ns):
+            return []
+        return self._choose(change, reports, now_ns)
+
+    def on_promoted(
+        self, group: str, term: int, *, done: bool, now_ns: int
+    ) -> list[Effect]:
+        """Take the answer of an instance to its promotion.
+
+        :param done: whether it now is primary under the term
+        :param now_ns: monotonic time, in nanoseconds
+        """
+        change = self.changes.get(group)
+        if change is None or change.new_term != term:
+            return []
+        if not done:
+            del self.changes[group]
+            if not self.office.leads(now_ns):
+                return []
+            return self.start_change(group, term, now_ns)
+        self.times.append(change.times(now_ns))
+        del self.times[:-KEPT_TIMES]
+        del self.changes[group]
+        self._evidence.pop(group, None)
+        return self._order_followers(group)
+
+    def follow(self, group: str, target: str) -> FollowPrimary:
+        """Order an instance to replicate from its group's primary."""
+        term = self.office.state.terms[group]
+        return FollowPrimary(
+            group=group,
+            target=target,
+            primary=term.primary,
+            term=term.term,
+            start=term.start_of(term.term) or 0,
+        )
+
+    def _order_followers(self, group: str) -> list[Effect]:
+        found = self.office.state.group(group)
+        if found is None:
+            return []
+        primary = self.office.state.terms[group].primary
+        return [
+            self.follow(group, instance.name)
+            for instance in found.instances
+            if instance.name != primary
+        ]
+
+    def _start_new_groups(self, now_ns: int) -> list[Effect]:
+        self._note_unopened()
+        effects: list[Effect] = []
+        for name in sorted(self._unopened - self.changes.keys()):
+            term = self.office.state.terms.get(name)
+            group = self.office.state.group(name)
+            if group is None or (term is not None and term.is_open):
+                self._unopened.discard(name)
+            elif term is not None:
+                effects.extend(self.start_change(name, term.term, now_ns))
+            elif self._is_announced(group):
+                effects.extend(self.start_change(name, 0, now_ns))
+        return effects
+
+    def _note_unopened(self) -> None:
+        touched = self.office.state.inventory.touched
+        self._unopened.update(touched)
+        touched.clear()
+
+    def _is_announced(self, group: Group) -> bool:
+        return all(
+            self.announced.get(i.name) is not None
+            and self.announced[i.name].address == i.address
+            for i in group.instances
+        )
+
+    def on_suspicion(self, suspicion: Suspicion, now_ns: int) -> list[Effect]:
+        """Take the report that a primary takes no new connection."""
+        term = self.office.state.terms.get(suspicion.group)
+        if term is None or not self.office.leads(now_ns):
+            return []
+        if (term.term, term.primary) != (suspicion.term, suspicion.target):
+            return []
+        if suspicion.group in self.changes:
+            return []
+        self._note_evidence(suspicion.group, suspicion.host, now_ns)
+        effects = self._judge(suspicion.group, now_ns)
+        if effects or suspicion.group in self._confirming:
+            return effects
+        return self._confirm(suspicion.group, now_ns)
+
+    def _note_evidence(self, group: str, host: str, now_ns: int) -> None:
+        term = self.office.state.terms[group].term
+        evidence = self._evidence.get(group)
+        if evidence is None or evidence.term != term:
+            evidence = Evidence(term=term, first_ns=now_ns)
+            self._evidence[group] = evidence
+        evidence.add(host, now_ns)
+
+    def _confirm(self, group: str, now_ns: int) -> list[Effect]:
+        self._confirming.add(group)
+        return [
+            ProbeGroup(
+                group=group,
+                attempt=CONFIRM_ATTEMPT,
+                deadline_ns=now_ns + CONFIRM_PROBE_MS * NS_PER_MS,
+                quorum=len(self.office.instances(group)),
+                fresh=True,
+            )
+        ]
+
+    def _on_confirmation(
+        self, group: str, reports: Sequence[TargetReport], now_ns: int
+    ) -> list[Effect]:
+        self._confirming.discard(group)
+        term = self.office.state.terms.get(group)
+        if (
+            term is None
+            or group in self.changes
+            or not self.office.leads(now_ns)
+        ):
+            return []
+        dead = any(
+            r.target == term.primary and not r.reachable for r in reports
+        )
+        if not dead:
+            return []
+        self._note_evidence(group, self.office.host, now_ns)
+        return self._judge(group, now_ns)
+
+    def _judge(self, group: str, now_ns: int) -> list[Effect]:
+        evidence = self._evidence[group]
+        centers = {
+            **self.office.centers,
+            self.office.host: self.office.data_center,
+        }
+        holders = {*self.office.leases.deadlines_ns(now_ns), self.office.host}
+        live = {centers[h] for h in holders if h in centers}
+        if not evidence.suffices(
+            centers, live_centers=len(live), now_ns=now_ns
+        ):
+            return []
+        term = self.office.state.terms[group].term
+        return self.start_change(
+            group, term, now_ns, suspected_ns=evidence.first_ns
+        )
+
+    def start_change(
+        self,
+        group: str,
+        term: int,
+        now_ns: int,
+        preferred: str = "",
+        suspected_ns: int = 0,
+    ) -> list[Effect]:
+        """Begin to close a term of a group.
+
+        :param preferred: instance to promote in a planned change
+        :param suspected_ns: time of the first evidence, nanoseconds
+        """
+        self.changes[group] = GroupChange(
+            group=group,
+            term=term,
+            suspected_ns=suspected_ns or now_ns,
+            started_ns=now_ns,
+            preferred=preferred,
+            give_up_preferred_ns=now_ns + PREFERRED_MS * NS_PER_MS,
+        )
+        payload = json.dumps({"group": group, "term": term})
+        effects = self.office.propose(EntryKind.CLOSE, payload, now_ns)
+        warm_up = ProbeGroup(
+            group=group,
+            attempt=WARM_UP_ATTEMPT,
+            deadline_ns=now_ns + PROBE_MS * NS_PER_MS,
+            quorum=len(self.office.instances(group)),
+        )
+        return [*effects, warm_up]
+
+    def _fence(self, change: GroupChange, now_ns: int) -> list[Effect]:
+        change.begin_fence(self.office.leases.deadlines_ns(now_ns))
+        close = CloseGroup(
+            group=change.group,
+            term=change.term,
+            drain=bool(change.preferred),
+        )
+        return [Send(peer=h, message=close) for h in change.waiting_ns]
+
+    def on_closed(self, closed: GroupClosed, now_ns: int) -> list[Effect]:
+        """Take note that a host has closed a term of a group."""
+        change = self.changes.get(closed.group)
+        if change is None or change.term != closed.term:
+            return []
+        change.waiting_ns.pop(closed.host, None)
+        return self._advance(change, now_ns)
+
+    def release(self, host: str, now_ns: int) -> list[Effect]:
+        """Take note that a host has returned its lease."""
+        effects: list[Effect] = []
+        for change in list(self.changes.values()):
+            change.waiting_ns.pop(host, None)
+            effects.extend(self._advance(change, now_ns))
+        return effects
+
+    def _advance(self, change: GroupChange, now_ns: int) -> list[Effect]:
+        if not self.office.leads(now_ns):
+            return []
+        if self.office.state.group(change.group) is None:
+            self.changes.pop(change.group, None)
+            return []
+        if change.phase is Phase.FENCE and self._is_fenced(change, now_ns):
+            change.fenced_ns = now_ns
+            change.phase = Phase.PROBE
+            return self._probe(change, now_ns)
+        due = change.phase is Phase.PROBE and now_ns >= change.retry_at_ns
+        return self._probe(change, now_ns) if due else []
+
+    def _is_fenced(self, change: GroupChange, now_ns: int) -> bool:
+        return self.office.leases.sees_all(now_ns) and change.is_fenced(now_ns)
+
+    def _probe(self, change: GroupChange, now_ns: int) -> list[Effect]:
+        change.attempt += 1
+        deadline_ns = now_ns + PROBE_MS * NS_PER_MS
+        change.retry_at_ns = deadline_ns + RETRY_MS * NS_PER_MS
+        count = len(self.office.instances(change.group))
+        quorum = count if change.preferred else promotion_quorum(count)
+        return [
+            ProbeGroup(
+                group=change.group,
+                attempt=change.attempt,
+                deadline_ns=deadline_ns,
+                quorum=quorum,
+            )
+        ]
+
+    def _choose(
+        self,
+        change: GroupChange,
+        reports: Sequence[TargetReport],
+        now_ns: int,
+    ) -> list[Effect]:
+        count = len(self.office.instances(change.group))
+        valid = counted(reports, self.office.identities(change.group))
+        choice = choose_primary(
+            valid, instances=count, preferred=change.preferred
+        )
+        if choice is None:
+            change.blocked = "too few instances answer"
+            change.retry_at_ns = now_ns + RETRY_MS * NS_PER_MS
+            return []
+        behind = change.preferred not in {"", choice.target}
+        if behind and now_ns < change.give_up_preferred_ns:
+            return self._probe(change, now_ns)
+        return self._open(change, choice, valid, now_ns)
+
+    def _open(
+        self,
+        change: GroupChange,
+        choice: TargetReport,
+        reports: Sequence[TargetReport],
+        now_ns: int,
+    ) -> list[Effect]:
+        newest = max(r.term for r in reports)
+        change.new_term = max(change.term, newest) + 1
+        change.chosen = choice.target
+        change.chosen_ns = now_ns
+        change.phase = Phase.OPEN
+        change.blocked = ""
+        payload = json.dumps(
+            {
+                "group": change.group,
+                "term": change.new_term,
+                "primary": choice.target,
+                "start": choice.position,
+                "identities": {
+                    **self.office.identities(change.group),
+                    **{r.target: r.identity for r in reports},
+                },
+            }
+        )
+        return self.office.propose(EntryKind.OPEN, payload, now_ns)
+
+    def _promote(self, change: GroupChange, now_ns: int) -> list[Effect]:
+        change.phase = Phase.PROMOTE
+        term = self.office.state.terms[change.group]
+        return [
+            PromoteTarget(
+                group=change.group,
+                target=change.chosen,
+                term=change.new_term,
+                start=term.start_of(change.new_term) or 0,
+                deadline_ns=now_ns + PROMOTE_MS * NS_PER_MS,
+            )
+        ]
--- a/tests/decide/test_control.py
+++ b/tests/decide/test_control.py
@@ -34,8 +34,10 @@
     Announcement,
     ChangeProposal,
     ChangeReply,
+    LeaseRenewal,
     Suspicion,
     Switchover,
+    ViewDelta,
 )
 from tests.helpers import MS, make_leader
 
@@ -176,7 +178,7 @@
 
     def probe(self, reports: list[TargetReport]) -> None:
         """Answer the newest probe of the change that runs."""
-        change = self.leader.changes[GROUP]
+        change = self.leader.primaries.changes[GROUP]
         effects = self.leader.on_probe(
             GROUP, change.attempt, reports, self.now_ns
         )
@@ -184,7 +186,7 @@
 
     def promote(self, *, done: bool = True) -> None:
         """Answer the order to promote."""
-        term = self.leader.changes[GROUP].new_term
+        term = self.leader.primaries.changes[GROUP].new_term
         effects = self.leader.on_promoted(
             GROUP, term, done=done, now_ns=self.now_ns
         )
@@ -196,7 +198,7 @@
 
     def phase(self) -> str:
         """Phase of the change that runs, or empty."""
-        change = self.leader.changes.get(GROUP)
+        change = self.leader.primaries.changes.get(GROUP)
         return "" if change is None else str(change.phase)
 
 
@@ -314,7 +316,7 @@
 
     stage.probe([_gone("db-1a"), _gone("db-1b"), _report("db-1c")])
 
-    assert stage.leader.changes[GROUP].blocked
+    assert stage.leader.primaries.changes[GROUP].blocked
     stage.elapse(1_000)
     stage.probe([_gone("db-1a"), _report("db-1b", 3), _report("db-1c")])
     assert stage.leader.state.terms[GROUP].primary == "db-1b"
@@ -470,7 +472,7 @@
         ]
     )
 
-    assert stage.leader.changes[GROUP].blocked
+    assert stage.leader.primaries.changes[GROUP].blocked
 
 
 def test_instance_after_disk_loss_counts_once_it_has_caught_up() -> None:
@@ -502,6 +504,28 @@
     assert orders == []
 
 
+def test_host_little_behind_gets_delta_after_log_was_cut() -> None:
+    stage = Stage.open()
+    for number in range(1_100):
+        stage.send("op", _change(9_999, f"refused-{number}"))
+    held = stage.leader.log.held_entries
+    stage.effects.clear()
+
+    renewal = LeaseRenewal(
+        host="h9",
+        data_center="dc-1",
+        sent_ns=stage.now_ns,
+        applied_index=stage.leader.state.index - 500,
+        address="",
+    )
+    stage.send("h9", renewal)
+
+    assert held < 500
+    (view,) = [e.message for e in stage.effects if isinstance(e, Send)][:1]
+    assert isinstance(view, ViewDelta)
+    assert len(view.entries) == 500
+
+
 def test_old_primary_that_returns_is_told_to_follow() -> None:
     stage = Stage.open()
     stage.suspect("h1", "h2")
