--- a/src/rosemarysaddle/demo/__init__.py
+++ b/src/rosemarysaddle/demo/__init__.py
@@ -12,6 +12,7 @@
 )
 from rosemarysaddle.demo._play import DemoReport, play
 from rosemarysaddle.demo._records import CallRecord
+from rosemarysaddle.demo._trial import TrialReport, run_trial
 
 __all__ = (
     "DEPLOYMENTS",
@@ -22,6 +23,8 @@
     "DemoReport",
     "Deployment",
     "Site",
+    "TrialReport",
     "Violation",
     "play",
+    "run_trial",
 )
--- a/src/rosemarysaddle/demo/_cluster.py
+++ b/src/rosemarysaddle/demo/_cluster.py
@@ -189,6 +189,29 @@
         finally:
             connection.close()
 
+    def ask(self, method: str, path: str, body: Any = None) -> Any:
+        """Call the administration API of any host in service.
+
+        :return: decoded body, or None where no host answered
+        """
+        for host in self.balancer.hosts:
+            if host.name in self.balancer.out_of_service:
+                continue
+            try:
+                return self.request(method, path, body, host=host.name)[1]
+            except (OSError, http.client.HTTPException, ValueError):
+                continue
+        return None
+
+    def control_hosts(self) -> list[str]:
+        """Name the control hosts."""
+        settings = next(iter(self._settings.values()))
+        return [c.host for c in settings.control]
+
+    def ip_of(self, host: str) -> str:
+        """Address of a host."""
+        return self._settings[host].bind_address
+
     def inventory(self) -> dict[str, Any]:
         """Build the inventory of the deployment."""
         groups = tuple(
--- /dev/null
+++ b/src/rosemarysaddle/demo/_faults.py
@@ -0,0 +1,270 @@
+"""Faults of a trial, each with its begin and its end."""
+
+from __future__ import annotations
+
+import functools
+import threading
+from typing import TYPE_CHECKING, Final, Protocol
+
+import attrs
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from rosemarysaddle.demo._cluster import Cluster
+    from rosemarysaddle.standin import StandInInstance, StandInServer
+
+__all__ = ("FAULTS", "PAIRS", "Fault", "FaultStage")
+
+FAR_BEHIND_MS: Final = 3_000.0
+SLOW_MS: Final = 150.0
+RACE_THREADS: Final = 2
+
+
+@attrs.define(kw_only=True, eq=False)
+class FaultStage:
+    """What a fault acts on.
+
+    :param group: group whose primary is hit
+    :param breaches: breaches that a fault itself finds
+    """
+
+    cluster: Cluster
+    group: str
+    source: random.Random
+    breaches: list[str] = attrs.field(factory=list)
+    undo: list[Callable[[], object]] = attrs.field(factory=list)
+
+    def primary(self) -> StandInInstance:
+        """Find the primary of the group."""
+        found = self.cluster.primary_of(self.group)
+        if found is None:
+            found = self.members()[0]
+        return found
+
+    def members(self) -> list[StandInInstance]:
+        """List the instances of the group."""
+        instances = self.cluster.instances.values()
+        return [i for i in instances if i.group == self.group]
+
+    def replicas(self) -> list[StandInInstance]:
+        """List the instances that are not primary."""
+        primary = self.primary()
+        return [i for i in self.members() if i is not primary]
+
+    def server(self, instance: StandInInstance) -> StandInServer:
+        """Find the server of an instance."""
+        return self.cluster.targets[instance.name]
+
+    def end(self) -> None:
+        """End all faults, newest first."""
+        while self.undo:
+            self.undo.pop()()
+
+
+class Fault(Protocol):
+    """Begins a fault and notes how it ends."""
+
+    def __call__(self, stage: FaultStage) -> None:
+        """Begin the fault."""
+
+
+def _crash_primary(stage: FaultStage) -> None:
+    _crash(stage, stage.primary(), lose_disk=False)
+
+
+def _lose_primary(stage: FaultStage) -> None:
+    _crash(stage, stage.primary(), lose_disk=True)
+
+
+def _lose_replica(stage: FaultStage) -> None:
+    replica = stage.source.choice(stage.replicas())
+    _crash(stage, replica, lose_disk=True)
+
+
+def _crash(
+    stage: FaultStage, instance: StandInInstance, *, lose_disk: bool
+) -> None:
+    if instance.faults.crashed:
+        return
+    server = stage.server(instance)
+    run = stage.cluster.standins.run
+    run(server.crash())
+
+    async def come_back() -> None:
+        if lose_disk:
+            instance.lose_disk()
+        await server.restart()
+
+    stage.undo.append(lambda: run(come_back()))
+
+
+def _cut_primary_center(stage: FaultStage) -> None:
+    _cut(stage, stage.primary().data_center)
+
+
+def _cut_any_center(stage: FaultStage) -> None:
+    sites = stage.cluster.deployment.sites
+    _cut(stage, stage.source.choice(sites).data_center)
+
+
+def _cut(stage: FaultStage, center: str) -> None:
+    fabric = stage.cluster.fabric
+    fabric.cut_centers = frozenset({center})
+
+    def heal() -> None:
+        fabric.cut_centers = frozenset()
+
+    stage.undo.append(heal)
+
+
+def _isolate_control(stage: FaultStage) -> None:
+    cluster = stage.cluster
+    name = cluster.leader() or cluster.control_hosts()[0]
+    cluster.fabric.cut_ips = frozenset({cluster.ip_of(name)})
+    cluster.balancer.out_of_service |= {name}
+
+    def heal() -> None:
+        cluster.fabric.cut_ips = frozenset()
+        cluster.balancer.out_of_service -= {name}
+
+    stage.undo.append(heal)
+
+
+def _kill_leader(stage: FaultStage) -> None:
+    name = stage.cluster.leader()
+    if name:
+        _kill(stage, name)
+
+
+def _kill_entry(stage: FaultStage) -> None:
+    control = set(stage.cluster.control_hosts())
+    names = [n for n in stage.cluster.servers if n not in control]
+    _kill(stage, stage.source.choice(names))
+
+
+def _kill(stage: FaultStage, name: str) -> None:
+    cluster = stage.cluster
+    if name in cluster.balancer.out_of_service:
+        return
+    cluster.balancer.out_of_service |= {name}
+    cluster.hosts.run(cluster.servers[name].kill())
+
+    def start() -> None:
+        cluster.restart_host(name)
+        cluster.balancer.out_of_service -= {name}
+
+    stage.undo.append(start)
+
+
+def _freeze(stage: FaultStage) -> None:
+    for instance in stage.members():
+        stage.server(instance).freeze_connections()
+
+
+def _one_behind(stage: FaultStage) -> None:
+    _set_lag(stage, stage.replicas()[:1])
+
+
+def _all_behind(stage: FaultStage) -> None:
+    _set_lag(stage, stage.replicas())
+
+
+def _set_lag(stage: FaultStage, instances: list[StandInInstance]) -> None:
+    for instance in instances:
+        faults, before = instance.faults, instance.faults.lag_ms
+        faults.lag_ms = FAR_BEHIND_MS
+        reset = functools.partial(setattr, faults, "lag_ms", before)
+        stage.undo.append(reset)
+
+
+def _slow(stage: FaultStage) -> None:
+    faults = stage.primary().faults
+    faults.slow_ms = SLOW_MS
+    stage.undo.append(lambda: setattr(faults, "slow_ms", 0.0))
+
+
+def _late(stage: FaultStage) -> None:
+    faults = stage.primary().faults
+    faults.late_ms = SLOW_MS
+    stage.undo.append(lambda: setattr(faults, "late_ms", 0.0))
+
+
+def _switch_over(stage: FaultStage) -> None:
+    target = stage.source.choice(stage.replicas()).name
+    path = f"/admin/switchover?group={stage.group}&target={target}"
+    stage.cluster.ask("POST", path, {})
+
+
+def _race_operators(stage: FaultStage) -> None:
+    found = stage.cluster.ask("GET", "/admin/documents/rules")
+    if found is None:
+        return
+    accepted: list[int] = []
+
+    def change(number: int) -> None:
+        body = {
+            "change_id": f"race-{found['version']}-{number}",
+            "base_version": found["version"],
+            "document": found["document"],
+        }
+        reply = stage.cluster.ask("POST", "/admin/documents/rules", body)
+        if reply is not None and reply.get("outcome") == "done":
+            accepted.append(number)
+
+    threads = [
+        threading.Thread(target=change, args=(n,)) for n in range(RACE_THREADS)
+    ]
+    for thread in threads:
+        thread.start()
+
+    def end() -> None:
+        for thread in threads:
+            thread.join()
+        if len(accepted) > 1:
+            stage.breaches.append("two operators won one version")
+
+    stage.undo.append(end)
+
+
+FAULTS: Final[dict[str, Fault]] = {
+    "crash-primary": _crash_primary,
+    "lose-primary": _lose_primary,
+    "lose-replica": _lose_replica,
+    "cut-primary-center": _cut_primary_center,
+    "cut-any-center": _cut_any_center,
+    "isolate-control": _isolate_control,
+    "kill-leader": _kill_leader,
+    "kill-entry": _kill_entry,
+    "freeze": _freeze,
+    "one-behind": _one_behind,
+    "all-behind": _all_behind,
+    "slow": _slow,
+    "late": _late,
+    "switch-over": _switch_over,
+    "race-operators": _race_operators,
+}
+
+PAIRS: Final = (
+    ("cut-primary-center", "kill-entry"),
+    ("cut-any-center", "crash-primary"),
+    ("kill-entry", "crash-primary"),
+    ("kill-leader", "crash-primary"),
+    ("kill-leader", "cut-primary-center"),
+    ("isolate-control", "crash-primary"),
+    ("isolate-control", "race-operators"),
+    ("lose-replica", "crash-primary"),
+    ("lose-primary", "kill-entry"),
+    ("lose-replica", "switch-over"),
+    ("freeze", "crash-primary"),
+    ("freeze", "switch-over"),
+    ("one-behind", "crash-primary"),
+    ("all-behind", "crash-primary"),
+    ("all-behind", "cut-primary-center"),
+    ("slow", "crash-primary"),
+    ("late", "cut-primary-center"),
+    ("switch-over", "kill-leader"),
+    ("switch-over", "crash-primary"),
+    ("race-operators", "kill-leader"),
+)
--- a/src/rosemarysaddle/demo/_play.py
+++ b/src/rosemarysaddle/demo/_play.py
@@ -26,8 +26,9 @@
 
     from rosemarysaddle.demo._deployments import Deployment
     from rosemarysaddle.demo._records import CallRecord
+    from rosemarysaddle.standin import LogRecord
 
-__all__ = ("DemoReport", "play")
+__all__ = ("DemoReport", "Stage", "play", "wait_until")
 
 CALLERS: Final = 12
 THINK_S: Final = 0.3
@@ -100,7 +101,7 @@
         cluster = Cluster(
             deployment=deployment, folder=Path(folder), seed=seed
         )
-        stage = _Stage(cluster=cluster, seed=seed)
+        stage = Stage(cluster=cluster, seed=seed)
         try:
             return stage.run()
         finally:
@@ -108,7 +109,9 @@
 
 
 @attrs.define(kw_only=True, eq=False)
-class _Stage:
+class Stage:
+    """A cluster under its workload, with what the callers saw."""
+
     cluster: Cluster
     seed: int
     book: RecordBook = attrs.field(factory=RecordBook)
@@ -121,9 +124,9 @@
         """Play all phases."""
         self._say("start")
         self.cluster.start()
-        self._configure()
+        self.configure()
         stop = threading.Event()
-        threads = self._start_callers(stop)
+        threads = self.start_callers(stop)
         time.sleep(PHASE_S)
         self._crash_primary()
         self._cut_center()
@@ -138,12 +141,13 @@
         self._settle()
         return self._report()
 
-    def _configure(self) -> None:
+    def configure(self) -> None:
+        """Put inventory and rules in force and wait for primaries."""
         cluster = self.cluster
-        _wait(lambda: bool(cluster.leader()), START_S)
+        wait_until(lambda: bool(cluster.leader()), START_S)
         self._change("inventory", 0, cluster.inventory())
         self._change("rules", 0, cluster.rules())
-        _wait(self._all_primaries, START_S)
+        wait_until(self._all_primaries, START_S)
 
     def _change(self, kind: str, version: int, document: Any) -> None:
         change = {
@@ -162,7 +166,8 @@
                 return False
         return True
 
-    def _start_callers(self, stop: threading.Event) -> list[threading.Thread]:
+    def start_callers(self, stop: threading.Event) -> list[threading.Thread]:
+        """Start the callers, each in a thread of its own."""
         deployment = self.cluster.deployment
         threads = []
         for number in range(CALLERS):
@@ -242,7 +247,7 @@
                 item["stale_ms"] += 500
         self._change("rules", version, document)
         began_s = time.monotonic()
-        in_force = _wait(lambda: self._all_have(version + 1), SETTLE_S)
+        in_force = wait_until(lambda: self._all_have(version + 1), SETTLE_S)
         self.in_force_ms = (time.monotonic() - began_s) * 1_000
         if not in_force:
             self._breach("configuration", "not in force everywhere")
@@ -294,9 +299,10 @@
         return sum(r.outcome == "lost" for r in self.book.records)
 
     def _settle(self) -> None:
-        _wait(self._is_settled, SETTLE_S)
+        wait_until(self.is_settled, SETTLE_S)
 
-    def _is_settled(self) -> bool:
+    def is_settled(self) -> bool:
+        """Tell whether the instances of each group agree."""
         for group in self.cluster.deployment.groups:
             members = [
                 i for i in self.cluster.instances.values() if i.group == group
@@ -306,12 +312,8 @@
         return True
 
     def _report(self) -> DemoReport:
-        logs = {}
-        for group in self.cluster.deployment.groups:
-            primary = self.cluster.primary_of(group)
-            logs[group] = list(primary.log) if primary else []
         records = self.book.records
-        found = Checker(logs=logs).check(records)
+        found = Checker(logs=self.surviving_logs()).check(records)
         violations = self.extra + [attrs.asdict(v) for v in found]
         counts = dict.fromkeys(RULE_NAMES, 0)
         for violation in violations:
@@ -328,6 +330,14 @@
             seconds=time.monotonic() - self.started_s,
         )
 
+    def surviving_logs(self) -> dict[str, list[LogRecord]]:
+        """Read the log of each group's primary."""
+        logs = {}
+        for group in self.cluster.deployment.groups:
+            primary = self.cluster.primary_of(group)
+            logs[group] = list(primary.log) if primary else []
+        return logs
+
     def _breach(self, rule: str, detail: str) -> None:
         self.extra.append({"rule": rule, "detail": detail})
 
@@ -375,7 +385,12 @@
     }
 
 
-def _wait(done: Callable[[], bool], limit_s: float) -> bool:
+def wait_until(done: Callable[[], bool], limit_s: float) -> bool:
+    """Wait until something holds.
+
+    :param limit_s: greatest wait in seconds
+    :return: whether it holds
+    """
     deadline_s = time.monotonic() + limit_s
     while time.monotonic() < deadline_s:
         if done():
--- a/src/rosemarysaddle/run.py
+++ b/src/rosemarysaddle/run.py
@@ -11,12 +11,13 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Final, Literal
 
+import attrs
 import defopt
 from absl import logging
 
 from rosemarysaddle._limits import raise_file_limit
 from rosemarysaddle.daemon import HostDaemon
-from rosemarysaddle.demo import DEPLOYMENTS, play
+from rosemarysaddle.demo import DEPLOYMENTS, play, run_trial
 from rosemarysaddle.operate import (
     AdminClient,
     AdminFault,
@@ -66,6 +67,23 @@
     return 1 if result.violations else 0
 
 
+def trial(
+    *,
+    deployment: Literal["co-operative", "foundation"] = "co-operative",
+    seed: int = 1,
+    faults: list[str] | None = None,
+) -> int:
+    """Play one pair of faults and check it.
+
+    :param deployment: deployment to play
+    :param seed: seed of the pair, the times and the callers
+    :param faults: names of faults in place of the seed's pair
+    """
+    result = run_trial(DEPLOYMENTS[deployment], seed=seed, pair=faults or ())
+    print(json.dumps(attrs.asdict(result)))
+    return 1 if result.violations else 0
+
+
 def entry(*, settings: str) -> int:
     """Run an entry host until it is told to stop.
 
@@ -199,6 +217,7 @@
     logging.use_absl_handler()
     commands = {
         "demo": demo,
+        "trial": trial,
         "entry": entry,
         "control": control,
         "stand-in": stand_in,
