Give each run its own loopback network and end a demoted primary's transaction

Some runs shared addresses (process ids alike modulo 128); a stand-in that was demoted with an open transaction stopped replicating. Change: a run claims a free second octet; demotion rolls back.

--- a/src/rosemarysaddle/demo/_cluster.py
+++ b/src/rosemarysaddle/demo/_cluster.py
@@ -7,7 +7,7 @@
 import hashlib
 import http.client
 import json
-import os
+import socket
 import threading
 from typing import TYPE_CHECKING, Any, Final
 
@@ -49,6 +49,9 @@
 CALLERS_PORT: Final = 8_100
 PEERS_PORT: Final = 8_200
 TARGETS_PORT: Final = 3_306
+CLAIM_PORT: Final = 8_099
+FIRST_OCTET: Final = 64
+LAST_OCTET: Final = 250
 CREDENTIAL: Final = "caller-credential"
 ADMIN_CREDENTIAL: Final = "operator-credential"
 TARGET_USER: Final = "rosemarysaddle"
@@ -113,12 +116,14 @@
     _settings: dict[str, Settings] = attrs.field(factory=dict, init=False)
     _groups: list[StandInGroup] = attrs.field(factory=list, init=False)
     _octet: int = attrs.field(init=False)
+    _claim: socket.socket = attrs.field(init=False)
     _ended: threading.Event = attrs.field(factory=threading.Event, init=False)
     _announcer: threading.Thread | None = attrs.field(default=None, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Lay out the addresses."""
-        self._octet = 64 + os.getpid() % 128
+        self._claim = _claim_network()
+        self._octet = int(self._claim.getsockname()[0].split(".")[1])
         self.fabric = DemoFabric(
             center_delay_ms=self.deployment.center_delay_ms,
             region_delay_ms=self.deployment.region_delay_ms,
@@ -158,6 +163,7 @@
         self.standins.run(self._stop_targets())
         self.hosts.stop()
         self.standins.stop()
+        self._claim.close()
 
     def restart_host(self, name: str) -> None:
         """Start a host again that was stopped or killed."""
@@ -373,6 +379,23 @@
                 return
 
 
+def _claim_network() -> socket.socket:
+    """Claim loopback addresses that no other run uses.
+
+    :return: socket whose second octet is the one claimed
+    """
+    for number in range(FIRST_OCTET, LAST_OCTET):
+        claim = socket.socket()
+        try:
+            claim.bind((f"127.{number}.0.1", CLAIM_PORT))
+        except OSError:
+            claim.close()
+        else:
+            return claim
+    message = "no loopback network is free"
+    raise RuntimeError(message)
+
+
 def _digest(credential: str) -> str:
     return hashlib.sha256(credential.encode()).hexdigest()
 
--- a/src/rosemarysaddle/standin/_instance.py
+++ b/src/rosemarysaddle/standin/_instance.py
@@ -81,6 +81,7 @@
     leaving: bool = False
     identity: str = attrs.field(factory=lambda: str(uuid.uuid4()))
     generation: int = 0
+    epoch: int = 0
     write_lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     slot_pool: asyncio.Semaphore = attrs.field(init=False)
@@ -152,7 +153,8 @@
             return False
         if term == self.term and self.role == PRIMARY:
             return False
-        self.role = REPLICA
+        if self.role == PRIMARY:
+            self._demote()
         self.following = primary
         return True
 
@@ -163,6 +165,7 @@
         self.log = []
         self.close()
         self.generation += 1
+        self.epoch += 1
         self._create()
         for record in kept:
             self.apply(record)
@@ -176,6 +179,13 @@
         self.log.append(record)
         self.wake()
 
+    def _demote(self) -> None:
+        """End the open transaction, which can no longer commit."""
+        self.role = REPLICA
+        self.epoch += 1
+        if self.writer.in_transaction:
+            self.writer.execute("ROLLBACK")
+
     def lose_disk(self) -> None:
         """Come back empty, with a new identity and as a replica."""
         self.rewind(0)
--- a/src/rosemarysaddle/standin/_server.py
+++ b/src/rosemarysaddle/standin/_server.py
@@ -166,7 +166,7 @@
         self.frozen = False
         self._server = server
         self._instance = server.instance
-        self._generation = server.instance.generation
+        self._epoch = server.instance.epoch
         self._autocommit = True
         self._statements: list[str] = []
         self._holds_lock = False
@@ -268,7 +268,7 @@
                 "lock wait timeout", ER.LOCK_WAIT_TIMEOUT
             ) from error
         self._holds_lock = True
-        self._generation = self._instance.generation
+        self._epoch = self._instance.epoch
         self._instance.writer.execute("BEGIN IMMEDIATE")
 
     def _execute(self, sql: str) -> sqlite3.Cursor:
@@ -296,7 +296,7 @@
     def _undo(self) -> None:
         if not self._holds_lock:
             return
-        same = self._generation == self._instance.generation
+        same = self._epoch == self._instance.epoch
         if same and self._instance.writer.in_transaction:
             self._instance.writer.execute("ROLLBACK")
         self._end()
@@ -307,7 +307,7 @@
         self._instance.write_lock.release()
 
     def _is_outdated(self) -> bool:
-        stale = self._generation != self._instance.generation
+        stale = self._epoch != self._instance.epoch
         return stale or self._instance.role != PRIMARY
 
     def _require_primary(self) -> None:
