Wait for the answers that count when a primary is chosen

Ruled out: the control log and the leases (all hosts held the view and the lease; the leader's change stood at 'too few instances answer'). Change: a probe names the identities that count and goes on until enough of those have answered; a new group waits for all its instances.

--- a/src/rosemarysaddle/daemon/_orders.py
+++ b/src/rosemarysaddle/daemon/_orders.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from rosemarysaddle.decide import NS_PER_MS, TargetReport
+from rosemarysaddle.decide import NS_PER_MS, TargetReport, counted
 from rosemarysaddle.link import Address
 from rosemarysaddle.target import FaultKind, TargetFault
 
@@ -77,7 +77,7 @@
         reports: list[TargetReport] = []
         for done in asyncio.as_completed(tasks):
             reports.append(await done)
-            if sum(r.reachable for r in reports) >= probe.quorum:
+            if len(counted(reports, probe.identities)) >= probe.quorum:
                 break
         known = {r.target for r in reports}
         missing = [i.name for i in instances if i.name not in known]
--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -10,6 +10,7 @@
     ChangeTimes,
     choose_primary,
     confirm_quorum,
+    counted,
     promotion_quorum,
 )
 from rosemarysaddle.decide._control import ControlNode
@@ -89,5 +90,6 @@
     "check_change",
     "choose_primary",
     "confirm_quorum",
+    "counted",
     "promotion_quorum",
 )
--- a/src/rosemarysaddle/decide/_effects.py
+++ b/src/rosemarysaddle/decide/_effects.py
@@ -7,6 +7,8 @@
 import attrs
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from rosemarysaddle.schema import LogEntry, Message
 
 __all__ = (
@@ -96,6 +98,8 @@
     :param deadline_ns: monotonic time at which to report what is known
     :param quorum: instances whose answers suffice
     :param fresh: whether to ask over new connections only
+    :param identities: identity under which each instance counts, or
+        empty where every answer does
     """
 
     group: str
@@ -103,6 +107,7 @@
     deadline_ns: int
     quorum: int
     fresh: bool = False
+    identities: Mapping[str, str] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarysaddle/decide/_primaries.py
+++ b/src/rosemarysaddle/decide/_primaries.py
@@ -369,13 +369,15 @@
         deadline_ns = now_ns + PROBE_MS * NS_PER_MS
         change.retry_at_ns = deadline_ns + RETRY_MS * NS_PER_MS
         count = len(self.office.instances(change.group))
-        quorum = count if change.preferred else promotion_quorum(count)
+        whole = change.preferred or not change.term
+        quorum = count if whole else promotion_quorum(count)
         return [
             ProbeGroup(
                 group=change.group,
                 attempt=change.attempt,
                 deadline_ns=deadline_ns,
                 quorum=quorum,
+                identities=self.office.identities(change.group),
             )
         ]
 
--- a/tests/decide/test_control.py
+++ b/tests/decide/test_control.py
@@ -493,6 +493,32 @@
     assert stage.leader.state.terms[GROUP].primary == "db-1b"
 
 
+def test_new_group_waits_for_the_identity_of_every_instance() -> None:
+    stage = Stage.open()
+    probes = [
+        e
+        for e in stage.effects
+        if isinstance(e, ProbeGroup) and e.attempt == 1
+    ]
+    assert probes[-1].quorum == len(TARGETS)
+    identities = stage.leader.state.terms[GROUP].identities
+    assert set(identities) == set(TARGETS)
+
+
+def test_probe_of_a_change_names_the_identities_that_count() -> None:
+    stage = Stage.open()
+    stage.suspect("h1", "h2")
+
+    attempt = stage.leader.primaries.changes[GROUP].attempt
+    probes = [
+        e
+        for e in stage.effects
+        if isinstance(e, ProbeGroup) and e.attempt == attempt
+    ]
+    assert probes[-1].quorum == promotion_quorum(len(TARGETS))
+    assert probes[-1].identities == dict.fromkeys(TARGETS, "1")
+
+
 def test_primary_that_lost_its_disk_is_not_promoted_again() -> None:
     stage = Stage.open()
     stage.effects.clear()
