Give no new work to a target that leaves

Cause: the announcement carried the mark, but nothing acted on it. Change: the leader tells every lease holder each time; replicas that leave are not chosen, a primary that leaves is replaced by a planned change.

--- a/src/rosemarysaddle/daemon/_gate.py
+++ b/src/rosemarysaddle/daemon/_gate.py
@@ -42,6 +42,7 @@
 REPLICA_WAIT_MS: Final = 60
 RETRY_AFTER_MS: Final = 500
 BACKOFF_MS: Final = 60
+LEAVING_MS: Final = 10_000
 _NS_PER_S: Final = 1_000_000_000
 
 
@@ -135,6 +136,15 @@
             view.role = ""
             view.seen_ns = 0
 
+    def note_leaving(self, name: str) -> None:
+        """Give an instance that leaves no new work for a while."""
+        with self.changed:
+            group = self._group_of.get(name)
+            if group is not None:
+                view = self.groups[group].targets[name]
+                now_ns = time.monotonic_ns()
+                view.leaving_until_ns = now_ns + LEAVING_MS * NS_PER_MS
+
     def wait_interest(self, name: str, limit_s: float) -> None:
         """Wait until a request needs a newer status of an instance.
 
--- a/src/rosemarysaddle/daemon/_host.py
+++ b/src/rosemarysaddle/daemon/_host.py
@@ -323,7 +323,7 @@
             self._roster.follow()
             return
         if isinstance(message, Announcement):
-            self.gate.run(lambda node: node.receive(source, message, now_ns))
+            self._note_announcement(source, message, now_ns)
         if self.control is not None:
             effects = self.control.receive(source, message, now_ns)
             self._carry_out(effects)
@@ -433,7 +433,13 @@
         if self._is_news(announcement, now_ns):
             for host in self.settings.control:
                 self.network.send(host.host, announcement)
-        source = self.settings.host
+        self._note_announcement(self.settings.host, announcement, now_ns)
+
+    def _note_announcement(
+        self, source: str, announcement: Announcement, now_ns: int
+    ) -> None:
+        if announcement.leaving:
+            self.gate.note_leaving(announcement.target)
         self.gate.run(lambda n: n.receive(source, announcement, now_ns))
 
     def _is_news(self, announcement: Announcement, now_ns: int) -> bool:
--- a/src/rosemarysaddle/decide/_members.py
+++ b/src/rosemarysaddle/decide/_members.py
@@ -11,6 +11,7 @@
     Effect,
     ProbeGroup,
     PromoteTarget,
+    Send,
     TargetReport,
 )
 from rosemarysaddle.decide._primaries import PROBE_MS, PROMOTE_MS
@@ -47,7 +48,11 @@
     def on_announcement(
         self, announcement: Announcement, now_ns: int
     ) -> list[Effect]:
-        """Take the announcement of a target."""
+        """Take the announcement of a target.
+
+        One that leaves is made known to every host, each time it says
+        so; a primary that leaves is replaced by a planned change.
+        """
         self.primaries.announced[announcement.target] = announcement
         if (
             not self.office.leads(now_ns)
@@ -60,6 +65,8 @@
             return []
         if instance.address != announcement.address:
             return []
+        if announcement.leaving:
+            return self._let_go(announcement, term, now_ns)
         if announcement.target == term.primary:
             return self._check_primary(announcement, now_ns)
         if announcement.identity != term.identities.get(announcement.target):
@@ -69,6 +76,29 @@
             ]
         return self._follow_if_behind(announcement, term)
 
+    def _let_go(
+        self, announcement: Announcement, term: GroupTerm, now_ns: int
+    ) -> list[Effect]:
+        hosts = self.office.leases.deadlines_ns(now_ns)
+        effects: list[Effect] = [
+            Send(peer=host, message=announcement)
+            for host in hosts
+            if host != self.office.host
+        ]
+        if announcement.target == term.primary:
+            heir = self._heir(announcement)
+            effects.extend(
+                self.primaries.start_planned(announcement.group, heir, now_ns)
+            )
+        return effects
+
+    def _heir(self, leaving: Announcement) -> str:
+        for instance in self.office.instances(leaving.group):
+            known = self.primaries.announced.get(instance.name)
+            if known is not None and not known.leaving:
+                return instance.name
+        return leaving.target
+
     def _follow_if_behind(
         self, announcement: Announcement, term: GroupTerm
     ) -> list[Effect]:
--- a/src/rosemarysaddle/decide/_routing.py
+++ b/src/rosemarysaddle/decide/_routing.py
@@ -30,6 +30,8 @@
     :param asked_ns: monotonic time at which the status was asked for,
         so that the status is at least as new
     :param seen_ns: monotonic time of the last answer
+    :param leaving_until_ns: monotonic time until which it gets no work
+        unless it announces again that it leaves
     :param running: statements of this host that run there
     """
 
@@ -40,13 +42,17 @@
     asked_ns: int = 0
     seen_ns: int = 0
     latency_ns: int = 0
-    leaving: bool = False
+    leaving_until_ns: int = 0
     running: int = 0
 
     def is_live(self, now_ns: int) -> bool:
         """Tell whether the instance answered lately."""
         return now_ns < self.seen_ns + SEEN_MS * NS_PER_MS
 
+    def takes_work(self, now_ns: int) -> bool:
+        """Tell whether the instance is live and does not leave."""
+        return self.is_live(now_ns) and now_ns >= self.leaving_until_ns
+
     def holds(self, point: LogPoint) -> bool:
         """Tell whether the instance has applied a write."""
         if self.point.term == point.term:
@@ -193,7 +199,7 @@
         self, wish: ReadWish, primary: str, now_ns: int
     ) -> Iterable[ReadChoice]:
         for name, view in self.targets.items():
-            if name == primary or view.leaving or not view.is_live(now_ns):
+            if name == primary or not view.takes_work(now_ns):
                 continue
             age_ns = self.age_ns(view, now_ns)
             if age_ns is None or age_ns > wish.stale_ms * NS_PER_MS:
--- a/tests/decide/test_control.py
+++ b/tests/decide/test_control.py
@@ -67,7 +67,11 @@
 
 
 def _announcement(
-    name: str, role: str = "replica", identity: str = "1"
+    name: str,
+    role: str = "replica",
+    identity: str = "1",
+    *,
+    leaving: bool = False,
 ) -> Announcement:
     number = TARGETS.index(name) + 1
     return Announcement(
@@ -78,7 +82,7 @@
         role=role,
         term=0,
         position=0,
-        leaving=False,
+        leaving=leaving,
         identity=identity,
     )
 
@@ -519,6 +523,26 @@
     assert probes[-1].identities == dict.fromkeys(TARGETS, "1")
 
 
+def test_replica_that_leaves_is_made_known_to_every_host() -> None:
+    stage = Stage.open()
+
+    stage.send("h1", _announcement("db-1b", leaving=True))
+
+    told = [h for h, n in stage.hosts.items() if "db-1b" in n.announced]
+    assert told == list(stage.hosts)
+    assert stage.phase() == ""
+
+
+def test_primary_that_leaves_is_replaced_by_a_planned_change() -> None:
+    stage = Stage.open()
+    leaving = _announcement("db-1a", role="primary", leaving=True)
+
+    stage.send("h1", leaving)
+    stage.probe([_report(n, 4) for n in TARGETS])
+
+    assert stage.leader.state.terms[GROUP].primary == "db-1b"
+
+
 def test_primary_that_lost_its_disk_is_not_promoted_again() -> None:
     stage = Stage.open()
     stage.effects.clear()
--- a/tests/serve/test_service.py
+++ b/tests/serve/test_service.py
@@ -324,6 +324,21 @@
     assert answer["served_by"]["role"] == "primary"
 
 
+def test_read_goes_to_no_replica_that_leaves() -> None:
+    bench = Bench.build()
+    token = bench.write()["token"]
+    bench.gate.note_leaving("db-1b")
+
+    served = {
+        bench.call(statements=[SELECT], token=token, **{"class": "summary"})[
+            "served_by"
+        ]["target"]
+        for _ in range(20)
+    }
+
+    assert served == {"db-1c"}
+
+
 @pytest.mark.parametrize(
     "kind", [FaultKind.LOST, FaultKind.TIMEOUT, FaultKind.STATEMENT]
 )
