--- a/src/rosemarysaddle/demo/_trial.py
+++ b/src/rosemarysaddle/demo/_trial.py
@@ -104,7 +104,7 @@
         think_s=1.0,
     )
     found = [
-        f"{group} takes no write"
+        f"{group} takes no write: {stage.book.records[-1].reason}"
         for group in cluster.deployment.groups
         if not wait_until(
             functools.partial(_writes, session, group), RECOVER_S
