Take the log's entries out of the log's voter

Change: EntryStore holds entries by index; the voter asks it. A test for the cap on waiting requests of one group.

--- a/src/rosemarysaddle/decide/_log.py
+++ b/src/rosemarysaddle/decide/_log.py
@@ -16,6 +16,7 @@
     SaveVote,
     Send,
 )
+from rosemarysaddle.decide._entries import EntryStore
 from rosemarysaddle.decide._times import (
     HEARTBEAT_MS,
     MIN_ELECTION_MS,
@@ -94,10 +95,7 @@
     others_led_until_ns: int = attrs.field(default=0, init=False)
     term: int = attrs.field(init=False)
     _voted_for: str = attrs.field(init=False)
-    _entries: list[LogEntry] = attrs.field(init=False)
-    _base_index: int = attrs.field(init=False)
-    _base_term: int = attrs.field(init=False)
-    _base_state: str = attrs.field(init=False)
+    _entries: EntryStore = attrs.field(init=False)
     _heard_ns: int = attrs.field(init=False)
     _election_at_ns: int = attrs.field(init=False)
     _votes: set[str] = attrs.field(factory=set, init=False)
@@ -108,23 +106,25 @@
         """Take over the stored state."""
         self.term = self.stored.term
         self._voted_for = self.stored.voted_for
-        self._entries = list(self.stored.entries)
-        self._base_index = self.stored.snapshot_index
-        self._base_term = self.stored.snapshot_term
-        self._base_state = self.stored.snapshot_state
-        self.commit_index = self._base_index
+        self._entries = EntryStore(
+            base_index=self.stored.snapshot_index,
+            base_term=self.stored.snapshot_term,
+            base_state=self.stored.snapshot_state,
+            entries=list(self.stored.entries),
+        )
+        self.commit_index = self._entries.base_index
         self._heard_ns = self.started_ns
         self._election_at_ns = self._next_election_ns(self.started_ns)
 
     @property
     def last_index(self) -> int:
         """Index of the last entry held, committed or not."""
-        return self._base_index + len(self._entries)
+        return self._entries.last_index
 
     @property
     def held_entries(self) -> int:
         """Count of entries held after the last snapshot."""
-        return len(self._entries)
+        return self._entries.held
 
     def is_current(self, now_ns: int) -> bool:
         """Tell whether no other leader can exist at this time.
@@ -148,10 +148,9 @@
         :param index: last index that the reader holds
         :return: the entries, or None where a snapshot is needed
         """
-        if index < self._base_index:
+        if index < self._entries.base_index:
             return None
-        last = self.commit_index - self._base_index
-        return tuple(self._entries[index - self._base_index : last])
+        return tuple(self._entries.between(index + 1, self.commit_index))
 
     def propose(self, kind: str, payload: str, now_ns: int) -> list[Effect]:
         """Append an entry as leader.
@@ -182,11 +181,8 @@
         :param state: the snapshot
         :return: the saving of the snapshot
         """
-        term = self._term_at(index)
-        del self._entries[: index - self._base_index]
-        self._base_index = index
-        self._base_term = term
-        self._base_state = state
+        self._entries.compact(index, state)
+        term = self._entries.base_term
         return [SaveSnapshot(index=index, term=term, state=state)]
 
     def tick(self, now_ns: int) -> list[Effect]:
@@ -265,7 +261,7 @@
             term=term,
             candidate=self.host,
             last_index=self.last_index,
-            last_term=self._term_at(self.last_index),
+            last_term=self._entries.term_at(self.last_index),
             pre=self._pre,
         )
         return [Send(peer=p, message=request) for p in self._others()]
@@ -288,7 +284,7 @@
         return [*effects, reply]
 
     def _may_vote(self, request: VoteRequest) -> bool:
-        mine = (self._term_at(self.last_index), self.last_index)
+        mine = (self._entries.term_at(self.last_index), self.last_index)
         if (request.last_term, request.last_index) < mine:
             return False
         if request.pre:
@@ -402,17 +398,17 @@
 
     def _replicate(self, peer: str, follower: _Follower, now_ns: int) -> Send:
         follower.send_at_ns = now_ns + HEARTBEAT_MS * NS_PER_MS
-        if follower.next_index <= self._base_index:
+        if follower.next_index <= self._entries.base_index:
             return Send(peer=peer, message=self._snapshot(now_ns))
-        start = follower.next_index - self._base_index - 1
-        batch = self._entries[start : start + MAX_APPEND_ENTRIES]
+        last = follower.next_index + MAX_APPEND_ENTRIES - 1
+        batch = self._entries.between(follower.next_index, last)
         previous = follower.next_index - 1
         follower.next_index += len(batch)
         request = AppendRequest(
             term=self.term,
             leader=self.host,
             prev_index=previous,
-            prev_term=self._term_at(previous),
+            prev_term=self._entries.term_at(previous),
             commit_index=self.commit_index,
             sent_ns=now_ns,
             entries=tuple(batch),
@@ -423,10 +419,10 @@
         return SnapshotInstall(
             term=self.term,
             leader=self.host,
-            index=self._base_index,
-            last_term=self._base_term,
+            index=self._entries.base_index,
+            last_term=self._entries.base_term,
             sent_ns=now_ns,
-            state=self._base_state,
+            state=self._entries.base_state,
         )
 
     def _on_append(
@@ -453,27 +449,11 @@
         return effects
 
     def _matches(self, request: AppendRequest) -> bool:
-        if request.prev_index < self._base_index:
-            return True  # entries under a snapshot are committed
-        if request.prev_index > self.last_index:
-            return False
-        return self._term_at(request.prev_index) == request.prev_term
+        return self._entries.holds(request.prev_index, request.prev_term)
 
     def _store(self, entries: Sequence[LogEntry]) -> list[Effect]:
-        fresh = [e for e in entries if not self._holds(e)]
-        if not fresh:
-            return []
-        first = fresh[0].index
-        del self._entries[first - self._base_index - 1 :]
-        self._entries.extend(fresh)
-        return [SaveEntries(entries=tuple(fresh))]
-
-    def _holds(self, entry: LogEntry) -> bool:
-        if entry.index <= self._base_index:
-            return True
-        if entry.index > self.last_index:
-            return False
-        return self._term_at(entry.index) == entry.term
+        fresh = self._entries.merge(entries)
+        return [SaveEntries(entries=fresh)] if fresh else []
 
     def _append_reply(
         self, peer: str, request: AppendRequest, *, ok: bool, match: int = 0
@@ -521,15 +501,17 @@
         matches.append(self.last_index)
         matches.sort(reverse=True)
         index = matches[len(self.voters) // 2]
-        if index <= self.commit_index or self._term_at(index) != self.term:
+        if (
+            index <= self.commit_index
+            or self._entries.term_at(index) != self.term
+        ):
             return []
         return self._commit_to(index)
 
     def _commit_to(self, index: int) -> list[Effect]:
         if index <= self.commit_index:
             return []
-        start = self.commit_index - self._base_index
-        entries = self._entries[start : index - self._base_index]
+        entries = self._entries.between(self.commit_index + 1, index)
         self.commit_index = index
         return [Committed(entries=tuple(entries))]
 
@@ -550,13 +532,7 @@
         return [*effects, Send(peer=source, message=reply)]
 
     def _load(self, install: SnapshotInstall) -> list[Effect]:
-        keep: list[LogEntry] = []
-        if self._holds_at(install.index, install.last_term):
-            keep = self._entries[install.index - self._base_index :]
-        self._entries = keep
-        self._base_index = install.index
-        self._base_term = install.last_term
-        self._base_state = install.state
+        self._entries.load(install.index, install.last_term, install.state)
         self.commit_index = install.index
         return [
             SaveSnapshot(
@@ -566,13 +542,3 @@
             ),
             LoadSnapshot(index=install.index, state=install.state),
         ]
-
-    def _holds_at(self, index: int, term: int) -> bool:
-        if index > self.last_index or index < self._base_index:
-            return False
-        return self._term_at(index) == term
-
-    def _term_at(self, index: int) -> int:
-        if index == self._base_index:
-            return self._base_term
-        return self._entries[index - self._base_index - 1].term
--- a/tests/serve/test_service.py
+++ b/tests/serve/test_service.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import concurrent.futures
 import hashlib
 import json
 import time
@@ -213,6 +214,19 @@
     assert answer["retry_after_ms"] > 0
 
 
+def test_requests_that_wait_are_capped_for_each_group() -> None:
+    bench = Bench.build()
+    bench.gate.node.lease.deadline_ns = 0
+    with concurrent.futures.ThreadPoolExecutor(5) as pool:
+        futures = [pool.submit(bench.write) for _ in range(5)]
+        answers = [f.result() for f in futures]
+
+    types = sorted(a["type"].rpartition(":")[2] for a in answers)
+    assert types == ["no-lease"] * 2 + ["overloaded"] * 3
+    assert {a["outcome"] for a in answers} == {"not-run"}
+    assert all(a["retry_after_ms"] for a in answers)
+
+
 def test_write_whose_lease_ends_while_it_commits_is_unknown() -> None:
     bench = Bench.build(replicas_hold=False)
     bench.gate.node.lease.deadline_ns = time.monotonic_ns() + 50 * MS
