--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -125,6 +125,16 @@
             + constant["token verified us"]
         ),
         "patch_us": patch_us,
+        "center_groups": INSTANCES / CENTERS / 3,
+        "center_change_s": INSTANCES / CENTERS / 3 * 2 * spread_us / 1e6,
+        "center_change_gb": INSTANCES
+        / CENTERS
+        / 3
+        * 2
+        * DAEMONS
+        * change_b
+        / 1e9,
+        "restarts_s": RESTARTS_DAY * snapshot_b / LINK_B_S,
         "control_ratio": control_cpu / CPU_BOUND,
         "watch_ratio": INSTANCES * watch_share / CPU_BOUND,
         "announce_ratio": INSTANCES
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -218,6 +218,7 @@
     held = [bytes_of(functools.partial(build_state, n)) for n in GROUP_SIZES]
     viewed = [bytes_of(functools.partial(build_view, n)) for n in GROUP_SIZES]
     changed, dumped, loaded, sizes, ticked = [], [], [], [], []
+    announced = []
     for groups in GROUP_SIZES:
         state = build_state(groups)
         changed.append(_us_of_patch(state))
@@ -227,6 +228,10 @@
         loaded.append(us_of(functools.partial(ClusterState.load, text), 3))
         leader = build_leader(state)
         now_ns = time.monotonic_ns()
+        heard = functools.partial(
+            leader.receive, "h", _announcement(groups - 1), now_ns
+        )
+        announced.append(us_of(heard))
         ticked.append(us_of(functools.partial(leader.tick, now_ns)))
     rows = (
         ("state of a database at a host", "B", held),
@@ -236,6 +241,7 @@
         ("snapshot written", "us", dumped),
         ("snapshot read", "us", loaded),
         ("leader tick, by databases", "us", ticked),
+        ("announcement at the leader, by databases", "us", announced),
     )
     return [fit(n, u, GROUP_SIZES, v) for n, u, v in rows]
 
@@ -370,7 +376,7 @@
         "renewal B": wire_bytes(renewal),
         "grant B": wire_bytes(_grant()),
         "change of one database B": wire_bytes(delta),
-        "announcement B": wire_bytes(_announcement()),
+        "announcement B": wire_bytes(_announcement(12_345)),
         "suspicion B": wire_bytes(_suspicion()),
         "log append of one change B": wire_bytes(_append(delta.entries)),
         "log heartbeat B": wire_bytes(_append(())),
@@ -589,12 +595,13 @@
     )
 
 
-def _announcement() -> Announcement:
+def _announcement(number: int) -> Announcement:
+    group = group_json(number)
     return Announcement(
-        target="db-12345a",
-        group="db-12345",
+        target=f"db-{number}b",
+        group=f"db-{number}",
         data_center="dc-11",
-        address="10.1.2.3:3306",
+        address=group["instances"][1]["address"],
         role="replica",
         term=12,
         position=123_456_789,
