Serve nobody before the view is current after a start

Cause: benchmarks/in_force.py saw a restarted host at older versions 26 times while it caught up, although it had served newer ones before. Change: a host is ready once it holds the index that its first grant names; until then it refuses callers with no-configuration.

--- a/src/rosemarysaddle/daemon/_host.py
+++ b/src/rosemarysaddle/daemon/_host.py
@@ -227,6 +227,7 @@
                 "applied_index": node.state.index,
                 "inventory_version": node.state.inventory_version,
                 "rules_version": node.state.rules_version,
+                "ready": node.ready,
                 "has_lease": now_ns < node.lease.deadline_ns,
                 "groups": {
                     name: attrs.asdict(term, filter=_not_starts)
--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -58,6 +58,7 @@
     """One entry host.
 
     :param control: names of the control hosts
+    :param ready: whether the state has been current since the start
     """
 
     host: str
@@ -67,6 +68,7 @@
     state: ClusterState = attrs.field(factory=ClusterState)
     lease: HostLease = attrs.field(factory=HostLease)
     announced: dict[str, Announcement] = attrs.field(factory=dict)
+    ready: bool = False
     _renew_at_ns: int = attrs.field(default=0, init=False)
     _asked: int = attrs.field(default=0, init=False)
     _running: dict[str, int] = attrs.field(factory=dict, init=False)
@@ -226,6 +228,8 @@
             )
             effects.extend(self._on_close(source, close, now_ns))
         self.lease.grant(source, attrs.evolve(grant, closing=()))
+        if self.state.index >= self.lease.min_index:
+            self.ready = True
         return effects
 
     def _on_refusal(self, refusal: LeaseRefusal, now_ns: int) -> None:
--- a/src/rosemarysaddle/serve/_service.py
+++ b/src/rosemarysaddle/serve/_service.py
@@ -129,7 +129,7 @@
 
     def _authorize(self, request: StatementRequest) -> Refusal | None:
         state = self.gate.node.state
-        if not state.inventory_version:
+        if not self.gate.node.ready or not state.inventory_version:
             return _refuse(Reason.NO_CONFIGURATION, "inventory")
         tenant = state.tenant(request.tenant)
         if tenant is None:
--- a/tests/decide/test_control.py
+++ b/tests/decide/test_control.py
@@ -409,6 +409,18 @@
     assert not stage.hosts["h3"].end_write(ticket, stage.now_ns)
 
 
+def test_host_is_ready_once_its_view_is_current() -> None:
+    stage = Stage.open()
+    fresh = EntryNode(host="h4", data_center="dc-1", address="", control=["a"])
+    stage.hosts["h4"] = fresh
+    assert not fresh.ready
+
+    stage.elapse(100)
+
+    assert fresh.ready
+    assert fresh.state.index == stage.leader.state.index
+
+
 def test_lease_covers_nothing_before_the_view_has_caught_up() -> None:
     stage = Stage.open()
     host = stage.hosts["h1"]
--- a/tests/serve/test_service.py
+++ b/tests/serve/test_service.py
@@ -57,6 +57,7 @@
             state=_state(),
         )
         node.lease.deadline_ns = FAR_NS
+        node.ready = True
         gate = Gate(node=node, held_per_group=2, seed=1)
         targets = {n: FakeTarget(name=n, role="replica") for n in NAMES}
         targets["db-1a"].role = "primary"
@@ -203,6 +204,16 @@
     assert not bench.gate.node._running
 
 
+def test_host_that_has_not_caught_up_since_its_start_refuses() -> None:
+    bench = Bench.build()
+    bench.gate.node.ready = False
+
+    answer = bench.call(statements=[SELECT])
+
+    assert answer["type"].endswith("no-configuration")
+    assert answer["outcome"] == "not-run"
+
+
 def test_write_is_refused_without_lease() -> None:
     bench = Bench.build()
     bench.gate.node.lease.deadline_ns = 0
