Open a new group with all its instances where they answer in time

The checker called the writes lost because it read no log where no instance is primary; both replicas held them (position 2 of term 1). Change: a new group is probed again for up to 5 s until every instance has answered; the checker reads the newest log where there is no primary. Trials for all data centres apart and for all control hosts cut off.

--- a/src/rosemarysaddle/decide/_primaries.py
+++ b/src/rosemarysaddle/decide/_primaries.py
@@ -397,6 +397,10 @@
             change.retry_at_ns = now_ns + RETRY_MS * NS_PER_MS
             return []
         behind = change.preferred not in {"", choice.target}
+        partial = not change.term and len(valid) < count
+        if partial and now_ns < change.give_up_preferred_ns:
+            change.retry_at_ns = now_ns + RETRY_MS * NS_PER_MS
+            return []
         if behind and now_ns < change.give_up_preferred_ns:
             return self._probe(change, now_ns)
         return self._open(change, choice, valid, now_ns)
--- a/src/rosemarysaddle/demo/_faults.py
+++ b/src/rosemarysaddle/demo/_faults.py
@@ -109,9 +109,14 @@
     _cut(stage, stage.source.choice(sites).data_center)
 
 
-def _cut(stage: FaultStage, center: str) -> None:
+def _cut_all(stage: FaultStage) -> None:
+    sites = stage.cluster.deployment.sites
+    _cut(stage, *(s.data_center for s in sites))
+
+
+def _cut(stage: FaultStage, *centers: str) -> None:
     fabric = stage.cluster.fabric
-    fabric.cut_centers = frozenset({center})
+    fabric.cut_centers = frozenset(centers)
 
     def heal() -> None:
         fabric.cut_centers = frozenset()
@@ -121,13 +126,21 @@
 
 def _isolate_control(stage: FaultStage) -> None:
     cluster = stage.cluster
-    name = cluster.leader() or cluster.control_hosts()[0]
-    cluster.fabric.cut_ips = frozenset({cluster.ip_of(name)})
-    cluster.balancer.out_of_service |= {name}
+    _isolate(stage, cluster.leader() or cluster.control_hosts()[0])
+
+
+def _isolate_all_control(stage: FaultStage) -> None:
+    _isolate(stage, *stage.cluster.control_hosts())
+
+
+def _isolate(stage: FaultStage, *names: str) -> None:
+    cluster = stage.cluster
+    cluster.fabric.cut_ips = frozenset(cluster.ip_of(n) for n in names)
+    cluster.balancer.out_of_service |= set(names)
 
     def heal() -> None:
         cluster.fabric.cut_ips = frozenset()
-        cluster.balancer.out_of_service -= {name}
+        cluster.balancer.out_of_service -= set(names)
 
     stage.undo.append(heal)
 
@@ -234,7 +247,9 @@
     "lose-replica": _lose_replica,
     "cut-primary-center": _cut_primary_center,
     "cut-any-center": _cut_any_center,
+    "cut-all": _cut_all,
     "isolate-control": _isolate_control,
+    "isolate-all-control": _isolate_all_control,
     "kill-leader": _kill_leader,
     "kill-entry": _kill_entry,
     "freeze": _freeze,
--- a/src/rosemarysaddle/demo/_play.py
+++ b/src/rosemarysaddle/demo/_play.py
@@ -331,11 +331,15 @@
         )
 
     def surviving_logs(self) -> dict[str, list[LogRecord]]:
-        """Read the log of each group's primary."""
+        """Read the newest log of each group, the primary's if any."""
         logs = {}
         for group in self.cluster.deployment.groups:
+            members = [
+                i for i in self.cluster.instances.values() if i.group == group
+            ]
+            newest = max(members, key=lambda i: (i.log_term, i.position))
             primary = self.cluster.primary_of(group)
-            logs[group] = list(primary.log) if primary else []
+            logs[group] = list((primary or newest).log)
         return logs
 
     def _breach(self, rule: str, detail: str) -> None:
--- a/tests/decide/test_control.py
+++ b/tests/decide/test_control.py
@@ -521,6 +521,25 @@
     assert set(identities) == set(TARGETS)
 
 
+def test_new_group_opens_without_an_instance_that_stays_away() -> None:
+    stage = Stage()
+    stage.hosts["h1"] = EntryNode(
+        host="h1", data_center="dc-1", address="", control=["a"]
+    )
+    stage.send("op", _change(0))
+    for name in TARGETS:
+        stage.send("h1", _announcement(name))
+    stage.elapse(500)
+    partial = [_report("db-1a"), _report("db-1b"), _gone("db-1c")]
+
+    stage.probe(partial)
+    assert stage.phase() == "probe"
+    stage.elapse(5_000)
+    stage.probe(partial)
+
+    assert stage.phase() == "promote"
+
+
 def test_probe_of_a_change_names_the_identities_that_count() -> None:
     stage = Stage.open()
     stage.suspect("h1", "h2")
