End replication by a flag and bound the tests' teardown

Ruled out: the tests themselves, which had passed. Change: a flag ends the loop; the teardown waits 2 s and 20 s at most.

--- a/src/rosemarysaddle/standin/_group.py
+++ b/src/rosemarysaddle/standin/_group.py
@@ -27,6 +27,7 @@
 
     instances: Sequence[StandInInstance]
     fabric: Fabric
+    _stopping: bool = attrs.field(default=False, init=False)
     _tasks: list[asyncio.Task[None]] = attrs.field(factory=list, init=False)
 
     def start(self) -> None:
@@ -38,12 +39,14 @@
 
     async def stop(self) -> None:
         """Stop to replicate."""
+        self._stopping = True
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _replicate(self, replica: StandInInstance) -> None:
-        while True:
+        # A time-out racing with the end can swallow the cancellation.
+        while not self._stopping:
             primary = self._source_of(replica)
             if primary is None:
                 await asyncio.sleep(POLL_S)
--- a/tests/target/test_contract.py
+++ b/tests/target/test_contract.py
@@ -60,7 +60,8 @@
 
     def stop(self) -> None:
         """Stop to serve."""
-        asyncio.run_coroutine_threadsafe(self._stop(), self.loop).result()
+        stopped = asyncio.run_coroutine_threadsafe(self._stop(), self.loop)
+        stopped.result(timeout=20)
         self.loop.call_soon_threadsafe(self.loop.stop)
 
     def connect(self, number: int) -> TargetSession | TargetFault:
@@ -114,7 +115,8 @@
         others = asyncio.all_tasks() - {asyncio.current_task()}
         for task in others:
             task.cancel()
-        await asyncio.gather(*others, return_exceptions=True)
+        if others:
+            await asyncio.wait(others, timeout=2.0)
 
 
 @pytest.fixture
