Drop what the change left unused or wrote twice

Cause: read once more: two functions without a caller, a constant that _times has, and an import inside a function that avoided no cycle. Change: removed, imported from _times, moved to the top.

--- a/src/rosemarysaddle/decide/_change.py
+++ b/src/rosemarysaddle/decide/_change.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from rosemarysaddle.decide._times import NS_PER_MS
+
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
@@ -24,7 +26,6 @@
 )
 
 EVIDENCE_MS: Final = 2_000
-_NS_PER_MS: Final = 1_000_000
 
 
 class Phase(enum.StrEnum):
@@ -114,7 +115,7 @@
     def add(self, host: str, now_ns: int) -> None:
         """Note the report of a host."""
         if now_ns - max(self._reports_ns.values(), default=0) > (
-            EVIDENCE_MS * _NS_PER_MS
+            EVIDENCE_MS * NS_PER_MS
         ):
             self.first_ns = now_ns
         self._reports_ns[host] = now_ns
@@ -131,7 +132,7 @@
         :param live_centers: data centres of hosts that hold a lease
         :param now_ns: monotonic time, in nanoseconds
         """
-        oldest_ns = now_ns - EVIDENCE_MS * _NS_PER_MS
+        oldest_ns = now_ns - EVIDENCE_MS * NS_PER_MS
         recent = {h for h, at in self._reports_ns.items() if at > oldest_ns}
         seen = {centers[h] for h in recent if h in centers}
         return len(recent) >= 2 and len(seen) >= min(2, live_centers)  # noqa: PLR2004
--- a/src/rosemarysaddle/demo/_probe.py
+++ b/src/rosemarysaddle/demo/_probe.py
@@ -10,6 +10,7 @@
 import attrs
 
 from rosemarysaddle.demo._clients import CallerSession
+from rosemarysaddle.demo._cluster import CREDENTIAL
 from rosemarysaddle.demo._deployments import CallKind, ClassSpec
 
 if TYPE_CHECKING:
@@ -60,8 +61,6 @@
 
         :param home: data centre of the probing sessions
         """
-        from rosemarysaddle.demo._cluster import CREDENTIAL  # noqa: PLC0415
-
         sessions = [
             CallerSession(
                 name=f"{name}-{lane}",
--- a/src/rosemarysaddle/link/_peers.py
+++ b/src/rosemarysaddle/link/_peers.py
@@ -120,10 +120,6 @@
         elif peer in self.addresses:
             self._dial_later(peer, frame)
 
-    def neighbors(self) -> tuple[str, ...]:
-        """Name the hosts that a connection is open to."""
-        return tuple({*self._heard, *self._dialled})
-
     def _frame(self, message: Message) -> bytes:
         # A view goes to all hosts as one object and is encoded once.
         if message is self._framed[0]:
--- a/src/rosemarysaddle/serve/_answers.py
+++ b/src/rosemarysaddle/serve/_answers.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from rosemarysaddle.decide import LogPoint, Outcome, Reason, Refusal
+from rosemarysaddle.decide import Outcome, Reason, Refusal
 
 if TYPE_CHECKING:
     from rosemarysaddle.target import StatementResult
@@ -113,11 +113,6 @@
     return _CLIENT_FAULTS.get(refusal.reason, 503)
 
 
-def point_of(served: ServedBy) -> LogPoint:
-    """Log position at which a request was served."""
-    return LogPoint(term=served.term, position=served.position)
-
-
 def _plain(value: Any) -> Any:
     if isinstance(value, decimal.Decimal):
         return str(value)
