Rest leases and deadlines on a clock that counts suspended time

Cause: leases were compared on CLOCK_MONOTONIC, which stands still while a host is suspended; a holder that woke up could have acknowledged a write under a lease that control had let run out. Ruled out: the time of day (it jumps); an own tick counter (it stops too). Change: one clock, CLOCK_BOOTTIME where there is one, read in one place. Conclusion: the decisions take the time as an argument and are unchanged.

--- a/src/rosemarysaddle/daemon/_gate.py
+++ b/src/rosemarysaddle/daemon/_gate.py
@@ -9,11 +9,11 @@
 import contextlib
 import random
 import threading
-import time
 from typing import TYPE_CHECKING, Final
 
 import attrs
 
+from rosemarysaddle._clock import clock_ns
 from rosemarysaddle.decide import (
     NS_PER_MS,
     EntryNode,
@@ -115,7 +115,7 @@
             group = self._group_of.get(name)
             if group is None:
                 return
-            now_ns = time.monotonic_ns()
+            now_ns = clock_ns()
             self.groups[group].observe(
                 name,
                 role=status.role,
@@ -142,7 +142,7 @@
             group = self._group_of.get(name)
             if group is not None:
                 view = self.groups[group].targets[name]
-                now_ns = time.monotonic_ns()
+                now_ns = clock_ns()
                 view.leaving_until_ns = now_ns + LEAVING_MS * NS_PER_MS
 
     def wait_interest(self, name: str, limit_s: float) -> None:
@@ -190,7 +190,7 @@
         :return: whether it may be acknowledged
         """
         with self.changed:
-            return self.node.end_write(ticket, time.monotonic_ns())
+            return self.node.end_write(ticket, clock_ns())
 
     def pause(self, group: str, *, deadline_ns: int) -> bool:
         """Wait before a request is tried again.
@@ -203,18 +203,18 @@
         with self.changed, self._holding(group) as place:
             if not place:
                 return False
-            now_ns = time.monotonic_ns()
+            now_ns = clock_ns()
             latest_ns = min(deadline_ns, now_ns + BACKOFF_MS * NS_PER_MS)
             before = self.node.state.terms.get(group)
             while self.node.state.terms.get(group) == before:
                 if not self._wait(latest_ns):
                     break
-        return time.monotonic_ns() < deadline_ns
+        return clock_ns() < deadline_ns
 
     def holds(self, ticket: WriteTicket) -> bool:
         """Tell whether the right to write still stands."""
         with self.changed:
-            return self.node.holds(ticket, time.monotonic_ns())
+            return self.node.holds(ticket, clock_ns())
 
     def wait_confirmed(
         self, ticket: WriteTicket, point: LogPoint, *, deadline_ns: int
@@ -231,7 +231,7 @@
                 while not view.is_confirmed(
                     point, primary=ticket.primary, needed=needed
                 ):
-                    if not self.node.holds(ticket, time.monotonic_ns()):
+                    if not self.node.holds(ticket, clock_ns()):
                         return False
                     if not self._wait(deadline_ns):
                         return False
@@ -257,7 +257,7 @@
             current = self.node.state.terms.get(group)
             if current is None or current.term != term:
                 return False
-            return self.node.covers(current, group, time.monotonic_ns())
+            return self.node.covers(current, group, clock_ns())
 
     def note_run(self, name: str, count: int, latency_ns: int = 0) -> None:
         """Count a statement that starts or ends at a target."""
@@ -281,7 +281,7 @@
         return self.node.covers(term, group, now_ns)
 
     def _try_write(self, group: str) -> WriteTicket | Refusal:
-        now_ns = time.monotonic_ns()
+        now_ns = clock_ns()
         term = self.node.state.terms.get(group)
         view = self.groups.get(group)
         if self.stopping:
@@ -325,14 +325,14 @@
             return _refusal(Reason.NO_PRIMARY, group)
         if not self._is_promoted(term, view):
             return _refusal(Reason.NO_PRIMARY, group)
-        if not self.node.covers(term, group, time.monotonic_ns()):
+        if not self.node.covers(term, group, clock_ns()):
             return _refusal(Reason.NO_LEASE, group)
         return PrimaryChoice(target=term.primary, term=term.term)
 
     def _wait_for_replica(
         self, group: str, wish: ReadWish, deadline_ns: int
     ) -> ReadChoice | Refusal:
-        latest_ns = time.monotonic_ns() + REPLICA_WAIT_MS * NS_PER_MS
+        latest_ns = clock_ns() + REPLICA_WAIT_MS * NS_PER_MS
         latest_ns = min(latest_ns, deadline_ns)
         choice = self._try_replica(group, wish)
         if isinstance(choice, ReadChoice):
@@ -355,7 +355,7 @@
             wish,
             primary=term.primary if term else "",
             data_center=self.node.data_center,
-            now_ns=time.monotonic_ns(),
+            now_ns=clock_ns(),
         )
 
     @contextlib.contextmanager
@@ -384,11 +384,11 @@
             self._held[group] -= 1
 
     def _wait(self, deadline_ns: int) -> bool:
-        left_ns = deadline_ns - time.monotonic_ns()
+        left_ns = deadline_ns - clock_ns()
         if left_ns <= 0:
             return False
         self.changed.wait(left_ns / _NS_PER_S)
-        return time.monotonic_ns() < deadline_ns
+        return clock_ns() < deadline_ns
 
 
 def _refusal(reason: Reason, group: str) -> Refusal:
--- a/src/rosemarysaddle/daemon/_host.py
+++ b/src/rosemarysaddle/daemon/_host.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import random
-import time
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
 from absl import logging
 
+from rosemarysaddle._clock import clock_ns
 from rosemarysaddle.daemon._gate import Gate
 from rosemarysaddle.daemon._orders import TargetOrders
 from rosemarysaddle.daemon._roster import TargetRoster
@@ -153,7 +153,7 @@
         self.gate.stopping = True
         self._carry_out(self.gate.run(lambda node: node.stop()))
         if self.control is not None:
-            self._carry_out(self.control.step_down(time.monotonic_ns()))
+            self._carry_out(self.control.step_down(clock_ns()))
         await asyncio.sleep(TICK_S)
         await self.kill()
 
@@ -177,7 +177,7 @@
         :param deadline_ns: monotonic time, in nanoseconds
         :return: the answer, or None where the deadline passed
         """
-        while time.monotonic_ns() < deadline_ns:
+        while clock_ns() < deadline_ns:
             reply = await self._propose_once(change)
             if reply is not None and reply.reason != "not-leader":
                 return reply
@@ -218,7 +218,7 @@
         return found
 
     def _report_entry(self) -> dict[str, Any]:
-        now_ns = time.monotonic_ns()
+        now_ns = clock_ns()
         with self.gate.changed:
             node = self.gate.node
             return {
@@ -237,7 +237,7 @@
             }
 
     async def _report_control(self, control: ControlNode) -> dict[str, Any]:
-        return control.report(time.monotonic_ns())
+        return control.report(clock_ns())
 
     # --- watch events, called by the watches' threads ---
 
@@ -250,7 +250,7 @@
     def on_unreachable(self, name: str, *, refused: bool) -> None:
         """Take note that a target takes no new connection."""
         group = self.gate.node.state.inventory.group_of(name)
-        now_ns = time.monotonic_ns()
+        now_ns = clock_ns()
         self.gate.mark_unreachable(name)
         pool = self.gate.pools.get(name)
         if pool is not None:
@@ -292,7 +292,7 @@
             voters=voters,
             stored=stored,
             jitter_ms=_jitter(self.seed, self.settings.host),
-            started_ns=time.monotonic_ns(),
+            started_ns=clock_ns(),
         )
         return ControlNode(
             log=log,
@@ -302,7 +302,7 @@
 
     async def _tick_forever(self) -> None:
         while True:
-            self._tick(time.monotonic_ns())
+            self._tick(clock_ns())
             await asyncio.sleep(TICK_S)
 
     def _tick(self, now_ns: int) -> None:
@@ -312,7 +312,7 @@
         self._roster.follow()
 
     def _receive(self, source: str, message: Message) -> None:
-        now_ns = time.monotonic_ns()
+        now_ns = clock_ns()
         if isinstance(message, ChangeReply):
             self._on_reply(message)
             return
@@ -371,7 +371,7 @@
         group = self.control.state.group(probe.group)
         instances = group.instances if group else ()
         reports = await self._orders.probe(probe, instances)
-        now_ns = time.monotonic_ns()
+        now_ns = clock_ns()
         effects = self.control.on_probe(
             probe.group, probe.attempt, reports, now_ns
         )
@@ -393,7 +393,7 @@
             order.group,
             order.term,
             done=done,
-            now_ns=time.monotonic_ns(),
+            now_ns=clock_ns(),
         )
         self._carry_out(effects)
 
@@ -430,7 +430,7 @@
     # --- announcements ---
 
     def _spread(self, announcement: Announcement) -> None:
-        now_ns = time.monotonic_ns()
+        now_ns = clock_ns()
         if self._is_news(announcement, now_ns):
             for host in self.settings.control:
                 self.network.send(host.host, announcement)
--- a/src/rosemarysaddle/daemon/_orders.py
+++ b/src/rosemarysaddle/daemon/_orders.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import threading
-import time
 from typing import TYPE_CHECKING, Final, TypeVar
 
 import attrs
 
+from rosemarysaddle._clock import clock_ns
 from rosemarysaddle.decide import NS_PER_MS, TargetReport, counted
 from rosemarysaddle.link import Address
 from rosemarysaddle.target import FaultKind, TargetFault
@@ -108,7 +108,7 @@
         """
         return await self._order(
             instance,
-            time.monotonic_ns() + FOLLOW_MS * NS_PER_MS,
+            clock_ns() + FOLLOW_MS * NS_PER_MS,
             lambda session: session.follow(
                 primary=order.primary, term=order.term, start=order.start
             ),
@@ -186,7 +186,7 @@
         deadline_ns: int,
         give: Callable[[TargetSession], T | TargetFault],
     ) -> T | TargetFault:
-        latest_ns = time.monotonic_ns() + EXCHANGE_MS * NS_PER_MS
+        latest_ns = clock_ns() + EXCHANGE_MS * NS_PER_MS
         session.set_deadline(min(deadline_ns, latest_ns))
         result = give(session)
         if isinstance(result, TargetFault) and not result.is_answer:
@@ -200,13 +200,13 @@
             kept = self._kept.pop(name, None)
         if kept is None:
             return None
-        if time.monotonic_ns() >= kept.deadline_ns:
+        if clock_ns() >= kept.deadline_ns:
             kept.session.close()
             return None
         return kept.session
 
     def _keep(self, name: str, session: TargetSession) -> None:
-        deadline_ns = time.monotonic_ns() + KEEP_MS * NS_PER_MS
+        deadline_ns = clock_ns() + KEEP_MS * NS_PER_MS
         with self._lock:
             if name not in self._kept:
                 self._kept[name] = _Kept(
@@ -216,7 +216,7 @@
         session.close()
 
     def _close_later(self) -> None:
-        now_ns = time.monotonic_ns()
+        now_ns = clock_ns()
         with self._lock:
             due = [n for n, k in self._kept.items() if now_ns >= k.deadline_ns]
             ended = [self._kept.pop(name) for name in due]
--- a/src/rosemarysaddle/serve/_admin.py
+++ b/src/rosemarysaddle/serve/_admin.py
@@ -5,12 +5,12 @@
 import hashlib
 import hmac
 import json
-import time
 from typing import TYPE_CHECKING, Any, Final
 
 import cattrs
 import cherrypy
 
+from rosemarysaddle._clock import clock_ns
 from rosemarysaddle.decide import NS_PER_MS, DocumentKind
 from rosemarysaddle.schema import Announcement, ChangeProposal, ChangeReply
 
@@ -87,7 +87,7 @@
         )
         if not change.change_id:
             raise cherrypy.HTTPError(400, "change_id is missing")
-        deadline_ns = time.monotonic_ns() + CHANGE_MS * NS_PER_MS
+        deadline_ns = clock_ns() + CHANGE_MS * NS_PER_MS
         reply = self._daemon.propose_from_thread(
             change, deadline_ns=deadline_ns
         )
--- a/src/rosemarysaddle/serve/_entry.py
+++ b/src/rosemarysaddle/serve/_entry.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
 
+from rosemarysaddle._clock import clock_ns
 from rosemarysaddle.decide import NS_PER_MS, TokenCodec
 from rosemarysaddle.link import Address
 from rosemarysaddle.observe import Metrics
@@ -68,9 +68,9 @@
         """Finish what runs up to a deadline, then stop."""
         gate = self.daemon.gate
         gate.stopping = True
-        deadline_ns = time.monotonic_ns() + DRAIN_MS * NS_PER_MS
+        deadline_ns = clock_ns() + DRAIN_MS * NS_PER_MS
         while self.service.transactions.count():
-            if time.monotonic_ns() >= deadline_ns:
+            if clock_ns() >= deadline_ns:
                 break
             await asyncio.sleep(DRAIN_POLL_S)
         await self._stop_http()
--- a/src/rosemarysaddle/serve/_reads.py
+++ b/src/rosemarysaddle/serve/_reads.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import time
 from typing import TYPE_CHECKING, Final
 
 import attrs
 
+from rosemarysaddle._clock import clock_ns
 from rosemarysaddle.decide import (
     NS_PER_MS,
     LogPoint,
@@ -75,9 +75,9 @@
         if isinstance(session, Refusal):
             return session
         self.gate.note_run(choice.target, 1)
-        started_ns = time.monotonic_ns()
+        started_ns = clock_ns()
         results = _run_all(session, request, started_ns)
-        spent_ns = time.monotonic_ns() - started_ns
+        spent_ns = clock_ns() - started_ns
         self.gate.note_run(choice.target, -1, spent_ns)
         usable = not isinstance(results, TargetFault) or results.is_answer
         pool.give_back(session, usable=usable)
--- a/src/rosemarysaddle/serve/_service.py
+++ b/src/rosemarysaddle/serve/_service.py
@@ -5,11 +5,11 @@
 import hashlib
 import hmac
 import http.client
-import time
 from typing import TYPE_CHECKING, Final
 
 import attrs
 
+from rosemarysaddle._clock import clock_ns
 from rosemarysaddle.decide import (
     NS_PER_MS,
     Outcome,
@@ -98,7 +98,7 @@
         :param path: one of :class:`Operation`
         :param data: body of the request
         """
-        now_ns = time.monotonic_ns()
+        now_ns = clock_ns()
         request = self._read(data, tenant, credential, now_ns)
         if isinstance(request, Refusal):
             return _refused(request)
@@ -194,7 +194,7 @@
         result: Answer | Refusal,
         started_ns: int,
     ) -> None:
-        spent_ns = time.monotonic_ns() - started_ns
+        spent_ns = clock_ns() - started_ns
         name = request.request_class or "none"
         self.metrics.time(request.tenant, name, Stage.TOTAL, spent_ns)
         if isinstance(result, Refusal):
@@ -208,7 +208,7 @@
         self, path: str, data: bytes, request: StatementRequest, owner: Owner
     ) -> Reply:
         address = Address.parse(owner.address)
-        left_ms = (request.deadline_ns - time.monotonic_ns()) // NS_PER_MS
+        left_ms = (request.deadline_ns - clock_ns()) // NS_PER_MS
         timeout_s = max(1, left_ms + FORWARD_EXTRA_MS) / 1_000
         connection = http.client.HTTPConnection(
             address.ip, address.port, timeout=timeout_s
--- a/src/rosemarysaddle/serve/_transactions.py
+++ b/src/rosemarysaddle/serve/_transactions.py
@@ -4,11 +4,11 @@
 
 import secrets
 import threading
-import time
 from typing import TYPE_CHECKING, Final
 
 import attrs
 
+from rosemarysaddle._clock import clock_ns
 from rosemarysaddle.decide import NS_PER_MS, Reason, Refusal, Step
 from rosemarysaddle.serve._answers import Answer, ServedBy
 from rosemarysaddle.serve._writes import refusal_of, run_statements
@@ -145,7 +145,7 @@
 
         :return: how many were undone
         """
-        now_ns = time.monotonic_ns()
+        now_ns = clock_ns()
         with self._lock:
             due = [
                 (handle, found)
@@ -215,7 +215,7 @@
 
 
 def _idle_deadline_ns() -> int:
-    return time.monotonic_ns() + IDLE_MS * NS_PER_MS
+    return clock_ns() + IDLE_MS * NS_PER_MS
 
 
 def _unknown_handle() -> Refusal:
--- a/src/rosemarysaddle/target/_mysql.py
+++ b/src/rosemarysaddle/target/_mysql.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import socket
-import time
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
@@ -12,6 +11,7 @@
 from pymysql.connections import Connection
 from pymysql.constants import CR, ER
 
+from rosemarysaddle._clock import clock_ns
 from rosemarysaddle.decide import LogPoint
 from rosemarysaddle.target._protocol import (
     FaultKind,
@@ -251,5 +251,5 @@
 
 
 def _left_s(deadline_ns: int) -> float:
-    left_s = (deadline_ns - time.monotonic_ns()) / _NS_PER_S
+    left_s = (deadline_ns - clock_ns()) / _NS_PER_S
     return max(MIN_WAIT_S, left_s)
--- a/src/rosemarysaddle/target/_pool.py
+++ b/src/rosemarysaddle/target/_pool.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import threading
-import time
 from typing import TYPE_CHECKING, Final
 
 import attrs
 
+from rosemarysaddle._clock import clock_ns
 from rosemarysaddle.decide import NS_PER_MS, Reason, Refusal, Step
 from rosemarysaddle.target._protocol import (
     FaultKind,
@@ -71,7 +71,7 @@
                 if self._open < self.limit:
                     self._open += 1
                     break
-                left_s = (deadline_ns - time.monotonic_ns()) / _NS_PER_S
+                left_s = (deadline_ns - clock_ns()) / _NS_PER_S
                 if left_s <= 0 or not self._free.wait(left_s):
                     return self._refuse("all connections are in use")
         return self._connect(deadline_ns)
@@ -115,7 +115,7 @@
             self._close_outdated()
 
     def _lend(self, session: TargetSession) -> TargetSession:
-        now_ns = time.monotonic_ns()
+        now_ns = clock_ns()
         borrowed = _Borrowed(session=session, since_ns=now_ns)
         self._borrowed[id(session)] = borrowed
         return session
@@ -128,7 +128,7 @@
                 idle.session.close()
 
     def _connect(self, deadline_ns: int) -> TargetSession | Refusal:
-        latest_ns = time.monotonic_ns() + CONNECT_MS * NS_PER_MS
+        latest_ns = clock_ns() + CONNECT_MS * NS_PER_MS
         session = self.connector.connect(
             self.name, self.address, deadline_ns=min(deadline_ns, latest_ns)
         )
--- a/src/rosemarysaddle/target/_watch.py
+++ b/src/rosemarysaddle/target/_watch.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import threading
-import time
 from typing import TYPE_CHECKING, Final, Protocol
 
 import attrs
 
+from rosemarysaddle._clock import clock_ns
 from rosemarysaddle.decide import NS_PER_MS
 from rosemarysaddle.target._protocol import (
     FaultKind,
@@ -89,7 +89,7 @@
 
     def _run(self) -> None:
         while not self._stop.is_set():
-            deadline_ns = time.monotonic_ns() + CONNECT_MS * NS_PER_MS
+            deadline_ns = clock_ns() + CONNECT_MS * NS_PER_MS
             session = self.connector.connect(
                 self.name, self.address, deadline_ns=deadline_ns
             )
@@ -110,7 +110,7 @@
         after = 0
         wait_ms = 0
         while not self._stop.is_set():
-            asked_ns = time.monotonic_ns()
+            asked_ns = clock_ns()
             session.set_deadline(asked_ns + (wait_ms + ANSWER_MS) * NS_PER_MS)
             status = session.status(after=after, wait_ms=wait_ms)
             if isinstance(status, TargetFault):
