--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -58,10 +58,10 @@
     Suspicion,
     ViewDelta,
 )
-from rosemarysaddle.serve import HttpServer
 from rosemarysaddle.standin import StandInInstance, StandInServer
 from rosemarysaddle.store import Journal
 from rosemarysaddle.target import MySqlConnector, TargetFault
+from rosemarysaddle.web import HttpServer
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -74,6 +74,7 @@
 SAMPLE_SIZES: Final = (4, 64, 256)
 CONNECTION_SIZES: Final = (1_000, 2_500, 4_615)
 REPEATS: Final = 200
+MAX_BODY_BYTES: Final = 65_536
 MS: Final = 1_000_000
 
 
@@ -305,7 +306,9 @@
 def measure_connections() -> list[Slope]:
     """Measure the memory of silent caller connections."""
     server = HttpServer(
-        address=Address(ip="127.14.1.1", port=18_200), threads=16
+        address=Address(ip="127.14.1.1", port=18_200),
+        threads=16,
+        max_body_bytes=MAX_BODY_BYTES,
     )
     server.start()
     kept: list[socket.socket] = []
--- a/src/rosemarysaddle/daemon/_host.py
+++ b/src/rosemarysaddle/daemon/_host.py
@@ -355,7 +355,7 @@
                 self._journal.save_entries(effect.entries)
             case SaveSnapshot():
                 self._journal.save_snapshot(
-                    effect.index, effect.term, effect.state
+                    effect.index, effect.term, effect.state, effect.voters
                 )
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -27,11 +27,20 @@
     Send,
     TargetReport,
 )
+from rosemarysaddle.decide._electorate import address_of
 from rosemarysaddle.decide._entry import EntryNode, WriteTicket
+from rosemarysaddle.decide._freshness import PositionLog, newer_point
 from rosemarysaddle.decide._inventory import InventoryTable
 from rosemarysaddle.decide._lease import HostLease, LeaseTable
 from rosemarysaddle.decide._log import LogNode, Role, StoredLog
+from rosemarysaddle.decide._placing import (
+    PlacedTarget,
+    ReadNeed,
+    choose_target,
+)
 from rosemarysaddle.decide._reasons import Outcome, Reason, Refusal, Step
+from rosemarysaddle.decide._registry import is_news
+from rosemarysaddle.decide._routes import Freshness, RouteTable, check_plan
 from rosemarysaddle.decide._routing import (
     GroupView,
     ReadChoice,
@@ -44,22 +53,45 @@
     EntryKind,
     check_change,
 )
+from rosemarysaddle.decide._statements import (
+    NO_ANSWER,
+    Answer,
+    CloseSession,
+    FaultCode,
+    OpenSession,
+    SessionState,
+    Shape,
+    Statement,
+    StatementKind,
+)
 from rosemarysaddle.decide._terms import GroupTerm
 from rosemarysaddle.decide._times import LEASE_MS, NS_PER_MS
 from rosemarysaddle.decide._token import LogPoint, SessionToken, TokenCodec
+from rosemarysaddle.decide._variables import (
+    ConnectionSetup,
+    SessionVariables,
+    SetupPlan,
+    shared_name,
+)
 
 __all__ = (
     "LEASE_MS",
+    "NO_ANSWER",
     "NS_PER_MS",
+    "Answer",
     "ChangeTimes",
+    "CloseSession",
     "ClusterState",
     "Committed",
+    "ConnectionSetup",
     "ControlNode",
     "DocumentKind",
     "Effect",
     "EntryKind",
     "EntryNode",
+    "FaultCode",
     "FollowPrimary",
+    "Freshness",
     "GroupTerm",
     "GroupView",
     "HostLease",
@@ -68,28 +100,45 @@
     "LoadSnapshot",
     "LogNode",
     "LogPoint",
+    "OpenSession",
     "Outcome",
+    "PlacedTarget",
+    "PositionLog",
     "ProbeGroup",
     "PromoteTarget",
     "ReadChoice",
+    "ReadNeed",
     "ReadWish",
     "Reason",
     "Refusal",
     "Role",
+    "RouteTable",
     "SaveEntries",
     "SaveSnapshot",
     "SaveVote",
     "Send",
+    "SessionState",
     "SessionToken",
+    "SessionVariables",
+    "SetupPlan",
+    "Shape",
+    "Statement",
+    "StatementKind",
     "Step",
     "StoredLog",
     "TargetReport",
     "TargetView",
     "TokenCodec",
     "WriteTicket",
+    "address_of",
     "check_change",
+    "check_plan",
     "choose_primary",
+    "choose_target",
     "confirm_quorum",
     "counted",
+    "is_news",
+    "newer_point",
     "promotion_quorum",
+    "shared_name",
 )
--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -16,23 +16,33 @@
     Send,
     TargetReport,
 )
+from rosemarysaddle.decide._electorate import Electorate
 from rosemarysaddle.decide._lease import LeaseTable
 from rosemarysaddle.decide._log import LogNode, Role
 from rosemarysaddle.decide._members import ADMIT_ATTEMPT, MemberKeeper
 from rosemarysaddle.decide._office import Office
 from rosemarysaddle.decide._primaries import PrimaryKeeper
-from rosemarysaddle.decide._state import ClusterState, EntryKind
+from rosemarysaddle.decide._registry import is_news, record_of
+from rosemarysaddle.decide._state import (
+    ClusterState,
+    DocumentKind,
+    EntryKind,
+)
 from rosemarysaddle.decide._times import LEASE_MS
 from rosemarysaddle.schema import (
     Announcement,
     ChangeProposal,
     ChangeReply,
     GroupClosed,
+    IndexReply,
+    IndexRequest,
+    JoinRequest,
     LeaseGrant,
     LeaseRefusal,
     LeaseRenewal,
     LeaseReturn,
     LogEntry,
+    StepOut,
     Suspicion,
     Switchover,
     ViewDelta,
@@ -47,6 +57,7 @@
 __all__ = ("ControlNode",)
 
 COMPACT_ENTRIES: Final = 1_000
+COMPACT_CHARS: Final = 8 * 1024 * 1024
 RECENT_ENTRIES: Final = 2_000
 
 
@@ -56,15 +67,20 @@
 
     :param log: its part of the replicated log
     :param state: state built from the committed entries
+    :param lease_ms: length of an entry host's lease, in milliseconds
+    :param wanted_voters: count of voters to keep; 0 leaves them alone
     """
 
     log: LogNode
     state: ClusterState
     data_center: str
+    lease_ms: int = LEASE_MS
+    wanted_voters: int = 0
     primaries: PrimaryKeeper = attrs.field(init=False)
     applied_by_host: dict[str, int] = attrs.field(factory=dict, init=False)
     _office: Office = attrs.field(init=False)
     _members: MemberKeeper = attrs.field(init=False)
+    _electorate: Electorate = attrs.field(init=False)
     _recent: collections.deque[LogEntry] = attrs.field(
         factory=lambda: collections.deque(maxlen=RECENT_ENTRIES), init=False
     )
@@ -86,6 +102,7 @@
         self._members = MemberKeeper(
             office=self._office, primaries=self.primaries
         )
+        self._electorate = Electorate(log=self.log, wanted=self.wanted_voters)
 
     @property
     def host(self) -> str:
@@ -100,6 +117,7 @@
         effects = self._absorb(self.log.tick(now_ns), now_ns)
         if self._leads(now_ns):
             effects.extend(self.primaries.tick(now_ns))
+            effects.extend(self._tick_voters(now_ns))
         return effects
 
     def receive(
@@ -124,11 +142,22 @@
             case ChangeProposal():
                 return self._on_proposal(source, message, now_ns)
             case Announcement():
-                return self._members.on_announcement(message, now_ns)
+                return self._on_announcement(message, now_ns)
             case Switchover():
                 return self.primaries.start_planned(
                     message.group, message.target, now_ns
                 )
+            case _:
+                return self._receive_of_control(source, message, now_ns)
+
+    def _receive_of_control(
+        self, source: str, message: Message, now_ns: int
+    ) -> list[Effect]:
+        match message:
+            case JoinRequest() | StepOut():
+                return self._on_membership(message, now_ns)
+            case IndexRequest():
+                return [self._index_reply(source, message, now_ns)]
             case _:
                 effects = self.log.receive(source, message, now_ns)
                 return self._absorb(effects, now_ns)
@@ -162,6 +191,10 @@
             group, term, done=done, now_ns=now_ns
         )
 
+    def leads(self, now_ns: int) -> bool:
+        """Tell whether this host is the leader and no other can be."""
+        return self._leads(now_ns)
+
     def step_down(self, now_ns: int) -> list[Effect]:
         """Give up leadership before a planned stop."""
         return self._absorb(self.log.step_down(now_ns), now_ns)
@@ -224,7 +257,10 @@
         return out
 
     def _compact(self) -> list[Effect]:
-        if self.log.held_entries < COMPACT_ENTRIES:
+        if (
+            self.log.held_entries < COMPACT_ENTRIES
+            and self.log.held_chars < COMPACT_CHARS
+        ):
             return []
         return self.log.compact(self.state.index, self.state.dump())
 
@@ -239,7 +275,7 @@
     def _take_office(self) -> None:
         self._lease_term = self.log.term
         self._office.leases = LeaseTable.for_new_leader(
-            self.log.others_led_until_ns
+            self.log.others_led_until_ns, self.lease_ms
         )
         self.primaries.take_office()
         self._members.take_office()
@@ -263,9 +299,10 @@
         self.applied_by_host[source] = renewal.applied_index
         grant = LeaseGrant(
             sent_ns=renewal.sent_ns,
-            lease_ms=LEASE_MS,
+            lease_ms=self.lease_ms,
             min_index=self.state.index,
             closing=self.primaries.closing(),
+            entry_hosts=len(self._office.leases.deadlines_ns(now_ns)),
         )
         out: list[Effect] = []
         if renewal.applied_index < self.state.index:
@@ -293,6 +330,55 @@
             self._snapshot = ViewSnapshot(index=index, state=state)
         return self._snapshot
 
+    # --- deployment ---
+
+    def _on_announcement(
+        self, announcement: Announcement, now_ns: int
+    ) -> list[Effect]:
+        group = announcement.group
+        known = announcement.target in self.state.targets.records
+        if group not in self.state.routes.groups and not known:
+            return self._members.on_announcement(announcement, now_ns)
+        self.primaries.announced[announcement.target] = announcement
+        if not self._leads(now_ns):
+            return []
+        if not is_news(announcement, self.state.targets):
+            return []
+        kind = EntryKind.GONE if announcement.gone else EntryKind.TARGET
+        payload = json.dumps(attrs.asdict(record_of(announcement)))
+        return self._propose(kind, payload, now_ns)
+
+    def _on_membership(
+        self, message: JoinRequest | StepOut, now_ns: int
+    ) -> list[Effect]:
+        if not self._leads(now_ns):
+            leader = self.log.leader
+            # Passed on once: a leader's name is known to its followers.
+            if leader in {"", self.host, message.host}:
+                return []
+            return [Send(peer=leader, message=message)]
+        if isinstance(message, StepOut):
+            self._electorate.step_out(message.host, now_ns)
+            return []
+        return self._absorb(
+            self._electorate.join(message.host, now_ns), now_ns
+        )
+
+    def _tick_voters(self, now_ns: int) -> list[Effect]:
+        if not self.wanted_voters:
+            return []
+        return self._absorb(self._electorate.tick(now_ns), now_ns)
+
+    def _index_reply(
+        self, source: str, request: IndexRequest, now_ns: int
+    ) -> Send:
+        reply = IndexReply(
+            asked_ns=request.asked_ns,
+            index=self.state.index,
+            current=self._leads(now_ns),
+        )
+        return Send(peer=source, message=reply)
+
     # --- documents ---
 
     def _on_proposal(
@@ -310,6 +396,8 @@
                 path="",
             )
             return [Send(peer=source, message=reply)]
+        if self._is_settled(change):
+            return [Send(peer=source, message=self._settled(change))]
         askers = self._askers.setdefault(change.change_id, [])
         askers.append(source)
         if len(askers) > 1:
@@ -317,6 +405,20 @@
         payload = json.dumps(attrs.asdict(change))
         return self._propose(EntryKind.CHANGE, payload, now_ns)
 
+    def _is_settled(self, change: ChangeProposal) -> bool:
+        # A plan that is no newer than the one in force changes nothing.
+        is_plan = change.kind == DocumentKind.ROUTES
+        return is_plan and change.base_version <= self.state.routes.version
+
+    def _settled(self, change: ChangeProposal) -> ChangeReply:
+        return ChangeReply(
+            change_id=change.change_id,
+            accepted=True,
+            version=self.state.routes.version,
+            reason="",
+            path="",
+        )
+
     def _answer(self, reply: ChangeReply) -> list[Effect]:
         askers = self._askers.pop(reply.change_id, [])
         return [Send(peer=asker, message=reply) for asker in askers]
--- a/src/rosemarysaddle/decide/_effects.py
+++ b/src/rosemarysaddle/decide/_effects.py
@@ -56,6 +56,7 @@
     index: int
     term: int
     state: str
+    voters: str = ""
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/src/rosemarysaddle/decide/_electorate.py
@@ -0,0 +1,98 @@
+"""Changes of the control log's voters, as its leader drives them.
+
+A host whose disk is new has a new name, so that what an earlier disk
+promised never counts for it.  It follows without a vote until it has
+caught up, and gets one when a voter is missing or steps out.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from rosemarysaddle.decide._times import NS_PER_MS
+
+if TYPE_CHECKING:
+    from rosemarysaddle.decide._effects import Effect
+    from rosemarysaddle.decide._log import LogNode
+
+__all__ = ("Electorate", "address_of")
+
+# Longer than an election and a start, so that a restart is no loss.
+SILENT_MS: Final = 2_500
+LEARNER_SILENT_MS: Final = 6_000
+CAUGHT_UP_ENTRIES: Final = 16
+STEP_OUT_MS: Final = 8_000
+
+
+def address_of(host: str) -> str:
+    """Address part of a control host's name."""
+    return host.partition("#")[0]
+
+
+@attrs.define(kw_only=True)
+class Electorate:
+    """Keeps the wanted count of live voters.
+
+    :param wanted: count of voters to keep
+    """
+
+    log: LogNode
+    wanted: int
+    _leaving_until_ns: dict[str, int] = attrs.field(factory=dict, init=False)
+
+    def join(self, host: str, now_ns: int) -> list[Effect]:
+        """Take in a host that asks to follow."""
+        if host in self.log.voters:
+            return []
+        return self.log.add_learner(host, now_ns)
+
+    def step_out(self, host: str, now_ns: int) -> None:
+        """Take note that a voter is about to stop."""
+        self._leaving_until_ns[host] = now_ns + STEP_OUT_MS * NS_PER_MS
+
+    def tick(self, now_ns: int) -> list[Effect]:
+        """Add or remove one voter where one is due.
+
+        :param now_ns: time of the decision, in nanoseconds
+        """
+        self._drop_silent_learners(now_ns)
+        if not self.log.may_change_voters():
+            return []
+        missing = self._missing(now_ns)
+        voters = self.log.voters
+        if len(voters) > self.wanted and missing:
+            rest = [v for v in voters if v != missing[0]]
+            return self.log.set_voters(rest, now_ns)
+        fit = self._fit_learner(now_ns)
+        if fit and (missing or len(voters) < self.wanted):
+            return self.log.set_voters([*voters, fit], now_ns)
+        return []
+
+    def _missing(self, now_ns: int) -> list[str]:
+        learners = {address_of(host) for host in self.log.learners}
+        others = [v for v in self.log.voters if v != self.log.host]
+        replaced = [v for v in others if address_of(v) in learners]
+        gone = [v for v in others if self._is_gone(v, now_ns)]
+        return [*replaced, *(v for v in gone if v not in replaced)]
+
+    def _is_gone(self, voter: str, now_ns: int) -> bool:
+        if now_ns < self._leaving_until_ns.get(voter, 0):
+            return True
+        silent_ns = now_ns - self.log.heard_ns(voter)
+        return silent_ns > SILENT_MS * NS_PER_MS
+
+    def _fit_learner(self, now_ns: int) -> str:
+        for host in sorted(self.log.learners):
+            heard_ns = now_ns - self.log.heard_ns(host)
+            is_live = heard_ns < SILENT_MS * NS_PER_MS
+            if is_live and self.log.lag(host) <= CAUGHT_UP_ENTRIES:
+                return host
+        return ""
+
+    def _drop_silent_learners(self, now_ns: int) -> None:
+        for host in self.log.learners:
+            silent_ns = now_ns - self.log.heard_ns(host)
+            if silent_ns > LEARNER_SILENT_MS * NS_PER_MS:
+                self.log.drop_learner(host)
--- a/src/rosemarysaddle/decide/_entries.py
+++ b/src/rosemarysaddle/decide/_entries.py
@@ -38,6 +38,11 @@
         """Count of entries held after the snapshot."""
         return len(self._entries)
 
+    @property
+    def held_chars(self) -> int:
+        """Length of the payloads held after the snapshot."""
+        return sum(len(entry.payload) for entry in self._entries)
+
     def term_at(self, index: int) -> int:
         """Term of the entry at an index that is held."""
         if index == self.base_index:
--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -57,7 +57,9 @@
 class EntryNode:
     """One entry host.
 
-    :param control: names of the control hosts
+    :param control: names of the control hosts known
+    :param renewal_ms: time between renewals, in milliseconds
+    :param entry_hosts: count of entry hosts that hold a lease
     :param ready: whether the state has been current since the start
     """
 
@@ -69,6 +71,9 @@
     lease: HostLease = attrs.field(factory=HostLease)
     announced: dict[str, Announcement] = attrs.field(factory=dict)
     ready: bool = False
+    renewal_ms: int = RENEWAL_MS
+    entry_hosts: int = attrs.field(default=0, init=False)
+    _hint: str = attrs.field(default="", init=False)
     _renew_at_ns: int = attrs.field(default=0, init=False)
     _asked: int = attrs.field(default=0, init=False)
     _running: dict[str, int] = attrs.field(factory=dict, init=False)
@@ -129,6 +134,16 @@
         self._running[group] = self._running.get(group, 0) + 1
         return WriteTicket(group=group, term=term.term, primary=term.primary)
 
+    def primary_of(self, group: str, now_ns: int) -> GroupTerm | None:
+        """Find the term whose primary this host may rely on now.
+
+        :param now_ns: time of the decision, in nanoseconds
+        """
+        term = self.state.terms.get(group)
+        if term is None or not term.is_serving:
+            return None
+        return term if self.covers(term, group, now_ns) else None
+
     def end_write(self, ticket: WriteTicket, now_ns: int) -> bool:
         """End a write.
 
@@ -199,6 +214,7 @@
         peer = self._leader()
         if not self.lease.leader:
             self._asked += 1
+            self._hint = ""
         self.lease.leader = ""
         renewal = LeaseRenewal(
             host=self.host,
@@ -212,6 +228,8 @@
     def _leader(self) -> str:
         if self.lease.leader:
             return self.lease.leader
+        if self._hint:
+            return self._hint
         return self.control[self._asked % len(self.control)]
 
     def _on_grant(
@@ -219,8 +237,9 @@
     ) -> list[Effect]:
         if self._stopping:
             return []
-        self._asked = self._index_of(source)
-        self._renew_at_ns = now_ns + RENEWAL_MS * NS_PER_MS
+        self._hint = source
+        self._renew_at_ns = now_ns + self.renewal_ms * NS_PER_MS
+        self.entry_hosts = grant.entry_hosts
         effects: list[Effect] = []
         for closing in grant.closing:
             close = CloseGroup(
@@ -234,17 +253,13 @@
 
     def _on_refusal(self, refusal: LeaseRefusal, now_ns: int) -> None:
         if refusal.leader:
-            self._asked = self._index_of(refusal.leader)
+            self._hint = refusal.leader
             self.lease.leader = refusal.leader
             self._renew_at_ns = now_ns
             return
         self._asked += 1
         self._renew_at_ns = now_ns + RENEWAL_ANSWER_MS * NS_PER_MS // 3
 
-    def _index_of(self, host: str) -> int:
-        names = list(self.control)
-        return names.index(host) if host in names else self._asked
-
     def _on_delta(self, delta: ViewDelta, now_ns: int) -> None:
         for entry in delta.entries:
             if entry.index > self.state.index + 1:
--- a/src/rosemarysaddle/decide/_lease.py
+++ b/src/rosemarysaddle/decide/_lease.py
@@ -70,20 +70,27 @@
     """
 
     blind_until_ns: int
+    lease_ms: int = LEASE_MS
     _deadlines_ns: dict[str, int] = attrs.field(factory=dict)
 
     @classmethod
-    def for_new_leader(cls, others_led_until_ns: int) -> LeaseTable:
+    def for_new_leader(
+        cls, others_led_until_ns: int, lease_ms: int = LEASE_MS
+    ) -> LeaseTable:
         """Start a table at an election.
 
         :param others_led_until_ns: monotonic time until which earlier
             leaders can have granted leases, in nanoseconds
+        :param lease_ms: length of a lease, in milliseconds
         """
-        return cls(blind_until_ns=others_led_until_ns + LEASE_MS * NS_PER_MS)
+        return cls(
+            blind_until_ns=others_led_until_ns + lease_ms * NS_PER_MS,
+            lease_ms=lease_ms,
+        )
 
     def grant(self, host: str, now_ns: int) -> None:
         """Note a lease granted now."""
-        self._deadlines_ns[host] = now_ns + LEASE_MS * NS_PER_MS
+        self._deadlines_ns[host] = now_ns + self.lease_ms * NS_PER_MS
 
     def drop(self, host: str) -> None:
         """Forget a lease that its holder gave back."""
--- a/src/rosemarysaddle/decide/_log.py
+++ b/src/rosemarysaddle/decide/_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import json
 from typing import TYPE_CHECKING, Final
 
 import attrs
@@ -23,6 +24,12 @@
     NS_PER_MS,
     leader_deadline_ns,
 )
+from rosemarysaddle.decide._voters import (
+    MEMBERS,
+    VoterHistory,
+    join_voters,
+    split_voters,
+)
 from rosemarysaddle.schema import (
     AppendReply,
     AppendRequest,
@@ -40,6 +47,7 @@
 __all__ = ("LogNode", "Role", "StoredLog")
 
 MAX_APPEND_ENTRIES: Final = 64
+MAX_APPEND_CHARS: Final = 512 * 1024
 NOOP: Final = "noop"
 
 
@@ -60,6 +68,7 @@
     snapshot_index: int = 0
     snapshot_term: int = 0
     snapshot_state: str = ""
+    snapshot_voters: str = ""
     entries: tuple[LogEntry, ...] = ()
 
 
@@ -69,6 +78,7 @@
     match_index: int = 0
     heard_sent_ns: int = 0
     send_at_ns: int = 0
+    heard_ns: int = 0
 
 
 @attrs.define(kw_only=True)
@@ -76,7 +86,8 @@
     """One voter of the replicated log.
 
     :param host: name of this host
-    :param voters: names of all voters, this one included
+    :param voters: names of the voters at the first start, and then of
+        those that the log sets
     :param stored: what the disk held at the start
     :param jitter_ms: endless source of election jitter, milliseconds
     :param started_ns: monotonic time of the start, in nanoseconds
@@ -101,6 +112,7 @@
     _votes: set[str] = attrs.field(factory=set, init=False)
     _pre: bool = attrs.field(default=False, init=False)
     _followers: dict[str, _Follower] = attrs.field(factory=dict, init=False)
+    _history: VoterHistory = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Take over the stored state."""
@@ -113,6 +125,10 @@
             entries=list(self.stored.entries),
         )
         self.commit_index = self._entries.base_index
+        known = split_voters(self.stored.snapshot_voters)
+        self._history = VoterHistory(base=known or self.voters)
+        self._history.note(self.stored.entries)
+        self.voters = self._history.current
         self._heard_ns = self.started_ns
         self._election_at_ns = self._next_election_ns(self.started_ns)
 
@@ -126,6 +142,60 @@
         """Count of entries held after the last snapshot."""
         return self._entries.held
 
+    @property
+    def held_chars(self) -> int:
+        """Length of the entries held after the last snapshot."""
+        return self._entries.held_chars
+
+    @property
+    def learners(self) -> tuple[str, ...]:
+        """Hosts that follow without a vote; empty but for a leader."""
+        return tuple(f for f in self._followers if f not in self.voters)
+
+    def heard_ns(self, peer: str) -> int:
+        """Time of a follower's newest answer, or of the election."""
+        follower = self._followers.get(peer)
+        return self.elected_ns if follower is None else follower.heard_ns
+
+    def lag(self, peer: str) -> int:
+        """Count of the entries that a follower is not known to hold."""
+        follower = self._followers.get(peer)
+        match = 0 if follower is None else follower.match_index
+        return self.last_index - match
+
+    def add_learner(self, peer: str, now_ns: int) -> list[Effect]:
+        """Replicate to a host that has no vote yet, as leader."""
+        if self.role is not Role.LEADER or peer in {
+            self.host,
+            *self._followers,
+        }:
+            return []
+        follower = _Follower(next_index=self.last_index + 1, heard_ns=now_ns)
+        self._followers[peer] = follower
+        return [self._replicate(peer, follower, now_ns)]
+
+    def drop_learner(self, peer: str) -> None:
+        """Stop to replicate to a host without a vote."""
+        if peer not in self.voters:
+            self._followers.pop(peer, None)
+
+    def may_change_voters(self) -> bool:
+        """Tell whether no change of voters is under way."""
+        own = self._entries.term_at(self.commit_index) == self.term
+        settled = self._history.changed_index <= self.commit_index
+        return self.role is Role.LEADER and own and settled
+
+    def set_voters(self, voters: Sequence[str], now_ns: int) -> list[Effect]:
+        """Add or remove one voter, as leader.
+
+        :param voters: all voters, one more or one less than now
+        """
+        changed = set(voters) ^ set(self.voters)
+        if not self.may_change_voters() or len(changed) != 1:
+            return []
+        payload = json.dumps({"voters": list(voters)})
+        return self.propose(MEMBERS, payload, now_ns)
+
     def is_current(self, now_ns: int) -> bool:
         """Tell whether no other leader can exist at this time.
 
@@ -135,7 +205,11 @@
 
     def current_until_ns(self) -> int:
         """Compute until when no other leader can exist."""
-        heard = [f.heard_sent_ns for f in self._followers.values()]
+        heard = [
+            f.heard_sent_ns
+            for peer, f in self._followers.items()
+            if peer in self.voters
+        ]
         needed = len(self.voters) // 2
         if needed == 0:
             return 1 << 62
@@ -169,6 +243,7 @@
             payload=payload,
         )
         self._entries.append(entry)
+        self._note_voters((entry,))
         effects: list[Effect] = [SaveEntries(entries=(entry,))]
         effects.extend(self._replicate_all(now_ns))
         effects.extend(self._advance_commit())
@@ -182,8 +257,15 @@
         :return: the saving of the snapshot
         """
         self._entries.compact(index, state)
-        term = self._entries.base_term
-        return [SaveSnapshot(index=index, term=term, state=state)]
+        self._history.compact(index)
+        return [
+            SaveSnapshot(
+                index=index,
+                term=self._entries.base_term,
+                state=state,
+                voters=join_voters(self._history.base),
+            )
+        ]
 
     def tick(self, now_ns: int) -> list[Effect]:
         """Do what is due at this time.
@@ -195,7 +277,7 @@
                 self._become_follower(self.term, now_ns)
                 return []
             return self._heartbeat(now_ns)
-        if now_ns >= self._election_at_ns:
+        if now_ns >= self._election_at_ns and self.host in self.voters:
             return self._start_pre_vote(now_ns)
         return []
 
@@ -208,8 +290,6 @@
         :param message: what it sent
         :param now_ns: monotonic time, in nanoseconds
         """
-        if source not in self.voters:
-            return []
         match message:
             case VoteRequest():
                 return self._on_vote_request(source, message, now_ns)
@@ -319,6 +399,8 @@
             return []
         if reply.term != wanted:
             return []
+        if source not in self.voters:
+            return []
         self._votes.add(source)
         self._note_heard(now_ns - reply.heard_age_ns)
         if not self._has_quorum(self._votes):
@@ -338,7 +420,7 @@
         self.leader = self.host
         self.elected_ns = now_ns
         self._followers = {
-            peer: _Follower(next_index=self.last_index + 1)
+            peer: _Follower(next_index=self.last_index + 1, heard_ns=now_ns)
             for peer in self._others()
         }
         return self.propose(NOOP, "{}", now_ns)
@@ -378,6 +460,16 @@
     def _has_quorum(self, hosts: set[str]) -> bool:
         return 2 * len(hosts) > len(self.voters)
 
+    def _note_voters(self, entries: Sequence[LogEntry]) -> None:
+        self._history.note(entries)
+        self.voters = self._history.current
+        if self.role is not Role.LEADER:
+            return
+        for peer in self._others():
+            if peer not in self._followers:
+                follower = _Follower(next_index=self.last_index + 1)
+                self._followers[peer] = follower
+
     def _others(self) -> Sequence[str]:
         return [peer for peer in self.voters if peer != self.host]
 
@@ -401,7 +493,7 @@
         if follower.next_index <= self._entries.base_index:
             return Send(peer=peer, message=self._snapshot(now_ns))
         last = follower.next_index + MAX_APPEND_ENTRIES - 1
-        batch = self._entries.between(follower.next_index, last)
+        batch = _limited(self._entries.between(follower.next_index, last))
         previous = follower.next_index - 1
         follower.next_index += len(batch)
         request = AppendRequest(
@@ -423,6 +515,7 @@
             last_term=self._entries.base_term,
             sent_ns=now_ns,
             state=self._entries.base_state,
+            voters=join_voters(self._history.base),
         )
 
     def _on_append(
@@ -453,6 +546,7 @@
 
     def _store(self, entries: Sequence[LogEntry]) -> list[Effect]:
         fresh = self._entries.merge(entries)
+        self._note_voters(fresh)
         return [SaveEntries(entries=fresh)] if fresh else []
 
     def _append_reply(
@@ -476,6 +570,7 @@
             return []
         newest = max(follower.heard_sent_ns, reply.sent_ns)
         follower.heard_sent_ns = newest
+        follower.heard_ns = now_ns
         if not reply.ok:
             return self._back_up(source, follower, reply, now_ns)
         follower.match_index = max(follower.match_index, reply.match_index)
@@ -497,8 +592,12 @@
         return [self._replicate(source, follower, now_ns)]
 
     def _advance_commit(self) -> list[Effect]:
-        matches = [f.match_index for f in self._followers.values()]
-        matches.append(self.last_index)
+        matches = [
+            self.last_index
+            if peer == self.host
+            else self._followers[peer].match_index
+            for peer in self.voters
+        ]
         matches.sort(reverse=True)
         index = matches[len(self.voters) // 2]
         if (
@@ -533,12 +632,25 @@
 
     def _load(self, install: SnapshotInstall) -> list[Effect]:
         self._entries.load(install.index, install.last_term, install.state)
+        self._history.load(install.index, split_voters(install.voters))
+        self.voters = self._history.current
         self.commit_index = install.index
         return [
             SaveSnapshot(
                 index=install.index,
                 term=install.last_term,
                 state=install.state,
+                voters=install.voters,
             ),
             LoadSnapshot(index=install.index, state=install.state),
         ]
+
+
+def _limited(batch: list[LogEntry]) -> list[LogEntry]:
+    """Keep as many entries as fit one message, at least one."""
+    chars = 0
+    for number, entry in enumerate(batch):
+        chars += len(entry.payload)
+        if number and chars > MAX_APPEND_CHARS:
+            return batch[:number]
+    return batch
--- /dev/null
+++ b/src/rosemarysaddle/decide/_placing.py
@@ -0,0 +1,136 @@
+"""Placing of reads on the targets of a group.
+
+Answers the load of the heaviest days: reads stay in their data centre
+while its target is fresh, up and no slower than the way to another, and
+spill over when it queues.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from rosemarysaddle.decide._times import NS_PER_MS
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
+    from rosemarysaddle.decide._token import LogPoint
+
+__all__ = ("PlacedTarget", "ReadNeed", "choose_target")
+
+# Weight of bytes between data centres against time in a queue.
+REMOTE_COST_NS: Final = 60 * NS_PER_MS
+# Keeps primaries free for writes while a replica is as near.
+PRIMARY_COST_NS: Final = 15 * NS_PER_MS
+BEHIND_MS: Final = 150
+DOWN_MS: Final = 400
+FIRST_LATENCY_NS: Final = 20 * NS_PER_MS
+_SHARE: Final = 8
+
+
+@attrs.define(kw_only=True)
+class PlacedTarget:
+    """What an entry host knows of one target.
+
+    :param slots: statements that the target runs at once
+    :param running: statements of this host that run there
+    :param point: newest position that the target told
+    :param behind_until_ns: time until which it is taken to lag
+    :param down_until_ns: time until which it gets no work
+    """
+
+    target: str
+    group: str
+    address: str
+    data_center: str
+    slots: int = 1
+    leaving: bool = False
+    running: int = 0
+    latency_ns: int = FIRST_LATENCY_NS
+    point: LogPoint | None = None
+    behind_until_ns: int = 0
+    down_until_ns: int = 0
+
+    def note_latency(self, latency_ns: int) -> None:
+        """Take the time that a statement took."""
+        self.latency_ns += (latency_ns - self.latency_ns) // _SHARE
+
+    def note_point(self, point: LogPoint | None) -> None:
+        """Take a position that the target told."""
+        if point is not None:
+            self.point = point
+
+    def note_behind(self, now_ns: int) -> None:
+        """Take note that the target lacked a position."""
+        self.behind_until_ns = now_ns + BEHIND_MS * NS_PER_MS
+
+    def note_down(self, now_ns: int) -> None:
+        """Take note that the target took no connection."""
+        self.down_until_ns = now_ns + DOWN_MS * NS_PER_MS
+
+    def cost_ns(self, data_center: str) -> int:
+        """Estimate the time until a new statement is answered."""
+        waiting = max(0, self.running + 1 - max(1, self.slots))
+        cost_ns = self.latency_ns * (1 + waiting // max(1, self.slots))
+        if self.data_center != data_center:
+            cost_ns += REMOTE_COST_NS
+        return cost_ns
+
+
+@attrs.frozen(kw_only=True)
+class ReadNeed:
+    """What a read needs of its target.
+
+    :param point: position that a replica must hold, or None where only
+        the primary will do
+    :param primary: primary that this host may rely on, or empty
+    :param excluded: targets that have failed the read
+    """
+
+    point: LogPoint | None
+    primary: str
+    excluded: Collection[str]
+    data_center: str
+    now_ns: int
+
+
+def choose_target(
+    targets: Iterable[PlacedTarget], need: ReadNeed
+) -> PlacedTarget | None:
+    """Choose the target of a read.
+
+    :return: the choice, or None where no target will do
+    """
+    fit = [t for t in targets if _is_fit(t, need)]
+    if not fit:
+        return None
+    return min(fit, key=lambda t: _rank(t, need))
+
+
+def _is_fit(target: PlacedTarget, need: ReadNeed) -> bool:
+    if target.target in need.excluded or target.leaving:
+        return False
+    if need.now_ns < target.down_until_ns:
+        return False
+    if target.target == need.primary:
+        return True
+    return need.point is not None and not _lags(target, need)
+
+
+def _lags(target: PlacedTarget, need: ReadNeed) -> bool:
+    if need.now_ns >= target.behind_until_ns or need.point is None:
+        return False
+    known = target.point
+    if known is None:
+        return True
+    wanted = (need.point.term, need.point.position)
+    return (known.term, known.position) < wanted
+
+
+def _rank(target: PlacedTarget, need: ReadNeed) -> tuple[int, str]:
+    cost_ns = target.cost_ns(need.data_center)
+    if target.target == need.primary:
+        cost_ns += PRIMARY_COST_NS
+    return (cost_ns, target.target)
--- a/src/rosemarysaddle/decide/_primaries.py
+++ b/src/rosemarysaddle/decide/_primaries.py
@@ -25,6 +25,7 @@
     TargetReport,
 )
 from rosemarysaddle.decide._state import EntryKind
+from rosemarysaddle.decide._succession import Succession, choose_successor
 from rosemarysaddle.decide._times import NS_PER_MS
 from rosemarysaddle.schema import (
     Announcement,
@@ -39,6 +40,7 @@
     from collections.abc import Sequence
 
     from rosemarysaddle.decide._office import Office
+    from rosemarysaddle.decide._terms import GroupTerm
     from rosemarysaddle.schema import Group
 
 __all__ = ("CONFIRM_ATTEMPT", "PROBE_MS", "PROMOTE_MS", "PrimaryKeeper")
@@ -60,20 +62,25 @@
     :param announced: newest announcement of each instance
     :param changes: changes that run, by group
     :param times: times of the last changes
+    :param promote_ms: time that a promotion may take, in milliseconds
     """
 
     office: Office
+    promote_ms: int = PROMOTE_MS
     announced: dict[str, Announcement] = attrs.field(factory=dict)
     changes: dict[str, GroupChange] = attrs.field(factory=dict)
     times: list[ChangeTimes] = attrs.field(factory=list)
     _evidence: dict[str, Evidence] = attrs.field(factory=dict, init=False)
     _unopened: set[str] = attrs.field(factory=set, init=False)
     _confirming: set[str] = attrs.field(factory=set, init=False)
+    _leaving: set[str] = attrs.field(factory=set, init=False)
 
     def take_office(self) -> None:
         """Start afresh as leader."""
         self._evidence.clear()
-        self._unopened = set(self.office.state.inventory.groups)
+        state = self.office.state
+        self._unopened = {*state.inventory.groups, *state.routes.groups}
+        self._leaving = set(state.routes.groups)
 
     def leave_office(self) -> None:
         """Drop what only a leader may go on with."""
@@ -83,6 +90,7 @@
     def tick(self, now_ns: int) -> list[Effect]:
         """Do what is due at this time."""
         effects = self._start_new_groups(now_ns)
+        effects.extend(self._replace_leaving(now_ns))
         for change in list(self.changes.values()):
             effects.extend(self._advance(change, now_ns))
         return effects
@@ -171,7 +179,9 @@
         del self.times[:-KEPT_TIMES]
         del self.changes[group]
         self._evidence.pop(group, None)
-        return self._order_followers(group)
+        payload = json.dumps({"group": group, "term": term})
+        serving = self.office.propose(EntryKind.SERVING, payload, now_ns)
+        return [*serving, *self._order_followers(group)]
 
     def follow(self, group: str, target: str) -> FollowPrimary:
         """Order an instance to replicate from its group's primary."""
@@ -203,6 +213,7 @@
             group = self.office.state.group(name)
             if group is None or (term is not None and term.is_open):
                 self._unopened.discard(name)
+                effects.extend(self._resume(name, term, now_ns))
             elif term is not None:
                 effects.extend(self.start_change(name, term.term, now_ns))
             elif self._is_announced(group):
@@ -210,11 +221,56 @@
         return effects
 
     def _note_unopened(self) -> None:
-        touched = self.office.state.inventory.touched
-        self._unopened.update(touched)
-        touched.clear()
+        state = self.office.state
+        self._unopened.update(state.inventory.touched)
+        self._unopened.update(state.targets.touched)
+        self._leaving.update(state.targets.touched)
+        state.inventory.touched.clear()
+        state.targets.touched.clear()
+
+    def _announces_itself(self, group: str) -> bool:
+        return group in self.office.state.routes.groups
+
+    def _resume(
+        self, group: str, term: GroupTerm | None, now_ns: int
+    ) -> list[Effect]:
+        """Go on with a promotion that an earlier leader began."""
+        if term is None or term.is_serving or group in self.changes:
+            return []
+        if not self._announces_itself(group):
+            return []
+        change = GroupChange(
+            group=group, term=0, suspected_ns=now_ns, started_ns=now_ns
+        )
+        change.chosen = term.primary
+        change.new_term = term.term
+        self.changes[group] = change
+        return self._promote(change, now_ns)
+
+    def _replace_leaving(self, now_ns: int) -> list[Effect]:
+        effects: list[Effect] = []
+        for group in list(self._leaving):
+            term = self.office.state.terms.get(group)
+            if group in self.changes:
+                continue
+            self._leaving.discard(group)
+            if term is None or not term.is_open:
+                continue
+            heir = self._heir(group, term.primary)
+            if heir:
+                effects.extend(self.start_planned(group, heir, now_ns))
+        return effects
+
+    def _heir(self, group: str, primary: str) -> str:
+        records = self.office.state.targets.of_group(group)
+        staying = [r.target for r in records if not r.leaving]
+        if primary in staying or not self._announces_itself(group):
+            return ""
+        return staying[0] if staying else ""
 
     def _is_announced(self, group: Group) -> bool:
+        if self._announces_itself(group.name):
+            return bool(group.instances)
         return all(
             self.announced.get(i.name) is not None
             and self.announced[i.name].address == i.address
@@ -369,7 +425,11 @@
         deadline_ns = now_ns + PROBE_MS * NS_PER_MS
         change.retry_at_ns = deadline_ns + RETRY_MS * NS_PER_MS
         count = len(self.office.instances(change.group))
-        whole = change.preferred or not change.term
+        whole = bool(change.preferred) or not change.term
+        if self._announces_itself(change.group) and not whole:
+            # All but the primary that is thought lost.
+            count = max(2, count) - 1
+            whole = True
         quorum = count if whole else promotion_quorum(count)
         return [
             ProbeGroup(
@@ -387,6 +447,8 @@
         reports: Sequence[TargetReport],
         now_ns: int,
     ) -> list[Effect]:
+        if self._announces_itself(change.group):
+            return self._choose_announced(change, reports, now_ns)
         count = len(self.office.instances(change.group))
         valid = counted(reports, self.office.identities(change.group))
         choice = choose_primary(
@@ -405,6 +467,27 @@
             return self._probe(change, now_ns)
         return self._open(change, choice, valid, now_ns)
 
+    def _choose_announced(
+        self,
+        change: GroupChange,
+        reports: Sequence[TargetReport],
+        now_ns: int,
+    ) -> list[Effect]:
+        state = self.office.state
+        term = state.terms.get(change.group)
+        records = state.targets.of_group(change.group)
+        succession = Succession(
+            former="" if term is None else term.primary,
+            leaving={r.target for r in records if r.leaving},
+            may_lag=now_ns >= change.give_up_preferred_ns,
+        )
+        choice = choose_successor(reports, succession)
+        if choice is None:
+            change.blocked = "no target has all that the former primary has"
+            change.retry_at_ns = now_ns + RETRY_MS * NS_PER_MS
+            return []
+        return self._open(change, choice, (), now_ns)
+
     def _open(
         self,
         change: GroupChange,
@@ -412,7 +495,7 @@
         reports: Sequence[TargetReport],
         now_ns: int,
     ) -> list[Effect]:
-        newest = max(r.term for r in reports)
+        newest = max((r.term for r in reports), default=0)
         change.new_term = max(change.term, newest) + 1
         change.chosen = choice.target
         change.chosen_ns = now_ns
@@ -441,6 +524,6 @@
                 target=change.chosen,
                 term=change.new_term,
                 start=term.start_of(change.new_term) or 0,
-                deadline_ns=now_ns + PROMOTE_MS * NS_PER_MS,
+                deadline_ns=now_ns + self.promote_ms * NS_PER_MS,
             )
         ]
--- a/src/rosemarysaddle/decide/_reasons.py
+++ b/src/rosemarysaddle/decide/_reasons.py
@@ -60,6 +60,11 @@
     HOST_UNREACHABLE = "host-unreachable"
     NOT_LEADER = "not-leader"
     DEFECT = "defect"
+    UNKNOWN_DATABASE = "unknown-database"
+    UNKNOWN_PREPARED = "unknown-prepared"
+    TRANSACTION_ENDED = "transaction-ended"
+    TOO_LARGE = "too-large"
+    TARGET_BUSY = "target-busy"
     VERSION_CONFLICT = "version-conflict"
 
 
--- /dev/null
+++ b/src/rosemarysaddle/decide/_routes.py
@@ -0,0 +1,98 @@
+"""Plan of routes: which database leads to which group, and how."""
+
+from __future__ import annotations
+
+import enum
+import json
+from typing import Final, NoReturn
+
+import attrs
+import cattrs
+
+from rosemarysaddle.schema import (
+    GroupPolicy,
+    Route,
+    RoutePlan,
+    SchemaFault,
+    SessionLimits,
+    parse_document,
+)
+
+__all__ = ("Freshness", "RouteTable", "check_plan")
+
+_CONVERTER: Final = cattrs.Converter()
+
+
+class Freshness(enum.StrEnum):
+    """What a read on a route has to see."""
+
+    PRIMARY = "primary"
+    BOUNDED = "bounded_staleness"
+    SESSION = "read_your_writes"
+
+
+@attrs.define(kw_only=True)
+class RouteTable:
+    """Plan in force, by name.
+
+    :param version: version of the plan; -1 before the first
+    :param source: text of the plan as the operator sent it
+    """
+
+    version: int = -1
+    source: str = ""
+    databases: dict[str, Route] = attrs.field(factory=dict)
+    groups: dict[str, GroupPolicy] = attrs.field(factory=dict)
+    limits: SessionLimits = attrs.field(factory=SessionLimits)
+
+    @classmethod
+    def of(cls, source: str) -> RouteTable:
+        """Build the table of a plan that was found good."""
+        plan = _CONVERTER.structure(json.loads(source), RoutePlan)
+        databases: dict[str, Route] = {}
+        for route in plan.routes:
+            databases.setdefault(route.database, route)
+        return cls(
+            version=plan.version,
+            source=source,
+            databases=databases,
+            groups={group.name: group for group in plan.groups},
+            limits=plan.limits,
+        )
+
+
+def check_plan(text: str, *, source: str) -> RoutePlan | SchemaFault:
+    """Check the text of a plan as a whole.
+
+    :param source: change named in a fault
+    :return: the plan, or path and reason of its refusal
+    """
+    try:
+        value = json.loads(text, parse_constant=_refuse_constant)
+    except (ValueError, RecursionError) as error:
+        return SchemaFault(source=source, path="$", reason=str(error))
+    plan = parse_document(RoutePlan, value, source=source)
+    if isinstance(plan, SchemaFault):
+        return plan
+    return _check_names(plan, source) or plan
+
+
+def _check_names(plan: RoutePlan, source: str) -> SchemaFault | None:
+    groups = {group.name for group in plan.groups}
+    taken: set[tuple[str, str]] = set()
+    for number, route in enumerate(plan.routes):
+        path = f"$.routes[{number}]"
+        if route.group not in groups:
+            reason = f"unknown group {route.group}"
+            return SchemaFault(source=source, path=path, reason=reason)
+        key = (route.database, route.path_prefix)
+        if key in taken:
+            reason = f"second route of {route.database}"
+            return SchemaFault(source=source, path=path, reason=reason)
+        taken.add(key)
+    return None
+
+
+def _refuse_constant(name: str) -> NoReturn:
+    message = f"{name} is no JSON number"
+    raise ValueError(message)
--- a/src/rosemarysaddle/decide/_state.py
+++ b/src/rosemarysaddle/decide/_state.py
@@ -9,14 +9,19 @@
 import cattrs
 
 from rosemarysaddle.decide._inventory import InventoryTable
+from rosemarysaddle.decide._registry import TargetRecord, TargetTable
+from rosemarysaddle.decide._routes import RouteTable
 from rosemarysaddle.decide._terms import (
     MAX_KEPT_STARTS,
     GroupTerm,
     TermStart,
 )
+from rosemarysaddle.decide._voters import MEMBERS
 from rosemarysaddle.schema import (
     ChangeProposal,
     ChangeReply,
+    Group,
+    Instance,
     Inventory,
     InventoryPatch,
     LogEntry,
@@ -26,7 +31,7 @@
 )
 
 if TYPE_CHECKING:
-    from rosemarysaddle.schema import Group, Instance, RequestClass, Tenant
+    from rosemarysaddle.schema import RequestClass, Tenant
 
 __all__ = (
     "AuditRecord",
@@ -46,19 +51,24 @@
     CHANGE: Final = "change"
     CLOSE: Final = "close"
     OPEN: Final = "open"
+    SERVING: Final = "serving"
     ADMIT: Final = "admit"
+    MEMBERS: Final = MEMBERS
+    TARGET: Final = "target"
+    GONE: Final = "gone"
 
 
 class DocumentKind:
     """Kinds of changes that operators make.
 
     A patch changes parts of the inventory and counts as a version of
-    it.
+    it.  Routes carry a version of their own; the highest is in force.
     """
 
     INVENTORY: Final = "inventory"
     INVENTORY_PATCH: Final = "inventory-patch"
     RULES: Final = "rules"
+    ROUTES: Final = "routes"
 
 
 @attrs.frozen(kw_only=True)
@@ -84,6 +94,9 @@
     terms: dict[str, GroupTerm] = attrs.field(factory=dict)
     replies: dict[str, ChangeReply] = attrs.field(factory=dict)
     history: list[AuditRecord] = attrs.field(factory=list)
+    voters: tuple[str, ...] = ()
+    routes: RouteTable = attrs.field(factory=RouteTable)
+    targets: TargetTable = attrs.field(factory=TargetTable)
     _classes: dict[str, RequestClass] = attrs.field(factory=dict, init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -103,17 +116,36 @@
         payload = json.loads(entry.payload)
         if entry.kind == EntryKind.CHANGE:
             return self._change(ChangeProposal(**payload))
-        if entry.kind == EntryKind.CLOSE:
+        self._apply_group(entry.kind, payload)
+        self._apply_deployment(entry.kind, payload)
+        return None
+
+    def _apply_group(self, kind: str, payload: dict[str, Any]) -> None:
+        if kind == EntryKind.CLOSE:
             self._close(payload["group"], payload["term"])
-        if entry.kind == EntryKind.OPEN:
+        if kind == EntryKind.OPEN:
             self._open(payload)
-        if entry.kind == EntryKind.ADMIT:
+        if kind == EntryKind.SERVING:
+            self._serve(payload["group"], payload["term"])
+        if kind == EntryKind.ADMIT:
             self._admit(payload)
-        return None
+
+    def _apply_deployment(self, kind: str, payload: dict[str, Any]) -> None:
+        if kind == EntryKind.MEMBERS:
+            self.voters = tuple(payload["voters"])
+        if kind == EntryKind.TARGET:
+            self.targets.put(TargetRecord(**payload))
+        if kind == EntryKind.GONE:
+            self.targets.drop(payload["target"], payload["incarnation_ms"])
 
     def group(self, name: str) -> Group | None:
         """Look a group up by name."""
-        return self.inventory.groups.get(name)
+        found = self.inventory.groups.get(name)
+        if found is not None or name not in self.routes.groups:
+            return found
+        records = self.targets.of_group(name)
+        instances = tuple(_as_instance(r) for r in records)
+        return Group(name=name, instances=instances)
 
     def tenant(self, name: str) -> Tenant | None:
         """Look a tenant up by name."""
@@ -121,6 +153,9 @@
 
     def instance(self, name: str) -> Instance | None:
         """Look an instance up by name."""
+        record = self.targets.records.get(name)
+        if record is not None:
+            return _as_instance(record)
         return self.inventory.instance(name)
 
     def request_class(self, name: str) -> RequestClass | None:
@@ -131,6 +166,8 @@
         """Version of a document in force."""
         if kind == DocumentKind.RULES:
             return self.rules_version
+        if kind == DocumentKind.ROUTES:
+            return self.routes.version
         return self.inventory_version
 
     def dump(self) -> str:
@@ -143,6 +180,9 @@
             "terms": _CONVERTER.unstructure(self.terms),
             "replies": _CONVERTER.unstructure(self.replies),
             "history": _CONVERTER.unstructure(self.history),
+            "voters": self.voters,
+            "routes": self.routes.source,
+            "targets": self.targets.dump(),
         }
         return json.dumps(body, separators=(",", ":"))
 
@@ -162,9 +202,14 @@
                 body["replies"], dict[str, ChangeReply]
             ),
             history=_CONVERTER.structure(body["history"], list[AuditRecord]),
+            voters=tuple(body["voters"]),
+            routes=_load_routes(body["routes"]),
+            targets=TargetTable.load(body["targets"]),
         )
 
     def _change(self, change: ChangeProposal) -> ChangeReply:
+        if change.kind == DocumentKind.ROUTES:
+            return self._change_routes(change)
         known = self.replies.get(change.change_id)
         if known is not None:
             return known
@@ -174,6 +219,20 @@
             del self.replies[next(iter(self.replies))]
         return reply
 
+    def _change_routes(self, change: ChangeProposal) -> ChangeReply:
+        # Checked before it was proposed; the sender may send it again,
+        # and an older version changes nothing.
+        if change.base_version > self.routes.version:
+            self.routes = RouteTable.of(change.payload)
+            self.targets.touched.update(self.routes.groups)
+        return ChangeReply(
+            change_id=change.change_id,
+            accepted=True,
+            version=self.routes.version,
+            reason="",
+            path="",
+        )
+
     def _decide(self, change: ChangeProposal) -> ChangeReply:
         current = self.version_of(change.kind)
         if change.base_version != current:
@@ -230,6 +289,11 @@
         if current is not None and current.term == term:
             self.terms[group] = attrs.evolve(current, is_open=False)
 
+    def _serve(self, group: str, term: int) -> None:
+        current = self.terms.get(group)
+        if current is not None and current.term == term:
+            self.terms[group] = attrs.evolve(current, is_serving=True)
+
     def _open(self, payload: dict[str, Any]) -> None:
         group = str(payload["group"])
         term = int(payload["term"])
@@ -262,6 +326,18 @@
         self._classes = {c.name: c for c in rules.classes}
 
 
+def _as_instance(record: TargetRecord) -> Instance:
+    return Instance(
+        name=record.target,
+        data_center=record.data_center,
+        address=record.address,
+    )
+
+
+def _load_routes(source: str) -> RouteTable:
+    return RouteTable.of(source) if source else RouteTable()
+
+
 def check_change(
     change: ChangeProposal, state: ClusterState
 ) -> InventoryPatch | Rules | SchemaFault:
--- /dev/null
+++ b/src/rosemarysaddle/decide/_succession.py
@@ -0,0 +1,73 @@
+"""Choice of the primary of a group whose targets announce themselves.
+
+Writes of such a group count once their primary has them, so the choice
+waits for a replica that has all of a primary that still answers.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Sequence
+
+    from rosemarysaddle.decide._effects import TargetReport
+
+__all__ = ("Succession", "choose_successor")
+
+
+@attrs.frozen(kw_only=True)
+class Succession:
+    """What is known when a primary is chosen.
+
+    :param former: primary of the closed term, or empty for a new group
+    :param leaving: targets that are about to stop
+    :param may_lag: whether a replica that lacks writes may be chosen
+    """
+
+    former: str
+    leaving: Collection[str]
+    may_lag: bool
+
+
+def choose_successor(
+    reports: Sequence[TargetReport], succession: Succession
+) -> TargetReport | None:
+    """Choose the next primary.
+
+    :param reports: one report for each target of the group
+    :return: the choice, or None where it has to wait
+    """
+    answers = [r for r in reports if r.reachable]
+    if not answers:
+        return None
+    if not succession.former:
+        return _present_primary(answers, succession)
+    former = next((r for r in answers if r.target == succession.former), None)
+    heirs = [
+        r
+        for r in answers
+        if r.target not in succession.leaving and r is not former
+    ]
+    if not heirs:
+        return former if succession.may_lag else None
+    best = max(heirs, key=_progress)
+    behind = former is not None and _progress(best) < _progress(former)
+    if behind and not succession.may_lag:
+        return None
+    return best
+
+
+def _present_primary(
+    answers: Sequence[TargetReport], succession: Succession
+) -> TargetReport | None:
+    primaries = [r for r in answers if r.role == "primary"]
+    if primaries:
+        return max(primaries, key=_progress)
+    return max(answers, key=_progress) if succession.may_lag else None
+
+
+def _progress(report: TargetReport) -> tuple[int, int]:
+    return (report.term, report.position)
--- a/src/rosemarysaddle/decide/_terms.py
+++ b/src/rosemarysaddle/decide/_terms.py
@@ -22,6 +22,7 @@
     """Current term of a group.
 
     :param is_open: whether writes may run under the term
+    :param is_serving: whether its primary is known to have taken over
     :param starts: where recent terms began, oldest first
     :param identities: identity under which each instance counts for a
         promotion
@@ -30,6 +31,7 @@
     term: int
     primary: str
     is_open: bool
+    is_serving: bool = False
     starts: tuple[TermStart, ...] = ()
     identities: dict[str, str] = attrs.field(factory=dict)
 
--- a/src/rosemarysaddle/link/_peers.py
+++ b/src/rosemarysaddle/link/_peers.py
@@ -15,6 +15,7 @@
 import attrs
 from absl import logging
 
+from rosemarysaddle.link._address import Address
 from rosemarysaddle.link._codec import (
     MAX_MESSAGE_BYTES,
     DecodeFault,
@@ -27,7 +28,6 @@
     import ssl
     from collections.abc import Callable, Mapping
 
-    from rosemarysaddle.link._address import Address
     from rosemarysaddle.link._fabric import Fabric
     from rosemarysaddle.schema import Message
 
@@ -57,9 +57,13 @@
 class PeerNetwork:
     """All connections of one host to the others.
 
+    A name may end in ``#`` and the host's incarnation; its connection
+    is that of the name before.  A name that is an address is dialled as
+    it is.
+
     :param host: name of this host
     :param listen: address for the other hosts
-    :param addresses: address of each host that is dialled
+    :param addresses: address of each host that is dialled by its name
     :param receive: takes the sender's name and its message
     """
 
@@ -114,11 +118,18 @@
             loop.call_soon(self.receive, peer, message)
             return
         frame = self._frame(message)
-        connection = self._connection_to(peer)
+        key = _key(peer)
+        connection = self._connection_to(key)
         if connection is not None:
             self._write(connection, frame)
-        elif peer in self.addresses:
-            self._dial_later(peer, frame)
+        elif self._address_of(key) is not None:
+            self._dial_later(key, frame)
+
+    def _address_of(self, key: str) -> Address | None:
+        known = self.addresses.get(key)
+        if known is None and ":" in key:
+            return Address.parse(key)
+        return known
 
     def _frame(self, message: Message) -> bytes:
         # A view goes to all hosts as one object and is encoded once.
@@ -189,7 +200,10 @@
     async def _dial(self, peer: str) -> None:
         loop = asyncio.get_running_loop()
         try:
-            connection = await self._connect(self.addresses[peer])
+            address = self._address_of(peer)
+            if address is None:
+                return
+            connection = await self._connect(address)
         except (OSError, TimeoutError):
             self._queued.pop(peer, None)
             return
@@ -279,8 +293,8 @@
             return
         connection.heard_at_s = asyncio.get_running_loop().time()
         if not connection.dialled:
-            connection.source = envelope.source
-            self._heard[envelope.source] = connection
+            connection.source = _key(envelope.source)
+            self._heard[connection.source] = connection
             self._show_life(connection)
         if not isinstance(envelope.body, Heartbeat):
             self.receive(envelope.source, envelope.body)
@@ -300,3 +314,7 @@
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+
+
+def _key(name: str) -> str:
+    return name.partition("#")[0]
--- /dev/null
+++ b/src/rosemarysaddle/node/__init__.py
@@ -0,0 +1,19 @@
+"""Hosts of a deployment that runs on a platform."""
+
+from __future__ import annotations
+
+from rosemarysaddle.node._main import run_node
+from rosemarysaddle.node._ports import (
+    Platform,
+    Promoter,
+    PromotionOrder,
+    TargetStatus,
+)
+
+__all__ = (
+    "Platform",
+    "Promoter",
+    "PromotionOrder",
+    "TargetStatus",
+    "run_node",
+)
--- /dev/null
+++ b/src/rosemarysaddle/node/_control.py
@@ -0,0 +1,451 @@
+"""Control host that finds the others by seeds."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+import uuid
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+from absl import logging
+
+from rosemarysaddle._clock import clock_ns
+from rosemarysaddle.decide import (
+    NS_PER_MS,
+    ClusterState,
+    ControlNode,
+    DocumentKind,
+    FollowPrimary,
+    LogNode,
+    ProbeGroup,
+    PromoteTarget,
+    SaveEntries,
+    SaveSnapshot,
+    SaveVote,
+    Send,
+    check_plan,
+    is_news,
+)
+from rosemarysaddle.link import Address, PeerNetwork, PlainFabric
+from rosemarysaddle.node._orders import AnnouncedOrders
+from rosemarysaddle.node._timing import (
+    CONTROL_TICK_S,
+    LEASE_MS,
+    PROMOTE_MS,
+)
+from rosemarysaddle.schema import (
+    Announcement,
+    ChangeProposal,
+    ChangeReply,
+    IndexReply,
+    IndexRequest,
+    JoinRequest,
+    SchemaFault,
+    StepOut,
+)
+from rosemarysaddle.store import Journal
+from rosemarysaddle.web import HttpServer
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine, Iterator, Sequence
+
+    from rosemarysaddle.decide import Effect
+    from rosemarysaddle.node._ports import Platform
+    from rosemarysaddle.schema import Message, Node
+
+__all__ = ("ControlHost",)
+
+IDENTITY_FILE: Final = "identity"
+ELECTION_JITTER_MS: Final = 400
+JOIN_S: Final = 0.3
+RESEND_S: Final = 0.2
+# A caller gives up after a second and asks another host.
+ANSWER_MS: Final = 900
+CHANGE_MS: Final = 4_000
+HTTP_THREADS: Final = 6
+MAX_BODY_BYTES: Final = 16 * 1024 * 1024
+STOP_S: Final = 0.3
+
+
+@attrs.define(kw_only=True, eq=False)
+class ControlHost:
+    """One control host.
+
+    :param settings: settings of the host
+    :param platform: formats and calls of the platform
+    :param host: name, which changes with a new disk
+    """
+
+    settings: Node
+    platform: Platform
+    host: str = attrs.field(default="", init=False)
+    control: ControlNode = attrs.field(init=False)
+    network: PeerNetwork = attrs.field(init=False)
+    is_stopping: bool = attrs.field(default=False, init=False)
+    _journal: Journal = attrs.field(init=False)
+    _orders: AnnouncedOrders = attrs.field(init=False)
+    _loop: asyncio.AbstractEventLoop = attrs.field(init=False)
+    _http: HttpServer = attrs.field(init=False)
+    _replies: dict[str, asyncio.Future[ChangeReply]] = attrs.field(
+        factory=dict, init=False
+    )
+    _indexes: dict[int, asyncio.Future[IndexReply]] = attrs.field(
+        factory=dict, init=False
+    )
+    _jobs: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
+    _changed: asyncio.Condition = attrs.field(
+        factory=asyncio.Condition, init=False
+    )
+
+    # --- start and stop ---
+
+    async def start(self) -> None:
+        """Read the disk, listen and start to tick."""
+        self._loop = asyncio.get_running_loop()
+        folder = Path(self.settings.data_folder)
+        self.host = _identity(folder, self.settings)
+        self._journal = Journal(folder=folder)
+        self._open_log()
+        self._orders = AnnouncedOrders(
+            host=self.settings.host,
+            platform=self.platform,
+            promoter=self.platform.promoter(self.settings.promotion_address),
+            fencing_token=lambda: self.control.log.term,
+            leads=lambda: self.control.leads(clock_ns()),
+            group_of=self._group_of,
+        )
+        self.network = PeerNetwork(
+            host=self.host,
+            listen=Address(ip=self.settings.ip, port=self.settings.peers_port),
+            addresses={},
+            receive=self._receive,
+            fabric=PlainFabric(),
+        )
+        await self.network.start()
+        self._spawn(self._tick_forever())
+        self._spawn(self._join_forever())
+        self._start_http()
+        logging.info(
+            "event=started host=%s voters=%s index=%d",
+            self.host,
+            ",".join(self.control.log.voters),
+            self.control.state.index,
+        )
+
+    async def stop(self) -> None:
+        """Hand leadership on and stop."""
+        self.is_stopping = True
+        logging.info("event=stopping host=%s", self.host)
+        self._send_to_leader(StepOut(host=self.host))
+        self._carry_out(self.control.step_down(clock_ns()))
+        await asyncio.sleep(STOP_S)
+        await asyncio.to_thread(self._http.stop)
+        for job in list(self._jobs):
+            job.cancel()
+        await self.network.stop()
+        self._journal.close()
+
+    def reload(self, settings: Node) -> None:
+        """Take over changed settings."""
+        self.settings = settings
+        logging.info("event=reloaded seeds=%s", ",".join(settings.seeds))
+
+    def _open_log(self) -> None:
+        settings = self.settings
+        stored = self._journal.open()
+        port = settings.peers_port
+        seeds = tuple(_peer(seed, port) for seed in settings.seeds)
+        # Seeds form the log once; whoever comes later asks to join.
+        founds = settings.first_start and self.host in seeds
+        log = LogNode(
+            host=self.host,
+            voters=tuple(sorted(seeds)) if founds else (),
+            stored=stored,
+            jitter_ms=_jitter(self.host),
+            started_ns=clock_ns(),
+        )
+        state = ClusterState()
+        if stored.snapshot_state:
+            state = ClusterState.load(stored.snapshot_state)
+        self.control = ControlNode(
+            log=log,
+            state=state,
+            data_center=settings.data_center,
+            lease_ms=LEASE_MS,
+            wanted_voters=2 * settings.tolerated_hosts + 1,
+        )
+        self.control.primaries.promote_ms = PROMOTE_MS
+
+    def _start_http(self) -> None:
+        self._http = HttpServer(
+            address=Address.parse(self.settings.control_address),
+            threads=HTTP_THREADS,
+            max_body_bytes=MAX_BODY_BYTES,
+        )
+        self._http.tree.graft(self.platform.control_app(self), "")
+        self._http.start()
+
+    # --- called from the threads of the HTTP server ---
+
+    def announce_from_thread(self, announcement: Announcement) -> bool:
+        """Take the announcement of a target.
+
+        :return: whether it is on record for good
+        """
+        work = self._announce(announcement)
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result()
+
+    def knows_group(self, announcement: Announcement) -> bool:
+        """Tell whether a target belongs to a group that is known."""
+        state = self.control.state
+        known = announcement.target in state.targets.records
+        return known or announcement.group in state.routes.groups
+
+    def change_from_thread(
+        self, text: str
+    ) -> ChangeReply | SchemaFault | None:
+        """Put a plan of routes in force.
+
+        :return: the answer, what is wrong with the plan, or None where
+            it is not known whether it will be in force
+        """
+        plan = check_plan(text, source="operator")
+        if isinstance(plan, SchemaFault):
+            return plan
+        change = ChangeProposal(
+            change_id=str(uuid.uuid4()),
+            kind=DocumentKind.ROUTES,
+            base_version=plan.version,
+            author="operator",
+            payload=text,
+        )
+        work = self._change(change)
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result()
+
+    def plan_from_thread(self) -> str | None:
+        """Read the plan of routes that surely is the newest.
+
+        :return: its text as sent, or None where that is not sure
+        """
+        work = self._newest_plan()
+        return asyncio.run_coroutine_threadsafe(work, self._loop).result()
+
+    async def _announce(self, announcement: Announcement) -> bool:
+        deadline_ns = clock_ns() + ANSWER_MS * NS_PER_MS
+        while is_news(announcement, self.control.state.targets):
+            if self.is_stopping or clock_ns() >= deadline_ns:
+                return False
+            self._send_to_leader(announcement)
+            await self._wait_change(RESEND_S)
+        return True
+
+    async def _change(self, change: ChangeProposal) -> ChangeReply | None:
+        deadline_ns = clock_ns() + CHANGE_MS * NS_PER_MS
+        future: asyncio.Future[ChangeReply] = self._loop.create_future()
+        self._replies[change.change_id] = future
+        try:
+            while clock_ns() < deadline_ns and not self.is_stopping:
+                self._send_to_leader(change)
+                done, _ = await asyncio.wait([future], timeout=RESEND_S)
+                if done:
+                    return future.result()
+        finally:
+            del self._replies[change.change_id]
+        return None
+
+    async def _newest_plan(self) -> str | None:
+        deadline_ns = clock_ns() + ANSWER_MS * NS_PER_MS
+        index = await self._newest_index(deadline_ns)
+        if index is None:
+            return None
+        while self.control.state.index < index:
+            if clock_ns() >= deadline_ns:
+                return None
+            await self._wait_change(RESEND_S)
+        return self.control.state.routes.source or None
+
+    async def _newest_index(self, deadline_ns: int) -> int | None:
+        if self.control.leads(clock_ns()):
+            return self.control.state.index
+        asked_ns = clock_ns()
+        future: asyncio.Future[IndexReply] = self._loop.create_future()
+        self._indexes[asked_ns] = future
+        try:
+            while clock_ns() < deadline_ns:
+                self._send_to_leader(IndexRequest(asked_ns=asked_ns))
+                done, _ = await asyncio.wait([future], timeout=RESEND_S)
+                if done:
+                    return future.result().index
+        finally:
+            del self._indexes[asked_ns]
+        return None
+
+    # --- loop ---
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self._carry_out(self.control.tick(clock_ns()))
+            await asyncio.sleep(CONTROL_TICK_S)
+
+    async def _join_forever(self) -> None:
+        while True:
+            await asyncio.sleep(JOIN_S)
+            log = self.control.log
+            if self.host not in log.voters and not log.leader:
+                self._ask_to_join()
+
+    def _ask_to_join(self) -> None:
+        port = self.settings.peers_port
+        known = {_peer(seed, port) for seed in self.settings.seeds}
+        known.update(self.control.log.voters)
+        for peer in sorted(known - {self.host}):
+            self.network.send(peer, JoinRequest(host=self.host))
+
+    def _receive(self, source: str, message: Message) -> None:
+        if isinstance(message, ChangeReply):
+            self._on_change_reply(message)
+            return
+        if isinstance(message, IndexReply):
+            self._on_index_reply(message)
+            return
+        index = self.control.state.index
+        effects = self.control.receive(source, message, clock_ns())
+        self._carry_out(effects)
+        if self.control.state.index != index:
+            self._spawn(self._notify())
+
+    def _on_change_reply(self, reply: ChangeReply) -> None:
+        future = self._replies.get(reply.change_id)
+        refused = reply.reason == "not-leader"
+        if future is not None and not future.done() and not refused:
+            future.set_result(reply)
+
+    def _on_index_reply(self, reply: IndexReply) -> None:
+        future = self._indexes.get(reply.asked_ns)
+        if future is not None and not future.done() and reply.current:
+            future.set_result(reply)
+
+    def _carry_out(self, effects: Sequence[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case Send():
+                    self.network.send(effect.peer, effect.message)
+                case SaveVote() | SaveEntries() | SaveSnapshot():
+                    self._save(effect)
+                case ProbeGroup():
+                    self._spawn(self._probe(effect))
+                case PromoteTarget():
+                    self._spawn(self._promote(effect))
+                case FollowPrimary():
+                    pass  # replicas of the platform follow by themselves
+                case _:
+                    logging.error("event=unknown-effect kind=%s", effect)
+
+    def _save(self, effect: SaveVote | SaveEntries | SaveSnapshot) -> None:
+        match effect:
+            case SaveVote():
+                self._journal.save_vote(effect.term, effect.voted_for)
+            case SaveEntries():
+                self._journal.save_entries(effect.entries)
+            case SaveSnapshot():
+                self._journal.save_snapshot(
+                    effect.index, effect.term, effect.state, effect.voters
+                )
+
+    async def _probe(self, probe: ProbeGroup) -> None:
+        group = self.control.state.group(probe.group)
+        instances = group.instances if group else ()
+        reports = await self._orders.probe(probe, instances)
+        logging.info(
+            "event=probed group=%s attempt=%d reports=%s",
+            probe.group,
+            probe.attempt,
+            " ".join(_describe(r) for r in reports),
+        )
+        effects = self.control.on_probe(
+            probe.group, probe.attempt, reports, clock_ns()
+        )
+        self._carry_out(effects)
+
+    async def _promote(self, order: PromoteTarget) -> None:
+        instance = self.control.state.instance(order.target)
+        done = await self._orders.promote(order, instance)
+        logging.info(
+            "event=promoted group=%s target=%s term=%d done=%s",
+            order.group,
+            order.target,
+            order.term,
+            done,
+        )
+        effects = self.control.on_promoted(
+            order.group, order.term, done=done, now_ns=clock_ns()
+        )
+        self._carry_out(effects)
+
+    # --- small steps ---
+
+    def _group_of(self, target: str) -> str:
+        record = self.control.state.targets.records.get(target)
+        return "" if record is None else record.group
+
+    def _send_to_leader(self, message: Message) -> None:
+        leader = self.control.log.leader
+        if leader:
+            self.network.send(leader, message)
+
+    async def _wait_change(self, limit_s: float) -> None:
+        try:
+            async with asyncio.timeout(limit_s), self._changed:
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    async def _notify(self) -> None:
+        async with self._changed:
+            self._changed.notify_all()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        job = self._loop.create_task(work)
+        self._jobs.add(job)
+        job.add_done_callback(self._finish)
+
+    def _finish(self, job: asyncio.Task[None]) -> None:
+        self._jobs.discard(job)
+        if not job.cancelled() and job.exception() is not None:
+            logging.error("event=defect", exc_info=job.exception())
+
+
+def _identity(folder: Path, settings: Node) -> str:
+    """Name of this host, which lasts as long as its disk."""
+    folder.mkdir(parents=True, exist_ok=True)
+    path = folder / IDENTITY_FILE
+    if path.exists():
+        found = path.read_text(encoding="utf-8").strip()
+        if found:
+            return found
+    address = f"{settings.ip}:{settings.peers_port}"
+    name = address
+    if not settings.first_start:
+        name = f"{address}#{secrets.token_hex(4)}"
+    Journal.write_file(path, name)
+    return name
+
+
+def _peer(seed: str, port: int) -> str:
+    ip, _, _ = seed.rpartition(":")
+    return f"{ip}:{port}"
+
+
+def _jitter(host: str) -> Iterator[int]:
+    source = random.Random(host)  # noqa: S311
+    while True:
+        yield source.randrange(ELECTION_JITTER_MS)
+
+
+def _describe(report: Any) -> str:
+    if not report.reachable:
+        return f"{report.target}:unreachable"
+    return f"{report.target}:{report.role}:{report.term}.{report.position}"
--- /dev/null
+++ b/src/rosemarysaddle/node/_entry.py
@@ -0,0 +1,201 @@
+"""Entry host that finds the control hosts by seeds."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+from absl import logging
+
+from rosemarysaddle._clock import clock_ns
+from rosemarysaddle.decide import EntryNode, Send
+from rosemarysaddle.link import Address, PeerNetwork, PlainFabric
+from rosemarysaddle.node._timing import ENTRY_TICK_S, RENEWAL_MS
+from rosemarysaddle.session import CallerSession, Router
+from rosemarysaddle.web import HttpServer
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine, Sequence
+
+    from rosemarysaddle.decide import Effect
+    from rosemarysaddle.node._ports import Platform
+    from rosemarysaddle.schema import Message, Node
+
+__all__ = ("EntryHost",)
+
+# The balancer takes a host out after two missed checks, one a second.
+OUT_OF_ROTATION_S: Final = 2.3
+POLL_S: Final = 0.05
+LAST_S: Final = 0.4
+BACKLOG: Final = 512
+READY_THREADS: Final = 2
+READY_BODY_BYTES: Final = 4_096
+
+
+@attrs.define(kw_only=True, eq=False)
+class EntryHost:
+    """One entry host.
+
+    :param settings: settings of the host
+    :param platform: formats and calls of the platform
+    """
+
+    settings: Node
+    platform: Platform
+    node: EntryNode = attrs.field(init=False)
+    router: Router = attrs.field(init=False)
+    network: PeerNetwork = attrs.field(init=False)
+    is_stopping: bool = attrs.field(default=False, init=False)
+    _sessions: set[CallerSession] = attrs.field(factory=set, init=False)
+    _server: asyncio.Server = attrs.field(init=False)
+    _ready: HttpServer = attrs.field(init=False)
+    _jobs: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
+    _was_ready: bool = attrs.field(default=False, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Build the decisions."""
+        settings = self.settings
+        self.node = EntryNode(
+            host=f"{settings.host}#{secrets.token_hex(4)}",
+            data_center=settings.data_center,
+            address=settings.sessions_address,
+            control=self._seeds(),
+            renewal_ms=RENEWAL_MS,
+        )
+        self.router = Router(
+            node=self.node,
+            label=settings.host,
+            new_codec=self.platform.target_codec,
+            send=self._carry_out,
+        )
+        self.network = PeerNetwork(
+            host=self.node.host,
+            listen=Address(ip=settings.ip, port=0),
+            addresses={},
+            receive=self._receive,
+            fabric=PlainFabric(),
+        )
+
+    async def start(self) -> None:
+        """Listen and start to tick."""
+        loop = asyncio.get_running_loop()
+        address = Address.parse(self.settings.sessions_address)
+        self._server = await loop.create_server(
+            self._accept,
+            address.ip,
+            address.port,
+            backlog=BACKLOG,
+            reuse_address=True,
+        )
+        self._spawn(self._tick_forever())
+        self._ready = HttpServer(
+            address=Address.parse(self.settings.ready_address),
+            threads=READY_THREADS,
+            max_body_bytes=READY_BODY_BYTES,
+        )
+        self._ready.tree.graft(self.platform.readiness_app(self.is_ready), "")
+        self._ready.start()
+        logging.info("event=started host=%s", self.node.host)
+
+    async def stop(self) -> None:
+        """Leave the rotation, finish what runs, then stop."""
+        self.is_stopping = True
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        grace_s = float(self.settings.grace_s)
+        logging.info("event=stopping sessions=%d", len(self._sessions))
+        await asyncio.sleep(min(OUT_OF_ROTATION_S, grace_s / 3))
+        half_s = began_s + grace_s / 2
+        while loop.time() < half_s and self._sessions:
+            self._close_idle()
+            await asyncio.sleep(POLL_S)
+        self._server.close()
+        for session in list(self._sessions):
+            session.end_transaction()
+        end_s = began_s + grace_s - LAST_S
+        while loop.time() < end_s and self._sessions:
+            self._close_idle()
+            await asyncio.sleep(POLL_S)
+        self._carry_out(self.node.stop())
+        await asyncio.sleep(POLL_S)
+        self._ready.stop()
+        await self.network.stop()
+
+    def is_ready(self) -> bool:
+        """Tell whether new sessions are welcome."""
+        holds = clock_ns() < self.node.lease.deadline_ns
+        return self.node.ready and holds and not self.is_stopping
+
+    def reload(self, settings: Node) -> None:
+        """Take over changed settings."""
+        self.settings = settings
+        self.node.control = self._seeds()
+        logging.info("event=reloaded seeds=%s", ",".join(settings.seeds))
+
+    def _seeds(self) -> list[str]:
+        port = self.settings.peers_port
+        ips = [s.rpartition(":")[0] for s in self.settings.seeds]
+        return [f"{ip}:{port}" for ip in ips]
+
+    def _close_idle(self) -> None:
+        for session in list(self._sessions):
+            if not session.is_busy and not session.in_transaction:
+                session.close()
+
+    def _accept(self) -> CallerSession:
+        session = CallerSession(
+            codec=self.platform.caller_codec(),
+            router=self.router,
+            on_end=self._sessions.discard,
+        )
+        self._sessions.add(session)
+        return session
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self._carry_out(self.node.tick(clock_ns()))
+            self.router.refresh()
+            self._note_readiness()
+            await asyncio.sleep(ENTRY_TICK_S)
+
+    def _note_readiness(self) -> None:
+        ready = self.is_ready()
+        if ready is not self._was_ready:
+            self._was_ready = ready
+            logging.info(
+                "event=readiness ready=%s index=%d version=%d leader=%s",
+                ready,
+                self.node.state.index,
+                self.node.state.routes.version,
+                self.node.lease.leader,
+            )
+
+    def _receive(self, source: str, message: Message) -> None:
+        before = (self.node.state.index, self.node.entry_hosts)
+        self._carry_out(self.node.receive(source, message, clock_ns()))
+        after = (self.node.state.index, self.node.entry_hosts)
+        if before != after:
+            known = {*self._seeds(), *self.node.state.voters}
+            self.node.control = sorted(known)
+            self.router.follow()
+        else:
+            self.router.wake()
+
+    def _carry_out(self, effects: Sequence[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                self.network.send(effect.peer, effect.message)
+            else:
+                logging.error("event=unknown-effect kind=%s", effect)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        job = asyncio.get_running_loop().create_task(work)
+        self._jobs.add(job)
+        job.add_done_callback(self._finish)
+
+    def _finish(self, job: asyncio.Task[None]) -> None:
+        self._jobs.discard(job)
+        if not job.cancelled() and job.exception() is not None:
+            logging.error("event=defect", exc_info=job.exception())
--- /dev/null
+++ b/src/rosemarysaddle/node/_main.py
@@ -0,0 +1,70 @@
+"""Program of one node: settings, signals, start and stop."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from rosemarysaddle._limits import raise_file_limit
+from rosemarysaddle.schema import Node, SchemaFault, load_file
+
+if TYPE_CHECKING:
+    from rosemarysaddle.node._control import ControlHost
+    from rosemarysaddle.node._entry import EntryHost
+    from rosemarysaddle.node._ports import Platform
+
+__all__ = ("run_node",)
+
+
+def run_node(platform: Platform) -> int:
+    """Run the node that the settings describe until it has to stop.
+
+    :return: exit status
+    """
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    raise_file_limit()
+    path = platform.settings_path(os.environ)
+    settings = load_file(Node, path)
+    if isinstance(settings, SchemaFault):
+        sys.stderr.write(f"{settings}\n")
+        return 2
+    asyncio.run(_serve(_build(settings, platform), path))
+    return 0
+
+
+def _build(settings: Node, platform: Platform) -> EntryHost | ControlHost:
+    # Each role imports what it uses; a start costs what it imports.
+    if settings.role == "control":
+        from rosemarysaddle.node._control import (  # noqa: PLC0415
+            ControlHost,
+        )
+
+        return ControlHost(settings=settings, platform=platform)
+    from rosemarysaddle.node._entry import EntryHost  # noqa: PLC0415
+
+    return EntryHost(settings=settings, platform=platform)
+
+
+async def _serve(host: EntryHost | ControlHost, path: str) -> None:
+    ended = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, host, path)
+    await host.start()
+    await ended.wait()
+    await host.stop()
+
+
+def _reload(host: EntryHost | ControlHost, path: str) -> None:
+    settings = load_file(Node, path)
+    if isinstance(settings, SchemaFault):
+        logging.error("event=reload-refused reason=%s", settings)
+        return
+    host.reload(settings)
--- /dev/null
+++ b/src/rosemarysaddle/node/_orders.py
@@ -0,0 +1,162 @@
+"""Orders of the control leader to targets that announce themselves."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+import attrs
+from absl import logging
+
+from rosemarysaddle._clock import clock_ns
+from rosemarysaddle.decide import NS_PER_MS, FaultCode, TargetReport
+from rosemarysaddle.exchange import Exchange, open_exchange
+from rosemarysaddle.link import Address
+from rosemarysaddle.node._ports import PromotionOrder
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from rosemarysaddle.decide import ProbeGroup, PromoteTarget
+    from rosemarysaddle.node._ports import Platform, Promoter, TargetStatus
+    from rosemarysaddle.schema import Instance
+
+__all__ = ("AnnouncedOrders",)
+
+POLL_S: Final = 0.05
+STATUS_MS: Final = 400
+
+
+@attrs.define(kw_only=True, eq=False)
+class AnnouncedOrders:
+    """Reads the status of targets and has them promoted.
+
+    :param host: name of this control host
+    :param fencing_token: number of the present leadership
+    :param leads: tells whether this host leads now
+    :param group_of: names the group of a target
+    """
+
+    host: str
+    platform: Platform
+    promoter: Promoter
+    fencing_token: Callable[[], int]
+    leads: Callable[[], bool]
+    group_of: Callable[[str], str]
+
+    async def probe(
+        self, probe: ProbeGroup, instances: Sequence[Instance]
+    ) -> list[TargetReport]:
+        """Read the status of the instances of a group.
+
+        :return: the reports that came before enough had answered or
+            the deadline had passed
+        """
+        tasks = [
+            asyncio.create_task(self._report(instance, probe.deadline_ns))
+            for instance in instances
+        ]
+        reports: list[TargetReport] = []
+        for done in asyncio.as_completed(tasks):
+            reports.append(await done)
+            if sum(r.reachable for r in reports) >= probe.quorum:
+                break
+        for task in tasks:
+            task.cancel()
+        return reports
+
+    async def promote(
+        self, order: PromoteTarget, instance: Instance | None
+    ) -> bool:
+        """Make an instance the primary of its group.
+
+        :return: whether it says that it is the primary
+        """
+        if instance is None:
+            return False
+        status = await self._status(instance, _status_deadline_ns(order))
+        if status is not None and status.role == "primary":
+            return True
+        wanted = PromotionOrder(
+            group=order.group,
+            target=order.target,
+            holder=self.host,
+            fencing_token=self.fencing_token(),
+            deadline_ns=order.deadline_ns,
+        )
+        taken = await asyncio.to_thread(
+            self.promoter.promote, wanted, may_send=self.leads
+        )
+        logging.info(
+            "event=promotion-ordered group=%s target=%s token=%d taken=%s",
+            order.group,
+            order.target,
+            wanted.fencing_token,
+            taken,
+        )
+        return taken and await self._wait_primary(order, instance)
+
+    async def _wait_primary(
+        self, order: PromoteTarget, instance: Instance
+    ) -> bool:
+        while clock_ns() < order.deadline_ns:
+            await asyncio.sleep(POLL_S)
+            status = await self._status(instance, _status_deadline_ns(order))
+            if status is not None and status.role == "primary":
+                return True
+        return False
+
+    async def _report(
+        self, instance: Instance, deadline_ns: int
+    ) -> TargetReport:
+        status = await self._status(instance, deadline_ns)
+        if status is None:
+            return TargetReport(target=instance.name, reachable=False)
+        return TargetReport(
+            target=instance.name,
+            reachable=True,
+            role=status.role,
+            term=status.term,
+            position=status.position,
+        )
+
+    async def _status(
+        self, instance: Instance, deadline_ns: int
+    ) -> TargetStatus | None:
+        exchange = Exchange(
+            target=instance.name,
+            codec=self.platform.target_codec(),
+            on_lost=_ignore,
+            opened_ns=clock_ns(),
+        )
+        group = self.group_of(instance.name)
+        opening = exchange.codec.encode_open(
+            group=group, label="control", target=instance.name
+        )
+        answer = await open_exchange(
+            exchange,
+            Address.parse(instance.address),
+            opening,
+            deadline_ns=deadline_ns,
+        )
+        if answer.fault is not None:
+            return None
+        status = None
+        while status is None and clock_ns() < deadline_ns:
+            answer = await exchange.ask(
+                exchange.codec.encode_status(), deadline_ns=deadline_ns
+            )
+            status = self.platform.read_status(answer)
+            if answer.fault is not FaultCode.BUSY:
+                break
+            await asyncio.sleep(POLL_S)
+        exchange.abort()
+        return status
+
+
+def _status_deadline_ns(order: PromoteTarget) -> int:
+    return min(order.deadline_ns, clock_ns() + STATUS_MS * NS_PER_MS)
+
+
+def _ignore(exchange: Exchange) -> None:
+    del exchange
--- /dev/null
+++ b/src/rosemarysaddle/platform/__init__.py
@@ -0,0 +1,62 @@
+"""The users' platform: its names, formats and calls.
+
+Nothing here decides, and no other package knows the platform's names.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+
+from rosemarysaddle.platform._calls import (
+    ControlApp,
+    PromotionClient,
+    read_status,
+    readiness_app,
+)
+from rosemarysaddle.platform._wire import CallerWire, TargetWire
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+    from rosemarysaddle.decide import Answer
+    from rosemarysaddle.node import Promoter, TargetStatus
+    from rosemarysaddle.session import CallerCodec
+
+__all__ = ("CallerWire", "TargetWire", "UsersPlatform")
+
+_SETTINGS_VARIABLE: Final = "ROSEMARYSADDLE_NODE_FILE"
+
+
+@attrs.frozen(kw_only=True)
+class UsersPlatform:
+    """The platform as the nodes see it."""
+
+    def caller_codec(self) -> CallerCodec:
+        """Build the codec of one caller's connection."""
+        return CallerWire()
+
+    def target_codec(self) -> TargetWire:
+        """Build the codec of one connection to a target."""
+        return TargetWire()
+
+    def read_status(self, answer: Answer) -> TargetStatus | None:
+        """Decode a target's answer to the question for its status."""
+        return read_status(answer)
+
+    def promoter(self, address: str) -> Promoter:
+        """Build the client that gives orders to promote."""
+        return PromotionClient(address=address)
+
+    def readiness_app(self, is_ready: Callable[[], bool]) -> Any:
+        """Build the WSGI application for readiness checks."""
+        return readiness_app(is_ready)
+
+    def control_app(self, host: Any) -> Any:
+        """Build the WSGI application for operators and targets."""
+        return ControlApp(host=host)
+
+    def settings_path(self, environment: Mapping[str, str]) -> str:
+        """Find the settings file."""
+        return environment[_SETTINGS_VARIABLE]
--- /dev/null
+++ b/src/rosemarysaddle/platform/_calls.py
@@ -0,0 +1,266 @@
+"""The platform's HTTP calls, both ways."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import socket
+import struct
+from typing import TYPE_CHECKING, Any, Final
+
+import attrs
+from absl import logging
+
+from rosemarysaddle._clock import clock_ns
+from rosemarysaddle.link import Address
+from rosemarysaddle.node import TargetStatus
+from rosemarysaddle.schema import Announcement, SchemaFault
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from rosemarysaddle.decide import Answer
+    from rosemarysaddle.node import PromotionOrder
+
+__all__ = (
+    "ControlApp",
+    "PromotionClient",
+    "read_announcement",
+    "read_status",
+    "readiness_app",
+)
+
+_PREFIX: Final = "/rosemarysaddle"
+_ROLES: Final = {"primary", "replica"}
+_STATUS_FIELDS: Final = 4
+_PROMOTE_S: Final = 1.0
+_LEAST_S: Final = 0.05
+_NS_PER_S: Final = 1_000_000_000
+
+
+def readiness_app(is_ready: Callable[[], bool]) -> Any:
+    """Build the WSGI application for readiness checks."""
+
+    def app(environ: Any, start_response: Any) -> Iterable[bytes]:
+        good = environ["PATH_INFO"] == f"{_PREFIX}/readiness" and is_ready()
+        return _reply(start_response, 200 if good else 503, {})
+
+    return app
+
+
+@attrs.frozen(kw_only=True)
+class ControlApp:
+    """WSGI application for operators and targets.
+
+    :param host: the control host that takes the calls
+    """
+
+    host: Any
+
+    def __call__(self, environ: Any, start_response: Any) -> Iterable[bytes]:
+        """Answer one call."""
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        code, body = self._dispatch(environ, method, path)
+        return _reply(start_response, code, body)
+
+    def _dispatch(
+        self, environ: Any, method: str, path: str
+    ) -> tuple[int, Any]:
+        parts = path.removeprefix(_PREFIX).strip("/").split("/")
+        match (method, parts):
+            case ("POST", ["instances", target, "heartbeat"]):
+                return self._heartbeat(target, _read_body(environ))
+            case ("POST", ["instances", target, "leave"]):
+                return self._leave(target, _read_body(environ))
+            case ("POST", ["configuration", "replace"]):
+                return self._replace(_read_body(environ))
+            case ("GET", ["configuration", "get"]):
+                plan = self.host.plan_from_thread()
+                return (503, {}) if plan is None else (200, plan)
+        return 404, {"error": "no such call"}
+
+    def _heartbeat(self, target: str, body: bytes) -> tuple[int, Any]:
+        announcement = read_announcement(target, body)
+        if announcement is None:
+            return 400, {"error": "unreadable heartbeat"}
+        if not self.host.knows_group(announcement):
+            return 404, {"error": "unknown group"}
+        kept = self.host.announce_from_thread(announcement)
+        return (200, {}) if kept else (503, {})
+
+    def _leave(self, target: str, body: bytes) -> tuple[int, Any]:
+        try:
+            born_ms = json.loads(body or b"{}").get("born")
+        except (ValueError, AttributeError):
+            return 400, {"error": "unreadable body"}
+        known = self.host.control.state.targets.records.get(target)
+        if known is None:
+            return 200, {}
+        if type(born_ms) is not int:
+            born_ms = known.incarnation_ms
+        announcement = Announcement(
+            target=target,
+            group=known.group,
+            data_center=known.data_center,
+            address=known.address,
+            role="",
+            term=0,
+            position=0,
+            leaving=True,
+            identity="",
+            incarnation_ms=born_ms,
+            gone=True,
+        )
+        kept = self.host.announce_from_thread(announcement)
+        return (200, {}) if kept else (503, {})
+
+    def _replace(self, body: bytes) -> tuple[int, Any]:
+        try:
+            text = body.decode()
+        except UnicodeDecodeError:
+            return 400, {"error": "not UTF-8"}
+        result = self.host.change_from_thread(text)
+        if isinstance(result, SchemaFault):
+            logging.info("event=plan-refused reason=%s", result)
+            return 400, {"error": str(result)}
+        return (503, {}) if result is None else (200, {})
+
+
+def read_announcement(target: str, body: bytes) -> Announcement | None:
+    """Decode a heartbeat.
+
+    :return: the announcement, or None where it names no target to use
+    """
+    try:
+        value = json.loads(body)
+        address = Address.parse(value["address"])
+        born_ms = value["born"]
+        state, role = value["state"], value["replication_role"]
+        slots = value["slots"]
+        names = (value["group"], value["data_center"], target)
+    except (ValueError, TypeError, KeyError, AttributeError):
+        return None
+    if not all(isinstance(name, str) and name for name in names):
+        return None
+    if type(born_ms) is not int or type(slots) is not int:
+        return None
+    if state not in {"ready", "draining"} or role not in _ROLES:
+        return None
+    if not _is_ip(address.ip) or slots < 1 or born_ms < 0:
+        return None
+    return Announcement(
+        target=target,
+        group=names[0],
+        data_center=names[1],
+        address=str(address),
+        role=role,
+        term=0,
+        position=0,
+        leaving=state == "draining",
+        identity="",
+        slots=slots,
+        incarnation_ms=born_ms,
+    )
+
+
+def read_status(answer: Answer) -> TargetStatus | None:
+    """Decode the row that answers the question for a status.
+
+    Its fields are role, term, position received, term held, lag, busy
+    slots and connections.
+    """
+    if answer.fault is not None or len(answer.rows) != 1:
+        return None
+    fields = answer.rows[0].split()
+    if len(fields) < _STATUS_FIELDS or fields[0] not in _ROLES:
+        return None
+    term, dot, number = fields[2].partition(".")
+    if not (dot and term.isdecimal() and number.isdecimal()):
+        return None
+    return TargetStatus(role=fields[0], term=int(term), position=int(number))
+
+
+@attrs.frozen(kw_only=True)
+class PromotionClient:
+    """Client of the platform's order to promote.
+
+    :param address: IP address and port of the platform
+    """
+
+    address: str
+
+    def promote(
+        self, order: PromotionOrder, *, may_send: Callable[[], bool]
+    ) -> bool:
+        """Order a promotion.
+
+        The connection is reset where no answer comes, so that an order
+        that is held up does not arrive after those of a later leader.
+
+        :param may_send: asked right before the order is sent
+        """
+        address = Address.parse(self.address)
+        left_s = (order.deadline_ns - clock_ns()) / _NS_PER_S
+        timeout_s = max(_LEAST_S, min(left_s, _PROMOTE_S))
+        connection = http.client.HTTPConnection(
+            address.ip, address.port, timeout=timeout_s
+        )
+        body = json.dumps({"group": order.group, "identifier": order.target})
+        headers = {
+            "Content-Type": "application/json",
+            "Duty-Holder": order.holder,
+            "Fencing-Token": str(order.fencing_token),
+        }
+        try:
+            connection.connect()
+            connection.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            if not may_send():
+                return False
+            connection.request("POST", "/promote", body, headers)
+            status = connection.getresponse().status
+        except (OSError, http.client.HTTPException) as error:
+            logging.info(
+                "event=promotion-failed group=%s target=%s reason=%r",
+                order.group,
+                order.target,
+                error,
+            )
+            return False
+        finally:
+            connection.close()
+        logging.info(
+            "event=promotion-answered group=%s target=%s status=%d",
+            order.group,
+            order.target,
+            status,
+        )
+        return status == http.client.OK
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        socket.inet_aton(text)
+    except OSError:
+        return False
+    return True
+
+
+def _read_body(environ: Any) -> bytes:
+    body: bytes = environ["wsgi.input"].read()
+    return body
+
+
+def _reply(start_response: Any, code: int, body: Any) -> Iterable[bytes]:
+    text = body if isinstance(body, str) else json.dumps(body)
+    data = text.encode()
+    reason = http.client.responses[code]
+    start_response(
+        f"{code} {reason}",
+        [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(data))),
+        ],
+    )
+    return [data]
--- a/src/rosemarysaddle/schema/_documents.py
+++ b/src/rosemarysaddle/schema/_documents.py
@@ -7,11 +7,16 @@
 __all__ = (
     "ControlHost",
     "Group",
+    "GroupPolicy",
     "Instance",
     "Inventory",
     "InventoryPatch",
+    "Node",
     "RequestClass",
+    "Route",
+    "RoutePlan",
     "Rules",
+    "SessionLimits",
     "Settings",
     "StandIn",
     "StandInTarget",
@@ -175,6 +180,129 @@
     classes: tuple[RequestClass, ...]
 
 
+@attrs.frozen(kw_only=True)
+class Route:
+    """Way of a database's statements to a group.
+
+    :param name: Name of the route
+    :param database: Database that callers name
+    :param path_prefix: Prefix that tells routes of one database apart
+    :param freshness: What a read has to see
+    :param timeout_ms: Greatest time of one statement, in milliseconds
+    :param latency_objective_ms: Latency objective of an operation, in
+        milliseconds
+    :param priority: Priority; 0 is the highest
+    :param group: Group that serves the database
+    :param max_attempts: Greatest count of attempts of a read
+    :param max_staleness_ms: Greatest age of data read, in milliseconds
+    """
+
+    name: str
+    database: str
+    path_prefix: str = "/"
+    freshness: str
+    timeout_ms: int
+    latency_objective_ms: int = 0
+    priority: int = 0
+    group: str
+    max_attempts: int = 1
+    max_staleness_ms: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class GroupPolicy:
+    """How a group is used.
+
+    :param name: Name of the group
+    :param connection_limit: Connections that one instance accepts; 0
+        where unknown
+    :param sync_replicas: Replicas that hold a write at its
+        acknowledgement
+    """
+
+    name: str
+    connection_limit: int = 0
+    sync_replicas: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class SessionLimits:
+    """Limits of sessions.
+
+    :param transaction_idle_ms: Idle time after which a transaction may
+        be ended, in milliseconds; 0 for never
+    """
+
+    transaction_idle_ms: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class RoutePlan:
+    """Databases that callers may name, and the groups behind them.
+
+    :param version: Version of the plan; the highest is in force
+    :param routes: Routes, one for each database and prefix
+    :param groups: Groups that the routes name
+    :param limits: Limits of sessions
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    groups: tuple[GroupPolicy, ...]
+    limits: SessionLimits = SessionLimits()
+
+
+@attrs.frozen(kw_only=True)
+class Node:
+    """Settings of one host that finds the others by seeds.
+
+    :param host: Name of this host
+    :param role: Role of this host
+    :param data_center: Data centre of this host
+    :param region: Region of the data centre
+    :param ip: IP address of this host
+    :param peers_port: TCP port for the other hosts, the same on all
+    :param metrics_port: TCP port for metrics; 0 serves none
+    :param seeds: Public addresses of some control hosts
+    :param first_start: Whether the whole deployment starts for the
+        first time
+    :param data_folder: Folder of durable state; required on a control
+        host
+    :param sessions_address: IP address and port for callers' sessions
+    :param ready_address: IP address and port for readiness checks
+    :param control_address: IP address and port for operators and
+        targets
+    :param promotion_address: IP address and port that takes orders to
+        promote
+    :param tolerated_hosts: Control hosts that may be lost at once
+    :param grace_s: Time between the order to stop and the end, in
+        seconds
+    :param drain_ms: Time after which a leaving target gets no work, in
+        milliseconds
+    :param statsd_address: IP address and port of statsd; empty sends
+        nothing
+    """
+
+    host: str
+    role: str
+    data_center: str
+    region: str
+    ip: str
+    peers_port: int
+    metrics_port: int = 0
+    seeds: tuple[str, ...]
+    first_start: bool = False
+    data_folder: str = ""
+    sessions_address: str = ""
+    ready_address: str = ""
+    control_address: str = ""
+    promotion_address: str = ""
+    tolerated_hosts: int = 1
+    grace_s: int = 6
+    drain_ms: int = 7000
+    statsd_address: str = ""
+
+
 @attrs.frozen(kw_only=True)
 class StandInTarget:
     """One stand-in instance.
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -16,6 +16,9 @@
     "Envelope",
     "GroupClosed",
     "Heartbeat",
+    "IndexReply",
+    "IndexRequest",
+    "JoinRequest",
     "LeaseGrant",
     "LeaseRefusal",
     "LeaseRenewal",
@@ -23,6 +26,7 @@
     "LogEntry",
     "Message",
     "SnapshotInstall",
+    "StepOut",
     "Suspicion",
     "Switchover",
     "ViewDelta",
@@ -64,6 +68,9 @@
     position: int
     leaving: bool
     identity: str
+    slots: int = 0
+    incarnation_ms: int = 0
+    gone: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -134,6 +141,29 @@
     """Message: heartbeat."""
 
 
+@attrs.frozen(kw_only=True)
+class IndexReply:
+    """Message: index reply."""
+
+    asked_ns: int
+    index: int
+    current: bool
+
+
+@attrs.frozen(kw_only=True)
+class IndexRequest:
+    """Message: index request."""
+
+    asked_ns: int
+
+
+@attrs.frozen(kw_only=True)
+class JoinRequest:
+    """Message: join request."""
+
+    host: str
+
+
 @attrs.frozen(kw_only=True)
 class LeaseGrant:
     """Message: lease grant."""
@@ -142,6 +172,7 @@
     lease_ms: int
     min_index: int
     closing: tuple[ClosingGroup, ...]
+    entry_hosts: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -180,6 +211,14 @@
     last_term: int
     sent_ns: int
     state: str
+    voters: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class StepOut:
+    """Message: step out."""
+
+    host: str
 
 
 @attrs.frozen(kw_only=True)
@@ -246,11 +285,15 @@
     | CloseGroup
     | GroupClosed
     | Heartbeat
+    | IndexReply
+    | IndexRequest
+    | JoinRequest
     | LeaseGrant
     | LeaseRefusal
     | LeaseRenewal
     | LeaseReturn
     | SnapshotInstall
+    | StepOut
     | Suspicion
     | Switchover
     | ViewDelta
@@ -289,4 +332,8 @@
     "changeReply": ChangeReply,
     "switchover": Switchover,
     "heartbeat": Heartbeat,
+    "joinRequest": JoinRequest,
+    "stepOut": StepOut,
+    "indexRequest": IndexRequest,
+    "indexReply": IndexReply,
 }
--- a/src/rosemarysaddle/schema/generate.py
+++ b/src/rosemarysaddle/schema/generate.py
@@ -21,6 +21,8 @@
     "inventory",
     "inventory_patch",
     "rules",
+    "route_plan",
+    "node",
     "stand_in",
 )
 _SCALARS: Final = {"text": "str", "bool": "bool"}
@@ -124,8 +126,10 @@
     if not struct.schema.fields:
         del lines[-1]
     for field, detail in struct.schema.fields.items():
-        python_type = _wire_type(detail.proto.slot.type, names)
-        lines.append(f"    {_snake(field)}: {python_type}")
+        slot = detail.proto.slot
+        python_type = _wire_type(slot.type, names)
+        default = _wire_default(python_type) if slot.hadExplicitDefault else ""
+        lines.append(f"    {_snake(field)}: {python_type}{default}")
     return "\n".join(lines) + "\n"
 
 
@@ -138,6 +142,10 @@
     return _SCALARS.get(kind, "int")
 
 
+def _wire_default(python_type: str) -> str:
+    return {"str": ' = ""', "bool": " = False"}.get(python_type, " = 0")
+
+
 def _bodies(envelope: Any, names: dict[int, str]) -> dict[str, str]:
     group = envelope.schema.fields["body"].schema
     return {
@@ -191,6 +199,8 @@
     value = body["default"]
     if isinstance(value, list):
         return " = ()"
+    if isinstance(value, dict):
+        return f" = {_json_type(body)}()"
     return f' = "{value}"' if isinstance(value, str) else f" = {value!r}"
 
 
--- a/src/rosemarysaddle/schema/messages.capnp
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -49,6 +49,25 @@
   lastTerm @3 :UInt64;
   sentNs @4 :UInt64;
   state @5 :Text;
+  voters @6 :Text = "";
+}
+
+struct JoinRequest {
+  host @0 :Text;
+}
+
+struct StepOut {
+  host @0 :Text;
+}
+
+struct IndexRequest {
+  askedNs @0 :UInt64;
+}
+
+struct IndexReply {
+  askedNs @0 :UInt64;
+  index @1 :UInt64;
+  current @2 :Bool;
 }
 
 struct ClosingGroup {
@@ -70,6 +89,7 @@
   leaseMs @1 :UInt32;
   minIndex @2 :UInt64;
   closing @3 :List(ClosingGroup);
+  entryHosts @4 :UInt32 = 0;
 }
 
 struct LeaseRefusal {
@@ -120,6 +140,9 @@
   position @6 :UInt64;
   leaving @7 :Bool;
   identity @8 :Text;
+  slots @9 :UInt32 = 0;
+  incarnationMs @10 :UInt64 = 0;
+  gone @11 :Bool = false;
 }
 
 struct ChangeProposal {
@@ -169,5 +192,9 @@
     changeReply @18 :ChangeReply;
     switchover @19 :Switchover;
     heartbeat @20 :Heartbeat;
+    joinRequest @21 :JoinRequest;
+    stepOut @22 :StepOut;
+    indexRequest @23 :IndexRequest;
+    indexReply @24 :IndexReply;
   }
 }
--- a/src/rosemarysaddle/serve/__init__.py
+++ b/src/rosemarysaddle/serve/__init__.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from rosemarysaddle.serve._entry import EntryServer
-from rosemarysaddle.serve._server import HttpServer
 from rosemarysaddle.serve._service import Operation, StatementService
 
-__all__ = ("EntryServer", "HttpServer", "Operation", "StatementService")
+__all__ = ("EntryServer", "Operation", "StatementService")
--- a/src/rosemarysaddle/serve/_entry.py
+++ b/src/rosemarysaddle/serve/_entry.py
@@ -12,9 +12,10 @@
 from rosemarysaddle.link import Address
 from rosemarysaddle.observe import Metrics
 from rosemarysaddle.serve._admin import AdminApp, AnnouncementApp
-from rosemarysaddle.serve._server import HttpServer
+from rosemarysaddle.serve._requests import MAX_BODY_BYTES
 from rosemarysaddle.serve._service import StatementService
 from rosemarysaddle.serve._wsgi import CallerApp
+from rosemarysaddle.web import HttpServer
 
 if TYPE_CHECKING:
     from rosemarysaddle.daemon import HostDaemon
@@ -56,6 +57,7 @@
         if not settings.callers_address:
             return
         self._http = HttpServer(
+            max_body_bytes=MAX_BODY_BYTES,
             address=Address.parse(settings.callers_address),
             threads=settings.worker_threads,
         )
--- /dev/null
+++ b/src/rosemarysaddle/session/_caller.py
@@ -0,0 +1,352 @@
+"""One caller's session, bound to its connection."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from typing import TYPE_CHECKING, Final, Protocol
+
+import attrs
+from absl import logging
+
+from rosemarysaddle._clock import clock_ns
+from rosemarysaddle.decide import (
+    NS_PER_MS,
+    Answer,
+    CloseSession,
+    OpenSession,
+    Reason,
+    Refusal,
+    SessionState,
+    Statement,
+    StatementKind,
+    Step,
+)
+from rosemarysaddle.session._run import Runner, Transaction, writes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from rosemarysaddle.schema import Route
+    from rosemarysaddle.session._router import Router
+
+__all__ = ("CallerCodec", "CallerSession")
+
+# A caller gives a session up that does not open within 2 s.
+OPEN_MS: Final = 1_500
+_DONE: Final = Answer()
+
+
+class CallerCodec(Protocol):
+    """Wire of one caller's connection, without input or output."""
+
+    def feed(
+        self, data: bytes
+    ) -> list[OpenSession | CloseSession | Statement] | None:
+        """Take bytes of the caller.
+
+        :return: the messages that are whole now, or None where the
+            bytes make no sense
+        """
+
+    def encode_ready(self, state: SessionState) -> bytes:
+        """Tell that the session takes the next statement."""
+
+    def encode_answer(self, answer: Answer, state: SessionState) -> bytes:
+        """Render a result."""
+
+    def encode_refusal(
+        self, refusal: Refusal, state: SessionState | None
+    ) -> bytes:
+        """Render a refusal; a state of None ends the session."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class CallerSession(asyncio.Protocol):
+    """Session of one caller.
+
+    :param on_end: called once when the connection ends
+    """
+
+    codec: CallerCodec
+    router: Router
+    on_end: Callable[[CallerSession], None]
+    runner: Runner = attrs.field(init=False)
+    database: str = attrs.field(default="", init=False)
+    state: SessionState = attrs.field(default=SessionState.IDLE, init=False)
+    is_busy: bool = attrs.field(default=False, init=False)
+    _transaction: Transaction | None = attrs.field(default=None, init=False)
+    _transport: asyncio.Transport | None = attrs.field(
+        default=None, init=False
+    )
+    _inbox: collections.deque[OpenSession | CloseSession | Statement] = (
+        attrs.field(factory=collections.deque, init=False)
+    )
+    _task: asyncio.Task[None] | None = attrs.field(default=None, init=False)
+    _idle_timer: asyncio.TimerHandle | None = attrs.field(
+        default=None, init=False
+    )
+
+    def __attrs_post_init__(self) -> None:
+        """Start without anything set."""
+        self.runner = Runner(router=self.router)
+
+    # --- connection ---
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the connection over."""
+        assert isinstance(transport, asyncio.Transport)  # noqa: S101
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Work on what the caller sent, in order."""
+        messages = self.codec.feed(data)
+        if messages is None:
+            self.refuse_and_close(_bad_request("decode"))
+            return
+        self._inbox.extend(messages)
+        if self._inbox and not self.is_busy:
+            self.is_busy = True
+            loop = asyncio.get_running_loop()
+            self._task = loop.create_task(self._work())
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Keep nothing of a transaction whose caller left."""
+        del exc
+        self._transport = None
+        self._stop_idle_timer()
+        if self._transaction is not None and not self.is_busy:
+            self.runner.abandon(self._transaction)
+            self._transaction = None
+        self.on_end(self)
+
+    @property
+    def is_open(self) -> bool:
+        """Tell whether the caller is still there."""
+        return self._transport is not None
+
+    @property
+    def in_transaction(self) -> bool:
+        """Tell whether a transaction is open."""
+        return self._transaction is not None
+
+    def close(self) -> None:
+        """Close the connection after what was written."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def end_transaction(self) -> None:
+        """Keep nothing of the open transaction.
+
+        The caller learns it from the answer to its next statement.
+        """
+        if self._transaction is not None and not self.is_busy:
+            self.runner.abandon(self._transaction)
+            self._transaction = None
+            self.state = SessionState.FAILED
+
+    def refuse_and_close(self, refusal: Refusal) -> None:
+        """Refuse what comes and close the connection."""
+        self._write(self.codec.encode_refusal(refusal, None))
+        self.close()
+
+    # --- statements ---
+
+    async def _work(self) -> None:
+        try:
+            while self._inbox and self._transport is not None:
+                await self._handle(self._inbox.popleft())
+        finally:
+            self.is_busy = False
+            if self._transport is None and self._transaction is not None:
+                self.runner.abandon(self._transaction)
+                self._transaction = None
+
+    async def _handle(
+        self, message: OpenSession | CloseSession | Statement
+    ) -> None:
+        match message:
+            case OpenSession():
+                await self._open(message)
+            case CloseSession():
+                self.close()
+            case Statement():
+                self._stop_idle_timer()
+                await self._run(message)
+                self._start_idle_timer()
+
+    async def _open(self, message: OpenSession) -> None:
+        if self.database:
+            self.refuse_and_close(_bad_request("open"))
+            return
+        deadline_ns = clock_ns() + OPEN_MS * NS_PER_MS
+        while not self.router.node.ready:
+            if not await self.router.wait_change(deadline_ns):
+                self.refuse_and_close(_no_view())
+                return
+        if self.router.route(message.database) is None:
+            self.refuse_and_close(_no_database(message.database))
+            return
+        self.database = message.database
+        self._write(self.codec.encode_ready(SessionState.IDLE))
+
+    async def _run(self, statement: Statement) -> None:
+        if not self.database:
+            self.refuse_and_close(_bad_request("open"))
+            return
+        result = await self._result(statement)
+        if isinstance(result, Refusal):
+            logging.info(
+                "event=refused id=%s database=%s kind=%s reason=%s step=%s"
+                " peer=%s outcome=%s",
+                statement.request_id,
+                self.database,
+                statement.kind,
+                result.reason,
+                result.step,
+                result.peer,
+                result.outcome,
+            )
+            self._write(self.codec.encode_refusal(result, self.state))
+        else:
+            self._write(self.codec.encode_answer(result, self.state))
+
+    async def _result(self, statement: Statement) -> Answer | Refusal:
+        match statement.kind:
+            case StatementKind.ROLLBACK:
+                return await self._roll_back()
+            case StatementKind.COMMIT:
+                return await self._commit(statement)
+            case _ if self.state is SessionState.FAILED:
+                return _bad_request("transaction-failed")
+            case StatementKind.BEGIN | StatementKind.BEGIN_READ:
+                return self._begin(statement)
+            case StatementKind.READ | StatementKind.WRITE:
+                return await self._statement(statement)
+            case StatementKind.EXECUTE:
+                if statement.name not in self.runner.variables.shapes:
+                    return self._fail(_unnamed(statement.name))
+                return await self._statement(statement)
+            case _:
+                return self._set(statement)
+
+    def _set(self, statement: Statement) -> Answer | Refusal:
+        variables = self.runner.variables
+        match statement.kind:
+            case StatementKind.SET:
+                variables.values[statement.name] = statement.argument
+            case StatementKind.PREPARE if statement.shape is not None:
+                variables.shapes[statement.name] = statement.shape
+            case StatementKind.FORGET:
+                if variables.shapes.pop(statement.name, None) is None:
+                    return self._fail(_unnamed(statement.name))
+            case _:
+                return self._fail(_bad_request("statement"))
+        return _DONE
+
+    def _begin(self, statement: Statement) -> Answer | Refusal:
+        if self._transaction is not None:
+            return self._fail(_bad_request("nested"))
+        route = self._route()
+        if isinstance(route, Refusal):
+            return route
+        self._transaction = Transaction(
+            reads=statement.kind is StatementKind.BEGIN_READ,
+            route=route,
+            began_ns=clock_ns(),
+        )
+        self.state = SessionState.TRANSACTION
+        return _DONE
+
+    async def _statement(self, statement: Statement) -> Answer | Refusal:
+        if self._transaction is not None:
+            result = await self.runner.run_in(self._transaction, statement)
+            return self._fail(result) if _refused(result) else result
+        route = self._route()
+        if isinstance(route, Refusal):
+            return route
+        if writes(statement, self.runner.variables):
+            return await self.runner.write(route, statement)
+        return await self.runner.read(route, statement)
+
+    async def _commit(self, statement: Statement) -> Answer | Refusal:
+        transaction = self._transaction
+        if transaction is None:
+            failed = self.state is SessionState.FAILED
+            self.state = SessionState.IDLE
+            return _ended() if failed else _bad_request("no-transaction")
+        result = await self.runner.commit(transaction, statement)
+        self._transaction = None
+        self.state = SessionState.IDLE
+        return result
+
+    async def _roll_back(self) -> Answer | Refusal:
+        transaction = self._transaction
+        if transaction is None and self.state is not SessionState.FAILED:
+            return _bad_request("no-transaction")
+        self._transaction = None
+        self.state = SessionState.IDLE
+        if transaction is not None:
+            await self.runner.roll_back(transaction)
+        return _DONE
+
+    def _fail(self, result: Answer | Refusal) -> Answer | Refusal:
+        if self._transaction is not None:
+            self.runner.abandon(self._transaction)
+            self._transaction = None
+            self.state = SessionState.FAILED
+        return result
+
+    def _route(self) -> Route | Refusal:
+        return self.router.route(self.database) or _no_database(self.database)
+
+    # --- idle transactions ---
+
+    def _start_idle_timer(self) -> None:
+        idle_ms = self.router.node.state.routes.limits.transaction_idle_ms
+        if self._transaction is None or not idle_ms:
+            return
+        loop = asyncio.get_running_loop()
+        self._idle_timer = loop.call_later(
+            idle_ms / 1_000, self.end_transaction
+        )
+
+    def _stop_idle_timer(self) -> None:
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+            self._idle_timer = None
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None:
+            self._transport.write(data)
+
+
+def _refused(result: Answer | Refusal) -> bool:
+    return isinstance(result, Refusal)
+
+
+def _bad_request(peer: str) -> Refusal:
+    return Refusal(reason=Reason.BAD_REQUEST, step=Step.DECODE, peer=peer)
+
+
+def _unnamed(name: str) -> Refusal:
+    return Refusal(reason=Reason.UNKNOWN_PREPARED, step=Step.ROUTE, peer=name)
+
+
+def _no_database(database: str) -> Refusal:
+    return Refusal(
+        reason=Reason.UNKNOWN_DATABASE, step=Step.ROUTE, peer=database
+    )
+
+
+def _no_view() -> Refusal:
+    return Refusal(
+        reason=Reason.NO_CONFIGURATION,
+        step=Step.ROUTE,
+        peer="control",
+        retry_after_ms=OPEN_MS,
+    )
+
+
+def _ended() -> Refusal:
+    return Refusal(reason=Reason.TRANSACTION_ENDED, step=Step.COMMIT, peer="-")
--- /dev/null
+++ b/src/rosemarysaddle/session/_router.py
@@ -0,0 +1,344 @@
+"""What the sessions of an entry host ask before they use a target."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+import attrs
+from absl import logging
+
+from rosemarysaddle._clock import clock_ns
+from rosemarysaddle.decide import (
+    NS_PER_MS,
+    FaultCode,
+    Freshness,
+    LogPoint,
+    PlacedTarget,
+    PositionLog,
+    ReadNeed,
+    Reason,
+    Refusal,
+    SessionVariables,
+    Step,
+    WriteTicket,
+    choose_target,
+    newer_point,
+)
+from rosemarysaddle.exchange import ExchangePool, OpenFault
+from rosemarysaddle.link import Address
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection, Sequence
+
+    from rosemarysaddle.decide import Answer, Effect, EntryNode
+    from rosemarysaddle.exchange import TargetCodec
+    from rosemarysaddle.schema import Route
+
+__all__ = ("Placement", "Router")
+
+# Share of a target's connections that the entry hosts use together.
+CONNECTION_SHARE: Final = 0.9
+UNKNOWN_LIMIT: Final = 4
+WARM_CONNECTIONS: Final = 1
+# Position of a group whose reads accept some age, where it is silent.
+REFRESH_MS: Final = 400
+WANTED_MS: Final = 5_000
+CHECK_MS: Final = 300
+MAX_WAITING: Final = 400
+RETRY_AFTER_MS: Final = 250
+_NS_PER_S: Final = 1_000_000_000
+
+
+@attrs.frozen(kw_only=True)
+class Placement:
+    """Target chosen for a read.
+
+    :param after: position that it has to hold, or None at the primary
+    """
+
+    target: str
+    after: LogPoint | None
+
+
+@attrs.define(kw_only=True, eq=False)
+class Router:
+    """Targets, positions and rights of one entry host.
+
+    :param label: name of this host for the targets
+    :param send: carries out effects of the decisions
+    """
+
+    node: EntryNode
+    label: str
+    new_codec: Callable[[], TargetCodec]
+    send: Callable[[Sequence[Effect]], None]
+    targets: dict[str, PlacedTarget] = attrs.field(factory=dict, init=False)
+    pools: dict[str, ExchangePool] = attrs.field(factory=dict, init=False)
+    _positions: dict[str, PositionLog] = attrs.field(factory=dict, init=False)
+    _wanted_ns: dict[str, int] = attrs.field(factory=dict, init=False)
+    _check_at_ns: dict[str, int] = attrs.field(factory=dict, init=False)
+    _waiting: set[asyncio.Future[None]] = attrs.field(factory=set, init=False)
+    _jobs: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
+
+    def route(self, database: str) -> Route | None:
+        """Find the route in force of a database."""
+        return self.node.state.routes.databases.get(database)
+
+    # --- reads ---
+
+    def place_read(
+        self,
+        route: Route,
+        session_point: LogPoint | None,
+        excluded: Collection[str],
+    ) -> Placement | None:
+        """Choose the target of a read.
+
+        :param session_point: newest write of the session
+        :param excluded: targets that have failed the read
+        :return: the choice, or None where no target will do now
+        """
+        now_ns = clock_ns()
+        group = route.group
+        term = self.node.primary_of(group, now_ns)
+        primary = term.primary if term is not None else ""
+        point = self._needed(route, session_point, now_ns)
+        need = ReadNeed(
+            point=point,
+            primary=primary,
+            excluded=excluded,
+            data_center=self.node.data_center,
+            now_ns=now_ns,
+        )
+        known = (t for t in self.targets.values() if t.group == group)
+        chosen = choose_target(known, need)
+        if chosen is None:
+            return None
+        after = None if chosen.target == primary else point
+        return Placement(target=chosen.target, after=after)
+
+    def _needed(
+        self, route: Route, session_point: LogPoint | None, now_ns: int
+    ) -> LogPoint | None:
+        if route.freshness == Freshness.PRIMARY:
+            return None
+        self._wanted_ns[route.group] = now_ns
+        positions = self._positions.setdefault(route.group, PositionLog())
+        point = positions.needed(
+            now_ns=now_ns, staleness_ms=route.max_staleness_ms
+        )
+        if point is None or route.freshness != Freshness.SESSION:
+            return point
+        return newer_point(point, session_point)
+
+    # --- writes ---
+
+    def begin_write(self, group: str) -> WriteTicket | Refusal:
+        """Ask for the right to use a group's primary.
+
+        The caller ends it with :meth:`end_write`.
+        """
+        now_ns = clock_ns()
+        term = self.node.primary_of(group, now_ns)
+        if term is None or term.primary not in self.pools:
+            return Refusal(
+                reason=Reason.NO_PRIMARY,
+                step=Step.ROUTE,
+                peer=group,
+                retry_after_ms=RETRY_AFTER_MS,
+            )
+        return self.node.begin_write(group, now_ns)
+
+    def end_write(self, ticket: WriteTicket) -> bool:
+        """End the use of a primary.
+
+        :return: whether what it answered may be acknowledged
+        """
+        held = self.node.end_write(ticket, clock_ns())
+        self.send(self.node.tick(clock_ns()))
+        return held
+
+    def holds(self, ticket: WriteTicket) -> bool:
+        """Tell whether the right to use a primary still stands."""
+        return self.node.holds(ticket, clock_ns())
+
+    # --- answers ---
+
+    def covers(self, target: str) -> bool:
+        """Tell whether a target is a primary to rely on now."""
+        placed = self.targets.get(target)
+        if placed is None:
+            return False
+        term = self.node.primary_of(placed.group, clock_ns())
+        return term is not None and term.primary == target
+
+    def note_answer(
+        self, target: str, answer: Answer, *, asked_ns: int, covered: bool
+    ) -> None:
+        """Learn from an answer.
+
+        :param asked_ns: time at which the statement was sent
+        :param covered: whether the target was relied on as a primary
+            at that time
+        """
+        placed = self.targets.get(target)
+        if placed is None:
+            return
+        placed.note_point(answer.point)
+        if answer.fault is None:
+            placed.note_latency(clock_ns() - asked_ns)
+        elif answer.fault is FaultCode.BEHIND:
+            placed.note_behind(clock_ns())
+        elif answer.fault in {FaultCode.LOST, FaultCode.TIMEOUT}:
+            self.check(target)
+        if covered and answer.point is not None:
+            positions = self._positions.setdefault(placed.group, PositionLog())
+            positions.note(asked_ns, answer.point)
+
+    def note_open_fault(self, fault: OpenFault) -> None:
+        """Take note that a target took no connection."""
+        placed = self.targets.get(fault.peer)
+        if placed is None or fault.code in {
+            FaultCode.TOO_MANY_CONNECTIONS,
+            FaultCode.BUSY,
+        }:
+            return
+        now_ns = clock_ns()
+        placed.note_down(now_ns)
+        logging.info(
+            "event=target-down target=%s group=%s code=%s",
+            fault.peer,
+            placed.group,
+            fault.code,
+        )
+        effects = self.node.suspect(
+            placed.group, fault.peer, refused=fault.refused, now_ns=now_ns
+        )
+        self.send(effects)
+
+    def check(self, target: str) -> None:
+        """Find out over a new connection whether a target answers."""
+        now_ns = clock_ns()
+        pool = self.pools.get(target)
+        if pool is None or now_ns < self._check_at_ns.get(target, 0):
+            return
+        self._check_at_ns[target] = now_ns + CHECK_MS * NS_PER_MS
+        self._spawn(pool.check())
+
+    # --- changes of the view ---
+
+    def follow(self) -> None:
+        """Bring targets and pools in line with the view."""
+        records = self.node.state.targets.records
+        for name in [n for n in self.targets if n not in records]:
+            del self.targets[name]
+            self.pools.pop(name).close()
+        for name, record in records.items():
+            placed = self.targets.get(name)
+            if placed is None or placed.address != record.address:
+                self._add(name)
+                placed = self.targets[name]
+            placed.leaving = record.leaving
+            self.pools[name].limit = self._limit(record.group)
+        self.wake()
+
+    def _add(self, name: str) -> None:
+        record = self.node.state.targets.records[name]
+        if name in self.pools:
+            self.pools[name].close()
+        self.targets[name] = PlacedTarget(
+            target=name,
+            group=record.group,
+            address=record.address,
+            data_center=record.data_center,
+            slots=record.slots,
+        )
+        pool = ExchangePool(
+            target=name,
+            group=record.group,
+            address=Address.parse(record.address),
+            label=self.label,
+            limit=self._limit(record.group),
+            new_codec=self.new_codec,
+            on_open_fault=self.note_open_fault,
+        )
+        self.pools[name] = pool
+        if record.data_center == self.node.data_center:
+            self._spawn(pool.warm(WARM_CONNECTIONS))
+
+    def _limit(self, group: str) -> int:
+        policy = self.node.state.routes.groups.get(group)
+        hosts = max(1, self.node.entry_hosts)
+        if policy is None or not policy.connection_limit:
+            return UNKNOWN_LIMIT
+        share = policy.connection_limit * CONNECTION_SHARE / hosts
+        return max(1, int(share))
+
+    def wake(self) -> None:
+        """Let whoever waits for a change look again."""
+        for waiting in self._waiting:
+            if not waiting.done():
+                waiting.set_result(None)
+        self._waiting.clear()
+
+    async def wait_change(self, until_ns: int) -> bool:
+        """Wait for a change of the view.
+
+        :param until_ns: time to wait until, in nanoseconds
+        :return: whether there was time left to wait
+        """
+        left_s = (until_ns - clock_ns()) / _NS_PER_S
+        if left_s <= 0 or len(self._waiting) >= MAX_WAITING:
+            return False
+        loop = asyncio.get_running_loop()
+        waiting: asyncio.Future[None] = loop.create_future()
+        self._waiting.add(waiting)
+        timer = loop.call_later(left_s, _finish, waiting)
+        try:
+            await waiting
+        finally:
+            timer.cancel()
+            self._waiting.discard(waiting)
+        return True
+
+    # --- positions of silent groups ---
+
+    def refresh(self) -> None:
+        """Ask the primaries of silent groups for their positions."""
+        now_ns = clock_ns()
+        for group, wanted_ns in list(self._wanted_ns.items()):
+            if now_ns > wanted_ns + WANTED_MS * NS_PER_MS:
+                del self._wanted_ns[group]
+                continue
+            newest_ns = self._positions[group].newest_ns()
+            if now_ns < newest_ns + REFRESH_MS * NS_PER_MS:
+                continue
+            term = self.node.primary_of(group, now_ns)
+            if term is not None and term.primary in self.pools:
+                self._spawn(self._ask_point(term.primary))
+
+    async def _ask_point(self, target: str) -> None:
+        deadline_ns = clock_ns() + REFRESH_MS * NS_PER_MS
+        pool = self.pools[target]
+        found = await pool.acquire(SessionVariables(), deadline_ns=deadline_ns)
+        if isinstance(found, OpenFault):
+            return
+        asked_ns = clock_ns()
+        covered = self.covers(target)
+        answer = await found.ask(
+            found.codec.encode_reset(), deadline_ns=deadline_ns
+        )
+        found.setup.clear()
+        pool.release(found)
+        self.note_answer(target, answer, asked_ns=asked_ns, covered=covered)
+
+    def _spawn(self, work: asyncio._CoroutineLike[None]) -> None:
+        job = asyncio.get_running_loop().create_task(work)
+        self._jobs.add(job)
+        job.add_done_callback(self._jobs.discard)
+
+
+def _finish(waiting: asyncio.Future[None]) -> None:
+    if not waiting.done():
+        waiting.set_result(None)
--- /dev/null
+++ b/src/rosemarysaddle/session/_run.py
@@ -0,0 +1,474 @@
+"""Statements outside and inside transactions, run at targets.
+
+What a caller is told in each case stands in docs/design/promises.md.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import attrs
+from absl import logging
+
+from rosemarysaddle._clock import clock_ns
+from rosemarysaddle.decide import (
+    NS_PER_MS,
+    Answer,
+    FaultCode,
+    LogPoint,
+    Outcome,
+    Reason,
+    Refusal,
+    SessionState,
+    SessionVariables,
+    Shape,
+    Statement,
+    Step,
+    WriteTicket,
+    shared_name,
+)
+from rosemarysaddle.exchange import Exchange, OpenFault
+
+if TYPE_CHECKING:
+    from rosemarysaddle.schema import Route
+    from rosemarysaddle.session._router import Placement, Router
+
+__all__ = ("Runner", "Transaction")
+
+# Pause before a target that did not run a statement is asked again.
+PAUSE_MS: Final = 25
+MAX_TRIES: Final = 8
+RETRY_AFTER_MS: Final = 200
+
+
+@attrs.define(kw_only=True, eq=False)
+class Transaction:
+    """Transaction of one session, pinned to one connection.
+
+    :param began_ns: time at which the caller began it
+    :param exchange: connection on which it runs, once it has one
+    :param ticket: right to use the primary, where it runs there
+    """
+
+    reads: bool
+    route: Route
+    began_ns: int
+    exchange: Exchange | None = None
+    target: str = ""
+    ticket: WriteTicket | None = None
+    wrote: bool = False
+    active_ns: int = 0
+
+
+@attrs.define(kw_only=True, eq=False)
+class Runner:
+    """Runs the statements of one session.
+
+    :param variables: what the session has set
+    :param point: newest write of the session
+    """
+
+    router: Router
+    variables: SessionVariables = attrs.field(factory=SessionVariables)
+    points: dict[str, LogPoint] = attrs.field(factory=dict, init=False)
+
+    # --- outside transactions ---
+
+    async def read(
+        self, route: Route, statement: Statement
+    ) -> Answer | Refusal:
+        """Run one read outside a transaction."""
+        deadline_ns = _deadline_ns(route)
+        failed: set[str] = set()
+        attempts = 0
+        last: Answer | None = None
+        for _ in range(MAX_TRIES):
+            place = self._place(route, failed)
+            if place is None:
+                if not await self.router.wait_change(deadline_ns):
+                    break
+                continue
+            answer = await self._read_at(place, statement, deadline_ns)
+            if answer.fault is None:
+                return answer
+            last = answer
+            failed.add(place.target)
+            if not answer.fault.is_not_run:
+                attempts += 1
+            if attempts >= max(2, route.max_attempts):
+                break
+            if not self._place(route, failed):
+                failed.clear()
+                if not await self._pause(deadline_ns):
+                    break
+        return _read_refusal(route, last)
+
+    async def write(
+        self, route: Route, statement: Statement
+    ) -> Answer | Refusal:
+        """Run one write outside a transaction, at most once."""
+        deadline_ns = _deadline_ns(route)
+        last: Answer | None = None
+        for _ in range(MAX_TRIES):
+            ticket = await self._ticket(route.group, deadline_ns)
+            if isinstance(ticket, Refusal):
+                return ticket
+            result = await self._write_once(ticket, statement, deadline_ns)
+            if isinstance(result, Refusal) or result.fault is None:
+                return result
+            last = result
+            if not result.fault.is_not_run:
+                return _failed(route, result)
+            if not await self._pause(deadline_ns):
+                break
+        return _not_run(route.group, last)
+
+    def _place(self, route: Route, failed: set[str]) -> Placement | None:
+        point = self.points.get(route.group)
+        return self.router.place_read(route, point, failed)
+
+    async def _read_at(
+        self, place: Placement, statement: Statement, deadline_ns: int
+    ) -> Answer:
+        exchange = await self._connect(place.target, deadline_ns)
+        if isinstance(exchange, OpenFault):
+            return Answer(fault=FaultCode.BUSY, text=str(exchange.code))
+        answer = await self._ask(
+            exchange, statement, after=place.after, deadline_ns=deadline_ns
+        )
+        self._give_back(exchange)
+        return answer
+
+    async def _write_once(
+        self, ticket: WriteTicket, statement: Statement, deadline_ns: int
+    ) -> Answer | Refusal:
+        exchange = await self._connect(ticket.primary, deadline_ns)
+        if isinstance(exchange, OpenFault):
+            self.router.end_write(ticket)
+            return Answer(fault=FaultCode.BUSY, text=str(exchange.code))
+        if not self.router.holds(ticket):
+            self._give_back(exchange)
+            self.router.end_write(ticket)
+            return Answer(fault=FaultCode.READ_ONLY)
+        answer = await self._ask(exchange, statement, deadline_ns=deadline_ns)
+        self._give_back(exchange)
+        held = self.router.end_write(ticket)
+        if answer.fault is None and not held:
+            return _unknown(Reason.LEASE_ENDED, Step.EXECUTE, ticket.primary)
+        if answer.fault is None and answer.point is not None:
+            self.points[ticket.group] = answer.point
+        return answer
+
+    # --- transactions ---
+
+    async def run_in(
+        self, transaction: Transaction, statement: Statement
+    ) -> Answer | Refusal:
+        """Run a read or write of a transaction.
+
+        A refusal ends the transaction; nothing of it is kept.
+        """
+        deadline_ns = _deadline_ns(transaction.route)
+        refusal = await self._pin(transaction, deadline_ns)
+        if refusal is not None:
+            return refusal
+        exchange = transaction.exchange
+        if (
+            exchange is None
+            or exchange.is_lost
+            or not self._may_go_on(transaction)
+        ):
+            self.abandon(transaction)
+            return _ended(transaction)
+        answer = await self._ask(exchange, statement, deadline_ns=deadline_ns)
+        if self._writes(statement):
+            transaction.wrote = True
+        if answer.fault is None and answer.state is SessionState.TRANSACTION:
+            return answer
+        logging.info(
+            "event=transaction-ended id=%s target=%s fault=%s state=%s",
+            statement.request_id,
+            transaction.target,
+            answer.fault,
+            answer.state,
+        )
+        self.abandon(transaction)
+        return _ended(transaction)
+
+    async def commit(
+        self, transaction: Transaction, statement: Statement
+    ) -> Answer | Refusal:
+        """Commit a transaction, at most once."""
+        deadline_ns = _deadline_ns(transaction.route)
+        refusal = await self._pin(transaction, deadline_ns)
+        if refusal is not None:
+            return refusal
+        exchange = transaction.exchange
+        if (
+            exchange is None
+            or exchange.is_lost
+            or not self._may_go_on(transaction)
+        ):
+            self.abandon(transaction)
+            return _ended(transaction)
+        answer = await self._ask(exchange, statement, deadline_ns=deadline_ns)
+        return self._committed(transaction, exchange, answer)
+
+    def _committed(
+        self, transaction: Transaction, exchange: Exchange, answer: Answer
+    ) -> Answer | Refusal:
+        ticket = transaction.ticket
+        held = ticket is None or self.router.end_write(ticket)
+        transaction.ticket = None
+        transaction.exchange = None
+        self._give_back(exchange)
+        if not transaction.wrote:
+            return answer if answer.fault is None else _ended(transaction)
+        if answer.fault is not None:
+            if answer.fault.is_not_run:
+                return _ended(transaction)
+            return _unknown(
+                Reason.CONNECTION_LOST, Step.COMMIT, transaction.target
+            )
+        if not held:
+            return _unknown(
+                Reason.LEASE_ENDED, Step.COMMIT, transaction.target
+            )
+        if answer.point is not None:
+            self.points[transaction.route.group] = answer.point
+        return answer
+
+    async def roll_back(self, transaction: Transaction) -> None:
+        """End a transaction of which nothing is kept."""
+        exchange = transaction.exchange
+        if exchange is None:
+            return
+        transaction.exchange = None
+        waiting = exchange.send_rollback()
+        if waiting is not None:
+            await waiting
+        self._give_back(exchange)
+        if transaction.ticket is not None:
+            self.router.end_write(transaction.ticket)
+            transaction.ticket = None
+
+    def abandon(self, transaction: Transaction) -> None:
+        """End a transaction by the end of its connection."""
+        if transaction.exchange is not None:
+            transaction.exchange.abort()
+            transaction.exchange = None
+        if transaction.ticket is not None:
+            self.router.end_write(transaction.ticket)
+            transaction.ticket = None
+
+    async def _pin(
+        self, transaction: Transaction, deadline_ns: int
+    ) -> Refusal | None:
+        """Begin at a target, where that has not happened yet."""
+        if transaction.exchange is not None or transaction.target:
+            return None
+        failed: set[str] = set()
+        for _ in range(MAX_TRIES):
+            if transaction.reads:
+                fault = await self._pin_read(transaction, failed, deadline_ns)
+            else:
+                fault = await self._pin_write(transaction, deadline_ns)
+            if fault is None:
+                return None
+            if not await self._pause(deadline_ns):
+                break
+        return Refusal(
+            reason=Reason.TRANSACTION_ENDED,
+            step=Step.CONNECT,
+            peer=transaction.route.group,
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+
+    async def _pin_read(
+        self, transaction: Transaction, failed: set[str], deadline_ns: int
+    ) -> FaultCode | None:
+        place = self._place(transaction.route, failed)
+        if place is None:
+            failed.clear()
+            return FaultCode.BEHIND
+        fault = await self._begin(
+            transaction, place.target, place.after, deadline_ns
+        )
+        if fault is not None:
+            failed.add(place.target)
+        return fault
+
+    async def _pin_write(
+        self, transaction: Transaction, deadline_ns: int
+    ) -> FaultCode | None:
+        ticket = await self._ticket(transaction.route.group, deadline_ns)
+        if isinstance(ticket, Refusal):
+            return FaultCode.READ_ONLY
+        fault = await self._begin(
+            transaction, ticket.primary, None, deadline_ns
+        )
+        if fault is None:
+            transaction.ticket = ticket
+        else:
+            self.router.end_write(ticket)
+        return fault
+
+    async def _begin(
+        self,
+        transaction: Transaction,
+        target: str,
+        after: LogPoint | None,
+        deadline_ns: int,
+    ) -> FaultCode | None:
+        exchange = await self._connect(target, deadline_ns)
+        if isinstance(exchange, OpenFault):
+            return FaultCode.BUSY
+        asked_ns = clock_ns()
+        covered = self.router.covers(target)
+        data = exchange.codec.encode_begin(
+            reads=transaction.reads, after=after
+        )
+        answer = await exchange.ask(data, deadline_ns=deadline_ns)
+        self.router.note_answer(
+            target, answer, asked_ns=asked_ns, covered=covered
+        )
+        if answer.fault is not None:
+            self._give_back(exchange)
+            return answer.fault
+        transaction.exchange = exchange
+        transaction.target = target
+        return None
+
+    def _may_go_on(self, transaction: Transaction) -> bool:
+        ticket = transaction.ticket
+        return ticket is None or self.router.holds(ticket)
+
+    # --- common steps ---
+
+    async def _ticket(
+        self, group: str, deadline_ns: int
+    ) -> WriteTicket | Refusal:
+        while True:
+            found = self.router.begin_write(group)
+            if isinstance(found, WriteTicket):
+                return found
+            if not await self.router.wait_change(deadline_ns):
+                return found
+
+    async def _connect(
+        self, target: str, deadline_ns: int
+    ) -> Exchange | OpenFault:
+        pool = self.router.pools.get(target)
+        if pool is None:
+            return OpenFault(code=FaultCode.WRONG_TARGET, peer=target)
+        return await pool.acquire(self.variables, deadline_ns=deadline_ns)
+
+    async def _ask(
+        self,
+        exchange: Exchange,
+        statement: Statement,
+        *,
+        after: LogPoint | None = None,
+        deadline_ns: int,
+    ) -> Answer:
+        shape = self.variables.shapes.get(statement.name)
+        if not statement.kind.uses_prepared:
+            shape = None
+        plan = exchange.setup.plan(self.variables, shape)
+        if not plan.is_empty and not await exchange.prepare(
+            plan, deadline_ns=deadline_ns
+        ):
+            return Answer(fault=FaultCode.BUSY, state=SessionState.FAILED)
+        data = exchange.codec.encode_statement(
+            statement, shared=shared_name(shape) if shape else "", after=after
+        )
+        return await self._exchange(exchange, data, deadline_ns)
+
+    async def _exchange(
+        self, exchange: Exchange, data: bytes, deadline_ns: int
+    ) -> Answer:
+        target = exchange.target
+        placed = self.router.targets.get(target)
+        asked_ns = clock_ns()
+        covered = self.router.covers(target)
+        if placed is not None:
+            placed.running += 1
+        answer = await exchange.ask(data, deadline_ns=deadline_ns)
+        if placed is not None:
+            placed.running -= 1
+        self.router.note_answer(
+            target, answer, asked_ns=asked_ns, covered=covered
+        )
+        return answer
+
+    def _give_back(self, exchange: Exchange) -> None:
+        pool = self.router.pools.get(exchange.target)
+        if pool is None:
+            exchange.abort()
+        else:
+            pool.release(exchange)
+
+    async def _pause(self, deadline_ns: int) -> bool:
+        until_ns = clock_ns() + PAUSE_MS * NS_PER_MS
+        if until_ns >= deadline_ns:
+            return False
+        return await self.router.wait_change(until_ns)
+
+    def _writes(self, statement: Statement) -> bool:
+        return writes(statement, self.variables)
+
+
+def writes(statement: Statement, variables: SessionVariables) -> bool:
+    """Tell whether a statement writes."""
+    if statement.kind.uses_prepared:
+        shape: Shape | None = variables.shapes.get(statement.name)
+        return shape is not None and shape.writes
+    return statement.kind.always_writes
+
+
+def _deadline_ns(route: Route) -> int:
+    return clock_ns() + route.timeout_ms * NS_PER_MS
+
+
+def _read_refusal(route: Route, last: Answer | None) -> Refusal:
+    if last is not None and last.fault is FaultCode.FAILED:
+        return Refusal(
+            reason=Reason.STATEMENT_FAILED, step=Step.EXECUTE, peer=route.group
+        )
+    # A read keeps nothing, whether it ran or not.
+    return _not_run(route.group, last)
+
+
+def _not_run(group: str, last: Answer | None) -> Refusal:
+    busy = last is not None and last.fault is FaultCode.BUSY
+    return Refusal(
+        reason=Reason.TARGET_BUSY if busy else Reason.NO_PRIMARY,
+        step=Step.EXECUTE,
+        peer=group,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+
+
+def _failed(route: Route, answer: Answer) -> Refusal:
+    if answer.fault is FaultCode.TIMEOUT:
+        return _unknown(Reason.DEADLINE_PASSED, Step.EXECUTE, route.group)
+    if answer.fault is FaultCode.FAILED:
+        return Refusal(
+            reason=Reason.STATEMENT_FAILED, step=Step.EXECUTE, peer=route.group
+        )
+    return _unknown(Reason.CONNECTION_LOST, Step.EXECUTE, route.group)
+
+
+def _unknown(reason: Reason, step: Step, peer: str) -> Refusal:
+    return Refusal(
+        reason=reason, step=step, peer=peer, outcome=Outcome.UNKNOWN
+    )
+
+
+def _ended(transaction: Transaction) -> Refusal:
+    return Refusal(
+        reason=Reason.TRANSACTION_ENDED,
+        step=Step.EXECUTE,
+        peer=transaction.target or transaction.route.group,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
--- a/src/rosemarysaddle/store/_journal.py
+++ b/src/rosemarysaddle/store/_journal.py
@@ -43,6 +43,7 @@
     snapshot_index: int = 0
     snapshot_term: int = 0
     snapshot_state: str = ""
+    snapshot_voters: str = ""
     entries: list[LogEntry] = attrs.field(factory=list)
 
     def replay(self, record: dict[str, Any]) -> None:
@@ -54,7 +55,9 @@
         else:
             self._add(record["entries"])
 
-    def set_snapshot(self, index: int, term: int, state: str) -> None:
+    def set_snapshot(
+        self, index: int, term: int, state: str, voters: str = ""
+    ) -> None:
         """Take over a snapshot and drop what it covers."""
         covered = index - self.snapshot_index
         holds = (
@@ -65,6 +68,7 @@
         self.snapshot_index = index
         self.snapshot_term = term
         self.snapshot_state = state
+        self.snapshot_voters = voters
 
     def stored(self) -> StoredLog:
         """Copy for the decisions."""
@@ -74,6 +78,7 @@
             snapshot_index=self.snapshot_index,
             snapshot_term=self.snapshot_term,
             snapshot_state=self.snapshot_state,
+            snapshot_voters=self.snapshot_voters,
             entries=tuple(self.entries),
         )
 
@@ -116,6 +121,18 @@
         _sync_folder(self.folder)
         return self._held.stored()
 
+    @staticmethod
+    def write_file(path: Path, text: str) -> None:
+        """Write a small file so that it lasts once this returns."""
+        fresh = path.with_suffix(".new")
+        flags = os.O_RDWR | os.O_CREAT | os.O_TRUNC
+        descriptor = os.open(fresh, flags, 0o600)
+        _write_all(descriptor, text.encode())
+        os.fsync(descriptor)
+        os.close(descriptor)
+        fresh.replace(path)
+        _sync_folder(path.parent)
+
     def save_vote(self, term: int, voted_for: str) -> None:
         """Store term and vote."""
         self._append({"vote": [term, voted_for]})
@@ -125,13 +142,16 @@
         rows = [[e.index, e.term, e.kind, e.payload] for e in entries]
         self._append({"entries": rows})
 
-    def save_snapshot(self, index: int, term: int, state: str) -> None:
+    def save_snapshot(
+        self, index: int, term: int, state: str, voters: str = ""
+    ) -> None:
         """Store a snapshot and drop the entries it covers.
 
         :param index: last index that the snapshot covers
         :param term: term of that entry
+        :param voters: names of the voters at that index
         """
-        self._held.set_snapshot(index, term, state)
+        self._held.set_snapshot(index, term, state, voters)
         self._rewrite()
 
     def close(self) -> None:
@@ -141,14 +161,19 @@
     def _append(self, record: dict[str, Any]) -> None:
         self._held.replay(record)
         _write_all(self._descriptor, _encode(record))
-        os.fsync(self._descriptor)
+        os.fdatasync(self._descriptor)
 
     def _rewrite(self) -> None:
         path = self.folder / FILE_NAME
         fresh = path.with_suffix(".new")
         log = self._held
         rows = [[e.index, e.term, e.kind, e.payload] for e in log.entries]
-        snapshot = [log.snapshot_index, log.snapshot_term, log.snapshot_state]
+        snapshot = [
+            log.snapshot_index,
+            log.snapshot_term,
+            log.snapshot_state,
+            log.snapshot_voters,
+        ]
         data = _encode({"snapshot": snapshot})
         data += _encode({"vote": [log.term, log.voted_for]})
         data += _encode({"entries": rows}) if rows else b""
--- a/src/rosemarysaddle/serve/_server.py
+++ b/src/rosemarysaddle/web/_server.py
@@ -19,8 +19,6 @@
 from cherrypy._cptree import Tree
 from cherrypy._cpwsgi_server import CPWSGIServer
 
-from rosemarysaddle.serve._requests import MAX_BODY_BYTES
-
 if TYPE_CHECKING:
     from rosemarysaddle.link import Address
 
@@ -42,10 +40,12 @@
 
     :param address: address for callers and operators
     :param threads: count of worker threads
+    :param max_body_bytes: size of the largest request body
     """
 
     address: Address
     threads: int
+    max_body_bytes: int
     tree: Any = attrs.field(factory=Tree, init=False)
     _server: Any = attrs.field(default=None, init=False)
     _thread: threading.Thread | None = attrs.field(default=None, init=False)
@@ -64,11 +64,11 @@
         adapter.accepted_queue_timeout = 1
         adapter.socket_timeout = IDLE_S
         adapter.shutdown_timeout = STOP_S
-        adapter.max_request_body_size = MAX_BODY_BYTES
+        adapter.max_request_body_size = self.max_body_bytes
         adapter.max_request_header_size = MAX_HEADER_BYTES
         self._server = _ParkingServer(adapter)
         self._server.wsgi_app = self.tree
-        self._server.max_request_body_size = MAX_BODY_BYTES
+        self._server.max_request_body_size = self.max_body_bytes
         self._server.max_request_header_size = MAX_HEADER_BYTES
         self._server.prepare()
         self._thread = threading.Thread(
@@ -92,6 +92,7 @@
         self._partial: dict[Any, float] = {}
         self._partial_lock = threading.Lock()
         self._ended = threading.Event()
+        self._has_partial = threading.Event()
         self._poller = threading.Thread(
             target=self._poll, name="http-partial", daemon=True
         )
@@ -112,16 +113,21 @@
             return
         with self._partial_lock:
             self._partial[conn] = time.monotonic() + REQUEST_S
+            self._has_partial.set()
 
     def stop(self) -> None:
         """Finish the requests that run, then close."""
         self._ended.set()
+        self._has_partial.set()
         super().stop()
 
     def _poll(self) -> None:
         while not self._ended.wait(POLL_S):
+            self._has_partial.wait()
             with self._partial_lock:
                 waiting = list(self._partial.items())
+                if not waiting and not self._ended.is_set():
+                    self._has_partial.clear()
             for conn, deadline_s in waiting:
                 self._review(conn, deadline_s)
 
--- a/tests/serve/test_server.py
+++ b/tests/web/test_server.py
@@ -8,7 +8,8 @@
 import pytest
 
 from rosemarysaddle.link import Address
-from rosemarysaddle.serve import HttpServer
+from rosemarysaddle.serve._requests import MAX_BODY_BYTES
+from rosemarysaddle.web import HttpServer
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -28,7 +29,9 @@
 @pytest.fixture
 def server() -> Iterator[HttpServer]:
     """Server with four threads that echoes bodies."""
-    found = HttpServer(address=ADDRESS, threads=4)
+    found = HttpServer(
+        address=ADDRESS, threads=4, max_body_bytes=MAX_BODY_BYTES
+    )
     found.tree.graft(_echo, "/echo")
     found.start()
     yield found
@@ -81,7 +84,7 @@
 def test_server_closes_request_that_never_ends(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("rosemarysaddle.serve._server.REQUEST_S", 0.2)
+    monkeypatch.setattr("rosemarysaddle.web._server.REQUEST_S", 0.2)
     sock = _connect()
     sock.sendall(b"POST /echo HTTP/1.1\r\nHo")
 
