Keep the founding voters of the control log on its disk

Cause: the voters of the first start came from the settings alone; a restart (first_start false) found a log without voters, so nobody was elected after a final fault. Ruled out: seeds as voters at each start (they change and may name a new disk); an identity per start (votes given would be forgotten). Test: tests/node/test_control.py restarts a host; it failed before.

--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -32,7 +32,7 @@
 from rosemarysaddle.decide._freshness import PositionLog, newer_point
 from rosemarysaddle.decide._inventory import InventoryTable
 from rosemarysaddle.decide._lease import HostLease, LeaseTable
-from rosemarysaddle.decide._log import LogNode, Role, StoredLog
+from rosemarysaddle.decide._log import LogNode, Role, StoredLog, is_empty
 from rosemarysaddle.decide._placing import (
     PlacedTarget,
     ReadNeed,
@@ -73,6 +73,7 @@
     SetupPlan,
     shared_name,
 )
+from rosemarysaddle.decide._voters import join_voters
 
 __all__ = (
     "LEASE_MS",
@@ -137,7 +138,9 @@
     "choose_target",
     "confirm_quorum",
     "counted",
+    "is_empty",
     "is_news",
+    "join_voters",
     "newer_point",
     "promotion_quorum",
     "shared_name",
--- a/src/rosemarysaddle/decide/_electorate.py
+++ b/src/rosemarysaddle/decide/_electorate.py
@@ -60,6 +60,8 @@
         self._drop_silent_learners(now_ns)
         if not self.log.may_change_voters():
             return []
+        if not self.log.has_recorded_voters:
+            return self.log.record_voters(now_ns)
         missing = self._missing(now_ns)
         voters = self.log.voters
         if len(voters) > self.wanted and missing:
--- a/src/rosemarysaddle/decide/_log.py
+++ b/src/rosemarysaddle/decide/_log.py
@@ -44,7 +44,7 @@
 
     from rosemarysaddle.schema import Message
 
-__all__ = ("LogNode", "Role", "StoredLog")
+__all__ = ("LogNode", "Role", "StoredLog", "is_empty")
 
 MAX_APPEND_ENTRIES: Final = 64
 MAX_APPEND_CHARS: Final = 512 * 1024
@@ -72,6 +72,11 @@
     entries: tuple[LogEntry, ...] = ()
 
 
+def is_empty(stored: StoredLog) -> bool:
+    """Tell whether a disk holds nothing of the log."""
+    return stored == StoredLog()
+
+
 @attrs.define(kw_only=True)
 class _Follower:
     next_index: int
@@ -185,6 +190,16 @@
         settled = self._history.changed_index <= self.commit_index
         return self.role is Role.LEADER and own and settled
 
+    @property
+    def has_recorded_voters(self) -> bool:
+        """Tell whether an entry or a snapshot names the voters."""
+        return self._history.changed_index > 0 or self._entries.base_index > 0
+
+    def record_voters(self, now_ns: int) -> list[Effect]:
+        """Put the present voters into the log, as leader."""
+        payload = json.dumps({"voters": list(self.voters)})
+        return self.propose(MEMBERS, payload, now_ns)
+
     def set_voters(self, voters: Sequence[str], now_ns: int) -> list[Effect]:
         """Add or remove one voter, as leader.
 
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -27,7 +27,9 @@
     SaveVote,
     Send,
     check_plan,
+    is_empty,
     is_news,
+    join_voters,
 )
 from rosemarysaddle.link import Address, PeerNetwork, PlainFabric
 from rosemarysaddle.node._orders import AnnouncedOrders
@@ -157,12 +159,15 @@
         settings = self.settings
         stored = self._journal.open()
         port = settings.peers_port
-        seeds = tuple(_peer(seed, port) for seed in settings.seeds)
+        seeds = sorted(_peer(seed, port) for seed in settings.seeds)
         # Seeds form the log once; whoever comes later asks to join.
-        founds = settings.first_start and self.host in seeds
+        if settings.first_start and self.host in seeds and is_empty(stored):
+            founders = join_voters(seeds)
+            self._journal.save_snapshot(0, 0, "", founders)
+            stored = attrs.evolve(stored, snapshot_voters=founders)
         log = LogNode(
             host=self.host,
-            voters=tuple(sorted(seeds)) if founds else (),
+            voters=(),
             stored=stored,
             jitter_ms=_jitter(self.host),
             started_ns=clock_ns(),
--- /dev/null
+++ b/tests/node/test_control.py
@@ -0,0 +1,86 @@
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from rosemarysaddle.node._control import ControlHost
+from rosemarysaddle.platform import UsersPlatform
+from rosemarysaddle.schema import Node
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from rosemarysaddle.decide import Role
+
+IP = "127.15.1.1"
+PLAN = (
+    '{"version": 3, "groups": [{"name": "g"}], "routes": [{"name": "r",'
+    ' "database": "d", "freshness": "primary", "timeout_ms": 800,'
+    ' "group": "g"}]}'
+)
+
+
+def _settings(folder: Path, *, first_start: bool) -> Node:
+    return Node(
+        host="core-1",
+        role="control",
+        data_center="dc-1",
+        region="r-1",
+        ip=IP,
+        peers_port=17440,
+        seeds=(f"{IP}:18782",),
+        first_start=first_start,
+        data_folder=str(folder),
+        control_address=f"{IP}:18782",
+        promotion_address=f"{IP}:18783",
+    )
+
+
+async def _lead(host: ControlHost) -> Role:
+    await host.start()
+    for _ in range(100):
+        if host.control.log.leader == host.host:
+            break
+        await asyncio.sleep(0.05)
+    return host.control.log.role
+
+
+def _host(folder: Path, *, first_start: bool) -> ControlHost:
+    settings = _settings(folder, first_start=first_start)
+    return ControlHost(settings=settings, platform=UsersPlatform())
+
+
+def test_control_host_keeps_its_voters_over_a_restart(tmp_path: Path) -> None:
+    async def play() -> tuple[str, str | None]:
+        first = _host(tmp_path, first_start=True)
+        await _lead(first)
+        await asyncio.to_thread(first.change_from_thread, PLAN)
+        await first.stop()
+        second = _host(tmp_path, first_start=False)
+        role = await _lead(second)
+        plan = await asyncio.to_thread(second.plan_from_thread)
+        await second.stop()
+        return role, plan
+
+    assert asyncio.run(play()) == ("leader", PLAN)
+
+
+@pytest.mark.parametrize("kept", [True, False])
+def test_control_host_with_a_new_disk_has_a_new_name(
+    tmp_path: Path, *, kept: bool
+) -> None:
+    async def play() -> tuple[str, str]:
+        first = _host(tmp_path / "a", first_start=True)
+        await _lead(first)
+        await first.stop()
+        folder = tmp_path / ("a" if kept else "b")
+        second = _host(folder, first_start=False)
+        await second.start()
+        await second.stop()
+        return first.host, second.host
+
+    before, after = asyncio.run(play())
+
+    assert (before == after) is kept
