Let a control host with a new disk join while it hears a leader

Cause: the leader's heartbeats to the name of the earlier disk reach the same address; the new disk knew a leader and so never asked to join, and a second lost disk left one voter of three. Ruled out: adding it by its address (a vote given by the old disk would be forgotten). Change: a host without a vote keeps asking, the leader first.

--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -98,6 +98,7 @@
         factory=dict, init=False
     )
     _jobs: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
+    _belief: tuple[object, ...] = attrs.field(default=(), init=False)
     _changed: asyncio.Condition = attrs.field(
         factory=asyncio.Condition, init=False
     )
@@ -298,14 +299,25 @@
     async def _join_forever(self) -> None:
         while True:
             await asyncio.sleep(JOIN_S)
-            log = self.control.log
-            if self.host not in log.voters and not log.leader:
+            if self.needs_to_join:
                 self._ask_to_join()
 
+    @property
+    def needs_to_join(self) -> bool:
+        """Tell whether this host has no vote.
+
+        Hearing a leader is no sign of being followed: what it sends to
+        the name of an earlier disk arrives at this address too.
+        """
+        return self.host not in self.control.log.voters
+
     def _ask_to_join(self) -> None:
+        log = self.control.log
         port = self.settings.peers_port
         known = {_peer(seed, port) for seed in self.settings.seeds}
-        known.update(self.control.log.voters)
+        known.update(log.voters)
+        if log.leader:
+            known = {log.leader}
         for peer in sorted(known - {self.host}):
             self.network.send(peer, JoinRequest(host=self.host))
 
@@ -333,7 +345,25 @@
         if future is not None and not future.done() and reply.current:
             future.set_result(reply)
 
+    def _note_belief(self) -> None:
+        log = self.control.log
+        belief = (log.role, log.term, log.leader, log.voters, log.learners)
+        if belief == self._belief:
+            return
+        self._belief = belief
+        logging.info(
+            "event=control role=%s term=%d leader=%s voters=%s learners=%s"
+            " index=%d",
+            log.role,
+            log.term,
+            log.leader,
+            ",".join(log.voters),
+            ",".join(log.learners),
+            self.control.state.index,
+        )
+
     def _carry_out(self, effects: Sequence[Effect]) -> None:
+        self._note_belief()
         for effect in effects:
             match effect:
                 case Send():
--- a/tests/node/test_control.py
+++ b/tests/node/test_control.py
@@ -7,7 +7,7 @@
 
 from rosemarysaddle.node._control import ControlHost
 from rosemarysaddle.platform import UsersPlatform
-from rosemarysaddle.schema import Node
+from rosemarysaddle.schema import AppendRequest, Node
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -84,3 +84,27 @@
     before, after = asyncio.run(play())
 
     assert (before == after) is kept
+
+
+def test_control_host_asks_to_join_though_it_hears_a_leader(
+    tmp_path: Path,
+) -> None:
+    heartbeat = AppendRequest(
+        term=2,
+        leader=f"{IP}:1",
+        prev_index=7,
+        prev_term=2,
+        commit_index=7,
+        sent_ns=1,
+        entries=(),
+    )
+
+    async def play() -> tuple[str, bool]:
+        host = _host(tmp_path, first_start=False)
+        await host.start()
+        host._receive(f"{IP}:1", heartbeat)
+        found = (host.control.log.leader, host.needs_to_join)
+        await host.stop()
+        return found
+
+    assert asyncio.run(play()) == (f"{IP}:1", True)
