Judge a primary by proof that it is gone, not by a busy moment

Cause: after a restart of all hosts the first entry host took every connection (limits were shared by the hosts present), so control was told TOOMANY, took that for a dead target and replaced primaries in circles; hosts whose own timers were late reported primaries that answered. Ruled out: a longer connect timeout (the queue was endless). Change: the count of entry hosts is kept in the log and divides the connections; a target that takes a connection is slow, not gone; a host whose timer fired late reports nothing; control's own probe or most hosts' reports are needed; a new primary gets 1.5 s.

--- /dev/null
+++ b/src/rosemarysaddle/decide/_census.py
@@ -0,0 +1,55 @@
+"""Count of the entry hosts that share the targets' connections.
+
+It is kept in the control log, so that the first hosts back after a
+restart of all do not take the connections of those that follow.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+import attrs
+
+from rosemarysaddle.decide._times import NS_PER_MS
+
+__all__ = ("Census",)
+
+GROW_MS: Final = 500
+# Longer than any host is away for a restart or a repair.
+SHRINK_MS: Final = 60_000
+
+
+@attrs.define(kw_only=True)
+class Census:
+    """Decides when the recorded count has to change."""
+
+    _propose_at_ns: int = attrs.field(default=0, init=False)
+    _most: int = attrs.field(default=0, init=False)
+    _shrink_at_ns: int = attrs.field(default=0, init=False)
+
+    def take_office(self, now_ns: int) -> None:
+        """Start afresh as leader."""
+        self._propose_at_ns = now_ns
+        self._begin_span(now_ns)
+
+    def count(self, *, recorded: int, present: int, now_ns: int) -> int:
+        """Find the count to record.
+
+        :param recorded: count on record
+        :param present: entry hosts that hold a lease now
+        :param now_ns: time of the decision, in nanoseconds
+        :return: the new count, or the one on record
+        """
+        self._most = max(self._most, present)
+        if present > recorded and now_ns >= self._propose_at_ns:
+            self._propose_at_ns = now_ns + GROW_MS * NS_PER_MS
+            return present
+        if now_ns < self._shrink_at_ns:
+            return recorded
+        most = self._most
+        self._begin_span(now_ns)
+        return min(recorded, most) if most else recorded
+
+    def _begin_span(self, now_ns: int) -> None:
+        self._most = 0
+        self._shrink_at_ns = now_ns + SHRINK_MS * NS_PER_MS
--- a/src/rosemarysaddle/decide/_change.py
+++ b/src/rosemarysaddle/decide/_change.py
@@ -137,6 +137,17 @@
         seen = {centers[h] for h in recent if h in centers}
         return len(recent) >= 2 and len(seen) >= min(2, live_centers)  # noqa: PLR2004
 
+    def is_shared(self, *, observer: str, hosts: int, now_ns: int) -> bool:
+        """Tell whether the reports outweigh what a control host sees.
+
+        :param observer: control host whose own probe counts as proof
+        :param hosts: count of the entry hosts
+        :param now_ns: time of the decision, in nanoseconds
+        """
+        oldest_ns = now_ns - EVIDENCE_MS * NS_PER_MS
+        recent = {h for h, at in self._reports_ns.items() if at > oldest_ns}
+        return observer in recent or 2 * len(recent) > hosts
+
 
 def confirm_quorum(instances: int) -> int:
     """Count of instances that hold a write at its acknowledgement."""
--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from rosemarysaddle.decide._census import Census
 from rosemarysaddle.decide._effects import (
     Committed,
     Effect,
@@ -81,6 +82,7 @@
     _office: Office = attrs.field(init=False)
     _members: MemberKeeper = attrs.field(init=False)
     _electorate: Electorate = attrs.field(init=False)
+    _census: Census = attrs.field(factory=Census, init=False)
     _recent: collections.deque[LogEntry] = attrs.field(
         factory=lambda: collections.deque(maxlen=RECENT_ENTRIES), init=False
     )
@@ -269,6 +271,7 @@
             return []
         if entry.kind == EntryKind.NOOP and entry.term == self.log.term:
             self._take_office()
+            self._census.take_office(now_ns)
             return []
         return self.primaries.on_applied(entry, now_ns)
 
@@ -302,7 +305,6 @@
             lease_ms=self.lease_ms,
             min_index=self.state.index,
             closing=self.primaries.closing(),
-            entry_hosts=len(self._office.leases.deadlines_ns(now_ns)),
         )
         out: list[Effect] = []
         if renewal.applied_index < self.state.index:
@@ -367,7 +369,19 @@
     def _tick_voters(self, now_ns: int) -> list[Effect]:
         if not self.wanted_voters:
             return []
-        return self._absorb(self._electorate.tick(now_ns), now_ns)
+        effects = self._absorb(self._electorate.tick(now_ns), now_ns)
+        return [*effects, *self._count_hosts(now_ns)]
+
+    def _count_hosts(self, now_ns: int) -> list[Effect]:
+        recorded = self.state.entry_hosts
+        present = len(self._office.leases.deadlines_ns(now_ns))
+        count = self._census.count(
+            recorded=recorded, present=present, now_ns=now_ns
+        )
+        if count == recorded:
+            return []
+        payload = json.dumps({"count": count})
+        return self._propose(EntryKind.HOSTS, payload, now_ns)
 
     def _index_reply(
         self, source: str, request: IndexRequest, now_ns: int
--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -59,7 +59,6 @@
 
     :param control: names of the control hosts known
     :param renewal_ms: time between renewals, in milliseconds
-    :param entry_hosts: count of entry hosts that hold a lease
     :param ready: whether the state has been current since the start
     """
 
@@ -72,7 +71,6 @@
     announced: dict[str, Announcement] = attrs.field(factory=dict)
     ready: bool = False
     renewal_ms: int = RENEWAL_MS
-    entry_hosts: int = attrs.field(default=0, init=False)
     _hint: str = attrs.field(default="", init=False)
     _renew_at_ns: int = attrs.field(default=0, init=False)
     _asked: int = attrs.field(default=0, init=False)
@@ -239,7 +237,6 @@
             return []
         self._hint = source
         self._renew_at_ns = now_ns + self.renewal_ms * NS_PER_MS
-        self.entry_hosts = grant.entry_hosts
         effects: list[Effect] = []
         for closing in grant.closing:
             close = CloseGroup(
--- a/src/rosemarysaddle/decide/_primaries.py
+++ b/src/rosemarysaddle/decide/_primaries.py
@@ -49,6 +49,8 @@
 CONFIRM_PROBE_MS: Final = 400
 PROMOTE_MS: Final = 1_000
 RETRY_MS: Final = 100
+# A new primary gets this long before reports of it count.
+DWELL_MS: Final = 1_500
 PREFERRED_MS: Final = 5_000
 KEPT_TIMES: Final = 256
 CONFIRM_ATTEMPT: Final = 0
@@ -74,6 +76,7 @@
     _unopened: set[str] = attrs.field(factory=set, init=False)
     _confirming: set[str] = attrs.field(factory=set, init=False)
     _leaving: set[str] = attrs.field(factory=set, init=False)
+    _settled_ns: dict[str, int] = attrs.field(factory=dict, init=False)
 
     def take_office(self) -> None:
         """Start afresh as leader."""
@@ -179,6 +182,8 @@
         del self.times[:-KEPT_TIMES]
         del self.changes[group]
         self._evidence.pop(group, None)
+        if self._announces_itself(group):
+            self._settled_ns[group] = now_ns + DWELL_MS * NS_PER_MS
         payload = json.dumps({"group": group, "term": term})
         serving = self.office.propose(EntryKind.SERVING, payload, now_ns)
         return [*serving, *self._order_followers(group)]
@@ -286,6 +291,8 @@
             return []
         if suspicion.group in self.changes:
             return []
+        if now_ns < self._settled_ns.get(suspicion.group, 0):
+            return []
         self._note_evidence(suspicion.group, suspicion.host, now_ns)
         effects = self._judge(suspicion.group, now_ns)
         if effects or suspicion.group in self._confirming:
@@ -343,6 +350,12 @@
             centers, live_centers=len(live), now_ns=now_ns
         ):
             return []
+        if self._announces_itself(group) and not evidence.is_shared(
+            observer=self.office.host,
+            hosts=self.office.state.entry_hosts,
+            now_ns=now_ns,
+        ):
+            return []
         term = self.office.state.terms[group].term
         return self.start_change(
             group, term, now_ns, suspected_ns=evidence.first_ns
--- a/src/rosemarysaddle/decide/_state.py
+++ b/src/rosemarysaddle/decide/_state.py
@@ -56,6 +56,7 @@
     MEMBERS: Final = MEMBERS
     TARGET: Final = "target"
     GONE: Final = "gone"
+    HOSTS: Final = "hosts"
 
 
 class DocumentKind:
@@ -95,6 +96,7 @@
     replies: dict[str, ChangeReply] = attrs.field(factory=dict)
     history: list[AuditRecord] = attrs.field(factory=list)
     voters: tuple[str, ...] = ()
+    entry_hosts: int = 0
     routes: RouteTable = attrs.field(factory=RouteTable)
     targets: TargetTable = attrs.field(factory=TargetTable)
     _classes: dict[str, RequestClass] = attrs.field(factory=dict, init=False)
@@ -133,6 +135,8 @@
     def _apply_deployment(self, kind: str, payload: dict[str, Any]) -> None:
         if kind == EntryKind.MEMBERS:
             self.voters = tuple(payload["voters"])
+        if kind == EntryKind.HOSTS:
+            self.entry_hosts = int(payload["count"])
         if kind == EntryKind.TARGET:
             self.targets.put(TargetRecord(**payload))
         if kind == EntryKind.GONE:
@@ -181,6 +185,7 @@
             "replies": _CONVERTER.unstructure(self.replies),
             "history": _CONVERTER.unstructure(self.history),
             "voters": self.voters,
+            "entry_hosts": self.entry_hosts,
             "routes": self.routes.source,
             "targets": self.targets.dump(),
         }
@@ -203,6 +208,7 @@
             ),
             history=_CONVERTER.structure(body["history"], list[AuditRecord]),
             voters=tuple(body["voters"]),
+            entry_hosts=int(body["entry_hosts"]),
             routes=_load_routes(body["routes"]),
             targets=TargetTable.load(body["targets"]),
         )
--- a/src/rosemarysaddle/decide/_succession.py
+++ b/src/rosemarysaddle/decide/_succession.py
@@ -40,26 +40,38 @@
     :param reports: one report for each target of the group
     :return: the choice, or None where it has to wait
     """
-    answers = [r for r in reports if r.reachable]
+    answers = [r for r in reports if r.reachable and _has_status(r)]
     if not answers:
         return None
     if not succession.former:
         return _present_primary(answers, succession)
-    former = next((r for r in answers if r.target == succession.former), None)
+    former = next((r for r in reports if r.target == succession.former), None)
+    former = former if former is not None and former.reachable else None
     heirs = [
         r
         for r in answers
         if r.target not in succession.leaving and r is not former
     ]
     if not heirs:
-        return former if succession.may_lag else None
+        return _reopened(former, succession)
     best = max(heirs, key=_progress)
-    behind = former is not None and _progress(best) < _progress(former)
+    behind = former is not None and (
+        not _has_status(former) or _progress(best) < _progress(former)
+    )
     if behind and not succession.may_lag:
         return None
     return best
 
 
+def _reopened(
+    former: TargetReport | None, succession: Succession
+) -> TargetReport | None:
+    if former is None or not _has_status(former):
+        return None
+    leaves = former.target in succession.leaving
+    return former if succession.may_lag or not leaves else None
+
+
 def _present_primary(
     answers: Sequence[TargetReport], succession: Succession
 ) -> TargetReport | None:
@@ -69,5 +81,9 @@
     return max(answers, key=_progress) if succession.may_lag else None
 
 
+def _has_status(report: TargetReport) -> bool:
+    return report.role != ""
+
+
 def _progress(report: TargetReport) -> tuple[int, int]:
     return (report.term, report.position)
--- a/src/rosemarysaddle/exchange/_connection.py
+++ b/src/rosemarysaddle/exchange/_connection.py
@@ -101,6 +101,7 @@
     setup: ConnectionSetup = attrs.field(factory=ConnectionSetup, init=False)
     state: SessionState = attrs.field(default=SessionState.IDLE, init=False)
     is_lost: bool = attrs.field(default=False, init=False)
+    was_connected: bool = attrs.field(default=False, init=False)
     used_ns: int = attrs.field(default=0, init=False)
     _transport: asyncio.Transport | None = attrs.field(
         default=None, init=False
@@ -113,6 +114,7 @@
         """Take the open connection over."""
         assert isinstance(transport, asyncio.Transport)  # noqa: S101
         self._transport = transport
+        self.was_connected = True
         guard_socket(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
--- a/src/rosemarysaddle/exchange/_pool.py
+++ b/src/rosemarysaddle/exchange/_pool.py
@@ -15,7 +15,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from rosemarysaddle.decide import Answer
     from rosemarysaddle.exchange._connection import TargetCodec
     from rosemarysaddle.link import Address
 
@@ -23,6 +22,8 @@
 
 # Twice the farthest round trip, the handshake and a start's delay.
 CONNECT_MS: Final = 500
+# A host whose timers fire later than this is too busy to judge.
+LATE_MS: Final = 40
 _NS_PER_S: Final = 1_000_000_000
 
 
@@ -32,11 +33,17 @@
 
     :param code: what the target or the network said
     :param refused: whether the refusal came at once
+    :param connected: whether the target's host took the connection, so
+        that the target is slow or full rather than gone
+    :param is_sure: whether this host itself was on time, so that the
+        silence is the target's
     """
 
     code: FaultCode
     peer: str
     refused: bool = False
+    connected: bool = False
+    is_sure: bool = True
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -115,6 +122,13 @@
         if isinstance(found, Exchange):
             self.release(found)
 
+    def set_limit(self, limit: int) -> None:
+        """Change the limit; idle connections above it are ended."""
+        self.limit = limit
+        excess = len(self._open) - limit
+        for exchange in self._idle[: max(0, excess)]:
+            exchange.abort()
+
     def renew(self, before_ns: int) -> None:
         """End the connections that were silent when others answered.
 
@@ -159,18 +173,19 @@
         finally:
             self._opening -= 1
         if answer.fault is not None:
-            return self._fail(answer, deadline_ns >= latest_ns)
+            fault = OpenFault(
+                code=answer.fault,
+                peer=self.target,
+                refused=answer.text == "ConnectionRefusedError",
+                connected=exchange.was_connected,
+                is_sure=clock_ns() < latest_ns + LATE_MS * NS_PER_MS,
+            )
+            return self._fail(fault, deadline_ns >= latest_ns)
         exchange.used_ns = clock_ns()
         self._open.add(exchange)
         return exchange
 
-    def _fail(self, answer: Answer, counts: bool) -> OpenFault:  # noqa: FBT001
-        code = answer.fault or FaultCode.OTHER
-        fault = OpenFault(
-            code=code,
-            peer=self.target,
-            refused=answer.text == "ConnectionRefusedError",
-        )
+    def _fail(self, fault: OpenFault, counts: bool) -> OpenFault:  # noqa: FBT001
         if counts:
             self.on_open_fault(fault)
         self._wake_one()
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -173,10 +173,9 @@
             )
 
     def _receive(self, source: str, message: Message) -> None:
-        before = (self.node.state.index, self.node.entry_hosts)
+        before = self.node.state.index
         self._carry_out(self.node.receive(source, message, clock_ns()))
-        after = (self.node.state.index, self.node.entry_hosts)
-        if before != after:
+        if self.node.state.index != before:
             known = {*self._seeds(), *self.node.state.voters}
             self.node.control = sorted(known)
             self.router.follow()
--- a/src/rosemarysaddle/node/_orders.py
+++ b/src/rosemarysaddle/node/_orders.py
@@ -59,7 +59,7 @@
         reports: list[TargetReport] = []
         for done in asyncio.as_completed(tasks):
             reports.append(await done)
-            if sum(r.reachable for r in reports) >= probe.quorum:
+            if sum(bool(r.role) for r in reports) >= probe.quorum:
                 break
         for task in tasks:
             task.cancel()
@@ -109,9 +109,13 @@
     async def _report(
         self, instance: Instance, deadline_ns: int
     ) -> TargetReport:
-        status = await self._status(instance, deadline_ns)
+        exchange = self._exchange(instance)
+        status = await self._ask(exchange, instance, deadline_ns)
         if status is None:
-            return TargetReport(target=instance.name, reachable=False)
+            # A target that takes a connection is slow, not gone.
+            return TargetReport(
+                target=instance.name, reachable=exchange.was_connected
+            )
         return TargetReport(
             target=instance.name,
             reachable=True,
@@ -123,12 +127,19 @@
     async def _status(
         self, instance: Instance, deadline_ns: int
     ) -> TargetStatus | None:
-        exchange = Exchange(
+        return await self._ask(self._exchange(instance), instance, deadline_ns)
+
+    def _exchange(self, instance: Instance) -> Exchange:
+        return Exchange(
             target=instance.name,
             codec=self.platform.target_codec(),
             on_lost=_ignore,
             opened_ns=clock_ns(),
         )
+
+    async def _ask(
+        self, exchange: Exchange, instance: Instance, deadline_ns: int
+    ) -> TargetStatus | None:
         group = self.group_of(instance.name)
         opening = exchange.codec.encode_open(
             group=group, label="control", target=instance.name
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -172,7 +172,6 @@
     lease_ms: int
     min_index: int
     closing: tuple[ClosingGroup, ...]
-    entry_hosts: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarysaddle/schema/messages.capnp
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -89,7 +89,6 @@
   leaseMs @1 :UInt32;
   minIndex @2 :UInt64;
   closing @3 :List(ClosingGroup);
-  entryHosts @4 :UInt32 = 0;
 }
 
 struct LeaseRefusal {
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -39,7 +39,7 @@
 
 # Share of a target's connections that the entry hosts use together.
 CONNECTION_SHARE: Final = 0.9
-UNKNOWN_LIMIT: Final = 4
+UNKNOWN_LIMIT: Final = 2
 WARM_CONNECTIONS: Final = 1
 # Position of a group whose reads accept some age, where it is silent.
 REFRESH_MS: Final = 400
@@ -199,19 +199,19 @@
     def note_open_fault(self, fault: OpenFault) -> None:
         """Take note that a target took no connection."""
         placed = self.targets.get(fault.peer)
-        if placed is None or fault.code in {
-            FaultCode.TOO_MANY_CONNECTIONS,
-            FaultCode.BUSY,
-        }:
+        if placed is None:
             return
         now_ns = clock_ns()
         placed.note_down(now_ns)
         logging.info(
-            "event=target-down target=%s group=%s code=%s",
+            "event=target-down target=%s group=%s code=%s connected=%s",
             fault.peer,
             placed.group,
             fault.code,
+            fault.connected,
         )
+        if fault.connected or not fault.is_sure:
+            return
         effects = self.node.suspect(
             placed.group, fault.peer, refused=fault.refused, now_ns=now_ns
         )
@@ -240,7 +240,7 @@
                 self._add(name)
                 placed = self.targets[name]
             placed.leaving = record.leaving
-            self.pools[name].limit = self._limit(record.group)
+            self.pools[name].set_limit(self._limit(record.group))
         self.wake()
 
     def _add(self, name: str) -> None:
@@ -269,8 +269,8 @@
 
     def _limit(self, group: str) -> int:
         policy = self.node.state.routes.groups.get(group)
-        hosts = max(1, self.node.entry_hosts)
-        if policy is None or not policy.connection_limit:
+        hosts = self.node.state.entry_hosts
+        if policy is None or not policy.connection_limit or not hosts:
             return UNKNOWN_LIMIT
         share = policy.connection_limit * CONNECTION_SHARE / hosts
         return max(1, int(share))
--- /dev/null
+++ b/tests/decide/test_succession.py
@@ -0,0 +1,130 @@
+from __future__ import annotations
+
+import pytest
+
+from rosemarysaddle.decide import TargetReport
+from rosemarysaddle.decide._change import Evidence
+from rosemarysaddle.decide._succession import Succession, choose_successor
+
+
+def _report(
+    target: str, position: int, *, role: str = "replica", term: int = 1
+) -> TargetReport:
+    return TargetReport(
+        target=target, reachable=True, role=role, term=term, position=position
+    )
+
+
+def _gone(target: str) -> TargetReport:
+    return TargetReport(target=target, reachable=False)
+
+
+def _slow(target: str) -> TargetReport:
+    return TargetReport(target=target, reachable=True)
+
+
+PRIMARY = _report("a", 9, role="primary")
+
+
+@pytest.mark.parametrize(
+    ("reports", "leaving", "may_lag", "chosen"),
+    [
+        pytest.param(
+            [_gone("a"), _report("b", 7), _report("c", 8)],
+            (),
+            False,
+            "c",
+            id="primary-gone-newest-replica",
+        ),
+        pytest.param(
+            [PRIMARY, _report("b", 7), _report("c", 9)],
+            (),
+            False,
+            "c",
+            id="primary-answers-replica-has-all",
+        ),
+        pytest.param(
+            [PRIMARY, _report("b", 7), _report("c", 8)],
+            (),
+            False,
+            None,
+            id="primary-answers-replicas-lag",
+        ),
+        pytest.param(
+            [_slow("a"), _report("b", 7)],
+            (),
+            False,
+            None,
+            id="primary-slow-position-unknown",
+        ),
+        pytest.param(
+            [_slow("a"), _report("b", 7)],
+            (),
+            True,
+            "b",
+            id="primary-slow-for-long",
+        ),
+        pytest.param(
+            [PRIMARY, _gone("b"), _slow("c")],
+            (),
+            False,
+            "a",
+            id="no-replica-reopens-primary",
+        ),
+        pytest.param(
+            [PRIMARY, _gone("b"), _gone("c")],
+            ("a",),
+            False,
+            None,
+            id="leaving-primary-waits-for-an-heir",
+        ),
+        pytest.param(
+            [PRIMARY, _report("b", 9), _report("c", 9)],
+            ("b",),
+            False,
+            "c",
+            id="leaving-replica-left-out",
+        ),
+        pytest.param(
+            [_gone("a"), _gone("b")], (), True, None, id="nobody-answers"
+        ),
+    ],
+)
+def test_choose_successor_keeps_what_was_written(
+    reports: list[TargetReport],
+    leaving: tuple[str, ...],
+    chosen: str | None,
+    *,
+    may_lag: bool,
+) -> None:
+    succession = Succession(former="a", leaving=leaving, may_lag=may_lag)
+
+    choice = choose_successor(reports, succession)
+
+    assert (choice and choice.target) == chosen
+
+
+def test_choose_successor_takes_over_the_present_primary() -> None:
+    succession = Succession(former="", leaving=(), may_lag=False)
+    reports = [_report("b", 12), PRIMARY]
+
+    choice = choose_successor(reports, succession)
+
+    assert choice is PRIMARY
+    assert choose_successor(reports[:1], succession) is None
+
+
+@pytest.mark.parametrize(
+    ("reporters", "observer_agrees", "shared"),
+    [(1, True, True), (3, False, False), (4, False, True)],
+)
+def test_evidence_needs_the_observer_or_most_hosts(
+    reporters: int, *, observer_agrees: bool, shared: bool
+) -> None:
+    evidence = Evidence(term=1, first_ns=0)
+    for number in range(reporters):
+        evidence.add(f"entry-{number}", 1)
+    if observer_agrees:
+        evidence.add("core-1", 1)
+
+    assert evidence.is_shared(observer="core-1", hosts=7, now_ns=2) is shared
