Queue statements in turns and bound the log by kind

Cause: after an outage all callers come back at once; targets shed what their queue does not hold, and each refusal was tried again 25 ms later by every host, which spent the hosts' processor and starved their timers. Ruled out: a fixed limit per host (slots and queues differ by site). Change: a window per target that shrinks when it sheds, with turns by priority and arrival; a full target keeps a transaction, so its statement is asked again; pauses double; a log kind writes 20 lines a second; a host whose ticks come late judges no primary.

--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -74,6 +74,7 @@
     shared_name,
 )
 from rosemarysaddle.decide._voters import join_voters
+from rosemarysaddle.decide._window import Window
 
 __all__ = (
     "LEASE_MS",
@@ -130,6 +131,7 @@
     "TargetReport",
     "TargetView",
     "TokenCodec",
+    "Window",
     "WriteTicket",
     "address_of",
     "check_change",
--- a/src/rosemarysaddle/decide/_placing.py
+++ b/src/rosemarysaddle/decide/_placing.py
@@ -36,6 +36,7 @@
 
     :param slots: statements that the target runs at once
     :param running: statements of this host that run there
+    :param queued: statements of this host that wait for their turn
     :param point: newest position that the target told
     :param behind_until_ns: time until which it is taken to lag
     :param down_until_ns: time until which it gets no work
@@ -48,6 +49,7 @@
     slots: int = 1
     leaving: bool = False
     running: int = 0
+    queued: int = 0
     latency_ns: int = FIRST_LATENCY_NS
     point: LogPoint | None = None
     behind_until_ns: int = 0
@@ -72,7 +74,8 @@
 
     def cost_ns(self, data_center: str) -> int:
         """Estimate the time until a new statement is answered."""
-        waiting = max(0, self.running + 1 - max(1, self.slots))
+        busy = self.running + self.queued
+        waiting = max(0, busy + 1 - max(1, self.slots))
         cost_ns = self.latency_ns * (1 + waiting // max(1, self.slots))
         if self.data_center != data_center:
             cost_ns += REMOTE_COST_NS
--- a/src/rosemarysaddle/exchange/_pool.py
+++ b/src/rosemarysaddle/exchange/_pool.py
@@ -22,8 +22,6 @@
 
 # Twice the farthest round trip, the handshake and a start's delay.
 CONNECT_MS: Final = 500
-# A host whose timers fire later than this is too busy to judge.
-LATE_MS: Final = 40
 _NS_PER_S: Final = 1_000_000_000
 
 
@@ -35,15 +33,12 @@
     :param refused: whether the refusal came at once
     :param connected: whether the target's host took the connection, so
         that the target is slow or full rather than gone
-    :param is_sure: whether this host itself was on time, so that the
-        silence is the target's
     """
 
     code: FaultCode
     peer: str
     refused: bool = False
     connected: bool = False
-    is_sure: bool = True
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -178,7 +173,6 @@
                 peer=self.target,
                 refused=answer.text == "ConnectionRefusedError",
                 connected=exchange.was_connected,
-                is_sure=clock_ns() < latest_ns + LATE_MS * NS_PER_MS,
             )
             return self._fail(fault, deadline_ns >= latest_ns)
         exchange.used_ns = clock_ns()
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -155,7 +155,9 @@
 
     async def _tick_forever(self) -> None:
         while True:
-            self._carry_out(self.node.tick(clock_ns()))
+            now_ns = clock_ns()
+            self.router.note_tick(now_ns, ENTRY_TICK_S)
+            self._carry_out(self.node.tick(now_ns))
             self.router.refresh()
             self._note_readiness()
             await asyncio.sleep(ENTRY_TICK_S)
--- a/src/rosemarysaddle/session/_caller.py
+++ b/src/rosemarysaddle/session/_caller.py
@@ -7,9 +7,9 @@
 from typing import TYPE_CHECKING, Final, Protocol
 
 import attrs
-from absl import logging
 
 from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._events import log_event
 from rosemarysaddle.decide import (
     NS_PER_MS,
     Answer,
@@ -196,16 +196,12 @@
             return
         result = await self._result(statement)
         if isinstance(result, Refusal):
-            logging.info(
-                "event=refused id=%s database=%s kind=%s reason=%s step=%s"
-                " peer=%s outcome=%s",
-                statement.request_id,
-                self.database,
-                statement.kind,
-                result.reason,
-                result.step,
-                result.peer,
-                result.outcome,
+            log_event(
+                "refused",
+                f"id={statement.request_id} database={self.database}"
+                f" kind={statement.kind} reason={result.reason}"
+                f" step={result.step} peer={result.peer}"
+                f" outcome={result.outcome}",
             )
             self._write(self.codec.encode_refusal(result, self.state))
         else:
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -6,9 +6,9 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
-from absl import logging
 
 from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._events import log_event
 from rosemarysaddle.decide import (
     NS_PER_MS,
     FaultCode,
@@ -27,6 +27,7 @@
 )
 from rosemarysaddle.exchange import ExchangePool, OpenFault
 from rosemarysaddle.link import Address
+from rosemarysaddle.session._turns import Turns
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Sequence
@@ -47,6 +48,9 @@
 CHECK_MS: Final = 300
 MAX_WAITING: Final = 400
 RETRY_AFTER_MS: Final = 250
+# A host whose ticks come later than this is too busy to judge others.
+LATE_MS: Final = 50
+LATE_SPAN_MS: Final = 1_000
 _NS_PER_S: Final = 1_000_000_000
 
 
@@ -75,6 +79,9 @@
     send: Callable[[Sequence[Effect]], None]
     targets: dict[str, PlacedTarget] = attrs.field(factory=dict, init=False)
     pools: dict[str, ExchangePool] = attrs.field(factory=dict, init=False)
+    turns: dict[str, Turns] = attrs.field(factory=dict, init=False)
+    _late_until_ns: int = attrs.field(default=0, init=False)
+    _ticked_ns: int = attrs.field(default=0, init=False)
     _positions: dict[str, PositionLog] = attrs.field(factory=dict, init=False)
     _wanted_ns: dict[str, int] = attrs.field(factory=dict, init=False)
     _check_at_ns: dict[str, int] = attrs.field(factory=dict, init=False)
@@ -111,7 +118,9 @@
             data_center=self.node.data_center,
             now_ns=now_ns,
         )
-        known = (t for t in self.targets.values() if t.group == group)
+        known = [t for t in self.targets.values() if t.group == group]
+        for placed in known:
+            placed.queued = self.turns[placed.target].waiting
         chosen = choose_target(known, need)
         if chosen is None:
             return None
@@ -203,14 +212,13 @@
             return
         now_ns = clock_ns()
         placed.note_down(now_ns)
-        logging.info(
-            "event=target-down target=%s group=%s code=%s connected=%s",
-            fault.peer,
-            placed.group,
-            fault.code,
-            fault.connected,
+        is_late = now_ns < self._late_until_ns
+        log_event(
+            "target-down",
+            f"target={fault.peer} group={placed.group} code={fault.code}"
+            f" connected={fault.connected} host_late={is_late}",
         )
-        if fault.connected or not fault.is_sure:
+        if fault.connected or is_late:
             return
         effects = self.node.suspect(
             placed.group, fault.peer, refused=fault.refused, now_ns=now_ns
@@ -234,6 +242,7 @@
         for name in [n for n in self.targets if n not in records]:
             del self.targets[name]
             self.pools.pop(name).close()
+            del self.turns[name]
         for name, record in records.items():
             placed = self.targets.get(name)
             if placed is None or placed.address != record.address:
@@ -264,6 +273,7 @@
             on_open_fault=self.note_open_fault,
         )
         self.pools[name] = pool
+        self.turns[name] = Turns()
         if record.data_center == self.node.data_center:
             self._spawn(pool.warm(WARM_CONNECTIONS))
 
@@ -304,6 +314,16 @@
 
     # --- positions of silent groups ---
 
+    def note_tick(self, now_ns: int, interval_s: float) -> None:
+        """Learn from two ticks whether this host is late.
+
+        :param interval_s: time that was to lie between them, in seconds
+        """
+        planned_ns = self._ticked_ns + int(interval_s * _NS_PER_S)
+        if self._ticked_ns and now_ns > planned_ns + LATE_MS * NS_PER_MS:
+            self._late_until_ns = now_ns + LATE_SPAN_MS * NS_PER_MS
+        self._ticked_ns = now_ns
+
     def refresh(self) -> None:
         """Ask the primaries of silent groups for their positions."""
         now_ns = clock_ns()
--- a/src/rosemarysaddle/session/_run.py
+++ b/src/rosemarysaddle/session/_run.py
@@ -8,9 +8,9 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
-from absl import logging
 
 from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._events import log_event
 from rosemarysaddle.decide import (
     NS_PER_MS,
     Answer,
@@ -35,8 +35,10 @@
 
 __all__ = ("Runner", "Transaction")
 
-# Pause before a target that did not run a statement is asked again.
-PAUSE_MS: Final = 25
+# Pause before a target that did not run a statement is asked again; it
+# doubles with each try.
+PAUSE_MS: Final = 20
+MAX_PAUSE_MS: Final = 200
 MAX_TRIES: Final = 8
 RETRY_AFTER_MS: Final = 200
 
@@ -82,13 +84,13 @@
         failed: set[str] = set()
         attempts = 0
         last: Answer | None = None
-        for _ in range(MAX_TRIES):
+        for number in range(MAX_TRIES):
             place = self._place(route, failed)
             if place is None:
                 if not await self.router.wait_change(deadline_ns):
                     break
                 continue
-            answer = await self._read_at(place, statement, deadline_ns)
+            answer = await self._read_at(route, place, statement, deadline_ns)
             if answer.fault is None:
                 return answer
             last = answer
@@ -99,7 +101,7 @@
                 break
             if not self._place(route, failed):
                 failed.clear()
-                if not await self._pause(deadline_ns):
+                if not await self._pause(number, deadline_ns):
                     break
         return _read_refusal(route, last)
 
@@ -109,17 +111,19 @@
         """Run one write outside a transaction, at most once."""
         deadline_ns = _deadline_ns(route)
         last: Answer | None = None
-        for _ in range(MAX_TRIES):
+        for number in range(MAX_TRIES):
             ticket = await self._ticket(route.group, deadline_ns)
             if isinstance(ticket, Refusal):
                 return ticket
-            result = await self._write_once(ticket, statement, deadline_ns)
+            result = await self._write_in_turn(
+                route, ticket, statement, deadline_ns
+            )
             if isinstance(result, Refusal) or result.fault is None:
                 return result
             last = result
             if not result.fault.is_not_run:
                 return _failed(route, result)
-            if not await self._pause(deadline_ns):
+            if not await self._pause(number, deadline_ns):
                 break
         return _not_run(route.group, last)
 
@@ -128,17 +132,47 @@
         return self.router.place_read(route, point, failed)
 
     async def _read_at(
-        self, place: Placement, statement: Statement, deadline_ns: int
+        self,
+        route: Route,
+        place: Placement,
+        statement: Statement,
+        deadline_ns: int,
     ) -> Answer:
-        exchange = await self._connect(place.target, deadline_ns)
-        if isinstance(exchange, OpenFault):
-            return Answer(fault=FaultCode.BUSY, text=str(exchange.code))
-        answer = await self._ask(
-            exchange, statement, after=place.after, deadline_ns=deadline_ns
-        )
-        self._give_back(exchange)
+        turns = self.router.turns[place.target]
+        if not await turns.enter(
+            priority=route.priority, deadline_ns=deadline_ns
+        ):
+            return Answer(fault=FaultCode.BUSY, text="no turn in time")
+        try:
+            exchange = await self._connect(place.target, deadline_ns)
+            if isinstance(exchange, OpenFault):
+                return Answer(fault=FaultCode.BUSY, text=str(exchange.code))
+            answer = await self._ask(
+                exchange, statement, after=place.after, deadline_ns=deadline_ns
+            )
+            self._give_back(exchange)
+        finally:
+            turns.leave()
         return answer
 
+    async def _write_in_turn(
+        self,
+        route: Route,
+        ticket: WriteTicket,
+        statement: Statement,
+        deadline_ns: int,
+    ) -> Answer | Refusal:
+        turns = self.router.turns[ticket.primary]
+        if not await turns.enter(
+            priority=route.priority, deadline_ns=deadline_ns
+        ):
+            self.router.end_write(ticket)
+            return Answer(fault=FaultCode.BUSY, text="no turn in time")
+        try:
+            return await self._write_once(ticket, statement, deadline_ns)
+        finally:
+            turns.leave()
+
     async def _write_once(
         self, ticket: WriteTicket, statement: Statement, deadline_ns: int
     ) -> Answer | Refusal:
@@ -180,17 +214,15 @@
         ):
             self.abandon(transaction)
             return _ended(transaction)
-        answer = await self._ask(exchange, statement, deadline_ns=deadline_ns)
+        answer = await self._ask_pinned(exchange, statement, deadline_ns)
         if self._writes(statement):
             transaction.wrote = True
         if answer.fault is None and answer.state is SessionState.TRANSACTION:
             return answer
-        logging.info(
-            "event=transaction-ended id=%s target=%s fault=%s state=%s",
-            statement.request_id,
-            transaction.target,
-            answer.fault,
-            answer.state,
+        log_event(
+            "transaction-ended",
+            f"id={statement.request_id} target={transaction.target}"
+            f" fault={answer.fault} state={answer.state}",
         )
         self.abandon(transaction)
         return _ended(transaction)
@@ -211,7 +243,7 @@
         ):
             self.abandon(transaction)
             return _ended(transaction)
-        answer = await self._ask(exchange, statement, deadline_ns=deadline_ns)
+        answer = await self._ask_pinned(exchange, statement, deadline_ns)
         return self._committed(transaction, exchange, answer)
 
     def _committed(
@@ -268,14 +300,14 @@
         if transaction.exchange is not None or transaction.target:
             return None
         failed: set[str] = set()
-        for _ in range(MAX_TRIES):
+        for number in range(MAX_TRIES):
             if transaction.reads:
                 fault = await self._pin_read(transaction, failed, deadline_ns)
             else:
                 fault = await self._pin_write(transaction, deadline_ns)
             if fault is None:
                 return None
-            if not await self._pause(deadline_ns):
+            if not await self._pause(number, deadline_ns):
                 break
         return Refusal(
             reason=Reason.TRANSACTION_ENDED,
@@ -396,6 +428,11 @@
         answer = await exchange.ask(data, deadline_ns=deadline_ns)
         if placed is not None:
             placed.running -= 1
+        turns = self.router.turns.get(target)
+        if turns is not None and answer.fault is FaultCode.BUSY:
+            turns.window.note_shed()
+        elif turns is not None and answer.fault is None:
+            turns.window.note_served()
         self.router.note_answer(
             target, answer, asked_ns=asked_ns, covered=covered
         )
@@ -408,8 +445,40 @@
         else:
             pool.release(exchange)
 
-    async def _pause(self, deadline_ns: int) -> bool:
-        until_ns = clock_ns() + PAUSE_MS * NS_PER_MS
+    async def _ask_pinned(
+        self, exchange: Exchange, statement: Statement, deadline_ns: int
+    ) -> Answer:
+        # A full target has not run it and keeps the transaction.
+        answer = await self._ask_in_turn(exchange, statement, deadline_ns)
+        for number in range(MAX_TRIES):
+            if answer.fault is not FaultCode.BUSY:
+                break
+            if answer.state is not SessionState.TRANSACTION:
+                break
+            if not await self._pause(number, deadline_ns):
+                break
+            answer = await self._ask_in_turn(exchange, statement, deadline_ns)
+        return answer
+
+    async def _ask_in_turn(
+        self, exchange: Exchange, statement: Statement, deadline_ns: int
+    ) -> Answer:
+        turns = self.router.turns.get(exchange.target)
+        if turns is None:
+            return await self._ask(
+                exchange, statement, deadline_ns=deadline_ns
+            )
+        turns.join()
+        try:
+            return await self._ask(
+                exchange, statement, deadline_ns=deadline_ns
+            )
+        finally:
+            turns.leave()
+
+    async def _pause(self, number: int, deadline_ns: int) -> bool:
+        pause_ms = min(MAX_PAUSE_MS, PAUSE_MS << number)
+        until_ns = clock_ns() + pause_ms * NS_PER_MS
         if until_ns >= deadline_ns:
             return False
         return await self.router.wait_change(until_ns)
--- /dev/null
+++ b/src/rosemarysaddle/session/_turns.py
@@ -0,0 +1,88 @@
+"""Turns of statements at one target, by priority and arrival."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import itertools
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from rosemarysaddle._clock import clock_ns
+from rosemarysaddle.decide import Window
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+__all__ = ("Turns",)
+
+MAX_WAITING: Final = 512
+_NS_PER_S: Final = 1_000_000_000
+
+
+@attrs.define(kw_only=True, eq=False)
+class Turns:
+    """Queue in front of one target.
+
+    :param window: how many statements may run at once
+    """
+
+    window: Window = attrs.field(factory=Window)
+    _queue: list[tuple[int, int, asyncio.Future[None]]] = attrs.field(
+        factory=list, init=False
+    )
+    _numbers: Iterator[int] = attrs.field(factory=itertools.count, init=False)
+
+    @property
+    def waiting(self) -> int:
+        """Count of statements that wait for their turn."""
+        return len(self._queue)
+
+    async def enter(self, *, priority: int, deadline_ns: int) -> bool:
+        """Wait for a turn; the caller ends it with :meth:`leave`.
+
+        :param priority: priority of the statement; 0 is the highest
+        :param deadline_ns: time at which to give up
+        :return: whether the statement may run
+        """
+        if not self._queue and self.window.may_start():
+            self.window.running += 1
+            return True
+        left_s = (deadline_ns - clock_ns()) / _NS_PER_S
+        if left_s <= 0 or len(self._queue) >= MAX_WAITING:
+            return False
+        return await self._wait(priority, left_s)
+
+    async def _wait(self, priority: int, left_s: float) -> bool:
+        loop = asyncio.get_running_loop()
+        turn: asyncio.Future[None] = loop.create_future()
+        entry = (priority, next(self._numbers), turn)
+        heapq.heappush(self._queue, entry)
+        timer = loop.call_later(left_s, turn.cancel)
+        try:
+            await turn
+        except asyncio.CancelledError:
+            if entry in self._queue:
+                self._queue.remove(entry)
+                heapq.heapify(self._queue)
+            current = asyncio.current_task()
+            if current is not None and current.cancelling():
+                raise
+            return False
+        finally:
+            timer.cancel()
+        return True
+
+    def join(self) -> None:
+        """Run a statement of a transaction that has begun, at once."""
+        self.window.running += 1
+
+    def leave(self) -> None:
+        """End a turn and give the next ones out."""
+        self.window.running -= 1
+        while self._queue and self.window.may_start():
+            _, _, turn = heapq.heappop(self._queue)
+            if not turn.done():
+                self.window.running += 1
+                turn.set_result(None)
