Open one connection to a target at a time and ask for lasting reports

Cause: seven hosts opening three connections each to every target filled the targets' queues of new connections; opening packets were dropped for a second, most hosts reported the primary, and it was replaced in vain. Ruled out: late timers of the hosts alone (host_late=False in the log). Change: one opening at a time per host and target; reports of most hosts count only once they have lasted 1.3 s (a dropped packet is sent again after 1 s); control's own failed probe still counts at once.

--- a/src/rosemarysaddle/decide/_change.py
+++ b/src/rosemarysaddle/decide/_change.py
@@ -26,6 +26,8 @@
 )
 
 EVIDENCE_MS: Final = 2_000
+# A full queue of connections drops one for a second; a cut lasts.
+PERSIST_MS: Final = 1_300
 
 
 class Phase(enum.StrEnum):
@@ -146,7 +148,10 @@
         """
         oldest_ns = now_ns - EVIDENCE_MS * NS_PER_MS
         recent = {h for h, at in self._reports_ns.items() if at > oldest_ns}
-        return observer in recent or 2 * len(recent) > hosts
+        if observer in recent:
+            return True
+        lasts = now_ns >= self.first_ns + PERSIST_MS * NS_PER_MS
+        return lasts and 2 * len(recent) > hosts
 
 
 def confirm_quorum(instances: int) -> int:
--- a/src/rosemarysaddle/exchange/_pool.py
+++ b/src/rosemarysaddle/exchange/_pool.py
@@ -22,6 +22,7 @@
 
 # Twice the farthest round trip, the handshake and a start's delay.
 CONNECT_MS: Final = 500
+MAX_OPENING: Final = 1
 _NS_PER_S: Final = 1_000_000_000
 
 
@@ -78,7 +79,7 @@
             found = self._take_idle(variables)
             if found is not None:
                 return found
-            if len(self._open) + self._opening < self.limit:
+            if self._may_open():
                 return await self._open_one(deadline_ns)
             given = await self._wait(deadline_ns)
             if isinstance(given, Exchange):
@@ -139,6 +140,11 @@
         for exchange in list(self._idle):
             exchange.abort()
 
+    def _may_open(self) -> bool:
+        # A new connection takes a slot of the target for some time.
+        room = len(self._open) + self._opening < self.limit
+        return room and self._opening < MAX_OPENING
+
     def _take_idle(self, variables: SessionVariables) -> Exchange | None:
         if not self._idle:
             return None
@@ -177,6 +183,7 @@
             return self._fail(fault, deadline_ns >= latest_ns)
         exchange.used_ns = clock_ns()
         self._open.add(exchange)
+        self._wake_one()
         return exchange
 
     def _fail(self, fault: OpenFault, counts: bool) -> OpenFault:  # noqa: FBT001
