Send plans of routes as patches and long messages compressed

Ruled out: fewer versions (each is acknowledged and in force). Change: the leader puts the difference to the plan before into the log, where it leads to the same content; messages over 512 bytes are deflated. Also: a stop no longer waits for the HTTP server (one process of a roll was killed at the end of its grace).

--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -22,6 +22,7 @@
 from rosemarysaddle.decide._log import LogNode, Role
 from rosemarysaddle.decide._members import ADMIT_ATTEMPT, MemberKeeper
 from rosemarysaddle.decide._office import Office
+from rosemarysaddle.decide._plan_patch import find_patch
 from rosemarysaddle.decide._primaries import PrimaryKeeper
 from rosemarysaddle.decide._registry import is_news, record_of
 from rosemarysaddle.decide._state import (
@@ -82,6 +83,7 @@
     _office: Office = attrs.field(init=False)
     _members: MemberKeeper = attrs.field(init=False)
     _electorate: Electorate = attrs.field(init=False)
+    _proposed: tuple[int, str] = attrs.field(default=(-1, ""), init=False)
     _census: Census = attrs.field(factory=Census, init=False)
     _recent: collections.deque[LogEntry] = attrs.field(
         factory=lambda: collections.deque(maxlen=RECENT_ENTRIES), init=False
@@ -271,6 +273,8 @@
             return []
         if entry.kind == EntryKind.NOOP and entry.term == self.log.term:
             self._take_office()
+            routes = self.state.routes
+            self._proposed = (routes.version, routes.source)
             self._census.take_office(now_ns)
             return []
         return self.primaries.on_applied(entry, now_ns)
@@ -416,9 +420,23 @@
         askers.append(source)
         if len(askers) > 1:
             return []
-        payload = json.dumps(attrs.asdict(change))
+        payload = json.dumps(attrs.asdict(self._shortened(change)))
         return self._propose(EntryKind.CHANGE, payload, now_ns)
 
+    def _shortened(self, change: ChangeProposal) -> ChangeProposal:
+        """Turn a newer plan into its difference to the one before."""
+        version, source = self._proposed
+        if change.kind != DocumentKind.ROUTES:
+            return change
+        if change.base_version <= version:
+            return change
+        self._proposed = (change.base_version, change.payload)
+        patch = find_patch(source, change.payload)
+        if patch is None:
+            return change
+        kind = DocumentKind.ROUTES_PATCH
+        return attrs.evolve(change, kind=kind, payload=patch)
+
     def _is_settled(self, change: ChangeProposal) -> bool:
         # A plan that is no newer than the one in force changes nothing.
         is_plan = change.kind == DocumentKind.ROUTES
--- a/src/rosemarysaddle/decide/_state.py
+++ b/src/rosemarysaddle/decide/_state.py
@@ -9,6 +9,7 @@
 import cattrs
 
 from rosemarysaddle.decide._inventory import InventoryTable
+from rosemarysaddle.decide._plan_patch import apply_patch
 from rosemarysaddle.decide._registry import TargetRecord, TargetTable
 from rosemarysaddle.decide._routes import RouteTable
 from rosemarysaddle.decide._terms import (
@@ -70,6 +71,7 @@
     INVENTORY_PATCH: Final = "inventory-patch"
     RULES: Final = "rules"
     ROUTES: Final = "routes"
+    ROUTES_PATCH: Final = "routes-patch"
 
 
 @attrs.frozen(kw_only=True)
@@ -214,7 +216,7 @@
         )
 
     def _change(self, change: ChangeProposal) -> ChangeReply:
-        if change.kind == DocumentKind.ROUTES:
+        if change.kind in {DocumentKind.ROUTES, DocumentKind.ROUTES_PATCH}:
             return self._change_routes(change)
         known = self.replies.get(change.change_id)
         if known is not None:
@@ -229,7 +231,10 @@
         # Checked before it was proposed; the sender may send it again,
         # and an older version changes nothing.
         if change.base_version > self.routes.version:
-            self.routes = RouteTable.of(change.payload)
+            source = change.payload
+            if change.kind == DocumentKind.ROUTES_PATCH:
+                source = apply_patch(self.routes.source, source)
+            self.routes = RouteTable.of(source)
             self.targets.touched.update(self.routes.groups)
         return ChangeReply(
             change_id=change.change_id,
--- a/src/rosemarysaddle/link/_peers.py
+++ b/src/rosemarysaddle/link/_peers.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import struct
+import zlib
 from typing import TYPE_CHECKING, Final
 
 import attrs
@@ -38,7 +39,11 @@
 DIAL_S: Final = 1.0
 REDIAL_S: Final = 0.1
 MAX_BUFFERED_BYTES: Final = 8 * 1024 * 1024
+# Shorter messages gain little.
+COMPRESS_BYTES: Final = 512
+COMPRESS_LEVEL: Final = 6
 _LENGTH: Final = struct.Struct(">I")
+_COMPRESSED: Final = 1 << 31
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -145,7 +150,10 @@
             source=self.host, request_id=self._request_id, body=message
         )
         data = encode(envelope)
-        return _LENGTH.pack(len(data)) + data
+        if len(data) < COMPRESS_BYTES:
+            return _LENGTH.pack(len(data)) + data
+        data = zlib.compress(data, COMPRESS_LEVEL)
+        return _LENGTH.pack(len(data) | _COMPRESSED) + data
 
     def _connection_to(self, peer: str) -> _Connection | None:
         found = [
@@ -269,10 +277,13 @@
 
     async def _read_one(self, connection: _Connection) -> bool:
         head = await connection.reader.readexactly(_LENGTH.size)
-        (length,) = _LENGTH.unpack(head)
+        (field,) = _LENGTH.unpack(head)
+        length = field & ~_COMPRESSED
         if length > MAX_MESSAGE_BYTES:
             return False
         data = await connection.reader.readexactly(length)
+        if field & _COMPRESSED:
+            data = _expand(data)
         envelope = decode(data)
         if isinstance(envelope, DecodeFault):
             logging.warning(
@@ -316,5 +327,14 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _expand(data: bytes) -> bytes:
+    """Expand a compressed message; bytes that are none give none."""
+    expander = zlib.decompressobj()
+    try:
+        return expander.decompress(data, MAX_MESSAGE_BYTES)
+    except zlib.error:
+        return b""
+
+
 def _key(name: str) -> str:
     return name.partition("#")[0]
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -144,8 +144,9 @@
         logging.info("event=stopping host=%s", self.host)
         self._send_to_leader(StepOut(host=self.host))
         self._carry_out(self.control.step_down(clock_ns()))
+        # Answers that are on their way get this long; the server's own
+        # stop would wait for callers that keep their connections.
         await asyncio.sleep(STOP_S)
-        await asyncio.to_thread(self._http.stop)
         for job in list(self._jobs):
             job.cancel()
         await self.network.stop()
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -120,7 +120,6 @@
             await asyncio.sleep(POLL_S)
         self._carry_out(self.node.stop())
         await asyncio.sleep(POLL_S)
-        self._ready.stop()
         await self.network.stop()
 
     def is_ready(self) -> bool:
