--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -144,9 +144,8 @@
         logging.info("event=stopping host=%s", self.host)
         self._send_to_leader(StepOut(host=self.host))
         self._carry_out(self.control.step_down(clock_ns()))
-        # Answers that are on their way get this long; the server's own
-        # stop would wait for callers that keep their connections.
         await asyncio.sleep(STOP_S)
+        await asyncio.to_thread(self._http.stop)
         for job in list(self._jobs):
             job.cancel()
         await self.network.stop()
@@ -191,6 +190,7 @@
             address=Address.parse(self.settings.control_address),
             threads=HTTP_THREADS,
             max_body_bytes=MAX_BODY_BYTES,
+            stop_s=STOP_S,
         )
         self._http.tree.graft(self.platform.control_app(self), "")
         self._http.start()
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -94,6 +94,7 @@
             address=Address.parse(self.settings.ready_address),
             threads=READY_THREADS,
             max_body_bytes=READY_BODY_BYTES,
+            stop_s=POLL_S,
         )
         self._ready.tree.graft(self.platform.readiness_app(self.is_ready), "")
         self._ready.start()
@@ -120,6 +121,7 @@
             await asyncio.sleep(POLL_S)
         self._carry_out(self.node.stop())
         await asyncio.sleep(POLL_S)
+        await asyncio.to_thread(self._ready.stop)
         await self.network.stop()
 
     def is_ready(self) -> bool:
--- a/src/rosemarysaddle/web/_server.py
+++ b/src/rosemarysaddle/web/_server.py
@@ -41,11 +41,13 @@
     :param address: address for callers and operators
     :param threads: count of worker threads
     :param max_body_bytes: size of the largest request body
+    :param stop_s: time that running requests get at a stop, in seconds
     """
 
     address: Address
     threads: int
     max_body_bytes: int
+    stop_s: float = STOP_S
     tree: Any = attrs.field(factory=Tree, init=False)
     _server: Any = attrs.field(default=None, init=False)
     _thread: threading.Thread | None = attrs.field(default=None, init=False)
@@ -63,7 +65,7 @@
         adapter.accepted_queue_size = MAX_QUEUED
         adapter.accepted_queue_timeout = 1
         adapter.socket_timeout = IDLE_S
-        adapter.shutdown_timeout = STOP_S
+        adapter.shutdown_timeout = self.stop_s
         adapter.max_request_body_size = self.max_body_bytes
         adapter.max_request_header_size = MAX_HEADER_BYTES
         self._server = _ParkingServer(adapter)
