Play the table of promises against a stand-in target

Change: a stand-in target with a script of faults and tests of answers, at-most-once writes, pinning, values, prepared names, idle ends, lag.

--- /dev/null
+++ b/tests/session/standin.py
@@ -0,0 +1,196 @@
+"""Stand-in of a target and of a caller for the tests of sessions."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import attrs
+
+from rosemarysaddle._clock import clock_ns
+from rosemarysaddle.decide import EntryNode, GroupTerm, RouteTable
+from rosemarysaddle.decide._registry import TargetRecord
+from rosemarysaddle.platform import CallerWire, TargetWire
+from rosemarysaddle.session import CallerSession, Router
+
+IP = "127.16.1.1"
+GROUP = "g"
+_ROUTE = {"name": "r", "group": GROUP, "timeout_ms": 400, "max_attempts": 2}
+PLAN = {
+    "version": 1,
+    "groups": [{"name": GROUP, "connection_limit": 30}],
+    "routes": [
+        {**_ROUTE, "name": "p", "database": "own", "freshness": "primary"},
+        {
+            **_ROUTE,
+            "database": "old",
+            "freshness": "bounded_staleness",
+            "max_staleness_ms": 1500,
+        },
+    ],
+    "limits": {"transaction_idle_ms": 150},
+}
+
+
+@attrs.define(kw_only=True)
+class StandInTarget:
+    """Target that answers from a script of faults.
+
+    :param faults: what to do in place of an answer, by verb, one each;
+        a code to answer, ``silent`` or ``drop``
+    :param seen: statements that arrived, with the connection's number
+    """
+
+    name: str
+    port: int
+    role: str = "primary"
+    position: int = 5
+    faults: dict[str, list[str]] = attrs.field(factory=dict)
+    seen: list[tuple[int, str]] = attrs.field(factory=list)
+    connections: int = 0
+    _server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: _Connection(target=self), IP, self.port
+        )
+
+    def stop(self) -> None:
+        """Listen no more."""
+        if self._server is not None:
+            self._server.close()
+
+    @property
+    def texts(self) -> list[str]:
+        """Texts of the statements that arrived."""
+        return [text for _, text in self.seen]
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Connection(asyncio.Protocol):
+    target: StandInTarget
+    number: int = 0
+    state: str = "I"
+    transport: Any = None
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        self.target.connections += 1
+        self.number = self.target.connections
+
+    def data_received(self, data: bytes) -> None:
+        for line in data.decode().split("\r\n")[:-1]:
+            self._answer(line)
+
+    def _answer(self, line: str) -> None:
+        word, _, rest = line.partition(" ")
+        if word == "START":
+            self._send("")
+            return
+        text = rest.partition(" ")[2]
+        if text.startswith("AFTER "):
+            text = text.split(" ", 2)[2]
+        self.target.seen.append((self.number, text))
+        verb = text.partition(" ")[0]
+        script = self.target.faults.get(verb, [])
+        fault = script.pop(0) if script else ""
+        if fault == "drop":
+            self.transport.abort()
+        elif fault and fault != "silent":
+            if self.state == "T" and fault != "BUSY":
+                self.state = "E"
+            self._send(f"ERROR {fault} {self.target.name}\r\n")
+        elif not fault:
+            self._run(verb)
+
+    def _run(self, verb: str) -> None:
+        if verb == "BEGIN":
+            self.state = "T"
+        if verb in {"COMMIT", "ROLLBACK"}:
+            self.state = "I"
+        if verb in {"COMMIT", "WRITE"}:
+            self.target.position += 1
+        row = "ROW x\r\n" if verb in {"READ", "EXECUTE"} else ""
+        self._send(f"{row}DONE {self.target.name}.{verb}\r\n")
+
+    def _send(self, text: str) -> None:
+        ready = f"READY {self.state} 1.{self.target.position}\r\n"
+        self.transport.write((text + ready).encode())
+
+
+@attrs.define(kw_only=True, eq=False)
+class Caller:
+    """Caller with a session of an entry host, without a socket."""
+
+    session: CallerSession
+    _sent: list[bytes] = attrs.field(factory=list)
+    is_closed: bool = False
+
+    def write(self, data: bytes) -> None:
+        """Take what the session writes."""
+        self._sent.append(data)
+
+    def close(self) -> None:
+        """Take the close of the connection."""
+        self.is_closed = True
+
+    async def ask(self, line: str) -> str:
+        """Send one line and wait for the answer to it."""
+        self._sent.clear()
+        self.session.data_received(f"{line}\r\n".encode())
+        for _ in range(400):
+            text = b"".join(self._sent).decode()
+            if "READY" in text or "ERROR" in text:
+                return " ".join(text.split("\r\n")).strip()
+            await asyncio.sleep(0.005)
+        return "nothing"
+
+    async def query(self, text: str) -> str:
+        """Send a statement; give the first word and the state back."""
+        answer = await self.ask(f"QUERY 5c {text}")
+        words = answer.split()
+        code = words[1] if words[0] == "ERROR" else words[0]
+        state = words[words.index("READY") + 1] if "READY" in words else "-"
+        return f"{'OK' if code in {'DONE', 'ROW'} else code} {state}"
+
+
+def make_router(targets: list[StandInTarget]) -> Router:
+    """Build the router of an entry host that holds a lease."""
+    node = EntryNode(host="e", data_center="dc", address="", control=["c"])
+    state = node.state
+    state.routes = RouteTable.of(json.dumps(PLAN))
+    state.entry_hosts = 1
+    for target in targets:
+        state.targets.put(
+            TargetRecord(
+                target=target.name,
+                group=GROUP,
+                address=f"{IP}:{target.port}",
+                data_center="dc",
+                slots=4,
+                incarnation_ms=1,
+                leaving=False,
+            )
+        )
+    state.terms[GROUP] = GroupTerm(
+        term=1, primary=targets[0].name, is_open=True, is_serving=True
+    )
+    node.lease.deadline_ns = clock_ns() + 60_000_000_000
+    node.ready = True
+    return Router(
+        node=node, label="e", new_codec=TargetWire, send=lambda _: None
+    )
+
+
+async def open_caller(router: Router, database: str) -> Caller:
+    """Open a session on a database."""
+    session = CallerSession(
+        codec=CallerWire(), router=router, on_end=lambda _: None
+    )
+    caller = Caller(session=session)
+    session._transport = caller  # type: ignore[assignment]
+    await caller.ask(f"START {database} u1")
+    return caller
--- /dev/null
+++ b/tests/session/test_caller.py
@@ -0,0 +1,230 @@
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tests.session.standin import StandInTarget, make_router, open_caller
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from rosemarysaddle.session import Router
+    from tests.session.standin import Caller
+
+    Play = Callable[[Caller, Router], Coroutine[None, None, list[str]]]
+
+PORT = 17_600
+
+
+def _play(
+    targets: list[StandInTarget], play: Play, *, database: str = "own"
+) -> list[str]:
+    async def run() -> list[str]:
+        for target in targets:
+            await target.start()
+        router = make_router(targets)
+        router.follow()
+        try:
+            return await play(await open_caller(router, database), router)
+        finally:
+            for target in targets:
+                target.stop()
+            for pool in router.pools.values():
+                pool.close()
+
+    return asyncio.run(run())
+
+
+def _dialog(*texts: str) -> Play:
+    async def play(caller: Caller, router: Router) -> list[str]:
+        del router
+        return [await caller.query(text) for text in texts]
+
+    return play
+
+
+def _primary(**faults: list[str]) -> StandInTarget:
+    return StandInTarget(name="t1", port=PORT + 1, faults=faults)
+
+
+IN_TRANSACTION = ("BEGIN", "WRITE 1 x", "COMMIT")
+
+
+@pytest.mark.parametrize(
+    ("faults", "texts", "answers"),
+    [
+        ({}, ["READ 1"], ["OK I"]),
+        ({}, ["WRITE 1 x"], ["OK I"]),
+        ({}, IN_TRANSACTION, ["OK T", "OK T", "OK I"]),
+        ({}, ["BEGIN", "COMMIT"], ["OK T", "OK I"]),
+        ({}, ["BEGIN", "READ 1", "ROLLBACK"], ["OK T", "OK T", "OK I"]),
+        ({}, ["COMMIT"], ["MALFORMED I"]),
+        ({}, ["BEGIN", "BEGIN"], ["OK T", "MALFORMED E"]),
+        ({}, ["EXECUTE s 1"], ["UNNAMED I"]),
+        ({}, ["FORGET s"], ["UNNAMED I"]),
+        ({}, ["DROP 1"], ["MALFORMED I"]),
+        ({"READ": ["BUSY"]}, ["READ 1"], ["OK I"]),
+        ({"READ": ["drop"]}, ["READ 1"], ["OK I"]),
+        ({"READ": ["FAILED", "FAILED"]}, ["READ 1"], ["FAILED I"]),
+        ({"WRITE": ["BUSY"]}, ["WRITE 1 x"], ["OK I"]),
+        ({"WRITE": ["READONLY"]}, ["WRITE 1 x"], ["OK I"]),
+        ({"WRITE": ["drop"]}, ["WRITE 1 x"], ["UNSURE I"]),
+        ({"WRITE": ["silent"]}, ["WRITE 1 x"], ["TIMEOUT I"]),
+        ({"WRITE": ["FAILED"]}, ["WRITE 1 x"], ["FAILED I"]),
+        (
+            {"WRITE": ["BUSY"]},
+            IN_TRANSACTION,
+            ["OK T", "OK T", "OK I"],
+        ),
+        (
+            {"WRITE": ["drop"]},
+            (*IN_TRANSACTION, "READ 1"),
+            ["OK T", "ABORTED E", "ABORTED I", "OK I"],
+        ),
+        (
+            {"WRITE": ["READONLY"]},
+            ["BEGIN", "WRITE 1 x", "READ 1", "ROLLBACK"],
+            ["OK T", "ABORTED E", "MALFORMED E", "OK I"],
+        ),
+        ({"COMMIT": ["drop"]}, IN_TRANSACTION, ["OK T", "OK T", "UNSURE I"]),
+        (
+            {"COMMIT": ["READONLY"]},
+            IN_TRANSACTION,
+            ["OK T", "OK T", "ABORTED I"],
+        ),
+        (
+            {"COMMIT": ["drop"]},
+            ["BEGIN", "READ 1", "COMMIT"],
+            ["OK T", "OK T", "ABORTED I"],
+        ),
+        ({"BEGIN": ["BUSY"]}, IN_TRANSACTION, ["OK T", "OK T", "OK I"]),
+    ],
+)
+def test_session_tells_what_is_known(
+    faults: dict[str, list[str]], texts: list[str], answers: list[str]
+) -> None:
+    assert _play([_primary(**faults)], _dialog(*texts)) == answers
+
+
+@pytest.mark.parametrize("fault", ["drop", "silent", "FAILED"])
+def test_write_is_sent_at_most_once(fault: str) -> None:
+    target = _primary(WRITE=[fault])
+
+    _play([target], _dialog("WRITE 1 x"))
+
+    assert target.texts.count("WRITE 1 x") == 1
+
+
+def test_result_of_a_write_is_unknown_once_the_lease_ended() -> None:
+    target = _primary()
+
+    async def play(caller: Caller, router: Router) -> list[str]:
+        await caller.query("BEGIN")
+        await caller.query("WRITE 1 x")
+        router.node.lease.deadline_ns = 1
+        first = await caller.query("COMMIT")
+        return [first, await caller.query("READ 1")]
+
+    assert _play([target], play) == ["ABORTED I", "BUSY I"]
+    assert "COMMIT" not in target.texts
+
+
+def test_transaction_stays_on_one_connection() -> None:
+    target = _primary()
+
+    async def play(caller: Caller, router: Router) -> list[str]:
+        other = await open_caller(router, "own")
+        found = [await caller.query("BEGIN"), await caller.query("READ 1")]
+        found.append(await other.query("READ 2"))
+        found.append(await caller.query("READ 3"))
+        return found
+
+    assert _play([target], play) == ["OK T", "OK T", "OK I", "OK T"]
+    by_text = {text: number for number, text in target.seen}
+    assert by_text["READ 1"] == by_text["READ 3"] == by_text["BEGIN"]
+    assert by_text["READ 2"] != by_text["READ 1"]
+
+
+def test_values_of_one_session_never_reach_another() -> None:
+    target = _primary()
+
+    async def play(caller: Caller, router: Router) -> list[str]:
+        other = await open_caller(router, "own")
+        found = [await caller.query("SET n v"), await caller.query("READ 1")]
+        found.append(await other.query("READ 2"))
+        found.append(await caller.query("READ 3"))
+        return found
+
+    _play([target], play)
+
+    statements = [t for t in target.texts if t.split()[0] != "BEGIN"]
+    assert statements == [
+        "SET n v",
+        "READ 1",
+        "RESET",
+        "READ 2",
+        "SET n v",
+        "READ 3",
+    ]
+
+
+def test_prepared_names_of_two_sessions_do_not_collide() -> None:
+    target = _primary()
+
+    async def play(caller: Caller, router: Router) -> list[str]:
+        other = await open_caller(router, "own")
+        await caller.query("PREPARE s READ q1")
+        await other.query("PREPARE s WRITE q2")
+        return [
+            await caller.query("EXECUTE s 1"),
+            await other.query("EXECUTE s 2 x"),
+            await caller.query("EXECUTE s 3"),
+        ]
+
+    assert _play([target], play) == ["OK I", "OK I", "OK I"]
+    prepared = [t for t in target.texts if t.startswith("PREPARE")]
+    executed = [t.split()[1] for t in target.texts if t.startswith("EXEC")]
+    assert len(prepared) == 2
+    assert executed[0] == executed[2] != executed[1]
+
+
+def test_idle_transaction_is_ended_and_its_caller_told() -> None:
+    target = _primary()
+
+    async def play(caller: Caller, router: Router) -> list[str]:
+        del router
+        await caller.query("BEGIN")
+        await caller.query("WRITE 1 x")
+        await asyncio.sleep(0.3)
+        return [await caller.query("COMMIT"), await caller.query("READ 1")]
+
+    assert _play([target], play) == ["ABORTED I", "OK I"]
+    assert "COMMIT" not in target.texts
+
+
+def test_read_that_accepts_age_goes_on_where_a_replica_lags() -> None:
+    primary = _primary()
+    replica = StandInTarget(
+        name="t2", port=PORT + 2, role="replica", faults={"READ": ["BEHIND"]}
+    )
+
+    async def play(caller: Caller, router: Router) -> list[str]:
+        first = await caller.query("WRITE 1 x")
+        placed = router.targets["t1"]
+        placed.latency_ns = 10**9
+        return [first, await caller.query("READ 1")]
+
+    assert _play([primary, replica], play, database="old") == ["OK I", "OK I"]
+    assert replica.texts == ["READ 1"]
+    assert primary.texts == ["WRITE 1 x", "READ 1"]
+
+
+def test_unknown_database_is_refused_and_closed() -> None:
+    async def play(caller: Caller, router: Router) -> list[str]:
+        del caller
+        other = await open_caller(router, "none")
+        return [str(other.is_closed)]
+
+    assert _play([_primary()], play) == ["True"]
