Start planned changes when leases allow, and end on a refused write

Cause 2 (read, then played): a disk that refuses a write left memory ahead of the disk, and the host went on with its loop or without. Now it ends and starts anew; nothing was promised. Ruled out: taking the entry back in memory (a vote may be in it).

--- a/src/rosemarysaddle/decide/_primaries.py
+++ b/src/rosemarysaddle/decide/_primaries.py
@@ -254,6 +254,10 @@
 
     def _replace_leaving(self, now_ns: int) -> list[Effect]:
         effects: list[Effect] = []
+        # Writes would stand still until an earlier leader's leases have
+        # run out; a target that leaves serves for longer than that.
+        if not self.office.leases.sees_all(now_ns):
+            return effects
         for group in list(self._leaving):
             term = self.office.state.terms.get(group)
             if group in self.changes:
--- a/src/rosemarysaddle/exchange/_pool.py
+++ b/src/rosemarysaddle/exchange/_pool.py
@@ -125,15 +125,6 @@
         for exchange in self._idle[: max(0, excess)]:
             exchange.abort()
 
-    def renew(self, before_ns: int) -> None:
-        """End the connections that were silent when others answered.
-
-        :param before_ns: time before which they were last used
-        """
-        for exchange in list(self._open):
-            if exchange.used_ns < before_ns:
-                exchange.abort()
-
     def close(self) -> None:
         """End all connections that no session holds."""
         self.is_closed = True
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -71,6 +71,7 @@
 HTTP_THREADS: Final = 6
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 STOP_S: Final = 0.3
+DISK_FAILED_STATUS: Final = 74  # EX_IOERR of sysexits.h
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -386,6 +387,15 @@
                     logging.error("event=unknown-effect kind=%s", effect)
 
     def _save(self, effect: SaveVote | SaveEntries | SaveSnapshot) -> None:
+        try:
+            self._write(effect)
+        except OSError as error:
+            # Memory is now ahead of the disk; a new start
+            # makes them agree before another promise is given.
+            logging.error("event=disk-failed reason=%r", error)
+            raise SystemExit(DISK_FAILED_STATUS) from error
+
+    def _write(self, effect: SaveVote | SaveEntries | SaveSnapshot) -> None:
         match effect:
             case SaveVote():
                 self._journal.save_vote(effect.term, effect.voted_for)
--- a/src/rosemarysaddle/schema/_documents.py
+++ b/src/rosemarysaddle/schema/_documents.py
@@ -262,7 +262,6 @@
     :param region: Region of the data centre
     :param ip: IP address of this host
     :param peers_port: TCP port for the other hosts, the same on all
-    :param metrics_port: TCP port for metrics; 0 serves none
     :param seeds: Public addresses of some control hosts
     :param first_start: Whether the whole deployment starts for the
         first time
@@ -277,10 +276,6 @@
     :param tolerated_hosts: Control hosts that may be lost at once
     :param grace_s: Time between the order to stop and the end, in
         seconds
-    :param drain_ms: Time after which a leaving target gets no work, in
-        milliseconds
-    :param statsd_address: IP address and port of statsd; empty sends
-        nothing
     """
 
     host: str
@@ -289,7 +284,6 @@
     region: str
     ip: str
     peers_port: int
-    metrics_port: int = 0
     seeds: tuple[str, ...]
     first_start: bool = False
     data_folder: str = ""
@@ -299,8 +293,6 @@
     promotion_address: str = ""
     tolerated_hosts: int = 1
     grace_s: int = 6
-    drain_ms: int = 7000
-    statsd_address: str = ""
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/node/test_control.py
+++ b/tests/node/test_control.py
@@ -1,13 +1,16 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from typing import TYPE_CHECKING
 
 import pytest
 
+from rosemarysaddle.decide import SaveVote
 from rosemarysaddle.node._control import ControlHost
 from rosemarysaddle.platform import UsersPlatform
 from rosemarysaddle.schema import AppendRequest, Node
+from rosemarysaddle.store import Journal
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -108,3 +111,23 @@
         return found
 
     assert asyncio.run(play()) == (f"{IP}:1", True)
+
+
+def test_control_host_ends_once_its_disk_refuses_a_write(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def refuse(journal: Journal, term: int, voted_for: str) -> None:
+        del journal, term, voted_for
+        raise OSError(errno.ENOSPC, "no space")
+
+    async def play() -> None:
+        host = _host(tmp_path, first_start=True)
+        await host.start()
+        monkeypatch.setattr(Journal, "save_vote", refuse)
+        try:
+            host._carry_out([SaveVote(term=9, voted_for="a")])
+        finally:
+            await host.stop()
+
+    with pytest.raises(SystemExit):
+        asyncio.run(play())
