--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import importlib
-import random
-import secrets
 import uuid
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final
@@ -33,6 +31,11 @@
     join_voters,
 )
 from rosemarysaddle.link import Address, PeerNetwork, PlainFabric
+from rosemarysaddle.node._identity import (
+    election_jitter,
+    host_name,
+    peer_address,
+)
 from rosemarysaddle.node._orders import AnnouncedOrders
 from rosemarysaddle.node._timing import (
     CONTROL_TICK_S,
@@ -52,7 +55,7 @@
 from rosemarysaddle.store import Journal
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine, Iterator, Sequence
+    from collections.abc import Coroutine, Sequence
 
     from rosemarysaddle.decide import Effect
     from rosemarysaddle.node._ports import Platform
@@ -61,8 +64,6 @@
 
 __all__ = ("ControlHost",)
 
-IDENTITY_FILE: Final = "identity"
-ELECTION_JITTER_MS: Final = 400
 JOIN_S: Final = 0.3
 RESEND_S: Final = 0.2
 # A caller gives up after a second and asks another host.
@@ -111,7 +112,7 @@
         """Read the disk, listen and start to tick."""
         self._loop = asyncio.get_running_loop()
         folder = Path(self.settings.data_folder)
-        self.host = _identity(folder, self.settings)
+        self.host = host_name(folder, self.settings)
         self._journal = Journal(folder=folder)
         self._open_log()
         self._orders = AnnouncedOrders(
@@ -162,7 +163,7 @@
         settings = self.settings
         stored = self._journal.open()
         port = settings.peers_port
-        seeds = sorted(_peer(seed, port) for seed in settings.seeds)
+        seeds = sorted(peer_address(seed, port) for seed in settings.seeds)
         # Seeds form the log once; whoever comes later asks to join.
         if settings.first_start and self.host in seeds and is_empty(stored):
             founders = join_voters(seeds)
@@ -172,7 +173,7 @@
             host=self.host,
             voters=(),
             stored=stored,
-            jitter_ms=_jitter(self.host),
+            jitter_ms=election_jitter(self.host),
             started_ns=clock_ns(),
         )
         state = ClusterState()
@@ -321,7 +322,7 @@
     def _ask_to_join(self) -> None:
         log = self.control.log
         port = self.settings.peers_port
-        known = {_peer(seed, port) for seed in self.settings.seeds}
+        known = {peer_address(seed, port) for seed in self.settings.seeds}
         known.update(log.voters)
         if log.leader:
             known = {log.leader}
@@ -469,33 +470,6 @@
             logging.error("event=defect", exc_info=job.exception())
 
 
-def _identity(folder: Path, settings: Node) -> str:
-    """Name of this host, which lasts as long as its disk."""
-    folder.mkdir(parents=True, exist_ok=True)
-    path = folder / IDENTITY_FILE
-    if path.exists():
-        found = path.read_text(encoding="utf-8").strip()
-        if found:
-            return found
-    address = f"{settings.ip}:{settings.peers_port}"
-    name = address
-    if not settings.first_start:
-        name = f"{address}#{secrets.token_hex(4)}"
-    Journal.write_file(path, name)
-    return name
-
-
-def _peer(seed: str, port: int) -> str:
-    ip, _, _ = seed.rpartition(":")
-    return f"{ip}:{port}"
-
-
-def _jitter(host: str) -> Iterator[int]:
-    source = random.Random(host)  # noqa: S311
-    while True:
-        yield source.randrange(ELECTION_JITTER_MS)
-
-
 def _describe(report: Any) -> str:
     if not report.reachable:
         return f"{report.target}:unreachable"
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -13,6 +13,7 @@
 from rosemarysaddle._clock import clock_ns
 from rosemarysaddle.decide import EntryNode, Send
 from rosemarysaddle.link import Address, PeerNetwork, PlainFabric
+from rosemarysaddle.node._identity import peer_address
 from rosemarysaddle.node._timing import ENTRY_TICK_S, RENEWAL_MS
 from rosemarysaddle.session import CallerSession, Router
 
@@ -142,8 +143,7 @@
 
     def _seeds(self) -> list[str]:
         port = self.settings.peers_port
-        ips = [s.rpartition(":")[0] for s in self.settings.seeds]
-        return [f"{ip}:{port}" for ip in ips]
+        return [peer_address(seed, port) for seed in self.settings.seeds]
 
     def _close_idle(self) -> None:
         for session in list(self._sessions):
--- /dev/null
+++ b/src/rosemarysaddle/session/_refusals.py
@@ -0,0 +1,69 @@
+"""Refusals of sessions: what is promised, and when to come back."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from rosemarysaddle.decide import FaultCode, Outcome, Reason, Refusal, Step
+
+if TYPE_CHECKING:
+    from rosemarysaddle.decide import Answer
+    from rosemarysaddle.schema import Route
+    from rosemarysaddle.session._run import Transaction
+
+__all__ = ("ended", "not_run", "read_refusal", "unknown", "write_refusal")
+
+# A change of primary or a shed queue is mostly over by then.
+RETRY_AFTER_MS: Final = 200
+
+
+def read_refusal(route: Route, last: Answer | None) -> Refusal:
+    """Refuse a read for good.
+
+    :param last: answer of the last try, or None
+    """
+    if last is not None and last.fault is FaultCode.FAILED:
+        return Refusal(
+            reason=Reason.STATEMENT_FAILED, step=Step.EXECUTE, peer=route.group
+        )
+    # A read keeps nothing, whether it ran or not.
+    return not_run(route.group, last)
+
+
+def not_run(group: str, last: Answer | None) -> Refusal:
+    """Promise that nothing was run, with a time to come back."""
+    busy = last is not None and last.fault is FaultCode.BUSY
+    return Refusal(
+        reason=Reason.TARGET_BUSY if busy else Reason.NO_PRIMARY,
+        step=Step.EXECUTE,
+        peer=group,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+
+
+def write_refusal(route: Route, answer: Answer) -> Refusal:
+    """Tell the end of a write that may have run."""
+    if answer.fault is FaultCode.TIMEOUT:
+        return unknown(Reason.DEADLINE_PASSED, Step.EXECUTE, route.group)
+    if answer.fault is FaultCode.FAILED:
+        return Refusal(
+            reason=Reason.STATEMENT_FAILED, step=Step.EXECUTE, peer=route.group
+        )
+    return unknown(Reason.CONNECTION_LOST, Step.EXECUTE, route.group)
+
+
+def unknown(reason: Reason, step: Step, peer: str) -> Refusal:
+    """Promise nothing."""
+    return Refusal(
+        reason=reason, step=step, peer=peer, outcome=Outcome.UNKNOWN
+    )
+
+
+def ended(transaction: Transaction) -> Refusal:
+    """Promise that nothing of a transaction is kept."""
+    return Refusal(
+        reason=Reason.TRANSACTION_ENDED,
+        step=Step.EXECUTE,
+        peer=transaction.target or transaction.route.group,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
--- a/src/rosemarysaddle/session/_run.py
+++ b/src/rosemarysaddle/session/_run.py
@@ -16,7 +16,6 @@
     Answer,
     FaultCode,
     LogPoint,
-    Outcome,
     Reason,
     Refusal,
     SessionState,
@@ -28,6 +27,13 @@
     shared_name,
 )
 from rosemarysaddle.exchange import Exchange, OpenFault
+from rosemarysaddle.session._refusals import (
+    ended,
+    not_run,
+    read_refusal,
+    unknown,
+    write_refusal,
+)
 
 if TYPE_CHECKING:
     from rosemarysaddle.schema import Route
@@ -40,7 +46,6 @@
 PAUSE_MS: Final = 20
 MAX_PAUSE_MS: Final = 200
 MAX_TRIES: Final = 8
-RETRY_AFTER_MS: Final = 200
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -103,7 +108,7 @@
                 failed.clear()
                 if not await self._pause(number, deadline_ns):
                     break
-        return _read_refusal(route, last)
+        return read_refusal(route, last)
 
     async def write(
         self, route: Route, statement: Statement
@@ -122,10 +127,10 @@
                 return result
             last = result
             if not result.fault.is_not_run:
-                return _failed(route, result)
+                return write_refusal(route, result)
             if not await self._pause(number, deadline_ns):
                 break
-        return _not_run(route.group, last)
+        return not_run(route.group, last)
 
     def _place(self, route: Route, failed: set[str]) -> Placement | None:
         point = self.points.get(route.group)
@@ -188,7 +193,7 @@
         self._give_back(exchange)
         held = self.router.end_write(ticket)
         if answer.fault is None and not held:
-            return _unknown(Reason.LEASE_ENDED, Step.EXECUTE, ticket.primary)
+            return unknown(Reason.LEASE_ENDED, Step.EXECUTE, ticket.primary)
         if answer.fault is None and answer.point is not None:
             self.points[ticket.group] = answer.point
         return answer
@@ -203,17 +208,9 @@
         A refusal ends the transaction; nothing of it is kept.
         """
         deadline_ns = _deadline_ns(transaction.route)
-        refusal = await self._pin(transaction, deadline_ns)
-        if refusal is not None:
-            return refusal
-        exchange = transaction.exchange
-        if (
-            exchange is None
-            or exchange.is_lost
-            or not self._may_go_on(transaction)
-        ):
-            self.abandon(transaction)
-            return _ended(transaction)
+        exchange = await self._pinned(transaction, deadline_ns)
+        if isinstance(exchange, Refusal):
+            return exchange
         answer = await self._ask_pinned(exchange, statement, deadline_ns)
         if self._writes(statement):
             transaction.wrote = True
@@ -225,24 +222,16 @@
             f" fault={answer.fault} state={answer.state}",
         )
         self.abandon(transaction)
-        return _ended(transaction)
+        return ended(transaction)
 
     async def commit(
         self, transaction: Transaction, statement: Statement
     ) -> Answer | Refusal:
         """Commit a transaction, at most once."""
         deadline_ns = _deadline_ns(transaction.route)
-        refusal = await self._pin(transaction, deadline_ns)
-        if refusal is not None:
-            return refusal
-        exchange = transaction.exchange
-        if (
-            exchange is None
-            or exchange.is_lost
-            or not self._may_go_on(transaction)
-        ):
-            self.abandon(transaction)
-            return _ended(transaction)
+        exchange = await self._pinned(transaction, deadline_ns)
+        if isinstance(exchange, Refusal):
+            return exchange
         answer = await self._ask_pinned(exchange, statement, deadline_ns)
         return self._committed(transaction, exchange, answer)
 
@@ -255,17 +244,15 @@
         transaction.exchange = None
         self._give_back(exchange)
         if not transaction.wrote:
-            return answer if answer.fault is None else _ended(transaction)
+            return answer if answer.fault is None else ended(transaction)
         if answer.fault is not None:
             if answer.fault.is_not_run:
-                return _ended(transaction)
-            return _unknown(
+                return ended(transaction)
+            return unknown(
                 Reason.CONNECTION_LOST, Step.COMMIT, transaction.target
             )
         if not held:
-            return _unknown(
-                Reason.LEASE_ENDED, Step.COMMIT, transaction.target
-            )
+            return unknown(Reason.LEASE_ENDED, Step.COMMIT, transaction.target)
         if answer.point is not None:
             self.points[transaction.route.group] = answer.point
         return answer
@@ -293,6 +280,23 @@
             self.router.end_write(transaction.ticket)
             transaction.ticket = None
 
+    async def _pinned(
+        self, transaction: Transaction, deadline_ns: int
+    ) -> Exchange | Refusal:
+        """Give the connection on which a transaction may go on."""
+        refusal = await self._pin(transaction, deadline_ns)
+        if refusal is not None:
+            return refusal
+        exchange = transaction.exchange
+        if (
+            exchange is None
+            or exchange.is_lost
+            or not self._may_go_on(transaction)
+        ):
+            self.abandon(transaction)
+            return ended(transaction)
+        return exchange
+
     async def _pin(
         self, transaction: Transaction, deadline_ns: int
     ) -> Refusal | None:
@@ -309,12 +313,7 @@
                 return None
             if not await self._pause(number, deadline_ns):
                 break
-        return Refusal(
-            reason=Reason.TRANSACTION_ENDED,
-            step=Step.CONNECT,
-            peer=transaction.route.group,
-            retry_after_ms=RETRY_AFTER_MS,
-        )
+        return ended(transaction)
 
     async def _pin_read(
         self, transaction: Transaction, failed: set[str], deadline_ns: int
@@ -497,47 +496,3 @@
 
 def _deadline_ns(route: Route) -> int:
     return clock_ns() + route.timeout_ms * NS_PER_MS
-
-
-def _read_refusal(route: Route, last: Answer | None) -> Refusal:
-    if last is not None and last.fault is FaultCode.FAILED:
-        return Refusal(
-            reason=Reason.STATEMENT_FAILED, step=Step.EXECUTE, peer=route.group
-        )
-    # A read keeps nothing, whether it ran or not.
-    return _not_run(route.group, last)
-
-
-def _not_run(group: str, last: Answer | None) -> Refusal:
-    busy = last is not None and last.fault is FaultCode.BUSY
-    return Refusal(
-        reason=Reason.TARGET_BUSY if busy else Reason.NO_PRIMARY,
-        step=Step.EXECUTE,
-        peer=group,
-        retry_after_ms=RETRY_AFTER_MS,
-    )
-
-
-def _failed(route: Route, answer: Answer) -> Refusal:
-    if answer.fault is FaultCode.TIMEOUT:
-        return _unknown(Reason.DEADLINE_PASSED, Step.EXECUTE, route.group)
-    if answer.fault is FaultCode.FAILED:
-        return Refusal(
-            reason=Reason.STATEMENT_FAILED, step=Step.EXECUTE, peer=route.group
-        )
-    return _unknown(Reason.CONNECTION_LOST, Step.EXECUTE, route.group)
-
-
-def _unknown(reason: Reason, step: Step, peer: str) -> Refusal:
-    return Refusal(
-        reason=reason, step=step, peer=peer, outcome=Outcome.UNKNOWN
-    )
-
-
-def _ended(transaction: Transaction) -> Refusal:
-    return Refusal(
-        reason=Reason.TRANSACTION_ENDED,
-        step=Step.EXECUTE,
-        peer=transaction.target or transaction.route.group,
-        retry_after_ms=RETRY_AFTER_MS,
-    )
