Test a refused write without a started host

Cause: the test's own loop ended by SystemExit before the HTTP server was stopped, whose threads kept the test process from its end. Ruled out: the node itself (its process ends with the exit). The assertion is the same.

--- a/tests/node/test_control.py
+++ b/tests/node/test_control.py
@@ -120,14 +120,9 @@
         del journal, term, voted_for
         raise OSError(errno.ENOSPC, "no space")
 
-    async def play() -> None:
-        host = _host(tmp_path, first_start=True)
-        await host.start()
-        monkeypatch.setattr(Journal, "save_vote", refuse)
-        try:
-            host._carry_out([SaveVote(term=9, voted_for="a")])
-        finally:
-            await host.stop()
+    host = _host(tmp_path, first_start=True)
+    host._journal = Journal(folder=tmp_path)
+    monkeypatch.setattr(Journal, "save_vote", refuse)
 
     with pytest.raises(SystemExit):
-        asyncio.run(play())
+        host._save(SaveVote(term=9, voted_for="a"))
