Drop fields of connections and transactions that nothing reads

Cause: opened_ns, used_ns, opened, began_ns and active_ns were written on the hot path and read nowhere since renew() went. Behaviour as it was; formatter, linter, types and all tests pass.

--- a/src/rosemarysaddle/exchange/_connection.py
+++ b/src/rosemarysaddle/exchange/_connection.py
@@ -91,18 +91,15 @@
     """Open connection to one target.
 
     :param on_lost: called once when the connection ends
-    :param opened_ns: time of the start, in nanoseconds
     """
 
     target: str
     codec: TargetCodec
     on_lost: Callable[[Exchange], None]
-    opened_ns: int
     setup: ConnectionSetup = attrs.field(factory=ConnectionSetup, init=False)
     state: SessionState = attrs.field(default=SessionState.IDLE, init=False)
     is_lost: bool = attrs.field(default=False, init=False)
     was_connected: bool = attrs.field(default=False, init=False)
-    used_ns: int = attrs.field(default=0, init=False)
     _transport: asyncio.Transport | None = attrs.field(
         default=None, init=False
     )
--- a/src/rosemarysaddle/exchange/_pool.py
+++ b/src/rosemarysaddle/exchange/_pool.py
@@ -58,7 +58,6 @@
     limit: int
     new_codec: Callable[[], TargetCodec]
     on_open_fault: Callable[[OpenFault], None]
-    opened: int = attrs.field(default=0, init=False)
     is_closed: bool = attrs.field(default=False, init=False)
     _idle: list[Exchange] = attrs.field(factory=list, init=False)
     _open: set[Exchange] = attrs.field(factory=set, init=False)
@@ -93,7 +92,6 @@
         if self.is_closed or not exchange.is_idle:
             exchange.abort()
             return
-        exchange.used_ns = clock_ns()
         while self._queue:
             waiting = self._queue.popleft()
             if not waiting.done():
@@ -150,13 +148,11 @@
             target=self.target,
             codec=self.new_codec(),
             on_lost=self._forget,
-            opened_ns=now_ns,
         )
         opening = exchange.codec.encode_open(
             group=self.group, label=self.label, target=self.target
         )
         self._opening += 1
-        self.opened += 1
         latest_ns = min(deadline_ns, now_ns + CONNECT_MS * NS_PER_MS)
         try:
             answer = await open_exchange(
@@ -172,7 +168,6 @@
                 connected=exchange.was_connected,
             )
             return self._fail(fault, deadline_ns >= latest_ns)
-        exchange.used_ns = clock_ns()
         self._open.add(exchange)
         self._wake_one()
         return exchange
--- a/src/rosemarysaddle/node/_orders.py
+++ b/src/rosemarysaddle/node/_orders.py
@@ -134,7 +134,6 @@
             target=instance.name,
             codec=self.platform.target_codec(),
             on_lost=_ignore,
-            opened_ns=clock_ns(),
         )
 
     async def _ask(
--- a/src/rosemarysaddle/session/_caller.py
+++ b/src/rosemarysaddle/session/_caller.py
@@ -249,7 +249,6 @@
         self._transaction = Transaction(
             reads=statement.kind is StatementKind.BEGIN_READ,
             route=route,
-            began_ns=clock_ns(),
         )
         self.state = SessionState.TRANSACTION
         return _DONE
--- a/src/rosemarysaddle/session/_run.py
+++ b/src/rosemarysaddle/session/_run.py
@@ -52,19 +52,16 @@
 class Transaction:
     """Transaction of one session, pinned to one connection.
 
-    :param began_ns: time at which the caller began it
     :param exchange: connection on which it runs, once it has one
     :param ticket: right to use the primary, where it runs there
     """
 
     reads: bool
     route: Route
-    began_ns: int
     exchange: Exchange | None = None
     target: str = ""
     ticket: WriteTicket | None = None
     wrote: bool = False
-    active_ns: int = 0
 
 
 @attrs.define(kw_only=True, eq=False)
