Lend connections within a data centre

Cause: in the grown deployment 66 entry hosts share 49 connections of a target.

Change: below a share of two connections one host of each data centre, ranked by a hash for each target, holds the share of all and lends it. A loan passes bytes unread; leases, positions and promises stay with the borrower. The rollback of a transaction has a deadline now; it went through a way of its own that waited without one.

Test: tests/session/test_lending.py, tests/decide/test_lending.py, tests/decide/test_neighbours.py.

--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -32,6 +32,11 @@
 from rosemarysaddle.decide._freshness import PositionLog, newer_point
 from rosemarysaddle.decide._inventory import InventoryTable
 from rosemarysaddle.decide._lease import HostLease, LeaseTable
+from rosemarysaddle.decide._lending import (
+    ConnectionShare,
+    LenderRanking,
+    share_connections,
+)
 from rosemarysaddle.decide._log import LogNode, Role, StoredLog, is_empty
 from rosemarysaddle.decide._placing import (
     PlacedTarget,
@@ -86,6 +91,7 @@
     "ClusterState",
     "Committed",
     "ConnectionSetup",
+    "ConnectionShare",
     "ControlNode",
     "DocumentKind",
     "Effect",
@@ -99,6 +105,7 @@
     "HostLease",
     "InventoryTable",
     "LeaseTable",
+    "LenderRanking",
     "LoadSnapshot",
     "LogNode",
     "LogPoint",
@@ -145,5 +152,6 @@
     "join_voters",
     "newer_point",
     "promotion_quorum",
+    "share_connections",
     "shared_name",
 )
--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -21,6 +21,7 @@
 from rosemarysaddle.decide._lease import LeaseTable
 from rosemarysaddle.decide._log import LogNode, Role
 from rosemarysaddle.decide._members import ADMIT_ATTEMPT, MemberKeeper
+from rosemarysaddle.decide._neighbours import NeighbourLists
 from rosemarysaddle.decide._office import Office
 from rosemarysaddle.decide._plan_patch import find_patch
 from rosemarysaddle.decide._primaries import PrimaryKeeper
@@ -85,6 +86,9 @@
     _electorate: Electorate = attrs.field(init=False)
     _proposed: tuple[int, str] = attrs.field(default=(-1, ""), init=False)
     _census: Census = attrs.field(factory=Census, init=False)
+    _neighbours: NeighbourLists = attrs.field(
+        factory=NeighbourLists, init=False
+    )
     _recent: collections.deque[LogEntry] = attrs.field(
         factory=lambda: collections.deque(maxlen=RECENT_ENTRIES), init=False
     )
@@ -276,6 +280,7 @@
             routes = self.state.routes
             self._proposed = (routes.version, routes.source)
             self._census.take_office(now_ns)
+            self._neighbours.take_office(now_ns)
             return []
         return self.primaries.on_applied(entry, now_ns)
 
@@ -313,6 +318,15 @@
         out: list[Effect] = []
         if renewal.applied_index < self.state.index:
             out.append(self._view_for(source, renewal.applied_index))
+        neighbours = self._neighbours.answer(
+            source,
+            renewal,
+            centers=self._office.centers,
+            present=self._office.leases.holders,
+            now_ns=now_ns,
+        )
+        if neighbours is not None:
+            out.append(Send(peer=source, message=neighbours))
         return [*out, Send(peer=source, message=grant)]
 
     def _view_for(self, host: str, applied_index: int) -> Send:
--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -19,6 +19,7 @@
     LeaseRefusal,
     LeaseRenewal,
     LeaseReturn,
+    Neighbours,
     Suspicion,
     ViewDelta,
     ViewSnapshot,
@@ -58,6 +59,8 @@
     """One entry host.
 
     :param control: names of the control hosts known
+    :param lending_address: where this host lends connections, or empty
+    :param neighbours: lending addresses of the data centre's hosts
     :param renewal_ms: time between renewals, in milliseconds
     :param ready: whether the state has been current since the start
     """
@@ -70,7 +73,10 @@
     lease: HostLease = attrs.field(factory=HostLease)
     announced: dict[str, Announcement] = attrs.field(factory=dict)
     ready: bool = False
+    lending_address: str = ""
+    neighbours: tuple[str, ...] = attrs.field(default=(), init=False)
     renewal_ms: int = RENEWAL_MS
+    _neighbours_tag: int = attrs.field(default=0, init=False)
     _hint: str = attrs.field(default="", init=False)
     _renew_at_ns: int = attrs.field(default=0, init=False)
     _asked: int = attrs.field(default=0, init=False)
@@ -112,6 +118,9 @@
                     self.state = ClusterState.load(message.state)
             case Announcement():
                 self.announced[message.target] = message
+            case Neighbours():
+                self.neighbours = tuple(n.address for n in message.hosts)
+                self._neighbours_tag = message.tag
             case _:
                 pass
         return []
@@ -220,6 +229,8 @@
             sent_ns=now_ns,
             applied_index=self.state.index,
             address=self.address,
+            lending_address=self.lending_address,
+            neighbours_tag=self._neighbours_tag,
         )
         return Send(peer=peer, message=renewal)
 
--- a/src/rosemarysaddle/decide/_lease.py
+++ b/src/rosemarysaddle/decide/_lease.py
@@ -13,6 +13,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from rosemarysaddle.schema import LeaseGrant
 
 __all__ = ("HostLease", "LeaseTable")
@@ -96,6 +98,11 @@
         """Forget a lease that its holder gave back."""
         self._deadlines_ns.pop(host, None)
 
+    @property
+    def holders(self) -> Collection[str]:
+        """Hosts that were granted a lease, some of them ended."""
+        return self._deadlines_ns.keys()
+
     def deadlines_ns(self, now_ns: int) -> dict[str, int]:
         """Map each host whose lease may still run to its deadline.
 
--- /dev/null
+++ b/src/rosemarysaddle/decide/_neighbours.py
@@ -0,0 +1,91 @@
+"""Lists of the entry hosts of each data centre, kept by the leader.
+
+They are not in the log: whoever has an older list borrows from another
+host or in vain, and asks again.
+"""
+
+from __future__ import annotations
+
+import zlib
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from rosemarysaddle.decide._times import NS_PER_MS
+from rosemarysaddle.schema import Neighbour, Neighbours
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Mapping
+
+    from rosemarysaddle.schema import LeaseRenewal
+
+__all__ = ("NeighbourLists",)
+
+# Rendering a list for each renewal would grow with the hosts squared.
+RENDER_MS: Final = 500
+# All hosts that are up renew with a new leader in this time.
+GATHER_MS: Final = 2_000
+
+
+@attrs.define(kw_only=True)
+class _Rendered:
+    message: Neighbours
+    until_ns: int
+
+
+@attrs.define(kw_only=True)
+class NeighbourLists:
+    """Lending addresses of the hosts that hold a lease."""
+
+    _addresses: dict[str, str] = attrs.field(factory=dict, init=False)
+    _rendered: dict[str, _Rendered] = attrs.field(factory=dict, init=False)
+    _gathered_ns: int = attrs.field(default=0, init=False)
+
+    def take_office(self, now_ns: int) -> None:
+        """Start afresh as leader; the lists wait for all renewals."""
+        self._addresses.clear()
+        self._rendered.clear()
+        self._gathered_ns = now_ns + GATHER_MS * NS_PER_MS
+
+    def answer(
+        self,
+        source: str,
+        renewal: LeaseRenewal,
+        *,
+        centers: Mapping[str, str],
+        present: Collection[str],
+        now_ns: int,
+    ) -> Neighbours | None:
+        """Find the list that a host lacks.
+
+        :param source: name of the host
+        :param centers: data centre of each host
+        :param present: hosts that hold a lease
+        :return: the list, or None where it has the newest
+        """
+        if not renewal.lending_address:
+            return None
+        self._addresses[source] = renewal.lending_address
+        if now_ns < self._gathered_ns:
+            return None
+        center = renewal.data_center
+        rendered = self._rendered.get(center)
+        if rendered is None or now_ns >= rendered.until_ns:
+            held = self._addresses.items()
+            self._addresses = {h: a for h, a in held if h in present}
+            here = [h for h in present if centers.get(h) == center]
+            rendered = _Rendered(
+                message=self._render(here),
+                until_ns=now_ns + RENDER_MS * NS_PER_MS,
+            )
+            self._rendered[center] = rendered
+        message = rendered.message
+        return None if message.tag == renewal.neighbours_tag else message
+
+    def _render(self, hosts: Collection[str]) -> Neighbours:
+        found = {self._addresses[h] for h in hosts if h in self._addresses}
+        addresses = sorted(found)
+        return Neighbours(
+            tag=zlib.crc32(",".join(addresses).encode()),
+            hosts=tuple(Neighbour(address=a) for a in addresses),
+        )
--- a/src/rosemarysaddle/exchange/_connection.py
+++ b/src/rosemarysaddle/exchange/_connection.py
@@ -34,7 +34,14 @@
     )
     from rosemarysaddle.link import Address
 
-__all__ = ("Exchange", "TargetCodec", "guard_socket", "open_exchange")
+__all__ = (
+    "Borrower",
+    "Channel",
+    "Exchange",
+    "TargetCodec",
+    "guard_socket",
+    "open_exchange",
+)
 
 # A peer that acknowledges nothing for so long is gone or cut off.
 USER_TIMEOUT_MS: Final = 2_000
@@ -55,6 +62,9 @@
             make no sense
         """
 
+    def resume(self) -> None:
+        """Take over a connection whose start was answered."""
+
     def encode_open(self, *, group: str, label: str, target: str) -> bytes:
         """Render the start of the connection."""
 
@@ -86,11 +96,32 @@
         """Render the question for the target's status."""
 
 
+class Channel(Protocol):
+    """Way to a target: a socket, or a loan of another host."""
+
+    def write(self, data: bytes) -> None:
+        """Send bytes to the target."""
+
+    def abort(self) -> None:
+        """End the connection to the target."""
+
+
+class Borrower(Protocol):
+    """Whoever has a connection on loan."""
+
+    def deliver(self, data: bytes) -> None:
+        """Take bytes of the target."""
+
+    def end(self) -> None:
+        """Take note that the target's connection ended."""
+
+
 @attrs.define(kw_only=True, eq=False)
 class Exchange(asyncio.Protocol):
     """Open connection to one target.
 
     :param on_lost: called once when the connection ends
+    :param borrower: host that has it on loan, or None
     """
 
     target: str
@@ -100,9 +131,8 @@
     state: SessionState = attrs.field(default=SessionState.IDLE, init=False)
     is_lost: bool = attrs.field(default=False, init=False)
     was_connected: bool = attrs.field(default=False, init=False)
-    _transport: asyncio.Transport | None = attrs.field(
-        default=None, init=False
-    )
+    borrower: Borrower | None = attrs.field(default=None, init=False)
+    _transport: Channel | None = attrs.field(default=None, init=False)
     _waiting: collections.deque[asyncio.Future[Answer]] = attrs.field(
         factory=collections.deque, init=False
     )
@@ -114,8 +144,27 @@
         self.was_connected = True
         guard_socket(transport.get_extra_info("socket"))
 
+    def attach(self, channel: Channel) -> None:
+        """Go on over a connection that another host has opened."""
+        self._transport = channel
+        self.was_connected = True
+        self.codec.resume()
+
+    def detach(self) -> None:
+        """Give the connection up without ending it."""
+        self._transport = None
+        self.is_lost = True
+
+    def pass_on(self, data: bytes) -> None:
+        """Send what a borrower sends, unread."""
+        if self._transport is not None and not self.is_lost:
+            self._transport.write(data)
+
     def data_received(self, data: bytes) -> None:
         """Hand out the answers that are whole."""
+        if self.borrower is not None:
+            self.borrower.deliver(data)
+            return
         answers = self.codec.feed(data)
         if answers is None:
             self.abort()
@@ -173,16 +222,6 @@
         self.setup.note(plan)
         return True
 
-    def send_rollback(self) -> asyncio.Future[Answer] | None:
-        """End the transaction without waiting for the answer."""
-        if self.is_lost or self._transport is None:
-            return None
-        loop = asyncio.get_running_loop()
-        waiting: asyncio.Future[Answer] = loop.create_future()
-        self._waiting.append(waiting)
-        self._transport.write(self.codec.encode_rollback())
-        return waiting
-
     @property
     def is_idle(self) -> bool:
         """Tell whether the connection may serve another session."""
@@ -211,6 +250,8 @@
             waiting = self._waiting.popleft()
             if not waiting.done():
                 waiting.set_result(NO_ANSWER)
+        if self.borrower is not None:
+            self.borrower.end()
         self.on_lost(self)
 
 
--- a/src/rosemarysaddle/exchange/_pool.py
+++ b/src/rosemarysaddle/exchange/_pool.py
@@ -87,9 +87,20 @@
                 code = FaultCode.TOO_MANY_CONNECTIONS
                 return OpenFault(code=code, peer=self.target)
 
+    @property
+    def has_idle(self) -> bool:
+        """Tell whether a connection is free."""
+        return bool(self._idle)
+
+    @property
+    def opened(self) -> int:
+        """Count of open connections."""
+        return len(self._open)
+
     def release(self, exchange: Exchange) -> None:
         """Give a connection back; one that is not idle is ended."""
-        if self.is_closed or not exchange.is_idle:
+        is_excess = len(self._open) > self.limit
+        if self.is_closed or is_excess or not exchange.is_idle:
             exchange.abort()
             return
         while self._queue:
@@ -126,6 +137,10 @@
     def close(self) -> None:
         """End all connections that no session holds."""
         self.is_closed = True
+        self.end_idle()
+
+    def end_idle(self) -> None:
+        """End the connections that nobody uses now."""
         for exchange in list(self._idle):
             exchange.abort()
 
--- /dev/null
+++ b/src/rosemarysaddle/exchange/_shared.py
@@ -0,0 +1,97 @@
+"""Connections to one target, this host's own or borrowed ones."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from rosemarysaddle._clock import clock_ns
+from rosemarysaddle.exchange._connection import Exchange
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from rosemarysaddle.decide import ConnectionShare, SessionVariables
+    from rosemarysaddle.exchange._loans import LoanDesk
+    from rosemarysaddle.exchange._pool import ExchangePool, OpenFault
+
+__all__ = ("SharedPool",)
+
+
+@attrs.define(kw_only=True, eq=False)
+class SharedPool:
+    """Connections to one target.
+
+    :param own: connections that this host opens
+    :param desk: loans of this host, at all targets
+    :param on_refused: called when a lender could not reach the target
+    """
+
+    own: ExchangePool
+    desk: LoanDesk
+    on_refused: Callable[[OpenFault], None]
+    lends: bool = attrs.field(default=False, init=False)
+
+    @property
+    def is_own(self) -> bool:
+        """Tell whether this host opens connections of its own."""
+        if not self.lends:
+            return True
+        ranking = self.desk.ranking
+        return ranking.lender(self.own.target, clock_ns()) == ranking.own
+
+    async def acquire(
+        self, variables: SessionVariables, *, deadline_ns: int
+    ) -> Exchange | OpenFault:
+        """Get a connection, opened here or borrowed.
+
+        :param variables: what the session has set
+        """
+        ranking = self.desk.ranking
+        target = self.own.target
+        while self.lends and clock_ns() < deadline_ns:
+            lender = ranking.lender(target, clock_ns())
+            if lender == ranking.own:
+                break
+            found = await self.desk.borrow(
+                target, lender, variables.values, deadline_ns=deadline_ns
+            )
+            if isinstance(found, Exchange):
+                return found
+            if found is not None:
+                self.on_refused(found)
+                return found
+        return await self.own.acquire(variables, deadline_ns=deadline_ns)
+
+    def release(self, exchange: Exchange) -> None:
+        """Give a connection back; one that is not idle is ended."""
+        if self.desk.has(exchange):
+            self.desk.give_back(exchange)
+        else:
+            self.own.release(exchange)
+
+    async def check(self) -> None:
+        """Find out over a new connection whether the target answers."""
+        await self.own.check()
+        self.trim()
+
+    async def warm(self, count: int) -> None:
+        """Open own connections before they are needed."""
+        if self.is_own:
+            await self.own.warm(count)
+
+    def share(self, share: ConnectionShare) -> None:
+        """Change how many connections are opened, and by whom."""
+        self.lends = share.lends
+        self.own.set_limit(share.limit)
+        self.trim()
+
+    def trim(self) -> None:
+        """End own idle connections where another host lends."""
+        if not self.is_own:
+            self.own.end_idle()
+
+    def close(self) -> None:
+        """End all own connections that no session holds."""
+        self.own.close()
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -12,6 +12,7 @@
 
 from rosemarysaddle._clock import clock_ns
 from rosemarysaddle.decide import EntryNode, Send
+from rosemarysaddle.exchange import Lender
 from rosemarysaddle.link import Address, PeerNetwork, PlainFabric
 from rosemarysaddle.node._identity import peer_address
 from rosemarysaddle.node._timing import ENTRY_TICK_S, RENEWAL_MS
@@ -48,10 +49,12 @@
     platform: Platform
     node: EntryNode = attrs.field(init=False)
     router: Router = attrs.field(init=False)
+    lender: Lender = attrs.field(init=False)
     network: PeerNetwork = attrs.field(init=False)
     is_stopping: bool = attrs.field(default=False, init=False)
     _sessions: set[CallerSession] = attrs.field(factory=set, init=False)
     _server: asyncio.Server = attrs.field(init=False)
+    _lending: asyncio.Server | None = attrs.field(default=None, init=False)
     _ready: HttpServer = attrs.field(init=False)
     _jobs: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
     _was_ready: bool = attrs.field(default=False, init=False)
@@ -65,6 +68,7 @@
             address=settings.sessions_address,
             control=self._seeds(),
             renewal_ms=RENEWAL_MS,
+            lending_address=settings.lending_address,
         )
         self.router = Router(
             node=self.node,
@@ -72,6 +76,7 @@
             new_codec=self.platform.target_codec,
             send=self._carry_out,
         )
+        self.lender = Lender(find_pool=self.router.own_pool)
         self.network = PeerNetwork(
             host=self.node.host,
             listen=Address(ip=settings.ip, port=0),
@@ -91,6 +96,7 @@
             backlog=BACKLOG,
             reuse_address=True,
         )
+        await self._start_lending()
         self._spawn(self._tick_forever())
         # The library's import takes as long as the first lease.
         web = await asyncio.to_thread(
@@ -106,6 +112,19 @@
         self._ready.start()
         logging.info("event=started host=%s", self.node.host)
 
+    async def _start_lending(self) -> None:
+        if not self.settings.lending_address:
+            return
+        address = Address.parse(self.settings.lending_address)
+        loop = asyncio.get_running_loop()
+        self._lending = await loop.create_server(
+            self.lender.accept,
+            address.ip,
+            address.port,
+            backlog=BACKLOG,
+            reuse_address=True,
+        )
+
     async def stop(self) -> None:
         """Leave the rotation, finish what runs, then stop."""
         self.is_stopping = True
@@ -122,14 +141,21 @@
         for session in list(self._sessions):
             session.end_transaction()
         end_s = began_s + grace_s - LAST_S
-        while loop.time() < end_s and self._sessions:
+        self._stop_lending()
+        while loop.time() < end_s and (self._sessions or self.lender.lent):
             self._close_idle()
             await asyncio.sleep(POLL_S)
+        self.lender.close()
         self._carry_out(self.node.stop())
         await asyncio.sleep(POLL_S)
         await asyncio.to_thread(self._ready.stop)
         await self.network.stop()
 
+    def _stop_lending(self) -> None:
+        self.lender.is_stopping = True
+        if self._lending is not None:
+            self._lending.close()
+
     def is_ready(self) -> bool:
         """Tell whether new sessions are welcome."""
         holds = clock_ns() < self.node.lease.deadline_ns
@@ -165,6 +191,8 @@
             self.router.note_tick(now_ns, ENTRY_TICK_S)
             self._carry_out(self.node.tick(now_ns))
             self.router.refresh()
+            self.router.tick_loans(now_ns)
+            self.lender.tick(now_ns)
             self._note_readiness()
             await asyncio.sleep(ENTRY_TICK_S)
 
@@ -181,9 +209,9 @@
             )
 
     def _receive(self, source: str, message: Message) -> None:
-        before = self.node.state.index
+        before = (self.node.state.index, self.node.neighbours)
         self._carry_out(self.node.receive(source, message, clock_ns()))
-        if self.node.state.index != before:
+        if (self.node.state.index, self.node.neighbours) != before:
             known = {*self._seeds(), *self.node.state.voters}
             self.node.control = sorted(known)
             self.router.follow()
--- a/src/rosemarysaddle/platform/_wire.py
+++ b/src/rosemarysaddle/platform/_wire.py
@@ -221,6 +221,10 @@
                 found.append(self._take(SessionState.FAILED, None))
         return None if self._lines.is_broken else found
 
+    def resume(self) -> None:
+        """Take over a connection whose start was answered."""
+        self._opened = True
+
     def encode_open(self, *, group: str, label: str, target: str) -> bytes:
         """Render the start of the connection."""
         return f"START {group} {label} {target}\r\n".encode()
--- a/src/rosemarysaddle/schema/_documents.py
+++ b/src/rosemarysaddle/schema/_documents.py
@@ -268,6 +268,8 @@
     :param data_folder: Folder of durable state; required on a control
         host
     :param sessions_address: IP address and port for callers' sessions
+    :param lending_address: IP address and port at which the hosts of
+        the data centre borrow connections
     :param ready_address: IP address and port for readiness checks
     :param control_address: IP address and port for operators and
         targets
@@ -288,6 +290,7 @@
     first_start: bool = False
     data_folder: str = ""
     sessions_address: str = ""
+    lending_address: str = ""
     ready_address: str = ""
     control_address: str = ""
     promotion_address: str = ""
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -23,12 +23,21 @@
     "LeaseRefusal",
     "LeaseRenewal",
     "LeaseReturn",
+    "LoanGrant",
+    "LoanQueued",
+    "LoanRefusal",
+    "LoanRequest",
+    "LoanReturn",
     "LogEntry",
     "Message",
+    "Neighbour",
+    "Neighbours",
+    "PreparedName",
     "SnapshotInstall",
     "StepOut",
     "Suspicion",
     "Switchover",
+    "Variable",
     "ViewDelta",
     "ViewSnapshot",
     "VoteReply",
@@ -55,6 +64,28 @@
     payload: str
 
 
+@attrs.frozen(kw_only=True)
+class Neighbour:
+    """Message: neighbour."""
+
+    address: str
+
+
+@attrs.frozen(kw_only=True)
+class PreparedName:
+    """Message: prepared name."""
+
+    name: str
+
+
+@attrs.frozen(kw_only=True)
+class Variable:
+    """Message: variable."""
+
+    name: str
+    value: str
+
+
 @attrs.frozen(kw_only=True)
 class Announcement:
     """Message: announcement."""
@@ -191,6 +222,8 @@
     sent_ns: int
     applied_index: int
     address: str
+    lending_address: str = ""
+    neighbours_tag: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -200,6 +233,51 @@
     host: str
 
 
+@attrs.frozen(kw_only=True)
+class LoanGrant:
+    """Message: loan grant."""
+
+    values: tuple[Variable, ...]
+    prepared: tuple[PreparedName, ...]
+
+
+@attrs.frozen(kw_only=True)
+class LoanQueued:
+    """Message: loan queued."""
+
+
+@attrs.frozen(kw_only=True)
+class LoanRefusal:
+    """Message: loan refusal."""
+
+    code: str
+
+
+@attrs.frozen(kw_only=True)
+class LoanRequest:
+    """Message: loan request."""
+
+    target: str
+    wait_ms: int
+    values: tuple[Variable, ...]
+
+
+@attrs.frozen(kw_only=True)
+class LoanReturn:
+    """Message: loan return."""
+
+    values: tuple[Variable, ...]
+    prepared: tuple[PreparedName, ...]
+
+
+@attrs.frozen(kw_only=True)
+class Neighbours:
+    """Message: neighbours."""
+
+    tag: int
+    hosts: tuple[Neighbour, ...]
+
+
 @attrs.frozen(kw_only=True)
 class SnapshotInstall:
     """Message: snapshot install."""
@@ -293,6 +371,12 @@
     | LeaseRefusal
     | LeaseRenewal
     | LeaseReturn
+    | LoanGrant
+    | LoanQueued
+    | LoanRefusal
+    | LoanRequest
+    | LoanReturn
+    | Neighbours
     | SnapshotInstall
     | StepOut
     | Suspicion
@@ -337,4 +421,10 @@
     "stepOut": StepOut,
     "indexRequest": IndexRequest,
     "indexReply": IndexReply,
+    "neighbours": Neighbours,
+    "loanRequest": LoanRequest,
+    "loanQueued": LoanQueued,
+    "loanGrant": LoanGrant,
+    "loanRefusal": LoanRefusal,
+    "loanReturn": LoanReturn,
 }
--- a/src/rosemarysaddle/schema/generate.py
+++ b/src/rosemarysaddle/schema/generate.py
@@ -110,7 +110,13 @@
         if hasattr(struct, "schema") and name[0].isupper():
             found[name] = struct
     order = list(found)
-    nested = {"LogEntry", "ClosingGroup"}
+    nested = {
+        "LogEntry",
+        "ClosingGroup",
+        "Neighbour",
+        "PreparedName",
+        "Variable",
+    }
     order.sort(key=lambda name: (name not in nested, name))
     return {name: found[name] for name in order}
 
--- a/src/rosemarysaddle/schema/messages.capnp
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -84,6 +84,8 @@
   sentNs @2 :UInt64;
   appliedIndex @3 :UInt64;
   address @4 :Text;
+  lendingAddress @5 :Text = "";
+  neighboursTag @6 :UInt32 = 0;
 }
 
 struct LeaseGrant {
@@ -170,6 +172,47 @@
   target @1 :Text;
 }
 
+struct Neighbour {
+  address @0 :Text;
+}
+
+struct Neighbours {
+  tag @0 :UInt32;
+  hosts @1 :List(Neighbour);
+}
+
+struct Variable {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct PreparedName {
+  name @0 :Text;
+}
+
+struct LoanRequest {
+  target @0 :Text;
+  waitMs @1 :UInt32;
+  values @2 :List(Variable);
+}
+
+struct LoanQueued {
+}
+
+struct LoanGrant {
+  values @0 :List(Variable);
+  prepared @1 :List(PreparedName);
+}
+
+struct LoanRefusal {
+  code @0 :Text;
+}
+
+struct LoanReturn {
+  values @0 :List(Variable);
+  prepared @1 :List(PreparedName);
+}
+
 struct Envelope {
   source @0 :Text;
   requestId @1 :UInt64;
@@ -197,5 +240,11 @@
     stepOut @22 :StepOut;
     indexRequest @23 :IndexRequest;
     indexReply @24 :IndexReply;
+    neighbours @25 :Neighbours;
+    loanRequest @26 :LoanRequest;
+    loanQueued @27 :LoanQueued;
+    loanGrant @28 :LoanGrant;
+    loanRefusal @29 :LoanRefusal;
+    loanReturn @30 :LoanReturn;
   }
 }
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -13,6 +13,7 @@
     NS_PER_MS,
     FaultCode,
     Freshness,
+    LenderRanking,
     LogPoint,
     PlacedTarget,
     PositionLog,
@@ -24,23 +25,31 @@
     WriteTicket,
     choose_target,
     newer_point,
+    share_connections,
+)
+from rosemarysaddle.exchange import (
+    ExchangePool,
+    LoanDesk,
+    OpenFault,
+    SharedPool,
 )
-from rosemarysaddle.exchange import ExchangePool, OpenFault
 from rosemarysaddle.link import Address
 from rosemarysaddle.session._turns import Turns
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Sequence
 
-    from rosemarysaddle.decide import Answer, Effect, EntryNode
+    from rosemarysaddle.decide import (
+        Answer,
+        ConnectionShare,
+        Effect,
+        EntryNode,
+    )
     from rosemarysaddle.exchange import TargetCodec
     from rosemarysaddle.schema import Route
 
 __all__ = ("Placement", "Router")
 
-# Share of a target's connections that the entry hosts use together.
-CONNECTION_SHARE: Final = 0.9
-UNKNOWN_LIMIT: Final = 2
 WARM_CONNECTIONS: Final = 1
 # Position of a group whose reads accept some age, where it is silent.
 REFRESH_MS: Final = 400
@@ -78,8 +87,10 @@
     new_codec: Callable[[], TargetCodec]
     send: Callable[[Sequence[Effect]], None]
     targets: dict[str, PlacedTarget] = attrs.field(factory=dict, init=False)
-    pools: dict[str, ExchangePool] = attrs.field(factory=dict, init=False)
+    pools: dict[str, SharedPool] = attrs.field(factory=dict, init=False)
+    desk: LoanDesk = attrs.field(init=False)
     turns: dict[str, Turns] = attrs.field(factory=dict, init=False)
+    _neighbours: tuple[str, ...] = attrs.field(default=(), init=False)
     _late_until_ns: int = attrs.field(default=0, init=False)
     _ticked_ns: int = attrs.field(default=0, init=False)
     _positions: dict[str, PositionLog] = attrs.field(factory=dict, init=False)
@@ -88,6 +99,13 @@
     _waiting: set[asyncio.Future[None]] = attrs.field(factory=set, init=False)
     _jobs: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
 
+    def __attrs_post_init__(self) -> None:
+        """Start without loans."""
+        self.desk = LoanDesk(
+            ranking=LenderRanking(own=self.node.lending_address),
+            new_codec=self.new_codec,
+        )
+
     def route(self, database: str) -> Route | None:
         """Find the route in force of a database."""
         return self.node.state.routes.databases.get(database)
@@ -225,6 +243,19 @@
         )
         self.send(effects)
 
+    def note_refused_loan(self, fault: OpenFault) -> None:
+        """Take note that another host got no connection to a target."""
+        placed = self.targets.get(fault.peer)
+        if placed is None:
+            return
+        log_event(
+            "loan-refused",
+            f"target={fault.peer} group={placed.group} code={fault.code}",
+        )
+        if fault.code in {FaultCode.LOST, FaultCode.TIMEOUT}:
+            placed.note_down(clock_ns())
+            self.check(fault.peer)
+
     def check(self, target: str) -> None:
         """Find out over a new connection whether a target answers."""
         now_ns = clock_ns()
@@ -238,6 +269,10 @@
 
     def follow(self) -> None:
         """Bring targets and pools in line with the view."""
+        ranking = self.desk.ranking
+        if self.node.neighbours != self._neighbours:
+            self._neighbours = self.node.neighbours
+            ranking.replace(self._neighbours)
         records = self.node.state.targets.records
         for name in [n for n in self.targets if n not in records]:
             del self.targets[name]
@@ -249,7 +284,7 @@
                 self._add(name)
                 placed = self.targets[name]
             placed.leaving = record.leaving
-            self.pools[name].set_limit(self._limit(record.group))
+            self.pools[name].share(self._share(record.group))
         self.wake()
 
     def _add(self, name: str) -> None:
@@ -263,27 +298,31 @@
             data_center=record.data_center,
             slots=record.slots,
         )
-        pool = ExchangePool(
+        own = ExchangePool(
             target=name,
             group=record.group,
             address=Address.parse(record.address),
             label=self.label,
-            limit=self._limit(record.group),
+            limit=0,
             new_codec=self.new_codec,
             on_open_fault=self.note_open_fault,
         )
+        pool = SharedPool(
+            own=own, desk=self.desk, on_refused=self.note_refused_loan
+        )
+        pool.share(self._share(record.group))
         self.pools[name] = pool
         self.turns[name] = Turns()
         if record.data_center == self.node.data_center:
             self._spawn(pool.warm(WARM_CONNECTIONS))
 
-    def _limit(self, group: str) -> int:
+    def _share(self, group: str) -> ConnectionShare:
         policy = self.node.state.routes.groups.get(group)
-        hosts = self.node.state.entry_hosts
-        if policy is None or not policy.connection_limit or not hosts:
-            return UNKNOWN_LIMIT
-        share = policy.connection_limit * CONNECTION_SHARE / hosts
-        return max(1, int(share))
+        return share_connections(
+            limit=policy.connection_limit if policy is not None else 0,
+            hosts=self.node.state.entry_hosts,
+            neighbours=len(self.desk.ranking.hosts),
+        )
 
     def wake(self) -> None:
         """Let whoever waits for a change look again."""
@@ -314,6 +353,17 @@
 
     # --- positions of silent groups ---
 
+    def tick_loans(self, now_ns: int) -> None:
+        """Keep loans alive and end connections that others lend."""
+        self.desk.tick(now_ns)
+        for pool in self.pools.values():
+            pool.trim()
+
+    def own_pool(self, target: str) -> ExchangePool | None:
+        """Find this host's own connections to a target."""
+        pool = self.pools.get(target)
+        return pool.own if pool is not None else None
+
     def note_tick(self, now_ns: int, interval_s: float) -> None:
         """Learn from two ticks whether this host is late.
 
--- a/src/rosemarysaddle/session/_run.py
+++ b/src/rosemarysaddle/session/_run.py
@@ -260,9 +260,10 @@
         if exchange is None:
             return
         transaction.exchange = None
-        waiting = exchange.send_rollback()
-        if waiting is not None:
-            await waiting
+        await exchange.ask(
+            exchange.codec.encode_rollback(),
+            deadline_ns=_deadline_ns(transaction.route),
+        )
         self._give_back(exchange)
         if transaction.ticket is not None:
             self.router.end_write(transaction.ticket)
--- /dev/null
+++ b/tests/decide/test_lending.py
@@ -0,0 +1,96 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from rosemarysaddle.decide import (
+    NS_PER_MS,
+    ConnectionShare,
+    LenderRanking,
+    share_connections,
+)
+from rosemarysaddle.decide._lending import DOWN_MS
+
+
+@pytest.mark.parametrize(
+    ("limit", "hosts", "neighbours", "share"),
+    [
+        (30, 7, 3, ConnectionShare(limit=3, lends=False)),
+        (49, 66, 11, ConnectionShare(limit=7, lends=True)),
+        (166, 78, 13, ConnectionShare(limit=24, lends=True)),
+        (500, 2_600, 200, ConnectionShare(limit=34, lends=True)),
+        (49, 66, 0, ConnectionShare(limit=1, lends=False)),
+        (0, 66, 11, ConnectionShare(limit=2, lends=False)),
+        (49, 0, 0, ConnectionShare(limit=2, lends=False)),
+    ],
+)
+def test_share_connections_lends_where_each_host_had_too_few(
+    limit: int, hosts: int, neighbours: int, share: ConnectionShare
+) -> None:
+    found = share_connections(limit=limit, hosts=hosts, neighbours=neighbours)
+
+    assert found == share
+
+
+@given(
+    limit=st.integers(40, 1_000),
+    centers=st.lists(st.integers(2, 200), min_size=2, max_size=13),
+)
+def test_share_connections_stays_below_the_targets_limit(
+    limit: int, centers: list[int]
+) -> None:
+    hosts = sum(centers)
+    total = 0
+    for count in centers:
+        share = share_connections(limit=limit, hosts=hosts, neighbours=count)
+        total += share.limit * (1 if share.lends else count)
+
+    assert total <= limit
+
+
+def _ranking(own: str, count: int) -> LenderRanking:
+    ranking = LenderRanking(own=own)
+    ranking.replace([f"h{n}" for n in range(count)])
+    return ranking
+
+
+def test_ranking_is_the_same_at_all_hosts_and_spreads_the_targets() -> None:
+    first, second = _ranking("h1", 11), _ranking("h2", 11)
+    targets = [f"t{n}" for n in range(200)]
+
+    lenders = [first.lender(t, 0) for t in targets]
+
+    assert lenders == [second.lender(t, 0) for t in targets]
+    assert max(lenders.count(h) for h in set(lenders)) < 40
+
+
+def test_ranking_moves_only_the_targets_of_a_host_that_left() -> None:
+    ranking = _ranking("h1", 11)
+    targets = [f"t{n}" for n in range(200)]
+    before = {t: ranking.lender(t, 0) for t in targets}
+
+    ranking.replace([f"h{n}" for n in range(10)])
+
+    moved = {t for t in targets if ranking.lender(t, 0) != before[t]}
+    assert moved == {t for t in targets if before[t] == "h10"}
+
+
+def test_ranking_passes_over_a_lender_that_is_down_for_a_while() -> None:
+    ranking = _ranking("h1", 3)
+    target = next(
+        t for t in map(str, range(99)) if ranking.lender(t, 0) == "h0"
+    )
+
+    ranking.note_down("h0", 0)
+
+    assert ranking.lender(target, 0) != "h0"
+    assert ranking.lender(target, DOWN_MS * NS_PER_MS) == "h0"
+
+
+def test_ranking_never_passes_over_its_own_host() -> None:
+    ranking = _ranking("h1", 1)
+    for host in ("h0", "h1"):
+        ranking.note_down(host, 0)
+
+    assert ranking.lender("t", 0) == "h1"
--- /dev/null
+++ b/tests/decide/test_neighbours.py
@@ -0,0 +1,81 @@
+from __future__ import annotations
+
+from rosemarysaddle.decide._neighbours import (
+    GATHER_MS,
+    RENDER_MS,
+    NeighbourLists,
+)
+from rosemarysaddle.decide._times import NS_PER_MS
+from rosemarysaddle.schema import LeaseRenewal, Neighbours
+
+GATHERED_NS = GATHER_MS * NS_PER_MS
+CENTERS = {"a": "dc1", "b": "dc1", "c": "dc2"}
+
+
+def _ask(
+    lists: NeighbourLists, host: str, now_ns: int, tag: int = 0
+) -> Neighbours | None:
+    renewal = LeaseRenewal(
+        host=host,
+        data_center=CENTERS[host],
+        sent_ns=0,
+        applied_index=0,
+        address="",
+        lending_address=f"{host}:1",
+        neighbours_tag=tag,
+    )
+    return lists.answer(
+        host, renewal, centers=CENTERS, present=set(CENTERS), now_ns=now_ns
+    )
+
+
+def _lists() -> NeighbourLists:
+    lists = NeighbourLists()
+    lists.take_office(0)
+    for host in CENTERS:
+        assert _ask(lists, host, 0) is None
+    return lists
+
+
+def test_lists_name_the_hosts_of_the_own_data_center() -> None:
+    found = _ask(_lists(), "a", GATHERED_NS)
+
+    assert found is not None
+    assert [n.address for n in found.hosts] == ["a:1", "b:1"]
+
+
+def test_lists_are_told_once() -> None:
+    lists = _lists()
+    found = _ask(lists, "a", GATHERED_NS)
+
+    assert found is not None
+    assert _ask(lists, "a", GATHERED_NS, found.tag) is None
+
+
+def test_lists_of_a_new_leader_wait_until_all_have_renewed() -> None:
+    lists = _lists()
+
+    lists.take_office(GATHERED_NS)
+
+    assert _ask(lists, "a", GATHERED_NS + 1) is None
+
+
+def test_lists_drop_a_host_without_a_lease() -> None:
+    lists = _lists()
+    _ask(lists, "a", GATHERED_NS)
+    later_ns = GATHERED_NS + RENDER_MS * NS_PER_MS
+    renewal = LeaseRenewal(
+        host="a",
+        data_center="dc1",
+        sent_ns=0,
+        applied_index=0,
+        address="",
+        lending_address="a:1",
+    )
+
+    found = lists.answer(
+        "a", renewal, centers=CENTERS, present={"a"}, now_ns=later_ns
+    )
+
+    assert found is not None
+    assert [n.address for n in found.hosts] == ["a:1"]
--- /dev/null
+++ b/tests/session/test_lending.py
@@ -0,0 +1,230 @@
+"""Hosts of one data centre that lend connections to one another."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from rosemarysaddle.decide import LenderRanking, RouteTable
+from rosemarysaddle.exchange import Lender
+from rosemarysaddle.exchange import _lender as lender_module
+from rosemarysaddle.exchange import _loans as loans_module
+from tests.session.standin import (
+    IP,
+    PLAN,
+    StandInTarget,
+    make_router,
+    open_caller,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    import pytest
+
+    from tests.session.standin import Caller
+
+PORT = 17_700
+HOSTS = 4
+# Three hosts and a fourth without a connection of its own.
+LIMIT = 3
+TARGET_PORT = PORT + 50
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Host:
+    """Entry host with its lender, in this process."""
+
+    router: Any
+    lender: Lender
+    server: asyncio.Server | None = None
+
+    async def start(self, port: int) -> None:
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(self.lender.accept, IP, port)
+
+    def stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        self.lender.close()
+        self.router.desk.close()
+        for pool in self.router.pools.values():
+            pool.close()
+
+
+def _address(number: int) -> str:
+    return f"{IP}:{PORT + number}"
+
+
+def _host(target: StandInTarget, number: int) -> _Host:
+    router = make_router([target])
+    plan = {**PLAN, "groups": [{"name": "g", "connection_limit": LIMIT}]}
+    router.node.state.routes = RouteTable.of(json.dumps(plan))
+    router.node.state.entry_hosts = HOSTS
+    router.node.neighbours = tuple(_address(n) for n in range(HOSTS))
+    router.desk.ranking = LenderRanking(own=_address(number))
+    router.follow()
+    return _Host(router=router, lender=Lender(find_pool=router.own_pool))
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Center:
+    target: StandInTarget
+    hosts: list[_Host]
+
+    @property
+    def lender(self) -> int:
+        ranking = self.hosts[0].router.desk.ranking
+        address = ranking.lender(self.target.name, 0)
+        return next(n for n in range(HOSTS) if _address(n) == address)
+
+    @property
+    def borrower(self) -> int:
+        return next(n for n in range(HOSTS) if n != self.lender)
+
+    async def caller(self, number: int) -> Caller:
+        return await open_caller(self.hosts[number].router, "own")
+
+
+def _play(
+    play: Callable[[_Center], Coroutine[None, None, None]],
+    **faults: list[str],
+) -> None:
+    async def run() -> None:
+        target = StandInTarget(name="t1", port=TARGET_PORT, faults=faults)
+        await target.start()
+        hosts = [_host(target, n) for n in range(HOSTS)]
+        for number, host in enumerate(hosts):
+            await host.start(PORT + number)
+        try:
+            await play(_Center(target=target, hosts=hosts))
+        finally:
+            for host in hosts:
+                host.stop()
+            target.stop()
+            await asyncio.sleep(0)
+
+    asyncio.run(run())
+
+
+def test_lending_serves_more_hosts_than_a_target_takes_connections() -> None:
+    async def play(center: _Center) -> None:
+        for _ in range(3):
+            for number in range(HOSTS):
+                caller = await center.caller(number)
+                assert await caller.query("WRITE 1 x") == "OK I"
+        assert center.target.connections <= LIMIT
+
+    _play(play)
+
+
+def test_lending_shares_connections_between_transactions() -> None:
+    async def play(center: _Center) -> None:
+        callers = [await center.caller(n) for n in range(HOSTS)]
+        for text in ("BEGIN", "WRITE 1 x", "COMMIT"):
+            for caller in callers[:2]:
+                state = "I" if text == "COMMIT" else "T"
+                assert await caller.query(text) == f"OK {state}"
+        verbs = [text.split()[0] for text in center.target.texts]
+        assert verbs.count("COMMIT") == 2
+        assert center.target.connections <= LIMIT
+
+    _play(play)
+
+
+def test_lending_carries_what_is_set_on_a_connection() -> None:
+    async def play(center: _Center) -> None:
+        number = center.borrower
+        first = await center.caller(number)
+        await first.query("SET v 1")
+        await first.query("READ 1")
+        await first.query("READ 2")
+        other = await center.caller(center.lender)
+        await other.query("READ 3")
+        kept = [t for t in center.target.texts if not t.startswith("SET")]
+        assert center.target.texts.count("SET v 1") == 1
+        assert kept == ["READ 1", "READ 2", "RESET", "READ 3"]
+
+    _play(play)
+
+
+def test_lending_ends_a_transaction_with_its_lender() -> None:
+    async def play(center: _Center) -> None:
+        caller = await center.caller(center.borrower)
+        await caller.query("BEGIN")
+        await caller.query("WRITE 1 x")
+        center.hosts[center.lender].stop()
+        await asyncio.sleep(0.02)
+        assert await caller.query("COMMIT") == "ABORTED I"
+        assert "COMMIT" not in center.target.texts
+
+    _play(play)
+
+
+def test_lending_passes_over_a_lender_that_is_gone() -> None:
+    async def play(center: _Center) -> None:
+        center.hosts[center.lender].stop()
+        caller = await center.caller(center.borrower)
+        assert await caller.query("WRITE 1 x") == "OK I"
+
+    _play(play)
+
+
+def test_lending_does_not_repeat_a_write_whose_lender_is_lost() -> None:
+    async def play(center: _Center) -> None:
+        caller = await center.caller(center.borrower)
+        asked = asyncio.ensure_future(caller.query("WRITE 1 x"))
+        for _ in range(400):
+            if center.target.texts:
+                break
+            await asyncio.sleep(0.005)
+        center.hosts[center.lender].lender.close()
+        assert await asked == "UNSURE I"
+        assert center.target.texts == ["WRITE 1 x"]
+
+    _play(play, WRITE=["silent"])
+
+
+def test_lender_ends_the_loan_of_a_silent_borrower(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(lender_module, "SILENT_MS", 0)
+
+    async def play(center: _Center) -> None:
+        caller = await center.caller(center.borrower)
+        await caller.query("BEGIN")
+        lender = center.hosts[center.lender].lender
+        await caller.query("WRITE 1 x")
+        lender.tick(2**62)
+        assert lender.lent == 0
+        await asyncio.sleep(0.02)
+        assert await caller.query("COMMIT") == "ABORTED I"
+
+    _play(play)
+
+
+def test_borrower_gives_up_a_lender_that_says_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(loans_module, "FIRST_ANSWER_MS", 20)
+
+    async def play(center: _Center) -> None:
+        host = center.hosts[center.lender]
+        host.lender.find_pool = lambda _: _hang()
+        caller = await center.caller(center.borrower)
+        assert await caller.query("WRITE 1 x") == "OK I"
+
+    class _Hanging:
+        has_idle = True
+
+        async def acquire(self, *args: object, **kwargs: object) -> None:
+            del args, kwargs
+            await asyncio.sleep(1)
+
+    def _hang() -> Any:
+        return _Hanging()
+
+    _play(play)
