Place reads in the own region before others

Cause: a target of another data centre weighed 60 ms, whether it was 0.9 ms or 12 ms away, so half of the reads that left a data centre left the region too.

Change: the settings name the region of each data centre; a target in the own region weighs 20 ms.

Test: tests/decide/test_placing.py.

--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -42,6 +42,7 @@
     PlacedTarget,
     ReadNeed,
     choose_target,
+    way_cost_ns,
 )
 from rosemarysaddle.decide._reasons import Outcome, Reason, Refusal, Step
 from rosemarysaddle.decide._registry import is_news
@@ -154,4 +155,5 @@
     "promotion_quorum",
     "share_connections",
     "shared_name",
+    "way_cost_ns",
 )
--- a/src/rosemarysaddle/decide/_placing.py
+++ b/src/rosemarysaddle/decide/_placing.py
@@ -2,7 +2,7 @@
 
 Answers the load of the heaviest days: reads stay in their data centre
 while its target is fresh, up and no slower than the way to another, and
-spill over when it queues.
+spill over when it queues: first to the own region, then to others.
 """
 
 from __future__ import annotations
@@ -14,13 +14,15 @@
 from rosemarysaddle.decide._times import NS_PER_MS
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Collection, Iterable, Mapping
 
     from rosemarysaddle.decide._token import LogPoint
 
-__all__ = ("PlacedTarget", "ReadNeed", "choose_target")
+__all__ = ("PlacedTarget", "ReadNeed", "choose_target", "way_cost_ns")
 
-# Weight of bytes between data centres against time in a queue.
+# Weight of bytes to another data centre against time in a queue: one
+# of the own region, and one of another region.
+NEAR_COST_NS: Final = 20 * NS_PER_MS
 REMOTE_COST_NS: Final = 60 * NS_PER_MS
 # Keeps primaries free for writes while a replica is as near.
 PRIMARY_COST_NS: Final = 15 * NS_PER_MS
@@ -34,6 +36,7 @@
 class PlacedTarget:
     """What an entry host knows of one target.
 
+    :param way_ns: weight of the way there, of :func:`way_cost_ns`
     :param slots: statements that the target runs at once
     :param running: statements of this host that run there
     :param queued: statements of this host that wait for their turn
@@ -45,7 +48,7 @@
     target: str
     group: str
     address: str
-    data_center: str
+    way_ns: int = 0
     slots: int = 1
     leaving: bool = False
     running: int = 0
@@ -72,14 +75,12 @@
         """Take note that the target took no connection."""
         self.down_until_ns = now_ns + DOWN_MS * NS_PER_MS
 
-    def cost_ns(self, data_center: str) -> int:
+    def cost_ns(self) -> int:
         """Estimate the time until a new statement is answered."""
         busy = self.running + self.queued
         waiting = max(0, busy + 1 - max(1, self.slots))
         cost_ns = self.latency_ns * (1 + waiting // max(1, self.slots))
-        if self.data_center != data_center:
-            cost_ns += REMOTE_COST_NS
-        return cost_ns
+        return cost_ns + self.way_ns
 
 
 @attrs.frozen(kw_only=True)
@@ -95,10 +96,24 @@
     point: LogPoint | None
     primary: str
     excluded: Collection[str]
-    data_center: str
     now_ns: int
 
 
+def way_cost_ns(
+    data_center: str, other: str, regions: Mapping[str, str]
+) -> int:
+    """Weigh the way between two data centres.
+
+    :param regions: region of each data centre that is known
+    """
+    if data_center == other:
+        return 0
+    region = regions.get(data_center)
+    if region is not None and region == regions.get(other):
+        return NEAR_COST_NS
+    return REMOTE_COST_NS
+
+
 def choose_target(
     targets: Iterable[PlacedTarget], need: ReadNeed
 ) -> PlacedTarget | None:
@@ -133,7 +148,7 @@
 
 
 def _rank(target: PlacedTarget, need: ReadNeed) -> tuple[int, str]:
-    cost_ns = target.cost_ns(need.data_center)
+    cost_ns = target.cost_ns()
     if target.target == need.primary:
         cost_ns += PRIMARY_COST_NS
     return (cost_ns, target.target)
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -75,6 +75,7 @@
             label=settings.host,
             new_codec=self.platform.target_codec,
             send=self._carry_out,
+            regions={p.data_center: p.region for p in settings.places},
         )
         self.lender = Lender(find_pool=self.router.own_pool)
         self.network = PeerNetwork(
--- a/src/rosemarysaddle/schema/_documents.py
+++ b/src/rosemarysaddle/schema/_documents.py
@@ -12,6 +12,7 @@
     "Inventory",
     "InventoryPatch",
     "Node",
+    "Place",
     "RequestClass",
     "Route",
     "RoutePlan",
@@ -252,6 +253,18 @@
     limits: SessionLimits = SessionLimits()
 
 
+@attrs.frozen(kw_only=True)
+class Place:
+    """One data centre.
+
+    :param data_center: Name of the data centre
+    :param region: Region in which it is
+    """
+
+    data_center: str
+    region: str
+
+
 @attrs.frozen(kw_only=True)
 class Node:
     """Settings of one host that finds the others by seeds.
@@ -260,6 +273,7 @@
     :param role: Role of this host
     :param data_center: Data centre of this host
     :param region: Region of the data centre
+    :param places: Data centres of the deployment
     :param ip: IP address of this host
     :param peers_port: TCP port for the other hosts, the same on all
     :param seeds: Public addresses of some control hosts
@@ -284,6 +298,7 @@
     role: str
     data_center: str
     region: str
+    places: tuple[Place, ...] = ()
     ip: str
     peers_port: int
     seeds: tuple[str, ...]
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -26,6 +26,7 @@
     choose_target,
     newer_point,
     share_connections,
+    way_cost_ns,
 )
 from rosemarysaddle.exchange import (
     ExchangePool,
@@ -37,7 +38,7 @@
 from rosemarysaddle.session._turns import Turns
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Sequence
+    from collections.abc import Callable, Collection, Mapping, Sequence
 
     from rosemarysaddle.decide import (
         Answer,
@@ -80,12 +81,14 @@
 
     :param label: name of this host for the targets
     :param send: carries out effects of the decisions
+    :param regions: region of each data centre
     """
 
     node: EntryNode
     label: str
     new_codec: Callable[[], TargetCodec]
     send: Callable[[Sequence[Effect]], None]
+    regions: Mapping[str, str] = attrs.field(factory=dict)
     targets: dict[str, PlacedTarget] = attrs.field(factory=dict, init=False)
     pools: dict[str, SharedPool] = attrs.field(factory=dict, init=False)
     desk: LoanDesk = attrs.field(init=False)
@@ -133,7 +136,6 @@
             point=point,
             primary=primary,
             excluded=excluded,
-            data_center=self.node.data_center,
             now_ns=now_ns,
         )
         known = [t for t in self.targets.values() if t.group == group]
@@ -295,7 +297,9 @@
             target=name,
             group=record.group,
             address=record.address,
-            data_center=record.data_center,
+            way_ns=way_cost_ns(
+                self.node.data_center, record.data_center, self.regions
+            ),
             slots=record.slots,
         )
         own = ExchangePool(
--- /dev/null
+++ b/tests/decide/test_placing.py
@@ -0,0 +1,58 @@
+from __future__ import annotations
+
+import pytest
+
+from rosemarysaddle.decide import (
+    LogPoint,
+    PlacedTarget,
+    ReadNeed,
+    choose_target,
+    way_cost_ns,
+)
+
+REGIONS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b"}
+CENTERS = {"own": "a1", "near": "a2", "far": "b1"}
+
+
+def _target(name: str, running: int = 0) -> PlacedTarget:
+    return PlacedTarget(
+        target=name,
+        group="g",
+        address="",
+        way_ns=way_cost_ns("a1", CENTERS[name], REGIONS),
+        slots=2,
+        running=running,
+    )
+
+
+@pytest.mark.parametrize(
+    ("running", "chosen"),
+    [
+        ({"own": 0, "near": 0, "far": 0}, "own"),
+        ({"own": 1, "near": 0, "far": 0}, "own"),
+        ({"own": 9, "near": 0, "far": 0}, "near"),
+        ({"own": 9, "near": 1, "far": 0}, "near"),
+        ({"own": 20, "near": 20, "far": 0}, "far"),
+        ({"near": 0, "far": 0}, "near"),
+        ({"far": 5}, "far"),
+    ],
+)
+def test_choose_target_spills_over_to_the_own_region_first(
+    running: dict[str, int], chosen: str
+) -> None:
+    targets = [_target(name, count) for name, count in running.items()]
+    need = ReadNeed(
+        point=LogPoint(term=1, position=1),
+        primary="",
+        excluded=(),
+        now_ns=0,
+    )
+
+    found = choose_target(targets, need)
+
+    assert found is not None
+    assert found.target == chosen
+
+
+def test_way_cost_takes_unknown_regions_for_far() -> None:
+    assert way_cost_ns("a1", "x", {}) == way_cost_ns("a1", "b1", REGIONS)
