Ask a busy primary for its position once, for all neighbours

Cause: while replicas lag, reads fall on the primary. Its answers come later than 400 ms, so each of the 66 hosts took the group for silent and asked for the position at every tick (100 ms), gave each question up after 400 ms, ended the connection with it, and checked the target over a new one.

Ruled out: a lost target (it answered other statements all the time).

Change: one question at a time for each group, given up after 1 s; a host asks the lender of the primary, which asks once for all.

--- a/src/rosemarysaddle/decide/_freshness.py
+++ b/src/rosemarysaddle/decide/_freshness.py
@@ -69,6 +69,10 @@
         """Time of the newest position, or 0."""
         return self._samples[-1].asked_ns if self._samples else 0
 
+    def newest(self) -> LogPoint | None:
+        """Newest position, or None."""
+        return self._samples[-1].point if self._samples else None
+
     def needed(self, *, now_ns: int, staleness_ms: int) -> LogPoint | None:
         """Find the position that a read has to carry.
 
--- a/src/rosemarysaddle/exchange/_lender.py
+++ b/src/rosemarysaddle/exchange/_lender.py
@@ -24,10 +24,12 @@
     LoanRefusal,
     LoanRequest,
     LoanReturn,
+    PointReply,
+    PointRequest,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from rosemarysaddle.exchange._pool import ExchangePool
 
@@ -43,9 +45,11 @@
     """Loans that this host has given.
 
     :param find_pool: finds this host's own connections to a target
+    :param find_point: finds the newest position of a primary
     """
 
     find_pool: Callable[[str], ExchangePool | None]
+    find_point: Callable[[str], Awaitable[PointReply]]
     is_stopping: bool = attrs.field(default=False, init=False)
     _loans: set[_Loan] = attrs.field(factory=set, init=False)
 
@@ -163,6 +167,9 @@
             case LoanRequest() if self.exchange is None and self.task is None:
                 loop = asyncio.get_running_loop()
                 self.task = loop.create_task(self._lend(frame))
+            case PointRequest() if self.exchange is None and self.task is None:
+                loop = asyncio.get_running_loop()
+                self.task = loop.create_task(self._tell_point(frame))
             case LoanReturn() if self.exchange is not None:
                 self._take_back(self.exchange, frame)
             case _:
@@ -194,6 +201,14 @@
         finally:
             self.task = None
 
+    async def _tell_point(self, request: PointRequest) -> None:
+        try:
+            self._send(frame_message(LoanQueued()))
+            reply = await self.lender.find_point(request.target)
+            self._send(frame_message(reply))
+        finally:
+            self.task = None
+
     def _grant(self, pool: ExchangePool, exchange: Exchange) -> None:
         self._heard_ns = clock_ns()
         self._pool, self.exchange = pool, exchange
--- a/src/rosemarysaddle/exchange/_loans.py
+++ b/src/rosemarysaddle/exchange/_loans.py
@@ -28,6 +28,8 @@
     LoanQueued,
     LoanRefusal,
     LoanRequest,
+    PointReply,
+    PointRequest,
 )
 
 if TYPE_CHECKING:
@@ -45,6 +47,9 @@
 _NS_PER_S: Final = 1_000_000_000
 
 
+_Reply = LoanGrant | LoanRefusal | PointReply
+
+
 @attrs.define(kw_only=True, eq=False)
 class _Link(asyncio.Protocol):
     """Connection to a lender; it carries one loan at a time."""
@@ -57,8 +62,8 @@
     _transport: asyncio.Transport | None = attrs.field(
         default=None, init=False
     )
-    _answer: asyncio.Future[LoanGrant | LoanRefusal | None] | None = (
-        attrs.field(default=None, init=False)
+    _answer: asyncio.Future[_Reply | None] | None = attrs.field(
+        default=None, init=False
     )
     _is_queued: bool = attrs.field(default=False, init=False)
 
@@ -80,8 +85,8 @@
         self._end()
 
     async def ask(
-        self, request: LoanRequest, *, deadline_ns: int
-    ) -> LoanGrant | LoanRefusal | None:
+        self, request: LoanRequest | PointRequest, *, deadline_ns: int
+    ) -> _Reply | None:
         """Ask for a loan; None where the lender does not answer."""
         loop = asyncio.get_running_loop()
         self._answer = loop.create_future()
@@ -122,7 +127,9 @@
                 self.exchange.data_received(frame)
             case LoanQueued():
                 self._is_queued = True
-            case LoanGrant() | LoanRefusal() if self._answer is not None:
+            case LoanGrant() | LoanRefusal() | PointReply() if (
+                self._answer is not None
+            ):
                 if not self._answer.done():
                     self._answer.set_result(frame)
             case _:
@@ -193,10 +200,29 @@
                 return OpenFault(code=code, peer=target, connected=True)
             self._note_lost(target, lender, "ask")
             return None
+        if isinstance(answer, LoanGrant):
+            return self._start(link, target, answer)
+        self._put_by(link)
+        code = FaultCode.BUSY
         if isinstance(answer, LoanRefusal):
-            self._put_by(link)
-            return OpenFault(code=FaultCode(answer.code), peer=target)
-        return self._start(link, target, answer)
+            code = FaultCode(answer.code)
+        return OpenFault(code=code, peer=target)
+
+    async def ask_point(
+        self, target: str, lender: str, *, deadline_ns: int
+    ) -> PointReply | None:
+        """Ask a lender for the newest position of its primary."""
+        link = await self._link(lender)
+        if link is None:
+            self._note_lost(target, lender, "dial")
+            return None
+        answer = await link.ask(
+            PointRequest(target=target), deadline_ns=deadline_ns
+        )
+        if not isinstance(answer, PointReply):
+            return None
+        self._put_by(link)
+        return answer if answer.known else None
 
     def give_back(self, exchange: Exchange) -> None:
         """Give a connection back; one that is not idle is ended."""
--- a/src/rosemarysaddle/exchange/_shared.py
+++ b/src/rosemarysaddle/exchange/_shared.py
@@ -33,13 +33,18 @@
     on_refused: Callable[[OpenFault], None]
     lends: bool = attrs.field(default=False, init=False)
 
+    @property
+    def lender(self) -> str:
+        """Address of the host that opens the connections."""
+        ranking = self.desk.ranking
+        if not self.lends:
+            return ranking.own
+        return ranking.lender(self.own.target, clock_ns())
+
     @property
     def is_own(self) -> bool:
         """Tell whether this host opens connections of its own."""
-        if not self.lends:
-            return True
-        ranking = self.desk.ranking
-        return ranking.lender(self.own.target, clock_ns()) == ranking.own
+        return self.lender == self.desk.ranking.own
 
     async def acquire(
         self, variables: SessionVariables, *, deadline_ns: int
@@ -48,11 +53,10 @@
 
         :param variables: what the session has set
         """
-        ranking = self.desk.ranking
         target = self.own.target
-        while self.lends and clock_ns() < deadline_ns:
-            lender = ranking.lender(target, clock_ns())
-            if lender == ranking.own:
+        while clock_ns() < deadline_ns:
+            lender = self.lender
+            if lender == self.desk.ranking.own:
                 break
             found = await self.desk.borrow(
                 target, lender, variables.values, deadline_ns=deadline_ns
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -77,7 +77,10 @@
             send=self._carry_out,
             regions={p.data_center: p.region for p in settings.places},
         )
-        self.lender = Lender(find_pool=self.router.own_pool)
+        self.lender = Lender(
+            find_pool=self.router.own_pool,
+            find_point=self.router.find_point,
+        )
         self.network = PeerNetwork(
             host=self.node.host,
             listen=Address(ip=settings.ip, port=0),
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -32,6 +32,8 @@
     "Message",
     "Neighbour",
     "Neighbours",
+    "PointReply",
+    "PointRequest",
     "PreparedName",
     "SnapshotInstall",
     "StepOut",
@@ -278,6 +280,23 @@
     hosts: tuple[Neighbour, ...]
 
 
+@attrs.frozen(kw_only=True)
+class PointReply:
+    """Message: point reply."""
+
+    known: bool
+    age_ns: int
+    term: int
+    position: int
+
+
+@attrs.frozen(kw_only=True)
+class PointRequest:
+    """Message: point request."""
+
+    target: str
+
+
 @attrs.frozen(kw_only=True)
 class SnapshotInstall:
     """Message: snapshot install."""
@@ -377,6 +396,8 @@
     | LoanRequest
     | LoanReturn
     | Neighbours
+    | PointReply
+    | PointRequest
     | SnapshotInstall
     | StepOut
     | Suspicion
@@ -427,4 +448,6 @@
     "loanGrant": LoanGrant,
     "loanRefusal": LoanRefusal,
     "loanReturn": LoanReturn,
+    "pointRequest": PointRequest,
+    "pointReply": PointReply,
 }
--- a/src/rosemarysaddle/schema/messages.capnp
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -213,6 +213,17 @@
   prepared @1 :List(PreparedName);
 }
 
+struct PointRequest {
+  target @0 :Text;
+}
+
+struct PointReply {
+  known @0 :Bool;
+  ageNs @1 :UInt64;
+  term @2 :UInt64;
+  position @3 :UInt64;
+}
+
 struct Envelope {
   source @0 :Text;
   requestId @1 :UInt64;
@@ -246,5 +257,7 @@
     loanGrant @28 :LoanGrant;
     loanRefusal @29 :LoanRefusal;
     loanReturn @30 :LoanReturn;
+    pointRequest @31 :PointRequest;
+    pointReply @32 :PointReply;
   }
 }
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -35,6 +35,7 @@
     SharedPool,
 )
 from rosemarysaddle.link import Address
+from rosemarysaddle.schema import PointReply
 from rosemarysaddle.session._turns import Turns
 
 if TYPE_CHECKING:
@@ -54,6 +55,10 @@
 WARM_CONNECTIONS: Final = 1
 # Position of a group whose reads accept some age, where it is silent.
 REFRESH_MS: Final = 400
+# Younger positions are told to neighbours without asking again.
+SHARED_MS: Final = 200
+# A busy primary is not asked again, and not given up, before this.
+POINT_MS: Final = 1_000
 WANTED_MS: Final = 5_000
 CHECK_MS: Final = 300
 MAX_WAITING: Final = 400
@@ -62,6 +67,7 @@
 LATE_MS: Final = 50
 LATE_SPAN_MS: Final = 1_000
 _NS_PER_S: Final = 1_000_000_000
+_UNKNOWN_POINT: Final = PointReply(known=False, age_ns=0, term=0, position=0)
 
 
 @attrs.frozen(kw_only=True)
@@ -99,6 +105,9 @@
     _positions: dict[str, PositionLog] = attrs.field(factory=dict, init=False)
     _wanted_ns: dict[str, int] = attrs.field(factory=dict, init=False)
     _check_at_ns: dict[str, int] = attrs.field(factory=dict, init=False)
+    _asking: dict[str, asyncio.Task[None]] = attrs.field(
+        factory=dict, init=False
+    )
     _waiting: set[asyncio.Future[None]] = attrs.field(factory=set, init=False)
     _jobs: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
 
@@ -390,12 +399,51 @@
                 continue
             term = self.node.primary_of(group, now_ns)
             if term is not None and term.primary in self.pools:
-                self._spawn(self._ask_point(term.primary))
+                self._start_asking(group, term.primary)
+
+    async def find_point(self, target: str) -> PointReply:
+        """Find the newest position of a primary for a neighbour."""
+        placed = self.targets.get(target)
+        if placed is None:
+            return _UNKNOWN_POINT
+        group = placed.group
+        positions = self._positions.setdefault(group, PositionLog())
+        if clock_ns() > positions.newest_ns() + SHARED_MS * NS_PER_MS:
+            await self._start_asking(group, target)
+        point = positions.newest()
+        if point is None:
+            return _UNKNOWN_POINT
+        return PointReply(
+            known=True,
+            age_ns=clock_ns() - positions.newest_ns(),
+            term=point.term,
+            position=point.position,
+        )
 
-    async def _ask_point(self, target: str) -> None:
-        deadline_ns = clock_ns() + REFRESH_MS * NS_PER_MS
+    def _start_asking(self, group: str, target: str) -> asyncio.Task[None]:
+        # One question at a time: a primary that answers late is busy.
+        asking = self._asking.get(group)
+        if asking is None or asking.done():
+            asking = self._spawn(self._ask_point(group, target))
+            self._asking[group] = asking
+        return asking
+
+    async def _ask_point(self, group: str, target: str) -> None:
+        deadline_ns = clock_ns() + POINT_MS * NS_PER_MS
         pool = self.pools[target]
-        found = await pool.acquire(SessionVariables(), deadline_ns=deadline_ns)
+        lender = pool.lender
+        if lender != self.desk.ranking.own:
+            asked_ns = clock_ns()
+            reply = await self.desk.ask_point(
+                target, lender, deadline_ns=deadline_ns
+            )
+            if reply is not None:
+                point = LogPoint(term=reply.term, position=reply.position)
+                self._positions[group].note(asked_ns - reply.age_ns, point)
+            return
+        found = await pool.own.acquire(
+            SessionVariables(), deadline_ns=deadline_ns
+        )
         if isinstance(found, OpenFault):
             return
         asked_ns = clock_ns()
@@ -404,13 +452,14 @@
             found.codec.encode_reset(), deadline_ns=deadline_ns
         )
         found.setup.clear()
-        pool.release(found)
+        pool.own.release(found)
         self.note_answer(target, answer, asked_ns=asked_ns, covered=covered)
 
-    def _spawn(self, work: asyncio._CoroutineLike[None]) -> None:
+    def _spawn(self, work: asyncio._CoroutineLike[None]) -> asyncio.Task[None]:
         job = asyncio.get_running_loop().create_task(work)
         self._jobs.add(job)
         job.add_done_callback(self._jobs.discard)
+        return job
 
 
 def _finish(waiting: asyncio.Future[None]) -> None:
