Do not order a finished promotion again

Found on reading.

Ruled out: harm to records; the order names the same term.

Change: the answer takes the group off that list. A new leader builds the list anew, so a lost entry is still made up for.

--- a/src/rosemarysaddle/decide/_primaries.py
+++ b/src/rosemarysaddle/decide/_primaries.py
@@ -181,6 +181,7 @@
         self.times.append(change.times(now_ns))
         del self.times[:-KEPT_TIMES]
         del self.changes[group]
+        self._unopened.discard(group)
         self._evidence.pop(group, None)
         if self._announces_itself(group):
             self._settled_ns[group] = now_ns + DWELL_MS * NS_PER_MS
--- a/tests/decide/test_announced.py
+++ b/tests/decide/test_announced.py
@@ -222,3 +222,19 @@
     stage.plan(older, version=3)
 
     assert stage.leader.state.routes.source == PLAN
+
+
+def test_finished_promotion_is_not_ordered_again() -> None:
+    stage = Stage()
+    stage.plan(PLAN, version=4)
+    for target in TARGETS:
+        stage.announce(target)
+    stage.elapse(50)
+    stage.probe(primary="t1")
+    # The entry that ends the change is not committed yet.
+    stage.leader._office.propose = lambda *_: []
+
+    stage.promoted()
+    stage.elapse(200)
+
+    assert len(stage.found(PromoteTarget)) == 1
--- a/tests/session/test_caller.py
+++ b/tests/session/test_caller.py
@@ -60,6 +60,11 @@
         ({}, IN_TRANSACTION, ["OK T", "OK T", "OK I"]),
         ({}, ["BEGIN", "COMMIT"], ["OK T", "OK I"]),
         ({}, ["BEGIN", "READ 1", "ROLLBACK"], ["OK T", "OK T", "OK I"]),
+        (
+            {"ROLLBACK": ["silent"]},
+            ["BEGIN", "READ 1", "ROLLBACK"],
+            ["OK T", "OK T", "OK I"],
+        ),
         ({}, ["COMMIT"], ["MALFORMED I"]),
         ({}, ["BEGIN", "BEGIN"], ["OK T", "MALFORMED E"]),
         ({}, ["EXECUTE s 1"], ["UNNAMED I"]),
