Index targets by group and address

A target that moved to another group at its address kept its old group at an entry host.

Change: indexes beside the records, kept by the same calls.

Figures: none taken; the scan was linear in all targets, the index in those of the group.

--- a/src/rosemarysaddle/decide/_registry.py
+++ b/src/rosemarysaddle/decide/_registry.py
@@ -57,15 +57,28 @@
     records: dict[str, TargetRecord] = attrs.field(factory=dict)
     gone_ms: dict[str, int] = attrs.field(factory=dict)
     touched: set[str] = attrs.field(factory=set, eq=False)
+    _by_group: dict[str, dict[str, TargetRecord]] = attrs.field(
+        factory=dict, init=False, eq=False
+    )
+    _by_address: dict[str, TargetRecord] = attrs.field(
+        factory=dict, init=False, eq=False
+    )
+
+    def __attrs_post_init__(self) -> None:
+        """Index the records."""
+        for record in self.records.values():
+            self._index(record)
 
     def put(self, record: TargetRecord) -> None:
-        """Take a target over; it replaces others at its address."""
-        for other in list(self.records.values()):
-            if other.address == record.address and (
-                other.target != record.target
-            ):
-                self.drop(other.target, other.incarnation_ms)
+        """Take a target over; it replaces another at its address."""
+        other = self._by_address.get(record.address)
+        if other is not None and other.target != record.target:
+            self.drop(other.target, other.incarnation_ms)
+        known = self.records.get(record.target)
+        if known is not None:
+            self._unindex(known)
         self.records[record.target] = record
+        self._index(record)
         self.touched.add(record.group)
 
     def drop(self, target: str, incarnation_ms: int) -> None:
@@ -74,6 +87,7 @@
         if record is None or record.incarnation_ms > incarnation_ms:
             return
         del self.records[target]
+        self._unindex(record)
         self.touched.add(record.group)
         self.gone_ms[target] = incarnation_ms
         if len(self.gone_ms) > MAX_GONE:
@@ -81,8 +95,24 @@
 
     def of_group(self, group: str) -> list[TargetRecord]:
         """List the targets of a group by name."""
-        found = (r for r in self.records.values() if r.group == group)
-        return sorted(found, key=lambda record: record.target)
+        found = self._by_group.get(group, {})
+        return [found[name] for name in sorted(found)]
+
+    def at_address(self, address: str) -> TargetRecord | None:
+        """Find the target at an address."""
+        return self._by_address.get(address)
+
+    def _index(self, record: TargetRecord) -> None:
+        self._by_group.setdefault(record.group, {})[record.target] = record
+        self._by_address[record.address] = record
+
+    def _unindex(self, record: TargetRecord) -> None:
+        group = self._by_group[record.group]
+        del group[record.target]
+        if not group:
+            del self._by_group[record.group]
+        if self._by_address.get(record.address) is record:
+            del self._by_address[record.address]
 
     def dump(self) -> dict[str, Any]:
         """Render for a snapshot."""
@@ -126,8 +156,7 @@
 ) -> bool:
     if announcement.gone:
         return True
-    return any(
-        r.address == announcement.address
-        and r.incarnation_ms > announcement.incarnation_ms
-        for r in table.records.values()
+    other = table.at_address(announcement.address)
+    return other is not None and (
+        other.incarnation_ms > announcement.incarnation_ms
     )
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -47,6 +47,7 @@
         Effect,
         EntryNode,
     )
+    from rosemarysaddle.decide._registry import TargetRecord
     from rosemarysaddle.exchange import TargetCodec
     from rosemarysaddle.schema import Route
 
@@ -99,6 +100,9 @@
     pools: dict[str, SharedPool] = attrs.field(factory=dict, init=False)
     desk: LoanDesk = attrs.field(init=False)
     turns: dict[str, Turns] = attrs.field(factory=dict, init=False)
+    _by_group: dict[str, dict[str, PlacedTarget]] = attrs.field(
+        factory=dict, init=False
+    )
     _neighbours: tuple[str, ...] = attrs.field(default=(), init=False)
     _late_until_ns: int = attrs.field(default=0, init=False)
     _ticked_ns: int = attrs.field(default=0, init=False)
@@ -147,7 +151,7 @@
             excluded=excluded,
             now_ns=now_ns,
         )
-        known = [t for t in self.targets.values() if t.group == group]
+        known = self._by_group.get(group, {}).values()
         for placed in known:
             placed.queued = self.turns[placed.target].waiting
         chosen = choose_target(known, need)
@@ -286,23 +290,27 @@
             ranking.replace(self._neighbours)
         records = self.node.state.targets.records
         for name in [n for n in self.targets if n not in records]:
-            del self.targets[name]
-            self.pools.pop(name).close()
-            del self.turns[name]
+            self._remove(name)
         for name, record in records.items():
             placed = self.targets.get(name)
-            if placed is None or placed.address != record.address:
+            if placed is None or _has_moved(placed, record):
                 self._add(name)
                 placed = self.targets[name]
             placed.leaving = record.leaving
             self.pools[name].share(self._share(record.group))
         self.wake()
 
+    def _remove(self, name: str) -> None:
+        placed = self.targets.pop(name)
+        del self._by_group[placed.group][name]
+        self.pools.pop(name).close()
+        del self.turns[name]
+
     def _add(self, name: str) -> None:
         record = self.node.state.targets.records[name]
         if name in self.pools:
-            self.pools[name].close()
-        self.targets[name] = PlacedTarget(
+            self._remove(name)
+        placed = PlacedTarget(
             target=name,
             group=record.group,
             address=record.address,
@@ -311,6 +319,8 @@
             ),
             slots=record.slots,
         )
+        self.targets[name] = placed
+        self._by_group.setdefault(record.group, {})[name] = placed
         own = ExchangePool(
             target=name,
             group=record.group,
@@ -462,6 +472,11 @@
         return job
 
 
+def _has_moved(placed: PlacedTarget, record: TargetRecord) -> bool:
+    known = (placed.address, placed.group)
+    return known != (record.address, record.group)
+
+
 def _finish(waiting: asyncio.Future[None]) -> None:
     if not waiting.done():
         waiting.set_result(None)
