Show metrics on the metrics address

Cause: on-call engineers had logs only; nothing told results by database, queues, terms or versions in force over time.

Ruled out: collectors of prometheus-client in the data path (60 ms of import at each start, which a killed process is missing longer).

--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -203,6 +203,10 @@
         """Tell whether this host is the leader and no other can be."""
         return self._leads(now_ns)
 
+    def lease_holders(self, now_ns: int) -> list[str]:
+        """List the entry hosts whose lease may still run."""
+        return sorted(self._office.leases.deadlines_ns(now_ns))
+
     def step_down(self, now_ns: int) -> list[Effect]:
         """Give up leadership before a planned stop."""
         return self._absorb(self.log.step_down(now_ns), now_ns)
@@ -216,7 +220,7 @@
             "current": self.log.is_current(now_ns),
             "log_term": self.log.term,
             "commit_index": self.log.commit_index,
-            "leases": sorted(self._office.leases.deadlines_ns(now_ns)),
+            "leases": self.lease_holders(now_ns),
             "applied": dict(self.applied_by_host),
             "changes": {
                 c.group: {"phase": str(c.phase), "blocked": c.blocked}
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -31,6 +31,7 @@
     join_voters,
 )
 from rosemarysaddle.link import Address, PeerNetwork, PlainFabric
+from rosemarysaddle.node._figures import control_figures, start_metrics
 from rosemarysaddle.node._identity import (
     election_jitter,
     host_name,
@@ -94,6 +95,7 @@
     _orders: AnnouncedOrders = attrs.field(init=False)
     _loop: asyncio.AbstractEventLoop = attrs.field(init=False)
     _http: HttpServer = attrs.field(init=False)
+    _metrics: HttpServer | None = attrs.field(default=None, init=False)
     _replies: dict[str, asyncio.Future[ChangeReply]] = attrs.field(
         factory=dict, init=False
     )
@@ -149,6 +151,8 @@
         self._carry_out(self.control.step_down(clock_ns()))
         await asyncio.sleep(STOP_S)
         await asyncio.to_thread(self._http.stop)
+        if self._metrics is not None:
+            await asyncio.to_thread(self._metrics.stop)
         for job in list(self._jobs):
             job.cancel()
         await self.network.stop()
@@ -201,6 +205,9 @@
         )
         self._http.tree.graft(self.platform.control_app(self), "")
         self._http.start()
+        self._metrics = start_metrics(
+            self.settings, lambda: control_figures(self.control)
+        )
 
     # --- called from the threads of the HTTP server ---
 
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -14,13 +14,15 @@
 from rosemarysaddle.decide import EntryNode, Send
 from rosemarysaddle.exchange import Lender
 from rosemarysaddle.link import Address, PeerNetwork, PlainFabric
+from rosemarysaddle.node._figures import entry_figures, start_metrics
 from rosemarysaddle.node._identity import peer_address
 from rosemarysaddle.node._timing import ENTRY_TICK_S, RENEWAL_MS
 from rosemarysaddle.session import CallerSession, Router
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine, Sequence
+    from collections.abc import Coroutine, Iterable, Sequence
 
+    from rosemarysaddle._metrics import Figure
     from rosemarysaddle.decide import Effect
     from rosemarysaddle.node._ports import Platform
     from rosemarysaddle.schema import Message, Node
@@ -56,6 +58,7 @@
     _server: asyncio.Server = attrs.field(init=False)
     _lending: asyncio.Server | None = attrs.field(default=None, init=False)
     _ready: HttpServer = attrs.field(init=False)
+    _metrics: HttpServer | None = attrs.field(default=None, init=False)
     _jobs: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
     _was_ready: bool = attrs.field(default=False, init=False)
 
@@ -114,6 +117,7 @@
         )
         self._ready.tree.graft(self.platform.readiness_app(self.is_ready), "")
         self._ready.start()
+        self._metrics = start_metrics(self.settings, self._figures)
         logging.info("event=started host=%s", self.node.host)
 
     async def _start_lending(self) -> None:
@@ -153,6 +157,8 @@
         self._carry_out(self.node.stop())
         await asyncio.sleep(POLL_S)
         await asyncio.to_thread(self._ready.stop)
+        if self._metrics is not None:
+            await asyncio.to_thread(self._metrics.stop)
         await self.network.stop()
 
     def _stop_lending(self) -> None:
@@ -171,6 +177,14 @@
         self.node.control = self._seeds()
         logging.info("event=reloaded seeds=%s", ",".join(settings.seeds))
 
+    def _figures(self) -> Iterable[Figure]:
+        return entry_figures(
+            self.node,
+            self.router,
+            self.lender,
+            sessions=len(self._sessions),
+        )
+
     def _seeds(self) -> list[str]:
         port = self.settings.peers_port
         return [peer_address(seed, port) for seed in self.settings.seeds]
--- /dev/null
+++ b/src/rosemarysaddle/node/_figures.py
@@ -0,0 +1,131 @@
+"""Figures of hosts for the metrics address."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._metrics import Gauge, Histogram, Total, metrics_app
+from rosemarysaddle.link import Address
+from rosemarysaddle.session import BOUNDS_MS
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Iterator, Mapping
+
+    from rosemarysaddle._metrics import Figure
+    from rosemarysaddle.decide import ClusterState, ControlNode, EntryNode
+    from rosemarysaddle.exchange import Lender
+    from rosemarysaddle.schema import Node
+    from rosemarysaddle.session import Router, Tally
+    from rosemarysaddle.web import HttpServer
+
+__all__ = ("control_figures", "entry_figures", "start_metrics")
+
+THREADS: Final = 1
+MAX_BODY_BYTES: Final = 4_096
+STOP_S: Final = 0.05
+_PREFIX: Final = "rosemarysaddle_"
+_NS_PER_S: Final = 1_000_000_000
+
+
+def start_metrics(
+    settings: Node, figures: Callable[[], Iterable[Figure]]
+) -> HttpServer | None:
+    """Show a host's figures where the settings say so.
+
+    Call it once :mod:`rosemarysaddle.web` is imported: that takes time.
+    """
+    if not settings.metrics_address:
+        return None
+    from rosemarysaddle.web import HttpServer  # noqa: PLC0415
+
+    server = HttpServer(
+        address=Address.parse(settings.metrics_address),
+        threads=THREADS,
+        max_body_bytes=MAX_BODY_BYTES,
+        stop_s=STOP_S,
+    )
+    server.tree.graft(metrics_app(figures), "/metrics")
+    server.start()
+    return server
+
+
+def entry_figures(
+    node: EntryNode, router: Router, lender: Lender, *, sessions: int
+) -> Iterator[Figure]:
+    """List the figures of an entry host."""
+    yield from _results(router.tally)
+    yield _one("sessions", "Sessions of callers that are open", sessions)
+    left_s = (node.lease.deadline_ns - clock_ns()) / _NS_PER_S
+    yield _one("lease_left_seconds", "Time left of the lease", left_s)
+    yield from _view(node.state)
+    yield from _targets(router)
+    yield _one("loans_held", "Connections on loan here", router.desk.held)
+    yield _one("loans_given", "Connections lent to others", lender.lent)
+
+
+def control_figures(control: ControlNode) -> Iterator[Figure]:
+    """List the figures of a control host."""
+    now_ns = clock_ns()
+    log = control.log
+    yield _one("leads", "Whether this host leads", control.leads(now_ns))
+    yield _one("log_term", "Term of the control log", log.term)
+    yield _one("log_commit_index", "Last committed entry", log.commit_index)
+    yield _one("log_voters", "Hosts with a vote", len(log.voters))
+    leases = len(control.lease_holders(now_ns))
+    yield _one("leases", "Entry hosts that hold a lease", leases)
+    changes = len(control.primaries.changes)
+    yield _one("changes", "Changes of primary under way", changes)
+    yield from _view(control.state)
+
+
+def _results(tally: Tally) -> Iterator[Figure]:
+    yield Total(
+        name=f"{_PREFIX}statements",
+        text="Statements by database and what the caller was told",
+        labels=("database", "result"),
+        values=dict(tally.results),
+    )
+    found = {name: tally.histogram(name) for name in tally.databases}
+    yield Histogram(
+        name=f"{_PREFIX}statement_seconds",
+        text="Time from a statement's arrival to its answer",
+        label="database",
+        bounds_s=tuple(bound / 1_000 for bound in BOUNDS_MS),
+        values={k: (c, s / _NS_PER_S) for k, (c, s) in found.items()},
+    )
+
+
+def _view(state: ClusterState) -> Iterator[Figure]:
+    yield _one("state_index", "Last entry of the log in force", state.index)
+    version = state.routes.version
+    yield _one("plan_version", "Version of the plan in force", version)
+    hosts = state.entry_hosts
+    yield _one("entry_hosts", "Entry hosts on record", hosts)
+    terms = {name: term.term for name, term in state.terms.items()}
+    yield _by("group_term", "Term of a group's primary", "group", terms)
+    serving = {n: int(t.is_serving) for n, t in state.terms.items()}
+    yield _by("group_serving", "Whether a primary serves", "group", serving)
+
+
+def _targets(router: Router) -> Iterator[Figure]:
+    turns = dict(router.turns)
+    waiting = {name: turn.waiting for name, turn in turns.items()}
+    running = {name: turn.window.running for name, turn in turns.items()}
+    window = {name: turn.window.size for name, turn in turns.items()}
+    pools = dict(router.pools)
+    opened = {name: pool.own.opened for name, pool in pools.items()}
+    yield _by("target_waiting", "Statements that wait", "target", waiting)
+    yield _by("target_running", "Statements that run", "target", running)
+    yield _by("target_window", "Statements that may run", "target", window)
+    yield _by("target_connections", "Open connections", "target", opened)
+
+
+def _one(name: str, text: str, value: float) -> Gauge:
+    return Gauge(name=_PREFIX + name, text=text, values={"": value})
+
+
+def _by(
+    name: str, text: str, label: str, values: Mapping[str, float]
+) -> Gauge:
+    return Gauge(name=_PREFIX + name, text=text, values=values, label=label)
--- a/src/rosemarysaddle/schema/_documents.py
+++ b/src/rosemarysaddle/schema/_documents.py
@@ -284,6 +284,8 @@
     :param sessions_address: IP address and port for callers' sessions
     :param lending_address: IP address and port at which the hosts of
         the data centre borrow connections
+    :param metrics_address: IP address and port that shows metrics;
+        empty shows none
     :param ready_address: IP address and port for readiness checks
     :param control_address: IP address and port for operators and
         targets
@@ -306,6 +308,7 @@
     data_folder: str = ""
     sessions_address: str = ""
     lending_address: str = ""
+    metrics_address: str = ""
     ready_address: str = ""
     control_address: str = ""
     promotion_address: str = ""
--- a/src/rosemarysaddle/session/_caller.py
+++ b/src/rosemarysaddle/session/_caller.py
@@ -194,7 +194,10 @@
         if not self.database:
             self.refuse_and_close(_bad_request("open"))
             return
+        began_ns = clock_ns()
         result = await self._result(statement)
+        told = result.reason if isinstance(result, Refusal) else "done"
+        self.router.tally.note(self.database, told, clock_ns() - began_ns)
         if isinstance(result, Refusal):
             log_event(
                 "refused",
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -36,6 +36,7 @@
 )
 from rosemarysaddle.link import Address
 from rosemarysaddle.schema import PointReply
+from rosemarysaddle.session._tally import Tally
 from rosemarysaddle.session._turns import Turns
 
 if TYPE_CHECKING:
@@ -99,6 +100,7 @@
     targets: dict[str, PlacedTarget] = attrs.field(factory=dict, init=False)
     pools: dict[str, SharedPool] = attrs.field(factory=dict, init=False)
     desk: LoanDesk = attrs.field(init=False)
+    tally: Tally = attrs.field(factory=Tally, init=False)
     turns: dict[str, Turns] = attrs.field(factory=dict, init=False)
     _by_group: dict[str, dict[str, PlacedTarget]] = attrs.field(
         factory=dict, init=False
--- /dev/null
+++ b/src/rosemarysaddle/session/_tally.py
@@ -0,0 +1,76 @@
+"""Counts and times of what callers were told."""
+
+from __future__ import annotations
+
+import bisect
+import collections
+from typing import Final
+
+import attrs
+
+__all__ = ("BOUNDS_MS", "Tally")
+
+# From a hit in the own data centre to the longest deadline.
+BOUNDS_MS: Final = (
+    5,
+    10,
+    20,
+    50,
+    100,
+    200,
+    500,
+    1_000,
+    2_000,
+    5_000,
+    10_000,
+    20_000,
+)
+_NS_PER_MS: Final = 1_000_000
+
+
+@attrs.define(kw_only=True)
+class _Times:
+    counts: list[int] = attrs.field(factory=lambda: [0] * (len(BOUNDS_MS) + 1))
+    sum_ns: int = 0
+
+
+@attrs.define(kw_only=True)
+class Tally:
+    """Results of one host, by database.
+
+    :param results: count by database and outcome or reason
+    """
+
+    results: collections.Counter[tuple[str, str]] = attrs.field(
+        factory=collections.Counter, init=False
+    )
+    _times: dict[str, _Times] = attrs.field(factory=dict, init=False)
+
+    def note(self, database: str, result: str, spent_ns: int) -> None:
+        """Take note of one statement.
+
+        :param result: ``done``, or the reason of a refusal
+        :param spent_ns: time from its arrival to its answer
+        """
+        self.results[database, result] += 1
+        times = self._times.get(database)
+        if times is None:
+            times = self._times[database] = _Times()
+        number = bisect.bisect_left(BOUNDS_MS, spent_ns / _NS_PER_MS)
+        times.counts[number] += 1
+        times.sum_ns += spent_ns
+
+    def histogram(self, database: str) -> tuple[list[int], int]:
+        """List counts by bound, those of all, and the sum of times."""
+        times = self._times[database]
+        total = 0
+        found = []
+        for count in times.counts:
+            total += count
+            found.append(total)
+        return found, times.sum_ns
+
+    @property
+    def databases(self) -> list[str]:
+        """Databases with statements, by name."""
+        return sorted(self._times)
