Explain a request from the logs of all hosts

Cause: lines had no host and no date, a slow reader of standard error could block a process, and nothing put the lines of several hosts together. A refusal named its reason, not what the host believed.

Ruled out: a JSON library for the lines (our messages are key=value pairs already, the prefix is one format string); one line for each statement (refusals and failures come first; statements are counted in metrics).

Test: tests/operate/test_explain.py, tests/test_lines.py.

--- /dev/null
+++ b/src/rosemarysaddle/_lines.py
@@ -0,0 +1,113 @@
+"""Log lines of a process: one format, never in the way of serving."""
+
+from __future__ import annotations
+
+import logging
+import logging.handlers
+import queue
+import sys
+import threading
+import time
+from typing import TYPE_CHECKING, Final
+
+from absl import logging as absl_logging
+
+if TYPE_CHECKING:
+    from typing import TextIO
+
+__all__ = ("LineFormatter", "LineWriter", "set_up_lines")
+
+# A second of the most lines that all kinds together may write.
+MAX_QUEUED: Final = 1_000
+_LEVELS: Final = {"WARNING": "warning", "CRITICAL": "error"}
+
+
+class LineFormatter(logging.Formatter):
+    """Renders a record as ``key=value`` pairs (logfmt).
+
+    Our messages are such pairs already; others become ``message``.
+
+    :param host: name of this host
+    """
+
+    def __init__(self, host: str) -> None:
+        super().__init__()
+        self._host = host
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Render one line."""
+        at = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+        level = record.levelname
+        text = record.getMessage()
+        if not text.startswith("event="):
+            text = f"event=message text={_quoted(text)}"
+        if record.exc_info:
+            text += f" trace={_quoted(self.formatException(record.exc_info))}"
+        return (
+            f"time={at}.{int(record.msecs):03d}Z"
+            f" level={_LEVELS.get(level, level.lower())}"
+            f" host={self._host} {text}"
+        )
+
+
+class LineWriter(logging.Handler):
+    """Writes lines from a thread of its own; drops them when it lags.
+
+    :param stream: where to write
+    """
+
+    def __init__(self, stream: TextIO) -> None:
+        super().__init__()
+        self._stream = stream
+        self._queue: queue.Queue[str] = queue.Queue(MAX_QUEUED)
+        self._dropped = 0
+        self._thread = threading.Thread(
+            target=self._write_forever, name="log", daemon=True
+        )
+        self._thread.start()
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queue one line, or count it as dropped."""
+        line = self.format(record)
+        try:
+            if self._dropped:
+                kept = f"{line} dropped_before={self._dropped}"
+                self._queue.put_nowait(kept)
+                self._dropped = 0
+            else:
+                self._queue.put_nowait(line)
+        except queue.Full:
+            self._dropped += 1
+
+    def flush(self) -> None:
+        """Wait for the lines that are queued; called at the end."""
+        self._queue.join()
+
+    def _write_forever(self) -> None:
+        while True:
+            line = self._queue.get()
+            try:
+                self._stream.write(f"{line}\n")
+                self._stream.flush()
+            except (OSError, ValueError):
+                # Nobody reads the log any more; serving goes on.
+                pass
+            finally:
+                self._queue.task_done()
+
+
+def set_up_lines(host: str) -> None:
+    """Send all logs of this process to standard output.
+
+    :param host: name of this host, part of each line
+    """
+    handler = LineWriter(sys.stdout)
+    handler.setFormatter(LineFormatter(host))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    absl_logging.set_verbosity(absl_logging.INFO)
+
+
+def _quoted(text: str) -> str:
+    escaped = text.replace("\\", "\\\\").replace('"', "'")
+    return '"' + escaped.replace("\n", "\\n") + '"'
--- a/src/rosemarysaddle/daemon/_host.py
+++ b/src/rosemarysaddle/daemon/_host.py
@@ -143,7 +143,7 @@
         await self.network.start()
         self._ticker = self._loop.create_task(self._tick_forever())
         logging.info(
-            "event=started host=%s control=%s",
+            "event=started name=%s control=%s",
             self.settings.host,
             self.control is not None,
         )
@@ -273,7 +273,7 @@
         :param since_ns: monotonic time since which one is silent
         """
         logging.info(
-            "event=silent host=%s step=execute peer=%s",
+            "event=silent name=%s step=execute peer=%s",
             self.settings.host,
             name,
         )
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -137,7 +137,7 @@
         self._spawn(self._join_forever())
         await self._start_http()
         logging.info(
-            "event=started host=%s voters=%s index=%d",
+            "event=started name=%s voters=%s index=%d",
             self.host,
             ",".join(self.control.log.voters),
             self.control.state.index,
@@ -146,7 +146,7 @@
     async def stop(self) -> None:
         """Hand leadership on and stop."""
         self.is_stopping = True
-        logging.info("event=stopping host=%s", self.host)
+        logging.info("event=stopping name=%s", self.host)
         self._send_to_leader(StepOut(host=self.host))
         self._carry_out(self.control.step_down(clock_ns()))
         await asyncio.sleep(STOP_S)
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -118,7 +118,7 @@
         self._ready.tree.graft(self.platform.readiness_app(self.is_ready), "")
         self._ready.start()
         self._metrics = start_metrics(self.settings, self._figures)
-        logging.info("event=started host=%s", self.node.host)
+        logging.info("event=started name=%s", self.node.host)
 
     async def _start_lending(self) -> None:
         if not self.settings.lending_address:
--- a/src/rosemarysaddle/node/_main.py
+++ b/src/rosemarysaddle/node/_main.py
@@ -11,6 +11,7 @@
 from absl import logging
 
 from rosemarysaddle._limits import raise_file_limit
+from rosemarysaddle._lines import set_up_lines
 from rosemarysaddle.schema import Node, SchemaFault, load_file
 
 if TYPE_CHECKING:
@@ -26,14 +27,13 @@
 
     :return: exit status
     """
-    logging.use_absl_handler()
-    logging.set_verbosity(logging.INFO)
     raise_file_limit()
     path = platform.settings_path(os.environ)
     settings = load_file(Node, path)
     if isinstance(settings, SchemaFault):
         sys.stderr.write(f"{settings}\n")
         return 2
+    set_up_lines(settings.host)
     asyncio.run(_serve(_build(settings, platform), path))
     return 0
 
--- a/src/rosemarysaddle/run.py
+++ b/src/rosemarysaddle/run.py
@@ -13,9 +13,11 @@
 
 import attrs
 import defopt
+import pyjson5
 from absl import logging
 
 from rosemarysaddle._limits import raise_file_limit
+from rosemarysaddle._lines import set_up_lines
 from rosemarysaddle.daemon import HostDaemon
 from rosemarysaddle.demo import DEPLOYMENTS, play, run_trial
 from rosemarysaddle.operate import (
@@ -23,13 +25,17 @@
     AdminFault,
     apply_document,
     diff_document,
+    explain_request,
     load_for_change,
+    read_lines,
 )
 from rosemarysaddle.schema import (
     Inventory,
+    Node,
     Rules,
     SchemaFault,
     Settings,
+    StandIn,
     load_file,
 )
 from rosemarysaddle.serve import EntryServer
@@ -120,6 +126,33 @@
     return _check(Settings, file)
 
 
+def check(file: str) -> int:
+    """Check a settings file of any process.
+
+    :param file: path of the file
+    """
+    return _check(_kind_of(file), file)
+
+
+def explain(request_id: str, *files: str) -> int:
+    """Tell the story of a request from the logs of all hosts.
+
+    :param request_id: id of the request
+    :param files: log files; standard input where none is named
+    """
+    lines: list[str] = []
+    for file in files:
+        lines.extend(Path(file).read_text(encoding="utf-8").splitlines())
+    if not files:
+        lines.extend(sys.stdin)
+    story = explain_request(request_id, read_lines(lines))
+    for text in story:
+        print(text)
+    if not story:
+        print(f"no log names {request_id}", file=sys.stderr)
+    return 0 if story else 1
+
+
 def check_inventory(file: str) -> int:
     """Check an inventory file and say what is wrong with it.
 
@@ -221,6 +254,8 @@
         "entry": entry,
         "control": control,
         "stand-in": stand_in,
+        "check": check,
+        "explain": explain,
         "settings": {"check": check_settings},
         "inventory": {"check": check_inventory},
         "rules": {"check": check_rules},
@@ -237,6 +272,7 @@
     settings = load_file(Settings, path)
     if isinstance(settings, SchemaFault):
         return _complain(settings)
+    set_up_lines(settings.host)
     server = EntryServer(daemon=HostDaemon(settings=settings))
     return _serve(server.start, server.stop)
 
@@ -257,7 +293,21 @@
     return 0
 
 
-def _check(kind: type[Settings | Inventory | Rules], file: str) -> int:
+def _kind_of(file: str) -> type[Settings | Node | StandIn]:
+    """Tell by their keys whose settings a file holds."""
+    try:
+        body = pyjson5.decode(Path(file).read_text(encoding="utf-8"))
+    except (OSError, pyjson5.Json5Exception):
+        # The check itself tells what is wrong.
+        return Settings
+    if "seeds" in body:
+        return Node
+    return StandIn if "targets" in body else Settings
+
+
+def _check(
+    kind: type[Settings | Node | StandIn | Inventory | Rules], file: str
+) -> int:
     loaded = load_file(kind, file)
     if isinstance(loaded, SchemaFault):
         return _complain(loaded)
--- a/src/rosemarysaddle/session/_caller.py
+++ b/src/rosemarysaddle/session/_caller.py
@@ -199,17 +199,25 @@
         told = result.reason if isinstance(result, Refusal) else "done"
         self.router.tally.note(self.database, told, clock_ns() - began_ns)
         if isinstance(result, Refusal):
-            log_event(
-                "refused",
-                f"id={statement.request_id} database={self.database}"
-                f" kind={statement.kind} reason={result.reason}"
-                f" step={result.step} peer={result.peer}"
-                f" outcome={result.outcome}",
-            )
+            self._log_refusal(statement, result, clock_ns() - began_ns)
             self._write(self.codec.encode_refusal(result, self.state))
         else:
             self._write(self.codec.encode_answer(result, self.state))
 
+    def _log_refusal(
+        self, statement: Statement, refusal: Refusal, spent_ns: int
+    ) -> None:
+        route = self.router.route(self.database)
+        belief = self.router.belief(route.group) if route is not None else ""
+        log_event(
+            "refused",
+            f"id={statement.request_id} database={self.database}"
+            f" kind={statement.kind} reason={refusal.reason}"
+            f" step={refusal.step} peer={refusal.peer}"
+            f" outcome={refusal.outcome} spent_ms={spent_ns // NS_PER_MS}"
+            f" {belief}",
+        )
+
     async def _result(self, statement: Statement) -> Answer | Refusal:
         match statement.kind:
             case StatementKind.ROLLBACK:
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -128,6 +128,22 @@
         """Find the route in force of a database."""
         return self.node.state.routes.databases.get(database)
 
+    def belief(self, group: str) -> str:
+        """Tell what this host believes of a group, for the log."""
+        now_ns = clock_ns()
+        state = self.node.state
+        term = state.terms.get(group)
+        left_ms = (self.node.lease.deadline_ns - now_ns) // NS_PER_MS
+        positions = self._positions.get(group)
+        newest_ns = positions.newest_ns() if positions is not None else 0
+        age_ms = (now_ns - newest_ns) // NS_PER_MS if newest_ns else -1
+        return (
+            f"group={group} term={term.term if term is not None else 0}"
+            f" primary={term.primary if term is not None else '-'}"
+            f" lease_left_ms={left_ms} position_age_ms={age_ms}"
+            f" index={state.index} version={state.routes.version}"
+        )
+
     # --- reads ---
 
     def place_read(
--- /dev/null
+++ b/tests/operate/test_explain.py
@@ -0,0 +1,129 @@
+"""The three stories of docs/OPERATIONS.md, on lines of hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import logging
+from typing import TYPE_CHECKING
+
+import pytest
+
+from rosemarysaddle import _events
+from rosemarysaddle._lines import LineFormatter
+from rosemarysaddle.operate import explain_request, read_lines
+from tests.session.standin import StandInTarget, make_router, open_caller
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+PORT = 17_780
+
+
+@pytest.fixture(name="log")
+def _log(monkeypatch: pytest.MonkeyPatch) -> Iterator[io.StringIO]:
+    stream = io.StringIO()
+    handler = logging.StreamHandler(stream)
+    handler.setFormatter(LineFormatter("entry-1"))
+    log = logging.getLogger("test")
+    log.setLevel(logging.INFO)
+    log.addHandler(handler)
+    events = _events.EventLog(write=lambda text: log.info("%s", text))
+    monkeypatch.setattr(_events, "_LOG", events)
+    yield stream
+    log.removeHandler(handler)
+
+
+def _story(log: io.StringIO) -> str:
+    lines = read_lines(log.getvalue().splitlines())
+    return "\n".join(explain_request("5c", lines))
+
+
+def _ask(text: str, *, primary: str, faults: dict[str, list[str]]) -> None:
+    async def run() -> None:
+        target = StandInTarget(name="t1", port=PORT, faults=faults)
+        router = make_router([target])
+        if not primary:
+            router.node.lease.close("g", 1)
+        await target.start()
+        if primary == "no-lease":
+            router.node.lease.deadline_ns = 0
+        router.follow()
+        try:
+            caller = await open_caller(router, "own")
+            await caller.query(text)
+        finally:
+            target.stop()
+            for pool in router.pools.values():
+                pool.close()
+
+    asyncio.run(run())
+
+
+def test_story_of_a_write_in_a_change_of_primary(log: io.StringIO) -> None:
+    _ask("WRITE 1 x", primary="", faults={})
+
+    story = _story(log)
+
+    assert "event=refused id=5c" in story
+    assert "reason=no-primary" in story
+    assert "outcome=not-run" in story
+    assert "term=1 primary=t1" in story
+
+
+def test_story_of_a_request_refused_under_overload(log: io.StringIO) -> None:
+    _ask("WRITE 1 x", primary="t1", faults={"WRITE": ["BUSY"] * 20})
+
+    story = _story(log)
+
+    assert "reason=target-busy" in story
+    assert "spent_ms=" in story
+
+
+def test_story_of_a_request_at_a_host_that_was_cut_off(
+    log: io.StringIO,
+) -> None:
+    _ask("WRITE 1 x", primary="no-lease", faults={})
+
+    story = _story(log)
+
+    assert "reason=no-primary" in story
+    assert "lease_left_ms=-" in story
+
+
+HOSTS = """\
+ 20.10 core-1 time=2026-03-15T04:00:00.000Z level=info host=core-1 \
+event=control role=leader term=2 leader=core-1
+ 20.12 core-1 time=2026-03-15T04:00:05.000Z level=info host=core-1 \
+event=probed group=g attempt=1 answers=t2
+ 20.13 core-1 time=2026-03-15T04:00:05.500Z level=info host=core-1 \
+event=promoted group=g target=t2 done=True
+ 20.14 e-1 time=2026-03-15T04:00:04.500Z level=info host=e-1 \
+event=target-down target=t1 group=g code=lost
+ 20.15 e-1 time=2026-03-15T04:00:05.100Z level=info host=e-1 \
+event=refused id=5c peer=g reason=no-primary
+ 20.15 e-1 time=2026-03-15T04:00:05.200Z level=info host=e-1 \
+event=refused id=other peer=g reason=no-primary
+ 20.16 e-1 time=2026-03-15T04:00:05.300Z level=info host=e-1 \
+event=target-down target=t9 group=h code=lost
+ 20.16 e-2 time=2026-03-15T04:01:00.000Z level=info host=e-2 \
+event=target-down target=t1 group=g code=lost
+a line of another program
+"""
+
+
+def test_story_has_the_lines_of_all_hosts_in_time_order() -> None:
+    story = explain_request("5c", read_lines(HOSTS.splitlines()))
+
+    events = [line.split(" event=")[1].split()[0] for line in story]
+    assert events == [
+        "control",
+        "target-down",
+        "probed",
+        "refused",
+        "promoted",
+    ]
+
+
+def test_story_of_an_unknown_request_is_empty() -> None:
+    assert not explain_request("nobody", read_lines(HOSTS.splitlines()))
--- /dev/null
+++ b/tests/test_lines.py
@@ -0,0 +1,89 @@
+from __future__ import annotations
+
+import io
+import logging
+import threading
+from typing import Any
+
+from rosemarysaddle._events import MAX_PER_SECOND, EventLog
+from rosemarysaddle._lines import MAX_QUEUED, LineFormatter, LineWriter
+
+
+def _record(text: str) -> logging.LogRecord:
+    return logging.LogRecord("x", logging.INFO, "", 0, text, (), None)
+
+
+def _written(stream: io.StringIO, texts: list[str]) -> list[str]:
+    writer = LineWriter(stream)
+    writer.setFormatter(LineFormatter("h"))
+    for text in texts:
+        writer.emit(_record(text))
+    writer.flush()
+    return stream.getvalue().splitlines()
+
+
+def test_line_names_time_level_host_and_event() -> None:
+    (line,) = _written(io.StringIO(), ["event=started index=3"])
+
+    assert line.startswith("time=")
+    assert line.endswith("Z level=info host=h event=started index=3")
+
+
+def test_line_of_a_library_becomes_a_message() -> None:
+    (line,) = _written(io.StringIO(), ['said "no"\nand more'])
+
+    assert line.endswith("event=message text=\"said 'no'\\nand more\"")
+
+
+class _Stuck(io.StringIO):
+    """Stream whose reader waits until it is let go."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.go = threading.Event()
+
+    def write(self, text: str) -> int:
+        self.go.wait(10)
+        return super().write(text)
+
+
+def test_slow_reader_costs_lines_and_never_blocks() -> None:
+    stream = _Stuck()
+    writer = LineWriter(stream)
+    writer.setFormatter(LineFormatter("h"))
+
+    for number in range(10 * MAX_QUEUED):
+        writer.emit(_record(f"event=a number={number}"))
+    stream.go.set()
+    writer.flush()
+    writer.emit(_record("event=b"))
+    writer.flush()
+
+    lines = stream.getvalue().splitlines()
+    assert len(lines) <= MAX_QUEUED + 2
+    dropped = int(lines[-1].rpartition("dropped_before=")[2])
+    assert dropped + len(lines) - 1 == 10 * MAX_QUEUED
+
+
+def test_closed_reader_does_not_end_the_writer() -> None:
+    class _Closed(io.StringIO):
+        def write(self, text: str) -> Any:
+            del text
+            raise BrokenPipeError
+
+    assert _written(_Closed(), ["event=a", "event=b"]) == []
+
+
+def test_events_stay_bounded_at_ten_times_the_load() -> None:
+    written: list[str] = []
+    events = EventLog(write=written.append)
+
+    for second in range(3):
+        for number in range(10 * MAX_PER_SECOND):
+            at_ns = second * 1_000_000_000 + number
+            events.log("refused", f"id={number}", at_ns)
+
+    left_out = 10 * MAX_PER_SECOND - MAX_PER_SECOND
+    told = f"event=left-out kind=refused count={left_out}"
+    assert len(written) == 3 * MAX_PER_SECOND + 2
+    assert written.count(told) == 2
