Do not let reads find out that a target is back

A read that lost two connections was refused as no-primary.

Ruled out: longer marks (a target that is back stays idle for as long).

Change: a target that took no connection is out of the choice until a check of this host's own succeeds, every 250 ms. Refusals name the last fault.

--- a/src/rosemarysaddle/decide/_placing.py
+++ b/src/rosemarysaddle/decide/_placing.py
@@ -43,6 +43,8 @@
     :param point: newest position that the target told
     :param behind_until_ns: time until which it is taken to lag
     :param down_until_ns: time until which it gets no work
+    :param is_gone: whether it took no connection at the last try; it
+        gets no work until one of this host's own checks succeeds
     """
 
     target: str
@@ -57,6 +59,7 @@
     point: LogPoint | None = None
     behind_until_ns: int = 0
     down_until_ns: int = 0
+    is_gone: bool = False
 
     def note_latency(self, latency_ns: int) -> None:
         """Take the time that a statement took."""
@@ -130,7 +133,7 @@
 def _is_fit(target: PlacedTarget, need: ReadNeed) -> bool:
     if target.target in need.excluded or target.leaving:
         return False
-    if need.now_ns < target.down_until_ns:
+    if target.is_gone or need.now_ns < target.down_until_ns:
         return False
     if target.target == need.primary:
         return True
--- a/src/rosemarysaddle/exchange/_pool.py
+++ b/src/rosemarysaddle/exchange/_pool.py
@@ -49,6 +49,7 @@
     :param label: who connects, for the target's log
     :param limit: count of connections that this host may open
     :param on_open_fault: called when no connection could be opened
+    :param failed: count of connections that could not be opened
     """
 
     target: str
@@ -59,6 +60,7 @@
     new_codec: Callable[[], TargetCodec]
     on_open_fault: Callable[[OpenFault], None]
     is_closed: bool = attrs.field(default=False, init=False)
+    failed: int = attrs.field(default=0, init=False)
     _idle: list[Exchange] = attrs.field(factory=list, init=False)
     _open: set[Exchange] = attrs.field(factory=set, init=False)
     _opening: int = attrs.field(default=0, init=False)
@@ -120,12 +122,17 @@
                 return
             self.release(found)
 
-    async def check(self) -> None:
-        """Open one more connection to find out whether that works."""
+    async def check(self) -> bool:
+        """Open one more connection to find out whether that works.
+
+        :return: whether the target took it, or refused it by itself
+        """
         deadline_ns = clock_ns() + CONNECT_MS * NS_PER_MS
         found = await self._open_one(deadline_ns)
-        if isinstance(found, Exchange):
-            self.release(found)
+        if isinstance(found, OpenFault):
+            return found.connected
+        self.release(found)
+        return True
 
     def set_limit(self, limit: int) -> None:
         """Change the limit; idle connections above it are ended."""
@@ -188,6 +195,7 @@
         return exchange
 
     def _fail(self, fault: OpenFault, counts: bool) -> OpenFault:  # noqa: FBT001
+        self.failed += 1
         if counts:
             self.on_open_fault(fault)
         self._wake_one()
--- a/src/rosemarysaddle/exchange/_shared.py
+++ b/src/rosemarysaddle/exchange/_shared.py
@@ -75,10 +75,11 @@
         else:
             self.own.release(exchange)
 
-    async def check(self) -> None:
+    async def check(self) -> bool:
         """Find out over a new connection whether the target answers."""
-        await self.own.check()
+        found = await self.own.check()
         self.trim()
+        return found
 
     async def warm(self, count: int) -> None:
         """Open own connections before they are needed."""
--- a/src/rosemarysaddle/session/_refusals.py
+++ b/src/rosemarysaddle/session/_refusals.py
@@ -15,6 +15,13 @@
 
 # A change of primary or a shed queue is mostly over by then.
 RETRY_AFTER_MS: Final = 200
+# Why the last try came to nothing; else no target was to be had.
+_REASONS: Final[dict[FaultCode | None, Reason]] = {
+    FaultCode.BUSY: Reason.TARGET_BUSY,
+    FaultCode.TOO_MANY_CONNECTIONS: Reason.TARGET_BUSY,
+    FaultCode.LOST: Reason.CONNECTION_LOST,
+    FaultCode.TIMEOUT: Reason.CONNECTION_LOST,
+}
 
 
 def read_refusal(route: Route, last: Answer | None) -> Refusal:
@@ -32,9 +39,9 @@
 
 def not_run(group: str, last: Answer | None) -> Refusal:
     """Promise that nothing was run, with a time to come back."""
-    busy = last is not None and last.fault is FaultCode.BUSY
+    fault = last.fault if last is not None else None
     return Refusal(
-        reason=Reason.TARGET_BUSY if busy else Reason.NO_PRIMARY,
+        reason=_REASONS.get(fault, Reason.NO_PRIMARY),
         step=Step.EXECUTE,
         peer=group,
         retry_after_ms=RETRY_AFTER_MS,
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -63,6 +63,8 @@
 POINT_MS: Final = 1_000
 WANTED_MS: Final = 5_000
 CHECK_MS: Final = 300
+# Pause between the checks of a target that took no connection.
+REVIVE_MS: Final = 250
 MAX_WAITING: Final = 400
 RETRY_AFTER_MS: Final = 250
 # A host whose ticks come later than this is too busy to judge others.
@@ -271,6 +273,7 @@
         )
         if fault.connected or is_late:
             return
+        self._start_reviving(placed)
         effects = self.node.suspect(
             placed.group, fault.peer, refused=fault.refused, now_ns=now_ns
         )
@@ -287,7 +290,7 @@
         )
         if fault.code in {FaultCode.LOST, FaultCode.TIMEOUT}:
             placed.note_down(clock_ns())
-            self.check(fault.peer)
+            self._start_reviving(placed)
 
     def check(self, target: str) -> None:
         """Find out over a new connection whether a target answers."""
@@ -296,7 +299,27 @@
         if pool is None or now_ns < self._check_at_ns.get(target, 0):
             return
         self._check_at_ns[target] = now_ns + CHECK_MS * NS_PER_MS
-        self._spawn(pool.check())
+        self._spawn(self._check(pool))
+
+    async def _check(self, pool: SharedPool) -> None:
+        await pool.check()
+
+    def _start_reviving(self, placed: PlacedTarget) -> None:
+        if not placed.is_gone:
+            placed.is_gone = True
+            self._spawn(self._revive(placed))
+
+    async def _revive(self, placed: PlacedTarget) -> None:
+        # Requests do not pay for finding out that a target is back.
+        while self.targets.get(placed.target) is placed:
+            await asyncio.sleep(REVIVE_MS / 1_000)
+            pool = self.pools.get(placed.target)
+            if pool is not None and await pool.check():
+                break
+        placed.is_gone = False
+        placed.down_until_ns = 0
+        log_event("target-up", f"target={placed.target} group={placed.group}")
+        self.wake()
 
     # --- changes of the view ---
 
--- a/tests/session/test_caller.py
+++ b/tests/session/test_caller.py
@@ -233,3 +233,36 @@
         return [str(other.is_closed)]
 
     assert _play([_primary()], play) == ["True"]
+
+
+def test_read_does_not_pay_for_a_target_that_is_gone() -> None:
+    gone = StandInTarget(name="t2", port=PORT + 2)
+    first = _primary()
+
+    async def run() -> list[str]:
+        await first.start()
+        router = make_router([first, gone])
+        router.follow()
+        router.targets["t1"].latency_ns = 2**40
+        caller = await open_caller(router, "old")
+        await caller.query("READ 1")
+        for _ in range(400):
+            if router.targets["t2"].is_gone:
+                break
+            await asyncio.sleep(0.005)
+        tried = router.pools["t2"].own.failed
+        answers = [await caller.query("READ 1") for _ in range(5)]
+        assert router.pools["t2"].own.failed - tried <= 1
+        await gone.start()
+        for _ in range(400):
+            if not router.targets["t2"].is_gone:
+                break
+            await asyncio.sleep(0.005)
+        assert not router.targets["t2"].is_gone
+        for pool in router.pools.values():
+            pool.close()
+        first.stop()
+        gone.stop()
+        return answers
+
+    assert asyncio.run(run()) == ["OK I"] * 5
