Queue for connections by priority, with a reserve and early refusals

Statements waited for one first come, first served, up to their deadline, and were refused then: 15 % refused, mostly held to the end untried.

Change: `decide._queueing`: the urgent first, a quarter of the connections kept from transactions, and whoever would wait longer than half of the statement's time is refused at once, with a time to come back. The lender does the same for its borrowers. Found by its test: a waiter whose time-out met the release in one pass of the loop lost the connection for good; the time-out does not cancel any more.

Test: tests/exchange/test_pool.py.

--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -44,6 +44,7 @@
     choose_target,
     way_cost_ns,
 )
+from rosemarysaddle.decide._queueing import ConnectionQueue, Waiter, Wish
 from rosemarysaddle.decide._reasons import Outcome, Reason, Refusal, Step
 from rosemarysaddle.decide._registry import is_news
 from rosemarysaddle.decide._routes import Freshness, RouteTable, check_plan
@@ -91,6 +92,7 @@
     "CloseSession",
     "ClusterState",
     "Committed",
+    "ConnectionQueue",
     "ConnectionSetup",
     "ConnectionShare",
     "ControlNode",
@@ -139,7 +141,9 @@
     "TargetReport",
     "TargetView",
     "TokenCodec",
+    "Waiter",
     "Window",
+    "Wish",
     "WriteTicket",
     "address_of",
     "check_change",
--- a/src/rosemarysaddle/exchange/_connection.py
+++ b/src/rosemarysaddle/exchange/_connection.py
@@ -286,6 +286,8 @@
                 lambda: exchange, address.ip, address.port
             )
     except TimeoutError:
+        # It may have been connected at the last moment.
+        exchange.abort()
         return _TIMED_OUT
     except OSError as error:
         return Answer(
--- a/src/rosemarysaddle/exchange/_lender.py
+++ b/src/rosemarysaddle/exchange/_lender.py
@@ -9,7 +9,7 @@
 
 from rosemarysaddle._clock import clock_ns
 from rosemarysaddle._events import log_event
-from rosemarysaddle.decide import NS_PER_MS, FaultCode, SessionVariables
+from rosemarysaddle.decide import NS_PER_MS, FaultCode, SessionVariables, Wish
 from rosemarysaddle.exchange._connection import Exchange, guard_socket
 from rosemarysaddle.exchange._frames import (
     FrameReader,
@@ -191,6 +191,7 @@
                     values={v.name: v.value for v in request.values}
                 ),
                 deadline_ns=clock_ns() + request.wait_ms * NS_PER_MS,
+                wish=Wish(priority=request.priority, pinned=request.pinned),
             )
             if isinstance(found, OpenFault):
                 self._refuse(found.code)
--- a/src/rosemarysaddle/exchange/_loans.py
+++ b/src/rosemarysaddle/exchange/_loans.py
@@ -9,7 +9,7 @@
 
 from rosemarysaddle._clock import clock_ns
 from rosemarysaddle._events import log_event
-from rosemarysaddle.decide import NS_PER_MS, FaultCode, LenderRanking
+from rosemarysaddle.decide import NS_PER_MS, FaultCode, LenderRanking, Wish
 from rosemarysaddle.exchange._connection import Exchange, guard_socket
 from rosemarysaddle.exchange._frames import (
     FrameReader,
@@ -176,6 +176,7 @@
         values: Mapping[str, str],
         *,
         deadline_ns: int,
+        wish: Wish,
     ) -> Exchange | OpenFault | None:
         """Borrow a connection to a target.
 
@@ -191,7 +192,11 @@
             return None
         wait_ms = max(0, deadline_ns - clock_ns()) // NS_PER_MS
         request = LoanRequest(
-            target=target, wait_ms=wait_ms, values=variables_of(values)
+            target=target,
+            wait_ms=wait_ms,
+            values=variables_of(values),
+            priority=wish.priority,
+            pinned=wish.pinned,
         )
         answer = await link.ask(request, deadline_ns=deadline_ns)
         if answer is None:
@@ -272,6 +277,7 @@
                     lambda: link, address.ip, address.port
                 )
         except (TimeoutError, OSError):
+            link.abort()
             return None
         return link
 
--- a/src/rosemarysaddle/exchange/_pool.py
+++ b/src/rosemarysaddle/exchange/_pool.py
@@ -3,13 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-import collections
+import enum
 from typing import TYPE_CHECKING, Final
 
 import attrs
 
 from rosemarysaddle._clock import clock_ns
-from rosemarysaddle.decide import NS_PER_MS, FaultCode, SessionVariables
+from rosemarysaddle.decide import (
+    NS_PER_MS,
+    ConnectionQueue,
+    FaultCode,
+    SessionVariables,
+    Waiter,
+    Wish,
+)
 from rosemarysaddle.exchange._connection import Exchange, open_exchange
 
 if TYPE_CHECKING:
@@ -24,6 +31,14 @@
 CONNECT_MS: Final = 500
 MAX_OPENING: Final = 1
 _NS_PER_S: Final = 1_000_000_000
+_ANY: Final = Wish()
+
+
+class _Word(enum.Enum):
+    """What a waiter is told in place of a connection."""
+
+    AGAIN = enum.auto()
+    LATE = enum.auto()
 
 
 @attrs.frozen(kw_only=True)
@@ -64,30 +79,46 @@
     _idle: list[Exchange] = attrs.field(factory=list, init=False)
     _open: set[Exchange] = attrs.field(factory=set, init=False)
     _opening: int = attrs.field(default=0, init=False)
-    _queue: collections.deque[asyncio.Future[Exchange | None]] = attrs.field(
-        factory=collections.deque, init=False
+    _queue: ConnectionQueue[asyncio.Future[Exchange | _Word]] = attrs.field(
+        init=False
+    )
+    _held: dict[Exchange, tuple[Wish, int]] = attrs.field(
+        factory=dict, init=False
     )
 
+    def __attrs_post_init__(self) -> None:
+        """Start with nobody waiting."""
+        self._queue = ConnectionQueue(limit=self.limit)
+
     async def acquire(
-        self, variables: SessionVariables, *, deadline_ns: int
+        self,
+        variables: SessionVariables,
+        *,
+        deadline_ns: int,
+        wish: Wish = _ANY,
     ) -> Exchange | OpenFault:
         """Borrow a connection.
 
         :param variables: what the session has set; a connection that
             has the same is taken first
+        :param deadline_ns: time to wait until; whoever would wait
+            longer is refused at once
         """
         while True:
-            found = self._take_idle(variables)
+            found = await self._find(variables, wish, deadline_ns)
+            if isinstance(found, Exchange):
+                self._hand_out(found, wish)
+                return found
             if found is not None:
                 return found
-            if self._may_open():
-                return await self._open_one(deadline_ns)
-            given = await self._wait(deadline_ns)
+            waits_ns = self._queue.expected_wait_ns(wish)
+            if clock_ns() + waits_ns > deadline_ns:
+                return self._full()
+            given = await self._wait(wish, deadline_ns)
             if isinstance(given, Exchange):
                 return given
-            if given is None:
-                code = FaultCode.TOO_MANY_CONNECTIONS
-                return OpenFault(code=code, peer=self.target)
+            if given is _Word.LATE:
+                return self._full()
 
     @property
     def has_idle(self) -> bool:
@@ -101,16 +132,17 @@
 
     def release(self, exchange: Exchange) -> None:
         """Give a connection back; one that is not idle is ended."""
+        self._note_ended(exchange)
         is_excess = len(self._open) > self.limit
         if self.is_closed or is_excess or not exchange.is_idle:
             exchange.abort()
             return
-        while self._queue:
-            waiting = self._queue.popleft()
-            if not waiting.done():
-                waiting.set_result(exchange)
-                return
-        self._idle.append(exchange)
+        waiter = self._next_waiter()
+        if waiter is None:
+            self._idle.append(exchange)
+            return
+        self._hand_out(exchange, waiter.wish)
+        waiter.item.set_result(exchange)
 
     async def warm(self, count: int) -> None:
         """Open connections before they are needed."""
@@ -137,6 +169,7 @@
     def set_limit(self, limit: int) -> None:
         """Change the limit; idle connections above it are ended."""
         self.limit = limit
+        self._queue.limit = limit
         excess = len(self._open) - limit
         for exchange in self._idle[: max(0, excess)]:
             exchange.abort()
@@ -151,6 +184,36 @@
         for exchange in list(self._idle):
             exchange.abort()
 
+    async def _find(
+        self, variables: SessionVariables, wish: Wish, deadline_ns: int
+    ) -> Exchange | OpenFault | None:
+        if not self._queue.may_hold(wish):
+            return None
+        found = self._take_idle(variables)
+        if found is not None:
+            return found
+        return await self._open_one(deadline_ns) if self._may_open() else None
+
+    def _full(self) -> OpenFault:
+        code = FaultCode.TOO_MANY_CONNECTIONS
+        return OpenFault(code=code, peer=self.target)
+
+    def _hand_out(self, exchange: Exchange, wish: Wish) -> None:
+        self._held[exchange] = (wish, clock_ns())
+        self._queue.note_taken(wish)
+
+    def _note_ended(self, exchange: Exchange) -> None:
+        held = self._held.pop(exchange, None)
+        if held is not None:
+            wish, since_ns = held
+            self._queue.note_ended(wish, clock_ns() - since_ns)
+
+    def _next_waiter(self) -> Waiter[asyncio.Future[Exchange | _Word]] | None:
+        while (waiter := self._queue.pop()) is not None:
+            if not waiter.item.done():
+                return waiter
+        return None
+
     def _may_open(self) -> bool:
         # A new connection takes a slot of the target for some time.
         room = len(self._open) + self._opening < self.limit
@@ -201,29 +264,34 @@
         self._wake_one()
         return fault
 
-    async def _wait(self, deadline_ns: int) -> Exchange | bool | None:
+    async def _wait(self, wish: Wish, deadline_ns: int) -> Exchange | _Word:
         loop = asyncio.get_running_loop()
         left_s = (deadline_ns - clock_ns()) / _NS_PER_S
         if left_s <= 0:
-            return None
-        waiting: asyncio.Future[Exchange | None] = loop.create_future()
-        self._queue.append(waiting)
+            return _Word.LATE
+        waiting: asyncio.Future[Exchange | _Word] = loop.create_future()
+        waiter = self._queue.push(wish, waiting)
+        # A time-out that cancels would lose a connection just given.
+        timer = loop.call_later(left_s, _tell, waiting, _Word.LATE)
         try:
-            async with asyncio.timeout(left_s):
-                given = await waiting
-        except TimeoutError:
-            return None
-        return given if given is not None else True
+            return await waiting
+        finally:
+            timer.cancel()
+            self._queue.remove(waiter)
 
     def _forget(self, exchange: Exchange) -> None:
+        self._note_ended(exchange)
         self._open.discard(exchange)
         if exchange in self._idle:
             self._idle.remove(exchange)
         self._wake_one()
 
     def _wake_one(self) -> None:
-        while self._queue:
-            waiting = self._queue.popleft()
-            if not waiting.done():
-                waiting.set_result(None)
-                return
+        waiter = self._next_waiter()
+        if waiter is not None:
+            _tell(waiter.item, _Word.AGAIN)
+
+
+def _tell(waiting: asyncio.Future[Exchange | _Word], word: _Word) -> None:
+    if not waiting.done():
+        waiting.set_result(word)
--- a/src/rosemarysaddle/exchange/_shared.py
+++ b/src/rosemarysaddle/exchange/_shared.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from rosemarysaddle.decide import ConnectionShare, SessionVariables
+    from rosemarysaddle.decide import ConnectionShare, SessionVariables, Wish
     from rosemarysaddle.exchange._loans import LoanDesk
     from rosemarysaddle.exchange._pool import ExchangePool, OpenFault
 
@@ -47,11 +47,16 @@
         return self.lender == self.desk.ranking.own
 
     async def acquire(
-        self, variables: SessionVariables, *, deadline_ns: int
+        self,
+        variables: SessionVariables,
+        *,
+        deadline_ns: int,
+        wish: Wish,
     ) -> Exchange | OpenFault:
         """Get a connection, opened here or borrowed.
 
         :param variables: what the session has set
+        :param deadline_ns: time to wait until
         """
         target = self.own.target
         while clock_ns() < deadline_ns:
@@ -59,14 +64,20 @@
             if lender == self.desk.ranking.own:
                 break
             found = await self.desk.borrow(
-                target, lender, variables.values, deadline_ns=deadline_ns
+                target,
+                lender,
+                variables.values,
+                deadline_ns=deadline_ns,
+                wish=wish,
             )
             if isinstance(found, Exchange):
                 return found
             if found is not None:
                 self.on_refused(found)
                 return found
-        return await self.own.acquire(variables, deadline_ns=deadline_ns)
+        return await self.own.acquire(
+            variables, deadline_ns=deadline_ns, wish=wish
+        )
 
     def release(self, exchange: Exchange) -> None:
         """Give a connection back; one that is not idle is ended."""
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -262,6 +262,8 @@
     target: str
     wait_ms: int
     values: tuple[Variable, ...]
+    priority: int
+    pinned: bool
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarysaddle/schema/messages.capnp
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -194,6 +194,8 @@
   target @0 :Text;
   waitMs @1 :UInt32;
   values @2 :List(Variable);
+  priority @3 :UInt32;
+  pinned @4 :Bool;
 }
 
 struct LoanQueued {
--- a/src/rosemarysaddle/session/_run.py
+++ b/src/rosemarysaddle/session/_run.py
@@ -23,6 +23,7 @@
     Shape,
     Statement,
     Step,
+    Wish,
     WriteTicket,
     shared_name,
 )
@@ -82,7 +83,7 @@
         self, route: Route, statement: Statement
     ) -> Answer | Refusal:
         """Run one read outside a transaction."""
-        deadline_ns = _deadline_ns(route)
+        deadline_ns, start_ns = _deadlines_ns(route)
         failed: set[str] = set()
         attempts = 0
         last: Answer | None = None
@@ -92,7 +93,9 @@
                 if not await self.router.wait_change(deadline_ns):
                     break
                 continue
-            answer = await self._read_at(route, place, statement, deadline_ns)
+            answer = await self._read_at(
+                route, place, statement, start_ns, deadline_ns
+            )
             if answer.fault is None:
                 return answer
             last = answer
@@ -103,7 +106,7 @@
                 break
             if not self._place(route, failed):
                 failed.clear()
-                if not await self._pause(number, deadline_ns):
+                if not await self._pause(number, start_ns):
                     break
         return read_refusal(route, last)
 
@@ -111,21 +114,21 @@
         self, route: Route, statement: Statement
     ) -> Answer | Refusal:
         """Run one write outside a transaction, at most once."""
-        deadline_ns = _deadline_ns(route)
+        deadline_ns, start_ns = _deadlines_ns(route)
         last: Answer | None = None
         for number in range(MAX_TRIES):
             ticket = await self._ticket(route.group, deadline_ns)
             if isinstance(ticket, Refusal):
                 return ticket
             result = await self._write_in_turn(
-                route, ticket, statement, deadline_ns
+                route, ticket, statement, start_ns, deadline_ns
             )
             if isinstance(result, Refusal) or result.fault is None:
                 return result
             last = result
             if not result.fault.is_not_run:
                 return write_refusal(route, result)
-            if not await self._pause(number, deadline_ns):
+            if not await self._pause(number, start_ns):
                 break
         return not_run(route.group, last)
 
@@ -138,15 +141,18 @@
         route: Route,
         place: Placement,
         statement: Statement,
+        start_ns: int,
         deadline_ns: int,
     ) -> Answer:
         turns = self.router.turns[place.target]
         if not await turns.enter(
-            priority=route.priority, deadline_ns=deadline_ns
+            priority=route.priority, deadline_ns=start_ns
         ):
             return Answer(fault=FaultCode.BUSY, text="no turn in time")
         try:
-            exchange = await self._connect(place.target, deadline_ns)
+            exchange = await self._connect(
+                route, place.target, start_ns, pinned=False
+            )
             if isinstance(exchange, OpenFault):
                 return Answer(fault=FaultCode.BUSY, text=str(exchange.code))
             answer = await self._ask(
@@ -162,23 +168,33 @@
         route: Route,
         ticket: WriteTicket,
         statement: Statement,
+        start_ns: int,
         deadline_ns: int,
     ) -> Answer | Refusal:
         turns = self.router.turns[ticket.primary]
         if not await turns.enter(
-            priority=route.priority, deadline_ns=deadline_ns
+            priority=route.priority, deadline_ns=start_ns
         ):
             self.router.end_write(ticket)
             return Answer(fault=FaultCode.BUSY, text="no turn in time")
         try:
-            return await self._write_once(ticket, statement, deadline_ns)
+            return await self._write_once(
+                route, ticket, statement, start_ns, deadline_ns
+            )
         finally:
             turns.leave()
 
     async def _write_once(
-        self, ticket: WriteTicket, statement: Statement, deadline_ns: int
+        self,
+        route: Route,
+        ticket: WriteTicket,
+        statement: Statement,
+        start_ns: int,
+        deadline_ns: int,
     ) -> Answer | Refusal:
-        exchange = await self._connect(ticket.primary, deadline_ns)
+        exchange = await self._connect(
+            route, ticket.primary, start_ns, pinned=False
+        )
         if isinstance(exchange, OpenFault):
             self.router.end_write(ticket)
             return Answer(fault=FaultCode.BUSY, text=str(exchange.code))
@@ -349,7 +365,10 @@
         after: LogPoint | None,
         deadline_ns: int,
     ) -> FaultCode | None:
-        exchange = await self._connect(target, deadline_ns)
+        start_ns = max(clock_ns(), deadline_ns - _half_ns(transaction.route))
+        exchange = await self._connect(
+            transaction.route, target, start_ns, pinned=True
+        )
         if isinstance(exchange, OpenFault):
             return FaultCode.BUSY
         asked_ns = clock_ns()
@@ -385,12 +404,15 @@
                 return found
 
     async def _connect(
-        self, target: str, deadline_ns: int
+        self, route: Route, target: str, start_ns: int, *, pinned: bool
     ) -> Exchange | OpenFault:
         pool = self.router.pools.get(target)
         if pool is None:
             return OpenFault(code=FaultCode.WRONG_TARGET, peer=target)
-        return await pool.acquire(self.variables, deadline_ns=deadline_ns)
+        wish = Wish(priority=route.priority, pinned=pinned)
+        return await pool.acquire(
+            self.variables, deadline_ns=start_ns, wish=wish
+        )
 
     async def _ask(
         self,
@@ -494,3 +516,17 @@
 
 def _deadline_ns(route: Route) -> int:
     return clock_ns() + route.timeout_ms * NS_PER_MS
+
+
+def _deadlines_ns(route: Route) -> tuple[int, int]:
+    """Deadline of a statement, and of its wait for a connection.
+
+    A statement that waits longer than half of its time mostly does not
+    end in the rest; its caller comes back sooner if it is told.
+    """
+    deadline_ns = _deadline_ns(route)
+    return deadline_ns, deadline_ns - _half_ns(route)
+
+
+def _half_ns(route: Route) -> int:
+    return route.timeout_ms * NS_PER_MS // 2
--- /dev/null
+++ b/tests/exchange/test_pool.py
@@ -0,0 +1,135 @@
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from rosemarysaddle._clock import clock_ns
+from rosemarysaddle.decide import NS_PER_MS, SessionVariables, Wish
+from rosemarysaddle.exchange import Exchange, ExchangePool, OpenFault
+from rosemarysaddle.link import Address
+from rosemarysaddle.platform import TargetWire
+from tests.session.standin import IP, StandInTarget
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+PORT = 17_770
+ANY = SessionVariables()
+
+
+def _play(
+    play: Callable[[ExchangePool], Coroutine[None, None, None]], limit: int
+) -> None:
+    async def run() -> None:
+        target = StandInTarget(name="t", port=PORT)
+        await target.start()
+        pool = ExchangePool(
+            target="t",
+            group="g",
+            address=Address(ip=IP, port=PORT),
+            label="h",
+            limit=limit,
+            new_codec=TargetWire,
+            on_open_fault=lambda _: None,
+        )
+        try:
+            await play(pool)
+        finally:
+            pool.close()
+            target.stop()
+            await asyncio.sleep(0)
+
+    asyncio.run(run())
+
+
+def _in_ms(spent_ms: int) -> int:
+    return clock_ns() + spent_ms * NS_PER_MS
+
+
+async def _take(
+    pool: ExchangePool, wish: Wish, left_ms: int = 5_000
+) -> Exchange:
+    found = await pool.acquire(ANY, deadline_ns=_in_ms(left_ms), wish=wish)
+    assert isinstance(found, Exchange)
+    return found
+
+
+def test_pool_keeps_a_connection_from_transactions() -> None:
+    async def play(pool: ExchangePool) -> None:
+        for _ in range(3):
+            await _take(pool, Wish(pinned=True))
+        late = await pool.acquire(
+            ANY, deadline_ns=_in_ms(40), wish=Wish(pinned=True)
+        )
+        statement = await _take(pool, Wish())
+        assert isinstance(late, OpenFault)
+        assert not statement.is_lost
+
+    _play(play, 4)
+
+
+def test_pool_serves_the_urgent_first() -> None:
+    async def play(pool: ExchangePool) -> None:
+        held = await _take(pool, Wish())
+        order: list[int] = []
+
+        async def use(priority: int) -> None:
+            found = await _take(pool, Wish(priority=priority))
+            order.append(priority)
+            pool.release(found)
+
+        users = []
+        for priority in (2, 2, 0, 1):
+            users.append(asyncio.create_task(use(priority)))
+            await asyncio.sleep(0)
+        pool.release(held)
+        await asyncio.gather(*users)
+        assert order == [0, 1, 2, 2]
+
+    _play(play, 1)
+
+
+def test_pool_refuses_at_once_what_cannot_be_served_in_time() -> None:
+    async def play(pool: ExchangePool) -> None:
+        await _take(pool, Wish())
+        pool._queue.hold_ns = 60_000 * NS_PER_MS
+        fault = await asyncio.wait_for(
+            pool.acquire(ANY, deadline_ns=_in_ms(50_000)), 10
+        )
+        assert isinstance(fault, OpenFault)
+
+    _play(play, 1)
+
+
+def test_pool_counts_a_lost_transaction_as_ended() -> None:
+    async def play(pool: ExchangePool) -> None:
+        held = [await _take(pool, Wish(pinned=True)) for _ in range(3)]
+        held[0].abort()
+        again = await _take(pool, Wish(pinned=True))
+        assert not again.is_lost
+
+    _play(play, 4)
+
+
+def test_pool_gives_a_connection_out_at_the_last_moment() -> None:
+    async def play(pool: ExchangePool) -> None:
+        loop = asyncio.get_running_loop()
+        held = await _take(pool, Wish())
+        pool._queue.hold_ns = 0
+        waiter = asyncio.create_task(pool.acquire(ANY, deadline_ns=_in_ms(30)))
+        await asyncio.sleep(0)
+
+        def oversleep() -> None:
+            # The release and the waiter's time-out meet in one pass.
+            time.sleep(0.05)
+            loop.call_soon(pool.release, held)
+
+        loop.call_soon(oversleep)
+        found = await waiter
+        if isinstance(found, Exchange):
+            pool.release(found)
+        again = await _take(pool, Wish())
+        assert not again.is_lost
+
+    _play(play, 1)
