Put hosts on record before their first lease

Ruled out: a shorter lease (4 s outlast a restart of all control hosts); counting the hosts (a host that the count misses may hold a lease).

Change: an entry of the log names a host before its first lease. A leader sees all leases once every host on record has renewed with it at a time when no earlier leader can grant any more; else it waits as before. Hosts whose leases have ended leave the record and get none until they are back on it.

--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -18,6 +18,7 @@
     TargetReport,
 )
 from rosemarysaddle.decide._electorate import Electorate
+from rosemarysaddle.decide._holders import HolderKeeper
 from rosemarysaddle.decide._lease import LeaseTable
 from rosemarysaddle.decide._log import LogNode, Role
 from rosemarysaddle.decide._members import ADMIT_ATTEMPT, MemberKeeper
@@ -83,6 +84,7 @@
     applied_by_host: dict[str, int] = attrs.field(factory=dict, init=False)
     _office: Office = attrs.field(init=False)
     _members: MemberKeeper = attrs.field(init=False)
+    _holders: HolderKeeper = attrs.field(init=False)
     _electorate: Electorate = attrs.field(init=False)
     _proposed: tuple[int, str] = attrs.field(default=(-1, ""), init=False)
     _census: Census = attrs.field(factory=Census, init=False)
@@ -110,6 +112,7 @@
         self._members = MemberKeeper(
             office=self._office, primaries=self.primaries
         )
+        self._holders = HolderKeeper(office=self._office)
         self._electorate = Electorate(log=self.log, wanted=self.wanted_voters)
 
     @property
@@ -125,6 +128,7 @@
         effects = self._absorb(self.log.tick(now_ns), now_ns)
         if self._leads(now_ns):
             effects.extend(self.primaries.tick(now_ns))
+            effects.extend(self._holders.tick(now_ns))
             effects.extend(self._tick_voters(now_ns))
         return effects
 
@@ -286,7 +290,10 @@
             self._census.take_office(now_ns)
             self._neighbours.take_office(now_ns)
             return []
-        return self.primaries.on_applied(entry, now_ns)
+        effects, ready = self._holders.on_applied(entry, now_ns)
+        for host, renewal in ready:
+            effects.extend(self._on_renewal(host, renewal, now_ns))
+        return [*effects, *self.primaries.on_applied(entry, now_ns)]
 
     def _take_office(self) -> None:
         self._lease_term = self.log.term
@@ -295,6 +302,7 @@
         )
         self.primaries.take_office()
         self._members.take_office()
+        self._holders.take_office()
 
     def _replace_state(self, state: ClusterState) -> None:
         self.state = state
@@ -310,6 +318,8 @@
             leader = self.log.leader if self.log.leader != self.host else ""
             refusal = LeaseRefusal(sent_ns=renewal.sent_ns, leader=leader)
             return [Send(peer=source, message=refusal)]
+        if not self._holders.is_known(source):
+            return self._holders.enrol(source, renewal, now_ns)
         self._office.leases.grant(source, now_ns)
         self._office.centers[source] = renewal.data_center
         self.applied_by_host[source] = renewal.applied_index
--- a/src/rosemarysaddle/decide/_lease.py
+++ b/src/rosemarysaddle/decide/_lease.py
@@ -69,11 +69,15 @@
 
     :param blind_until_ns: time until which leases of an earlier leader
         may exist that this table does not list
+    :param led_until_ns: time until which an earlier leader may have
+        granted leases
     """
 
     blind_until_ns: int
+    led_until_ns: int = 0
     lease_ms: int = LEASE_MS
     _deadlines_ns: dict[str, int] = attrs.field(factory=dict)
+    _seen: set[str] = attrs.field(factory=set, init=False)
 
     @classmethod
     def for_new_leader(
@@ -87,16 +91,21 @@
         """
         return cls(
             blind_until_ns=others_led_until_ns + lease_ms * NS_PER_MS,
+            led_until_ns=others_led_until_ns,
             lease_ms=lease_ms,
         )
 
     def grant(self, host: str, now_ns: int) -> None:
         """Note a lease granted now."""
         self._deadlines_ns[host] = now_ns + self.lease_ms * NS_PER_MS
+        # From now on no earlier leader can grant it a longer one.
+        if now_ns >= self.led_until_ns:
+            self._seen.add(host)
 
     def drop(self, host: str) -> None:
         """Forget a lease that its holder gave back."""
         self._deadlines_ns.pop(host, None)
+        self._seen.add(host)
 
     @property
     def holders(self) -> Collection[str]:
@@ -113,9 +122,14 @@
             del self._deadlines_ns[host]
         return dict(self._deadlines_ns)
 
-    def sees_all(self, now_ns: int) -> bool:
+    def sees_all(self, now_ns: int, holders: Collection[str]) -> bool:
         """Tell whether every lease that can still run is listed.
 
         :param now_ns: monotonic time, in nanoseconds
+        :param holders: hosts on record, which alone can have leases
         """
-        return now_ns >= self.blind_until_ns
+        if now_ns >= self.blind_until_ns:
+            return True
+        if now_ns < self.led_until_ns:
+            return False
+        return all(host in self._seen for host in holders)
--- a/src/rosemarysaddle/decide/_office.py
+++ b/src/rosemarysaddle/decide/_office.py
@@ -43,3 +43,7 @@
         """Map each instance that counts to its identity."""
         term = self.state.terms.get(group)
         return {} if term is None else term.identities
+
+    def sees_all_leases(self, now_ns: int) -> bool:
+        """Tell whether every lease that can still run is listed."""
+        return self.leases.sees_all(now_ns, self.state.lease_holders)
--- a/src/rosemarysaddle/decide/_primaries.py
+++ b/src/rosemarysaddle/decide/_primaries.py
@@ -257,7 +257,7 @@
         effects: list[Effect] = []
         # Writes would stand still until an earlier leader's leases have
         # run out; a target that leaves serves for longer than that.
-        if not self.office.leases.sees_all(now_ns):
+        if not self.office.sees_all_leases(now_ns):
             return effects
         for group in list(self._leaving):
             term = self.office.state.terms.get(group)
@@ -436,7 +436,7 @@
         return self._probe(change, now_ns) if due else []
 
     def _is_fenced(self, change: GroupChange, now_ns: int) -> bool:
-        return self.office.leases.sees_all(now_ns) and change.is_fenced(now_ns)
+        return self.office.sees_all_leases(now_ns) and change.is_fenced(now_ns)
 
     def _probe(self, change: GroupChange, now_ns: int) -> list[Effect]:
         change.attempt += 1
--- a/src/rosemarysaddle/decide/_state.py
+++ b/src/rosemarysaddle/decide/_state.py
@@ -58,6 +58,7 @@
     TARGET: Final = "target"
     GONE: Final = "gone"
     HOSTS: Final = "hosts"
+    HOLDERS: Final = "holders"
 
 
 class DocumentKind:
@@ -87,7 +88,10 @@
 
 @attrs.define(kw_only=True)
 class ClusterState:
-    """Result of the committed entries, the same on every host."""
+    """Result of the committed entries, the same on every host.
+
+    :param lease_holders: entry hosts that may hold a lease
+    """
 
     index: int = 0
     inventory_version: int = 0
@@ -99,6 +103,7 @@
     history: list[AuditRecord] = attrs.field(factory=list)
     voters: tuple[str, ...] = ()
     entry_hosts: int = 0
+    lease_holders: set[str] = attrs.field(factory=set)
     routes: RouteTable = attrs.field(factory=RouteTable)
     targets: TargetTable = attrs.field(factory=TargetTable)
     _classes: dict[str, RequestClass] = attrs.field(factory=dict, init=False)
@@ -139,6 +144,9 @@
             self.voters = tuple(payload["voters"])
         if kind == EntryKind.HOSTS:
             self.entry_hosts = int(payload["count"])
+        if kind == EntryKind.HOLDERS:
+            self.lease_holders.difference_update(payload["out"])
+            self.lease_holders.update(payload["in"])
         if kind == EntryKind.TARGET:
             self.targets.put(TargetRecord(**payload))
         if kind == EntryKind.GONE:
@@ -188,6 +196,7 @@
             "history": _CONVERTER.unstructure(self.history),
             "voters": self.voters,
             "entry_hosts": self.entry_hosts,
+            "lease_holders": sorted(self.lease_holders),
             "routes": self.routes.source,
             "targets": self.targets.dump(),
         }
@@ -211,6 +220,7 @@
             history=_CONVERTER.structure(body["history"], list[AuditRecord]),
             voters=tuple(body["voters"]),
             entry_hosts=int(body["entry_hosts"]),
+            lease_holders=set(body["lease_holders"]),
             routes=_load_routes(body["routes"]),
             targets=TargetTable.load(body["targets"]),
         )
--- a/tests/decide/test_announced.py
+++ b/tests/decide/test_announced.py
@@ -15,7 +15,7 @@
     PromoteTarget,
     TargetReport,
 )
-from rosemarysaddle.schema import Announcement, ChangeProposal
+from rosemarysaddle.schema import Announcement, ChangeProposal, LeaseRenewal
 from tests.helpers import MS, make_leader
 
 START_NS = 10_000 * MS
@@ -94,6 +94,17 @@
         message = _announcement(target, **changes)
         self._take(self.leader.receive("x", message, self.now_ns))
 
+    def renew(self, host: str) -> None:
+        """Let an entry host renew its lease."""
+        renewal = LeaseRenewal(
+            host=host,
+            data_center="dc",
+            sent_ns=self.now_ns,
+            applied_index=self.leader.state.index,
+            address="",
+        )
+        self._take(self.leader.receive(host, renewal, self.now_ns))
+
     def elapse(self, spent_ms: int) -> None:
         """Let time pass in ticks."""
         for _ in range(0, spent_ms, 50):
@@ -161,6 +172,7 @@
 def test_planned_change_waits_for_leases_of_an_earlier_leader() -> None:
     stage = Stage.open()
     stage.leader._office.leases.blind_until_ns = stage.now_ns + 900 * MS
+    stage.leader.state.lease_holders.add("unheard")
     stage.announce("t1", leaving=True)
     stage.elapse(800)
     early = stage.leader.state.terms["g"].is_open
@@ -171,6 +183,21 @@
     assert not stage.leader.state.terms["g"].is_open
 
 
+def test_planned_change_goes_on_once_all_holders_have_renewed() -> None:
+    stage = Stage.open()
+    stage.leader._office.leases.blind_until_ns = stage.now_ns + 9_000 * MS
+    stage.leader.state.lease_holders.add("e")
+    stage.announce("t1", leaving=True)
+    stage.elapse(200)
+    early = stage.leader.state.terms["g"].is_open
+
+    stage.renew("e")
+    stage.elapse(100)
+
+    assert early
+    assert not stage.leader.state.terms["g"].is_open
+
+
 @pytest.mark.parametrize(
     ("changes", "on_record"),
     [
