Read the settings again when the file changes

Change: the file is looked at once a second; SIGHUP stays. Equal settings change nothing. The template of the platform has its test now.

Test: tests/node/test_main.py.

--- a/src/rosemarysaddle/node/_main.py
+++ b/src/rosemarysaddle/node/_main.py
@@ -6,7 +6,8 @@
 import os
 import signal
 import sys
-from typing import TYPE_CHECKING
+from pathlib import Path
+from typing import TYPE_CHECKING, Final
 
 from absl import logging
 
@@ -15,11 +16,16 @@
 from rosemarysaddle.schema import Node, SchemaFault, load_file
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from rosemarysaddle.node._control import ControlHost
     from rosemarysaddle.node._entry import EntryHost
     from rosemarysaddle.node._ports import Platform
 
-__all__ = ("run_node",)
+__all__ = ("run_node", "watch_settings")
+
+# Changed seeds count within the time that they may lag behind.
+SETTINGS_POLL_S: Final = 1.0
 
 
 def run_node(platform: Platform) -> int:
@@ -58,13 +64,40 @@
         loop.add_signal_handler(number, ended.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, host, path)
     await host.start()
+    watch = loop.create_task(watch_settings(path, lambda: _reload(host, path)))
     await ended.wait()
+    watch.cancel()
     await host.stop()
 
 
+async def watch_settings(path: str, reload: Callable[[], None]) -> None:
+    """Read the settings again whenever the file changes.
+
+    :param path: path of the settings file
+    :param reload: called after each change
+    """
+    known = _stamp(path)
+    while True:
+        await asyncio.sleep(SETTINGS_POLL_S)
+        found = _stamp(path)
+        if found not in {known, None}:
+            known = found
+            reload()
+
+
+def _stamp(path: str) -> tuple[int, int, int] | None:
+    try:
+        status = Path(path).stat()
+    except OSError:
+        # It is being replaced; the next look finds it.
+        return None
+    return (status.st_mtime_ns, status.st_ino, status.st_size)
+
+
 def _reload(host: EntryHost | ControlHost, path: str) -> None:
     settings = load_file(Node, path)
     if isinstance(settings, SchemaFault):
         logging.error("event=reload-refused reason=%s", settings)
         return
-    host.reload(settings)
+    if settings != host.settings:
+        host.reload(settings)
--- /dev/null
+++ b/tests/node/test_main.py
@@ -0,0 +1,114 @@
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from rosemarysaddle.node import _main
+from rosemarysaddle.node._main import watch_settings
+from rosemarysaddle.schema import Node, SchemaFault, load_file
+
+if TYPE_CHECKING:
+    import pytest
+
+TEMPLATE = Path(__file__).parents[2] / "deploy" / "settings.json.in"
+
+
+def _changes_seen(
+    path: Path, texts: list[str], monkeypatch: pytest.MonkeyPatch
+) -> int:
+    monkeypatch.setattr(_main, "SETTINGS_POLL_S", 0.005)
+    seen: list[str] = []
+
+    async def run() -> None:
+        watch = asyncio.create_task(
+            watch_settings(str(path), lambda: seen.append(path.read_text()))
+        )
+        await asyncio.sleep(0.02)
+        for text in texts:
+            new = path.with_suffix(".new")
+            new.write_text(text)
+            new.replace(path)
+            for _ in range(400):
+                if text in seen:
+                    break
+                await asyncio.sleep(0.005)
+        watch.cancel()
+
+    asyncio.run(run())
+    return len(seen)
+
+
+def test_settings_are_read_again_when_the_file_changes(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = tmp_path / "settings"
+    path.write_text("a")
+
+    assert _changes_seen(path, ["bb", "ccc"], monkeypatch) == 2
+
+
+def test_settings_that_stay_are_not_read_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = tmp_path / "settings"
+    path.write_text("a")
+
+    assert _changes_seen(path, [], monkeypatch) == 0
+
+
+def _filled(tmp_path: Path, **values: str) -> Node | SchemaFault:
+    """Fill the template in as the platform does for one data centre."""
+    text = TEMPLATE.read_text(encoding="utf-8")
+    start, end = text.index("{{#zones}}"), text.index("{{/zones}}")
+    text = (
+        text[:start]
+        + '{"data_center": "dc-1", "region": "r-1"}'
+        + text[end + len("{{/zones}}") :]
+    )
+    fields = {
+        "nodeName|json": '"front-1"',
+        "role": "entry",
+        "zone|json": '"dc-1"',
+        "data_center|json": '"dc-1"',
+        "region|json": '"r-1"',
+        "ipAddress|json": '"10.1.0.8"',
+        "ipAddress": "10.1.0.8",
+        "internalPortRange.0": "7440",
+        "internalPortRange.1": "7455",
+        "seedNodes|json": '["10.1.0.11:8782"]',
+        "firstStart|json": "true",
+        "dataDirectory": "",
+        "listenAddresses.front": "10.1.0.8:8784",
+        "listenAddresses.ready": "10.1.0.8:8785",
+        "listenAddresses.control": "",
+        "cloudApi.address": "10.200.0.160:8783",
+        "faultTolerance.machines": "1",
+        "bounds.gracePeriodS": "6",
+        **values,
+    }
+    for name, value in fields.items():
+        text = text.replace("{{" + name + "}}", value)
+    path = tmp_path / "settings.json"
+    path.write_text(text, encoding="utf-8")
+    return load_file(Node, str(path))
+
+
+def test_template_of_the_platform_renders_good_settings(
+    tmp_path: Path,
+) -> None:
+    found = _filled(tmp_path)
+
+    assert isinstance(found, Node)
+    assert found.lending_address == "10.1.0.8:7455"
+    assert [p.region for p in found.places] == ["r-1"]
+    assert found.seeds == ("10.1.0.11:8782",)
+
+
+def test_template_with_a_wrong_value_is_refused_with_its_path(
+    tmp_path: Path,
+) -> None:
+    found = _filled(tmp_path, **{"bounds.gracePeriodS": "0"})
+
+    assert isinstance(found, SchemaFault)
+    assert "grace_s" in found.path
