Tell defects of tasks wherever they run

Cause: a defect in a caller's work, in a check of a target or in a loan ended its task without a word; the callers waited for nothing.

Test: tests/test_tasks.py.

--- a/src/rosemarysaddle/exchange/_lender.py
+++ b/src/rosemarysaddle/exchange/_lender.py
@@ -9,6 +9,7 @@
 
 from rosemarysaddle._clock import clock_ns
 from rosemarysaddle._events import log_event
+from rosemarysaddle._tasks import spawn
 from rosemarysaddle.decide import NS_PER_MS, FaultCode, SessionVariables, Wish
 from rosemarysaddle.exchange._connection import Exchange, guard_socket
 from rosemarysaddle.exchange._frames import (
@@ -165,11 +166,9 @@
                 # It crossed the end of the target's connection.
                 pass
             case LoanRequest() if self.exchange is None and self.task is None:
-                loop = asyncio.get_running_loop()
-                self.task = loop.create_task(self._lend(frame))
+                self.task = spawn(self._lend(frame))
             case PointRequest() if self.exchange is None and self.task is None:
-                loop = asyncio.get_running_loop()
-                self.task = loop.create_task(self._tell_point(frame))
+                self.task = spawn(self._tell_point(frame))
             case LoanReturn() if self.exchange is not None:
                 self._take_back(self.exchange, frame)
             case _:
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -12,6 +12,7 @@
 from absl import logging
 
 from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._tasks import spawn
 from rosemarysaddle.decide import (
     NS_PER_MS,
     ClusterState,
@@ -56,7 +57,7 @@
 from rosemarysaddle.store import Journal
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine, Sequence
+    from collections.abc import Sequence
 
     from rosemarysaddle.decide import Effect
     from rosemarysaddle.node._ports import Platform
@@ -133,8 +134,8 @@
             fabric=PlainFabric(),
         )
         await self.network.start()
-        self._spawn(self._tick_forever())
-        self._spawn(self._join_forever())
+        spawn(self._tick_forever(), self._jobs)
+        spawn(self._join_forever(), self._jobs)
         await self._start_http()
         logging.info(
             "event=started name=%s voters=%s index=%d",
@@ -347,7 +348,7 @@
         effects = self.control.receive(source, message, clock_ns())
         self._carry_out(effects)
         if self.control.state.index != index:
-            self._spawn(self._notify())
+            spawn(self._notify(), self._jobs)
 
     def _on_change_reply(self, reply: ChangeReply) -> None:
         future = self._replies.get(reply.change_id)
@@ -386,9 +387,9 @@
                 case SaveVote() | SaveEntries() | SaveSnapshot():
                     self._save(effect)
                 case ProbeGroup():
-                    self._spawn(self._probe(effect))
+                    spawn(self._probe(effect), self._jobs)
                 case PromoteTarget():
-                    self._spawn(self._promote(effect))
+                    spawn(self._promote(effect), self._jobs)
                 case FollowPrimary():
                     pass  # replicas of the platform follow by themselves
                 case _:
@@ -466,16 +467,6 @@
         async with self._changed:
             self._changed.notify_all()
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        job = self._loop.create_task(work)
-        self._jobs.add(job)
-        job.add_done_callback(self._finish)
-
-    def _finish(self, job: asyncio.Task[None]) -> None:
-        self._jobs.discard(job)
-        if not job.cancelled() and job.exception() is not None:
-            logging.error("event=defect", exc_info=job.exception())
-
 
 def _describe(report: Any) -> str:
     if not report.reachable:
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -5,12 +5,13 @@
 import asyncio
 import importlib
 import secrets
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Final
 
 import attrs
 from absl import logging
 
 from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._tasks import spawn
 from rosemarysaddle.decide import EntryNode, Send
 from rosemarysaddle.exchange import Lender
 from rosemarysaddle.link import Address, PeerNetwork, PlainFabric
@@ -20,7 +21,7 @@
 from rosemarysaddle.session import CallerSession, Router
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine, Iterable, Sequence
+    from collections.abc import Iterable, Sequence
 
     from rosemarysaddle._metrics import Figure
     from rosemarysaddle.decide import Effect
@@ -104,7 +105,7 @@
             reuse_address=True,
         )
         await self._start_lending()
-        self._spawn(self._tick_forever())
+        spawn(self._tick_forever(), self._jobs)
         # The library's import takes as long as the first lease.
         web = await asyncio.to_thread(
             importlib.import_module, "rosemarysaddle.web"
@@ -242,13 +243,3 @@
                 self.network.send(effect.peer, effect.message)
             else:
                 logging.error("event=unknown-effect kind=%s", effect)
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        job = asyncio.get_running_loop().create_task(work)
-        self._jobs.add(job)
-        job.add_done_callback(self._finish)
-
-    def _finish(self, job: asyncio.Task[None]) -> None:
-        self._jobs.discard(job)
-        if not job.cancelled() and job.exception() is not None:
-            logging.error("event=defect", exc_info=job.exception())
--- a/src/rosemarysaddle/session/_caller.py
+++ b/src/rosemarysaddle/session/_caller.py
@@ -10,6 +10,7 @@
 
 from rosemarysaddle._clock import clock_ns
 from rosemarysaddle._events import log_event
+from rosemarysaddle._tasks import spawn
 from rosemarysaddle.decide import (
     NS_PER_MS,
     Answer,
@@ -107,8 +108,7 @@
         self._inbox.extend(messages)
         if self._inbox and not self.is_busy:
             self.is_busy = True
-            loop = asyncio.get_running_loop()
-            self._task = loop.create_task(self._work())
+            self._task = spawn(self._work())
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Keep nothing of a transaction whose caller left."""
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -9,6 +9,7 @@
 
 from rosemarysaddle._clock import clock_ns
 from rosemarysaddle._events import log_event
+from rosemarysaddle._tasks import spawn
 from rosemarysaddle.decide import (
     NS_PER_MS,
     FaultCode,
@@ -299,7 +300,7 @@
         if pool is None or now_ns < self._check_at_ns.get(target, 0):
             return
         self._check_at_ns[target] = now_ns + CHECK_MS * NS_PER_MS
-        self._spawn(self._check(pool))
+        spawn(self._check(pool), self._jobs)
 
     async def _check(self, pool: SharedPool) -> None:
         await pool.check()
@@ -307,7 +308,7 @@
     def _start_reviving(self, placed: PlacedTarget) -> None:
         if not placed.is_gone:
             placed.is_gone = True
-            self._spawn(self._revive(placed))
+            spawn(self._revive(placed), self._jobs)
 
     async def _revive(self, placed: PlacedTarget) -> None:
         # Requests do not pay for finding out that a target is back.
@@ -378,7 +379,7 @@
         self.pools[name] = pool
         self.turns[name] = Turns()
         if record.data_center == self.node.data_center:
-            self._spawn(pool.warm(WARM_CONNECTIONS))
+            spawn(pool.warm(WARM_CONNECTIONS), self._jobs)
 
     def _share(self, group: str) -> ConnectionShare:
         policy = self.node.state.routes.groups.get(group)
@@ -475,7 +476,7 @@
         # One question at a time: a primary that answers late is busy.
         asking = self._asking.get(group)
         if asking is None or asking.done():
-            asking = self._spawn(self._ask_point(group, target))
+            asking = spawn(self._ask_point(group, target), self._jobs)
             self._asking[group] = asking
         return asking
 
@@ -506,12 +507,6 @@
         pool.own.release(found)
         self.note_answer(target, answer, asked_ns=asked_ns, covered=covered)
 
-    def _spawn(self, work: asyncio._CoroutineLike[None]) -> asyncio.Task[None]:
-        job = asyncio.get_running_loop().create_task(work)
-        self._jobs.add(job)
-        job.add_done_callback(self._jobs.discard)
-        return job
-
 
 def _has_moved(placed: PlacedTarget, record: TargetRecord) -> bool:
     known = (placed.address, placed.group)
--- /dev/null
+++ b/tests/test_tasks.py
@@ -0,0 +1,41 @@
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from rosemarysaddle import _tasks
+
+if TYPE_CHECKING:
+    import pytest
+
+
+def _told(monkeypatch: pytest.MonkeyPatch, error: Exception | None) -> int:
+    told: list[Any] = []
+    monkeypatch.setattr(
+        "absl.logging.error", lambda *_, exc_info: told.append(exc_info)
+    )
+
+    async def work() -> None:
+        if error is not None:
+            raise error
+
+    async def run() -> None:
+        jobs: set[asyncio.Task[None]] = set()
+        task = _tasks.spawn(work(), jobs)
+        assert task in jobs
+        await asyncio.wait([task])
+        await asyncio.sleep(0)
+        assert not jobs
+
+    asyncio.run(run())
+    return len(told)
+
+
+def test_spawn_tells_a_defect(monkeypatch: pytest.MonkeyPatch) -> None:
+    assert _told(monkeypatch, ValueError("x")) == 1
+
+
+def test_spawn_says_nothing_of_work_that_is_done(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    assert _told(monkeypatch, None) == 0
