--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -125,6 +125,19 @@
             + constant["token verified us"]
         ),
         "patch_us": patch_us,
+        "loan_us": constant["frames of a loan, both ends us"],
+        "neighbours_b": found.largest("neighbour list"),
+        "neighbours_b_s": found.largest("neighbour list")
+        * 2
+        * RESTARTS_DAY
+        / CENTERS
+        / DAY_S,
+        "neighbours_cpu": found.largest(
+            "neighbour list rendered at the leader"
+        )
+        * 2
+        * CENTERS
+        / 1e6,
         "center_groups": INSTANCES / CENTERS / 3,
         "center_change_s": INSTANCES / CENTERS / 3 * 2 * spread_us / 1e6,
         "center_change_gb": INSTANCES
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -28,10 +28,12 @@
 from rosemarysaddle._limits import raise_file_limit
 from rosemarysaddle.decide import (
     ClusterState,
+    ConnectionSetup,
     ControlNode,
     EntryKind,
     EntryNode,
     GroupView,
+    LenderRanking,
     LogNode,
     LogPoint,
     ReadWish,
@@ -41,6 +43,13 @@
     TargetView,
     TokenCodec,
 )
+from rosemarysaddle.decide._neighbours import NeighbourLists
+from rosemarysaddle.exchange._frames import (
+    FrameReader,
+    frame_bytes,
+    frame_message,
+)
+from rosemarysaddle.exchange._setups import grant_of, return_of
 from rosemarysaddle.link import (
     Address,
     PeerNetwork,
@@ -54,6 +63,7 @@
     Envelope,
     LeaseGrant,
     LeaseRenewal,
+    LoanRequest,
     LogEntry,
     Suspicion,
     ViewDelta,
@@ -64,12 +74,14 @@
 from rosemarysaddle.web import HttpServer
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Iterator, Sequence
 
-    from rosemarysaddle.schema import Message
+    from rosemarysaddle.schema import Message, Neighbours
 
 GROUP_SIZES: Final = (2_000, 8_000, 32_000)
 HOST_SIZES: Final = (100, 800, 2_600)
+NEIGHBOUR_SIZES: Final = (11, 60, 200)
+GATHERED_NS: Final = 10_000_000_000
 ENTRY_SIZES: Final = (1_000, 5_000, 25_000)
 SAMPLE_SIZES: Final = (4, 64, 256)
 CONNECTION_SIZES: Final = (1_000, 2_500, 4_615)
@@ -265,6 +277,82 @@
     return [fit(n, u, HOST_SIZES, v) for n, u, v in rows]
 
 
+def measure_lending() -> list[Slope]:
+    """Measure what grows with the entry hosts of one data centre."""
+    sizes, rendered, ranked = [], [], []
+    for count in NEIGHBOUR_SIZES:
+        ask = _known_neighbours(count)
+        instants = itertools.count(GATHERED_NS, GATHERED_NS)
+        sizes.append(wire_bytes(ask(next(instants))))
+        rendered.append(us_of(functools.partial(_at_next, ask, instants), 20))
+        addresses = [f"10.1.{n // 250}.{n % 250}:7455" for n in range(count)]
+        ranking = LenderRanking(own=addresses[0])
+        ranking.replace(addresses)
+        targets = map(str, itertools.count())
+        ranked.append(us_of(functools.partial(_rank, ranking, targets), 50))
+    rows = (
+        ("neighbour list", "B", sizes),
+        ("neighbour list rendered at the leader", "us", rendered),
+        ("lender of a target, asked first", "us", ranked),
+    )
+    return [fit(n, u, NEIGHBOUR_SIZES, v) for n, u, v in rows]
+
+
+def _at_next(
+    ask: Callable[[int], Neighbours], instants: Iterator[int]
+) -> None:
+    ask(next(instants))
+
+
+def _rank(ranking: LenderRanking, targets: Iterator[str]) -> None:
+    ranking.lender(next(targets), 0)
+
+
+def _known_neighbours(count: int) -> Callable[[int], Neighbours]:
+    """Let all hosts of a data centre renew; give the next question."""
+    lists = NeighbourLists()
+    lists.take_office(-GATHERED_NS)
+    names = [f"entry-{number:04d}" for number in range(count)]
+    centers = dict.fromkeys(names, "dc")
+
+    def ask(number: int, now_ns: int) -> Neighbours:
+        address = f"10.1.{number // 250}.{number % 250}:7455"
+        renewal = attrs.evolve(
+            _renewal(0), data_center="dc", lending_address=address
+        )
+        found = lists.answer(
+            names[number],
+            renewal,
+            centers=centers,
+            present=names,
+            now_ns=now_ns,
+        )
+        assert found is not None  # noqa: S101
+        return found
+
+    for number in range(count):
+        ask(number, 0)
+    return functools.partial(ask, 0)
+
+
+def _pass_loan() -> None:
+    """Render and read the messages of one loan, and its statement."""
+    setup = ConnectionSetup(values={"tz": "utc"})
+    request = LoanRequest(
+        target="t", wait_ms=500, values=(), priority=1, pinned=False
+    )
+    text = b"QUERY 5c0e7a21d94b36f8 READ 1a4\r\n"
+    reader = FrameReader()
+    for frame in (
+        frame_message(request),
+        frame_message(grant_of(setup)),
+        frame_bytes(text),
+        frame_bytes(text),
+        frame_message(return_of(setup)),
+    ):
+        reader.feed(frame)
+
+
 def measure_log() -> list[Slope]:
     """Measure what grows with the number of log entries."""
     held, proposed, replayed = [], [], []
@@ -395,6 +483,7 @@
         "token verified us": us_of(lambda: tokens.decode(text)),
         "write begun and ended us": us_of(lambda: _write(entry)),
         "journal append and sync us": _us_of_sync(),
+        "frames of a loan, both ends us": us_of(_pass_loan),
     }
     return {name: float(value) for name, value in found.items()}
 
@@ -405,6 +494,7 @@
     slopes = [
         *measure_groups(),
         *measure_hosts(),
+        *measure_lending(),
         *measure_log(),
         *measure_route(),
         *measure_connections(),
