--- /dev/null
+++ b/tests/decide/test_registry.py
@@ -0,0 +1,147 @@
+"""Targets that come and go, with words that arrive late and twice."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import attrs
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from rosemarysaddle.decide._registry import (
+    TargetRecord,
+    TargetTable,
+    is_news,
+    record_of,
+)
+from rosemarysaddle.schema import Announcement
+
+TARGETS = st.sampled_from(["t1", "t2", "t3"])
+ADDRESSES = st.sampled_from(["a1", "a2"])
+GROUPS = st.sampled_from(["g1", "g2"])
+
+
+def _word(target: str, **changes: Any) -> Announcement:
+    found = Announcement(
+        target=target,
+        group="g1",
+        data_center="dc",
+        address="a1",
+        role="replica",
+        term=0,
+        position=0,
+        leaving=False,
+        identity="",
+        slots=1,
+        incarnation_ms=0,
+    )
+    return attrs.evolve(found, **changes)
+
+
+class RegistryMachine(RuleBasedStateMachine):
+    """Targets start, leave and end; the network keeps all they said."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_ms = 0
+        self.table = TargetTable()
+        self.said: list[Announcement] = []
+        self.newest: dict[str, Announcement] = {}
+        self.gone_ms: dict[str, int] = {}
+        self.left: set[tuple[str, int]] = set()
+
+    @rule(name=TARGETS, address=ADDRESSES, group=GROUPS)
+    def target_starts(self, name: str, address: str, group: str) -> None:
+        self.now_ms += 1
+        self._say(
+            _word(
+                name,
+                address=address,
+                group=group,
+                incarnation_ms=self.now_ms,
+            )
+        )
+
+    @rule(name=TARGETS)
+    def target_leaves(self, name: str) -> None:
+        if name in self.newest:
+            self._say(attrs.evolve(self.newest[name], leaving=True))
+
+    @rule(name=TARGETS)
+    def target_ends(self, name: str) -> None:
+        if name in self.newest:
+            last = self.newest[name]
+            self._say(attrs.evolve(last, leaving=True, gone=True))
+
+    def _say(self, word: Announcement) -> None:
+        self.newest[word.target] = word
+        self.said.append(word)
+
+    @rule(number=st.integers(0, 50))
+    def word_arrives(self, number: int) -> None:
+        """Deliver any word ever said, so also late and twice."""
+        if not self.said:
+            return
+        word = self.said[number % len(self.said)]
+        if not is_news(word, self.table):
+            return
+        before = self.table.records.get(word.target)
+        if word.gone:
+            self.table.drop(word.target, word.incarnation_ms)
+            ended_ms = max(
+                self.gone_ms.get(word.target, 0), word.incarnation_ms
+            )
+            self.gone_ms[word.target] = ended_ms
+            return
+        self.table.put(record_of(word))
+        if before is not None:
+            assert word.incarnation_ms >= before.incarnation_ms
+        if word.leaving:
+            self.left.add((word.target, word.incarnation_ms))
+
+    @rule()
+    def snapshot_is_taken(self) -> None:
+        """Go on from a copy, as a host does that was far behind."""
+        touched = self.table.touched
+        body = json.loads(json.dumps(self.table.dump()))
+        self.table = TargetTable.load(body)
+        self.table.touched = touched
+
+    @invariant()
+    def an_address_names_one_target(self) -> None:
+        addresses = [r.address for r in self.table.records.values()]
+        assert len(addresses) == len(set(addresses))
+
+    @invariant()
+    def who_has_gone_stays_gone(self) -> None:
+        for target, record in self.table.records.items():
+            assert record.incarnation_ms > self.gone_ms.get(target, -1)
+
+    @invariant()
+    def who_leaves_does_not_come_back(self) -> None:
+        for target, record in self.table.records.items():
+            if (target, record.incarnation_ms) in self.left:
+                assert record.leaving
+
+    @invariant()
+    def indexes_agree_with_the_records(self) -> None:
+        for group in ("g1", "g2"):
+            assert self.table.of_group(group) == self._of_group(group)
+        for address in ("a1", "a2"):
+            assert self.table.at_address(address) == self._at(address)
+
+    def _of_group(self, group: str) -> list[TargetRecord]:
+        found = [r for r in self.table.records.values() if r.group == group]
+        return sorted(found, key=lambda record: record.target)
+
+    def _at(self, address: str) -> TargetRecord | None:
+        found = self.table.records.values()
+        return next((r for r in found if r.address == address), None)
+
+
+RegistryMachine.TestCase.settings = settings(
+    max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestRegistryMachine = RegistryMachine.TestCase
