--- a/src/rosemarysaddle/daemon/_host.py
+++ b/src/rosemarysaddle/daemon/_host.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final
 
@@ -11,6 +10,8 @@
 from absl import logging
 
 from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._jitter import election_jitter
+from rosemarysaddle._tasks import spawn
 from rosemarysaddle.daemon._gate import Gate
 from rosemarysaddle.daemon._orders import TargetOrders
 from rosemarysaddle.daemon._roster import TargetRoster
@@ -27,7 +28,6 @@
     SaveSnapshot,
     SaveVote,
     Send,
-    StoredLog,
 )
 from rosemarysaddle.link import Address, Fabric, PeerNetwork, PlainFabric
 from rosemarysaddle.schema import (
@@ -45,7 +45,7 @@
 from rosemarysaddle.target import MySqlConnector
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine, Iterator, Sequence
+    from collections.abc import Sequence
 
     from rosemarysaddle.decide import Effect
     from rosemarysaddle.schema import Message, Settings
@@ -56,7 +56,6 @@
 TICK_S: Final = 0.04
 RESEND_S: Final = 0.25
 REPEAT_ANNOUNCEMENT_MS: Final = 3_000
-ELECTION_JITTER_MS: Final = 400
 _ENTRY_MESSAGES: Final = (
     LeaseGrant,
     LeaseRefusal,
@@ -291,12 +290,12 @@
             host=self.settings.host,
             voters=voters,
             stored=stored,
-            jitter_ms=_jitter(self.seed, self.settings.host),
+            jitter_ms=election_jitter(f"{self.seed}:{self.settings.host}"),
             started_ns=clock_ns(),
         )
         return ControlNode(
             log=log,
-            state=_stored_state(stored),
+            state=ClusterState.of_stored(stored),
             data_center=self.settings.data_center,
         )
 
@@ -337,31 +336,17 @@
                 case SaveVote() | SaveEntries() | SaveSnapshot():
                     self._save(effect)
                 case ProbeGroup():
-                    self._spawn(self._probe(effect))
+                    spawn(self._probe(effect), self._jobs)
                 case PromoteTarget():
-                    self._spawn(self._promote(effect))
+                    spawn(self._promote(effect), self._jobs)
                 case FollowPrimary():
-                    self._spawn(self._order_follow(effect))
+                    spawn(self._order_follow(effect), self._jobs)
                 case _:
                     logging.error("event=unknown-effect kind=%s", effect)
 
     def _save(self, effect: SaveVote | SaveEntries | SaveSnapshot) -> None:
-        if self._journal is None:
-            return
-        match effect:
-            case SaveVote():
-                self._journal.save_vote(effect.term, effect.voted_for)
-            case SaveEntries():
-                self._journal.save_entries(effect.entries)
-            case SaveSnapshot():
-                self._journal.save_snapshot(
-                    effect.index, effect.term, effect.state, effect.voters
-                )
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        job = self._loop.create_task(work)
-        self._jobs.add(job)
-        job.add_done_callback(self._jobs.discard)
+        if self._journal is not None:
+            self._journal.save(effect)
 
     # --- orders to targets ---
 
@@ -456,18 +441,6 @@
         return True
 
 
-def _jitter(seed: int, host: str) -> Iterator[int]:
-    source = random.Random(f"{seed}:{host}")  # noqa: S311
-    while True:
-        yield source.randrange(ELECTION_JITTER_MS)
-
-
-def _stored_state(stored: StoredLog) -> ClusterState:
-    if stored.snapshot_state:
-        return ClusterState.load(stored.snapshot_state)
-    return ClusterState()
-
-
 def _not_starts(attribute: attrs.Attribute[Any], value: Any) -> bool:
     del value
     return attribute.name != "starts"
--- a/src/rosemarysaddle/decide/_state.py
+++ b/src/rosemarysaddle/decide/_state.py
@@ -32,6 +32,7 @@
 )
 
 if TYPE_CHECKING:
+    from rosemarysaddle.decide._log import StoredLog
     from rosemarysaddle.schema import RequestClass, Tenant
 
 __all__ = (
@@ -202,6 +203,13 @@
         }
         return json.dumps(body, separators=(",", ":"))
 
+    @classmethod
+    def of_stored(cls, stored: StoredLog) -> ClusterState:
+        """Build the state that the stored snapshot holds, if any."""
+        if stored.snapshot_state:
+            return cls.load(stored.snapshot_state)
+        return cls()
+
     @classmethod
     def load(cls, text: str) -> ClusterState:
         """Rebuild a state from the text of a snapshot."""
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -12,6 +12,7 @@
 from absl import logging
 
 from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._jitter import election_jitter
 from rosemarysaddle._tasks import spawn
 from rosemarysaddle.decide import (
     NS_PER_MS,
@@ -33,11 +34,7 @@
 )
 from rosemarysaddle.link import Address, PeerNetwork, PlainFabric
 from rosemarysaddle.node._figures import control_figures, start_metrics
-from rosemarysaddle.node._identity import (
-    election_jitter,
-    host_name,
-    peer_address,
-)
+from rosemarysaddle.node._identity import host_name, peer_address
 from rosemarysaddle.node._orders import AnnouncedOrders
 from rosemarysaddle.node._timing import (
     CONTROL_TICK_S,
@@ -181,12 +178,9 @@
             jitter_ms=election_jitter(self.host),
             started_ns=clock_ns(),
         )
-        state = ClusterState()
-        if stored.snapshot_state:
-            state = ClusterState.load(stored.snapshot_state)
         self.control = ControlNode(
             log=log,
-            state=state,
+            state=ClusterState.of_stored(stored),
             data_center=settings.data_center,
             lease_ms=LEASE_MS,
             wanted_voters=2 * settings.tolerated_hosts + 1,
@@ -397,24 +391,13 @@
 
     def _save(self, effect: SaveVote | SaveEntries | SaveSnapshot) -> None:
         try:
-            self._write(effect)
+            self._journal.save(effect)
         except OSError as error:
             # Memory is now ahead of the disk; a new start
             # makes them agree before another promise is given.
             logging.error("event=disk-failed reason=%r", error)
             raise SystemExit(DISK_FAILED_STATUS) from error
 
-    def _write(self, effect: SaveVote | SaveEntries | SaveSnapshot) -> None:
-        match effect:
-            case SaveVote():
-                self._journal.save_vote(effect.term, effect.voted_for)
-            case SaveEntries():
-                self._journal.save_entries(effect.entries)
-            case SaveSnapshot():
-                self._journal.save_snapshot(
-                    effect.index, effect.term, effect.state, effect.voters
-                )
-
     async def _probe(self, probe: ProbeGroup) -> None:
         group = self.control.state.group(probe.group)
         instances = group.instances if group else ()
--- a/src/rosemarysaddle/node/_identity.py
+++ b/src/rosemarysaddle/node/_identity.py
@@ -2,22 +2,19 @@
 
 from __future__ import annotations
 
-import random
 import secrets
 from typing import TYPE_CHECKING, Final
 
 from rosemarysaddle.store import Journal
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
     from pathlib import Path
 
     from rosemarysaddle.schema import Node
 
-__all__ = ("election_jitter", "host_name", "peer_address")
+__all__ = ("host_name", "peer_address")
 
 IDENTITY_FILE: Final = "identity"
-ELECTION_JITTER_MS: Final = 400
 
 
 def host_name(folder: Path, settings: Node) -> str:
@@ -40,10 +37,3 @@
     """Address for the other hosts of a seed."""
     ip, _, _ = seed.rpartition(":")
     return f"{ip}:{port}"
-
-
-def election_jitter(host: str) -> Iterator[int]:
-    """Endless jitter of a host's elections, in milliseconds."""
-    source = random.Random(host)  # noqa: S311
-    while True:
-        yield source.randrange(ELECTION_JITTER_MS)
--- a/src/rosemarysaddle/store/_journal.py
+++ b/src/rosemarysaddle/store/_journal.py
@@ -15,7 +15,12 @@
 
 import attrs
 
-from rosemarysaddle.decide import StoredLog
+from rosemarysaddle.decide import (
+    SaveEntries,
+    SaveSnapshot,
+    SaveVote,
+    StoredLog,
+)
 from rosemarysaddle.schema import LogEntry
 
 if TYPE_CHECKING:
@@ -133,6 +138,18 @@
         fresh.replace(path)
         _sync_folder(path.parent)
 
+    def save(self, effect: SaveVote | SaveEntries | SaveSnapshot) -> None:
+        """Store what the decisions ask for."""
+        match effect:
+            case SaveVote():
+                self.save_vote(effect.term, effect.voted_for)
+            case SaveEntries():
+                self.save_entries(effect.entries)
+            case SaveSnapshot():
+                self.save_snapshot(
+                    effect.index, effect.term, effect.state, effect.voters
+                )
+
     def save_vote(self, term: int, voted_for: str) -> None:
         """Store term and vote."""
         self._append({"vote": [term, voted_for]})
