Give both ends of a loan one framed protocol

Borrower and lender took their connection over, cut frames and wrote them in the same lines. FramedProtocol serves both; what each frame means stays with them.

--- a/src/rosemarysaddle/exchange/_frames.py
+++ b/src/rosemarysaddle/exchange/_frames.py
@@ -2,18 +2,21 @@
 
 from __future__ import annotations
 
+import abc
+import asyncio
 import struct
 from typing import TYPE_CHECKING, Final
 
 import attrs
 
+from rosemarysaddle.exchange._connection import guard_socket
 from rosemarysaddle.link import DecodeFault, decode, encode
 from rosemarysaddle.schema import Envelope
 
 if TYPE_CHECKING:
     from rosemarysaddle.schema import Message
 
-__all__ = ("FrameReader", "frame_bytes", "frame_message")
+__all__ = ("FrameReader", "FramedProtocol", "frame_bytes", "frame_message")
 
 MAX_FRAME_BYTES: Final = 4 * 1024 * 1024
 _LENGTH: Final = struct.Struct(">I")
@@ -65,3 +68,41 @@
             found.append(envelope.body)
         self._rest = buffer[start:]
         return found
+
+
+@attrs.define(kw_only=True, eq=False)
+class FramedProtocol(asyncio.Protocol, abc.ABC):
+    """One end of a connection that carries frames."""
+
+    _transport: asyncio.Transport | None = attrs.field(
+        default=None, init=False
+    )
+    _frames: FrameReader = attrs.field(factory=FrameReader, init=False)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the open connection over."""
+        assert isinstance(transport, asyncio.Transport)  # noqa: S101
+        self._transport = transport
+        guard_socket(transport.get_extra_info("socket"))
+
+    def data_received(self, data: bytes) -> None:
+        """Take the frames that are whole; end at what is none."""
+        frames = self._frames.feed(data)
+        if frames is None:
+            self.abort()
+            return
+        for frame in frames:
+            self.take(frame)
+
+    def send(self, frame: bytes) -> None:
+        """Send a frame, while the connection stands."""
+        if self._transport is not None:
+            self._transport.write(frame)
+
+    @abc.abstractmethod
+    def take(self, frame: Message | bytes) -> None:
+        """Take one frame."""
+
+    @abc.abstractmethod
+    def abort(self) -> None:
+        """End the connection at once."""
--- a/src/rosemarysaddle/exchange/_lender.py
+++ b/src/rosemarysaddle/exchange/_lender.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING, Final
 
 import attrs
@@ -11,9 +10,8 @@
 from rosemarysaddle._events import log_event
 from rosemarysaddle._tasks import spawn
 from rosemarysaddle.decide import NS_PER_MS, FaultCode, SessionVariables, Wish
-from rosemarysaddle.exchange._connection import Exchange, guard_socket
 from rosemarysaddle.exchange._frames import (
-    FrameReader,
+    FramedProtocol,
     frame_bytes,
     frame_message,
 )
@@ -30,8 +28,10 @@
 )
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Awaitable, Callable
 
+    from rosemarysaddle.exchange._connection import Exchange
     from rosemarysaddle.exchange._pool import ExchangePool
 
 __all__ = ("Lender",)
@@ -86,7 +86,7 @@
 
 
 @attrs.define(kw_only=True, eq=False)
-class _Loan(asyncio.Protocol):
+class _Loan(FramedProtocol):
     """One borrower's connection; it has one loan at a time.
 
     :param exchange: connection that is lent, or None
@@ -97,29 +97,16 @@
     exchange: Exchange | None = attrs.field(default=None, init=False)
     task: asyncio.Task[None] | None = attrs.field(default=None, init=False)
     _pool: ExchangePool | None = attrs.field(default=None, init=False)
-    _frames: FrameReader = attrs.field(factory=FrameReader, init=False)
     _heard_ns: int = attrs.field(factory=clock_ns, init=False)
-    _transport: asyncio.Transport | None = attrs.field(
-        default=None, init=False
-    )
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)  # noqa: S101
-        self._transport = transport
-        guard_socket(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
+        """Take what the borrower sent."""
         # After a suspension of this host the borrower has given up.
         now_ns = clock_ns()
         if self.end_if_silent(now_ns):
             return
         self._heard_ns = now_ns
-        frames = self._frames.feed(data)
-        if frames is None:
-            self.abort()
-            return
-        for frame in frames:
-            self._take(frame)
+        super().data_received(data)
 
     def connection_lost(self, exc: Exception | None) -> None:
         del exc
@@ -132,8 +119,7 @@
 
     def deliver(self, data: bytes) -> None:
         """Pass bytes of the target on to the borrower."""
-        if self._transport is not None:
-            self._transport.write(frame_bytes(data))
+        self.send(frame_bytes(data))
 
     def end(self) -> None:
         """Tell the borrower that the target's connection ended."""
@@ -157,7 +143,8 @@
         self.abort()
         return True
 
-    def _take(self, frame: object) -> None:
+    def take(self, frame: object) -> None:
+        """Take one frame of the borrower."""
         match frame:
             case bytes() if self.exchange is not None:
                 if frame:
@@ -184,7 +171,7 @@
                 self._refuse(FaultCode.BUSY)
                 return
             if not pool.has_idle:
-                self._send(frame_message(LoanQueued()))
+                self.send(frame_message(LoanQueued()))
             found = await pool.acquire(
                 SessionVariables(
                     values={v.name: v.value for v in request.values}
@@ -203,9 +190,9 @@
 
     async def _tell_point(self, request: PointRequest) -> None:
         try:
-            self._send(frame_message(LoanQueued()))
+            self.send(frame_message(LoanQueued()))
             reply = await self.lender.find_point(request.target)
-            self._send(frame_message(reply))
+            self.send(frame_message(reply))
         finally:
             self.task = None
 
@@ -213,7 +200,7 @@
         self._heard_ns = clock_ns()
         self._pool, self.exchange = pool, exchange
         exchange.borrower = self
-        self._send(frame_message(grant_of(exchange.setup)))
+        self.send(frame_message(grant_of(exchange.setup)))
 
     def _take_back(self, exchange: Exchange, message: LoanReturn) -> None:
         self.exchange = None
@@ -223,8 +210,4 @@
             self._pool.release(exchange)
 
     def _refuse(self, code: FaultCode) -> None:
-        self._send(frame_message(LoanRefusal(code=code)))
-
-    def _send(self, frame: bytes) -> None:
-        if self._transport is not None:
-            self._transport.write(frame)
+        self.send(frame_message(LoanRefusal(code=code)))
--- a/src/rosemarysaddle/exchange/_loans.py
+++ b/src/rosemarysaddle/exchange/_loans.py
@@ -10,9 +10,9 @@
 from rosemarysaddle._clock import clock_ns
 from rosemarysaddle._events import log_event
 from rosemarysaddle.decide import NS_PER_MS, FaultCode, LenderRanking, Wish
-from rosemarysaddle.exchange._connection import Exchange, guard_socket
+from rosemarysaddle.exchange._connection import Exchange
 from rosemarysaddle.exchange._frames import (
-    FrameReader,
+    FramedProtocol,
     frame_bytes,
     frame_message,
 )
@@ -51,35 +51,18 @@
 
 
 @attrs.define(kw_only=True, eq=False)
-class _Link(asyncio.Protocol):
+class _Link(FramedProtocol):
     """Connection to a lender; it carries one loan at a time."""
 
     lender: str
     on_lost: Callable[[_Link], None]
     exchange: Exchange | None = attrs.field(default=None, init=False)
     is_lost: bool = attrs.field(default=False, init=False)
-    _frames: FrameReader = attrs.field(factory=FrameReader, init=False)
-    _transport: asyncio.Transport | None = attrs.field(
-        default=None, init=False
-    )
     _answer: asyncio.Future[_Reply | None] | None = attrs.field(
         default=None, init=False
     )
     _is_queued: bool = attrs.field(default=False, init=False)
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)  # noqa: S101
-        self._transport = transport
-        guard_socket(transport.get_extra_info("socket"))
-
-    def data_received(self, data: bytes) -> None:
-        frames = self._frames.feed(data)
-        if frames is None:
-            self.abort()
-            return
-        for frame in frames:
-            self._take(frame)
-
     def connection_lost(self, exc: Exception | None) -> None:
         del exc
         self._end()
@@ -91,7 +74,7 @@
         loop = asyncio.get_running_loop()
         self._answer = loop.create_future()
         self._is_queued = False
-        self.write_frame(frame_message(request))
+        self.send(frame_message(request))
         first = loop.call_later(FIRST_ANSWER_MS / 1_000, self._expect_word)
         left_s = (deadline_ns - clock_ns()) / _NS_PER_S
         last = loop.call_later(max(0.0, left_s), self.abort)
@@ -104,12 +87,7 @@
 
     def write(self, data: bytes) -> None:
         """Send bytes to the target."""
-        self.write_frame(frame_bytes(data))
-
-    def write_frame(self, frame: bytes) -> None:
-        """Send a frame to the lender."""
-        if self._transport is not None and not self.is_lost:
-            self._transport.write(frame)
+        self.send(frame_bytes(data))
 
     def abort(self) -> None:
         """End the link, and with it the target's connection."""
@@ -121,7 +99,8 @@
         if not self._is_queued and self._answer is not None:
             self.abort()
 
-    def _take(self, frame: object) -> None:
+    def take(self, frame: object) -> None:
+        """Take what the lender sent."""
         match frame:
             case bytes() if self.exchange is not None:
                 self.exchange.data_received(frame)
@@ -139,6 +118,7 @@
         if self.is_lost:
             return
         self.is_lost = True
+        self._transport = None
         if self._answer is not None and not self._answer.done():
             self._answer.set_result(None)
         exchange, self.exchange = self.exchange, None
@@ -237,7 +217,7 @@
             return
         link.exchange = None
         exchange.detach()
-        link.write_frame(frame_message(return_of(exchange.setup)))
+        link.send(frame_message(return_of(exchange.setup)))
         self._put_by(link)
 
     def tick(self, now_ns: int) -> None:
