Derive the start time of a statement, and end tickets in one place

The time until which a statement waits went through four calls beside the deadline that it follows from; it is worked out where it is used. Three copies of the end of a transaction's ticket are one. In the pool a condition compared a deadline with the smaller of itself and another, so it was always true; it is gone.

--- a/src/rosemarysaddle/exchange/_pool.py
+++ b/src/rosemarysaddle/exchange/_pool.py
@@ -252,15 +252,14 @@
                 refused=answer.text == "ConnectionRefusedError",
                 connected=exchange.was_connected,
             )
-            return self._fail(fault, deadline_ns >= latest_ns)
+            return self._fail(fault)
         self._open.add(exchange)
         self._wake_one()
         return exchange
 
-    def _fail(self, fault: OpenFault, counts: bool) -> OpenFault:  # noqa: FBT001
+    def _fail(self, fault: OpenFault) -> OpenFault:
         self.failed += 1
-        if counts:
-            self.on_open_fault(fault)
+        self.on_open_fault(fault)
         self._wake_one()
         return fault
 
--- a/src/rosemarysaddle/session/_run.py
+++ b/src/rosemarysaddle/session/_run.py
@@ -83,7 +83,7 @@
         self, route: Route, statement: Statement
     ) -> Answer | Refusal:
         """Run one read outside a transaction."""
-        deadline_ns, start_ns = _deadlines_ns(route)
+        deadline_ns = _deadline_ns(route)
         failed: set[str] = set()
         attempts = 0
         last: Answer | None = None
@@ -93,9 +93,7 @@
                 if not await self.router.wait_change(deadline_ns):
                     break
                 continue
-            answer = await self._read_at(
-                route, place, statement, start_ns, deadline_ns
-            )
+            answer = await self._read_at(route, place, statement, deadline_ns)
             if answer.fault is None:
                 return answer
             last = answer
@@ -106,7 +104,9 @@
                 break
             if not self._place(route, failed):
                 failed.clear()
-                if not await self._pause(number, start_ns):
+                if not await self._pause(
+                    number, _start_ns(route, deadline_ns)
+                ):
                     break
         return read_refusal(route, last)
 
@@ -114,21 +114,21 @@
         self, route: Route, statement: Statement
     ) -> Answer | Refusal:
         """Run one write outside a transaction, at most once."""
-        deadline_ns, start_ns = _deadlines_ns(route)
+        deadline_ns = _deadline_ns(route)
         last: Answer | None = None
         for number in range(MAX_TRIES):
             ticket = await self._ticket(route.group, deadline_ns)
             if isinstance(ticket, Refusal):
                 return ticket
             result = await self._write_in_turn(
-                route, ticket, statement, start_ns, deadline_ns
+                route, ticket, statement, deadline_ns
             )
             if isinstance(result, Refusal) or result.fault is None:
                 return result
             last = result
             if not result.fault.is_not_run:
                 return write_refusal(route, result)
-            if not await self._pause(number, start_ns):
+            if not await self._pause(number, _start_ns(route, deadline_ns)):
                 break
         return not_run(route.group, last)
 
@@ -141,17 +141,17 @@
         route: Route,
         place: Placement,
         statement: Statement,
-        start_ns: int,
         deadline_ns: int,
     ) -> Answer:
         turns = self.router.turns[place.target]
         if not await turns.enter(
-            priority=route.priority, deadline_ns=start_ns
+            priority=route.priority,
+            deadline_ns=_start_ns(route, deadline_ns),
         ):
             return Answer(fault=FaultCode.BUSY, text="no turn in time")
         try:
             exchange = await self._connect(
-                route, place.target, start_ns, pinned=False
+                route, place.target, deadline_ns, pinned=False
             )
             if isinstance(exchange, OpenFault):
                 return Answer(fault=FaultCode.BUSY, text=str(exchange.code))
@@ -168,18 +168,18 @@
         route: Route,
         ticket: WriteTicket,
         statement: Statement,
-        start_ns: int,
         deadline_ns: int,
     ) -> Answer | Refusal:
         turns = self.router.turns[ticket.primary]
         if not await turns.enter(
-            priority=route.priority, deadline_ns=start_ns
+            priority=route.priority,
+            deadline_ns=_start_ns(route, deadline_ns),
         ):
             self.router.end_write(ticket)
             return Answer(fault=FaultCode.BUSY, text="no turn in time")
         try:
             return await self._write_once(
-                route, ticket, statement, start_ns, deadline_ns
+                route, ticket, statement, deadline_ns
             )
         finally:
             turns.leave()
@@ -189,11 +189,10 @@
         route: Route,
         ticket: WriteTicket,
         statement: Statement,
-        start_ns: int,
         deadline_ns: int,
     ) -> Answer | Refusal:
         exchange = await self._connect(
-            route, ticket.primary, start_ns, pinned=False
+            route, ticket.primary, deadline_ns, pinned=False
         )
         if isinstance(exchange, OpenFault):
             self.router.end_write(ticket)
@@ -251,9 +250,7 @@
     def _committed(
         self, transaction: Transaction, exchange: Exchange, answer: Answer
     ) -> Answer | Refusal:
-        ticket = transaction.ticket
-        held = ticket is None or self.router.end_write(ticket)
-        transaction.ticket = None
+        held = self._end_ticket(transaction)
         transaction.exchange = None
         self._give_back(exchange)
         if not transaction.wrote:
@@ -281,18 +278,19 @@
             deadline_ns=_deadline_ns(transaction.route),
         )
         self._give_back(exchange)
-        if transaction.ticket is not None:
-            self.router.end_write(transaction.ticket)
-            transaction.ticket = None
+        self._end_ticket(transaction)
 
     def abandon(self, transaction: Transaction) -> None:
         """End a transaction by the end of its connection."""
         if transaction.exchange is not None:
             transaction.exchange.abort()
             transaction.exchange = None
-        if transaction.ticket is not None:
-            self.router.end_write(transaction.ticket)
-            transaction.ticket = None
+        self._end_ticket(transaction)
+
+    def _end_ticket(self, transaction: Transaction) -> bool:
+        """End the right to the primary, and tell whether it held."""
+        ticket, transaction.ticket = transaction.ticket, None
+        return ticket is None or self.router.end_write(ticket)
 
     async def _pinned(
         self, transaction: Transaction, deadline_ns: int
@@ -365,9 +363,8 @@
         after: LogPoint | None,
         deadline_ns: int,
     ) -> FaultCode | None:
-        start_ns = max(clock_ns(), deadline_ns - _half_ns(transaction.route))
         exchange = await self._connect(
-            transaction.route, target, start_ns, pinned=True
+            transaction.route, target, deadline_ns, pinned=True
         )
         if isinstance(exchange, OpenFault):
             return FaultCode.BUSY
@@ -404,14 +401,16 @@
                 return found
 
     async def _connect(
-        self, route: Route, target: str, start_ns: int, *, pinned: bool
+        self, route: Route, target: str, deadline_ns: int, *, pinned: bool
     ) -> Exchange | OpenFault:
         pool = self.router.pools.get(target)
         if pool is None:
             return OpenFault(code=FaultCode.WRONG_TARGET, peer=target)
         wish = Wish(priority=route.priority, pinned=pinned)
         return await pool.acquire(
-            self.variables, deadline_ns=start_ns, wish=wish
+            self.variables,
+            deadline_ns=_start_ns(route, deadline_ns),
+            wish=wish,
         )
 
     async def _ask(
@@ -518,15 +517,10 @@
     return clock_ns() + route.timeout_ms * NS_PER_MS
 
 
-def _deadlines_ns(route: Route) -> tuple[int, int]:
-    """Deadline of a statement, and of its wait for a connection.
+def _start_ns(route: Route, deadline_ns: int) -> int:
+    """Time until which a statement waits for a turn and a connection.
 
     A statement that waits longer than half of its time mostly does not
     end in the rest; its caller comes back sooner if it is told.
     """
-    deadline_ns = _deadline_ns(route)
-    return deadline_ns, deadline_ns - _half_ns(route)
-
-
-def _half_ns(route: Route) -> int:
-    return route.timeout_ms * NS_PER_MS // 2
+    return deadline_ns - route.timeout_ms * NS_PER_MS // 2
