Trim lent pools once a second, and name nanoseconds a second once

Every tick (100 ms) asked each pool of a host whether another host lends there: 320,000 questions a second at 32,000 targets. It goes with the keep-alive of the loans now, once a second; lists of neighbours that change still end what is left over at once.

--- a/src/rosemarysaddle/_clock.py
+++ b/src/rosemarysaddle/_clock.py
@@ -9,7 +9,9 @@
 import time
 from typing import Final
 
-__all__ = ("clock_ns",)
+__all__ = ("NS_PER_S", "clock_ns")
+
+NS_PER_S: Final = 1_000_000_000
 
 # Hosts without CLOCK_BOOTTIME are not suspended with a lease at hand.
 _CLOCK: Final = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
--- a/src/rosemarysaddle/_events.py
+++ b/src/rosemarysaddle/_events.py
@@ -8,7 +8,7 @@
 import attrs
 from absl import logging
 
-from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._clock import NS_PER_S, clock_ns
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -16,7 +16,6 @@
 __all__ = ("EventLog", "log_event")
 
 MAX_PER_SECOND: Final = 20
-_NS_PER_S: Final = 1_000_000_000
 
 
 @attrs.define(kw_only=True)
@@ -38,7 +37,7 @@
         :param kind: kind of the decision
         :param text: its inputs and outcome as ``key=value``
         """
-        second = now_ns // _NS_PER_S
+        second = now_ns // NS_PER_S
         if second != self._second:
             self._tell_left_out()
             self._second = second
--- a/src/rosemarysaddle/daemon/_gate.py
+++ b/src/rosemarysaddle/daemon/_gate.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._clock import NS_PER_S, clock_ns
 from rosemarysaddle.decide import (
     NS_PER_MS,
     EntryNode,
@@ -43,7 +43,6 @@
 RETRY_AFTER_MS: Final = 500
 BACKOFF_MS: Final = 60
 LEAVING_MS: Final = 10_000
-_NS_PER_S: Final = 1_000_000_000
 
 
 @attrs.frozen(kw_only=True)
@@ -387,7 +386,7 @@
         left_ns = deadline_ns - clock_ns()
         if left_ns <= 0:
             return False
-        self.changed.wait(left_ns / _NS_PER_S)
+        self.changed.wait(left_ns / NS_PER_S)
         return clock_ns() < deadline_ns
 
 
--- a/src/rosemarysaddle/exchange/_connection.py
+++ b/src/rosemarysaddle/exchange/_connection.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._clock import NS_PER_S, clock_ns
 from rosemarysaddle.decide import (
     NO_ANSWER,
     Answer,
@@ -48,7 +48,6 @@
 KEEPALIVE_IDLE_S: Final = 2
 KEEPALIVE_INTERVAL_S: Final = 1
 KEEPALIVE_PROBES: Final = 2
-_NS_PER_S: Final = 1_000_000_000
 _TIMED_OUT: Final = Answer(fault=FaultCode.TIMEOUT, state=SessionState.FAILED)
 
 
@@ -191,7 +190,7 @@
         if self.is_lost or self._transport is None:
             return NO_ANSWER
         loop = asyncio.get_running_loop()
-        left_s = (deadline_ns - clock_ns()) / _NS_PER_S
+        left_s = (deadline_ns - clock_ns()) / NS_PER_S
         if left_s <= 0:
             self.abort()
             return _TIMED_OUT
@@ -279,7 +278,7 @@
     :return: the target's answer; a fault where there is no connection
     """
     loop = asyncio.get_running_loop()
-    left_s = (deadline_ns - clock_ns()) / _NS_PER_S
+    left_s = (deadline_ns - clock_ns()) / NS_PER_S
     try:
         async with asyncio.timeout(max(0.0, left_s)):
             await loop.create_connection(
--- a/src/rosemarysaddle/exchange/_loans.py
+++ b/src/rosemarysaddle/exchange/_loans.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._clock import NS_PER_S, clock_ns
 from rosemarysaddle._events import log_event
 from rosemarysaddle.decide import NS_PER_MS, FaultCode, LenderRanking, Wish
 from rosemarysaddle.exchange._connection import Exchange
@@ -44,7 +44,6 @@
 FIRST_ANSWER_MS: Final = 500
 KEEP_ALIVE_MS: Final = 1_000
 MAX_IDLE_LINKS: Final = 4
-_NS_PER_S: Final = 1_000_000_000
 
 
 _Reply = LoanGrant | LoanRefusal | PointReply
@@ -76,7 +75,7 @@
         self._is_queued = False
         self.send(frame_message(request))
         first = loop.call_later(FIRST_ANSWER_MS / 1_000, self._expect_word)
-        left_s = (deadline_ns - clock_ns()) / _NS_PER_S
+        left_s = (deadline_ns - clock_ns()) / NS_PER_S
         last = loop.call_later(max(0.0, left_s), self.abort)
         try:
             return await self._answer
@@ -220,13 +219,17 @@
         link.send(frame_message(return_of(exchange.setup)))
         self._put_by(link)
 
-    def tick(self, now_ns: int) -> None:
-        """Keep the loans alive at their lenders."""
+    def tick(self, now_ns: int) -> bool:
+        """Keep the loans alive at their lenders.
+
+        :return: whether that was due
+        """
         if now_ns < self._keep_alive_ns:
-            return
+            return False
         self._keep_alive_ns = now_ns + KEEP_ALIVE_MS * NS_PER_MS
         for link in self._held.values():
             link.write(b"")
+        return True
 
     def close(self) -> None:
         """End the links that carry no loan."""
--- a/src/rosemarysaddle/exchange/_pool.py
+++ b/src/rosemarysaddle/exchange/_pool.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._clock import NS_PER_S, clock_ns
 from rosemarysaddle.decide import (
     NS_PER_MS,
     ConnectionQueue,
@@ -30,7 +30,6 @@
 # Twice the farthest round trip, the handshake and a start's delay.
 CONNECT_MS: Final = 500
 MAX_OPENING: Final = 1
-_NS_PER_S: Final = 1_000_000_000
 _ANY: Final = Wish()
 
 
@@ -265,7 +264,7 @@
 
     async def _wait(self, wish: Wish, deadline_ns: int) -> Exchange | _Word:
         loop = asyncio.get_running_loop()
-        left_s = (deadline_ns - clock_ns()) / _NS_PER_S
+        left_s = (deadline_ns - clock_ns()) / NS_PER_S
         if left_s <= 0:
             return _Word.LATE
         waiting: asyncio.Future[Exchange | _Word] = loop.create_future()
--- a/src/rosemarysaddle/node/_figures.py
+++ b/src/rosemarysaddle/node/_figures.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
-from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._clock import NS_PER_S, clock_ns
 from rosemarysaddle._metrics import Gauge, Histogram, Total, metrics_app
 from rosemarysaddle.link import Address
 from rosemarysaddle.session import BOUNDS_MS
@@ -25,7 +25,6 @@
 MAX_BODY_BYTES: Final = 4_096
 STOP_S: Final = 0.05
 _PREFIX: Final = "rosemarysaddle_"
-_NS_PER_S: Final = 1_000_000_000
 
 
 def start_metrics(
@@ -56,7 +55,7 @@
     """List the figures of an entry host."""
     yield from _results(router.tally)
     yield _one("sessions", "Sessions of callers that are open", sessions)
-    left_s = (node.lease.deadline_ns - clock_ns()) / _NS_PER_S
+    left_s = (node.lease.deadline_ns - clock_ns()) / NS_PER_S
     yield _one("lease_left_seconds", "Time left of the lease", left_s)
     yield from _view(node.state)
     yield from _targets(router)
@@ -92,7 +91,7 @@
         text="Time from a statement's arrival to its answer",
         label="database",
         bounds_s=tuple(bound / 1_000 for bound in BOUNDS_MS),
-        values={k: (c, s / _NS_PER_S) for k, (c, s) in found.items()},
+        values={k: (c, s / NS_PER_S) for k, (c, s) in found.items()},
     )
 
 
--- a/src/rosemarysaddle/platform/_calls.py
+++ b/src/rosemarysaddle/platform/_calls.py
@@ -11,7 +11,7 @@
 import attrs
 from absl import logging
 
-from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._clock import NS_PER_S, clock_ns
 from rosemarysaddle.link import Address
 from rosemarysaddle.node import TargetStatus
 from rosemarysaddle.schema import Announcement, SchemaFault
@@ -35,7 +35,6 @@
 _STATUS_FIELDS: Final = 4
 _PROMOTE_S: Final = 1.0
 _LEAST_S: Final = 0.05
-_NS_PER_S: Final = 1_000_000_000
 
 
 def readiness_app(is_ready: Callable[[], bool]) -> Any:
@@ -200,7 +199,7 @@
         :param may_send: asked right before the order is sent
         """
         address = Address.parse(self.address)
-        left_s = (order.deadline_ns - clock_ns()) / _NS_PER_S
+        left_s = (order.deadline_ns - clock_ns()) / NS_PER_S
         timeout_s = max(_LEAST_S, min(left_s, _PROMOTE_S))
         connection = http.client.HTTPConnection(
             address.ip, address.port, timeout=timeout_s
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._clock import NS_PER_S, clock_ns
 from rosemarysaddle._events import log_event
 from rosemarysaddle._tasks import spawn
 from rosemarysaddle.decide import (
@@ -71,7 +71,6 @@
 # A host whose ticks come later than this is too busy to judge others.
 LATE_MS: Final = 50
 LATE_SPAN_MS: Final = 1_000
-_NS_PER_S: Final = 1_000_000_000
 _UNKNOWN_POINT: Final = PointReply(known=False, age_ns=0, term=0, position=0)
 
 
@@ -402,7 +401,7 @@
         :param until_ns: time to wait until, in nanoseconds
         :return: whether there was time left to wait
         """
-        left_s = (until_ns - clock_ns()) / _NS_PER_S
+        left_s = (until_ns - clock_ns()) / NS_PER_S
         if left_s <= 0 or len(self._waiting) >= MAX_WAITING:
             return False
         loop = asyncio.get_running_loop()
@@ -420,9 +419,9 @@
 
     def tick_loans(self, now_ns: int) -> None:
         """Keep loans alive and end connections that others lend."""
-        self.desk.tick(now_ns)
-        for pool in self.pools.values():
-            pool.trim()
+        if self.desk.tick(now_ns):
+            for pool in self.pools.values():
+                pool.trim()
 
     def own_pool(self, target: str) -> ExchangePool | None:
         """Find this host's own connections to a target."""
@@ -434,7 +433,7 @@
 
         :param interval_s: time that was to lie between them, in seconds
         """
-        planned_ns = self._ticked_ns + int(interval_s * _NS_PER_S)
+        planned_ns = self._ticked_ns + int(interval_s * NS_PER_S)
         if self._ticked_ns and now_ns > planned_ns + LATE_MS * NS_PER_MS:
             self._late_until_ns = now_ns + LATE_SPAN_MS * NS_PER_MS
         self._ticked_ns = now_ns
--- a/src/rosemarysaddle/session/_tally.py
+++ b/src/rosemarysaddle/session/_tally.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from rosemarysaddle.decide import NS_PER_MS
+
 __all__ = ("BOUNDS_MS", "Tally")
 
 # From a hit in the own data centre to the longest deadline.
@@ -25,7 +27,6 @@
     10_000,
     20_000,
 )
-_NS_PER_MS: Final = 1_000_000
 
 
 @attrs.define(kw_only=True)
@@ -56,7 +57,7 @@
         times = self._times.get(database)
         if times is None:
             times = self._times[database] = _Times()
-        number = bisect.bisect_left(BOUNDS_MS, spent_ns / _NS_PER_MS)
+        number = bisect.bisect_left(BOUNDS_MS, spent_ns / NS_PER_MS)
         times.counts[number] += 1
         times.sum_ns += spent_ns
 
--- a/src/rosemarysaddle/session/_turns.py
+++ b/src/rosemarysaddle/session/_turns.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._clock import NS_PER_S, clock_ns
 from rosemarysaddle.decide import Window
 
 if TYPE_CHECKING:
@@ -18,7 +18,6 @@
 __all__ = ("Turns",)
 
 MAX_WAITING: Final = 512
-_NS_PER_S: Final = 1_000_000_000
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -49,7 +48,7 @@
         if not self._queue and self.window.may_start():
             self.window.running += 1
             return True
-        left_s = (deadline_ns - clock_ns()) / _NS_PER_S
+        left_s = (deadline_ns - clock_ns()) / NS_PER_S
         if left_s <= 0 or len(self._queue) >= MAX_WAITING:
             return False
         return await self._wait(priority, left_s)
--- a/src/rosemarysaddle/target/_mysql.py
+++ b/src/rosemarysaddle/target/_mysql.py
@@ -11,7 +11,7 @@
 from pymysql.connections import Connection
 from pymysql.constants import CR, ER
 
-from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._clock import NS_PER_S, clock_ns
 from rosemarysaddle.decide import LogPoint
 from rosemarysaddle.target._protocol import (
     FaultKind,
@@ -29,7 +29,6 @@
 __all__ = ("MySqlConnector", "MySqlSession")
 
 MIN_WAIT_S: Final = 0.001
-_NS_PER_S: Final = 1_000_000_000
 _KINDS: Final = {
     ER.OPTION_PREVENTS_STATEMENT: FaultKind.READ_ONLY,
     ER.DUP_ENTRY: FaultKind.DUPLICATE,
@@ -251,5 +250,5 @@
 
 
 def _left_s(deadline_ns: int) -> float:
-    left_s = (deadline_ns - clock_ns()) / _NS_PER_S
+    left_s = (deadline_ns - clock_ns()) / NS_PER_S
     return max(MIN_WAIT_S, left_s)
--- a/src/rosemarysaddle/target/_pool.py
+++ b/src/rosemarysaddle/target/_pool.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._clock import NS_PER_S, clock_ns
 from rosemarysaddle.decide import NS_PER_MS, Reason, Refusal, Step
 from rosemarysaddle.target._protocol import (
     FaultKind,
@@ -22,7 +22,6 @@
 __all__ = ("TargetPool",)
 
 CONNECT_MS: Final = 700
-_NS_PER_S: Final = 1_000_000_000
 
 
 @attrs.frozen(kw_only=True)
@@ -71,7 +70,7 @@
                 if self._open < self.limit:
                     self._open += 1
                     break
-                left_s = (deadline_ns - clock_ns()) / _NS_PER_S
+                left_s = (deadline_ns - clock_ns()) / NS_PER_S
                 if left_s <= 0 or not self._free.wait(left_s):
                     return self._refuse("all connections are in use")
         return self._connect(deadline_ns)
