Bring a follower whose last entries differ up to date in few round trips

Cause: the leader moved next_index past the batch it had sent, and a rejection reported the follower's last index; where that very entry differs, min(last + 1, next - 1) named the same index again and again. The follower got one batch each round trip for as long as the leader lived, and the next loss of a disk took the quorum.

Now: probes without entries until the logs match, a hint of index and term in the rejection, the commit index after three; stale rejections are told by the time that they echo and by the probed index.

Shown in: event=follower-behind, event=follower-in-step, and the gauges log_spare_voters, log_lag and log_rejections.

--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -28,6 +28,7 @@
     TargetReport,
 )
 from rosemarysaddle.decide._entry import EntryNode, WriteTicket
+from rosemarysaddle.decide._follower import BEHIND_MS, FollowerStatus
 from rosemarysaddle.decide._freshness import PositionHistory, newer_point
 from rosemarysaddle.decide._inventory import InventoryTable
 from rosemarysaddle.decide._lease import HostLease, LeaseTable
@@ -88,6 +89,7 @@
 from rosemarysaddle.decide._window import ConcurrencyWindow
 
 __all__ = (
+    "BEHIND_MS",
     "LEASE_MS",
     "NO_ANSWER",
     "NS_PER_MS",
@@ -108,6 +110,7 @@
     "EntryNode",
     "FaultCode",
     "FollowPrimary",
+    "FollowerStatus",
     "Freshness",
     "GroupTerm",
     "GroupView",
--- a/src/rosemarysaddle/decide/_entries.py
+++ b/src/rosemarysaddle/decide/_entries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 from typing import TYPE_CHECKING
 
 import attrs
@@ -49,6 +50,17 @@
             return self.base_term
         return self._entries[index - self.base_index - 1].term
 
+    def last_index_up_to(self, index: int, term: int) -> int:
+        """Find the last entry up to an index with at most a given term.
+
+        :return: its index, or the last one that the snapshot covers
+        """
+        held = max(0, index - self.base_index)
+        found = bisect.bisect_right(
+            self._entries, term, hi=min(held, self.held), key=_term_of
+        )
+        return self.base_index + found
+
     def between(self, first: int, last: int) -> list[LogEntry]:
         """List the entries from one index to another, inclusive."""
         return self._entries[
@@ -97,3 +109,7 @@
         self.base_index = index
         self.base_term = term
         self.base_state = state
+
+
+def _term_of(entry: LogEntry) -> int:
+    return entry.term
--- a/src/rosemarysaddle/decide/_log.py
+++ b/src/rosemarysaddle/decide/_log.py
@@ -23,6 +23,13 @@
     Send,
 )
 from rosemarysaddle.decide._entries import EntryStore
+from rosemarysaddle.decide._follower import (
+    BEHIND_MS,
+    Follower,
+    FollowerStatus,
+    Phase,
+    find_hint_index,
+)
 from rosemarysaddle.decide._times import (
     HEARTBEAT_INTERVAL_MS,
     MIN_ELECTION_TIMEOUT_MS,
@@ -85,24 +92,6 @@
     return stored == StoredLog()
 
 
-@attrs.define(kw_only=True)
-class _Follower:
-    """Progress of one follower, as its leader tracks it.
-
-    :param next_index: index of the next entry to send
-    :param match_index: last index known to be replicated
-    :param acked_sent_ns: newest send time that the follower echoed
-    :param send_at_ns: time of the next heartbeat
-    :param last_heard_ns: time of the last reply
-    """
-
-    next_index: int
-    match_index: int = 0
-    acked_sent_ns: int = 0
-    send_at_ns: int = 0
-    last_heard_ns: int = 0
-
-
 @attrs.define(kw_only=True)
 class LogNode:
     """One control host's replica of the log.
@@ -138,7 +127,7 @@
     _is_pre_vote: bool = attrs.field(default=False, init=False)
     _restarted: set[str] = attrs.field(factory=set, init=False)
     _has_seen_leader: bool = attrs.field(default=False, init=False)
-    _followers: dict[str, _Follower] = attrs.field(factory=dict, init=False)
+    _followers: dict[str, Follower] = attrs.field(factory=dict, init=False)
     _history: VoterHistory = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -181,6 +170,16 @@
         """Hosts that follow without a vote; empty unless leader."""
         return tuple(f for f in self._followers if f not in self.voters)
 
+    @property
+    def needs_to_join(self) -> bool:
+        """Whether this host should ask the leader to replicate to it.
+
+        That is a host without a vote, and also one that has no leader:
+        the entry that gave it a vote may have been replaced, so that no
+        leader knows it.
+        """
+        return self.host not in self.voters or not self.leader
+
     def last_heard_ns(self, peer: str) -> int:
         """Return the monotonic time of a follower's last reply.
 
@@ -195,6 +194,36 @@
         match = 0 if follower is None else follower.match_index
         return self.last_index - match
 
+    def follower_statuses(self) -> list[FollowerStatus]:
+        """Describe all followers; empty unless leader."""
+        return [
+            FollowerStatus(
+                peer=peer,
+                is_voter=peer in self.voters,
+                phase=follower.phase,
+                match_index=follower.match_index,
+                lag=self.lag(peer),
+                rejections=follower.rejections,
+                in_step_ns=follower.in_step_ns,
+                last_heard_ns=follower.last_heard_ns,
+            )
+            for peer, follower in self._followers.items()
+        ]
+
+    def spare_voters(self, now_ns: int) -> int:
+        """Count the voters that may be lost before the quorum is.
+
+        :param now_ns: monotonic time, in nanoseconds
+        :return: number of voters that are in step beyond a quorum;
+            negative if changes cannot be committed now
+        """
+        since_ns = now_ns - BEHIND_MS * NS_PER_MS
+        in_step = 1 + sum(
+            status.is_voter and status.in_step_ns >= since_ns
+            for status in self.follower_statuses()
+        )
+        return in_step - (len(self.voters) // 2 + 1)
+
     def add_learner(self, peer: str, now_ns: int) -> list[Effect]:
         """Start replicating to a host without a vote, as leader."""
         if self.role is not Role.LEADER or peer in {
@@ -202,11 +231,13 @@
             *self._followers,
         }:
             return []
-        follower = _Follower(
-            next_index=self.last_index + 1, last_heard_ns=now_ns
+        follower = Follower(
+            next_index=self.last_index + 1,
+            last_heard_ns=now_ns,
+            in_step_ns=now_ns,
         )
         self._followers[peer] = follower
-        return [self._replicate(peer, follower, now_ns)]
+        return [self._send(peer, follower, now_ns)]
 
     def drop_learner(self, peer: str) -> None:
         """Stop replicating to a host without a vote."""
@@ -312,8 +343,11 @@
 
         :param index: last index that the snapshot covers
         :param state: serialized state at that index
-        :return: effect that saves the snapshot
+        :return: effect that saves the snapshot; none if the log has no
+            entry that the snapshot would cover
         """
+        if index <= self._entries.base_index:
+            return []
         self._entries.compact(index, state)
         self._history.compact(index)
         return [
@@ -523,8 +557,11 @@
         self.leader = self.host
         self.elected_ns = now_ns
         self._followers = {
-            peer: _Follower(
-                next_index=self.last_index + 1, last_heard_ns=now_ns
+            peer: Follower(
+                next_index=self.last_index + 1,
+                last_heard_ns=now_ns,
+                in_step_ns=now_ns,
+                has_probe_entry=True,
             )
             for peer in self._other_voters()
         }
@@ -582,7 +619,7 @@
             return
         for peer in self._other_voters():
             if peer not in self._followers:
-                follower = _Follower(next_index=self.last_index + 1)
+                follower = Follower(next_index=self.last_index + 1)
                 self._followers[peer] = follower
 
     def _other_voters(self) -> Sequence[str]:
@@ -593,24 +630,32 @@
     def _heartbeat(self, now_ns: int) -> list[Effect]:
         effects: list[Effect] = []
         for peer, follower in self._followers.items():
+            follower.note_silence(now_ns)
             if now_ns >= follower.send_at_ns:
-                effects.append(self._replicate(peer, follower, now_ns))
+                effects.append(self._send(peer, follower, now_ns))
         return effects
 
     def _replicate_all(self, now_ns: int) -> list[Effect]:
-        return [
-            self._replicate(peer, follower, now_ns)
-            for peer, follower in self._followers.items()
-        ]
+        effects: list[Effect] = []
+        for peer, follower in self._followers.items():
+            follower.note_silence(now_ns)
+            if follower.is_ready(now_ns):
+                effects.append(self._send(peer, follower, now_ns))
+        return effects
 
-    def _replicate(self, peer: str, follower: _Follower, now_ns: int) -> Send:
+    def _send(self, peer: str, follower: Follower, now_ns: int) -> Send:
+        """Send the next entries if the follower is ready for them."""
         follower.send_at_ns = now_ns + HEARTBEAT_INTERVAL_MS * NS_PER_MS
         if follower.next_index <= self._entries.base_index:
-            return Send(peer=peer, message=self._snapshot(now_ns))
-        last = follower.next_index + MAX_APPEND_ENTRIES - 1
-        batch = _cap_batch(self._entries.between(follower.next_index, last))
-        previous = follower.next_index - 1
-        follower.next_index += len(batch)
+            if follower.phase is not Phase.SNAPSHOT or follower.is_ready(
+                now_ns
+            ):
+                follower.start_snapshot(now_ns)
+                return Send(peer=peer, message=self._snapshot(now_ns))
+            previous = self._entries.base_index
+        else:
+            previous = follower.next_index - 1
+        batch = self._next_batch(follower, now_ns)
         request = AppendRequest(
             term=self.term,
             leader=self.host,
@@ -622,6 +667,18 @@
         )
         return Send(peer=peer, message=request)
 
+    def _next_batch(self, follower: Follower, now_ns: int) -> list[LogEntry]:
+        if not follower.is_ready(now_ns):
+            return []
+        first = follower.next_index
+        if follower.phase is Phase.PROBE:
+            follower.has_probe_entry = False
+            return self._entries.between(first, first)
+        last = first + MAX_APPEND_ENTRIES - 1
+        batch = _cap_batch(self._entries.between(first, last))
+        follower.next_index += len(batch)
+        return batch
+
     def _snapshot(self, now_ns: int) -> SnapshotInstall:
         return SnapshotInstall(
             term=self.term,
@@ -668,14 +725,26 @@
     def _append_reply(
         self, peer: str, request: AppendRequest, *, ok: bool, match: int = 0
     ) -> Send:
+        hint = match if ok else self._hint_index(request)
         reply = AppendReply(
             term=self.term,
             ok=ok,
-            match_index=match if ok else self.last_index,
+            match_index=hint,
             sent_ns=request.sent_ns,
+            hint_term=0 if ok else self._entries.term_at(hint),
+            prev_index=request.prev_index,
+            commit_index=self.commit_index,
         )
         return Send(peer=peer, message=reply)
 
+    def _hint_index(self, request: AppendRequest) -> int:
+        return find_hint_index(
+            self._entries,
+            request.prev_index,
+            request.prev_term,
+            self.commit_index,
+        )
+
     def _on_append_reply(
         self, source: str, reply: AppendReply, now_ns: int
     ) -> list[Effect]:
@@ -688,25 +757,17 @@
         follower.acked_sent_ns = newest
         follower.last_heard_ns = now_ns
         if not reply.ok:
-            return self._rewind(source, follower, reply, now_ns)
-        follower.match_index = max(follower.match_index, reply.match_index)
-        follower.next_index = max(follower.next_index, reply.match_index + 1)
+            if not follower.on_rejected(reply, self._entries, now_ns):
+                return []
+            return [self._send(source, follower, now_ns)]
+        follower.on_accepted(reply.match_index, now_ns)
         effects = self._advance_commit()
+        if follower.match_index >= self.commit_index:
+            follower.in_step_ns = now_ns
         if follower.next_index <= self.last_index:
-            effects.append(self._replicate(source, follower, now_ns))
+            effects.append(self._send(source, follower, now_ns))
         return effects
 
-    def _rewind(
-        self,
-        source: str,
-        follower: _Follower,
-        reply: AppendReply,
-        now_ns: int,
-    ) -> list[Effect]:
-        lower = min(reply.match_index + 1, follower.next_index - 1)
-        follower.next_index = max(lower, follower.match_index + 1, 1)
-        return [self._replicate(source, follower, now_ns)]
-
     def _advance_commit(self) -> list[Effect]:
         matches = [
             self.last_index
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -37,6 +37,7 @@
     join_voters,
 )
 from rosemarysaddle.link import Address, PeerNetwork, UnmodifiedNetwork
+from rosemarysaddle.node._follower_log import FollowerLog
 from rosemarysaddle.node._host_metrics import control_metrics, start_metrics
 from rosemarysaddle.node._identity import (
     load_or_create_host_name,
@@ -109,6 +110,7 @@
     )
     _jobs: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
     _logged_state: tuple[object, ...] = attrs.field(default=(), init=False)
+    _follower_log: FollowerLog = attrs.field(factory=FollowerLog, init=False)
     _changed: asyncio.Condition = attrs.field(
         factory=asyncio.Condition, init=False
     )
@@ -326,25 +328,20 @@
 
     async def _tick_forever(self) -> None:
         while True:
-            self._execute_effects(self.control.tick(clock_ns()))
+            now_ns = clock_ns()
+            self._execute_effects(self.control.tick(now_ns))
+            self._follower_log.update(self.control.log, now_ns)
             await asyncio.sleep(CONTROL_TICK_S)
 
     async def _join_forever(self) -> None:
         while True:
             await asyncio.sleep(JOIN_INTERVAL_S)
-            if self.needs_to_join:
+            # Messages from a leader do not prove membership: those that
+            # it sends to the name that belonged to an earlier disk of
+            # this host arrive at this address too.
+            if self.control.log.needs_to_join:
                 self._ask_to_join()
 
-    @property
-    def needs_to_join(self) -> bool:
-        """Return whether this host is not a voter.
-
-        Messages from a leader do not prove membership: those that it
-        sends to the name that belonged to an earlier disk of this host
-        arrive at this address too.
-        """
-        return self.host not in self.control.log.voters
-
     def _ask_to_join(self) -> None:
         log = self.control.log
         port = self.settings.peers_port
--- a/src/rosemarysaddle/node/_host_metrics.py
+++ b/src/rosemarysaddle/node/_host_metrics.py
@@ -79,6 +79,7 @@
     yield _gauge("log_term", "Term of the control log", log.term)
     yield _gauge("log_commit_index", "Last committed entry", log.commit_index)
     yield _gauge("log_voters", "Hosts with a vote", len(log.voters))
+    yield from _follower_metrics(control, now_ns)
     leases = len(control.lease_holders(now_ns))
     yield _gauge("leases", "Entry hosts that hold a lease", leases)
     changes = len(control.primaries.changes)
@@ -86,6 +87,29 @@
     yield from _state_metrics(control.state)
 
 
+def _follower_metrics(control: ControlNode, now_ns: int) -> Iterator[Metric]:
+    statuses = control.log.follower_statuses()
+    if not control.leads(now_ns):
+        return
+    yield _gauge(
+        "log_spare_voters",
+        "Voters in step that may be lost before the quorum is",
+        control.log.spare_voters(now_ns),
+    )
+    yield _labelled_gauge(
+        "log_lag",
+        "Entries that a follower is not known to hold",
+        "peer",
+        {s.peer: s.lag for s in statuses},
+    )
+    yield _labelled_gauge(
+        "log_rejections",
+        "Appends that a follower rejected since the election",
+        "peer",
+        {s.peer: s.rejections for s in statuses},
+    )
+
+
 def _statement_metrics(stats: StatementStats) -> Iterator[Metric]:
     yield Counter(
         name=f"{_PREFIX}statements",
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -114,6 +114,9 @@
     ok: bool
     match_index: int
     sent_ns: int
+    hint_term: int = 0
+    prev_index: int = 0
+    commit_index: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarysaddle/schema/messages.capnp
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -42,6 +42,12 @@
   ok @1 :Bool;
   matchIndex @2 :UInt64;
   sentNs @3 :UInt64;
+  # In a rejection, matchIndex is an index below prevIndex from which the
+  # logs may match, and hintTerm the term of its entry.  Earlier builds
+  # leave out these three.
+  hintTerm @4 :UInt64 = 0;
+  prevIndex @5 :UInt64 = 0;
+  commitIndex @6 :UInt64 = 0;
 }
 
 struct SnapshotInstall {
--- a/tests/decide/test_log.py
+++ b/tests/decide/test_log.py
@@ -342,3 +342,14 @@
 
     assert effects == []
     assert voter.term == 3
+
+
+def test_voter_without_a_leader_asks_to_join() -> None:
+    # The entry that made it a voter may have been replaced.
+    node = make_log("a")
+    node.receive("c", _append(1, 0), 100 * NS_PER_MS)
+    assert not node.needs_to_join
+
+    node.tick(1_500 * NS_PER_MS)
+
+    assert node.needs_to_join
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -64,13 +64,22 @@
         self.stored = attrs.evolve(self.stored, entries=(*kept, *entries))
 
     def _save_snapshot(self, snapshot: SaveSnapshot) -> None:
-        later = [e for e in self.stored.entries if e.index > snapshot.index]
+        covered = snapshot.index - self.stored.snapshot_index
+        entries = self.stored.entries
+        # As on a real disk, a tail is kept only behind the entry that
+        # the snapshot ends with.
+        is_held = (
+            0 < covered <= len(entries)
+            and entries[covered - 1].term == snapshot.term
+        )
+        later = entries[covered:] if is_held else ()
         self.stored = attrs.evolve(
             self.stored,
             snapshot_index=snapshot.index,
             snapshot_term=snapshot.term,
             snapshot_state=snapshot.state,
-            entries=tuple(later),
+            snapshot_voters=snapshot.voters,
+            entries=later,
         )
 
 
--- a/tests/node/test_control.py
+++ b/tests/node/test_control.py
@@ -108,7 +108,7 @@
         host = _host(tmp_path, first_start=False)
         await host.start()
         host._receive(f"{IP}:1", heartbeat)
-        result = (host.control.log.leader, host.needs_to_join)
+        result = (host.control.log.leader, host.control.log.needs_to_join)
         await host.stop()
         return result
 
