Keep entry hosts that start together within the limits of targets

Cause: a host that did not know its neighbours yet opened one connection of its own to each target (two, while the number of hosts was unknown), and a leader withholds the lists for 2 s after its election. 200 hosts that start together so opened up to 200 connections to a target that takes 117, in the very seconds in which all callers came back. A replica that was down was probed every 250 ms by each host over a connection of its own, so that its return met as many openings, each of which takes a slot for 12 ms.

Primaries are still probed by each host, as a change of primary needs the reports of several.

Fall-back of two connections where the number of hosts isn't recorded at all: unchanged, as the daemons without a registry rely on it.

--- a/src/rosemarysaddle/connection/_shared.py
+++ b/src/rosemarysaddle/connection/_shared.py
@@ -2,26 +2,32 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import asyncio
+from typing import TYPE_CHECKING, Final
 
 import attrs
 
-from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._clock import NS_PER_S, clock_ns
 from rosemarysaddle.connection._connection import TargetConnection
+from rosemarysaddle.connection._pool import OpenFault
+from rosemarysaddle.decide import (
+    NS_PER_MS,
+    ConnectionRequest,
+    FaultCode,
+    SessionVariables,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from rosemarysaddle.connection._loans import LoanClient
-    from rosemarysaddle.connection._pool import ConnectionPool, OpenFault
-    from rosemarysaddle.decide import (
-        ConnectionRequest,
-        ConnectionShare,
-        SessionVariables,
-    )
+    from rosemarysaddle.connection._pool import ConnectionPool
+    from rosemarysaddle.decide import ConnectionShare
 
 __all__ = ("SharedPool",)
 
+CHECK_TIMEOUT_MS: Final = 500
+
 
 @attrs.define(kw_only=True, eq=False)
 class SharedPool:
@@ -40,6 +46,7 @@
     loan_client: LoanClient
     on_refused: Callable[[OpenFault], None]
     uses_lender: bool = attrs.field(default=False, init=False)
+    _has_share: asyncio.Event = attrs.field(factory=asyncio.Event, init=False)
 
     @property
     def lender(self) -> str:
@@ -70,6 +77,9 @@
         :return: the connection, or why none was obtained
         """
         target = self.own.target
+        if not await self._wait_for_share(deadline_ns):
+            code = FaultCode.TOO_MANY_CONNECTIONS
+            return OpenFault(code=code, peer=target, connected=True)
         while clock_ns() < deadline_ns:
             lender = self.lender
             if lender == self.loan_client.ranking.own:
@@ -108,6 +118,43 @@
         self.trim()
         return found
 
+    async def check_through_lender(self) -> bool:
+        """Probe the target over a lender's connection, if any lends.
+
+        Otherwise all hosts would open a connection each to a target
+        that comes back, at the same time.
+
+        :return: whether the target takes connections
+        """
+        if self.opens_own_connections and self.has_share:
+            return await self.check()
+        deadline_ns = clock_ns() + CHECK_TIMEOUT_MS * NS_PER_MS
+        found = await self.acquire(
+            SessionVariables(),
+            deadline_ns=deadline_ns,
+            connection_request=ConnectionRequest(),
+        )
+        if isinstance(found, OpenFault):
+            return found.code is FaultCode.TOO_MANY_CONNECTIONS
+        self.release(found)
+        return True
+
+    @property
+    def has_share(self) -> bool:
+        """Return whether it is known who opens the connections."""
+        return self._has_share.is_set()
+
+    async def _wait_for_share(self, deadline_ns: int) -> bool:
+        if self.has_share:
+            return True
+        left_s = max(0, deadline_ns - clock_ns()) / NS_PER_S
+        try:
+            async with asyncio.timeout(left_s):
+                await self._has_share.wait()
+        except TimeoutError:
+            return False
+        return True
+
     async def warm(self, count: int) -> None:
         """Open connections ahead of demand if no other host lends."""
         if self.opens_own_connections:
@@ -117,6 +164,10 @@
         """Apply the share of connections that this host may open."""
         self.uses_lender = share.uses_lender
         self.own.set_limit(share.limit)
+        if share.is_pending:
+            self._has_share.clear()
+        else:
+            self._has_share.set()
         self.trim()
 
     def trim(self) -> None:
--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -311,7 +311,9 @@
             routes = self.state.routes
             self._last_proposed_plan = (routes.version, routes.source)
             self._entry_host_counter.on_elected(now_ns)
-            self._neighbours.on_elected(now_ns)
+            self._neighbours.on_elected(
+                now_ns, entry_hosts=self.state.entry_hosts
+            )
             return []
         effects, ready = self._lease_holders.on_applied(entry, now_ns)
         for host, renewal in ready:
@@ -364,6 +366,12 @@
         )
         if neighbours is not None:
             out.append(Send(peer=source, message=neighbours))
+        lists = self._neighbours.lists_once_complete(
+            centers=self._context.centers,
+            present=self._context.leases.holders,
+            now_ns=now_ns,
+        )
+        out.extend(Send(peer=h, message=m) for h, m in lists.items())
         return [*out, Send(peer=source, message=grant)]
 
     def _view_for(self, host: str, applied_index: int) -> Send:
--- a/src/rosemarysaddle/decide/_lending.py
+++ b/src/rosemarysaddle/decide/_lending.py
@@ -47,6 +47,16 @@
     limit: int
     uses_lender: bool
 
+    @property
+    def is_pending(self) -> bool:
+        """Whether the lender is not known yet.
+
+        A host that has just started would otherwise open connections
+        of its own, as all the others that start with it, and exceed
+        the limit of the target.
+        """
+        return self.uses_lender and self.limit == 0
+
 
 def share_connections(
     *, limit: int, hosts: int, neighbours: int
@@ -62,6 +72,8 @@
         return ConnectionShare(limit=FALLBACK_LIMIT, uses_lender=False)
     usable = limit * USABLE_CONNECTION_FRACTION
     own = int(usable / hosts)
+    if own < MIN_OWN_CONNECTIONS and not neighbours:
+        return ConnectionShare(limit=0, uses_lender=True)
     if own >= MIN_OWN_CONNECTIONS or neighbours <= 1:
         return ConnectionShare(limit=max(1, own), uses_lender=False)
     together = int(usable * min(neighbours, hosts) / hosts)
--- a/src/rosemarysaddle/decide/_neighbours.py
+++ b/src/rosemarysaddle/decide/_neighbours.py
@@ -27,6 +27,9 @@
 RENDER_INTERVAL_MS: Final = 500
 # All live hosts renew with a new leader within this time.
 GATHER_WINDOW_MS: Final = 2_000
+# The lists are complete once this fraction of the recorded hosts has
+# renewed.  The hosts that come later take over few targets as lenders.
+COMPLETE_FRACTION: Final = 0.9
 
 
 @attrs.define(kw_only=True)
@@ -44,15 +47,22 @@
     _addresses: dict[str, str] = attrs.field(factory=dict, init=False)
     _cache: dict[str, _CachedList] = attrs.field(factory=dict, init=False)
     _gather_until_ns: int = attrs.field(default=0, init=False)
+    _complete_count: float = attrs.field(default=0, init=False)
+    _is_push_due: bool = attrs.field(default=False, init=False)
 
-    def on_elected(self, now_ns: int) -> None:
+    def on_elected(self, now_ns: int, *, entry_hosts: int = 0) -> None:
         """Reset the lists when this host is elected leader.
 
-        They are withheld until all live hosts had time to renew.
+        They are withheld until nearly all recorded hosts have renewed,
+        or all live ones had time to.
+
+        :param entry_hosts: recorded number of entry hosts; 0 if unknown
         """
         self._addresses.clear()
         self._cache.clear()
         self._gather_until_ns = now_ns + GATHER_WINDOW_MS * NS_PER_MS
+        self._is_push_due = True
+        self._complete_count = entry_hosts * COMPLETE_FRACTION
 
     def list_if_changed(
         self,
@@ -75,9 +85,49 @@
         if not renewal.lending_address:
             return None
         self._addresses[source] = renewal.lending_address
-        if now_ns < self._gather_until_ns:
+        if self._is_gathering(now_ns):
             return None
-        center = renewal.data_center
+        message = self._list(
+            renewal.data_center,
+            centers=centers,
+            present=present,
+            now_ns=now_ns,
+        )
+        return None if message.tag == renewal.neighbours_tag else message
+
+    def lists_once_complete(
+        self,
+        *,
+        centers: Mapping[str, str],
+        present: Collection[str],
+        now_ns: int,
+    ) -> dict[str, Neighbours]:
+        """Return the lists of all hosts, once after each election.
+
+        Hosts that restarted together wait for their list, and would
+        otherwise get it with their next renewal.
+
+        :return: list by host; empty if already returned or incomplete
+        """
+        if not self._is_push_due or self._is_gathering(now_ns):
+            return {}
+        self._is_push_due = False
+        return {
+            host: self._list(
+                centers[host], centers=centers, present=present, now_ns=now_ns
+            )
+            for host in present
+            if host in centers
+        }
+
+    def _list(
+        self,
+        center: str,
+        *,
+        centers: Mapping[str, str],
+        present: Collection[str],
+        now_ns: int,
+    ) -> Neighbours:
         cached = self._cache.get(center)
         if cached is None or now_ns >= cached.until_ns:
             held = self._addresses.items()
@@ -88,8 +138,16 @@
                 until_ns=now_ns + RENDER_INTERVAL_MS * NS_PER_MS,
             )
             self._cache[center] = cached
-        message = cached.message
-        return None if message.tag == renewal.neighbours_tag else message
+        return cached.message
+
+    def _is_gathering(self, now_ns: int) -> bool:
+        if now_ns >= self._gather_until_ns:
+            return False
+        known = self._complete_count > 0
+        if known and len(self._addresses) >= self._complete_count:
+            self._gather_until_ns = now_ns
+            return False
+        return True
 
     def _render(self, hosts: Collection[str]) -> Neighbours:
         found = {self._addresses[h] for h in hosts if h in self._addresses}
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -360,7 +360,7 @@
         while self.targets.get(target_state.target) is target_state:
             await asyncio.sleep(RECHECK_INTERVAL_MS / 1_000)
             pool = self.pools.get(target_state.target)
-            if pool is not None and await pool.check():
+            if pool is not None and await self._check_reachable(pool):
                 break
         target_state.is_unreachable = False
         target_state.down_until_ns = 0
@@ -370,6 +370,14 @@
         )
         self.notify_waiters()
 
+    async def _check_reachable(self, pool: SharedPool) -> bool:
+        # Each host probes a primary itself: a new one is chosen on the
+        # reports of several hosts.
+        term = self.node.state.terms.get(pool.own.group)
+        if term is not None and term.primary == pool.own.target:
+            return await pool.check()
+        return await pool.check_through_lender()
+
     # --- view changes ---
 
     def apply_view(self) -> None:
@@ -417,6 +425,7 @@
             address=Address.parse(record.address),
             label=self.label,
             limit=0,
+            slots=record.slots,
             new_codec=self.new_codec,
             on_open_fault=self.handle_open_fault,
         )
@@ -545,6 +554,8 @@
     async def _request_point(self, group: str, target: str) -> None:
         deadline_ns = clock_ns() + POINT_TIMEOUT_MS * NS_PER_MS
         pool = self.pools[target]
+        if not pool.has_share:
+            return
         lender = pool.lender
         if lender != self.loan_client.ranking.own:
             asked_ns = clock_ns()
--- a/tests/decide/test_neighbours.py
+++ b/tests/decide/test_neighbours.py
@@ -79,3 +79,45 @@
 
     assert found is not None
     assert [n.address for n in found.hosts] == ["a:1"]
+
+
+def test_lists_are_complete_once_nearly_all_hosts_have_renewed() -> None:
+    lists = NeighbourLists()
+    lists.on_elected(0, entry_hosts=3)
+    assert _renew(lists, "a", 10) is None
+    assert _renew(lists, "b", 20) is None
+
+    found = _renew(lists, "c", 30)
+
+    assert found is not None
+    assert [n.address for n in found.hosts] == ["c:1"]
+
+
+def test_complete_lists_are_sent_to_all_hosts_once() -> None:
+    lists = NeighbourLists()
+    lists.on_elected(0, entry_hosts=3)
+    for host in CENTERS:
+        _renew(lists, host, 10)
+
+    sent = lists.lists_once_complete(
+        centers=CENTERS, present=set(CENTERS), now_ns=10
+    )
+    again = lists.lists_once_complete(
+        centers=CENTERS, present=set(CENTERS), now_ns=20
+    )
+
+    assert [a.address for a in sent["a"].hosts] == ["a:1", "b:1"]
+    assert set(sent) == set(CENTERS)
+    assert again == {}
+
+
+def test_lists_are_not_sent_before_they_are_complete() -> None:
+    lists = NeighbourLists()
+    lists.on_elected(0, entry_hosts=30)
+    _renew(lists, "a", 10)
+
+    sent = lists.lists_once_complete(
+        centers=CENTERS, present=set(CENTERS), now_ns=10
+    )
+
+    assert sent == {}
--- a/tests/session/test_lending.py
+++ b/tests/session/test_lending.py
@@ -268,3 +268,41 @@
     _run_scenario(
         scenario, RESET=["silent", "silent", "silent", "silent", "silent"]
     )
+
+
+def test_host_without_a_list_waits_for_it_instead_of_connecting() -> None:
+    async def scenario(center: _DataCenter) -> None:
+        host = center.hosts[center.borrower]
+        router = host.router
+        # As after a restart, when the list has not arrived yet.
+        router.loan_client.ranking.hosts = ()
+        router.apply_view()
+        connections = center.target.connections
+        caller = await center.caller(center.borrower)
+
+        answer = asyncio.create_task(caller.query("READ 1"))
+        await asyncio.sleep(0.05)
+
+        assert not answer.done()
+        assert center.target.connections == connections
+        router.loan_client.ranking.replace(router.node.neighbours)
+        router.apply_view()
+        assert await answer == "OK I"
+        assert router.loan_client.borrowed_count == 0
+
+    _run_scenario(scenario)
+
+
+def test_replica_is_probed_over_the_lender() -> None:
+    async def scenario(center: _DataCenter) -> None:
+        lender = await center.caller(center.lender)
+        await lender.query("READ 1")
+        connections = center.target.connections
+        router = center.hosts[center.borrower].router
+        pool = router.pools[center.target.name]
+
+        assert await pool.check_through_lender()
+
+        assert center.target.connections == connections
+
+    _run_scenario(scenario)
