Let statements wait at the lender rather than be refused by a busy target

Cause: each of 200 hosts admits up to three statements at a target by itself, and a lender of 17 connections lent them all, so that a target with five slots refused what it could not run; each refusal costs a round trip and a pause of 20 to 200 ms, in no order of priority.

Ruled out: narrower windows at the hosts (their smallest is one statement, still 33 for a data centre); dividing the slots by the number of data centres (five slots, six data centres).

The expected wait, after which a request is refused at once, follows the window.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -380,7 +380,7 @@
         frame_message(build_loan_grant(setup)),
         frame_bytes(text),
         frame_bytes(text),
-        frame_message(build_loan_return(setup)),
+        frame_message(build_loan_return(setup, was_busy=False)),
     ):
         reader.feed(frame)
 
--- a/src/rosemarysaddle/connection/_connection.py
+++ b/src/rosemarysaddle/connection/_connection.py
@@ -142,6 +142,7 @@
     state: SessionState = attrs.field(default=SessionState.IDLE, init=False)
     is_lost: bool = attrs.field(default=False, init=False)
     was_connected: bool = attrs.field(default=False, init=False)
+    was_busy: bool = attrs.field(default=False, init=False)
     borrower: Borrower | None = attrs.field(default=None, init=False)
     _transport: Channel | None = attrs.field(default=None, init=False)
     _pending: collections.deque[asyncio.Future[Answer]] = attrs.field(
@@ -219,9 +220,11 @@
         self._transport.write(data)
         timer = loop.call_later(left_s, self._on_timeout, pending)
         try:
-            return await pending
+            answer = await pending
         finally:
             timer.cancel()
+        self.was_busy = answer.fault is FaultCode.BUSY
+        return answer
 
     async def prepare(self, plan: SetupPlan, *, deadline_ns: int) -> bool:
         """Set the variables and prepare the statement of a plan.
--- a/src/rosemarysaddle/connection/_lender.py
+++ b/src/rosemarysaddle/connection/_lender.py
@@ -235,6 +235,7 @@
         self.connection = None
         connection.borrower = None
         connection.setup = parse_setup(message)
+        connection.was_busy = message.was_busy
         if self._pool is not None:
             self._pool.release(connection)
 
--- a/src/rosemarysaddle/connection/_loans.py
+++ b/src/rosemarysaddle/connection/_loans.py
@@ -241,7 +241,13 @@
             return
         link.connection = None
         connection.detach()
-        link.send(frame_message(build_loan_return(connection.setup)))
+        link.send(
+            frame_message(
+                build_loan_return(
+                    connection.setup, was_busy=connection.was_busy
+                )
+            )
+        )
         self._keep_idle(link)
 
     def tick(self, now_ns: int) -> bool:
--- a/src/rosemarysaddle/connection/_pool.py
+++ b/src/rosemarysaddle/connection/_pool.py
@@ -14,7 +14,9 @@
     open_connection,
 )
 from rosemarysaddle.decide import (
+    INITIAL_SIZE,
     NS_PER_MS,
+    ConcurrencyWindow,
     ConnectionQueue,
     ConnectionRequest,
     FaultCode,
@@ -68,6 +70,7 @@
 
     :param label: name of this host, for the target's log
     :param limit: greatest number of connections that this host may open
+    :param slots: statements that the target runs at once; 0 if unknown
     :param on_open_fault: called when a connection could not be opened
     :param failed_opens: number of connections that could not be opened
     """
@@ -77,6 +80,7 @@
     address: Address
     label: str
     limit: int
+    slots: int = 0
     new_codec: Callable[[], TargetCodec]
     on_open_fault: Callable[[OpenFault], None]
     is_closed: bool = attrs.field(default=False, init=False)
@@ -93,7 +97,8 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the empty wait queue."""
-        self._queue = ConnectionQueue(limit=self.limit)
+        window = ConcurrencyWindow(size=max(INITIAL_SIZE, self.slots))
+        self._queue = ConnectionQueue(limit=self.limit, window=window)
 
     async def acquire(
         self,
@@ -151,12 +156,8 @@
         if self.is_closed or is_excess or not connection.is_idle:
             connection.abort()
             return
-        waiter = self._next_waiter()
-        if waiter is None:
-            self._idle.append(connection)
-            return
-        self._mark_taken(connection, waiter.connection_request)
-        waiter.item.set_result(connection)
+        self._idle.append(connection)
+        self._serve_waiters()
 
     async def warm(self, count: int) -> None:
         """Open up to ``count`` connections ahead of demand."""
@@ -229,8 +230,23 @@
         if use is not None:
             connection_request, acquired_ns = use
             self._queue.record_released(
-                connection_request, clock_ns() - acquired_ns
+                connection_request,
+                clock_ns() - acquired_ns,
+                was_busy=connection.was_busy,
             )
+            connection.was_busy = False
+
+    def _serve_waiters(self) -> None:
+        """Hand idle connections to the waiters that may use them."""
+        while self._idle:
+            waiter = self._next_waiter()
+            if waiter is None:
+                return
+            connection = self._idle.pop()
+            self._mark_taken(connection, waiter.connection_request)
+            waiter.item.set_result(connection)
+        if self._may_open():
+            self._wake_one()
 
     def _next_waiter(
         self,
--- a/src/rosemarysaddle/connection/_setups.py
+++ b/src/rosemarysaddle/connection/_setups.py
@@ -34,10 +34,15 @@
     )
 
 
-def build_loan_return(setup: ConnectionSetup) -> LoanReturn:
-    """Build the return that describes the setup after a loan."""
+def build_loan_return(setup: ConnectionSetup, *, was_busy: bool) -> LoanReturn:
+    """Build the return that describes the setup after a loan.
+
+    :param was_busy: whether the target refused the last statement
+    """
     return LoanReturn(
-        values=build_variables(setup.values), prepared=_prepared_names(setup)
+        values=build_variables(setup.values),
+        prepared=_prepared_names(setup),
+        was_busy=was_busy,
     )
 
 
--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -86,10 +86,11 @@
 )
 from rosemarysaddle.decide._voter_manager import address_of
 from rosemarysaddle.decide._voters import join_voters
-from rosemarysaddle.decide._window import ConcurrencyWindow
+from rosemarysaddle.decide._window import INITIAL_SIZE, ConcurrencyWindow
 
 __all__ = (
     "BEHIND_MS",
+    "INITIAL_SIZE",
     "LEASE_MS",
     "NO_ANSWER",
     "NS_PER_MS",
--- a/src/rosemarysaddle/decide/_queueing.py
+++ b/src/rosemarysaddle/decide/_queueing.py
@@ -1,10 +1,12 @@
 """Queue for the connections to a target.
 
-Designed for peak load: more statements than the connections to a target
-can carry, and callers that stay idle inside transactions.  Requests are
-served by priority, transactions never hold the last connections, and
-the expected wait allows a request that cannot be served in time to be
-refused at once.
+Designed for peak load: more statements than a target can run, from many
+hosts that do not know of each other, and callers that stay idle inside
+transactions.  Requests are served by priority, transactions never hold
+the last connections, and the expected wait allows a request that cannot
+be served in time to be refused at once.  Statements outside of
+transactions wait here instead of being refused by a target whose slots
+are all in use: a window that narrows with each refusal limits them.
 """
 
 from __future__ import annotations
@@ -16,6 +18,7 @@
 import attrs
 
 from rosemarysaddle.decide._times import NS_PER_MS
+from rosemarysaddle.decide._window import ConcurrencyWindow
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -66,11 +69,14 @@
     """Queue for the connections to one target.
 
     :param limit: number of connections
+    :param window: limit on the connections in use outside of
+        transactions
     :param mean_hold_ns: moving average of the time for which a
-        connection is held
+        connection is held outside of transactions
     """
 
     limit: int
+    window: ConcurrencyWindow = attrs.field(factory=ConcurrencyWindow)
     mean_hold_ns: int = INITIAL_HOLD_NS
     _pinned: int = attrs.field(default=0, init=False)
     _waiting: list[Waiter[_T]] = attrs.field(factory=list, init=False)
@@ -82,8 +88,10 @@
 
     def may_acquire(self, connection_request: ConnectionRequest) -> bool:
         """Tell whether a request may use a free connection."""
+        if not connection_request.pinned:
+            return self.window.may_start()
         max_pinned = self.limit - self.limit // CONNECTIONS_PER_RESERVED
-        return not connection_request.pinned or self._pinned < max_pinned
+        return self._pinned < max_pinned
 
     def expected_wait_ns(self, connection_request: ConnectionRequest) -> int:
         """Estimate the time until a new request gets a connection."""
@@ -92,7 +100,8 @@
             connection_request.priority,
             key=lambda w: w.connection_request.priority,
         )
-        return (index + 1) * self.mean_hold_ns // max(1, self.limit)
+        at_once = max(1, min(self.limit, int(self.window.size)))
+        return (index + 1) * self.mean_hold_ns // at_once
 
     def push(
         self, connection_request: ConnectionRequest, item: _T
@@ -123,16 +132,32 @@
 
     def record_acquired(self, connection_request: ConnectionRequest) -> None:
         """Record that a request has acquired a connection."""
-        self._pinned += connection_request.pinned
+        if connection_request.pinned:
+            self._pinned += 1
+        else:
+            self.window.running += 1
 
     def record_released(
-        self, connection_request: ConnectionRequest, held_ns: int
+        self,
+        connection_request: ConnectionRequest,
+        held_ns: int,
+        *,
+        was_busy: bool = False,
     ) -> None:
         """Record that a request has released its connection.
 
         :param held_ns: time for which it was held, in nanoseconds
+        :param was_busy: whether the target refused the statement
+            because all its slots were in use
         """
-        self._pinned -= connection_request.pinned
+        if connection_request.pinned:
+            self._pinned -= 1
+            return
+        if was_busy:
+            self.window.record_shed()
+        else:
+            self.window.record_served()
+        self.window.running -= 1
         self.mean_hold_ns += (
             held_ns - self.mean_hold_ns
         ) // _HOLD_EWMA_DIVISOR
--- a/src/rosemarysaddle/decide/_window.py
+++ b/src/rosemarysaddle/decide/_window.py
@@ -1,4 +1,4 @@
-"""Number of statements that an entry host runs at one target at once.
+"""Number of statements that are sent to one target at once.
 
 Designed for the load after an outage, when all callers come back
 together: each host sends less to a target that sheds statements, so
@@ -12,7 +12,7 @@
 
 import attrs
 
-__all__ = ("ConcurrencyWindow",)
+__all__ = ("INITIAL_SIZE", "ConcurrencyWindow")
 
 INITIAL_SIZE: Final = 3.0
 MIN_SIZE: Final = 1.0
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -275,6 +275,7 @@
 
     values: tuple[Variable, ...]
     prepared: tuple[PreparedName, ...]
+    was_busy: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarysaddle/schema/messages.capnp
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -219,6 +219,8 @@
 struct LoanReturn {
   values @0 :List(Variable);
   prepared @1 :List(PreparedName);
+  # Whether the target refused the last statement, as it was busy.
+  wasBusy @2 :Bool = false;
 }
 
 struct PointRequest {
--- a/tests/connection/test_pool.py
+++ b/tests/connection/test_pool.py
@@ -157,3 +157,20 @@
         assert not again.is_lost
 
     _run_scenario(scenario, 1)
+
+
+def test_pool_sends_fewer_statements_to_a_busy_target() -> None:
+    async def scenario(pool: ConnectionPool) -> None:
+        held = [await _acquire(pool, ConnectionRequest()) for _ in range(3)]
+        for connection in held:
+            connection.was_busy = True
+            pool.release(connection)
+
+        first = await _acquire(pool, ConnectionRequest())
+        waiting = asyncio.create_task(_acquire(pool, ConnectionRequest()))
+        await asyncio.sleep(0.02)
+        assert not waiting.done()
+        pool.release(first)
+        assert not (await waiting).is_lost
+
+    _run_scenario(scenario, 8)
