Catch up with the leader before denying that a target's group is known

The target goes on to the next host, so its announcement was late by a call, not lost; but the 404 said for sure what the host did not know.

Ruled out: answering 503 whenever the group is unknown (a group that really does not exist would be announced without end to every host).

Now: the host asks the leader for the latest index and applies what it lacks first; without a leader it answers 503. event=unknown-group names the index and the version that the answer rests on.

Before: test_host_without_a_leader_denies_no_group and test_host_catches_up_before_it_denies_a_group have no call to test, and the old one answers False for both; after: they pass.

--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -16,6 +16,7 @@
 from absl import logging
 
 from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._events import log_event
 from rosemarysaddle._jitter import election_jitter
 from rosemarysaddle._tasks import spawn
 from rosemarysaddle.decide import (
@@ -226,12 +227,34 @@
         work = self._announce(announcement)
         return asyncio.run_coroutine_threadsafe(work, self._loop).result()
 
-    def knows_group(self, announcement: Announcement) -> bool:
-        """Return whether the group of a target is known.
+    def confirm_group_from_thread(
+        self, announcement: Announcement
+    ) -> bool | None:
+        """Find out whether the group of a target is known.
 
         That is the case if the target is registered or the route plan
-        in force names the group.
+        in force names the group.  A host that does not know the group
+        first catches up with the leader, as its plan may be outdated.
+
+        :return: whether the group is known, or None if this host cannot
+            confirm that it has the latest plan
         """
+        if self._knows_group(announcement):
+            return True
+        work = self._catch_up(clock_ns() + ANSWER_TIMEOUT_MS * NS_PER_MS)
+        is_latest = asyncio.run_coroutine_threadsafe(work, self._loop).result()
+        if self._knows_group(announcement):
+            return True
+        log_event(
+            "unknown-group",
+            f"target={announcement.target} group={announcement.group}"
+            f" index={self.control.state.index}"
+            f" version={self.control.state.routes.version}"
+            f" latest={is_latest}",
+        )
+        return False if is_latest else None
+
+    def _knows_group(self, announcement: Announcement) -> bool:
         state = self.control.state
         is_registered = announcement.target in state.targets.records
         return is_registered or announcement.group in state.routes.groups
@@ -297,14 +320,23 @@
 
     async def _read_latest_plan(self) -> str | None:
         deadline_ns = clock_ns() + ANSWER_TIMEOUT_MS * NS_PER_MS
+        if not await self._catch_up(deadline_ns):
+            return None
+        return self.control.state.routes.source or None
+
+    async def _catch_up(self, deadline_ns: int) -> bool:
+        """Apply all that is committed now.
+
+        :return: whether that was done before the deadline
+        """
         index = await self._read_latest_index(deadline_ns)
         if index is None:
-            return None
+            return False
         while self.control.state.index < index:
             if clock_ns() >= deadline_ns:
-                return None
+                return False
             await self._wait_change(RESEND_INTERVAL_S)
-        return self.control.state.routes.source or None
+        return True
 
     async def _read_latest_index(self, deadline_ns: int) -> int | None:
         if self.control.leads(clock_ns()):
--- a/src/rosemarysaddle/platform/_http.py
+++ b/src/rosemarysaddle/platform/_http.py
@@ -86,7 +86,10 @@
             return 400, {
                 "error": "malformed heartbeat: missing or invalid field"
             }
-        if not self.host.knows_group(announcement):
+        is_known = self.host.confirm_group_from_thread(announcement)
+        if is_known is None:
+            return 503, {"error": "no leader to ask for the latest plan"}
+        if not is_known:
             return 404, {"error": "unknown group: not in the route plan"}
         is_committed = self.host.announce_from_thread(announcement)
         return (200, {}) if is_committed else (503, {})
--- a/tests/node/test_control.py
+++ b/tests/node/test_control.py
@@ -9,7 +9,7 @@
 from rosemarysaddle.decide import SaveVote
 from rosemarysaddle.node._control import ControlHost
 from rosemarysaddle.platform import UsersPlatform
-from rosemarysaddle.schema import AppendRequest, Node
+from rosemarysaddle.schema import Announcement, AppendRequest, Node
 from rosemarysaddle.store import Journal
 
 if TYPE_CHECKING:
@@ -115,6 +115,78 @@
     assert asyncio.run(scenario()) == (f"{IP}:1", True)
 
 
+def _announcement(group: str) -> Announcement:
+    return Announcement(
+        target="i-1",
+        group=group,
+        data_center="dc-1",
+        address="10.0.0.9:8080",
+        role="replica",
+        term=0,
+        position=0,
+        leaving=False,
+        identity="i-1",
+    )
+
+
+@pytest.mark.parametrize(("group", "known"), [("g", True), ("other", False)])
+def test_leader_tells_whether_a_group_is_known(
+    tmp_path: Path, group: str, *, known: bool
+) -> None:
+    async def scenario() -> bool | None:
+        host = _host(tmp_path, first_start=True)
+        await _start_and_wait_for_leader(host)
+        await asyncio.to_thread(host.replace_plan_from_thread, PLAN)
+        found = await asyncio.to_thread(
+            host.confirm_group_from_thread, _announcement(group)
+        )
+        await host.stop()
+        return found
+
+    assert asyncio.run(scenario()) is known
+
+
+def test_host_without_a_leader_denies_no_group(tmp_path: Path) -> None:
+    async def scenario() -> bool | None:
+        host = _host(tmp_path, first_start=False)
+        await host.start()
+        found = await asyncio.to_thread(
+            host.confirm_group_from_thread, _announcement("g")
+        )
+        await host.stop()
+        return found
+
+    assert asyncio.run(scenario()) is None
+
+
+def test_host_catches_up_before_it_denies_a_group(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> bool | None:
+        host = _host(tmp_path, first_start=True)
+        await _start_and_wait_for_leader(host)
+
+        changes: list[asyncio.Future[object]] = []
+
+        async def lag(self: ControlHost, deadline_ns: int) -> int:
+            del deadline_ns
+            # The leader is one entry ahead, which then arrives.
+            index = self.control.state.index + 1
+            change = asyncio.to_thread(self.replace_plan_from_thread, PLAN)
+            changes.append(asyncio.ensure_future(change))
+            return index
+
+        monkeypatch.setattr(ControlHost, "_read_latest_index", lag)
+        found = await asyncio.to_thread(
+            host.confirm_group_from_thread, _announcement("g")
+        )
+        await changes[0]
+        await host.stop()
+        return found
+
+    assert asyncio.run(scenario()) is True
+
+
 def test_control_host_exits_when_a_journal_write_fails(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
