Refuse a statement once it can no longer start

Ruled out: letting it start later (under load it then finishes past the time-out, and the work is lost); waiting less for a primary than for a connection (the caller has few retries, a change of primary takes over 1 s).

Now: one deadline for all waits before the start, and no opening after it.

Before: the four new tests fail (waits until the whole time-out; one fault reported against the target); after: they pass.

--- a/src/rosemarysaddle/connection/_pool.py
+++ b/src/rosemarysaddle/connection/_pool.py
@@ -118,6 +118,10 @@
         :return: the connection, or why none was obtained
         """
         while True:
+            # An opening that has no time left would look like a target
+            # that takes no connection.
+            if clock_ns() >= deadline_ns:
+                return self._exhausted_fault()
             found = await self._take_or_open(
                 variables, connection_request, deadline_ns
             )
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -88,13 +88,14 @@
     ) -> Answer | Refusal:
         """Run one read outside a transaction."""
         deadline_ns = _deadline_ns(route)
+        start_deadline_ns = _start_deadline_ns(route, deadline_ns)
         failed: set[str] = set()
         attempts = 0
         last: Answer | None = None
         for number in range(MAX_TRIES):
             read_target = self._choose_read_target(route, failed)
             if read_target is None:
-                if not await self.router.wait_change(deadline_ns):
+                if not await self.router.wait_change(start_deadline_ns):
                     break
                 continue
             answer = await self._read_at(
@@ -110,9 +111,7 @@
                 break
             if not self._choose_read_target(route, failed):
                 failed.clear()
-                if not await self._back_off(
-                    number, _start_deadline_ns(route, deadline_ns)
-                ):
+                if not await self._back_off(number, start_deadline_ns):
                     break
         return read_refusal(route, last)
 
@@ -121,9 +120,10 @@
     ) -> Answer | Refusal:
         """Run one write outside a transaction, at most once."""
         deadline_ns = _deadline_ns(route)
+        start_deadline_ns = _start_deadline_ns(route, deadline_ns)
         last: Answer | None = None
         for number in range(MAX_TRIES):
-            ticket = await self._acquire_ticket(route.group, deadline_ns)
+            ticket = await self._acquire_ticket(route.group, start_deadline_ns)
             if isinstance(ticket, Refusal):
                 return ticket
             result = await self._write_admitted(
@@ -134,9 +134,7 @@
             last = result
             if not result.fault.is_not_run:
                 return write_refusal(route, result)
-            if not await self._back_off(
-                number, _start_deadline_ns(route, deadline_ns)
-            ):
+            if not await self._back_off(number, start_deadline_ns):
                 break
         return not_run_refusal(route.group, last)
 
@@ -351,6 +349,7 @@
         if transaction.connection is not None or transaction.target:
             return None
         failed: set[str] = set()
+        start_deadline_ns = _start_deadline_ns(transaction.route, deadline_ns)
         for number in range(MAX_TRIES):
             if transaction.is_read_only:
                 fault = await self._pin_read(transaction, failed, deadline_ns)
@@ -358,7 +357,7 @@
                 fault = await self._pin_write(transaction, deadline_ns)
             if fault is None:
                 return None
-            if not await self._back_off(number, deadline_ns):
+            if not await self._back_off(number, start_deadline_ns):
                 break
         return transaction_ended(transaction)
 
@@ -379,8 +378,9 @@
     async def _pin_write(
         self, transaction: Transaction, deadline_ns: int
     ) -> FaultCode | None:
+        route = transaction.route
         ticket = await self._acquire_ticket(
-            transaction.route.group, deadline_ns
+            route.group, _start_deadline_ns(route, deadline_ns)
         )
         if isinstance(ticket, Refusal):
             return FaultCode.READ_ONLY
@@ -578,8 +578,9 @@
 def _start_deadline_ns(route: Route, deadline_ns: int) -> int:
     """Return the time until which a statement may wait to start.
 
-    The wait for admission and for a connection may take half of the
-    route's time-out.  A statement that waits longer rarely finishes in
-    the time left, and a refusal lets its caller retry sooner.
+    The wait for a target, for admission and for a connection may take
+    half of the route's time-out.  A statement that waits longer rarely
+    finishes in the time left, and a refusal lets its caller retry
+    sooner.
     """
     return deadline_ns - route.timeout_ms * NS_PER_MS // 2
--- a/tests/connection/test_pool.py
+++ b/tests/connection/test_pool.py
@@ -174,3 +174,18 @@
         assert not (await waiting).is_lost
 
     _run_scenario(scenario, 8)
+
+
+def test_pool_reports_no_fault_of_a_target_for_a_late_request() -> None:
+    faults: list[OpenFault] = []
+
+    async def scenario(pool: ConnectionPool) -> None:
+        pool.on_open_fault = faults.append
+        found = await pool.acquire(
+            NO_VARIABLES, deadline_ns=_deadline_after_ms(-1)
+        )
+        assert isinstance(found, OpenFault)
+
+    _run_scenario(scenario, 4)
+
+    assert faults == []
--- a/tests/session/standin.py
+++ b/tests/session/standin.py
@@ -16,7 +16,13 @@
 
 IP = "127.16.1.1"
 GROUP = "g"
-_ROUTE = {"name": "r", "group": GROUP, "timeout_ms": 400, "max_attempts": 2}
+ROUTE_TIMEOUT_MS = 400
+_ROUTE = {
+    "name": "r",
+    "group": GROUP,
+    "timeout_ms": ROUTE_TIMEOUT_MS,
+    "max_attempts": 2,
+}
 PLAN = {
     "version": 1,
     "groups": [{"name": GROUP, "connection_limit": 30}],
--- a/tests/session/test_caller.py
+++ b/tests/session/test_caller.py
@@ -3,9 +3,17 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+import attrs
 import pytest
 
-from tests.session.standin import StandInTarget, make_router, open_caller
+from rosemarysaddle._clock import clock_ns
+from rosemarysaddle.decide import NS_PER_MS
+from tests.session.standin import (
+    ROUTE_TIMEOUT_MS,
+    StandInTarget,
+    make_router,
+    open_caller,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -274,3 +282,30 @@
         return answers
 
     assert asyncio.run(run()) == ["OK I"] * 5
+
+
+@pytest.mark.parametrize(
+    "texts", [["WRITE 1 x"], ["READ 1"], ["BEGIN", "WRITE 1 x"]]
+)
+def test_statement_waits_for_a_primary_only_while_it_may_start(
+    texts: list[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    waits_ns: list[int] = []
+
+    async def wait_change(self: Router, until_ns: int) -> bool:
+        del self
+        waits_ns.append(until_ns)
+        return False
+
+    async def scenario(caller: Caller, router: Router) -> list[str]:
+        term = router.node.state.terms["g"]
+        router.node.state.terms["g"] = attrs.evolve(term, is_serving=False)
+        monkeypatch.setattr(type(router), "wait_change", wait_change)
+        return [await caller.query(text) for text in texts]
+
+    begun_ns = clock_ns()
+    _run_scenario([_primary()], scenario)
+
+    half_ns = ROUTE_TIMEOUT_MS * NS_PER_MS // 2
+    assert waits_ns
+    assert begun_ns + half_ns <= waits_ns[0] <= clock_ns() + half_ns
