Let a statement that waited for its target start later than one in a queue

Ruled out: waiting for a primary as before, until the whole time is over (what starts last ends as unknown, and the caller may not repeat it).

Now: a statement waits three quarters of its time for a primary or a replica to appear, and gets an eighth more for its connection; it starts at seven eighths at the latest. The wait in a queue stays at half.

--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -95,7 +95,9 @@
         for number in range(MAX_TRIES):
             read_target = self._choose_read_target(route, failed)
             if read_target is None:
-                if not await self.router.wait_change(start_deadline_ns):
+                if not await self.router.wait_change(
+                    _target_deadline_ns(route, deadline_ns)
+                ):
                     break
                 continue
             answer = await self._read_at(
@@ -123,7 +125,9 @@
         start_deadline_ns = _start_deadline_ns(route, deadline_ns)
         last: Answer | None = None
         for number in range(MAX_TRIES):
-            ticket = await self._acquire_ticket(route.group, start_deadline_ns)
+            ticket = await self._acquire_ticket(
+                route.group, _target_deadline_ns(route, deadline_ns)
+            )
             if isinstance(ticket, Refusal):
                 return ticket
             result = await self._write_admitted(
@@ -380,7 +384,7 @@
     ) -> FaultCode | None:
         route = transaction.route
         ticket = await self._acquire_ticket(
-            route.group, _start_deadline_ns(route, deadline_ns)
+            route.group, _target_deadline_ns(route, deadline_ns)
         )
         if isinstance(ticket, Refusal):
             return FaultCode.READ_ONLY
@@ -575,12 +579,24 @@
     return clock_ns() + route.timeout_ms * NS_PER_MS
 
 
+def _target_deadline_ns(route: Route, deadline_ns: int) -> int:
+    """Return the time until which to wait for a target to appear.
+
+    Later than for a connection: a change of primary takes longer than a
+    queue is worth waiting for, and leaves the caller no other target.
+    """
+    return deadline_ns - route.timeout_ms * NS_PER_MS // 4
+
+
 def _start_deadline_ns(route: Route, deadline_ns: int) -> int:
     """Return the time until which a statement may wait to start.
 
-    The wait for a target, for admission and for a connection may take
-    half of the route's time-out.  A statement that waits longer rarely
-    finishes in the time left, and a refusal lets its caller retry
-    sooner.
+    The wait for admission and for a connection may take half of the
+    route's time-out.  A statement that waits longer rarely finishes in
+    the time left, and a refusal lets its caller retry sooner.  One that
+    waited longer for a target to appear gets an eighth more.
     """
-    return deadline_ns - route.timeout_ms * NS_PER_MS // 2
+    timeout_ns = route.timeout_ms * NS_PER_MS
+    eighth_ns = timeout_ns // 8
+    after_wait_ns = min(clock_ns() + eighth_ns, deadline_ns - eighth_ns)
+    return max(deadline_ns - timeout_ns // 2, after_wait_ns)
