--- a/src/rosemarysaddle/connection/_connection.py
+++ b/src/rosemarysaddle/connection/_connection.py
@@ -131,6 +131,8 @@
     """Open connection to one target.
 
     :param on_lost: called once when the connection is closed
+    :param was_busy: whether the target refused the last statement, as
+        all its slots were in use
     :param borrower: receiver of the target's data while the connection
         is lent to another host, or None
     """
--- a/src/rosemarysaddle/connection/_shared.py
+++ b/src/rosemarysaddle/connection/_shared.py
@@ -26,6 +26,7 @@
 
 __all__ = ("SharedPool",)
 
+# Covers the way to the lender and an opening there.
 CHECK_TIMEOUT_MS: Final = 500
 
 
--- a/src/rosemarysaddle/decide/_follower.py
+++ b/src/rosemarysaddle/decide/_follower.py
@@ -104,9 +104,9 @@
     snapshot_retry_ns: int = 0
     in_step_ns: int = 0
     rejections: int = 0
-    _probes_rejected: int = 0
+    _probes_rejected: int = attrs.field(default=0, init=False)
 
-    def note_silence(self, now_ns: int) -> None:
+    def reset_if_silent(self, now_ns: int) -> None:
         """Return to probes if the follower has not answered lately."""
         is_silent = now_ns - self.last_heard_ns > SILENCE_MS * NS_PER_MS
         if self.phase is Phase.REPLICATE and is_silent:
@@ -120,9 +120,14 @@
             in_flight = self.next_index - 1 - self.match_index
             return in_flight < MAX_IN_FLIGHT_ENTRIES
         if self.phase is Phase.SNAPSHOT:
-            return now_ns >= self.snapshot_retry_ns
+            return self.may_send_snapshot(now_ns)
         return self.has_probe_entry
 
+    def may_send_snapshot(self, now_ns: int) -> bool:
+        """Tell whether no snapshot is on its way any more."""
+        is_waiting = self.phase is Phase.SNAPSHOT
+        return not is_waiting or now_ns >= self.snapshot_retry_ns
+
     def start_snapshot(self, now_ns: int) -> None:
         """Record that a snapshot is sent."""
         self.phase = Phase.SNAPSHOT
--- a/src/rosemarysaddle/decide/_log.py
+++ b/src/rosemarysaddle/decide/_log.py
@@ -630,7 +630,7 @@
     def _heartbeat(self, now_ns: int) -> list[Effect]:
         effects: list[Effect] = []
         for peer, follower in self._followers.items():
-            follower.note_silence(now_ns)
+            follower.reset_if_silent(now_ns)
             if now_ns >= follower.send_at_ns:
                 effects.append(self._send(peer, follower, now_ns))
         return effects
@@ -638,23 +638,20 @@
     def _replicate_all(self, now_ns: int) -> list[Effect]:
         effects: list[Effect] = []
         for peer, follower in self._followers.items():
-            follower.note_silence(now_ns)
+            follower.reset_if_silent(now_ns)
             if follower.is_ready(now_ns):
                 effects.append(self._send(peer, follower, now_ns))
         return effects
 
     def _send(self, peer: str, follower: Follower, now_ns: int) -> Send:
-        """Send the next entries if the follower is ready for them."""
+        """Send a snapshot, the next entries or a heartbeat."""
         follower.send_at_ns = now_ns + HEARTBEAT_INTERVAL_MS * NS_PER_MS
-        if follower.next_index <= self._entries.base_index:
-            if follower.phase is not Phase.SNAPSHOT or follower.is_ready(
-                now_ns
-            ):
-                follower.start_snapshot(now_ns)
-                return Send(peer=peer, message=self._snapshot(now_ns))
-            previous = self._entries.base_index
-        else:
-            previous = follower.next_index - 1
+        base_index = self._entries.base_index
+        needs_snapshot = follower.next_index <= base_index
+        if needs_snapshot and follower.may_send_snapshot(now_ns):
+            follower.start_snapshot(now_ns)
+            return Send(peer=peer, message=self._snapshot(now_ns))
+        previous = max(follower.next_index - 1, base_index)
         batch = self._next_batch(follower, now_ns)
         request = AppendRequest(
             term=self.term,
--- a/tests/decide/test_log_catch_up.py
+++ b/tests/decide/test_log_catch_up.py
@@ -89,7 +89,7 @@
         self.replies.append(reply)
         return reply
 
-    def hear(self, reply: AppendReply) -> list[Message]:
+    def deliver_reply(self, reply: AppendReply) -> list[Message]:
         self.now_ns += NS_PER_MS
         effects = self.leader.receive(FOLLOWER, reply, self.now_ns)
         return self._to_follower(effects)
@@ -103,7 +103,9 @@
             if self.is_caught_up:
                 return number
             in_flight = in_flight or self.send_heartbeat()
-            in_flight = self.hear(self.answer(in_flight.pop(0))) + in_flight
+            in_flight = (
+                self.deliver_reply(self.answer(in_flight.pop(0))) + in_flight
+            )
         return limit
 
     @property
@@ -185,7 +187,7 @@
         in_flight.extend(Exchange._to_follower(effects))
         in_flight = in_flight or exchange.send_heartbeat()
         reply = exchange.answer(in_flight.pop(0))
-        in_flight.extend(exchange.hear(reply))
+        in_flight.extend(exchange.deliver_reply(reply))
     exchange.run(in_flight, limit=20)
 
     assert exchange.is_caught_up
@@ -196,7 +198,7 @@
     follower = _node(FOLLOWER, [*COMMON, *[2] * 10])
     exchange = Exchange(leader=leader, follower=follower, now_ns=now_ns)
     (request,) = exchange.send_heartbeat()
-    (probe,) = exchange.hear(exchange.answer(request))
+    (probe,) = exchange.deliver_reply(exchange.answer(request))
 
     proposed = leader.propose("change", PAYLOAD, exchange.now_ns)
 
@@ -215,7 +217,7 @@
     rejections = [r for r in exchange.replies if not r.ok]
     assert rejections
 
-    answers = [exchange.hear(r) for r in rejections * times]
+    answers = [exchange.deliver_reply(r) for r in rejections * times]
 
     assert answers == [[]] * len(answers)
     effects = leader.propose("change", PAYLOAD, exchange.now_ns)
@@ -231,8 +233,8 @@
     (request,) = exchange.send_heartbeat()
     rejection = exchange.answer(request)
 
-    first = exchange.hear(rejection)
-    second = exchange.hear(rejection)
+    first = exchange.deliver_reply(rejection)
+    second = exchange.deliver_reply(rejection)
 
     assert len(first) == 1
     assert second == []
@@ -251,7 +253,7 @@
     assert len(in_flight) == 6
 
     replies = [exchange.answer(m) for m in reversed(in_flight)]
-    probes = [m for r in replies for m in exchange.hear(r)]
+    probes = [m for r in replies for m in exchange.deliver_reply(r)]
     round_trips = exchange.run(probes, limit=20)
 
     assert exchange.is_caught_up
