Soak: lose a disk after a leader was replaced with changes in flight

No soak asked whether configurations are acknowledged and read back after the faults, and no fault left entries that only one control host holds. Both are what the incident broke.

The new fault kills the followers of the leader, sends it three changes, kills it too, and starts the followers again without it; after changes, it comes back and one of the others loses its disk.

The new check: a plan is acknowledged within 40 s of the last fault, and 3 s later (the bound for being in force) a control host tells its version and none an older one.

--- a/src/rosemarysaddle/soak/_faults.py
+++ b/src/rosemarysaddle/soak/_faults.py
@@ -23,6 +23,9 @@
 
 FAULT_DURATION_RANGE_S: Final = (0.5, 3.0)
 RESTART_DELAY_S: Final = 0.5
+# Longer than an election and the restart of one host.
+CATCH_UP_S: Final = 4.0
+CHANGE_INTERVAL_S: Final = 0.1
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -121,6 +124,47 @@
     context.reserved -= names
 
 
+async def _lose_quorum_disk(context: FaultContext) -> None:
+    """Lose a disk after a leader with changes in flight was replaced.
+
+    The quorum that is left needs the former leader, whose log ends with
+    entries that no other host holds.
+    """
+    names = {node.name for node in context.nodes.control}
+    leader = context.nodes.find_leader()
+    if context.reserved & names or leader is None:
+        return
+    context.reserved |= names
+    followers = [node for node in context.nodes.control if node != leader]
+    # Suspended followers would still read the leader's last messages.
+    for node in followers:
+        node.send_signal(signal.SIGKILL)
+    await asyncio.gather(
+        *(context.platform.change([leader]) for _ in range(3))
+    )
+    for node in context.nodes.control:
+        await asyncio.to_thread(node.stop_process)
+    for node in followers:
+        node.start()
+    await _run_changes(context, CATCH_UP_S)
+    leader.start()
+    await _run_changes(context, CATCH_UP_S)
+    lost = context.rng.choice(followers)
+    await asyncio.to_thread(lost.stop_process)
+    lost.lose_disk()
+    lost.start()
+    await context.wait_fault_duration()
+    context.reserved -= names
+
+
+async def _run_changes(context: FaultContext, duration_s: float) -> None:
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + duration_s
+    while loop.time() < deadline_s:
+        await context.platform.change()
+        await asyncio.sleep(CHANGE_INTERVAL_S)
+
+
 async def _crash_primary(context: FaultContext) -> None:
     if "target" in context.reserved:
         return
@@ -173,6 +217,7 @@
     "stop-entry": _stop_entry,
     "stop-control": _stop_control,
     "restart-control": _restart_control,
+    "lose-quorum-disk": _lose_quorum_disk,
     "crash-primary": _crash_primary,
     "harm-primary": _disrupt_primary,
     "harm-any": _disrupt_any,
--- a/src/rosemarysaddle/soak/_nodes.py
+++ b/src/rosemarysaddle/soak/_nodes.py
@@ -4,6 +4,8 @@
 
 import json
 import os
+import re
+import shutil
 import signal
 import subprocess
 import sys
@@ -25,6 +27,7 @@
 PROMOTION_PORT: Final = 8_783
 STOP_TIMEOUT_S: Final = 10
 GRACE_PERIOD_S: Final = 3
+_ROLE_LINE: Final = re.compile(rb"event=control role=(\w+) term=(\d+)")
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -52,6 +55,16 @@
             )
         self.settings["first_start"] = False
 
+    def lose_disk(self) -> None:
+        """Remove the data folder of a stopped process."""
+        shutil.rmtree(self.settings["data_folder"], ignore_errors=True)
+
+    def last_led_term(self) -> int:
+        """Return the term that this host last logged to lead, or 0."""
+        lines = _ROLE_LINE.findall((self.folder / "log").read_bytes())
+        role, term = lines[-1] if lines else (b"", b"0")
+        return int(term) if role == b"leader" else 0
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal if the process is running."""
         if self.process is not None and self.process.poll() is None:
@@ -104,6 +117,11 @@
         """All nodes, control hosts first."""
         return [*self.control, *self.entry]
 
+    def find_leader(self) -> Node | None:
+        """Find the control host with the newest term that it led."""
+        leader = max(self.control, key=Node.last_led_term)
+        return leader if leader.last_led_term() else None
+
     def _node(self, role: str, ip: str, center: str) -> Node:
         name = f"{role}-{center}"
         seeds = [f"{self.network}.0.{n}:{CONTROL_PORT}" for n in (1, 2, 3)]
--- a/src/rosemarysaddle/soak/_platform.py
+++ b/src/rosemarysaddle/soak/_platform.py
@@ -14,9 +14,9 @@
 from rosemarysaddle.web import HttpServer
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
-    from rosemarysaddle.soak._nodes import Nodes
+    from rosemarysaddle.soak._nodes import Node, Nodes
     from rosemarysaddle.soak._proxy import FaultProxy
     from rosemarysaddle.soak._targets import TargetGroup, TargetInstance
 
@@ -40,12 +40,14 @@
 
     :param proxies: proxy of each target by name
     :param version: version of the last plan that was sent
+    :param acknowledged: highest version that was acknowledged
     """
 
     nodes: Nodes
     group: TargetGroup
     proxies: dict[str, FaultProxy]
     version: int = 0
+    acknowledged: int = 0
     _heartbeat_tasks: list[asyncio.Task[None]] = attrs.field(
         factory=list, init=False
     )
@@ -76,15 +78,33 @@
         if self._server is not None:
             await asyncio.to_thread(self._server.stop)
 
-    async def change(self) -> bool:
+    async def change(self, nodes: Sequence[Node] = ()) -> bool:
         """Send the next plan to the control hosts.
 
+        :param nodes: the control hosts to send it to, all if empty
         :return: whether a control host acknowledged it
         """
         self.version += 1
-        body = json.dumps(_plan(self.version))
+        version = self.version
+        body = json.dumps(_plan(version))
         path = "/rosemarysaddle/configuration/replace"
-        return await self._post_to_control(path, body)
+        is_done = await self._post_to_control(path, body, nodes)
+        if is_done:
+            self.acknowledged = max(self.acknowledged, version)
+        return is_done
+
+    async def read_versions(self) -> list[int]:
+        """Read the version of the plan at each control host."""
+        path = "/rosemarysaddle/configuration/get"
+        answers = [
+            await asyncio.to_thread(_call, "GET", node.ip, path)
+            for node in self.nodes.control
+        ]
+        return [
+            int(json.loads(body)["version"])
+            for status, body in answers
+            if status == http.client.OK
+        ]
 
     async def _send_heartbeats(self, instance: TargetInstance) -> None:
         while True:
@@ -107,9 +127,13 @@
             "born": instance.incarnation_ms,
         }
 
-    async def _post_to_control(self, path: str, body: str) -> bool:
-        for node in self.nodes.control:
-            status = await asyncio.to_thread(_post, node.ip, path, body)
+    async def _post_to_control(
+        self, path: str, body: str, nodes: Sequence[Node] = ()
+    ) -> bool:
+        for node in nodes or self.nodes.control:
+            status, _ = await asyncio.to_thread(
+                _call, "POST", node.ip, path, body
+            )
             if status == http.client.OK:
                 return True
         return False
@@ -125,16 +149,23 @@
         return [b""]
 
 
-def _post(ip: str, path: str, body: str) -> int:
+def _call(
+    method: str, ip: str, path: str, body: str = ""
+) -> tuple[int, bytes]:
+    """Call a control host.
+
+    :return: status, 0 if there is no answer, and body of the answer
+    """
     connection = http.client.HTTPConnection(
         ip, CONTROL_PORT, timeout=HTTP_TIMEOUT_S
     )
     try:
         headers = {"Content-Type": "application/json"}
-        connection.request("POST", path, body, headers)
-        return connection.getresponse().status
+        connection.request(method, path, body or None, headers)
+        response = connection.getresponse()
+        return response.status, response.read()
     except (OSError, http.client.HTTPException):
-        return 0
+        return 0, b""
     finally:
         connection.close()
 
--- a/src/rosemarysaddle/soak/_run.py
+++ b/src/rosemarysaddle/soak/_run.py
@@ -32,6 +32,8 @@
 POLL_INTERVAL_S: Final = 0.1
 FAULT_SPACING_RANGE_S: Final = (0.1, 1.5)
 QUIET_PERIOD_S: Final = 0.5
+# An acknowledged plan is in force everywhere after this time.
+APPLY_TIMEOUT_S: Final = 3.0
 
 
 @attrs.frozen(kw_only=True)
@@ -142,6 +144,7 @@
                     violations.append(
                         "not every caller completed a write after the faults"
                     )
+                violations.extend(await self._check_plan())
             else:
                 violations.append("not every caller wrote before the faults")
             ended.set()
@@ -191,6 +194,21 @@
         await asyncio.gather(*tasks)
         await asyncio.sleep(QUIET_PERIOD_S)
 
+    async def _check_plan(self) -> list[str]:
+        """Check that plans are acknowledged again and read back."""
+        if not await _wait_until(self._is_configured, RECOVERY_TIMEOUT_S):
+            return ["no plan was acknowledged after the faults"]
+        await asyncio.sleep(APPLY_TIMEOUT_S)
+        newest = self.platform.acknowledged
+        versions = await self.platform.read_versions()
+        if not versions:
+            return [f"plan {newest} could not be read back"]
+        return [
+            f"plan {version} was read back after {newest} was acknowledged"
+            for version in versions
+            if version < newest
+        ]
+
     async def _all_callers_write(self, limit_s: float) -> bool:
         before = {caller.name: caller.writes_done for caller in self.callers}
 
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -15,6 +15,7 @@
     [
         (1, ("kill-entry", "harm-primary", "freeze-control")),
         (2, ("crash-primary", "change")),
+        (3, ("lose-quorum-disk",)),
     ],
 )
 def test_run_soak_finds_no_violations(
