Recognize the settings of stand-in targets in check

'rosemarysaddle check examples/stand-in.json' told that instances, password and schema are unexpected: the kind was detected by the key 'targets', which these settings do not have, and was taken for an entry host's. A file that holds a number ended with a TypeError.

--- a/src/rosemarysaddle/run.py
+++ b/src/rosemarysaddle/run.py
@@ -323,9 +323,11 @@
     except (OSError, pyjson5.Json5Exception):
         # Checking the file as Settings reports the error.
         return Settings
-    if "seeds" in body:
+    if isinstance(body, dict) and "seeds" in body:
         return Node
-    return StandIn if "targets" in body else Settings
+    if isinstance(body, dict) and "instances" in body:
+        return StandIn
+    return Settings
 
 
 def _check(
