Let the tests of probes and plan patches show what they are named for

test_probe_waits_for_quorum_of_eligible_reports held at least two reports of targets that all answer, so it passed with a probe that waits for one more or counts reports that are not eligible. Targets beyond the quorum now answer only after the probe has returned, and the number of eligible reports is exact.

test_make_patch_returns_none_or_... accepted None for every input. Each case now needs the whole plan for one reason only, on a plan of 500 routes, and a long plan must give a patch.

--- a/tests/daemon/test_orders.py
+++ b/tests/daemon/test_orders.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import threading
 import time
 from typing import TYPE_CHECKING
 
@@ -8,7 +9,7 @@
 import pytest
 
 from rosemarysaddle.daemon._orders import TargetOrders
-from rosemarysaddle.decide import ProbeGroup
+from rosemarysaddle.decide import ProbeGroup, eligible_reports
 from rosemarysaddle.schema import Instance
 from rosemarysaddle.target import FaultKind
 from tests.helpers import NS_PER_MS, FakeTarget
@@ -19,6 +20,8 @@
     from rosemarysaddle.target import TargetFault, TargetSession
 
 NAMES = ("a", "b", "c")
+# Ends a test whose probe waits for more than it needs.
+RETURN_TIMEOUT_S = 10.0
 
 
 @attrs.define(kw_only=True)
@@ -35,9 +38,30 @@
         return target.connect(name, address, deadline_ns=deadline_ns)
 
 
+@attrs.define(kw_only=True)
+class BlockingConnector(FakeConnector):
+    """Connects to some targets only after the probe has returned."""
+
+    blocked: frozenset[str]
+    has_returned: threading.Event = attrs.field(factory=threading.Event)
+
+    def connect(
+        self, name: str, address: Address, *, deadline_ns: int
+    ) -> TargetSession | TargetFault:
+        """Open a connection, if blocked once the probe has returned."""
+        if name in self.blocked:
+            self.has_returned.wait(RETURN_TIMEOUT_S)
+        return super().connect(name, address, deadline_ns=deadline_ns)
+
+
 def _probe(
-    targets: dict[str, FakeTarget], identities: dict[str, str], quorum: int
+    targets: dict[str, FakeTarget],
+    identities: dict[str, str],
+    quorum: int,
+    *,
+    blocked: frozenset[str] = frozenset(),
 ) -> list[TargetReport]:
+    """Probe the targets; the blocked ones answer after the probe."""
     instances = [
         Instance(name=n, data_center="dc", address="127.0.0.1:1")
         for n in targets
@@ -49,37 +73,58 @@
         quorum=quorum,
         identities=identities,
     )
-    orders = TargetOrders(connector=FakeConnector(targets=targets))
-    return asyncio.run(orders.probe(probe, instances))
+    connector = BlockingConnector(targets=targets, blocked=blocked)
+    orders = TargetOrders(connector=connector)
+
+    async def run() -> list[TargetReport]:
+        reports = await orders.probe(probe, instances)
+        connector.has_returned.set()
+        return reports
+
+    return asyncio.run(run())
 
 
 @pytest.mark.parametrize(
-    ("gone", "identities", "least"),
+    ("identities", "quorum", "answering"),
     [
-        pytest.param((), {}, 2, id="all-count"),
-        pytest.param(("a",), {}, 2, id="one-gone"),
-        pytest.param((), {"a": "x", "b": "", "c": ""}, 2, id="a-unknown"),
+        pytest.param({}, 1, {"a"}, id="first-answer"),
+        pytest.param({}, 2, {"a", "c"}, id="two-answers"),
+        pytest.param(
+            {"a": "x", "b": "", "c": ""}, 1, {"a", "b"}, id="one-unknown"
+        ),
+        pytest.param(
+            {"a": "x", "b": "", "c": ""}, 2, {"a", "b", "c"}, id="all-needed"
+        ),
     ],
 )
-def test_probe_waits_for_quorum_of_eligible_reports(
-    gone: tuple[str, ...], identities: dict[str, str], least: int
+def test_probe_returns_with_quorum_of_eligible_reports(
+    identities: dict[str, str], quorum: int, answering: set[str]
 ) -> None:
     targets = {n: FakeTarget(name=n) for n in NAMES}
-    for name in gone:
-        targets[name].faults["connect"] = FaultKind.REFUSED
+    blocked = frozenset(NAMES) - answering
 
-    reports = _probe(targets, identities, quorum=2)
+    reports = _probe(targets, identities, quorum, blocked=blocked)
 
-    eligible = [
-        r
-        for r in reports
-        if r.reachable
-        and (not identities or identities[r.target] == r.identity)
-    ]
-    assert len(eligible) >= least
+    reachable = {r.target for r in reports if r.reachable}
+    assert reachable <= answering
+    eligible = eligible_reports(reports, identities)
+    assert len(eligible) == quorum
     assert {r.target for r in reports} == set(NAMES)
 
 
+def test_probe_does_not_count_a_target_that_is_gone() -> None:
+    targets = {n: FakeTarget(name=n) for n in NAMES}
+    targets["a"].faults["connect"] = FaultKind.REFUSED
+
+    reports = _probe(targets, {}, 2)
+
+    assert {r.target: r.reachable for r in reports} == {
+        "a": False,
+        "b": True,
+        "c": True,
+    }
+
+
 def test_probe_reports_all_instances_without_eligible_quorum() -> None:
     targets = {n: FakeTarget(name=n) for n in NAMES}
 
--- a/tests/decide/test_plan_patch.py
+++ b/tests/decide/test_plan_patch.py
@@ -13,12 +13,27 @@
 )
 
 
+MANY = {str(n): 1 for n in range(500)}
+
+
 def _plan(version: int, routes: dict[str, int]) -> str:
     rows = [{"name": n, "timeout_ms": t} for n, t in routes.items()]
     groups = [{"name": "g" * 40}]
     return json.dumps({"version": version, "routes": rows, "groups": groups})
 
 
+def _drop_field(plan: str, name: str) -> str:
+    body = json.loads(plan)
+    del body[name]
+    return json.dumps(body)
+
+
+def _double_route(plan: str) -> str:
+    body = json.loads(plan)
+    body["routes"].append(body["routes"][0])
+    return json.dumps(body)
+
+
 @given(ROUTES, ROUTES)
 def test_patch_reproduces_content_of_new_plan(
     before: dict[str, int], after: dict[str, int]
@@ -31,9 +46,21 @@
         assert json.loads(apply_patch(old, patch)) == json.loads(new)
 
 
+@given(ROUTES)
+def test_patch_of_a_long_plan_reproduces_its_content(
+    changed: dict[str, int],
+) -> None:
+    old = _plan(1, MANY)
+    new = _plan(2, {**MANY, "7": 9, **changed})
+
+    patch = make_patch(old, new)
+
+    assert patch is not None
+    assert json.loads(apply_patch(old, patch)) == json.loads(new)
+
+
 def test_patch_contains_only_changed_routes() -> None:
-    before = {str(n): 1 for n in range(500)}
-    patch = make_patch(_plan(1, before), _plan(2, {**before, "7": 2}))
+    patch = make_patch(_plan(1, MANY), _plan(2, {**MANY, "7": 2}))
 
     assert patch is not None
     assert len(patch) < 120
@@ -42,21 +69,23 @@
 @pytest.mark.parametrize(
     ("old", "new"),
     [
-        ("", _plan(1, {"a": 1})),
-        (_plan(1, {"a": 1}), _plan(2, {})),
-        (_plan(1, {"a": 1, "b": 2}), _plan(2, {"b": 2, "a": 1})),
-        (
-            '{"version": 1, "routes": [], "limits": {}}',
-            '{"version": 2, "routes": []}',
-        ),
+        ("", _plan(1, MANY)),
+        (_plan(1, MANY), _plan(2, {})),
+        (_plan(1, MANY), _plan(2, dict(reversed(MANY.items())))),
+        (_plan(1, MANY), _drop_field(_plan(2, MANY), "groups")),
+        (_plan(1, MANY), _double_route(_plan(2, MANY))),
+        (_double_route(_plan(1, MANY)), _plan(2, MANY)),
+    ],
+    ids=[
+        "first",
+        "shorter-whole",
+        "other-order",
+        "field-dropped",
+        "name-twice",
+        "name-twice-before",
     ],
-    ids=["first", "shorter-whole", "other-order", "field-dropped"],
 )
-def test_make_patch_returns_none_or_patch_that_reproduces_plan(
+def test_make_patch_returns_none_where_whole_plan_is_needed(
     old: str, new: str
 ) -> None:
-    patch = make_patch(old, new)
-
-    assert patch is None or json.loads(apply_patch(old, patch)) == json.loads(
-        new
-    )
+    assert make_patch(old, new) is None
