--- a/src/rosemarysaddle/operate/_documents.py
+++ b/src/rosemarysaddle/operate/_documents.py
@@ -21,7 +21,6 @@
 
 MAX_ATTEMPTS: Final = 3
 RETRY_DELAY_S: Final = 0.2
-IN_FORCE_S: Final = 10.0
 _DOCUMENT_CLASSES: Final[dict[str, type[Inventory | Rules]]] = {
     DocumentKind.INVENTORY: Inventory,
     DocumentKind.RULES: Rules,
--- a/src/rosemarysaddle/standin/_instance.py
+++ b/src/rosemarysaddle/standin/_instance.py
@@ -52,7 +52,6 @@
     slow_ms: float = 0.0
     late_ms: float = 0.0
     crashed: bool = False
-    frozen_connections: frozenset[int] = frozenset()
 
 
 @attrs.define(kw_only=True, eq=False)
