Soak: kill all hosts at once, and more entry hosts

The faults can now be named on the command line, so that one sequence is played alone.

The number of hosts does not change the load: six callers, so that the stand-in targets are not what is measured.

--- a/src/rosemarysaddle/run.py
+++ b/src/rosemarysaddle/run.py
@@ -42,7 +42,7 @@
     load_file,
 )
 from rosemarysaddle.serve import EntryServer
-from rosemarysaddle.soak import run_soak
+from rosemarysaddle.soak import FAULTS, run_soak
 from rosemarysaddle.standin import StandInDaemon, load_stand_in
 
 if TYPE_CHECKING:
@@ -95,18 +95,36 @@
 
 
 def soak(
-    *, seed: int = 1, runs: int = 1, faults: int = 8, slot: int = 0
+    *,
+    seed: int = 1,
+    runs: int = 1,
+    faults: int = 8,
+    only: tuple[str, ...] = (),
+    slot: int = 0,
+    entry_hosts: int = 1,
 ) -> int:
     """Run the platform under faults and check its guarantees.
 
     :param seed: seed of the first run; each further run adds one
     :param runs: number of runs
     :param faults: number of faults in a run
+    :param only: names of faults to inject instead, in this order
     :param slot: number of the loopback network, for parallel soaks
+    :param entry_hosts: number of entry hosts of each data centre
     """
+    unknown = sorted(set(only) - set(FAULTS))
+    if unknown:
+        print(f"no such fault: {', '.join(unknown)}", file=sys.stderr)
+        return 2
     failed_runs = 0
     for run_seed in range(seed, seed + runs):
-        result = run_soak(seed=run_seed, count=faults, slot=slot)
+        result = run_soak(
+            seed=run_seed,
+            count=faults,
+            faults=only,
+            slot=slot,
+            entry_hosts=entry_hosts,
+        )
         print(json.dumps(attrs.asdict(result)), flush=True)
         failed_runs += bool(result.violations)
     return 1 if failed_runs else 0
--- a/src/rosemarysaddle/soak/__init__.py
+++ b/src/rosemarysaddle/soak/__init__.py
@@ -7,6 +7,13 @@
 from __future__ import annotations
 
 from rosemarysaddle.soak._check import CallHistory, find_violations
+from rosemarysaddle.soak._faults import FAULTS
 from rosemarysaddle.soak._run import SoakReport, run_soak
 
-__all__ = ("CallHistory", "SoakReport", "find_violations", "run_soak")
+__all__ = (
+    "FAULTS",
+    "CallHistory",
+    "SoakReport",
+    "find_violations",
+    "run_soak",
+)
--- a/src/rosemarysaddle/soak/_faults.py
+++ b/src/rosemarysaddle/soak/_faults.py
@@ -108,17 +108,25 @@
 
 
 async def _restart_control(context: FaultContext) -> None:
-    """Kill all control hosts at once, then start them again."""
-    names = {node.name for node in context.nodes.control}
+    await _restart_all(context, context.nodes.control)
+
+
+async def _restart_hosts(context: FaultContext) -> None:
+    await _restart_all(context, context.nodes.all)
+
+
+async def _restart_all(context: FaultContext, nodes: list[Node]) -> None:
+    """Kill all of the nodes at once, then start them again."""
+    names = {node.name for node in nodes}
     if context.reserved & names:
         return
     context.reserved |= names
-    for node in context.nodes.control:
+    for node in nodes:
         node.send_signal(signal.SIGKILL)
-    for node in context.nodes.control:
+    for node in nodes:
         await asyncio.to_thread(node.stop_process)
     await asyncio.sleep(RESTART_DELAY_S)
-    for node in context.nodes.control:
+    for node in nodes:
         node.start()
     await context.wait_fault_duration()
     context.reserved -= names
@@ -217,6 +225,7 @@
     "stop-entry": _stop_entry,
     "stop-control": _stop_control,
     "restart-control": _restart_control,
+    "restart-hosts": _restart_hosts,
     "lose-quorum-disk": _lose_quorum_disk,
     "crash-primary": _crash_primary,
     "harm-primary": _disrupt_primary,
--- a/src/rosemarysaddle/soak/_nodes.py
+++ b/src/rosemarysaddle/soak/_nodes.py
@@ -91,26 +91,32 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Nodes:
-    """Three control hosts and three entry hosts.
+    """Control hosts and entry hosts of three data centres.
+
+    Each data centre has one control host.
 
     :param network: first two bytes of the loopback addresses
     :param folder: folder for settings, logs and data
+    :param entry_hosts: number of entry hosts of each data centre
     """
 
     network: str
     folder: Path
+    entry_hosts: int = 1
     control: list[Node] = attrs.field(factory=list, init=False)
     entry: list[Node] = attrs.field(factory=list, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Build the nodes with their settings."""
         for number, center in enumerate(DATA_CENTERS, start=1):
-            for role, third_octet in (("control", 0), ("entry", 1)):
-                ip = f"{self.network}.{third_octet}.{number}"
-                node = self._node(role, ip, center)
-                (self.control if role == "control" else self.entry).append(
-                    node
-                )
+            ip = f"{self.network}.0.{number}"
+            name = f"control-{center}"
+            self.control.append(self._node(name, "control", ip, center))
+        centers = DATA_CENTERS * self.entry_hosts
+        for number, center in enumerate(centers, start=1):
+            ip = f"{self.network}.1.{number}"
+            name = f"entry-{center}-{number}"
+            self.entry.append(self._node(name, "entry", ip, center))
 
     @property
     def all(self) -> list[Node]:
@@ -122,8 +128,7 @@
         leader = max(self.control, key=Node.last_led_term)
         return leader if leader.last_led_term() else None
 
-    def _node(self, role: str, ip: str, center: str) -> Node:
-        name = f"{role}-{center}"
+    def _node(self, name: str, role: str, ip: str, center: str) -> Node:
         seeds = [f"{self.network}.0.{n}:{CONTROL_PORT}" for n in (1, 2, 3)]
         folder = self.folder / name
         settings = {
--- a/src/rosemarysaddle/soak/_run.py
+++ b/src/rosemarysaddle/soak/_run.py
@@ -53,7 +53,12 @@
 
 
 def run_soak(
-    *, seed: int, count: int = 8, faults: Sequence[str] = (), slot: int = 0
+    *,
+    seed: int,
+    count: int = 8,
+    faults: Sequence[str] = (),
+    slot: int = 0,
+    entry_hosts: int = 1,
 ) -> SoakReport:
     """Run one seed.
 
@@ -63,12 +68,17 @@
     :param faults: names of faults to use instead of the seed's
     :param slot: number of the loopback network, so that soaks can run
         side by side
+    :param entry_hosts: number of entry hosts of each data centre
     """
     rng = random.Random(f"soak:{seed}")  # noqa: S311
     names = tuple(faults) or tuple(rng.choices(sorted(FAULTS), k=count))
     folder = Path(tempfile.mkdtemp(prefix="rosemarysaddle-soak-"))
     soak = _SoakRun(
-        names=names, rng=rng, network=f"127.{64 + slot}", folder=folder
+        names=names,
+        rng=rng,
+        network=f"127.{64 + slot}",
+        folder=folder,
+        entry_hosts=entry_hosts,
     )
     return asyncio.run(soak.run(seed))
 
@@ -79,6 +89,7 @@
     rng: random.Random
     network: str
     folder: Path
+    entry_hosts: int
     call_history: CallHistory = attrs.field(factory=CallHistory)
     nodes: Nodes = attrs.field(init=False)
     group: TargetGroup = attrs.field(init=False)
@@ -87,7 +98,11 @@
     callers: list[Caller] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.nodes = Nodes(network=self.network, folder=self.folder)
+        self.nodes = Nodes(
+            network=self.network,
+            folder=self.folder,
+            entry_hosts=self.entry_hosts,
+        )
         self.group = TargetGroup(name=GROUP, instances=self._instances())
         self.proxies = {
             name: FaultProxy(
--- /dev/null
+++ b/tests/soak/test_nodes.py
@@ -0,0 +1,53 @@
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from rosemarysaddle.soak._nodes import Nodes
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+def _nodes(folder: Path, entry_hosts: int = 1) -> Nodes:
+    return Nodes(network="127.99", folder=folder, entry_hosts=entry_hosts)
+
+
+@pytest.mark.parametrize("entry_hosts", [1, 40])
+def test_nodes_have_names_and_addresses_of_their_own(
+    entry_hosts: int, tmp_path: Path
+) -> None:
+    nodes = _nodes(tmp_path, entry_hosts)
+
+    assert len(nodes.control) == 3
+    assert len(nodes.entry) == 3 * entry_hosts
+    assert len({node.name for node in nodes.all}) == len(nodes.all)
+    assert len({node.ip for node in nodes.all}) == len(nodes.all)
+
+
+@pytest.mark.parametrize(
+    ("roles", "leader"),
+    [
+        pytest.param(["follower 4", "leader 3", "leader 2"], 1, id="newest"),
+        pytest.param(
+            ["leader 2 follower 3", "leader 1", ""], 1, id="stepped-down"
+        ),
+        pytest.param(["follower 1", "candidate 1", ""], None, id="none"),
+    ],
+)
+def test_find_leader_returns_newest_leader_in_the_logs(
+    roles: list[str], leader: int | None, tmp_path: Path
+) -> None:
+    nodes = _nodes(tmp_path)
+    for node, changes in zip(nodes.control, roles, strict=True):
+        node.folder.mkdir(parents=True)
+        words = changes.split()
+        lines = [
+            f"event=control role={role} term={term} leader=\n"
+            for role, term in zip(words[::2], words[1::2], strict=True)
+        ]
+        (node.folder / "log").write_text("".join(lines), encoding="utf-8")
+
+    expected = None if leader is None else nodes.control[leader]
+    assert nodes.find_leader() is expected
