Soak: let a fault wait for its hosts instead of being left out

A fault whose hosts another one used did nothing, and the report named it all the same, so the count said more than was injected; a restart of all hosts was left out the most.

Now a fault waits until its hosts are free. Faults of other hosts still overlap, and no two disks are lost at once.

--- a/src/rosemarysaddle/soak/_faults.py
+++ b/src/rosemarysaddle/soak/_faults.py
@@ -34,7 +34,7 @@
 
     :param proxies: proxy of each target by name
     :param reserved: names of nodes that a running fault uses, and
-        "target" while one is crashed; other faults leave them alone
+        "target" while one is crashed; other faults wait for them
     """
 
     nodes: Nodes
@@ -43,44 +43,56 @@
     platform: StandInPlatform
     rng: random.Random
     reserved: set[str] = attrs.field(factory=set)
+    _released: asyncio.Condition = attrs.field(
+        factory=asyncio.Condition, init=False
+    )
 
     async def wait_fault_duration(self) -> None:
         """Wait for the random duration of a fault."""
         await asyncio.sleep(self.rng.uniform(*FAULT_DURATION_RANGE_S))
 
-    def reserve_node(self, nodes: list[Node]) -> Node | None:
-        """Reserve a random node, unless a fault uses one of the nodes.
+    async def reserve(self, names: set[str]) -> None:
+        """Reserve names once no running fault uses any of them.
 
-        :return: the node, or None if none may be used
+        Faults of the same nodes therefore follow each other, so that no
+        more hosts are lost at once than the platform tolerates.
         """
-        if self.reserved & {node.name for node in nodes}:
-            return None
+        async with self._released:
+            await self._released.wait_for(lambda: not self.reserved & names)
+            self.reserved |= names
+
+    async def reserve_node(self, nodes: list[Node]) -> Node:
+        """Reserve one of the nodes once no fault uses any of them."""
+        names = {node.name for node in nodes}
+        await self.reserve(names)
         node = self.rng.choice(nodes)
-        self.reserved.add(node.name)
+        await self.release(names - {node.name})
         return node
 
+    async def release(self, names: set[str]) -> None:
+        """Let other faults use the names."""
+        async with self._released:
+            self.reserved -= names
+            self._released.notify_all()
+
 
 async def _freeze(context: FaultContext, nodes: list[Node]) -> None:
-    node = context.reserve_node(nodes)
-    if node is None:
-        return
+    node = await context.reserve_node(nodes)
     node.send_signal(signal.SIGSTOP)
     await context.wait_fault_duration()
     node.send_signal(signal.SIGCONT)
-    context.reserved.discard(node.name)
+    await context.release({node.name})
 
 
 async def _restart(
     context: FaultContext, nodes: list[Node], stop_signal: signal.Signals
 ) -> None:
-    node = context.reserve_node(nodes)
-    if node is None:
-        return
+    node = await context.reserve_node(nodes)
     await asyncio.to_thread(node.stop_process, stop_signal)
     await asyncio.sleep(RESTART_DELAY_S)
     node.start()
     await context.wait_fault_duration()
-    context.reserved.discard(node.name)
+    await context.release({node.name})
 
 
 async def _freeze_entry(context: FaultContext) -> None:
@@ -118,9 +130,7 @@
 async def _restart_all(context: FaultContext, nodes: list[Node]) -> None:
     """Kill all of the nodes at once, then start them again."""
     names = {node.name for node in nodes}
-    if context.reserved & names:
-        return
-    context.reserved |= names
+    await context.reserve(names)
     for node in nodes:
         node.send_signal(signal.SIGKILL)
     for node in nodes:
@@ -129,7 +139,7 @@
     for node in nodes:
         node.start()
     await context.wait_fault_duration()
-    context.reserved -= names
+    await context.release(names)
 
 
 async def _lose_quorum_disk(context: FaultContext) -> None:
@@ -139,10 +149,8 @@
     entries that no other host holds.
     """
     names = {node.name for node in context.nodes.control}
-    leader = context.nodes.find_leader()
-    if context.reserved & names or leader is None:
-        return
-    context.reserved |= names
+    await context.reserve(names)
+    leader = context.nodes.find_leader() or context.nodes.control[0]
     followers = [node for node in context.nodes.control if node != leader]
     # Suspended followers would still read the leader's last messages.
     for node in followers:
@@ -162,7 +170,7 @@
     lost.lose_disk()
     lost.start()
     await context.wait_fault_duration()
-    context.reserved -= names
+    await context.release(names)
 
 
 async def _run_changes(context: FaultContext, duration_s: float) -> None:
@@ -174,9 +182,7 @@
 
 
 async def _crash_primary(context: FaultContext) -> None:
-    if "target" in context.reserved:
-        return
-    context.reserved.add("target")
+    await context.reserve({"target"})
     primary = context.group.current_primary
     primary.crash()
     await asyncio.sleep(context.rng.uniform(2.0, 4.0))
@@ -185,7 +191,7 @@
     await primary.listen(context.group)
     context.group.demote_others()
     await context.wait_fault_duration()
-    context.reserved.discard("target")
+    await context.release({"target"})
 
 
 async def _disrupt_primary(context: FaultContext) -> None:
