Remove a control host's earlier name as soon as its new name has a vote

Callers saw: no configuration acknowledged any more, for good.

Cause: a host that lost its disk joins under a new name, which makes four voters, and its earlier name is removed only after 2.5 s of silence. Each election starts these 2.5 s again, so with control hosts restarting the earlier name was still a voter 13 s later, when a second disk was lost: three of four voters were needed and two were left. In the log: voters with both 127.74.0.2 and 127.74.0.2# from 08:26:42 to the end, the leader of term 5 elected at 52.55, the second disk lost at 55.0, 50 ms before the removal was due.

The newest name of an address is the host itself, so an earlier name can never answer again and need not be waited for. It is removed with the change after the one that adds the new name; voters still change one at a time, each change committed before the next.

Ruled out: removing the earlier name first, which leaves two voters without a spare while the new one catches up.

--- a/src/rosemarysaddle/decide/_voter_manager.py
+++ b/src/rosemarysaddle/decide/_voter_manager.py
@@ -83,12 +83,17 @@
     def _voters_to_remove(self, now_ns: int) -> list[str]:
         """List the voters to remove, in order of preference.
 
-        A learner with the address of a voter is the same host with a
-        new disk, so that voter comes first.
+        A voter whose address has a newer name is the same host with an
+        earlier disk.  It never answers again, so it comes first and is
+        not waited for.
         """
-        learners = {address_of(host) for host in self.log.learners}
+        # Voters are listed in the order in which they were added.
+        newest = {
+            address_of(host): host
+            for host in (*self.log.voters, *self.log.learners)
+        }
         others = [v for v in self.log.voters if v != self.log.host]
-        replaced = [v for v in others if address_of(v) in learners]
+        replaced = [v for v in others if newest[address_of(v)] != v]
         unavailable = [v for v in others if self._is_unavailable(v, now_ns)]
         return [*replaced, *(v for v in unavailable if v not in replaced)]
 
--- /dev/null
+++ b/tests/decide/test_second_disk_loss.py
@@ -0,0 +1,57 @@
+"""A second disk is lost soon after a host with a new disk has joined."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.decide.cluster import MAX_CONVERGENCE_MS, STEP_MS, Cluster
+
+# Round trips for joining and catching up, well below the time-out after
+# which a silent voter is removed.
+JOIN_MS = 1_000
+
+
+def _settle(cluster: Cluster) -> None:
+    for _ in range(MAX_CONVERGENCE_MS // STEP_MS):
+        if cluster.is_settled:
+            return
+        cluster.step()
+
+
+@pytest.mark.parametrize("size", [3, 5])
+def test_lost_voter_is_removed_once_its_new_name_has_a_vote(
+    size: int,
+) -> None:
+    cluster = Cluster(size=size)
+    _settle(cluster)
+    leader = cluster.leader()
+    assert leader is not None
+    lost = next(n for n in cluster.voters if n != leader.log.host)
+
+    cluster.lose_disk(lost)
+    for _ in range(JOIN_MS // STEP_MS):
+        cluster.step()
+
+    assert set(leader.log.voters) == set(cluster.hosts)
+
+
+@pytest.mark.parametrize("size", [3, 5])
+def test_quorum_survives_a_second_disk_loss_after_restarts(size: int) -> None:
+    cluster = Cluster(size=size)
+    _settle(cluster)
+    leader = cluster.leader()
+    assert leader is not None
+    first, second = [n for n in cluster.voters if n != leader.log.host][:2]
+    cluster.lose_disk(first)
+    for _ in range(JOIN_MS // STEP_MS):
+        cluster.step()
+
+    cluster.in_flight = []
+    for name in list(cluster.hosts):
+        cluster.restart(name)
+    for _ in range(2 * JOIN_MS // STEP_MS):
+        cluster.step()
+    cluster.lose_disk(second)
+    _settle(cluster)
+
+    assert cluster.is_settled
