--- a/tests/decide/test_second_disk_loss.py
+++ b/tests/decide/test_second_disk_loss.py
@@ -1,4 +1,4 @@
-"""A second disk is lost soon after a host with a new disk has joined."""
+"""A second disk is lost soon after a host with a new one has joined."""
 
 from __future__ import annotations
 
