Let a control host without a vote forget a leader that is gone

Cause: a host without a vote starts no election, so it kept the name of its leader for ever, and a host that knows a leader asks only that one to join. In the logs: 10.1.0.33 joined at 6.98 under the leader 10.1.0.32, which stopped for good at 10.19; the leader of term 2, elected at 11.19, never listed it as a learner, and when a second voter was removed at 23.2 no quorum was left.

Now the leader is cleared when it has been silent for the election time-out, so the host asks all voters and seeds, and one of them tells the new leader.

Test: test_learner_forgets_a_leader_that_is_gone, failing before; tests/decide and tests/node pass after.

--- a/src/rosemarysaddle/decide/_log.py
+++ b/src/rosemarysaddle/decide/_log.py
@@ -372,8 +372,13 @@
                 self._become_follower(self.term, now_ns)
                 return []
             return self._heartbeat(now_ns)
-        if now_ns >= self._election_at_ns and self.host in self.voters:
+        if now_ns < self._election_at_ns:
+            return []
+        if self.host in self.voters:
             return self._start_pre_vote(now_ns)
+        # Without a vote no election clears the leader, and a host asks
+        # the leader that it knows to join.
+        self.leader = ""
         return []
 
     def receive(
--- a/tests/decide/test_log.py
+++ b/tests/decide/test_log.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import itertools
 from typing import Any
 
 import attrs
@@ -353,3 +354,30 @@
     node.tick(1_500 * NS_PER_MS)
 
     assert node.needs_to_join
+
+
+def test_learner_forgets_a_leader_that_is_gone() -> None:
+    learner = LogNode(
+        host="d",
+        voters=(),
+        stored=StoredLog(),
+        jitter_ms=itertools.repeat(0),
+        started_ns=0,
+    )
+    heartbeat = AppendRequest(
+        term=1,
+        leader="a",
+        prev_index=0,
+        prev_term=0,
+        commit_index=0,
+        sent_ns=0,
+        entries=(),
+    )
+    learner.receive("a", heartbeat, 0)
+    learner.tick(100 * NS_PER_MS)
+    assert learner.leader == "a"
+
+    learner.tick(2_000 * NS_PER_MS)
+
+    assert learner.leader == ""
+    assert learner.needs_to_join
