Group the decisions in sub-packages by stage

Cause: decide/ held forty flat files, more than a quarter of the code, so a newcomer had to open files to find a decision's place.

Change: control_log, primaries, leases, reads, load and configuration; git mv and import paths only, no behaviour. The facade decide/__init__ exports what it exported before.

Conclusion: new decisions go into the package of their stage.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -52,7 +52,7 @@
     TargetView,
     TokenCodec,
 )
-from rosemarysaddle.decide._neighbours import NeighbourLists
+from rosemarysaddle.decide.leases._neighbours import NeighbourLists
 from rosemarysaddle.link import (
     Address,
     PeerNetwork,
--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -6,13 +6,6 @@
 
 from __future__ import annotations
 
-from rosemarysaddle.decide._change import (
-    ChangeTimes,
-    choose_primary,
-    eligible_reports,
-    promotion_quorum,
-    write_quorum,
-)
 from rosemarysaddle.decide._control import ControlNode
 from rosemarysaddle.decide._effects import (
     Committed,
@@ -28,42 +21,7 @@
     TargetReport,
 )
 from rosemarysaddle.decide._entry import EntryNode, WriteTicket
-from rosemarysaddle.decide._follower import BEHIND_MS, FollowerStatus
-from rosemarysaddle.decide._freshness import PositionHistory, newer_point
-from rosemarysaddle.decide._inventory import InventoryTable
-from rosemarysaddle.decide._lease import HostLease, LeaseTable
-from rosemarysaddle.decide._lending import (
-    ConnectionShare,
-    LenderRanking,
-    share_connections,
-)
-from rosemarysaddle.decide._load_balancing import (
-    ReadConstraints,
-    TargetState,
-    choose_target,
-    compute_transfer_cost_ns,
-)
-from rosemarysaddle.decide._log import LogNode, Role, StoredLog, is_empty
-from rosemarysaddle.decide._queueing import (
-    ConnectionQueue,
-    ConnectionRequest,
-    Waiter,
-)
 from rosemarysaddle.decide._reasons import Outcome, Reason, Refusal, Step
-from rosemarysaddle.decide._registry import is_update
-from rosemarysaddle.decide._replica_choice import (
-    GroupView,
-    ReadChoice,
-    ReadRequirements,
-    TargetView,
-)
-from rosemarysaddle.decide._route_plan import Freshness, RouteTable, check_plan
-from rosemarysaddle.decide._state import (
-    ClusterState,
-    DocumentKind,
-    EntryKind,
-    check_change,
-)
 from rosemarysaddle.decide._statements import (
     NO_ANSWER,
     Answer,
@@ -75,18 +33,76 @@
     Statement,
     StatementKind,
 )
-from rosemarysaddle.decide._terms import GroupTerm
 from rosemarysaddle.decide._times import LEASE_MS, NS_PER_MS
-from rosemarysaddle.decide._token import LogPoint, SessionToken, TokenCodec
 from rosemarysaddle.decide._variables import (
     ConnectionSetup,
     SessionVariables,
     SetupPlan,
     shared_name,
 )
-from rosemarysaddle.decide._voter_manager import address_of
-from rosemarysaddle.decide._voters import join_voters
-from rosemarysaddle.decide._window import INITIAL_SIZE, ConcurrencyWindow
+from rosemarysaddle.decide.configuration._inventory import InventoryTable
+from rosemarysaddle.decide.configuration._route_plan import (
+    Freshness,
+    RouteTable,
+    check_plan,
+)
+from rosemarysaddle.decide.control_log._follower import (
+    BEHIND_MS,
+    FollowerStatus,
+)
+from rosemarysaddle.decide.control_log._log import (
+    LogNode,
+    Role,
+    StoredLog,
+    is_empty,
+)
+from rosemarysaddle.decide.control_log._state import (
+    ClusterState,
+    DocumentKind,
+    EntryKind,
+    check_change,
+)
+from rosemarysaddle.decide.control_log._voter_manager import address_of
+from rosemarysaddle.decide.control_log._voters import join_voters
+from rosemarysaddle.decide.leases._lease import HostLease, LeaseTable
+from rosemarysaddle.decide.load._lending import (
+    ConnectionShare,
+    LenderRanking,
+    share_connections,
+)
+from rosemarysaddle.decide.load._load_balancing import (
+    ReadConstraints,
+    TargetState,
+    choose_target,
+    compute_transfer_cost_ns,
+)
+from rosemarysaddle.decide.load._queueing import (
+    ConnectionQueue,
+    ConnectionRequest,
+    Waiter,
+)
+from rosemarysaddle.decide.load._window import INITIAL_SIZE, ConcurrencyWindow
+from rosemarysaddle.decide.primaries._change import (
+    ChangeTimes,
+    choose_primary,
+    eligible_reports,
+    promotion_quorum,
+    write_quorum,
+)
+from rosemarysaddle.decide.primaries._registry import is_update
+from rosemarysaddle.decide.primaries._terms import GroupTerm
+from rosemarysaddle.decide.reads._freshness import PositionHistory, newer_point
+from rosemarysaddle.decide.reads._replica_choice import (
+    GroupView,
+    ReadChoice,
+    ReadRequirements,
+    TargetView,
+)
+from rosemarysaddle.decide.reads._token import (
+    LogPoint,
+    SessionToken,
+    TokenCodec,
+)
 
 __all__ = (
     "BEHIND_MS",
--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -13,7 +13,6 @@
 
 import attrs
 
-from rosemarysaddle.decide._context import LeaderContext
 from rosemarysaddle.decide._effects import (
     Committed,
     Effect,
@@ -21,22 +20,26 @@
     Send,
     TargetReport,
 )
-from rosemarysaddle.decide._entry_host_counter import EntryHostCounter
-from rosemarysaddle.decide._lease import LeaseTable
-from rosemarysaddle.decide._lease_holders import LeaseHolderRegistry
-from rosemarysaddle.decide._log import LogNode, Role
-from rosemarysaddle.decide._neighbours import NeighbourLists
-from rosemarysaddle.decide._plan_patch import make_patch
-from rosemarysaddle.decide._primaries import PrimaryManager
-from rosemarysaddle.decide._reconciler import ADMIT_ATTEMPT, InstanceReconciler
-from rosemarysaddle.decide._registry import is_update, record_of
-from rosemarysaddle.decide._state import (
+from rosemarysaddle.decide._times import LEASE_MS
+from rosemarysaddle.decide.configuration._plan_patch import make_patch
+from rosemarysaddle.decide.control_log._context import LeaderContext
+from rosemarysaddle.decide.control_log._log import LogNode, Role
+from rosemarysaddle.decide.control_log._state import (
     ClusterState,
     DocumentKind,
     EntryKind,
 )
-from rosemarysaddle.decide._times import LEASE_MS
-from rosemarysaddle.decide._voter_manager import VoterManager
+from rosemarysaddle.decide.control_log._voter_manager import VoterManager
+from rosemarysaddle.decide.leases._entry_host_counter import EntryHostCounter
+from rosemarysaddle.decide.leases._lease import LeaseTable
+from rosemarysaddle.decide.leases._lease_holders import LeaseHolderRegistry
+from rosemarysaddle.decide.leases._neighbours import NeighbourLists
+from rosemarysaddle.decide.primaries._primaries import PrimaryManager
+from rosemarysaddle.decide.primaries._reconciler import (
+    ADMIT_ATTEMPT,
+    InstanceReconciler,
+)
+from rosemarysaddle.decide.primaries._registry import is_update, record_of
 from rosemarysaddle.schema import (
     Announcement,
     ChangeProposal,
--- a/src/rosemarysaddle/decide/_statements.py
+++ b/src/rosemarysaddle/decide/_statements.py
@@ -12,7 +12,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from rosemarysaddle.decide._token import LogPoint
+    from rosemarysaddle.decide.reads._token import LogPoint
 
 __all__ = (
     "NO_ANSWER",
--- /dev/null
+++ b/src/rosemarysaddle/decide/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Documents that operators submit: inventory and route plan."""
--- a/src/rosemarysaddle/decide/_inventory.py
+++ b/src/rosemarysaddle/decide/configuration/_inventory.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from rosemarysaddle.decide._terms import GroupTerm
+    from rosemarysaddle.decide.primaries._terms import GroupTerm
     from rosemarysaddle.schema import Group, Instance, Tenant
 
 __all__ = ("InventoryTable",)
--- /dev/null
+++ b/src/rosemarysaddle/decide/control_log/__init__.py
@@ -0,0 +1,1 @@
+"""Control log: replication, elections, voters and its state."""
--- a/src/rosemarysaddle/decide/_context.py
+++ b/src/rosemarysaddle/decide/control_log/_context.py
@@ -10,8 +10,8 @@
     from collections.abc import Callable, Mapping
 
     from rosemarysaddle.decide._effects import Effect
-    from rosemarysaddle.decide._lease import LeaseTable
-    from rosemarysaddle.decide._state import ClusterState
+    from rosemarysaddle.decide.control_log._state import ClusterState
+    from rosemarysaddle.decide.leases._lease import LeaseTable
     from rosemarysaddle.schema import Instance
 
 __all__ = ("LeaderContext",)
--- a/src/rosemarysaddle/decide/_follower.py
+++ b/src/rosemarysaddle/decide/control_log/_follower.py
@@ -15,7 +15,7 @@
 from rosemarysaddle.decide._times import HEARTBEAT_INTERVAL_MS, NS_PER_MS
 
 if TYPE_CHECKING:
-    from rosemarysaddle.decide._entries import EntryStore
+    from rosemarysaddle.decide.control_log._entries import EntryStore
     from rosemarysaddle.schema import AppendReply
 
 __all__ = (
--- a/src/rosemarysaddle/decide/_log.py
+++ b/src/rosemarysaddle/decide/control_log/_log.py
@@ -22,21 +22,21 @@
     SaveVote,
     Send,
 )
-from rosemarysaddle.decide._entries import EntryStore
-from rosemarysaddle.decide._follower import (
-    BEHIND_MS,
-    Follower,
-    FollowerStatus,
-    Phase,
-    find_hint_index,
-)
 from rosemarysaddle.decide._times import (
     HEARTBEAT_INTERVAL_MS,
     MIN_ELECTION_TIMEOUT_MS,
     NS_PER_MS,
     leader_deadline_ns,
 )
-from rosemarysaddle.decide._voters import (
+from rosemarysaddle.decide.control_log._entries import EntryStore
+from rosemarysaddle.decide.control_log._follower import (
+    BEHIND_MS,
+    Follower,
+    FollowerStatus,
+    Phase,
+    find_hint_index,
+)
+from rosemarysaddle.decide.control_log._voters import (
     MEMBERS,
     VoterHistory,
     join_voters,
--- a/src/rosemarysaddle/decide/_state.py
+++ b/src/rosemarysaddle/decide/control_log/_state.py
@@ -12,16 +12,16 @@
 import attrs
 import cattrs
 
-from rosemarysaddle.decide._inventory import InventoryTable
-from rosemarysaddle.decide._plan_patch import apply_patch
-from rosemarysaddle.decide._registry import TargetRecord, TargetTable
-from rosemarysaddle.decide._route_plan import RouteTable
-from rosemarysaddle.decide._terms import (
+from rosemarysaddle.decide.configuration._inventory import InventoryTable
+from rosemarysaddle.decide.configuration._plan_patch import apply_patch
+from rosemarysaddle.decide.configuration._route_plan import RouteTable
+from rosemarysaddle.decide.control_log._voters import MEMBERS
+from rosemarysaddle.decide.primaries._registry import TargetRecord, TargetTable
+from rosemarysaddle.decide.primaries._terms import (
     MAX_KEPT_STARTS,
     GroupTerm,
     TermStart,
 )
-from rosemarysaddle.decide._voters import MEMBERS
 from rosemarysaddle.schema import (
     ChangeProposal,
     ChangeReply,
@@ -36,7 +36,7 @@
 )
 
 if TYPE_CHECKING:
-    from rosemarysaddle.decide._log import StoredLog
+    from rosemarysaddle.decide.control_log._log import StoredLog
     from rosemarysaddle.schema import RequestClass, Tenant
 
 __all__ = (
--- a/src/rosemarysaddle/decide/_voter_manager.py
+++ b/src/rosemarysaddle/decide/control_log/_voter_manager.py
@@ -16,7 +16,7 @@
 
 if TYPE_CHECKING:
     from rosemarysaddle.decide._effects import Effect
-    from rosemarysaddle.decide._log import LogNode
+    from rosemarysaddle.decide.control_log._log import LogNode
 
 __all__ = ("VoterManager", "address_of")
 
--- /dev/null
+++ b/src/rosemarysaddle/decide/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases of entry hosts, and the leader's records of these hosts."""
--- a/src/rosemarysaddle/decide/_lease_holders.py
+++ b/src/rosemarysaddle/decide/leases/_lease_holders.py
@@ -14,12 +14,12 @@
 
 import attrs
 
-from rosemarysaddle.decide._state import EntryKind
 from rosemarysaddle.decide._times import NS_PER_MS
+from rosemarysaddle.decide.control_log._state import EntryKind
 
 if TYPE_CHECKING:
-    from rosemarysaddle.decide._context import LeaderContext
     from rosemarysaddle.decide._effects import Effect
+    from rosemarysaddle.decide.control_log._context import LeaderContext
     from rosemarysaddle.schema import LeaseRenewal, LogEntry
 
 __all__ = ("LeaseHolderRegistry",)
--- /dev/null
+++ b/src/rosemarysaddle/decide/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load: lending and queueing of connections, load balancing."""
--- a/src/rosemarysaddle/decide/_load_balancing.py
+++ b/src/rosemarysaddle/decide/load/_load_balancing.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable, Mapping
 
-    from rosemarysaddle.decide._token import LogPoint
+    from rosemarysaddle.decide.reads._token import LogPoint
 
 __all__ = (
     "ReadConstraints",
--- a/src/rosemarysaddle/decide/_queueing.py
+++ b/src/rosemarysaddle/decide/load/_queueing.py
@@ -18,7 +18,7 @@
 import attrs
 
 from rosemarysaddle.decide._times import NS_PER_MS
-from rosemarysaddle.decide._window import ConcurrencyWindow
+from rosemarysaddle.decide.load._window import ConcurrencyWindow
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- /dev/null
+++ b/src/rosemarysaddle/decide/primaries/__init__.py
@@ -0,0 +1,1 @@
+"""Primaries: announced targets, terms and changes of primary."""
--- a/src/rosemarysaddle/decide/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -12,15 +12,6 @@
 
 import attrs
 
-from rosemarysaddle.decide._change import (
-    ChangeTimes,
-    Evidence,
-    GroupChange,
-    Phase,
-    choose_primary,
-    eligible_reports,
-    promotion_quorum,
-)
 from rosemarysaddle.decide._effects import (
     Effect,
     FollowPrimary,
@@ -29,12 +20,21 @@
     Send,
     TargetReport,
 )
-from rosemarysaddle.decide._state import EntryKind
-from rosemarysaddle.decide._succession import (
+from rosemarysaddle.decide._times import NS_PER_MS
+from rosemarysaddle.decide.control_log._state import EntryKind
+from rosemarysaddle.decide.primaries._change import (
+    ChangeTimes,
+    Evidence,
+    GroupChange,
+    Phase,
+    choose_primary,
+    eligible_reports,
+    promotion_quorum,
+)
+from rosemarysaddle.decide.primaries._succession import (
     SuccessorCriteria,
     choose_successor,
 )
-from rosemarysaddle.decide._times import NS_PER_MS
 from rosemarysaddle.schema import (
     Announcement,
     CloseGroup,
@@ -47,8 +47,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from rosemarysaddle.decide._context import LeaderContext
-    from rosemarysaddle.decide._terms import GroupTerm
+    from rosemarysaddle.decide.control_log._context import LeaderContext
+    from rosemarysaddle.decide.primaries._terms import GroupTerm
     from rosemarysaddle.schema import Group
 
 __all__ = (
--- a/src/rosemarysaddle/decide/_reconciler.py
+++ b/src/rosemarysaddle/decide/primaries/_reconciler.py
@@ -18,19 +18,19 @@
     Send,
     TargetReport,
 )
-from rosemarysaddle.decide._primaries import (
+from rosemarysaddle.decide._times import NS_PER_MS
+from rosemarysaddle.decide.control_log._state import EntryKind
+from rosemarysaddle.decide.primaries._primaries import (
     PROBE_TIMEOUT_MS,
     PROMOTE_TIMEOUT_MS,
 )
-from rosemarysaddle.decide._state import EntryKind
-from rosemarysaddle.decide._times import NS_PER_MS
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from rosemarysaddle.decide._context import LeaderContext
-    from rosemarysaddle.decide._primaries import PrimaryManager
-    from rosemarysaddle.decide._terms import GroupTerm
+    from rosemarysaddle.decide.control_log._context import LeaderContext
+    from rosemarysaddle.decide.primaries._primaries import PrimaryManager
+    from rosemarysaddle.decide.primaries._terms import GroupTerm
     from rosemarysaddle.schema import Announcement
 
 __all__ = ("ADMIT_ATTEMPT", "InstanceReconciler")
--- /dev/null
+++ b/src/rosemarysaddle/decide/reads/__init__.py
@@ -0,0 +1,1 @@
+"""Reads: freshness, session tokens and the choice of a replica."""
--- a/src/rosemarysaddle/decide/_freshness.py
+++ b/src/rosemarysaddle/decide/reads/_freshness.py
@@ -15,7 +15,7 @@
 from rosemarysaddle.decide._times import NS_PER_MS
 
 if TYPE_CHECKING:
-    from rosemarysaddle.decide._token import LogPoint
+    from rosemarysaddle.decide.reads._token import LogPoint
 
 __all__ = ("PositionHistory", "newer_point")
 
--- a/src/rosemarysaddle/decide/_replica_choice.py
+++ b/src/rosemarysaddle/decide/reads/_replica_choice.py
@@ -15,12 +15,12 @@
 
 from rosemarysaddle.decide._reasons import Reason, Refusal, Step
 from rosemarysaddle.decide._times import NS_PER_MS
-from rosemarysaddle.decide._token import LogPoint
+from rosemarysaddle.decide.reads._token import LogPoint
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
 
-    from rosemarysaddle.decide._terms import GroupTerm
+    from rosemarysaddle.decide.primaries._terms import GroupTerm
 
 __all__ = ("GroupView", "ReadChoice", "ReadRequirements", "TargetView")
 
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -54,7 +54,7 @@
         Effect,
         EntryNode,
     )
-    from rosemarysaddle.decide._registry import TargetRecord
+    from rosemarysaddle.decide.primaries._registry import TargetRecord
     from rosemarysaddle.schema import Route
 
 __all__ = ("ReadTarget", "Router")
--- a/tests/decide/cluster.py
+++ b/tests/decide/cluster.py
@@ -8,7 +8,10 @@
 
 from rosemarysaddle._jitter import election_jitter
 from rosemarysaddle.decide import Committed, LogNode, Send
-from rosemarysaddle.decide._voter_manager import VoterManager, address_of
+from rosemarysaddle.decide.control_log._voter_manager import (
+    VoterManager,
+    address_of,
+)
 from rosemarysaddle.schema import AppendRequest, LogEntry, SnapshotInstall
 from tests.helpers import NS_PER_MS, FakeDisk
 
--- a/tests/decide/test_entries.py
+++ b/tests/decide/test_entries.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from rosemarysaddle.decide._entries import EntryStore
+from rosemarysaddle.decide.control_log._entries import EntryStore
 from rosemarysaddle.schema import LogEntry
 
 
--- a/tests/decide/test_entry_host_counter.py
+++ b/tests/decide/test_entry_host_counter.py
@@ -1,11 +1,11 @@
 from __future__ import annotations
 
-from rosemarysaddle.decide._entry_host_counter import (
+from rosemarysaddle.decide._times import NS_PER_MS
+from rosemarysaddle.decide.leases._entry_host_counter import (
     GROW_INTERVAL_MS,
     SHRINK_WINDOW_MS,
     EntryHostCounter,
 )
-from rosemarysaddle.decide._times import NS_PER_MS
 
 
 def _entry_host_counter() -> EntryHostCounter:
--- a/tests/decide/test_lease_holders.py
+++ b/tests/decide/test_lease_holders.py
@@ -19,9 +19,9 @@
 )
 
 from rosemarysaddle.decide import ClusterState, LeaseTable
-from rosemarysaddle.decide._context import LeaderContext
-from rosemarysaddle.decide._lease_holders import LeaseHolderRegistry
 from rosemarysaddle.decide._times import NS_PER_MS
+from rosemarysaddle.decide.control_log._context import LeaderContext
+from rosemarysaddle.decide.leases._lease_holders import LeaseHolderRegistry
 from rosemarysaddle.schema import LeaseRenewal, LogEntry
 
 LEASE_MS = 4_000
--- a/tests/decide/test_lending.py
+++ b/tests/decide/test_lending.py
@@ -10,7 +10,7 @@
     LenderRanking,
     share_connections,
 )
-from rosemarysaddle.decide._lending import DOWN_BACKOFF_MS
+from rosemarysaddle.decide.load._lending import DOWN_BACKOFF_MS
 
 
 @pytest.mark.parametrize(
--- a/tests/decide/test_neighbours.py
+++ b/tests/decide/test_neighbours.py
@@ -1,11 +1,11 @@
 from __future__ import annotations
 
-from rosemarysaddle.decide._neighbours import (
+from rosemarysaddle.decide._times import NS_PER_MS
+from rosemarysaddle.decide.leases._neighbours import (
     GATHER_WINDOW_MS,
     RENDER_INTERVAL_MS,
     NeighbourLists,
 )
-from rosemarysaddle.decide._times import NS_PER_MS
 from rosemarysaddle.schema import LeaseRenewal, Neighbours
 
 GATHERED_NS = GATHER_WINDOW_MS * NS_PER_MS
--- a/tests/decide/test_plan_patch.py
+++ b/tests/decide/test_plan_patch.py
@@ -6,7 +6,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from rosemarysaddle.decide._plan_patch import apply_patch, make_patch
+from rosemarysaddle.decide.configuration._plan_patch import (
+    apply_patch,
+    make_patch,
+)
 
 ROUTES = st.dictionaries(
     st.sampled_from("abcdefgh"), st.integers(0, 3), max_size=8
--- a/tests/decide/test_registry.py
+++ b/tests/decide/test_registry.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from rosemarysaddle.decide._registry import (
+from rosemarysaddle.decide.primaries._registry import (
     TargetRecord,
     TargetTable,
     is_update,
--- a/tests/decide/test_succession.py
+++ b/tests/decide/test_succession.py
@@ -3,8 +3,8 @@
 import pytest
 
 from rosemarysaddle.decide import TargetReport
-from rosemarysaddle.decide._change import MIN_OUTAGE_MS, Evidence
-from rosemarysaddle.decide._succession import (
+from rosemarysaddle.decide.primaries._change import MIN_OUTAGE_MS, Evidence
+from rosemarysaddle.decide.primaries._succession import (
     SuccessorCriteria,
     choose_successor,
 )
--- a/tests/session/standin.py
+++ b/tests/session/standin.py
@@ -10,7 +10,7 @@
 
 from rosemarysaddle._clock import clock_ns
 from rosemarysaddle.decide import EntryNode, GroupTerm, RouteTable
-from rosemarysaddle.decide._registry import TargetRecord
+from rosemarysaddle.decide.primaries._registry import TargetRecord
 from rosemarysaddle.platform import CallerLineCodec, TargetLineCodec
 from rosemarysaddle.session import CallerSession, Router
 
