--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import os
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -31,6 +32,9 @@
     from rosemarysaddle.link import Address
     from rosemarysaddle.schema import LogEntry
 
+# Loopback network of this test run, so that runs side by side do not
+# listen on the same addresses.
+TEST_NETWORK = f"127.{16 + os.getpid() % 40}"
 NS_PER_MS = 1_000_000
 VOTERS = ("a", "b", "c")
 
--- a/tests/node/test_control.py
+++ b/tests/node/test_control.py
@@ -11,13 +11,14 @@
 from rosemarysaddle.platform import UsersPlatform
 from rosemarysaddle.schema import Announcement, AppendRequest, Node
 from rosemarysaddle.store import Journal
+from tests.helpers import TEST_NETWORK
 
 if TYPE_CHECKING:
     from pathlib import Path
 
     from rosemarysaddle.decide import Role
 
-IP = "127.15.1.1"
+IP = f"{TEST_NETWORK}.1.1"
 PLAN = (
     '{"version": 3, "groups": [{"name": "g"}], "routes": [{"name": "r",'
     ' "database": "d", "freshness": "primary", "timeout_ms": 800,'
--- a/tests/node/test_host_metrics.py
+++ b/tests/node/test_host_metrics.py
@@ -15,9 +15,10 @@
 )
 from rosemarysaddle.schema import Node
 from rosemarysaddle.session import Router
-from tests.helpers import NS_PER_MS, make_leader
+from tests.helpers import NS_PER_MS, TEST_NETWORK, make_leader
 
-ADDRESS = "127.16.1.4:17790"
+IP = f"{TEST_NETWORK}.1.4"
+ADDRESS = f"{IP}:17790"
 
 
 def _settings(metrics_address: str) -> Node:
@@ -26,7 +27,7 @@
         role="entry",
         data_center="dc",
         region="r",
-        ip="127.16.1.4",
+        ip=IP,
         peers_port=17_791,
         seeds=(),
         metrics_address=metrics_address,
--- a/tests/session/standin.py
+++ b/tests/session/standin.py
@@ -13,8 +13,9 @@
 from rosemarysaddle.decide.primaries._registry import TargetRecord
 from rosemarysaddle.platform import CallerLineCodec, TargetLineCodec
 from rosemarysaddle.session import CallerSession, Router
+from tests.helpers import TEST_NETWORK
 
-IP = "127.16.1.1"
+IP = f"{TEST_NETWORK}.1.1"
 GROUP = "g"
 ROUTE_TIMEOUT_MS = 400
 _ROUTE = {
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import os
+
 import pytest
 
 from rosemarysaddle.soak import run_soak
 
-# Loopback network apart from those of soaks started by hand.
-SLOT = 30
+# Loopback network apart from those of soaks started by hand and of
+# test runs side by side.
+SLOT = 30 + os.getpid() % 100
 
 
 @pytest.mark.parametrize(
--- a/tests/target/test_contract.py
+++ b/tests/target/test_contract.py
@@ -24,6 +24,7 @@
     StatementResult,
     TargetFault,
 )
+from tests.helpers import TEST_NETWORK
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -31,7 +32,7 @@
 
     from rosemarysaddle.target import TargetSession
 
-IP = "127.13.0.1"
+IP = f"{TEST_NETWORK}.0.1"
 FIRST_PORT = 13306
 SCHEMA = ("CREATE TABLE t (k VARCHAR(20) PRIMARY KEY, v INT)",)
 INSERT = "INSERT INTO t (k, v) VALUES (%s, %s)"
--- a/tests/web/test_server.py
+++ b/tests/web/test_server.py
@@ -10,11 +10,12 @@
 from rosemarysaddle.link import Address
 from rosemarysaddle.serve._requests import MAX_BODY_BYTES
 from rosemarysaddle.web import HttpServer
+from tests.helpers import TEST_NETWORK
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-ADDRESS = Address(ip="127.13.1.1", port=18100)
+ADDRESS = Address(ip=f"{TEST_NETWORK}.1.1", port=18100)
 SILENT_CONNECTIONS = 500
 SLOW_CONNECTIONS = 50
 
