Add teams, their limits and token messages to the schemas

Cause: deployments whose callers belong to teams name them in the route plan, and the platform's settings hold the tolerances of their limits; the product took neither. Nothing reads them yet.

--- a/src/rosemarysaddle/decide/_reasons.py
+++ b/src/rosemarysaddle/decide/_reasons.py
@@ -66,6 +66,9 @@
     TOO_LARGE = "too-large"
     TARGET_BUSY = "target-busy"
     VERSION_CONFLICT = "version-conflict"
+    UNKNOWN_KEY = "unknown-key"
+    KEY_REVOKED = "key-revoked"
+    RATE_LIMITED = "rate-limited"
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarysaddle/decide/load/_queueing.py
+++ b/src/rosemarysaddle/decide/load/_queueing.py
@@ -40,10 +40,20 @@
 
     :param priority: priority of the statement; 0 is the highest
     :param pinned: whether a transaction keeps the connection
+    :param team: team that the connection has to serve, or empty
+    :param deadline_ns: time until which the request may wait; 0 if
+        unknown
+    :param objective_ns: time by which the statement has to be answered
+        to meet its latency objective; 0 if unknown
+    :param weight: share of the team relative to other teams
     """
 
     priority: int = 0
     pinned: bool = False
+    team: str = ""
+    deadline_ns: int = 0
+    objective_ns: int = 0
+    weight: float = 1.0
 
 
 @attrs.frozen(kw_only=True, eq=False)
--- a/src/rosemarysaddle/schema/_documents.py
+++ b/src/rosemarysaddle/schema/_documents.py
@@ -21,6 +21,7 @@
     "Settings",
     "StandIn",
     "StandInTarget",
+    "Team",
     "Tenant",
 )
 
@@ -200,6 +201,7 @@
     :param max_attempts: Maximum number of attempts of a read
     :param max_staleness_ms: Maximum age of the data that is read, in
         milliseconds
+    :param public: Whether callers need no key
     """
 
     name: str
@@ -212,6 +214,7 @@
     group: str
     max_attempts: int = 1
     max_staleness_ms: int = 0
+    public: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -230,6 +233,26 @@
     sync_replicas: int = 0
 
 
+@attrs.frozen(kw_only=True)
+class Team:
+    """Organisation whose callers share the targets with others.
+
+    :param name: Name of the team, told to targets
+    :param api_keys: Keys that identify the team's callers
+    :param priority: Priority; 0 is the highest
+    :param rate_per_s: Operations per second that the team may run;
+        without it there is no limit
+    :param burst_size: Operations that the team may run at once on top
+        of the rate
+    """
+
+    name: str
+    api_keys: tuple[str, ...]
+    priority: int = 0
+    rate_per_s: float | None = None
+    burst_size: float = 0
+
+
 @attrs.frozen(kw_only=True)
 class SessionLimits:
     """Limits of sessions.
@@ -250,12 +273,15 @@
     :param routes: Routes, one for each database and path prefix
     :param groups: Groups that the routes refer to
     :param limits: Limits of sessions
+    :param teams: Teams whose keys callers show; without it callers need
+        no key
     """
 
     version: int
     routes: tuple[Route, ...]
     groups: tuple[GroupPolicy, ...]
     limits: SessionLimits = SessionLimits()
+    teams: tuple[Team, ...] | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -300,6 +326,14 @@
         same time
     :param grace_s: Time from the stop signal to the exit of the
         process, in seconds
+    :param revoke_ms: Time within which a removed key ends open
+        sessions, in milliseconds
+    :param limit_window_s: Window over which the rate limits of teams
+        are checked, in seconds; 0 disables them
+    :param limit_overage: Fraction by which a team may exceed its limit
+        within a window
+    :param limit_slack: Operations by which a team may exceed its limit
+        within a window besides
     """
 
     host: str
@@ -320,6 +354,10 @@
     promotion_address: str = ""
     tolerated_hosts: int = 1
     grace_s: int = 6
+    revoke_ms: int = 0
+    limit_window_s: float = 0
+    limit_overage: float = 0
+    limit_slack: float = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -35,10 +35,13 @@
     "PointReply",
     "PointRequest",
     "PreparedName",
+    "RemoteHosts",
     "SnapshotInstall",
     "StepOut",
     "Suspicion",
     "Switchover",
+    "TokenGrant",
+    "TokenRequest",
     "Variable",
     "ViewDelta",
     "ViewSnapshot",
@@ -80,6 +83,14 @@
     name: str
 
 
+@attrs.frozen(kw_only=True)
+class RemoteHosts:
+    """Message: remote hosts."""
+
+    data_center: str
+    hosts: tuple[Neighbour, ...]
+
+
 @attrs.frozen(kw_only=True)
 class Variable:
     """Message: variable."""
@@ -267,6 +278,9 @@
     values: tuple[Variable, ...]
     priority: int
     pinned: bool
+    team: str = ""
+    objective_ms: int = 0
+    weight: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -284,6 +298,7 @@
 
     tag: int
     hosts: tuple[Neighbour, ...]
+    remote: tuple[RemoteHosts, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -342,6 +357,26 @@
     target: str
 
 
+@attrs.frozen(kw_only=True)
+class TokenGrant:
+    """Message: token grant."""
+
+    request_id: int
+    team: str
+    count: int
+    wait_ms: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class TokenRequest:
+    """Message: token request."""
+
+    request_id: int
+    team: str
+    count: int
+    transfer: bool = False
+
+
 @attrs.frozen(kw_only=True)
 class ViewDelta:
     """Message: view delta."""
@@ -408,6 +443,8 @@
     | StepOut
     | Suspicion
     | Switchover
+    | TokenGrant
+    | TokenRequest
     | ViewDelta
     | ViewSnapshot
     | VoteReply
@@ -456,4 +493,6 @@
     "loanReturn": LoanReturn,
     "pointRequest": PointRequest,
     "pointReply": PointReply,
+    "tokenRequest": TokenRequest,
+    "tokenGrant": TokenGrant,
 }
--- a/src/rosemarysaddle/schema/generate.py
+++ b/src/rosemarysaddle/schema/generate.py
@@ -116,6 +116,7 @@
         "ClosingGroup",
         "Neighbour",
         "PreparedName",
+        "RemoteHosts",
         "Variable",
     }
     names.sort(key=lambda name: (name not in nested, name))
@@ -150,6 +151,8 @@
 
 
 def _wire_default(python_type: str) -> str:
+    if python_type.startswith("tuple"):
+        return " = ()"
     return {"str": ' = ""', "bool": " = False"}.get(python_type, " = 0")
 
 
@@ -193,6 +196,9 @@
 
 
 def _json_type(body: dict[str, Any]) -> str:
+    if "default" in body and body["default"] is None:
+        required = {k: v for k, v in body.items() if k != "default"}
+        return f"{_json_type(required)} | None"
     if "$ref" in body:
         return str(body["$ref"]).rsplit("/", 1)[-1]
     if body["type"] == "array":
--- a/src/rosemarysaddle/schema/messages.capnp
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -182,9 +182,17 @@
   address @0 :Text;
 }
 
+# Entry hosts of another data centre.
+struct RemoteHosts {
+  dataCenter @0 :Text;
+  hosts @1 :List(Neighbour);
+}
+
 struct Neighbours {
   tag @0 :UInt32;
   hosts @1 :List(Neighbour);
+  # Only where teams share connections across data centres.
+  remote @2 :List(RemoteHosts) = [];
 }
 
 struct Variable {
@@ -202,6 +210,11 @@
   values @2 :List(Variable);
   priority @3 :UInt32;
   pinned @4 :Bool;
+  team @5 :Text = "";
+  # Time left to meet the latency objective; 0 if there is none.
+  objectiveMs @6 :UInt32 = 0;
+  # Share of the team relative to others, in thousandths.
+  weight @7 :UInt32 = 0;
 }
 
 struct LoanQueued {
@@ -234,6 +247,23 @@
   position @3 :UInt64;
 }
 
+# Asks the host that counts a team's operations for tokens, one for each
+# operation.  A transfer moves tokens between data centres.
+struct TokenRequest {
+  requestId @0 :UInt64;
+  team @1 :Text;
+  count @2 :UInt32;
+  transfer @3 :Bool = false;
+}
+
+struct TokenGrant {
+  requestId @0 :UInt64;
+  team @1 :Text;
+  count @2 :UInt32;
+  # Time after which tokens may be available; 0 if some were granted.
+  waitMs @3 :UInt32 = 0;
+}
+
 struct Envelope {
   source @0 :Text;
   requestId @1 :UInt64;
@@ -269,5 +299,7 @@
     loanReturn @30 :LoanReturn;
     pointRequest @31 :PointRequest;
     pointReply @32 :PointReply;
+    tokenRequest @33 :TokenRequest;
+    tokenGrant @34 :TokenGrant;
   }
 }
--- a/tests/node/test_main.py
+++ b/tests/node/test_main.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -92,6 +93,14 @@
         "bounds.gracePeriodS": "6",
         **values,
     }
+    text = re.sub(
+        r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}",
+        lambda m: (
+            m[2].replace("{{.}}", fields[m[1]]) if m[1] in fields else ""
+        ),
+        text,
+        flags=re.DOTALL,
+    )
     for name, value in fields.items():
         text = text.replace("{{" + name + "}}", value)
     path = tmp_path / "settings.json"
@@ -110,6 +119,24 @@
     assert settings.seeds == ("10.1.0.11:8782",)
 
 
+def test_settings_template_takes_over_the_tolerances_of_limits(
+    tmp_path: Path,
+) -> None:
+    bounds = {
+        "bounds.revokeMs": "5000",
+        "bounds.quotaWindowS": "5",
+        "bounds.quotaOverage": "0.1",
+        "bounds.quotaSlack": "20",
+    }
+
+    settings = _render_settings(tmp_path, **bounds)
+
+    assert isinstance(settings, Node)
+    assert settings.revoke_ms == 5_000
+    assert settings.limit_window_s == 5
+    assert (settings.limit_overage, settings.limit_slack) == (0.1, 20)
+
+
 def test_settings_template_with_invalid_value_reports_its_path(
     tmp_path: Path,
 ) -> None:
