Limit the operations of teams over all hosts

Cause: teams share the databases, and nothing bounds what one of them sends over all hosts. In each data centre the first host of a rendezvous ranking counts a team's operations with a token bucket; other hosts request tokens from it over a pipelined link to its lending address, and counting hosts request them from other data centres when they run short.

Ruled out: accrual at half the rate at every host that stands in for one that seems down. With all data centres cut in two it would exceed the rule (1.5 x rate); a host that stands in grants a part of the overage instead, and otherwise passes on tokens of hosts that count.

Before: no limit.

Conclusion: usable within a data centre; transfers take effect once the lists of other data centres arrive.

--- a/src/rosemarysaddle/connection/__init__.py
+++ b/src/rosemarysaddle/connection/__init__.py
@@ -12,6 +12,7 @@
 from rosemarysaddle.connection._loans import LoanClient
 from rosemarysaddle.connection._pool import ConnectionPool, OpenFault
 from rosemarysaddle.connection._shared import SharedPool
+from rosemarysaddle.connection._token_links import TokenLinks
 
 __all__ = (
     "ConnectionPool",
@@ -21,6 +22,7 @@
     "SharedPool",
     "TargetCodec",
     "TargetConnection",
+    "TokenLinks",
     "open_connection",
     "set_socket_options",
 )
--- a/src/rosemarysaddle/connection/_lender.py
+++ b/src/rosemarysaddle/connection/_lender.py
@@ -17,6 +17,7 @@
 from rosemarysaddle.connection._loans import KEEP_ALIVE_INTERVAL_MS
 from rosemarysaddle.connection._pool import OpenFault
 from rosemarysaddle.connection._setups import build_loan_grant, parse_setup
+from rosemarysaddle.connection._token_links import FrameBatch
 from rosemarysaddle.decide import (
     NS_PER_MS,
     ConnectionRequest,
@@ -30,6 +31,7 @@
     LoanReturn,
     PointReply,
     PointRequest,
+    TokenRequest,
 )
 
 if TYPE_CHECKING:
@@ -38,6 +40,7 @@
 
     from rosemarysaddle.connection._connection import TargetConnection
     from rosemarysaddle.connection._pool import ConnectionPool
+    from rosemarysaddle.schema import TokenGrant
 
 __all__ = ("Lender",)
 
@@ -54,12 +57,17 @@
     :param find_pool: finds this host's own connections to a target, or
         None
     :param find_point: finds the newest log position of a primary
+    :param on_token_request: handles a request for tokens of a team,
+        with a function that sends the answer
     :param is_stopping: whether this host stops; a borrower that asks
         for a loan is then disconnected
     """
 
     find_pool: Callable[[str], ConnectionPool | None]
     find_point: Callable[[str], Awaitable[PointReply]]
+    on_token_request: (
+        Callable[[TokenRequest, Callable[[TokenGrant], None]], None] | None
+    ) = None
     is_stopping: bool = attrs.field(default=False, init=False)
     _loans: set[_Loan] = attrs.field(factory=set, init=False)
 
@@ -107,6 +115,7 @@
     task: asyncio.Task[None] | None = attrs.field(default=None, init=False)
     _pool: ConnectionPool | None = attrs.field(default=None, init=False)
     _last_received_ns: int = attrs.field(factory=clock_ns, init=False)
+    _batch: FrameBatch | None = attrs.field(default=None, init=False)
 
     def data_received(self, data: bytes) -> None:
         """Handle received bytes unless the loan has timed out."""
@@ -177,6 +186,8 @@
                 self.connection is None and self.task is None
             ):
                 self.task = spawn(self._send_point(frame))
+            case TokenRequest() if self.lender.on_token_request is not None:
+                self.lender.on_token_request(frame, self._send_grant)
             case LoanReturn() if self.connection is not None:
                 self._accept_return(self.connection, frame)
             case _:
@@ -221,6 +232,11 @@
         finally:
             self.task = None
 
+    def _send_grant(self, grant: TokenGrant) -> None:
+        if self._batch is None:
+            self._batch = FrameBatch(write=self.send)
+        self._batch.add(frame_message(grant))
+
     def _grant(
         self, pool: ConnectionPool, connection: TargetConnection
     ) -> None:
--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -65,6 +65,10 @@
 from rosemarysaddle.decide.control_log._voter_manager import address_of
 from rosemarysaddle.decide.control_log._voters import join_voters
 from rosemarysaddle.decide.leases._lease import HostLease, LeaseTable
+from rosemarysaddle.decide.load._counting_hosts import (
+    CountingHosts,
+    rank_hosts,
+)
 from rosemarysaddle.decide.load._lending import (
     ConnectionShare,
     LenderRanking,
@@ -81,6 +85,13 @@
     ConnectionRequest,
     Waiter,
 )
+from rosemarysaddle.decide.load._rate_limit import (
+    DemandRate,
+    LimitSettings,
+    LimitShare,
+)
+from rosemarysaddle.decide.load._token_counter import TokenCounter
+from rosemarysaddle.decide.load._token_stock import TokenStock, reserve_share
 from rosemarysaddle.decide.load._window import INITIAL_SIZE, ConcurrencyWindow
 from rosemarysaddle.decide.primaries._change import (
     ChangeTimes,
@@ -121,6 +132,8 @@
     "ConnectionSetup",
     "ConnectionShare",
     "ControlNode",
+    "CountingHosts",
+    "DemandRate",
     "DocumentKind",
     "Effect",
     "EntryKind",
@@ -135,6 +148,8 @@
     "InventoryTable",
     "LeaseTable",
     "LenderRanking",
+    "LimitSettings",
+    "LimitShare",
     "LoadSnapshot",
     "LogNode",
     "LogPoint",
@@ -167,6 +182,8 @@
     "TargetState",
     "TargetView",
     "TokenCodec",
+    "TokenCounter",
+    "TokenStock",
     "Waiter",
     "WriteTicket",
     "address_of",
@@ -181,6 +198,8 @@
     "join_voters",
     "newer_point",
     "promotion_quorum",
+    "rank_hosts",
+    "reserve_share",
     "share_connections",
     "shared_name",
     "write_quorum",
--- a/src/rosemarysaddle/decide/configuration/_route_plan.py
+++ b/src/rosemarysaddle/decide/configuration/_route_plan.py
@@ -15,6 +15,7 @@
     RoutePlan,
     SchemaFault,
     SessionLimits,
+    Team,
     parse_document,
 )
 
@@ -41,6 +42,7 @@
         database
     :param groups: policy of each group, by name of the group
     :param limits: limits that apply to each session
+    :param teams: team by name
     """
 
     version: int = -1
@@ -48,6 +50,7 @@
     databases: dict[str, Route] = attrs.field(factory=dict)
     groups: dict[str, GroupPolicy] = attrs.field(factory=dict)
     limits: SessionLimits = attrs.field(factory=SessionLimits)
+    teams: dict[str, Team] = attrs.field(factory=dict)
 
     @classmethod
     def of(cls, source: str) -> RouteTable:
@@ -62,6 +65,7 @@
             databases=databases,
             groups={group.name: group for group in plan.groups},
             limits=plan.limits,
+            teams={team.name: team for team in plan.teams or ()},
         )
 
 
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -15,10 +15,10 @@
 import attrs
 from absl import logging
 
-from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._clock import NS_PER_S, clock_ns
 from rosemarysaddle._tasks import spawn
 from rosemarysaddle.connection import Lender
-from rosemarysaddle.decide import EntryNode, Send
+from rosemarysaddle.decide import EntryNode, LimitSettings, Send
 from rosemarysaddle.link import Address, PeerNetwork, UnmodifiedNetwork
 from rosemarysaddle.node._host_metrics import entry_metrics, start_metrics
 from rosemarysaddle.node._identity import peer_address
@@ -89,10 +89,12 @@
             new_codec=self.platform.target_codec,
             send=self._execute_effects,
             regions={p.data_center: p.region for p in settings.places},
+            limit_settings=_limit_settings(settings),
         )
         self.lender = Lender(
             find_pool=self.router.own_pool,
             find_point=self.router.find_point,
+            on_token_request=self.router.rate_limits.handle_request,
         )
         self.network = PeerNetwork(
             host=self.node.host,
@@ -176,6 +178,7 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         self.lender.close()
         self._execute_effects(self.node.stop())
+        self.router.rate_limits.close()
         await asyncio.sleep(POLL_INTERVAL_S)
         await asyncio.to_thread(self._readiness_server.stop)
         if self._metrics is not None:
@@ -263,3 +266,13 @@
                 self.network.send(effect.peer, effect.message)
             else:
                 logging.error("event=unknown-effect kind=%s", effect)
+
+
+def _limit_settings(settings: Node) -> LimitSettings:
+    return LimitSettings(
+        window_ns=int(settings.limit_window_s * NS_PER_S),
+        overage=settings.limit_overage,
+        slack=settings.limit_slack,
+        data_center=settings.data_center,
+        data_centers=tuple(sorted({p.data_center for p in settings.places})),
+    )
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -25,6 +25,7 @@
     FaultCode,
     Freshness,
     LenderRanking,
+    LimitSettings,
     LogPoint,
     PositionHistory,
     ReadConstraints,
@@ -42,6 +43,7 @@
 from rosemarysaddle.link import Address
 from rosemarysaddle.schema import PointReply
 from rosemarysaddle.session._admission import AdmissionQueue
+from rosemarysaddle.session._rate_limits import RateLimits
 from rosemarysaddle.session._statement_stats import StatementStats
 
 if TYPE_CHECKING:
@@ -104,6 +106,7 @@
     :param label: name of this host, for the targets' logs
     :param send: executes the effects of decisions of the node
     :param regions: region of each data centre
+    :param limit_settings: settings of the rate limits of teams
     """
 
     node: EntryNode
@@ -111,6 +114,8 @@
     new_codec: Callable[[], TargetCodec]
     send: Callable[[Sequence[Effect]], None]
     regions: Mapping[str, str] = attrs.field(factory=dict)
+    limit_settings: LimitSettings = attrs.field(factory=LimitSettings)
+    rate_limits: RateLimits = attrs.field(init=False)
     targets: dict[str, TargetState] = attrs.field(factory=dict, init=False)
     pools: dict[str, SharedPool] = attrs.field(factory=dict, init=False)
     loan_client: LoanClient = attrs.field(init=False)
@@ -138,7 +143,10 @@
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create the loan client."""
+        """Create the loan client and the rate limits."""
+        self.rate_limits = RateLimits(
+            node=self.node, settings=self.limit_settings, regions=self.regions
+        )
         self.loan_client = LoanClient(
             ranking=LenderRanking(own=self.node.lending_address),
             new_codec=self.new_codec,
@@ -164,6 +172,10 @@
             f" index={state.index} version={state.routes.version}"
         )
 
+    async def admit_operation(self, team: str) -> Refusal | None:
+        """Admit an operation of a team, or refuse it over its limit."""
+        return await self.rate_limits.admit(team)
+
     # --- reads ---
 
     def choose_read_target(
@@ -382,6 +394,7 @@
 
     def apply_view(self) -> None:
         """Update targets, pools and neighbours from the node's view."""
+        self.rate_limits.apply_view()
         ranking = self.loan_client.ranking
         if self.node.neighbours != self._neighbours:
             self._neighbours = self.node.neighbours
@@ -480,6 +493,7 @@
 
     def tick_loans(self, now_ns: int) -> None:
         """Send keep-alives and trim the pools, if this is due."""
+        self.rate_limits.tick(now_ns)
         if self.loan_client.tick(now_ns):
             for pool in self.pools.values():
                 pool.trim()
