--- a/src/rosemarysaddle/decide/load/_token_counter.py
+++ b/src/rosemarysaddle/decide/load/_token_counter.py
@@ -37,6 +37,9 @@
 IDLE_MS: Final = 60_000
 # Largest time that an answer names; the limit may change before then.
 MAX_WAIT_MS: Final = 5_000
+# A data centre that uses more than its share has nothing to give soon.
+NOTHING_TO_GIVE_MS: Final = 500
+MIN_GIVE_WAIT_MS: Final = 20
 
 
 @attrs.define(kw_only=True)
@@ -90,6 +93,15 @@
         """Return whether the lease of this host holds."""
         return now_ns < self._lease_until_ns
 
+    @property
+    def teams(self) -> tuple[str, ...]:
+        """Names of the teams that asked for tokens lately."""
+        return tuple(self._teams)
+
+    def apply_share(self, team: str, share: LimitShare, now_ns: int) -> None:
+        """Apply a changed limit from now on."""
+        self._update(team, share, now_ns)
+
     def grant(
         self, team: str, share: LimitShare, count: int, now_ns: int
     ) -> int:
@@ -169,9 +181,12 @@
             return waiting
         per_s = state.demand.per_s(now_ns)
         level = state.bucket.level
-        if not waiting and level >= per_s * LOW_WATER_MS / 1_000:
+        # A small team that uses more than this data centre's share has
+        # one token ready, so that its next operation need not wait.
+        least = 1.0 if per_s > share.rate_per_s else 0.0
+        if not waiting and level >= max(least, per_s * LOW_WATER_MS / 1_000):
             return 0
-        wanted = per_s * TRANSFER_HORIZON_MS / 1_000
+        wanted = max(least, per_s * TRANSFER_HORIZON_MS / 1_000)
         return waiting + max(
             0, math.floor(min(wanted, share.capacity) - level)
         )
@@ -186,6 +201,19 @@
             return MAX_WAIT_MS
         return min(MAX_WAIT_MS, max(1, math.ceil(wait_ns / NS_PER_MS)))
 
+    def give_wait_ms(self, team: str, share: LimitShare, now_ns: int) -> int:
+        """Return the time until a token can be given."""
+        state = self._update(team, share, now_ns)
+        if state.bucket is None:
+            return NOTHING_TO_GIVE_MS
+        per_s = state.demand.per_s(now_ns)
+        surplus_per_s = share.rate_per_s - per_s
+        if surplus_per_s <= 0:
+            return NOTHING_TO_GIVE_MS
+        lacking = 1 + per_s * KEEP_MS / 1_000 - state.bucket.level
+        wait_ms = max(MIN_GIVE_WAIT_MS, lacking / surplus_per_s * 1_000)
+        return math.ceil(min(MAX_WAIT_MS, wait_ms))
+
     def forget_idle(self, now_ns: int) -> None:
         """Forget teams that asked for nothing for a minute.
 
--- a/src/rosemarysaddle/session/_rate_limits.py
+++ b/src/rosemarysaddle/session/_rate_limits.py
@@ -36,7 +36,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from rosemarysaddle.decide import EntryNode, LimitSettings, LimitShare
+    from rosemarysaddle.decide import (
+        EntryNode,
+        LimitSettings,
+        LimitShare,
+        RouteTable,
+    )
     from rosemarysaddle.schema import Team, TokenRequest
 
 __all__ = ("WAIT_BOUNDS_MS", "RateLimitStats", "RateLimits")
@@ -49,10 +54,15 @@
 # Time that a counting host holds a request for a transfer; one between
 # regions takes 24 ms.
 HOLD_TIMEOUT_MS: Final = 35
+# After an answer, operations that still wait are over the limit unless
+# a transfer was in flight, which has arrived by then.
+ANSWERED_TIMEOUT_MS: Final = 45
 # The host that counts and the next one in the ranking.
 MAX_HOSTS_ASKED: Final = 2
-MIN_TRANSFER_BACKOFF_MS: Final = 20
-MAX_TRANSFER_BACKOFF_MS: Final = 200
+MAX_TRANSFER_BACKOFF_MS: Final = 1_000
+MIN_GIVERS: Final = 2
+# A host that gave less than was asked for accrues more in the meantime.
+SHORT_TRANSFER_BACKOFF_MS: Final = 50
 # Time after which a host that reaches no counting host has usually
 # learned of another one.
 UNREACHABLE_RETRY_MS: Final = 250
@@ -157,6 +167,7 @@
         factory=collections.deque
     )
     is_asking: bool = False
+    last_answer_ns: int = 0
     refused_count: int = 0
     last_refused_ns: int = 0
 
@@ -200,6 +211,11 @@
     asked_ns: dict[str, int] = attrs.field(factory=dict)
     held: collections.deque[_Held] = attrs.field(factory=collections.deque)
 
+    def is_idle(self, now_ns: int) -> bool:
+        """Return whether nothing was requested for a minute."""
+        idle_ns = now_ns - max(self.asked_ns.values(), default=0)
+        return not self.held and idle_ns > IDLE_MS * NS_PER_MS
+
     @property
     def waiting(self) -> int:
         """Number of tokens that the held requests lack."""
@@ -229,6 +245,7 @@
         factory=dict, init=False
     )
     _remote: dict[str, tuple[str, ...]] = attrs.field(factory=dict, init=False)
+    _routes: RouteTable | None = attrs.field(default=None, init=False)
     _takeover_teams: set[str] = attrs.field(factory=set, init=False)
     _has_hosts: asyncio.Event = attrs.field(factory=asyncio.Event, init=False)
     _next_clean_ns: int = attrs.field(default=0, init=False)
@@ -266,8 +283,17 @@
         if self.node.remote_hosts != self._remote:
             self._remote = dict(self.node.remote_hosts)
             self._givers.clear()
-        known = {*hosts}.union(*self._remote.values())
-        self.links.retain(known)
+        self.links.retain({*hosts}.union(*self._remote.values()))
+        routes = self.node.state.routes
+        if routes is not self._routes:
+            self._routes = routes
+            self._apply_limits(now_ns)
+
+    def _apply_limits(self, now_ns: int) -> None:
+        for team in self.counter.teams:
+            share = self._share(team)
+            if share is not None:
+                self.counter.apply_share(team, share, now_ns)
 
     def tick(self, now_ns: int) -> None:
         """Observe the lease, close idle links and forget idle teams."""
@@ -287,7 +313,7 @@
             self._shares = {n: s for n, s in kept if n in teams}
         self._takeover_teams.intersection_update(self._shares)
         for team, transfers in list(self._transfers.items()):
-            if not transfers.held and not transfers.in_flight:
+            if transfers.is_idle(now_ns):
                 del self._transfers[team]
 
     def close(self) -> None:
@@ -340,14 +366,33 @@
         loop = asyncio.get_running_loop()
         waiter: asyncio.Future[bool] = loop.create_future()
         ask.waiters.append(waiter)
-        timer = loop.call_later(ADMIT_TIMEOUT_MS / 1_000, _end_wait, waiter)
+        timers = (
+            loop.call_later(
+                ANSWERED_TIMEOUT_MS / 1_000,
+                self._end_wait_if_answered,
+                ask,
+                waiter,
+                clock_ns(),
+            ),
+            loop.call_later(ADMIT_TIMEOUT_MS / 1_000, _end_wait, waiter),
+        )
         if not ask.is_asking:
             ask.is_asking = True
             spawn(self._ask_until_served(ask), self._tasks)
         try:
             return await waiter
         finally:
-            timer.cancel()
+            for timer in timers:
+                timer.cancel()
+
+    def _end_wait_if_answered(
+        self, ask: _Ask, waiter: asyncio.Future[bool], start_ns: int
+    ) -> None:
+        if ask.last_answer_ns <= start_ns:
+            return
+        if not waiter.done():
+            ask.stock.record_refusal(1, clock_ns(), is_unreachable=False)
+        _end_wait(waiter)
 
     async def _ask_until_served(self, ask: _Ask) -> None:
         try:
@@ -401,7 +446,8 @@
 
         def on_answer(answer: TokenGrant | None) -> None:
             now_ns = clock_ns()
-            if answer is not None:
+            if answer is not None and (answer.count or answer.wait_ms):
+                ask.last_answer_ns = now_ns
                 ask.stock.add(answer.count, sent_ns=sent_ns, now_ns=now_ns)
             if future.done():
                 ask.serve(now_ns)
@@ -575,7 +621,8 @@
         on_answer: Callable[[int, int], None],
     ) -> None:
         now_ns = clock_ns()
-        self._log_takeover(team)
+        if self.counter.is_counting(now_ns):
+            self._log_takeover(team)
         granted = self.counter.grant(team, share, count, now_ns)
         self._start_transfers(
             team, share, now_ns, lacking=0 if granted else count
@@ -638,8 +685,12 @@
         if transfers is None:
             transfers = self._transfers[team] = _Transfers()
         givers = self._eligible_givers(team, transfers, now_ns)
+        if waiting:
+            # The first one may have nothing to give, and there is no
+            # time to ask the next one after it.
+            need = max(need, MIN_GIVERS)
+        chunk = math.ceil(need / max(1, min(need, len(givers))))
         for host in givers[:need]:
-            chunk = math.ceil(need / min(need, len(givers)))
             self._request_transfer(team, transfers, host, chunk)
 
     def _eligible_givers(
@@ -711,10 +762,11 @@
         wanted = transfers.in_flight.pop(host, 0)
         given = answer.count if answer is not None else 0
         if given < wanted:
-            wait_ms = MAX_TRANSFER_BACKOFF_MS
-            if answer is not None and (answer.wait_ms or given):
-                wait_ms = min(wait_ms, answer.wait_ms)
-            wait_ms = max(MIN_TRANSFER_BACKOFF_MS, wait_ms)
+            wait_ms = SHORT_TRANSFER_BACKOFF_MS
+            if not given:
+                wait_ms = answer.wait_ms if answer is not None else 0
+                wait_ms = wait_ms or MAX_TRANSFER_BACKOFF_MS
+                wait_ms = min(MAX_TRANSFER_BACKOFF_MS, wait_ms)
             transfers.backoff_ns[host] = now_ns + wait_ms * NS_PER_MS
         share = self._share(team)
         if share is None:
@@ -745,7 +797,7 @@
         if found is None:
             return None
         cached = self._shares.get(team)
-        if cached is None or cached[0] is not found:
+        if cached is None or (cached[0] is not found and cached[0] != found):
             cached = (found, self.settings.share(found))
             self._shares[team] = cached
         return cached[1]
