--- a/tests/session/limits_simulation.py
+++ b/tests/session/limits_simulation.py
@@ -335,7 +335,7 @@
         host.is_frozen = False
         inbox, host.inbox = host.inbox, []
         for action in inbox:
-            action()
+            self.loop.call_soon(action)
 
     # --- load ---
 
