Part the control log into election and replication

Change: Election decides when to ask for votes and which count, Replicator keeps the followers' progress and builds what they are sent; LogNode keeps term, role and voters.

Ruled out: a change of behaviour. Conclusion: an election or a follower can be read on its own.

--- a/src/rosemarysaddle/decide/control_log/_log.py
+++ b/src/rosemarysaddle/decide/control_log/_log.py
@@ -23,19 +23,18 @@
     Send,
 )
 from rosemarysaddle.decide._times import (
-    HEARTBEAT_INTERVAL_MS,
     MIN_ELECTION_TIMEOUT_MS,
     NS_PER_MS,
     leader_deadline_ns,
 )
+from rosemarysaddle.decide.control_log._election import Election
 from rosemarysaddle.decide.control_log._entries import EntryStore
 from rosemarysaddle.decide.control_log._follower import (
     BEHIND_MS,
-    Follower,
     FollowerStatus,
-    Phase,
     find_hint_index,
 )
+from rosemarysaddle.decide.control_log._replication import Replicator
 from rosemarysaddle.decide.control_log._voters import (
     MEMBERS,
     VoterHistory,
@@ -58,11 +57,6 @@
 
 __all__ = ("LogNode", "Role", "StoredLog", "is_empty")
 
-MAX_APPEND_ENTRIES: Final = 64
-# After a restart, a voter polls the others before the election time-out
-# to find out whether all voters have restarted.
-RESTART_POLL_MS: Final = 60
-MAX_APPEND_CHARS: Final = 512 * 1024
 NOOP: Final = "noop"
 
 
@@ -103,8 +97,6 @@
     :param jitter_ms: endless iterator of election jitter, milliseconds
     :param started_ns: monotonic time of the start, in nanoseconds
     :param leader: name of the leader, or empty if unknown
-    :param earlier_leader_until_ns: monotonic time until which an
-        earlier leader may lead, as this host found out in its election
     """
 
     host: str
@@ -115,19 +107,12 @@
 
     role: Role = attrs.field(default=Role.FOLLOWER, init=False)
     leader: str = attrs.field(default="", init=False)
-    commit_index: int = attrs.field(init=False)
     elected_ns: int = attrs.field(default=0, init=False)
-    earlier_leader_until_ns: int = attrs.field(default=0, init=False)
     term: int = attrs.field(init=False)
     _voted_for: str = attrs.field(init=False)
     _entries: EntryStore = attrs.field(init=False)
-    _leader_heard_ns: int = attrs.field(init=False)
-    _election_at_ns: int = attrs.field(init=False)
-    _votes: set[str] = attrs.field(factory=set, init=False)
-    _is_pre_vote: bool = attrs.field(default=False, init=False)
-    _restarted: set[str] = attrs.field(factory=set, init=False)
-    _has_seen_leader: bool = attrs.field(default=False, init=False)
-    _followers: dict[str, Follower] = attrs.field(factory=dict, init=False)
+    _election: Election = attrs.field(init=False)
+    _replicator: Replicator = attrs.field(init=False)
     _history: VoterHistory = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -140,15 +125,36 @@
             base_state=self.stored.snapshot_state,
             entries=list(self.stored.entries),
         )
-        self.commit_index = self._entries.base_index
         recorded = split_voters(self.stored.snapshot_voters)
         self._history = VoterHistory(base=recorded or self.voters)
         self._history.record(self.stored.entries)
         self.voters = self._history.current
-        self._leader_heard_ns = self.started_ns
-        self._election_at_ns = self._next_election_ns(self.started_ns)
+        self._replicator = Replicator(
+            host=self.host,
+            entries=self._entries,
+            history=self._history,
+            commit_index=self._entries.base_index,
+        )
+        self._election = Election(
+            host=self.host,
+            jitter_ms=self.jitter_ms,
+            started_ns=self.started_ns,
+        )
         if not is_empty(self.stored):
-            self._election_at_ns = self._next_restart_poll_ns(self.started_ns)
+            self._election.poll_soon(self.started_ns)
+
+    @property
+    def commit_index(self) -> int:
+        """Index of the last entry known to be committed."""
+        return self._replicator.commit_index
+
+    @property
+    def earlier_leader_until_ns(self) -> int:
+        """Monotonic time until which an earlier leader may lead.
+
+        Found out in the election of this host.
+        """
+        return self._election.earlier_leader_until_ns
 
     @property
     def last_index(self) -> int:
@@ -168,7 +174,8 @@
     @property
     def learners(self) -> tuple[str, ...]:
         """Hosts that follow without a vote; empty unless leader."""
-        return tuple(f for f in self._followers if f not in self.voters)
+        followers = self._replicator.followers
+        return tuple(f for f in followers if f not in self.voters)
 
     @property
     def needs_to_join(self) -> bool:
@@ -185,30 +192,16 @@
 
         For a host that is not followed, it is the time of the election.
         """
-        follower = self._followers.get(peer)
+        follower = self._replicator.followers.get(peer)
         return self.elected_ns if follower is None else follower.last_heard_ns
 
     def lag(self, peer: str) -> int:
         """Count the entries that a follower is not known to hold."""
-        follower = self._followers.get(peer)
-        match = 0 if follower is None else follower.match_index
-        return self.last_index - match
+        return self._replicator.lag(peer)
 
     def follower_statuses(self) -> list[FollowerStatus]:
         """Describe all followers; empty unless leader."""
-        return [
-            FollowerStatus(
-                peer=peer,
-                is_voter=peer in self.voters,
-                phase=follower.phase,
-                match_index=follower.match_index,
-                lag=self.lag(peer),
-                rejections=follower.rejections,
-                in_step_ns=follower.in_step_ns,
-                last_heard_ns=follower.last_heard_ns,
-            )
-            for peer, follower in self._followers.items()
-        ]
+        return self._replicator.statuses(self.voters)
 
     def spare_voters(self, now_ns: int) -> int:
         """Count the voters that may be lost before the quorum is.
@@ -226,23 +219,15 @@
 
     def add_learner(self, peer: str, now_ns: int) -> list[Effect]:
         """Start replicating to a host without a vote, as leader."""
-        if self.role is not Role.LEADER or peer in {
-            self.host,
-            *self._followers,
-        }:
+        known = {self.host, *self._replicator.followers}
+        if self.role is not Role.LEADER or peer in known:
             return []
-        follower = Follower(
-            next_index=self.last_index + 1,
-            last_heard_ns=now_ns,
-            in_step_ns=now_ns,
-        )
-        self._followers[peer] = follower
-        return [self._send(peer, follower, now_ns)]
+        return [self._replicator.follow_learner(peer, now_ns)]
 
     def drop_learner(self, peer: str) -> None:
         """Stop replicating to a host without a vote."""
         if peer not in self.voters:
-            self._followers.pop(peer, None)
+            self._replicator.followers.pop(peer, None)
 
     def may_change_voters(self) -> bool:
         """Tell whether this leader may start a change of voters.
@@ -295,7 +280,7 @@
         """
         acked_ns = [
             f.acked_sent_ns
-            for peer, f in self._followers.items()
+            for peer, f in self._replicator.followers.items()
             if peer in self.voters
         ]
         needed = len(self.voters) // 2
@@ -334,7 +319,7 @@
         self._entries.append(entry)
         self._adopt_voters((entry,))
         effects: list[Effect] = [SaveEntries(entries=(entry,))]
-        effects.extend(self._replicate_all(now_ns))
+        effects.extend(self._replicator.replicate_all(now_ns))
         effects.extend(self._advance_commit())
         return effects
 
@@ -371,8 +356,8 @@
             ):
                 self._become_follower(self.term, now_ns)
                 return []
-            return self._heartbeat(now_ns)
-        if now_ns < self._election_at_ns:
+            return self._replicator.heartbeat(now_ns)
+        if now_ns < self._election.due_ns:
             return []
         if self.host in self.voters:
             return self._start_pre_vote(now_ns)
@@ -418,53 +403,37 @@
     def _start_pre_vote(self, now_ns: int) -> list[Effect]:
         self.role = Role.CANDIDATE
         self.leader = ""
-        self._is_pre_vote = True
-        self._votes = {self.host}
-        self._restarted = set()
-        self._election_at_ns = self._next_election_ns(now_ns)
-        if self._just_restarted(now_ns):
-            self._restarted = {self.host}
-            self._election_at_ns = self._next_restart_poll_ns(now_ns)
-        if self._has_quorum(self._votes):
+        self._election.start_pre_vote(now_ns)
+        if self._election.has_quorum(self.voters):
             return self._start_vote(now_ns)
         return self._request_votes(self.term + 1)
 
-    def _just_restarted(self, now_ns: int) -> bool:
-        """Tell whether this voter started lately and saw no leader."""
-        until_ns = self.started_ns + MIN_ELECTION_TIMEOUT_MS * NS_PER_MS
-        return not self._has_seen_leader and now_ns < until_ns
-
-    def _all_restarted(self) -> bool:
-        # A leader is always a voter.  Once every voter has restarted
-        # and none of them leads, no earlier leader can be left.
-        return self._restarted >= set(self.voters)
-
     def _start_vote(self, now_ns: int) -> list[Effect]:
-        self._is_pre_vote = False
-        self._votes = {self.host}
-        self.earlier_leader_until_ns = 0
-        self._extend_earlier_leader(self._leader_heard_ns)
-        self._election_at_ns = self._next_election_ns(now_ns)
+        self._election.start_vote(now_ns)
         effects: list[Effect] = [self._set_term(self.term + 1, self.host)]
-        if self._has_quorum(self._votes):
+        if self._election.has_quorum(self.voters):
             return effects + self._become_leader(now_ns)
         return effects + self._request_votes(self.term)
 
     def _request_votes(self, term: int) -> list[Effect]:
+        election = self._election
+        is_final = not election.is_pre_vote
         request = VoteRequest(
             term=term,
             candidate=self.host,
             last_index=self.last_index,
             last_term=self._entries.term_at(self.last_index),
-            pre=self._is_pre_vote,
-            after_restart=not self._is_pre_vote and self._all_restarted(),
+            pre=election.is_pre_vote,
+            after_restart=is_final and election.all_restarted(self.voters),
         )
         return [Send(peer=p, message=request) for p in self._other_voters()]
 
     def _on_vote_request(
         self, source: str, request: VoteRequest, now_ns: int
     ) -> list[Effect]:
-        no_leader_left = request.after_restart and self._just_restarted(now_ns)
+        no_leader_left = (
+            request.after_restart and self._election.just_restarted(now_ns)
+        )
         if self._has_live_leader(now_ns) and not no_leader_left:
             reply = self._vote_reply(source, request, now_ns, granted=False)
             return [reply]
@@ -474,7 +443,7 @@
             effects.append(self._set_term(request.term, ""))
         granted = self._may_vote(request)
         if granted and not request.pre:
-            self._election_at_ns = self._next_election_ns(now_ns)
+            self._election.postpone(now_ns)
             effects.append(self._set_term(request.term, request.candidate))
         reply = self._vote_reply(source, request, now_ns, granted=granted)
         return [*effects, reply]
@@ -501,8 +470,8 @@
             term=term,
             granted=granted,
             pre=request.pre,
-            heard_age_ns=now_ns - self._leader_heard_ns,
-            restarted=self._just_restarted(now_ns),
+            heard_age_ns=self._election.leader_age_ns(now_ns),
+            restarted=self._election.just_restarted(now_ns),
         )
         return Send(peer=source, message=reply)
 
@@ -511,25 +480,22 @@
     ) -> list[Effect]:
         if not reply.granted:
             return self._on_refused_vote(source, reply, now_ns)
-        expected_term = self.term + 1 if self._is_pre_vote else self.term
-        if (
-            self.role is not Role.CANDIDATE
-            or reply.pre is not self._is_pre_vote
-        ):
+        is_pre_vote = self._election.is_pre_vote
+        expected_term = self.term + 1 if is_pre_vote else self.term
+        if self.role is not Role.CANDIDATE or reply.pre is not is_pre_vote:
             return []
         if reply.term != expected_term:
             return []
         if source not in self.voters:
             return []
-        self._votes.add(source)
-        self._extend_earlier_leader(now_ns - reply.heard_age_ns)
-        if not self._has_quorum(self._votes):
+        self._election.record_vote(source, now_ns - reply.heard_age_ns)
+        if not self._election.has_quorum(self.voters):
             return []
-        if not self._is_pre_vote:
+        if not is_pre_vote:
             return self._become_leader(now_ns)
         # Before the restart, this voter may have acknowledged a leader
         # that is still current.
-        if self._just_restarted(now_ns):
+        if self._election.just_restarted(now_ns):
             return []
         return self._start_vote(now_ns)
 
@@ -538,46 +504,31 @@
     ) -> list[Effect]:
         if reply.term > self.term:
             return self._adopt_term(reply.term, now_ns)
-        if not (reply.restarted and reply.pre and self._is_pre_vote):
+        if not (reply.restarted and reply.pre and self._election.is_pre_vote):
             return []
         if self.role is not Role.CANDIDATE or source not in self.voters:
             return []
-        self._restarted.add(source)
-        if self._all_restarted() and self._just_restarted(now_ns):
-            return self._start_vote(now_ns)
-        return []
-
-    def _extend_earlier_leader(self, last_heard_ns: int) -> None:
-        # An earlier leader stays current only while a quorum
-        # acknowledges it, and every quorum overlaps with the one that
-        # elects this host.
-        until_ns = last_heard_ns + MIN_ELECTION_TIMEOUT_MS * NS_PER_MS
-        self.earlier_leader_until_ns = max(
-            self.earlier_leader_until_ns, until_ns
-        )
+        self._election.record_restarted(source)
+        if not self._election.all_restarted(self.voters):
+            return []
+        if not self._election.just_restarted(now_ns):
+            return []
+        return self._start_vote(now_ns)
 
     def _become_leader(self, now_ns: int) -> list[Effect]:
         self.role = Role.LEADER
-        self._has_seen_leader = True
+        self._election.record_elected()
         self.leader = self.host
         self.elected_ns = now_ns
-        self._followers = {
-            peer: Follower(
-                next_index=self.last_index + 1,
-                last_heard_ns=now_ns,
-                in_step_ns=now_ns,
-                has_probe_entry=True,
-            )
-            for peer in self._other_voters()
-        }
+        self._replicator.term = self.term
+        self._replicator.start(self._other_voters(), now_ns)
         return self.propose(NOOP, "{}", now_ns)
 
     def _become_follower(self, term: int, now_ns: int) -> None:
         self.role = Role.FOLLOWER
         self.leader = ""
-        self._is_pre_vote = False
-        self._followers = {}
-        self._election_at_ns = self._next_election_ns(now_ns)
+        self._election.stop(now_ns)
+        self._replicator.stop()
         if term > self.term:
             self._voted_for = ""
             self.term = term
@@ -596,102 +547,22 @@
     def _has_live_leader(self, now_ns: int) -> bool:
         if self.role is Role.LEADER:
             return self.is_current(now_ns)
-        return (
-            now_ns
-            < self._leader_heard_ns + MIN_ELECTION_TIMEOUT_MS * NS_PER_MS
-        )
+        return self._election.heard_leader_lately(now_ns)
 
     def _is_past_election_timeout(self, now_ns: int) -> bool:
         return now_ns >= self.elected_ns + MIN_ELECTION_TIMEOUT_MS * NS_PER_MS
 
-    def _next_election_ns(self, now_ns: int) -> int:
-        return (
-            now_ns
-            + (MIN_ELECTION_TIMEOUT_MS + next(self.jitter_ms)) * NS_PER_MS
-        )
-
-    def _next_restart_poll_ns(self, now_ns: int) -> int:
-        delay_ms = RESTART_POLL_MS + next(self.jitter_ms) // 2
-        return now_ns + delay_ms * NS_PER_MS
-
-    def _has_quorum(self, hosts: set[str]) -> bool:
-        return 2 * len(hosts) > len(self.voters)
-
     def _adopt_voters(self, entries: Sequence[LogEntry]) -> None:
         self._history.record(entries)
         self.voters = self._history.current
-        if self.role is not Role.LEADER:
-            return
-        for peer in self._other_voters():
-            if peer not in self._followers:
-                follower = Follower(next_index=self.last_index + 1)
-                self._followers[peer] = follower
+        if self.role is Role.LEADER:
+            self._replicator.follow_voters(self._other_voters())
 
     def _other_voters(self) -> Sequence[str]:
         return [peer for peer in self.voters if peer != self.host]
 
     # --- replication ---
 
-    def _heartbeat(self, now_ns: int) -> list[Effect]:
-        effects: list[Effect] = []
-        for peer, follower in self._followers.items():
-            follower.reset_if_silent(now_ns)
-            if now_ns >= follower.send_at_ns:
-                effects.append(self._send(peer, follower, now_ns))
-        return effects
-
-    def _replicate_all(self, now_ns: int) -> list[Effect]:
-        effects: list[Effect] = []
-        for peer, follower in self._followers.items():
-            follower.reset_if_silent(now_ns)
-            if follower.is_ready(now_ns):
-                effects.append(self._send(peer, follower, now_ns))
-        return effects
-
-    def _send(self, peer: str, follower: Follower, now_ns: int) -> Send:
-        """Send a snapshot, the next entries or a heartbeat."""
-        follower.send_at_ns = now_ns + HEARTBEAT_INTERVAL_MS * NS_PER_MS
-        base_index = self._entries.base_index
-        needs_snapshot = follower.next_index <= base_index
-        if needs_snapshot and follower.may_send_snapshot(now_ns):
-            follower.start_snapshot(now_ns)
-            return Send(peer=peer, message=self._snapshot(now_ns))
-        previous = max(follower.next_index - 1, base_index)
-        batch = self._next_batch(follower, now_ns)
-        request = AppendRequest(
-            term=self.term,
-            leader=self.host,
-            prev_index=previous,
-            prev_term=self._entries.term_at(previous),
-            commit_index=self.commit_index,
-            sent_ns=now_ns,
-            entries=tuple(batch),
-        )
-        return Send(peer=peer, message=request)
-
-    def _next_batch(self, follower: Follower, now_ns: int) -> list[LogEntry]:
-        if not follower.is_ready(now_ns):
-            return []
-        first = follower.next_index
-        if follower.phase is Phase.PROBE:
-            follower.has_probe_entry = False
-            return self._entries.between(first, first)
-        last = first + MAX_APPEND_ENTRIES - 1
-        batch = _cap_batch(self._entries.between(first, last))
-        follower.next_index += len(batch)
-        return batch
-
-    def _snapshot(self, now_ns: int) -> SnapshotInstall:
-        return SnapshotInstall(
-            term=self.term,
-            leader=self.host,
-            index=self._entries.base_index,
-            last_term=self._entries.base_term,
-            sent_ns=now_ns,
-            state=self._entries.base_state,
-            voters=join_voters(self._history.base),
-        )
-
     def _on_append(
         self, source: str, request: AppendRequest, now_ns: int
     ) -> list[Effect]:
@@ -711,9 +582,7 @@
         if self.role is not Role.FOLLOWER:
             self._become_follower(term, now_ns)
         self.leader = leader
-        self._leader_heard_ns = now_ns
-        self._has_seen_leader = True
-        self._election_at_ns = self._next_election_ns(now_ns)
+        self._election.record_leader(now_ns)
         return effects
 
     def _matches(self, request: AppendRequest) -> bool:
@@ -752,31 +621,22 @@
     ) -> list[Effect]:
         if reply.term > self.term:
             return self._adopt_term(reply.term, now_ns)
-        follower = self._followers.get(source)
+        follower = self._replicator.followers.get(source)
         if follower is None or reply.term < self.term:
             return []
-        newest = max(follower.acked_sent_ns, reply.sent_ns)
-        follower.acked_sent_ns = newest
-        follower.last_heard_ns = now_ns
+        if not self._replicator.record_reply(follower, reply, now_ns):
+            return []
         if not reply.ok:
-            if not follower.on_rejected(reply, self._entries, now_ns):
-                return []
-            return [self._send(source, follower, now_ns)]
-        follower.on_accepted(reply.match_index, now_ns)
+            return [self._replicator.send(source, now_ns)]
         effects = self._advance_commit()
         if follower.match_index >= self.commit_index:
             follower.in_step_ns = now_ns
         if follower.next_index <= self.last_index:
-            effects.append(self._send(source, follower, now_ns))
+            effects.append(self._replicator.send(source, now_ns))
         return effects
 
     def _advance_commit(self) -> list[Effect]:
-        matches = [
-            self.last_index
-            if peer == self.host
-            else self._followers[peer].match_index
-            for peer in self.voters
-        ]
+        matches = [self._replicator.match_index(p) for p in self.voters]
         matches.sort(reverse=True)
         index = matches[len(self.voters) // 2]
         if (
@@ -790,7 +650,7 @@
         if index <= self.commit_index:
             return []
         entries = self._entries.between(self.commit_index + 1, index)
-        self.commit_index = index
+        self._replicator.commit_index = index
         return [Committed(entries=tuple(entries))]
 
     def _on_snapshot(
@@ -813,7 +673,7 @@
         self._entries.load(install.index, install.last_term, install.state)
         self._history.load(install.index, split_voters(install.voters))
         self.voters = self._history.current
-        self.commit_index = install.index
+        self._replicator.commit_index = install.index
         return [
             SaveSnapshot(
                 index=install.index,
@@ -823,13 +683,3 @@
             ),
             LoadSnapshot(index=install.index, state=install.state),
         ]
-
-
-def _cap_batch(batch: list[LogEntry]) -> list[LogEntry]:
-    """Keep the leading entries that fit one message, at least one."""
-    chars = 0
-    for number, entry in enumerate(batch):
-        chars += len(entry.payload)
-        if number and chars > MAX_APPEND_CHARS:
-            return batch[:number]
-    return batch
