Authenticate callers by the keys of teams

Cause: plans with `teams` were accepted, but any caller could run operations on any route, and a fault in such a plan printed its values, keys included.

Change: TeamDirectory keeps digests of keys (BLAKE2b with a secret of the process). A session looks up its team when it opens and at the first statement after a change of the plan's version; START with an unknown key gets NOACCESS and is closed, a session whose key was removed gets NOACCESS outside of a transaction and ABORTED within one, after its rollback. Runner.team, weight, deadline and objective go with each request for a connection. Router.admit_operation is a stub that admits everything.

Ruled out: keeping the version's RouteTable in each session for the comparison, as idle sessions would keep old plans in memory; hiding values in the faults of all plans, as plans without teams show them today.

Not yet: ending of idle transactions when a plan is applied, counting of unknown keys, patches.

--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -46,6 +46,11 @@
     RouteTable,
     check_plan,
 )
+from rosemarysaddle.decide.configuration._teams import (
+    TeamDirectory,
+    digest_key,
+    team_weight,
+)
 from rosemarysaddle.decide.control_log._follower import (
     BEHIND_MS,
     FollowerStatus,
@@ -166,6 +171,7 @@
     "TargetReport",
     "TargetState",
     "TargetView",
+    "TeamDirectory",
     "TokenCodec",
     "Waiter",
     "WriteTicket",
@@ -175,6 +181,7 @@
     "choose_primary",
     "choose_target",
     "compute_transfer_cost_ns",
+    "digest_key",
     "eligible_reports",
     "is_empty",
     "is_update",
@@ -183,5 +190,6 @@
     "promotion_quorum",
     "share_connections",
     "shared_name",
+    "team_weight",
     "write_quorum",
 )
--- a/src/rosemarysaddle/decide/_statements.py
+++ b/src/rosemarysaddle/decide/_statements.py
@@ -134,11 +134,12 @@
     """Start of a session.
 
     :param database: database that the session uses
-    :param label: name under which the caller connects
+    :param label: name under which the caller connects; the key of its
+        team where the route plan has teams, so it is in no dump
     """
 
     database: str
-    label: str = ""
+    label: str = attrs.field(default="", repr=False)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarysaddle/decide/configuration/_route_plan.py
+++ b/src/rosemarysaddle/decide/configuration/_route_plan.py
@@ -9,18 +9,27 @@
 import attrs
 import cattrs
 
+from rosemarysaddle.decide.configuration._teams import (
+    TeamDirectory,
+    digest_key,
+    find_team_fault,
+)
 from rosemarysaddle.schema import (
     GroupPolicy,
     Route,
     RoutePlan,
     SchemaFault,
     SessionLimits,
+    Team,
     parse_document,
 )
 
 __all__ = ("Freshness", "RouteTable", "check_plan")
 
 _CONVERTER: Final = cattrs.Converter()
+# Faults of a text with one of these names show none of its values: one
+# that is misplaced or of the wrong type may be a key.
+_NAMES_NEAR_KEYS: Final = frozenset({"teams", "api_keys"})
 
 
 class Freshness(enum.StrEnum):
@@ -41,13 +50,15 @@
         database
     :param groups: policy of each group, by name of the group
     :param limits: limits that apply to each session
+    :param teams: teams of the plan, or None if callers need no key
     """
 
     version: int = -1
-    source: str = ""
+    source: str = attrs.field(default="", repr=False)
     databases: dict[str, Route] = attrs.field(factory=dict)
     groups: dict[str, GroupPolicy] = attrs.field(factory=dict)
     limits: SessionLimits = attrs.field(factory=SessionLimits)
+    teams: TeamDirectory | None = None
 
     @classmethod
     def of(cls, source: str) -> RouteTable:
@@ -62,8 +73,25 @@
             databases=databases,
             groups={group.name: group for group in plan.groups},
             limits=plan.limits,
+            teams=(
+                TeamDirectory.of(plan.teams)
+                if plan.teams is not None
+                else None
+            ),
         )
 
+    def requires_key(self, route: Route) -> bool:
+        """Tell whether callers of a route have to show a team's key."""
+        return self.teams is not None and not route.public
+
+    def authenticate(self, key: str) -> Team | None:
+        """Return the team that holds a key, or None."""
+        return self.find_team(digest_key(key))
+
+    def find_team(self, digest: bytes) -> Team | None:
+        """Return the team that holds the key of a digest, or None."""
+        return self.teams.find(digest) if self.teams is not None else None
+
 
 def check_plan(text: str, *, source: str) -> RoutePlan | SchemaFault:
     """Check the text of a plan and the references within it.
@@ -76,7 +104,12 @@
         value = json.loads(text, parse_constant=_refuse_constant)
     except (ValueError, RecursionError) as error:
         return SchemaFault(source=source, path="$", reason=str(error))
-    plan = parse_document(RoutePlan, value, source=source)
+    may_contain_keys = any(name in text for name in _NAMES_NEAR_KEYS) or (
+        isinstance(value, dict) and not _NAMES_NEAR_KEYS.isdisjoint(value)
+    )
+    plan = parse_document(
+        RoutePlan, value, source=source, show_values=not may_contain_keys
+    )
     if isinstance(plan, SchemaFault):
         return plan
     return _check_names(plan, source) or plan
@@ -95,7 +128,11 @@
             reason = f"duplicate route of {route.database}"
             return SchemaFault(source=source, path=path, reason=reason)
         taken.add(key)
-    return None
+    fault = find_team_fault(plan.teams or ())
+    if fault is None:
+        return None
+    path, reason = fault
+    return SchemaFault(source=source, path=path, reason=reason)
 
 
 def _refuse_constant(name: str) -> NoReturn:
--- a/src/rosemarysaddle/platform/_wire.py
+++ b/src/rosemarysaddle/platform/_wire.py
@@ -22,6 +22,7 @@
     SessionState,
     Statement,
     StatementKind,
+    Step,
     shared_name,
 )
 
@@ -57,10 +58,13 @@
     Reason.TOO_LARGE: "TOOLARGE",
     Reason.TRANSACTION_ENDED: "ABORTED",
     Reason.STATEMENT_FAILED: "FAILED",
+    Reason.UNKNOWN_KEY: "NOACCESS",
+    Reason.KEY_REVOKED: "NOACCESS",
 }
 _BUSY: Final = "BUSY"
 _UNSURE: Final = "UNSURE"
 _TIMEOUT: Final = "TIMEOUT"
+_ABORTED: Final = "ABORTED"
 
 
 @attrs.define(kw_only=True)
@@ -143,6 +147,12 @@
     if refusal.outcome is not Outcome.NOT_RUN:
         has_timed_out = refusal.reason is Reason.DEADLINE_PASSED
         return _TIMEOUT if has_timed_out else _UNSURE
+    if (
+        refusal.reason is Reason.KEY_REVOKED
+        and refusal.step is not Step.AUTHORIZE
+    ):
+        # The key was removed while a transaction was open.
+        return _ABORTED
     return _NOT_RUN_CODES.get(refusal.reason, _BUSY)
 
 
--- a/src/rosemarysaddle/schema/_check.py
+++ b/src/rosemarysaddle/schema/_check.py
@@ -83,24 +83,37 @@
 
 
 def parse_document(
-    document_class: type[T], value: Any, *, source: str
+    document_class: type[T],
+    value: Any,
+    *,
+    source: str,
+    show_values: bool = True,
 ) -> T | SchemaFault:
     """Validate a decoded document and build its class.
 
     :param document_class: generated class of the document
     :param value: decoded JSON value
     :param source: file or peer to name in a fault
+    :param show_values: whether a fault may show values of the document
     :return: the document, or the fault found in it
     """
     error = jsonschema.exceptions.best_match(
         _validator(_schema_name(document_class)).iter_errors(value)
     )
     if error is not None:
-        path = error.json_path
-        return SchemaFault(source=source, path=path, reason=error.message)
+        reason = error.message if show_values else _describe_rule(error)
+        return SchemaFault(source=source, path=error.json_path, reason=reason)
     return _CONVERTER.structure(value, document_class)
 
 
+def _describe_rule(error: jsonschema.ValidationError) -> str:
+    """Describe a fault by the schema only."""
+    # Names the missing property, which the schema defines.
+    if error.validator == "required":
+        return str(error.message)
+    return f"value violates {error.validator}: {error.validator_value}"
+
+
 def _schema_name(document_class: type) -> str:
     return re.sub("(?<!^)([A-Z])", r"_\1", document_class.__name__).lower()
 
--- a/src/rosemarysaddle/session/_caller.py
+++ b/src/rosemarysaddle/session/_caller.py
@@ -26,13 +26,16 @@
     Statement,
     StatementKind,
     Step,
+    digest_key,
+    team_weight,
 )
 from rosemarysaddle.session._runner import Runner, Transaction, writes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from rosemarysaddle.schema import Route
+    from rosemarysaddle.decide import RouteTable
+    from rosemarysaddle.schema import Route, Team
     from rosemarysaddle.session._router import Router
 
 __all__ = ("CallerCodec", "CallerSession")
@@ -84,6 +87,13 @@
     database: str = attrs.field(default="", init=False)
     state: SessionState = attrs.field(default=SessionState.IDLE, init=False)
     is_busy: bool = attrs.field(default=False, init=False)
+    _key_digest: bytes = attrs.field(default=b"", init=False, repr=False)
+    # Version of the plan against which the key was checked last.
+    _checked_version: int = attrs.field(default=-1, init=False)
+    _has_access: bool = attrs.field(default=False, init=False)
+    # Whether the transaction was ended for its key, which the answer to
+    # the next statement tells.
+    _was_revoked: bool = attrs.field(default=False, init=False)
     _transaction: Transaction | None = attrs.field(default=None, init=False)
     _transport: asyncio.Transport | None = attrs.field(
         default=None, init=False
@@ -195,9 +205,57 @@
         if self.router.route(message.database) is None:
             self.refuse_and_close(_unknown_database(message.database))
             return
+        self._key_digest = digest_key(message.label)
+        if not self._check_key(message.database):
+            self.refuse_and_close(_unknown_key(message.database))
+            return
         self.database = message.database
         self._write(self.codec.encode_ready(SessionState.IDLE))
 
+    def _check_key(self, database: str) -> bool:
+        """Look the session's key up in the plan in force.
+
+        Sets the team for which the session's statements run.
+
+        :return: whether the key, or its absence, gives access
+        """
+        routes: RouteTable = self.router.node.state.routes
+        if self._checked_version == routes.version:
+            return self._has_access
+        team: Team | None = routes.find_team(self._key_digest)
+        route = routes.databases.get(database)
+        if route is None and self._transaction is not None:
+            route = self._transaction.route
+        self._checked_version = routes.version
+        # Without a route the statement is refused as such.
+        self._has_access = (
+            team is not None or route is None or not routes.requires_key(route)
+        )
+        self.runner.team = team.name if team is not None else ""
+        self.runner.weight = team_weight(team)
+        return self._has_access
+
+    def _check_access(self) -> Refusal | None:
+        """Check the session's key before a statement.
+
+        A transaction whose key was removed, or belongs to another team
+        than at its beginning, is ended.
+
+        :return: why the statement is refused, or None
+        """
+        has_access = self._check_key(self.database)
+        transaction = self._transaction
+        if transaction is None:
+            is_idle = self.state is SessionState.IDLE
+            return (
+                _revoked(self.database) if is_idle and not has_access else None
+            )
+        if has_access and transaction.team == self.runner.team:
+            return None
+        self._fail_transaction(_DONE)
+        self._was_revoked = True
+        return None
+
     async def _run_statement(self, statement: Statement) -> None:
         if not self.database:
             self.refuse_and_close(_bad_request("open"))
@@ -232,7 +290,27 @@
             f" {group_description}",
         )
 
+    def _refuse_revoked(self, statement: Statement) -> Refusal | None:
+        """Refuse a statement if the session's key gives no access.
+
+        The first statement after a transaction was ended for its key is
+        answered like one within the transaction.
+        """
+        refusal = self._check_access()
+        if not self._was_revoked:
+            return refusal
+        self._was_revoked = False
+        if statement.kind is StatementKind.ROLLBACK:
+            return None
+        if statement.kind is StatementKind.COMMIT:
+            self.state = SessionState.IDLE
+        return _revoked_in_transaction(self.database, statement)
+
     async def _dispatch(self, statement: Statement) -> Answer | Refusal:
+        refusal = self._refuse_revoked(statement)
+        return refusal or await self._execute(statement)
+
+    async def _execute(self, statement: Statement) -> Answer | Refusal:
         match statement.kind:
             case StatementKind.ROLLBACK:
                 return await self._roll_back()
@@ -241,7 +319,7 @@
             case _ if self.state is SessionState.FAILED:
                 return _bad_request("transaction-failed")
             case StatementKind.BEGIN | StatementKind.BEGIN_READ:
-                return self._begin(statement)
+                return await self._begin(statement)
             case StatementKind.READ | StatementKind.WRITE:
                 return await self._read_or_write(statement)
             case StatementKind.EXECUTE:
@@ -269,15 +347,19 @@
                 return self._fail_transaction(_bad_request("statement"))
         return _DONE
 
-    def _begin(self, statement: Statement) -> Answer | Refusal:
+    async def _begin(self, statement: Statement) -> Answer | Refusal:
         if self._transaction is not None:
             return self._fail_transaction(_bad_request("nested"))
         route = self._route()
         if isinstance(route, Refusal):
             return route
+        refusal = await self._admit_operation()
+        if refusal is not None:
+            return refusal
         self._transaction = Transaction(
             is_read_only=statement.kind is StatementKind.BEGIN_READ,
             route=route,
+            team=self.runner.team,
         )
         self.state = SessionState.TRANSACTION
         return _DONE
@@ -295,10 +377,22 @@
         route = self._route()
         if isinstance(route, Refusal):
             return route
+        refusal = await self._admit_operation()
+        if refusal is not None:
+            return refusal
         if writes(statement, self.runner.variables):
             return await self.runner.write(route, statement)
         return await self.runner.read(route, statement)
 
+    async def _admit_operation(self) -> Refusal | None:
+        while True:
+            team = self.runner.team
+            refusal = await self.router.admit_operation(team)
+            # A new plan may have changed the team during the wait.
+            refusal = refusal or self._check_access()
+            if refusal is not None or self.runner.team == team:
+                return refusal
+
     async def _commit(self, statement: Statement) -> Answer | Refusal:
         transaction = self._transaction
         if transaction is None:
@@ -379,6 +473,27 @@
     )
 
 
+def _unknown_key(database: str) -> Refusal:
+    return Refusal(
+        reason=Reason.UNKNOWN_KEY, step=Step.AUTHORIZE, peer=database
+    )
+
+
+def _revoked(database: str) -> Refusal:
+    return Refusal(
+        reason=Reason.KEY_REVOKED, step=Step.AUTHORIZE, peer=database
+    )
+
+
+def _revoked_in_transaction(database: str, statement: Statement) -> Refusal:
+    is_commit = statement.kind is StatementKind.COMMIT
+    return Refusal(
+        reason=Reason.KEY_REVOKED,
+        step=Step.COMMIT if is_commit else Step.EXECUTE,
+        peer=database,
+    )
+
+
 def _no_configuration() -> Refusal:
     return Refusal(
         reason=Reason.NO_CONFIGURATION,
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -164,6 +164,15 @@
             f" index={state.index} version={state.routes.version}"
         )
 
+    async def admit_operation(self, team: str) -> Refusal | None:
+        """Admit one operation of a team under its rate limit.
+
+        :param team: name of the team, or empty
+        :return: why the operation is refused, or None
+        """
+        del self, team
+        return None
+
     # --- reads ---
 
     def choose_read_target(
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -59,6 +59,7 @@
     :param target: target at which it has begun, or empty
     :param ticket: ticket for the primary if it may write, once begun
     :param has_written: whether it has run a write
+    :param team: team for which it was begun, or empty
     """
 
     is_read_only: bool
@@ -67,6 +68,7 @@
     target: str = ""
     ticket: WriteTicket | None = None
     has_written: bool = False
+    team: str = ""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -74,11 +76,15 @@
     """Runs the statements of one session.
 
     :param variables: variables and prepared statements of the session
+    :param team: team for which the statements run, or empty
+    :param weight: share of the team relative to other teams
     :param points: log position of the session's newest write, by group
     """
 
     router: Router
     variables: SessionVariables = attrs.field(factory=SessionVariables)
+    team: str = attrs.field(default="", init=False)
+    weight: float = attrs.field(default=1.0, init=False)
     points: dict[str, LogPoint] = attrs.field(factory=dict, init=False)
 
     # --- outside transactions ---
@@ -450,12 +456,18 @@
         pool = self.router.pools.get(target)
         if pool is None:
             return OpenFault(code=FaultCode.WRONG_TARGET, peer=target)
+        start_deadline_ns = _start_deadline_ns(route, deadline_ns)
         connection_request = ConnectionRequest(
-            priority=route.priority, pinned=pinned
+            priority=route.priority,
+            pinned=pinned,
+            team=self.team,
+            deadline_ns=start_deadline_ns,
+            objective_ns=_objective_ns(route, deadline_ns),
+            weight=self.weight,
         )
         return await pool.acquire(
             self.variables,
-            deadline_ns=_start_deadline_ns(route, deadline_ns),
+            deadline_ns=start_deadline_ns,
             connection_request=connection_request,
         )
 
@@ -579,6 +591,18 @@
     return clock_ns() + route.timeout_ms * NS_PER_MS
 
 
+def _objective_ns(route: Route, deadline_ns: int) -> int:
+    """Return the time by which a statement has to be answered.
+
+    :param deadline_ns: time at which it times out
+    :return: the time that meets the latency objective; 0 without one
+    """
+    if not route.latency_objective_ms:
+        return 0
+    began_ns = deadline_ns - route.timeout_ms * NS_PER_MS
+    return began_ns + route.latency_objective_ms * NS_PER_MS
+
+
 def _target_deadline_ns(route: Route, deadline_ns: int) -> int:
     """Return the time until which to wait for a target to appear.
 
--- a/tests/session/standin.py
+++ b/tests/session/standin.py
@@ -135,6 +135,7 @@
     """Caller connected to a session without a socket."""
 
     session: CallerSession
+    opening: str = ""
     _sent: list[bytes] = attrs.field(factory=list)
     is_closed: bool = False
 
@@ -197,12 +198,14 @@
     )
 
 
-async def open_caller(router: Router, database: str) -> Caller:
+async def open_caller(
+    router: Router, database: str, key: str = "u1"
+) -> Caller:
     """Open a session on a database."""
     session = CallerSession(
         codec=CallerLineCodec(), router=router, on_end=lambda _: None
     )
     caller = Caller(session=session)
     session._transport = caller  # type: ignore[assignment]
-    await caller.ask(f"START {database} u1")
+    caller.opening = await caller.ask(f"START {database} {key}")
     return caller
