Give each connection to a target one team for its whole life

Cause: a target accounts an operation to the name in the START of its connection, and the pool opened all connections under the host's name and handed an idle one to whoever came next. Change: TeamConnections decides by team which connection a request gets: an idle one of its team, a new one, or a new one in place of an idle connection of the team that loses least by it. ConnectionPool keeps its connections there; loans carry team, objective and weight. Statements of the proxy's own use any team's connection; a probe's connection is closed where the plan has teams. Limits on what one team may pin and more than one opening at once apply only to plans with teams. Ruled out: a pool for each team (the limit is the target's, and shares of 50 connections over 83 teams leave most teams none). Before: label of the host. After: label of the team; without teams the order in which connections are chosen, opened and handed over is as before.

--- a/src/rosemarysaddle/connection/_lender.py
+++ b/src/rosemarysaddle/connection/_lender.py
@@ -19,6 +19,7 @@
 from rosemarysaddle.connection._setups import build_loan_grant, parse_setup
 from rosemarysaddle.decide import (
     NS_PER_MS,
+    WEIGHT_SCALE,
     ConnectionRequest,
     FaultCode,
     SessionVariables,
@@ -191,16 +192,16 @@
             if self.lender.waiting > MAX_WAITING_BORROWERS:
                 self._refuse(FaultCode.BUSY)
                 return
-            if not pool.has_idle:
+            deadline_ns = clock_ns() + request.wait_ms * NS_PER_MS
+            connection_request = _connection_request(request, deadline_ns)
+            if not pool.has_idle_for(connection_request):
                 self.send(frame_message(LoanQueued()))
             found = await pool.acquire(
                 SessionVariables(
                     values={v.name: v.value for v in request.values}
                 ),
-                deadline_ns=clock_ns() + request.wait_ms * NS_PER_MS,
-                connection_request=ConnectionRequest(
-                    priority=request.priority, pinned=request.pinned
-                ),
+                deadline_ns=deadline_ns,
+                connection_request=connection_request,
             )
             if isinstance(found, OpenFault):
                 self._refuse(found.code)
@@ -241,3 +242,21 @@
 
     def _refuse(self, code: FaultCode) -> None:
         self.send(frame_message(LoanRefusal(code=code)))
+
+
+def _connection_request(
+    request: LoanRequest, deadline_ns: int
+) -> ConnectionRequest:
+    objective_ns = 0
+    if request.objective_ms:
+        objective_ns = clock_ns() + request.objective_ms * NS_PER_MS
+    weight = request.weight / WEIGHT_SCALE if request.weight else 1.0
+    return ConnectionRequest(
+        priority=request.priority,
+        pinned=request.pinned,
+        team=request.team,
+        any_team=request.any_team,
+        deadline_ns=deadline_ns,
+        objective_ns=objective_ns,
+        weight=weight,
+    )
--- a/src/rosemarysaddle/connection/_loans.py
+++ b/src/rosemarysaddle/connection/_loans.py
@@ -23,6 +23,7 @@
 )
 from rosemarysaddle.decide import (
     NS_PER_MS,
+    WEIGHT_SCALE,
     ConnectionRequest,
     FaultCode,
     LenderRanking,
@@ -179,8 +180,8 @@
         :param values: variables of the session; the lender prefers an
             idle connection that has the same ones
         :param deadline_ns: :func:`clock_ns` time until which to wait
-        :param connection_request: priority of the request, and whether
-            it is for a transaction
+        :param connection_request: team and priority of the request, and
+            whether it is for a transaction
         :return: the connection, a fault if the lender has none before
             the deadline, or None if the lender does not answer
         """
@@ -195,6 +196,10 @@
             values=build_variables(values),
             priority=connection_request.priority,
             pinned=connection_request.pinned,
+            team=connection_request.team,
+            any_team=connection_request.any_team,
+            objective_ms=_remaining_ms(connection_request.objective_ns),
+            weight=round(connection_request.weight * WEIGHT_SCALE),
         )
         answer = await link.ask(request, deadline_ns=deadline_ns)
         if answer is None:
@@ -321,3 +326,14 @@
         idle = self._idle.get(link.lender, [])
         if link in idle:
             idle.remove(link)
+
+
+def _remaining_ms(until_ns: int) -> int:
+    """Return the time left until a point in time; 0 if it is unknown.
+
+    A time that has passed is sent as 1 ms, as 0 means that there is
+    none.
+    """
+    if not until_ns:
+        return 0
+    return max(1, (until_ns - clock_ns()) // NS_PER_MS)
--- a/src/rosemarysaddle/connection/_pool.py
+++ b/src/rosemarysaddle/connection/_pool.py
@@ -21,7 +21,9 @@
     ConnectionRequest,
     FaultCode,
     SessionVariables,
+    TeamConnections,
     Waiter,
+    max_concurrent_opens,
 )
 
 if TYPE_CHECKING:
@@ -35,7 +37,6 @@
 # Covers twice the longest round trip, the handshake and the delay of
 # the opening message.
 CONNECT_TIMEOUT_MS: Final = 500
-MAX_CONCURRENT_OPENS: Final = 1
 _DEFAULT_REQUEST: Final = ConnectionRequest()
 
 
@@ -68,11 +69,16 @@
 class ConnectionPool:
     """Open connections to one target.
 
-    :param label: name of this host, for the target's log
+    :param label: name of this host, under which connections without a
+        team are opened
     :param limit: greatest number of connections that this host may open
     :param slots: statements that the target runs at once; 0 if unknown
     :param on_open_fault: called when a connection could not be opened
     :param failed_opens: number of connections that could not be opened
+    :param opens: number of connections that were opened
+    :param replaced: number of connections closed for another team
+    :param takes: number of requests that obtained a connection
+    :param reuses: how many of them found an open one of their team
     """
 
     target: str
@@ -85,20 +91,20 @@
     on_open_fault: Callable[[OpenFault], None]
     is_closed: bool = attrs.field(default=False, init=False)
     failed_opens: int = attrs.field(default=0, init=False)
-    _idle: list[TargetConnection] = attrs.field(factory=list, init=False)
-    _open: set[TargetConnection] = attrs.field(factory=set, init=False)
-    _opening: int = attrs.field(default=0, init=False)
+    opens: int = attrs.field(default=0, init=False)
+    replaced: int = attrs.field(default=0, init=False)
+    takes: int = attrs.field(default=0, init=False)
+    reuses: int = attrs.field(default=0, init=False)
+    _connections: TeamConnections[TargetConnection] = attrs.field(init=False)
     _queue: ConnectionQueue[asyncio.Future[TargetConnection | _WakeReason]] = (
         attrs.field(init=False)
     )
-    _in_use: dict[TargetConnection, tuple[ConnectionRequest, int]] = (
-        attrs.field(factory=dict, init=False)
-    )
 
     def __attrs_post_init__(self) -> None:
         """Create the empty wait queue."""
         window = ConcurrencyWindow(size=max(INITIAL_SIZE, self.slots))
         self._queue = ConnectionQueue(limit=self.limit, window=window)
+        self._connections = TeamConnections(limit=self.limit)
 
     async def acquire(
         self,
@@ -113,8 +119,8 @@
             that has the same values is preferred
         :param deadline_ns: :func:`clock_ns` time until which to wait; a
             request that is expected to wait longer fails at once
-        :param connection_request: priority of the request, and whether
-            it is for a transaction
+        :param connection_request: team and priority of the request, and
+            whether it is for a transaction
         :return: the connection, or why none was obtained
         """
         while True:
@@ -142,12 +148,16 @@
     @property
     def has_idle(self) -> bool:
         """Return whether the pool has an idle connection."""
-        return bool(self._idle)
+        return bool(self._connections.idle)
+
+    def has_idle_for(self, connection_request: ConnectionRequest) -> bool:
+        """Return whether an idle connection may serve a request."""
+        return self._connections.has_idle_for(connection_request)
 
     @property
     def opened(self) -> int:
         """Number of open connections."""
-        return len(self._open)
+        return self._connections.opened
 
     def release(self, connection: TargetConnection) -> None:
         """Return a connection to the pool.
@@ -156,16 +166,23 @@
         limit or if the pool is closed.
         """
         self._mark_returned(connection)
-        is_excess = len(self._open) > self.limit
+        is_excess = self._connections.opened > self.limit
         if self.is_closed or is_excess or not connection.is_idle:
             connection.abort()
             return
-        self._idle.append(connection)
+        self._connections.record_idle(connection, clock_ns())
         self._serve_waiters()
 
     async def warm(self, count: int) -> None:
-        """Open up to ``count`` connections ahead of demand."""
-        missing = min(count, self.limit) - len(self._open) - self._opening
+        """Open up to ``count`` connections ahead of demand.
+
+        It is not known which team will ask first, so none is opened
+        where connections serve teams.
+        """
+        if self._connections.uses_teams:
+            return
+        open_or_opening = self._connections.opened + self._connections.opening
+        missing = min(count, self.limit) - open_or_opening
         deadline_ns = clock_ns() + CONNECT_TIMEOUT_MS * NS_PER_MS
         for _ in range(missing):
             found = await self._open_one(deadline_ns)
@@ -176,6 +193,9 @@
     async def check(self) -> bool:
         """Probe the target by opening one more connection.
 
+        The connection is closed again where connections serve teams, as
+        it would serve none of them.
+
         :return: whether the connection was opened, or was accepted by
             the target's host although the target refused to open it
         """
@@ -183,15 +203,26 @@
         found = await self._open_one(deadline_ns)
         if isinstance(found, OpenFault):
             return found.connected
-        self.release(found)
+        if self._connections.uses_teams:
+            found.abort()
+        else:
+            self.release(found)
         return True
 
-    def set_limit(self, limit: int) -> None:
-        """Change the limit and close idle connections above it."""
+    def set_limit(self, limit: int, *, uses_teams: bool = False) -> None:
+        """Change the limit and close idle connections above it.
+
+        :param uses_teams: whether the plan in force has teams
+        """
         self.limit = limit
         self._queue.limit = limit
-        excess = len(self._open) - limit
-        for connection in self._idle[: max(0, excess)]:
+        self._connections.limit = limit
+        self._connections.uses_teams = uses_teams
+        self._connections.max_openings = max_concurrent_opens(
+            slots=self.slots, uses_teams=uses_teams
+        )
+        excess = self._connections.opened - limit
+        for connection in self._connections.idle[: max(0, excess)]:
             connection.abort()
 
     def close(self) -> None:
@@ -201,7 +232,7 @@
 
     def close_idle(self) -> None:
         """Close the idle connections."""
-        for connection in list(self._idle):
+        for connection in self._connections.idle:
             connection.abort()
 
     async def _take_or_open(
@@ -212,10 +243,21 @@
     ) -> TargetConnection | OpenFault | None:
         if not self._queue.may_acquire(connection_request):
             return None
-        found = self._take_idle(variables)
-        if found is not None:
-            return found
-        return await self._open_one(deadline_ns) if self._may_open() else None
+        assignment = self._connections.choose(
+            connection_request,
+            clock_ns(),
+            lambda c: c.setup.values == variables.values,
+        )
+        if assignment is None:
+            return None
+        if assignment.connection is not None:
+            self.reuses += 1
+            return assignment.connection
+        return await self._open_one(
+            deadline_ns,
+            team=connection_request.team,
+            replaced=assignment.replaced,
+        )
 
     def _exhausted_fault(self) -> OpenFault:
         code = FaultCode.TOO_MANY_CONNECTIONS
@@ -226,59 +268,82 @@
         connection: TargetConnection,
         connection_request: ConnectionRequest,
     ) -> None:
-        self._in_use[connection] = (connection_request, clock_ns())
+        self.takes += 1
+        self._connections.record_taken(
+            connection, connection_request, clock_ns()
+        )
         self._queue.record_acquired(connection_request)
 
     def _mark_returned(self, connection: TargetConnection) -> None:
-        use = self._in_use.pop(connection, None)
+        use = self._connections.record_returned(connection, clock_ns())
         if use is not None:
-            connection_request, acquired_ns = use
+            connection_request, held_ns = use
             self._queue.record_released(
-                connection_request,
-                clock_ns() - acquired_ns,
-                was_busy=connection.was_busy,
+                connection_request, held_ns, was_busy=connection.was_busy
             )
             connection.was_busy = False
 
     def _serve_waiters(self) -> None:
-        """Hand idle connections to the waiters that may use them."""
-        while self._idle:
-            waiter = self._next_waiter()
+        """Hand idle connections to the waiters that may use them.
+
+        The first waiter that needs an opening is woken as well.
+        """
+        while True:
+            waiter = self._next_waiter(self._connections.may_get)
             if waiter is None:
                 return
-            connection = self._idle.pop()
-            self._mark_taken(connection, waiter.connection_request)
-            waiter.item.set_result(connection)
-        if self._may_open():
-            self._wake_one()
+            assignment = self._connections.choose(
+                waiter.connection_request, clock_ns(), lambda _: False
+            )
+            if assignment is None or assignment.connection is None:
+                _wake_waiter(waiter.item, _WakeReason.RETRY)
+                break
+            self._hand_over(assignment.connection, waiter)
+        while True:
+            waiter = self._next_waiter(self._may_use_idle)
+            if waiter is None:
+                return
+            assignment = self._connections.choose(
+                waiter.connection_request, clock_ns(), lambda _: False
+            )
+            assert assignment is not None  # noqa: S101
+            assert assignment.connection is not None  # noqa: S101
+            self._hand_over(assignment.connection, waiter)
 
-    def _next_waiter(
+    def _may_use_idle(self, connection_request: ConnectionRequest) -> bool:
+        return self._connections.has_idle_for(
+            connection_request
+        ) and self._connections.may_take(connection_request)
+
+    def _hand_over(
         self,
+        connection: TargetConnection,
+        waiter: Waiter[asyncio.Future[TargetConnection | _WakeReason]],
+    ) -> None:
+        self.reuses += 1
+        self._mark_taken(connection, waiter.connection_request)
+        waiter.item.set_result(connection)
+
+    def _next_waiter(
+        self, is_suitable: Callable[[ConnectionRequest], bool]
     ) -> Waiter[asyncio.Future[TargetConnection | _WakeReason]] | None:
-        while (waiter := self._queue.pop()) is not None:
+        while (waiter := self._queue.pop(is_suitable)) is not None:
             if not waiter.item.done():
                 return waiter
         return None
 
-    def _may_open(self) -> bool:
-        # Opening a connection occupies a slot of the target for some
-        # time, so few are opened at once.
-        has_room = len(self._open) + self._opening < self.limit
-        return has_room and self._opening < MAX_CONCURRENT_OPENS
-
-    def _take_idle(
-        self, variables: SessionVariables
-    ) -> TargetConnection | None:
-        if not self._idle:
-            return None
-        for index in range(len(self._idle) - 1, -1, -1):
-            if self._idle[index].setup.values == variables.values:
-                return self._idle.pop(index)
-        return self._idle.pop()
-
     async def _open_one(
-        self, deadline_ns: int
+        self,
+        deadline_ns: int,
+        *,
+        team: str = "",
+        replaced: TargetConnection | None = None,
     ) -> TargetConnection | OpenFault:
+        """Open a connection.
+
+        :param team: team that the connection serves, or empty
+        :param replaced: idle connection to close first, or None
+        """
         now_ns = clock_ns()
         connection = TargetConnection(
             target=self.target,
@@ -286,16 +351,23 @@
             on_lost=self._on_connection_lost,
         )
         opening = connection.codec.encode_open(
-            group=self.group, label=self.label, target=self.target
+            group=self.group, label=team or self.label, target=self.target
         )
-        self._opening += 1
+        # Counted before the other connection is closed, so that no
+        # waiter uses its place.
+        self._connections.opening += 1
+        if replaced is not None:
+            self.replaced += 1
+            replaced.abort()
+        if self._connections.uses_teams:
+            self._wake_one()
         latest_ns = min(deadline_ns, now_ns + CONNECT_TIMEOUT_MS * NS_PER_MS)
         try:
             answer = await open_connection(
                 connection, self.address, opening, deadline_ns=latest_ns
             )
         finally:
-            self._opening -= 1
+            self._connections.opening -= 1
         if answer.fault is not None:
             fault = OpenFault(
                 code=answer.fault,
@@ -304,7 +376,8 @@
                 connected=connection.was_connected,
             )
             return self._report_open_fault(fault)
-        self._open.add(connection)
+        self.opens += 1
+        self._connections.record_opened(connection, team)
         self._wake_one()
         return connection
 
@@ -338,13 +411,11 @@
 
     def _on_connection_lost(self, connection: TargetConnection) -> None:
         self._mark_returned(connection)
-        self._open.discard(connection)
-        if connection in self._idle:
-            self._idle.remove(connection)
+        self._connections.record_closed(connection)
         self._wake_one()
 
     def _wake_one(self) -> None:
-        waiter = self._next_waiter()
+        waiter = self._next_waiter(self._connections.may_get)
         if waiter is not None:
             _wake_waiter(waiter.item, _WakeReason.RETRY)
 
--- a/src/rosemarysaddle/connection/_shared.py
+++ b/src/rosemarysaddle/connection/_shared.py
@@ -133,7 +133,7 @@
         found = await self.acquire(
             SessionVariables(),
             deadline_ns=deadline_ns,
-            connection_request=ConnectionRequest(),
+            connection_request=ConnectionRequest(any_team=True),
         )
         if isinstance(found, OpenFault):
             return found.code is FaultCode.TOO_MANY_CONNECTIONS
@@ -164,7 +164,7 @@
     def apply_share(self, share: ConnectionShare) -> None:
         """Apply the share of connections that this host may open."""
         self.uses_lender = share.uses_lender
-        self.own.set_limit(share.limit)
+        self.own.set_limit(share.limit, uses_teams=share.uses_teams)
         if share.is_pending:
             self._has_share.clear()
         else:
--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -77,10 +77,15 @@
     compute_transfer_cost_ns,
 )
 from rosemarysaddle.decide.load._queueing import (
+    WEIGHT_SCALE,
     ConnectionQueue,
     ConnectionRequest,
     Waiter,
 )
+from rosemarysaddle.decide.load._team_connections import (
+    TeamConnections,
+    max_concurrent_opens,
+)
 from rosemarysaddle.decide.load._window import INITIAL_SIZE, ConcurrencyWindow
 from rosemarysaddle.decide.primaries._change import (
     ChangeTimes,
@@ -110,6 +115,7 @@
     "LEASE_MS",
     "NO_ANSWER",
     "NS_PER_MS",
+    "WEIGHT_SCALE",
     "Answer",
     "ChangeTimes",
     "CloseSession",
@@ -166,6 +172,7 @@
     "TargetReport",
     "TargetState",
     "TargetView",
+    "TeamConnections",
     "TokenCodec",
     "Waiter",
     "WriteTicket",
@@ -179,6 +186,7 @@
     "is_empty",
     "is_update",
     "join_voters",
+    "max_concurrent_opens",
     "newer_point",
     "promotion_quorum",
     "share_connections",
--- a/src/rosemarysaddle/decide/configuration/_route_plan.py
+++ b/src/rosemarysaddle/decide/configuration/_route_plan.py
@@ -41,6 +41,7 @@
         database
     :param groups: policy of each group, by name of the group
     :param limits: limits that apply to each session
+    :param team_count: number of teams; None if the plan has no teams
     """
 
     version: int = -1
@@ -48,6 +49,7 @@
     databases: dict[str, Route] = attrs.field(factory=dict)
     groups: dict[str, GroupPolicy] = attrs.field(factory=dict)
     limits: SessionLimits = attrs.field(factory=SessionLimits)
+    team_count: int | None = None
 
     @classmethod
     def of(cls, source: str) -> RouteTable:
@@ -62,6 +64,7 @@
             databases=databases,
             groups={group.name: group for group in plan.groups},
             limits=plan.limits,
+            team_count=None if plan.teams is None else len(plan.teams),
         )
 
 
--- a/src/rosemarysaddle/decide/load/_lending.py
+++ b/src/rosemarysaddle/decide/load/_lending.py
@@ -42,10 +42,12 @@
         lender, the number that the lender may open for its data centre
     :param uses_lender: whether one host of the data centre, the lender,
         opens the connections for all its hosts
+    :param uses_teams: whether each connection serves one team
     """
 
     limit: int
     uses_lender: bool
+    uses_teams: bool = False
 
     @property
     def is_pending(self) -> bool:
--- a/src/rosemarysaddle/decide/load/_queueing.py
+++ b/src/rosemarysaddle/decide/load/_queueing.py
@@ -21,10 +21,12 @@
 from rosemarysaddle.decide.load._window import ConcurrencyWindow
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
-__all__ = ("ConnectionQueue", "ConnectionRequest", "Waiter")
+__all__ = ("WEIGHT_SCALE", "ConnectionQueue", "ConnectionRequest", "Waiter")
 
+# Weights are sent in thousandths.
+WEIGHT_SCALE: Final = 1_000
 # Initial value of the average: one statement and its round trip.
 INITIAL_HOLD_NS: Final = 30 * NS_PER_MS
 # One connection in this many is reserved for requests outside of
@@ -41,6 +43,8 @@
     :param priority: priority of the statement; 0 is the highest
     :param pinned: whether a transaction keeps the connection
     :param team: team that the connection has to serve, or empty
+    :param any_team: whether the request is the proxy's own, so that a
+        connection of any team serves it
     :param deadline_ns: time until which the request may wait; 0 if
         unknown
     :param objective_ns: time by which the statement has to be answered
@@ -51,6 +55,7 @@
     priority: int = 0
     pinned: bool = False
     team: str = ""
+    any_team: bool = False
     deadline_ns: int = 0
     objective_ns: int = 0
     weight: float = 1.0
@@ -130,13 +135,19 @@
         if waiter in self._waiting:
             self._waiting.remove(waiter)
 
-    def pop(self) -> Waiter[_T] | None:
+    def pop(
+        self,
+        is_suitable: Callable[[ConnectionRequest], bool] = lambda _: True,
+    ) -> Waiter[_T] | None:
         """Remove the first waiter that may use a free connection.
 
+        :param is_suitable: whether there is a connection for a request
         :return: the waiter, or None if there is none
         """
         for index, waiter in enumerate(self._waiting):
-            if self.may_acquire(waiter.connection_request):
+            if self.may_acquire(waiter.connection_request) and is_suitable(
+                waiter.connection_request
+            ):
                 return self._waiting.pop(index)
         return None
 
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -281,6 +281,7 @@
     team: str = ""
     objective_ms: int = 0
     weight: int = 0
+    any_team: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarysaddle/schema/messages.capnp
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -215,6 +215,8 @@
   objectiveMs @6 :UInt32 = 0;
   # Share of the team relative to others, in thousandths.
   weight @7 :UInt32 = 0;
+  # Whether a connection of any team serves the request.
+  anyTeam @8 :Bool = false;
 }
 
 struct LoanQueued {
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -22,6 +22,7 @@
 )
 from rosemarysaddle.decide import (
     NS_PER_MS,
+    ConnectionRequest,
     FaultCode,
     Freshness,
     LenderRanking,
@@ -442,11 +443,13 @@
 
     def _compute_share(self, group: str) -> ConnectionShare:
         policy = self.node.state.routes.groups.get(group)
-        return share_connections(
+        share = share_connections(
             limit=policy.connection_limit if policy is not None else 0,
             hosts=self.node.state.entry_hosts,
             neighbours=len(self.loan_client.ranking.hosts),
         )
+        uses_teams = self.node.state.routes.team_count is not None
+        return attrs.evolve(share, uses_teams=uses_teams)
 
     def notify_waiters(self) -> None:
         """Wake all tasks that wait for a change of the view."""
@@ -569,7 +572,9 @@
                 )
             return
         found = await pool.own.acquire(
-            SessionVariables(), deadline_ns=deadline_ns
+            SessionVariables(),
+            deadline_ns=deadline_ns,
+            connection_request=ConnectionRequest(any_team=True),
         )
         if isinstance(found, OpenFault):
             return
--- a/tests/connection/test_pool.py
+++ b/tests/connection/test_pool.py
@@ -29,9 +29,10 @@
 def _run_scenario(
     scenario: Callable[[ConnectionPool], Coroutine[None, None, None]],
     limit: int,
-) -> None:
+) -> StandInTarget:
+    target = StandInTarget(name="t", port=PORT)
+
     async def run() -> None:
-        target = StandInTarget(name="t", port=PORT)
         await target.start()
         pool = ConnectionPool(
             target="t",
@@ -50,6 +51,7 @@
             await asyncio.sleep(0)
 
     asyncio.run(run())
+    return target
 
 
 def _deadline_after_ms(delay_ms: int) -> int:
@@ -189,3 +191,79 @@
     _run_scenario(scenario, 4)
 
     assert faults == []
+
+
+def test_pool_opens_a_connection_under_the_name_of_its_team() -> None:
+    async def scenario(pool: ConnectionPool) -> None:
+        pool.set_limit(4, uses_teams=True)
+        for team in ("a", "b", "", "a"):
+            found = await _acquire(pool, ConnectionRequest(team=team))
+            pool.release(found)
+
+    target = _run_scenario(scenario, 4)
+
+    assert target.labels == {1: "a", 2: "b", 3: "h"}
+
+
+def test_pool_replaces_an_idle_connection_at_the_limit() -> None:
+    async def scenario(pool: ConnectionPool) -> None:
+        pool.set_limit(2, uses_teams=True)
+        for team in ("a", "b", "b", "c"):
+            pool.release(await _acquire(pool, ConnectionRequest(team=team)))
+        assert pool.opened == 2
+        assert pool.replaced == 1
+        # Team "a" sent the fewest requests, so it lost its connection.
+        again = await _acquire(pool, ConnectionRequest(team="b"))
+        assert not again.is_lost
+        assert pool.opens == 3
+
+    target = _run_scenario(scenario, 2)
+
+    assert target.labels == {1: "a", 2: "b", 3: "c"}
+
+
+def test_pool_passes_a_returned_connection_on_within_its_team() -> None:
+    # Handing it to the first in the queue would mix teams.
+    async def scenario(pool: ConnectionPool) -> None:
+        pool.set_limit(1, uses_teams=True)
+        held = await _acquire(pool, ConnectionRequest(team="a"))
+        order: list[str] = []
+
+        async def use(team: str) -> None:
+            found = await _acquire(pool, ConnectionRequest(team=team))
+            order.append(team)
+            assert (found is held) == (team == "a")
+            pool.release(found)
+
+        first = asyncio.create_task(use("b"))
+        await asyncio.sleep(0)
+        second = asyncio.create_task(use("c"))
+        await asyncio.sleep(0)
+        pool.release(held)
+        await asyncio.gather(first, second)
+        assert order == ["b", "c"]
+
+    target = _run_scenario(scenario, 1)
+
+    assert target.labels == {1: "a", 2: "b", 3: "c"}
+
+
+def test_pool_serves_statements_of_the_proxy_over_any_team() -> None:
+    async def scenario(pool: ConnectionPool) -> None:
+        pool.set_limit(4, uses_teams=True)
+        pool.release(await _acquire(pool, ConnectionRequest(team="a")))
+        found = await _acquire(pool, ConnectionRequest(any_team=True))
+        pool.release(found)
+        assert pool.opens == 1
+
+    _run_scenario(scenario, 4)
+
+
+def test_probe_leaves_no_connection_that_serves_no_team() -> None:
+    async def scenario(pool: ConnectionPool) -> None:
+        pool.set_limit(4, uses_teams=True)
+        assert await pool.check()
+        await pool.warm(1)
+        assert pool.opened == 0
+
+    _run_scenario(scenario, 4)
--- a/tests/session/standin.py
+++ b/tests/session/standin.py
@@ -49,6 +49,7 @@
     :param received: received statements, each with the number of its
         connection
     :param connections: number of connections accepted so far
+    :param labels: name given when each of them was opened, by number
     """
 
     name: str
@@ -58,6 +59,7 @@
     faults: dict[str, list[str]] = attrs.field(factory=dict)
     received: list[tuple[int, str]] = attrs.field(factory=list)
     connections: int = 0
+    labels: dict[int, str] = attrs.field(factory=dict)
     _server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -97,6 +99,7 @@
     def _answer(self, line: str) -> None:
         command, _, rest = line.partition(" ")
         if command == "START":
+            self.target.labels[self.number] = rest.split(" ")[1]
             self._send("")
             return
         text = rest.partition(" ")[2]
