--- a/src/rosemarysaddle/connection/_pool.py
+++ b/src/rosemarysaddle/connection/_pool.py
@@ -214,6 +214,7 @@
 
         :param uses_teams: whether the plan in force has teams
         """
+        has_grown = limit > self.limit
         self.limit = limit
         self._queue.limit = limit
         self._connections.limit = limit
@@ -224,6 +225,8 @@
         excess = self._connections.opened - limit
         for connection in self._connections.idle[: max(0, excess)]:
             connection.abort()
+        if has_grown:
+            self._wake_one()
 
     def close(self) -> None:
         """Close idle connections now, and the others when released."""
