--- a/src/rosemarysaddle/decide/configuration/_route_plan.py
+++ b/src/rosemarysaddle/decide/configuration/_route_plan.py
@@ -80,6 +80,15 @@
             ),
         )
 
+    @property
+    def uses_teams(self) -> bool:
+        """Whether callers belong to teams."""
+        return self.teams is not None
+
+    def team(self, name: str) -> Team | None:
+        """Look up a team by name."""
+        return self.teams.by_name.get(name) if self.teams else None
+
     def requires_key(self, route: Route) -> bool:
         """Tell whether callers of a route have to show a team's key."""
         return self.teams is not None and not route.public
