--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -70,6 +70,10 @@
 from rosemarysaddle.decide.control_log._voter_manager import address_of
 from rosemarysaddle.decide.control_log._voters import join_voters
 from rosemarysaddle.decide.leases._lease import HostLease, LeaseTable
+from rosemarysaddle.decide.load._counting_hosts import (
+    CountingHosts,
+    rank_hosts,
+)
 from rosemarysaddle.decide.load._lending import (
     ConnectionShare,
     LenderRanking,
@@ -87,10 +91,17 @@
     ConnectionRequest,
     Waiter,
 )
+from rosemarysaddle.decide.load._rate_limit import (
+    DemandRate,
+    LimitSettings,
+    LimitShare,
+)
 from rosemarysaddle.decide.load._team_connections import (
     TeamConnections,
     max_concurrent_opens,
 )
+from rosemarysaddle.decide.load._token_counter import TokenCounter
+from rosemarysaddle.decide.load._token_stock import TokenStock, reserve_share
 from rosemarysaddle.decide.load._window import INITIAL_SIZE, ConcurrencyWindow
 from rosemarysaddle.decide.primaries._change import (
     ChangeTimes,
@@ -132,6 +143,8 @@
     "ConnectionSetup",
     "ConnectionShare",
     "ControlNode",
+    "CountingHosts",
+    "DemandRate",
     "DocumentKind",
     "Effect",
     "EntryKind",
@@ -146,6 +159,8 @@
     "InventoryTable",
     "LeaseTable",
     "LenderRanking",
+    "LimitSettings",
+    "LimitShare",
     "LoadSnapshot",
     "LogNode",
     "LogPoint",
@@ -180,6 +195,8 @@
     "TeamConnections",
     "TeamDirectory",
     "TokenCodec",
+    "TokenCounter",
+    "TokenStock",
     "Waiter",
     "WriteTicket",
     "address_of",
@@ -196,6 +213,8 @@
     "max_concurrent_opens",
     "newer_point",
     "promotion_quorum",
+    "rank_hosts",
+    "reserve_share",
     "share_connections",
     "shared_name",
     "team_weight",
