Lend a target's connections from its own data centre to all others

Cause: with 83 teams and 8 connections a lender, most requests find no open connection of their team. Change: where a plan has more teams than a lender has connections, the hosts of the target's data centre lend to all. The leader names up to 32 hosts of each other data centre in Neighbours.remote (lowest hashes, so that all select the same), TeamScope decides, LenderRanking ranks them. The lender leaves a fifth of the usable connections to the other data centres' fall-back; a host asked in its place has the tenth that is left free otherwise, so both together stay within the limit. Two lenders that do not answer make their data centre count as unreachable; one request a second tries it again. A lender that cannot connect to a target is passed over for this target for 5 s (also without teams); after two such lenders the target counts as down, as before. Ruled out: the whole share for a stand-in (40 + 40 of 56 connections).

--- a/src/rosemarysaddle/connection/_lender.py
+++ b/src/rosemarysaddle/connection/_lender.py
@@ -1,4 +1,4 @@
-"""Lends connections to the other entry hosts of the data centre."""
+"""Lends connections to other entry hosts."""
 
 from __future__ import annotations
 
@@ -190,7 +190,7 @@
                 self.abort()
                 return
             if self.lender.waiting > MAX_WAITING_BORROWERS:
-                self._refuse(FaultCode.BUSY)
+                self._refuse(FaultCode.BUSY, connected=False)
                 return
             deadline_ns = clock_ns() + request.wait_ms * NS_PER_MS
             connection_request = _connection_request(request, deadline_ns)
@@ -204,7 +204,7 @@
                 connection_request=connection_request,
             )
             if isinstance(found, OpenFault):
-                self._refuse(found.code)
+                self._refuse(found.code, connected=found.connected)
             elif self._transport is None:
                 pool.release(found)
             else:
@@ -240,8 +240,9 @@
         if self._pool is not None:
             self._pool.release(connection)
 
-    def _refuse(self, code: FaultCode) -> None:
-        self.send(frame_message(LoanRefusal(code=code)))
+    def _refuse(self, code: FaultCode, *, connected: bool) -> None:
+        refusal = LoanRefusal(code=code, connected=connected)
+        self.send(frame_message(refusal))
 
 
 def _connection_request(
--- a/src/rosemarysaddle/connection/_loans.py
+++ b/src/rosemarysaddle/connection/_loans.py
@@ -1,4 +1,4 @@
-"""Borrows connections from other entry hosts of the data centre."""
+"""Borrows connections from other entry hosts."""
 
 from __future__ import annotations
 
@@ -50,6 +50,17 @@
 # lost.
 CONNECT_TIMEOUT_MS: Final = 300
 FIRST_ANSWER_TIMEOUT_MS: Final = 500
+# A round trip to another data centre takes up to 25 ms.  Two lenders
+# there that do not answer leave time for one of the own data centre
+# within a statement's 800 ms.
+REMOTE_CONNECT_TIMEOUT_MS: Final = 200
+REMOTE_FIRST_ANSWER_TIMEOUT_MS: Final = 300
+# A remote lender stops waiting earlier than the borrower by this, so
+# that a connection is not granted to a borrower that has given up.
+REMOTE_ROUND_TRIP_MS: Final = 25
+# Every host borrows from up to 32 hosts of each other data centre, and
+# each of these has a limit of descriptors.
+REMOTE_IDLE_LINK_TIMEOUT_MS: Final = 30_000
 KEEP_ALIVE_INTERVAL_MS: Final = 1_000
 MAX_IDLE_LINKS_PER_LENDER: Final = 4
 
@@ -62,7 +73,9 @@
     """Connection to a lender; it carries one loan at a time."""
 
     lender: str
+    first_answer_timeout_ms: int
     on_lost: Callable[[_Link], None]
+    idle_since_ns: int = attrs.field(default=0, init=False)
     connection: TargetConnection | None = attrs.field(default=None, init=False)
     is_lost: bool = attrs.field(default=False, init=False)
     _answer: asyncio.Future[_Reply | None] | None = attrs.field(
@@ -88,7 +101,7 @@
         self._is_queued = False
         self.send(frame_message(request))
         first_answer_timer = loop.call_later(
-            FIRST_ANSWER_TIMEOUT_MS / 1_000, self._check_first_answer
+            self.first_answer_timeout_ms / 1_000, self._check_first_answer
         )
         left_s = (deadline_ns - clock_ns()) / NS_PER_S
         deadline_timer = loop.call_later(max(0.0, left_s), self.abort)
@@ -190,6 +203,8 @@
             self._report_lender_lost(target, lender, "dial")
             return None
         wait_ms = max(0, deadline_ns - clock_ns()) // NS_PER_MS
+        if self.ranking.is_remote(lender):
+            wait_ms = max(0, wait_ms - REMOTE_ROUND_TRIP_MS)
         request = LoanRequest(
             target=target,
             wait_ms=wait_ms,
@@ -208,13 +223,17 @@
                 return OpenFault(code=code, peer=target, connected=True)
             self._report_lender_lost(target, lender, "ask")
             return None
+        self._record_answer(lender)
         if isinstance(answer, LoanGrant):
             return self._start_loan(link, target, answer)
         self._keep_idle(link)
-        code = FaultCode.BUSY
         if isinstance(answer, LoanRefusal):
-            code = FaultCode(answer.code)
-        return OpenFault(code=code, peer=target)
+            return OpenFault(
+                code=FaultCode(answer.code),
+                peer=target,
+                connected=answer.connected,
+            )
+        return OpenFault(code=FaultCode.BUSY, peer=target)
 
     async def ask_point(
         self, target: str, lender: str, *, deadline_ns: int
@@ -235,6 +254,7 @@
         )
         if not isinstance(answer, PointReply):
             return None
+        self._record_answer(lender)
         self._keep_idle(link)
         return answer if answer.known else None
 
@@ -265,6 +285,7 @@
         self._next_keep_alive_ns = now_ns + KEEP_ALIVE_INTERVAL_MS * NS_PER_MS
         for link in self._borrowed.values():
             link.write(b"")
+        self._close_unused_links(now_ns)
         return True
 
     def close(self) -> None:
@@ -273,6 +294,14 @@
             for link in list(links):
                 link.abort()
 
+    def _close_unused_links(self, now_ns: int) -> None:
+        before_ns = now_ns - REMOTE_IDLE_LINK_TIMEOUT_MS * NS_PER_MS
+        for lender, links in self._idle.items():
+            if self.ranking.is_remote(lender):
+                for link in list(links):
+                    if link.idle_since_ns < before_ns:
+                        link.abort()
+
     def _start_loan(
         self, link: _Link, target: str, grant: LoanGrant
     ) -> TargetConnection:
@@ -291,11 +320,22 @@
         idle = self._idle.get(lender)
         if idle:
             return idle.pop()
-        link = _Link(lender=lender, on_lost=self._on_link_lost)
+        connect_ms, first_answer_ms = (
+            CONNECT_TIMEOUT_MS,
+            FIRST_ANSWER_TIMEOUT_MS,
+        )
+        if self.ranking.is_remote(lender):
+            connect_ms = REMOTE_CONNECT_TIMEOUT_MS
+            first_answer_ms = REMOTE_FIRST_ANSWER_TIMEOUT_MS
+        link = _Link(
+            lender=lender,
+            first_answer_timeout_ms=first_answer_ms,
+            on_lost=self._on_link_lost,
+        )
         address = Address.parse(lender)
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1_000):
+            async with asyncio.timeout(connect_ms / 1_000):
                 await loop.create_connection(
                     lambda: link, address.ip, address.port
                 )
@@ -308,7 +348,21 @@
         log_event(
             "lender-lost", f"target={target} lender={lender} step={step}"
         )
-        self.ranking.mark_down(lender, clock_ns())
+        center = self.ranking.mark_down(lender, clock_ns())
+        if center:
+            log_event(
+                "lending-center",
+                f"data_center={center} reachable=False lender={lender}"
+                f" step={step}",
+            )
+
+    def _record_answer(self, lender: str) -> None:
+        center = self.ranking.mark_up(lender)
+        if center:
+            log_event(
+                "lending-center",
+                f"data_center={center} reachable=True lender={lender}",
+            )
 
     def _keep_idle(self, link: _Link) -> None:
         idle = self._idle.setdefault(link.lender, [])
@@ -317,6 +371,7 @@
         if len(idle) >= MAX_IDLE_LINKS_PER_LENDER:
             link.abort()
         else:
+            link.idle_since_ns = clock_ns()
             idle.append(link)
 
     def _on_connection_lost(self, connection: TargetConnection) -> None:
--- a/src/rosemarysaddle/connection/_pool.py
+++ b/src/rosemarysaddle/connection/_pool.py
@@ -233,11 +233,21 @@
         self.is_closed = True
         self.close_idle()
 
-    def close_idle(self) -> None:
-        """Close the idle connections."""
-        for connection in self._connections.idle:
+    def close_idle(self, *, idle_ms: int = 0) -> None:
+        """Close the idle connections.
+
+        :param idle_ms: time for which a connection has to be idle, in
+            milliseconds
+        """
+        before_ns = clock_ns() - idle_ms * NS_PER_MS
+        for connection in self._connections.idle_since(before_ns):
             connection.abort()
 
+    @property
+    def uses_teams(self) -> bool:
+        """Return whether each connection serves one team."""
+        return self._connections.uses_teams
+
     async def _take_or_open(
         self,
         variables: SessionVariables,
--- a/src/rosemarysaddle/connection/_shared.py
+++ b/src/rosemarysaddle/connection/_shared.py
@@ -8,6 +8,7 @@
 import attrs
 
 from rosemarysaddle._clock import NS_PER_S, clock_ns
+from rosemarysaddle._events import log_event
 from rosemarysaddle.connection._connection import TargetConnection
 from rosemarysaddle.connection._pool import OpenFault
 from rosemarysaddle.decide import (
@@ -28,6 +29,10 @@
 
 # Covers the way to the lender and an opening there.
 CHECK_TIMEOUT_MS: Final = 500
+# Idle connections of teams are kept this long at a host that is not the
+# lender, as others may ask it in place of a lender that they cannot
+# reach.
+STAND_IN_IDLE_MS: Final = 5_000
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -41,12 +46,15 @@
         connection to lend
     :param uses_lender: whether one host lends the connections to the
         others instead of each opening its own
+    :param lending_center: data centre whose hosts lend to all others,
+        or empty
     """
 
     own: ConnectionPool
     loan_client: LoanClient
     on_refused: Callable[[OpenFault], None]
     uses_lender: bool = attrs.field(default=False, init=False)
+    lending_center: str = attrs.field(default="", init=False)
     _has_share: asyncio.Event = attrs.field(factory=asyncio.Event, init=False)
 
     @property
@@ -55,7 +63,9 @@
         ranking = self.loan_client.ranking
         if not self.uses_lender:
             return ranking.own
-        return ranking.lender(self.own.target, clock_ns())
+        return ranking.lender(
+            self.own.target, clock_ns(), data_center=self.lending_center
+        )
 
     @property
     def opens_own_connections(self) -> bool:
@@ -71,37 +81,69 @@
     ) -> TargetConnection | OpenFault:
         """Get a connection, opened here or borrowed.
 
+        If the lender cannot connect to the target, the next one in the
+        ranking is asked once.
+
         :param variables: variables of the session
         :param deadline_ns: :func:`clock_ns` time until which to wait
-        :param connection_request: priority of the request, and whether
-            it is for a transaction
+        :param connection_request: team and priority of the request, and
+            whether it is for a transaction
         :return: the connection, or why none was obtained
         """
         target = self.own.target
         if not await self._wait_for_share(deadline_ns):
             code = FaultCode.TOO_MANY_CONNECTIONS
             return OpenFault(code=code, peer=target, connected=True)
-        while clock_ns() < deadline_ns:
-            lender = self.lender
-            if lender == self.loan_client.ranking.own:
-                break
-            found = await self.loan_client.borrow(
-                target,
-                lender,
-                variables.values,
-                deadline_ns=deadline_ns,
-                connection_request=connection_request,
-            )
+        ranking = self.loan_client.ranking
+        asked: set[str] = set()
+        while True:
+            lender = self._lender_to_ask()
+            is_own = lender == ranking.own or clock_ns() >= deadline_ns
+            if is_own:
+                lender = ranking.own
+                found = await self.own.acquire(
+                    variables,
+                    deadline_ns=deadline_ns,
+                    connection_request=connection_request,
+                )
+            else:
+                borrowed = await self.loan_client.borrow(
+                    target,
+                    lender,
+                    variables.values,
+                    deadline_ns=deadline_ns,
+                    connection_request=connection_request,
+                )
+                if borrowed is None:
+                    continue
+                found = borrowed
             if isinstance(found, TargetConnection):
+                ranking.mark_able(lender, target)
                 return found
-            if found is not None:
+            is_unable = self.uses_lender and _is_unable(found)
+            if is_unable:
+                ranking.mark_unable(lender, target, clock_ns())
+                asked.add(lender)
+                following = self.lender
+                if following not in asked and clock_ns() < deadline_ns:
+                    log_event(
+                        "lender-unable",
+                        f"target={target} lender={lender} code={found.code}"
+                        f" next={following}",
+                    )
+                    continue
+            if not is_own:
                 self.on_refused(found)
-                return found
-        return await self.own.acquire(
-            variables,
-            deadline_ns=deadline_ns,
-            connection_request=connection_request,
-        )
+            return found
+
+    def _lender_to_ask(self) -> str:
+        if self.uses_lender and self.lending_center:
+            trial = self.loan_client.ranking.trial_lender(
+                self.own.target, clock_ns(), data_center=self.lending_center
+            )
+            if trial:
+                return trial
+        return self.lender
 
     def release(self, connection: TargetConnection) -> None:
         """Return a connection; it is closed if it is not idle."""
@@ -164,6 +206,7 @@
     def apply_share(self, share: ConnectionShare) -> None:
         """Apply the share of connections that this host may open."""
         self.uses_lender = share.uses_lender
+        self.lending_center = share.lending_center
         self.own.set_limit(share.limit, uses_teams=share.uses_teams)
         if share.is_pending:
             self._has_share.clear()
@@ -174,8 +217,15 @@
     def trim(self) -> None:
         """Close own idle connections if another host lends."""
         if not self.opens_own_connections:
-            self.own.close_idle()
+            is_stand_in = self.own.uses_teams
+            self.own.close_idle(idle_ms=STAND_IN_IDLE_MS * is_stand_in)
 
     def close(self) -> None:
         """Close own idle connections now, others when released."""
         self.own.close()
+
+
+def _is_unable(fault: OpenFault) -> bool:
+    """Tell whether the target could not be connected to."""
+    codes = {FaultCode.LOST, FaultCode.TIMEOUT}
+    return fault.code in codes and not fault.connected
--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -68,6 +68,7 @@
 from rosemarysaddle.decide.load._lending import (
     ConnectionShare,
     LenderRanking,
+    TeamScope,
     share_connections,
 )
 from rosemarysaddle.decide.load._load_balancing import (
@@ -173,6 +174,7 @@
     "TargetState",
     "TargetView",
     "TeamConnections",
+    "TeamScope",
     "TokenCodec",
     "Waiter",
     "WriteTicket",
--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -360,12 +360,14 @@
         out: list[Effect] = []
         if renewal.applied_index < self.state.index:
             out.append(self._view_for(source, renewal.applied_index))
+        with_remote = self.state.routes.team_count is not None
         neighbours = self._neighbours.list_if_changed(
             source,
             renewal,
             centers=self._context.centers,
             present=self._context.leases.holders,
             now_ns=now_ns,
+            with_remote=with_remote,
         )
         if neighbours is not None:
             out.append(Send(peer=source, message=neighbours))
@@ -373,6 +375,7 @@
             centers=self._context.centers,
             present=self._context.leases.holders,
             now_ns=now_ns,
+            with_remote=with_remote,
         )
         out.extend(Send(peer=h, message=m) for h, m in lists.items())
         return [*out, Send(peer=source, message=grant)]
--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -77,6 +77,8 @@
         connections, or empty
     :param neighbours: lending addresses of the entry hosts of the data
         centre
+    :param remote_hosts: lending addresses of hosts of each other data
+        centre, only where the plan has teams
     :param renewal_ms: time between renewals, in milliseconds
     """
 
@@ -90,6 +92,9 @@
     ready: bool = False
     lending_address: str = ""
     neighbours: tuple[str, ...] = attrs.field(default=(), init=False)
+    remote_hosts: dict[str, tuple[str, ...]] = attrs.field(
+        factory=dict, init=False
+    )
     renewal_ms: int = RENEWAL_INTERVAL_MS
     _neighbours_tag: int = attrs.field(default=0, init=False)
     _leader_hint: str = attrs.field(default="", init=False)
@@ -135,6 +140,10 @@
                 self.announced[message.target] = message
             case Neighbours():
                 self.neighbours = tuple(n.address for n in message.hosts)
+                self.remote_hosts = {
+                    remote.data_center: tuple(n.address for n in remote.hosts)
+                    for remote in message.remote
+                }
                 self._neighbours_tag = message.tag
             case _:
                 pass
--- a/src/rosemarysaddle/decide/leases/_neighbours.py
+++ b/src/rosemarysaddle/decide/leases/_neighbours.py
@@ -13,7 +13,8 @@
 import attrs
 
 from rosemarysaddle.decide._times import NS_PER_MS
-from rosemarysaddle.schema import Neighbour, Neighbours
+from rosemarysaddle.decide.load._lending import lending_hosts
+from rosemarysaddle.schema import Neighbour, Neighbours, RemoteHosts
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping
@@ -38,6 +39,7 @@
 
     message: Neighbours
     until_ns: int
+    with_remote: bool
 
 
 @attrs.define(kw_only=True)
@@ -46,6 +48,8 @@
 
     _addresses: dict[str, str] = attrs.field(factory=dict, init=False)
     _cache: dict[str, _CachedList] = attrs.field(factory=dict, init=False)
+    _remote: tuple[RemoteHosts, ...] = attrs.field(default=(), init=False)
+    _remote_until_ns: int = attrs.field(default=0, init=False)
     _gather_until_ns: int = attrs.field(default=0, init=False)
     _complete_count: float = attrs.field(default=0, init=False)
     _is_push_due: bool = attrs.field(default=False, init=False)
@@ -60,6 +64,7 @@
         """
         self._addresses.clear()
         self._cache.clear()
+        self._remote_until_ns = 0
         self._gather_until_ns = now_ns + GATHER_WINDOW_MS * NS_PER_MS
         self._is_push_due = True
         self._complete_count = entry_hosts * COMPLETE_FRACTION
@@ -72,6 +77,7 @@
         centers: Mapping[str, str],
         present: Collection[str],
         now_ns: int,
+        with_remote: bool = False,
     ) -> Neighbours | None:
         """Return the list of a host's data centre if the host lacks it.
 
@@ -79,6 +85,8 @@
         :param renewal: its lease renewal, with the tag of its list
         :param centers: data centre of each host
         :param present: hosts that hold a lease
+        :param with_remote: whether to name the lenders of the other
+            data centres
         :return: the list, or None if the host has the newest one or the
             lists are not complete yet
         """
@@ -92,6 +100,7 @@
             centers=centers,
             present=present,
             now_ns=now_ns,
+            with_remote=with_remote,
         )
         return None if message.tag == renewal.neighbours_tag else message
 
@@ -101,6 +110,7 @@
         centers: Mapping[str, str],
         present: Collection[str],
         now_ns: int,
+        with_remote: bool = False,
     ) -> dict[str, Neighbours]:
         """Return the lists of all hosts, once after each election.
 
@@ -114,7 +124,11 @@
         self._is_push_due = False
         return {
             host: self._list(
-                centers[host], centers=centers, present=present, now_ns=now_ns
+                centers[host],
+                centers=centers,
+                present=present,
+                now_ns=now_ns,
+                with_remote=with_remote,
             )
             for host in present
             if host in centers
@@ -127,15 +141,25 @@
         centers: Mapping[str, str],
         present: Collection[str],
         now_ns: int,
+        with_remote: bool,
     ) -> Neighbours:
         cached = self._cache.get(center)
-        if cached is None or now_ns >= cached.until_ns:
+        if (
+            cached is None
+            or now_ns >= cached.until_ns
+            or cached.with_remote is not with_remote
+        ):
             held = self._addresses.items()
             self._addresses = {h: a for h, a in held if h in present}
             here = [h for h in present if centers.get(h) == center]
+            remote: tuple[RemoteHosts, ...] = ()
+            if with_remote:
+                lenders = self._list_remote(centers, present, now_ns)
+                remote = tuple(r for r in lenders if r.data_center != center)
             cached = _CachedList(
-                message=self._render(here),
+                message=self._render(here, remote),
                 until_ns=now_ns + RENDER_INTERVAL_MS * NS_PER_MS,
+                with_remote=with_remote,
             )
             self._cache[center] = cached
         return cached.message
@@ -149,10 +173,48 @@
             return False
         return True
 
-    def _render(self, hosts: Collection[str]) -> Neighbours:
+    def _list_remote(
+        self,
+        centers: Mapping[str, str],
+        present: Collection[str],
+        now_ns: int,
+    ) -> tuple[RemoteHosts, ...]:
+        """List the lenders of all data centres.
+
+        A data centre without a live host is listed without lenders, so
+        that the others leave its connections free.
+        """
+        if now_ns < self._remote_until_ns:
+            return self._remote
+        by_center: dict[str, set[str]] = {c: set() for c in centers.values()}
+        for host in present:
+            address = self._addresses.get(host)
+            if address is not None and host in centers:
+                by_center[centers[host]].add(address)
+        self._remote = tuple(
+            RemoteHosts(
+                data_center=center,
+                hosts=tuple(
+                    Neighbour(address=a)
+                    for a in lending_hosts(by_center[center])
+                ),
+            )
+            for center in sorted(by_center)
+        )
+        self._remote_until_ns = now_ns + RENDER_INTERVAL_MS * NS_PER_MS
+        return self._remote
+
+    def _render(
+        self, hosts: Collection[str], remote: tuple[RemoteHosts, ...]
+    ) -> Neighbours:
         found = {self._addresses[h] for h in hosts if h in self._addresses}
         addresses = sorted(found)
+        tag = zlib.crc32(",".join(addresses).encode())
+        for center in remote:
+            names = [center.data_center, *(n.address for n in center.hosts)]
+            tag = zlib.crc32(",".join(names).encode(), tag)
         return Neighbours(
-            tag=zlib.crc32(",".join(addresses).encode()),
+            tag=tag,
             hosts=tuple(Neighbour(address=a) for a in addresses),
+            remote=remote,
         )
--- a/src/rosemarysaddle/decide/load/_lending.py
+++ b/src/rosemarysaddle/decide/load/_lending.py
@@ -6,10 +6,16 @@
 each data centre, the lender, holds the share of all hosts of the data
 centre and lends connections to them; a hop within a data centre costs
 little.
+
+A connection of a team serves no other team.  Where there are more teams
+than a lender has connections, one host of the target's own data centre
+lends to the hosts of all data centres, so that fewer connections have
+to be closed for another team.
 """
 
 from __future__ import annotations
 
+import functools
 import hashlib
 from typing import TYPE_CHECKING, Final
 
@@ -18,9 +24,15 @@
 from rosemarysaddle.decide._times import NS_PER_MS
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Mapping, Sequence
 
-__all__ = ("ConnectionShare", "LenderRanking", "share_connections")
+__all__ = (
+    "ConnectionShare",
+    "LenderRanking",
+    "TeamScope",
+    "lending_hosts",
+    "share_connections",
+)
 
 # Fraction of a target's connections that all entry hosts together use.
 USABLE_CONNECTION_FRACTION: Final = 0.9
@@ -32,6 +44,22 @@
 # A host that accepted no connection is usually back from a restart by
 # then.
 DOWN_BACKOFF_MS: Final = 1_000
+# Number of hosts of a data centre among which all hosts of all data
+# centres choose its lenders.
+MAX_REMOTE_LENDERS: Final = 32
+# Fraction of the usable connections that the lender of all data centres
+# leaves to the others, for the time in which they cannot reach it.
+FALLBACK_FRACTION: Final = 0.2
+# Lenders of another data centre that fail before all of it counts as
+# unreachable.  Each one that does not answer costs a request up to
+# 500 ms.
+FAILURES_PER_CENTER: Final = 2
+# A target that two lenders cannot connect to is down.
+MAX_UNABLE_LENDERS: Final = 2
+# A lender that could not connect to a target is passed over for the
+# target for this long.  Trying it again costs a request the time-out of
+# a connection.
+UNABLE_BACKOFF_MS: Final = 5_000
 
 
 @attrs.frozen(kw_only=True)
@@ -43,11 +71,16 @@
     :param uses_lender: whether one host of the data centre, the lender,
         opens the connections for all its hosts
     :param uses_teams: whether each connection serves one team
+    :param lending_center: data centre whose hosts lend to all others,
+        or empty if lending stays within each data centre; the limit is
+        then that of this host as a lender while that data centre cannot
+        be reached
     """
 
     limit: int
     uses_lender: bool
     uses_teams: bool = False
+    lending_center: str = ""
 
     @property
     def is_pending(self) -> bool:
@@ -57,11 +90,92 @@
         of its own, as all the others that start with it, and exceed
         the limit of the target.
         """
-        return self.uses_lender and self.limit == 0
+        return self.uses_lender and self.limit == 0 and not self.lending_center
+
+
+@attrs.frozen(kw_only=True)
+class TeamScope:
+    """What decides whether one host lends to all data centres.
+
+    :param teams: number of teams in the plan
+    :param target_center: data centre of the target, or empty
+    :param own_center: data centre of this host
+    :param remote: lending addresses of each other data centre
+    :param is_first_lender: whether this host is first in the ranking
+        of the target's data centre
+    :param can_lend: whether this host has a lending address
+    """
+
+    teams: int
+    target_center: str
+    own_center: str
+    remote: Mapping[str, Sequence[str]]
+    is_first_lender: bool = False
+    can_lend: bool = True
+
+    def share(
+        self, *, limit: int, hosts: int, neighbours: int
+    ) -> ConnectionShare | None:
+        """Share the connections of a target that is lent to all.
+
+        The lender of all data centres has what the others' fall-back
+        leaves of the usable connections.  A host of its data centre
+        that is asked in its place, while some hosts cannot reach it,
+        has the connections that are left free otherwise.
+
+        :param limit: connections that the target accepts
+        :param hosts: number of all entry hosts
+        :param neighbours: number of entry hosts in the own data centre
+        :return: the share, or None if lending stays within each data
+            centre
+        """
+        usable = int(limit * USABLE_CONNECTION_FRACTION)
+        own = usable // hosts
+        opens_own = own >= MIN_OWN_CONNECTIONS
+        if not neighbours:
+            is_pending = not opens_own or self.teams > own
+            if not self.can_lend or not is_pending:
+                return None
+            return ConnectionShare(limit=0, uses_lender=True)
+        others = len(self.remote)
+        # Without a list the hosts of the other data centres are not
+        # known yet.
+        is_complete = bool(self.remote) or neighbours >= hosts
+        lender_connections = own if opens_own else usable // (others + 1)
+        if not is_complete or self.teams <= lender_connections:
+            return None
+        return self._share_with_all(limit, usable, others)
+
+    def _share_with_all(
+        self, limit: int, usable: int, others: int
+    ) -> ConnectionShare | None:
+        fallback = 0
+        if others:
+            fallback = max(1, int(usable * FALLBACK_FRACTION / others))
+        lent = usable - fallback * others
+        is_own = self.target_center == self.own_center
+        if lent < 1 or not (is_own or self.target_center in self.remote):
+            return None
+        if is_own:
+            if not self.is_first_lender:
+                lent = min(lent, max(1, limit - usable))
+            return self._share_lent(lent)
+        if not self.remote[self.target_center]:
+            return ConnectionShare(limit=fallback, uses_lender=True)
+        return self._share_lent(fallback)
+
+    def _share_lent(self, limit: int) -> ConnectionShare:
+        return ConnectionShare(
+            limit=limit, uses_lender=True, lending_center=self.target_center
+        )
 
 
 def share_connections(
-    *, limit: int, hosts: int, neighbours: int
+    *,
+    limit: int,
+    hosts: int,
+    neighbours: int,
+    team_scope: TeamScope | None = None,
 ) -> ConnectionShare:
     """Share a target's connections among the entry hosts.
 
@@ -69,7 +183,20 @@
     :param hosts: number of all entry hosts; 0 if unknown
     :param neighbours: number of entry hosts in the own data centre,
         this host included; 0 if unknown
+    :param team_scope: teams and data centres; None if the plan has no
+        teams
     """
+    share = None
+    if team_scope is not None and limit and hosts:
+        share = team_scope.share(
+            limit=limit, hosts=hosts, neighbours=neighbours
+        )
+    if share is None:
+        share = _share_by_host(limit, hosts, neighbours)
+    return attrs.evolve(share, uses_teams=team_scope is not None)
+
+
+def _share_by_host(limit: int, hosts: int, neighbours: int) -> ConnectionShare:
     if not limit or not hosts:
         return ConnectionShare(limit=FALLBACK_LIMIT, uses_lender=False)
     usable = limit * USABLE_CONNECTION_FRACTION
@@ -82,9 +209,18 @@
     return ConnectionShare(limit=max(1, together), uses_lender=True)
 
 
+def lending_hosts(addresses: Iterable[str]) -> tuple[str, ...]:
+    """Select the hosts of a data centre that lend to all others.
+
+    :param addresses: lending addresses of the hosts
+    :return: the ``MAX_REMOTE_LENDERS`` addresses with the lowest hashes
+    """
+    return tuple(sorted(addresses, key=_address_hash)[:MAX_REMOTE_LENDERS])
+
+
 @attrs.define(kw_only=True)
 class LenderRanking:
-    """Ranking of the hosts of a data centre as lenders of each target.
+    """Ranking of hosts as lenders of each target.
 
     Rendezvous hashing: all hosts with the same list agree on the
     ranking, and when a host leaves, only the targets that it lent move
@@ -92,44 +228,169 @@
 
     :param own: lending address of this host
     :param hosts: lending addresses of all hosts of the data centre
+    :param data_center: data centre of this host
+    :param centers: lending addresses by data centre, of the hosts that
+        lend to all data centres
     """
 
     own: str
     hosts: tuple[str, ...] = ()
-    _ranks: dict[str, tuple[str, ...]] = attrs.field(factory=dict, init=False)
+    data_center: str = ""
+    centers: dict[str, tuple[str, ...]] = attrs.field(factory=dict, init=False)
+    _ranks: dict[tuple[str, str], tuple[str, ...]] = attrs.field(
+        factory=dict, init=False
+    )
     _down_until_ns: dict[str, int] = attrs.field(factory=dict, init=False)
+    _unable_until_ns: dict[tuple[str, str], int] = attrs.field(
+        factory=dict, init=False
+    )
+    _center_trial_ns: dict[str, int] = attrs.field(factory=dict, init=False)
+    _center_of: dict[str, str] = attrs.field(factory=dict, init=False)
 
-    def replace(self, hosts: Sequence[str]) -> None:
-        """Replace the list of the hosts of the data centre."""
+    def replace(
+        self,
+        hosts: Sequence[str],
+        remote: Mapping[str, Sequence[str]] | None = None,
+    ) -> None:
+        """Replace the lists of hosts.
+
+        :param hosts: hosts of the own data centre
+        :param remote: hosts of the other data centres that lend to all
+        """
         self.hosts = tuple(sorted({*hosts, self.own}))
+        remote = remote or {}
+        self.centers = {name: tuple(remote[name]) for name in remote}
+        self._center_of = {
+            host: name for name, held in self.centers.items() for host in held
+        }
+        if self.data_center:
+            self.centers[self.data_center] = lending_hosts(self.hosts)
+        trials = self._center_trial_ns.items()
+        self._center_trial_ns = {c: t for c, t in trials if c in self.centers}
         self._ranks.clear()
 
-    def lender(self, target: str, now_ns: int) -> str:
+    def lender(
+        self, target: str, now_ns: int, *, data_center: str = ""
+    ) -> str:
         """Find the host that lends connections to a target.
 
         :param target: name of the target
         :param now_ns: monotonic time, in nanoseconds
-        :return: address of the first host in the ranking that is not
-            marked down, or of this host if all are
+        :param data_center: data centre whose hosts lend to all others,
+            or empty to lend within the own one
+        :return: address of the first host in the ranking that may be
+            asked, or of this host if there is none; a host of the own
+            data centre if the other one is unreachable
         """
-        ranked = self._ranks.get(target)
+        if data_center and data_center not in self._center_trial_ns:
+            found = self._first(data_center, target, now_ns)
+            if found:
+                return found
+        return self._first("", target, now_ns) or self.own
+
+    def trial_lender(
+        self, target: str, now_ns: int, *, data_center: str
+    ) -> str:
+        """Let one request try an unreachable data centre when due.
+
+        The others go on using lenders of the own data centre until a
+        lender of the other one answers.
+
+        :return: host that the caller has to ask, or empty if no trial
+            is due
+        """
+        trial_ns = self._center_trial_ns.get(data_center)
+        if trial_ns is None or now_ns < trial_ns:
+            return ""
+        self._center_trial_ns[data_center] = (
+            now_ns + DOWN_BACKOFF_MS * NS_PER_MS
+        )
+        return self._first(data_center, target, now_ns)
+
+    def is_first(self, target: str, data_center: str) -> bool:
+        """Tell whether this host is first in the ranking."""
+        return self._rank(data_center, target)[:1] == (self.own,)
+
+    def is_remote(self, host: str) -> bool:
+        """Tell whether a lender is in another data centre."""
+        return host in self._center_of
+
+    def mark_down(self, host: str, now_ns: int) -> str:
+        """Skip another host as a lender for ``DOWN_BACKOFF_MS``.
+
+        :return: data centre that counts as unreachable from now on, or
+            empty
+        """
+        if host == self.own:
+            return ""
+        self._down_until_ns[host] = now_ns + DOWN_BACKOFF_MS * NS_PER_MS
+        center = self._center_of.get(host, "")
+        if not center or center in self._center_trial_ns:
+            return ""
+        hosts = self.centers[center]
+        failed = sum(now_ns < self._down_until_ns.get(h, 0) for h in hosts)
+        if failed < min(FAILURES_PER_CENTER, len(hosts)):
+            return ""
+        self._center_trial_ns[center] = now_ns + DOWN_BACKOFF_MS * NS_PER_MS
+        return center
+
+    def mark_up(self, host: str) -> str:
+        """Record that a lender of another data centre answered.
+
+        :return: data centre that is reachable again, or empty
+        """
+        center = self._center_of.get(host, "")
+        if self._center_trial_ns.pop(center, None) is None:
+            return ""
+        return center
+
+    def mark_unable(self, host: str, target: str, now_ns: int) -> None:
+        """Skip a lender that could not connect to a target.
+
+        It is skipped for this target only, for ``UNABLE_BACKOFF_MS``.
+        """
+        if len(self._unable_until_ns) > len(self._ranks):
+            held = self._unable_until_ns.items()
+            self._unable_until_ns = {k: v for k, v in held if now_ns < v}
+        self._unable_until_ns[host, target] = (
+            now_ns + UNABLE_BACKOFF_MS * NS_PER_MS
+        )
+
+    def mark_able(self, host: str, target: str) -> None:
+        """Record that a lender has a connection to a target."""
+        self._unable_until_ns.pop((host, target), None)
+
+    def _first(self, data_center: str, target: str, now_ns: int) -> str:
+        up = [
+            host
+            for host in self._rank(data_center, target)
+            if now_ns >= self._down_until_ns.get(host, 0)
+        ][:MAX_UNABLE_LENDERS]
+        able = [
+            host
+            for host in up
+            if now_ns >= self._unable_until_ns.get((host, target), 0)
+        ]
+        # All agree on the first again if the target itself is down.
+        return next(iter(able or up), "")
+
+    def _rank(self, data_center: str, target: str) -> tuple[str, ...]:
+        ranked = self._ranks.get((data_center, target))
         if ranked is None:
+            hosts = self.hosts
+            if data_center:
+                hosts = self.centers.get(data_center, ())
             ranked = tuple(
-                sorted(
-                    self.hosts, key=lambda host: _rendezvous_hash(host, target)
-                )
+                sorted(hosts, key=lambda host: _rendezvous_hash(host, target))
             )
-            self._ranks[target] = ranked
-        for host in ranked:
-            if now_ns >= self._down_until_ns.get(host, 0):
-                return host
-        return self.own
-
-    def mark_down(self, host: str, now_ns: int) -> None:
-        """Skip another host as a lender for ``DOWN_BACKOFF_MS``."""
-        if host != self.own:
-            self._down_until_ns[host] = now_ns + DOWN_BACKOFF_MS * NS_PER_MS
+            self._ranks[data_center, target] = ranked
+        return ranked
 
 
 def _rendezvous_hash(host: str, target: str) -> bytes:
     return hashlib.blake2b(f"{host} {target}".encode()).digest()
+
+
+@functools.lru_cache(maxsize=4_096)
+def _address_hash(address: str) -> bytes:
+    return hashlib.blake2b(address.encode(), digest_size=8).digest()
--- a/src/rosemarysaddle/decide/load/_team_connections.py
+++ b/src/rosemarysaddle/decide/load/_team_connections.py
@@ -131,6 +131,11 @@
         """Idle connections, the one that is idle for longest first."""
         return list(self._idle_since)
 
+    def idle_since(self, before_ns: int) -> list[_T]:
+        """Return the connections that are idle since then or before."""
+        held = self._idle_since.items()
+        return [c for c, since_ns in held if since_ns <= before_ns]
+
     def has_idle_for(self, request: ConnectionRequest) -> bool:
         """Tell whether an idle connection may serve a request."""
         if request.any_team and self._idle_since:
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -248,15 +248,19 @@
             )
 
     def _receive(self, source: str, message: Message) -> None:
-        before = (self.node.state.index, self.node.neighbours)
+        before = self._view_key()
         self._execute_effects(self.node.receive(source, message, clock_ns()))
-        if (self.node.state.index, self.node.neighbours) != before:
+        if self._view_key() != before:
             control = {*self._seeds(), *self.node.state.voters}
             self.node.control = sorted(control)
             self.router.apply_view()
         else:
             self.router.notify_waiters()
 
+    def _view_key(self) -> tuple[object, ...]:
+        node = self.node
+        return node.state.index, node.neighbours, node.remote_hosts
+
     def _execute_effects(self, effects: Sequence[Effect]) -> None:
         for effect in effects:
             if isinstance(effect, Send):
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -267,6 +267,7 @@
     """Message: loan refusal."""
 
     code: str
+    connected: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarysaddle/schema/messages.capnp
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -229,6 +229,8 @@
 
 struct LoanRefusal {
   code @0 :Text;
+  # Whether the target's host accepted the connection that failed.
+  connected @1 :Bool = false;
 }
 
 struct LoanReturn {
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -34,6 +34,7 @@
     SessionVariables,
     Step,
     TargetState,
+    TeamScope,
     WriteTicket,
     choose_target,
     compute_transfer_cost_ns,
@@ -124,7 +125,9 @@
     _by_group: dict[str, dict[str, TargetState]] = attrs.field(
         factory=dict, init=False
     )
-    _neighbours: tuple[str, ...] = attrs.field(default=(), init=False)
+    _lenders: tuple[object, ...] = attrs.field(
+        factory=lambda: ((), {}), init=False
+    )
     _overloaded_until_ns: int = attrs.field(default=0, init=False)
     _last_tick_ns: int = attrs.field(default=0, init=False)
     _positions: dict[str, PositionHistory] = attrs.field(
@@ -141,7 +144,10 @@
     def __attrs_post_init__(self) -> None:
         """Create the loan client."""
         self.loan_client = LoanClient(
-            ranking=LenderRanking(own=self.node.lending_address),
+            ranking=LenderRanking(
+                own=self.node.lending_address,
+                data_center=self.node.data_center,
+            ),
             new_codec=self.new_codec,
         )
 
@@ -384,9 +390,10 @@
     def apply_view(self) -> None:
         """Update targets, pools and neighbours from the node's view."""
         ranking = self.loan_client.ranking
-        if self.node.neighbours != self._neighbours:
-            self._neighbours = self.node.neighbours
-            ranking.replace(self._neighbours)
+        lenders = (self.node.neighbours, self.node.remote_hosts)
+        if lenders != self._lenders:
+            self._lenders = lenders
+            ranking.replace(self.node.neighbours, self.node.remote_hosts)
         records = self.node.state.targets.records
         for name in [n for n in self.targets if n not in records]:
             self._remove_target(name)
@@ -396,7 +403,7 @@
                 self._add_target(name)
                 target_state = self.targets[name]
             target_state.leaving = record.leaving
-            self.pools[name].apply_share(self._compute_share(record.group))
+            self.pools[name].apply_share(self._compute_share(record))
         self.notify_waiters()
 
     def _remove_target(self, name: str) -> None:
@@ -435,21 +442,33 @@
             loan_client=self.loan_client,
             on_refused=self.handle_refused_loan,
         )
-        pool.apply_share(self._compute_share(record.group))
+        pool.apply_share(self._compute_share(record))
         self.pools[name] = pool
         self.admission_queues[name] = AdmissionQueue()
         if record.data_center == self.node.data_center:
             spawn(pool.warm(WARM_CONNECTIONS), self._tasks)
 
-    def _compute_share(self, group: str) -> ConnectionShare:
-        policy = self.node.state.routes.groups.get(group)
-        share = share_connections(
+    def _compute_share(self, record: TargetRecord) -> ConnectionShare:
+        routes = self.node.state.routes
+        policy = routes.groups.get(record.group)
+        team_scope = None
+        if routes.team_count is not None:
+            team_scope = TeamScope(
+                teams=routes.team_count,
+                target_center=record.data_center,
+                own_center=self.node.data_center,
+                remote=self.node.remote_hosts,
+                is_first_lender=self.loan_client.ranking.is_first(
+                    record.target, record.data_center
+                ),
+                can_lend=bool(self.node.lending_address),
+            )
+        return share_connections(
             limit=policy.connection_limit if policy is not None else 0,
             hosts=self.node.state.entry_hosts,
             neighbours=len(self.loan_client.ranking.hosts),
+            team_scope=team_scope,
         )
-        uses_teams = self.node.state.routes.team_count is not None
-        return attrs.evolve(share, uses_teams=uses_teams)
 
     def notify_waiters(self) -> None:
         """Wake all tasks that wait for a change of the view."""
