Test lending between data centres and unable lenders

Failures guarded against: a connection for each data centre and team, more connections than the target takes, requests that all wait for an unreachable data centre, a lender that cannot reach the target making it unavailable to all, and a dead target asked from every host.

--- a/tests/decide/test_lending.py
+++ b/tests/decide/test_lending.py
@@ -8,9 +8,15 @@
     NS_PER_MS,
     ConnectionShare,
     LenderRanking,
+    TeamScope,
     share_connections,
 )
-from rosemarysaddle.decide.load._lending import DOWN_BACKOFF_MS
+from rosemarysaddle.decide.load._lending import (
+    DOWN_BACKOFF_MS,
+    MAX_REMOTE_LENDERS,
+    UNABLE_BACKOFF_MS,
+    lending_hosts,
+)
 
 
 @pytest.mark.parametrize(
@@ -107,3 +113,132 @@
         ranking.mark_down(host, 0)
 
     assert ranking.lender("t", 0) == "h1"
+
+
+def _share_of(
+    center: int, sizes: list[int], *, limit: int, teams: int, is_first: bool
+) -> ConnectionShare:
+    remote = {f"dc{n}": (f"h{n}:1",) for n in range(len(sizes)) if n != center}
+    scope = TeamScope(
+        teams=teams,
+        target_center="dc0",
+        own_center=f"dc{center}",
+        remote=remote,
+        is_first_lender=is_first,
+    )
+    return share_connections(
+        limit=limit,
+        hosts=sum(sizes),
+        neighbours=sizes[center],
+        team_scope=scope,
+    )
+
+
+@given(
+    limit=st.integers(8, 1_000),
+    sizes=st.lists(st.integers(1, 200), min_size=2, max_size=13),
+    teams=st.integers(0, 10_000),
+)
+def test_hosts_agree_on_the_scope_and_stay_within_the_limit(
+    limit: int, sizes: list[int], teams: int
+) -> None:
+    shares = [
+        _share_of(n, sizes, limit=limit, teams=teams, is_first=n == 0)
+        for n in range(len(sizes))
+    ]
+    stand_in = _share_of(0, sizes, limit=limit, teams=teams, is_first=False)
+
+    assert len({share.lending_center for share in shares}) == 1
+    if shares[0].lending_center:
+        total = sum(share.limit for share in shares) + stand_in.limit
+        assert total <= limit
+
+
+@pytest.mark.parametrize(
+    ("limit", "sizes", "teams", "expected"),
+    [
+        (56, [14, 14, 14, 13, 13, 13], 1, 8),
+        (56, [14, 14, 14, 13, 13, 13], 83, 40),
+        (500, [200] * 13, 10_000, 366),
+        (56, [7], 83, 50),
+    ],
+)
+def test_lender_has_all_connections_where_teams_are_many(
+    limit: int, sizes: list[int], teams: int, expected: int
+) -> None:
+    share = _share_of(0, sizes, limit=limit, teams=teams, is_first=True)
+
+    assert share.limit == expected
+
+
+def test_connections_of_a_lost_data_center_stay_free() -> None:
+    # Its hosts may be alive and only cut off from the leader.
+    scope = TeamScope(
+        teams=83,
+        target_center="dc0",
+        own_center="dc1",
+        remote={"dc0": (), "dc2": ("h2:1",)},
+    )
+
+    share = share_connections(
+        limit=56, hosts=42, neighbours=14, team_scope=scope
+    )
+
+    assert (share.limit, share.lending_center) == (5, "")
+
+
+def _remote_rankings() -> list[LenderRanking]:
+    hosts = {c: [f"{c}h{n}" for n in range(60)] for c in ("dc0", "dc1")}
+    rankings = []
+    for center, own in hosts.items():
+        ranking = LenderRanking(own=own[0], data_center=center)
+        remote = {c: lending_hosts(h) for c, h in hosts.items() if c != center}
+        ranking.replace(own, remote)
+        rankings.append(ranking)
+    return rankings
+
+
+def test_hosts_of_all_data_centers_select_the_same_lender() -> None:
+    near, far = _remote_rankings()
+    targets = [f"t{n}" for n in range(200)]
+
+    lenders = [far.lender(t, 0, data_center="dc0") for t in targets]
+
+    assert lenders == [near.lender(t, 0, data_center="dc0") for t in targets]
+    assert all(lender.startswith("dc0") for lender in lenders)
+    assert MAX_REMOTE_LENDERS // 2 < len(set(lenders)) <= MAX_REMOTE_LENDERS
+
+
+def test_one_request_tries_an_unreachable_data_center_again() -> None:
+    # All requests at once would each wait for the time-out.
+    _, far = _remote_rankings()
+    lost = [far.lender("t", 0, data_center="dc0")]
+    assert far.mark_down(lost[0], 0) == ""
+    lost.append(far.lender("t", 0, data_center="dc0"))
+    assert far.mark_down(lost[1], 0) == "dc0"
+    later_ns = DOWN_BACKOFF_MS * NS_PER_MS
+
+    assert far.lender("t", 0, data_center="dc0").startswith("dc1")
+    assert far.trial_lender("t", 0, data_center="dc0") == ""
+    tried = far.trial_lender("t", later_ns, data_center="dc0")
+    assert tried.startswith("dc0")
+    assert far.trial_lender("t", later_ns, data_center="dc0") == ""
+    assert far.mark_up(tried) == "dc0"
+    assert far.lender("t", later_ns, data_center="dc0") == tried
+
+
+def test_unable_lender_is_skipped_for_one_target_only() -> None:
+    ranking = _ranking("h1", 11)
+    first = ranking.lender("t", 0)
+    other = next(
+        t for t in map(str, range(999)) if ranking.lender(t, 0) == first
+    )
+
+    ranking.mark_unable(first, "t", 0)
+    second = ranking.lender("t", 0)
+
+    assert second != first
+    assert ranking.lender(other, 0) == first
+    assert ranking.lender("t", UNABLE_BACKOFF_MS * NS_PER_MS) == first
+    ranking.mark_unable(second, "t", 0)
+    assert ranking.lender("t", 0) == first
--- a/tests/decide/test_neighbours.py
+++ b/tests/decide/test_neighbours.py
@@ -13,7 +13,13 @@
 
 
 def _renew(
-    lists: NeighbourLists, host: str, now_ns: int, tag: int = 0
+    lists: NeighbourLists,
+    host: str,
+    now_ns: int,
+    tag: int = 0,
+    *,
+    with_remote: bool = False,
+    present: frozenset[str] = frozenset(CENTERS),
 ) -> Neighbours | None:
     renewal = LeaseRenewal(
         host=host,
@@ -25,7 +31,12 @@
         neighbours_tag=tag,
     )
     return lists.list_if_changed(
-        host, renewal, centers=CENTERS, present=set(CENTERS), now_ns=now_ns
+        host,
+        renewal,
+        centers=CENTERS,
+        present=present,
+        now_ns=now_ns,
+        with_remote=with_remote,
     )
 
 
@@ -121,3 +132,32 @@
     )
 
     assert sent == {}
+
+
+def test_list_names_lenders_of_other_data_centers_only_with_teams() -> None:
+    lists = _lists()
+    without = _renew(lists, "a", GATHERED_NS)
+    found = _renew(lists, "a", GATHERED_NS, with_remote=True)
+
+    assert without is not None
+    assert found is not None
+    assert without.remote == ()
+    assert [(r.data_center, r.hosts[0].address) for r in found.remote] == [
+        ("dc2", "c:1")
+    ]
+    assert found.tag != without.tag
+
+
+def test_list_keeps_a_data_center_whose_hosts_are_gone() -> None:
+    lists = _lists()
+
+    found = _renew(
+        lists,
+        "a",
+        GATHERED_NS,
+        with_remote=True,
+        present=frozenset({"a", "b"}),
+    )
+
+    assert found is not None
+    assert [(r.data_center, r.hosts) for r in found.remote] == [("dc2", ())]
