--- a/src/rosemarysaddle/connection/_pool.py
+++ b/src/rosemarysaddle/connection/_pool.py
@@ -9,6 +9,7 @@
 import attrs
 
 from rosemarysaddle._clock import NS_PER_S, clock_ns
+from rosemarysaddle._events import log_event
 from rosemarysaddle.connection._connection import (
     TargetConnection,
     open_connection,
@@ -371,6 +372,12 @@
         self._connections.opening += 1
         if replaced is not None:
             self.replaced += 1
+            log_event(
+                "connection-replaced",
+                f"target={self.target} team={team or '-'}"
+                f" closed={self._connections.team_of(replaced) or '-'}"
+                f" open={self._connections.opened} limit={self.limit}",
+            )
             replaced.abort()
         if self._connections.uses_teams:
             self._wake_one()
--- a/src/rosemarysaddle/connection/_shared.py
+++ b/src/rosemarysaddle/connection/_shared.py
@@ -67,6 +67,17 @@
             self.own.target, clock_ns(), data_center=self.lending_center
         )
 
+    @property
+    def is_passed_over(self) -> bool:
+        """Return whether another host lends in place of this one.
+
+        This host could not connect to the target.
+        """
+        ranking = self.loan_client.ranking
+        return not self.opens_own_connections and ranking.is_unable(
+            ranking.own, self.own.target, clock_ns()
+        )
+
     @property
     def opens_own_connections(self) -> bool:
         """Return whether this host opens its own connections."""
@@ -205,6 +216,13 @@
 
     def apply_share(self, share: ConnectionShare) -> None:
         """Apply the share of connections that this host may open."""
+        if share.lending_center != self.lending_center:
+            log_event(
+                "lending-scope",
+                f"target={self.own.target}"
+                f" data_center={share.lending_center or '-'}"
+                f" limit={share.limit}",
+            )
         self.uses_lender = share.uses_lender
         self.lending_center = share.lending_center
         self.own.set_limit(share.limit, uses_teams=share.uses_teams)
--- a/src/rosemarysaddle/decide/load/_lending.py
+++ b/src/rosemarysaddle/decide/load/_lending.py
@@ -356,6 +356,10 @@
             now_ns + UNABLE_BACKOFF_MS * NS_PER_MS
         )
 
+    def is_unable(self, host: str, target: str, now_ns: int) -> bool:
+        """Tell whether a lender is skipped for a target."""
+        return now_ns < self._unable_until_ns.get((host, target), 0)
+
     def mark_able(self, host: str, target: str) -> None:
         """Record that a lender has a connection to a target."""
         self._unable_until_ns.pop((host, target), None)
@@ -367,9 +371,7 @@
             if now_ns >= self._down_until_ns.get(host, 0)
         ][:MAX_UNABLE_LENDERS]
         able = [
-            host
-            for host in up
-            if now_ns >= self._unable_until_ns.get((host, target), 0)
+            host for host in up if not self.is_unable(host, target, now_ns)
         ]
         # All agree on the first again if the target itself is down.
         return next(iter(able or up), "")
--- a/src/rosemarysaddle/decide/load/_team_connections.py
+++ b/src/rosemarysaddle/decide/load/_team_connections.py
@@ -136,6 +136,10 @@
         held = self._idle_since.items()
         return [c for c, since_ns in held if since_ns <= before_ns]
 
+    def team_of(self, connection: _T) -> str:
+        """Return the team that an open connection serves."""
+        return self._teams[connection]
+
     def has_idle_for(self, request: ConnectionRequest) -> bool:
         """Tell whether an idle connection may serve a request."""
         if request.any_team and self._idle_since:
--- a/src/rosemarysaddle/node/_host_metrics.py
+++ b/src/rosemarysaddle/node/_host_metrics.py
@@ -162,6 +162,19 @@
     yield _labelled_gauge(
         "target_connections", "Open connections", "target", opened
     )
+    events: dict[tuple[str, str], int] = {}
+    for name, pool in pools.items():
+        events[name, "opened"] = pool.own.opens
+        events[name, "replaced"] = pool.own.replaced
+        events[name, "taken"] = pool.own.takes
+        events[name, "reused"] = pool.own.reuses
+    yield Counter(
+        name=f"{_PREFIX}target_connection_events",
+        help_text="Connections opened, closed for another team, taken by"
+        " requests, and taken while open already",
+        labels=("target", "event"),
+        values=events,
+    )
 
 
 def _gauge(name: str, help_text: str, value: float) -> Gauge:
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -382,7 +382,10 @@
         # reports of several hosts.
         term = self.node.state.terms.get(pool.own.group)
         if term is not None and term.primary == pool.own.target:
-            return await pool.check()
+            if await pool.check():
+                return True
+            if not pool.is_passed_over:
+                return False
         return await pool.check_through_lender()
 
     # --- view changes ---
@@ -552,7 +555,9 @@
             clock_ns()
             > positions.newest_ns() + MAX_SHARED_POINT_AGE_MS * NS_PER_MS
         ):
-            await self._start_point_request(group, target)
+            # A lender that asked another one in turn could wait for
+            # itself.
+            await self._start_point_request(group, target, is_lender=True)
         point = positions.newest()
         if point is None:
             return _UNKNOWN_POINT
@@ -564,22 +569,27 @@
         )
 
     def _start_point_request(
-        self, group: str, target: str
+        self, group: str, target: str, *, is_lender: bool = False
     ) -> asyncio.Task[None]:
         # One request at a time: a primary that answers late is busy.
         request = self._point_requests.get(group)
         if request is None or request.done():
-            request = spawn(self._request_point(group, target), self._tasks)
+            request = spawn(
+                self._request_point(group, target, is_lender=is_lender),
+                self._tasks,
+            )
             self._point_requests[group] = request
         return request
 
-    async def _request_point(self, group: str, target: str) -> None:
+    async def _request_point(
+        self, group: str, target: str, *, is_lender: bool
+    ) -> None:
         deadline_ns = clock_ns() + POINT_TIMEOUT_MS * NS_PER_MS
         pool = self.pools[target]
         if not pool.has_share:
             return
         lender = pool.lender
-        if lender != self.loan_client.ranking.own:
+        if lender != self.loan_client.ranking.own and not is_lender:
             asked_ns = clock_ns()
             reply = await self.loan_client.ask_point(
                 target, lender, deadline_ns=deadline_ns
