Wait for or replace connections of a target that is full

Cause: where one host lends to all, the next lender opens up to 40 connections while the target still counts those of a host that lost power (3 s) or of a lender with an older list; each TOOMANY failed a request and marked the target down. Change: with teams, a pool that has connections keeps to these for 1 s; the request that found the target full tries once more, others wait. Ruled out: trying until the deadline, which would close every idle connection of the pool in turn. Without teams as before.

--- a/src/rosemarysaddle/connection/_pool.py
+++ b/src/rosemarysaddle/connection/_pool.py
@@ -15,6 +15,7 @@
     open_connection,
 )
 from rosemarysaddle.decide import (
+    FULL_BACKOFF_MS,
     INITIAL_SIZE,
     NS_PER_MS,
     ConcurrencyWindow,
@@ -124,6 +125,7 @@
             whether it is for a transaction
         :return: the connection, or why none was obtained
         """
+        was_full = False
         while True:
             # An opening that has no time left would look like a target
             # that takes no connection.
@@ -136,7 +138,11 @@
                 self._mark_taken(found, connection_request)
                 return found
             if found is not None:
-                return found
+                # More attempts could close all idle connections.
+                if was_full or not self._waits_for_full(found):
+                    return found
+                was_full = True
+                continue
             expected_wait_ns = self._queue.expected_wait_ns(connection_request)
             if clock_ns() + expected_wait_ns > deadline_ns:
                 return self._exhausted_fault()
@@ -303,7 +309,7 @@
         The first waiter that needs an opening is woken as well.
         """
         while True:
-            waiter = self._next_waiter(self._connections.may_get)
+            waiter = self._next_waiter(self._may_get)
             if waiter is None:
                 return
             assignment = self._connections.choose(
@@ -324,6 +330,9 @@
             assert assignment.connection is not None  # noqa: S101
             self._hand_over(assignment.connection, waiter)
 
+    def _may_get(self, connection_request: ConnectionRequest) -> bool:
+        return self._connections.may_get(connection_request, clock_ns())
+
     def _may_use_idle(self, connection_request: ConnectionRequest) -> bool:
         return self._connections.has_idle_for(
             connection_request
@@ -403,10 +412,29 @@
 
     def _report_open_fault(self, fault: OpenFault) -> OpenFault:
         self.failed_opens += 1
-        self.on_open_fault(fault)
+        is_full = fault.code is FaultCode.TOO_MANY_CONNECTIONS
+        if is_full and self._connections.record_full(clock_ns()):
+            log_event(
+                "target-full",
+                f"target={self.target} open={self._connections.opened}"
+                f" limit={self.limit}",
+            )
+            loop = asyncio.get_running_loop()
+            loop.call_later(FULL_BACKOFF_MS / 1_000, self._wake_one)
+        else:
+            self.on_open_fault(fault)
         self._wake_one()
         return fault
 
+    def _waits_for_full(self, fault: OpenFault) -> bool:
+        """Return whether a request may wait although an opening failed.
+
+        The target has no connection left, but this pool has some.
+        """
+        is_full = fault.code is FaultCode.TOO_MANY_CONNECTIONS
+        opened = self._connections.opened + self._connections.opening
+        return is_full and self._connections.uses_teams and opened > 0
+
     async def _wait(
         self, connection_request: ConnectionRequest, deadline_ns: int
     ) -> TargetConnection | _WakeReason:
@@ -435,7 +463,7 @@
         self._wake_one()
 
     def _wake_one(self) -> None:
-        waiter = self._next_waiter(self._connections.may_get)
+        waiter = self._next_waiter(self._may_get)
         if waiter is not None:
             _wake_waiter(waiter.item, _WakeReason.RETRY)
 
--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -84,6 +84,7 @@
     Waiter,
 )
 from rosemarysaddle.decide.load._team_connections import (
+    FULL_BACKOFF_MS,
     TeamConnections,
     max_concurrent_opens,
 )
@@ -112,6 +113,7 @@
 
 __all__ = (
     "BEHIND_MS",
+    "FULL_BACKOFF_MS",
     "INITIAL_SIZE",
     "LEASE_MS",
     "NO_ANSWER",
--- a/src/rosemarysaddle/decide/load/_team_connections.py
+++ b/src/rosemarysaddle/decide/load/_team_connections.py
@@ -23,7 +23,12 @@
 
     from rosemarysaddle.decide.load._queueing import ConnectionRequest
 
-__all__ = ("Assignment", "TeamConnections", "max_concurrent_opens")
+__all__ = (
+    "FULL_BACKOFF_MS",
+    "Assignment",
+    "TeamConnections",
+    "max_concurrent_opens",
+)
 
 # One opening at once for this many slots of the target, so that
 # openings leave half of the slots to statements.
@@ -40,6 +45,9 @@
 INITIAL_HOLD_MS: Final = 30
 # A transaction that its caller left idle says little about the next.
 MAX_HOLD_MS: Final = 1_000
+# A target that is full still counts the connections of a host that lost
+# power, for up to 3 s, or those of a host with an older list.
+FULL_BACKOFF_MS: Final = 1_000
 _HOLD_EWMA_WEIGHT: Final = 1 / 8
 # Use counters of teams without a connection are kept up to this many
 # for each connection, so that 10,000 teams do not take memory at each
@@ -120,6 +128,8 @@
     )
     _pinned: dict[str, int] = attrs.field(factory=dict, init=False)
     _uses: dict[str, _Use] = attrs.field(factory=dict, init=False)
+    _full_limit: int = attrs.field(default=0, init=False)
+    _full_until_ns: int = attrs.field(default=0, init=False)
 
     @property
     def opened(self) -> int:
@@ -165,24 +175,26 @@
         connection = self._choose_idle(request, prefers)
         if connection is not None:
             return Assignment(connection=connection)
-        if self.opening >= self.max_openings or self.limit <= 0:
+        limit = self._limit_at(now_ns)
+        if self.opening >= self.max_openings or limit <= 0:
             return None
-        if self.opened + self.opening < self.limit:
+        if self.opened + self.opening < limit:
             return Assignment()
-        if self.opened + self.opening > self.limit:
+        if self.opened + self.opening > limit:
             return None
         replaced = self._choose_replaced(now_ns)
         return None if replaced is None else Assignment(replaced=replaced)
 
-    def may_get(self, request: ConnectionRequest) -> bool:
+    def may_get(self, request: ConnectionRequest, now_ns: int) -> bool:
         """Tell whether :meth:`choose` would not let a request wait."""
         if not self.may_take(request):
             return False
         if self.has_idle_for(request):
             return True
         total = self.opened + self.opening
-        has_room = total < self.limit
-        may_replace = total == self.limit and bool(self._idle_since)
+        limit = self._limit_at(now_ns)
+        has_room = total < limit
+        may_replace = total == limit > 0 and bool(self._idle_since)
         return self.opening < self.max_openings and (has_room or may_replace)
 
     def may_take(self, request: ConnectionRequest) -> bool:
@@ -198,6 +210,20 @@
         rare = self.limit // CONNECTIONS_PER_RARE
         return sum(self._pinned.values()) < most - rare
 
+    def record_full(self, now_ns: int) -> bool:
+        """Record that the target has no connection left.
+
+        For ``FULL_BACKOFF_MS``, no more than those that are open or
+        being opened are used; requests wait for them or replace them.
+
+        :return: whether there are any
+        """
+        if not self.uses_teams or not self.opened + self.opening:
+            return False
+        self._full_limit = self.opened + self.opening
+        self._full_until_ns = now_ns + FULL_BACKOFF_MS * NS_PER_MS
+        return True
+
     def record_opened(self, connection: _T, team: str) -> None:
         """Add a connection that was opened for a team."""
         self._teams[connection] = team
@@ -279,6 +305,11 @@
             term *= mean_running / (running + 1)
         return rate_per_s * max(0.0, 1 - fewer)
 
+    def _limit_at(self, now_ns: int) -> int:
+        if now_ns < self._full_until_ns:
+            return min(self.limit, self._full_limit)
+        return self.limit
+
     def _choose_idle(
         self, request: ConnectionRequest, prefers: Callable[[_T], bool]
     ) -> _T | None:
