--- a/tests/decide/test_control.py
+++ b/tests/decide/test_control.py
@@ -23,6 +23,7 @@
     PromoteTarget,
     Reason,
     Refusal,
+    RouteTable,
     Send,
     TargetReport,
     WriteTicket,
@@ -744,3 +745,24 @@
     max_examples=120, stateful_step_count=50, deadline=None, derandomize=True
 )
 TestFenceMachine = FenceMachine.TestCase
+
+
+@pytest.mark.parametrize("teams", [None, [{"name": "t", "api_keys": ["k"]}]])
+def test_hosts_learn_lenders_of_other_data_centers_only_with_teams(
+    teams: list[dict[str, Any]] | None,
+) -> None:
+    harness = Harness.open()
+    for number, host in enumerate(harness.hosts.values(), 1):
+        host.lending_address = f"h{number}:1"
+    harness.elapse(3_000)
+    plan: dict[str, Any] = {"version": 1, "groups": [], "routes": []}
+    if teams is not None:
+        plan["teams"] = teams
+    harness.leader.state.routes = RouteTable.of(json.dumps(plan))
+
+    harness.elapse(3_000)
+
+    host = harness.hosts["h1"]
+    assert host.neighbours == ("h1:1",)
+    others = {"dc-2": ("h2:1",), "dc-3": ("h3:1",)}
+    assert host.remote_hosts == ({} if teams is None else others)
