--- a/src/rosemarysaddle/connection/_pool.py
+++ b/src/rosemarysaddle/connection/_pool.py
@@ -9,11 +9,13 @@
 import attrs
 
 from rosemarysaddle._clock import NS_PER_S, clock_ns
+from rosemarysaddle._events import log_event
 from rosemarysaddle.connection._connection import (
     TargetConnection,
     open_connection,
 )
 from rosemarysaddle.decide import (
+    FULL_BACKOFF_MS,
     INITIAL_SIZE,
     NS_PER_MS,
     ConcurrencyWindow,
@@ -123,6 +125,7 @@
             whether it is for a transaction
         :return: the connection, or why none was obtained
         """
+        was_full = False
         while True:
             # An opening that has no time left would look like a target
             # that takes no connection.
@@ -135,7 +138,11 @@
                 self._mark_taken(found, connection_request)
                 return found
             if found is not None:
-                return found
+                # More attempts could close all idle connections.
+                if was_full or not self._waits_for_full(found):
+                    return found
+                was_full = True
+                continue
             expected_wait_ns = self._queue.expected_wait_ns(connection_request)
             if clock_ns() + expected_wait_ns > deadline_ns:
                 return self._exhausted_fault()
@@ -233,11 +240,21 @@
         self.is_closed = True
         self.close_idle()
 
-    def close_idle(self) -> None:
-        """Close the idle connections."""
-        for connection in self._connections.idle:
+    def close_idle(self, *, idle_ms: int = 0) -> None:
+        """Close the idle connections.
+
+        :param idle_ms: time for which a connection has to be idle, in
+            milliseconds
+        """
+        before_ns = clock_ns() - idle_ms * NS_PER_MS
+        for connection in self._connections.idle_since(before_ns):
             connection.abort()
 
+    @property
+    def uses_teams(self) -> bool:
+        """Return whether each connection serves one team."""
+        return self._connections.uses_teams
+
     async def _take_or_open(
         self,
         variables: SessionVariables,
@@ -292,7 +309,7 @@
         The first waiter that needs an opening is woken as well.
         """
         while True:
-            waiter = self._next_waiter(self._connections.may_get)
+            waiter = self._next_waiter(self._may_get)
             if waiter is None:
                 return
             assignment = self._connections.choose(
@@ -313,6 +330,9 @@
             assert assignment.connection is not None  # noqa: S101
             self._hand_over(assignment.connection, waiter)
 
+    def _may_get(self, connection_request: ConnectionRequest) -> bool:
+        return self._connections.may_get(connection_request, clock_ns())
+
     def _may_use_idle(self, connection_request: ConnectionRequest) -> bool:
         return self._connections.has_idle_for(
             connection_request
@@ -361,6 +381,12 @@
         self._connections.opening += 1
         if replaced is not None:
             self.replaced += 1
+            log_event(
+                "connection-replaced",
+                f"target={self.target} team={team or '-'}"
+                f" closed={self._connections.team_of(replaced) or '-'}"
+                f" open={self._connections.opened} limit={self.limit}",
+            )
             replaced.abort()
         if self._connections.uses_teams:
             self._wake_one()
@@ -386,10 +412,29 @@
 
     def _report_open_fault(self, fault: OpenFault) -> OpenFault:
         self.failed_opens += 1
-        self.on_open_fault(fault)
+        is_full = fault.code is FaultCode.TOO_MANY_CONNECTIONS
+        if is_full and self._connections.record_full(clock_ns()):
+            log_event(
+                "target-full",
+                f"target={self.target} open={self._connections.opened}"
+                f" limit={self.limit}",
+            )
+            loop = asyncio.get_running_loop()
+            loop.call_later(FULL_BACKOFF_MS / 1_000, self._wake_one)
+        else:
+            self.on_open_fault(fault)
         self._wake_one()
         return fault
 
+    def _waits_for_full(self, fault: OpenFault) -> bool:
+        """Return whether a request may wait although an opening failed.
+
+        The target has no connection left, but this pool has some.
+        """
+        is_full = fault.code is FaultCode.TOO_MANY_CONNECTIONS
+        opened = self._connections.opened + self._connections.opening
+        return is_full and self._connections.uses_teams and opened > 0
+
     async def _wait(
         self, connection_request: ConnectionRequest, deadline_ns: int
     ) -> TargetConnection | _WakeReason:
@@ -418,7 +463,7 @@
         self._wake_one()
 
     def _wake_one(self) -> None:
-        waiter = self._next_waiter(self._connections.may_get)
+        waiter = self._next_waiter(self._may_get)
         if waiter is not None:
             _wake_waiter(waiter.item, _WakeReason.RETRY)
 
--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -77,6 +77,7 @@
 from rosemarysaddle.decide.load._lending import (
     ConnectionShare,
     LenderRanking,
+    TeamScope,
     share_connections,
 )
 from rosemarysaddle.decide.load._load_balancing import (
@@ -97,6 +98,7 @@
     LimitShare,
 )
 from rosemarysaddle.decide.load._team_connections import (
+    FULL_BACKOFF_MS,
     TeamConnections,
     max_concurrent_opens,
 )
@@ -127,6 +129,7 @@
 
 __all__ = (
     "BEHIND_MS",
+    "FULL_BACKOFF_MS",
     "INITIAL_SIZE",
     "LEASE_MS",
     "NO_ANSWER",
@@ -194,6 +197,7 @@
     "TargetView",
     "TeamConnections",
     "TeamDirectory",
+    "TeamScope",
     "TokenCodec",
     "TokenCounter",
     "TokenStock",
