Reserve the loopback network of a test run with a lock

Cause: networks by process id met in two of several runs at once (127.28.1.1, address already in use, 2 failures of tests/node). Change: a run reserves the first network that no other run holds, by a bound socket. Conclusion: collisions are ruled out and not only unlikely.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import itertools
-import os
+import socket
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -32,9 +32,27 @@
     from rosemarysaddle.link import Address
     from rosemarysaddle.schema import LogEntry
 
-# Loopback network of this test run, so that runs side by side do not
-# listen on the same addresses.
-TEST_NETWORK = f"127.{16 + os.getpid() % 40}"
+LOCK_PORT = 17_000
+
+
+def _lock_network() -> tuple[str, socket.socket]:
+    """Find a loopback network that no other test run uses.
+
+    :return: network, and the socket that reserves it for this process
+    """
+    for number in range(16, 56):
+        lock = socket.socket()
+        try:
+            lock.bind((f"127.{number}.0.1", LOCK_PORT))
+        except OSError:
+            lock.close()
+        else:
+            return f"127.{number}", lock
+    message = "all loopback networks from 127.16 to 127.55 are in use"
+    raise RuntimeError(message)
+
+
+TEST_NETWORK, _NETWORK_LOCK = _lock_network()
 NS_PER_MS = 1_000_000
 VOTERS = ("a", "b", "c")
 
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-import os
-
 import pytest
 
 from rosemarysaddle.soak import run_soak
+from tests.helpers import TEST_NETWORK
 
 # Loopback network apart from those of soaks started by hand and of
 # test runs side by side.
-SLOT = 30 + os.getpid() % 100
+SLOT = 30 + int(TEST_NETWORK.removeprefix("127."))
 
 
 @pytest.mark.parametrize(
