--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -46,6 +46,11 @@
     RouteTable,
     check_plan,
 )
+from rosemarysaddle.decide.configuration._teams import (
+    TeamDirectory,
+    digest_key,
+    team_weight,
+)
 from rosemarysaddle.decide.control_log._follower import (
     BEHIND_MS,
     FollowerStatus,
@@ -65,9 +70,14 @@
 from rosemarysaddle.decide.control_log._voter_manager import address_of
 from rosemarysaddle.decide.control_log._voters import join_voters
 from rosemarysaddle.decide.leases._lease import HostLease, LeaseTable
+from rosemarysaddle.decide.load._counting_hosts import (
+    CountingHosts,
+    rank_hosts,
+)
 from rosemarysaddle.decide.load._lending import (
     ConnectionShare,
     LenderRanking,
+    TeamScope,
     share_connections,
 )
 from rosemarysaddle.decide.load._load_balancing import (
@@ -77,10 +87,23 @@
     compute_transfer_cost_ns,
 )
 from rosemarysaddle.decide.load._queueing import (
+    WEIGHT_SCALE,
     ConnectionQueue,
     ConnectionRequest,
     Waiter,
 )
+from rosemarysaddle.decide.load._rate_limit import (
+    DemandRate,
+    LimitSettings,
+    LimitShare,
+)
+from rosemarysaddle.decide.load._team_connections import (
+    FULL_BACKOFF_MS,
+    TeamConnections,
+    max_concurrent_opens,
+)
+from rosemarysaddle.decide.load._token_counter import TokenCounter
+from rosemarysaddle.decide.load._token_stock import TokenStock, reserve_share
 from rosemarysaddle.decide.load._window import INITIAL_SIZE, ConcurrencyWindow
 from rosemarysaddle.decide.primaries._change import (
     ChangeTimes,
@@ -106,10 +129,12 @@
 
 __all__ = (
     "BEHIND_MS",
+    "FULL_BACKOFF_MS",
     "INITIAL_SIZE",
     "LEASE_MS",
     "NO_ANSWER",
     "NS_PER_MS",
+    "WEIGHT_SCALE",
     "Answer",
     "ChangeTimes",
     "CloseSession",
@@ -121,6 +146,8 @@
     "ConnectionSetup",
     "ConnectionShare",
     "ControlNode",
+    "CountingHosts",
+    "DemandRate",
     "DocumentKind",
     "Effect",
     "EntryKind",
@@ -135,6 +162,8 @@
     "InventoryTable",
     "LeaseTable",
     "LenderRanking",
+    "LimitSettings",
+    "LimitShare",
     "LoadSnapshot",
     "LogNode",
     "LogPoint",
@@ -166,7 +195,12 @@
     "TargetReport",
     "TargetState",
     "TargetView",
+    "TeamConnections",
+    "TeamDirectory",
+    "TeamScope",
     "TokenCodec",
+    "TokenCounter",
+    "TokenStock",
     "Waiter",
     "WriteTicket",
     "address_of",
@@ -175,13 +209,18 @@
     "choose_primary",
     "choose_target",
     "compute_transfer_cost_ns",
+    "digest_key",
     "eligible_reports",
     "is_empty",
     "is_update",
     "join_voters",
+    "max_concurrent_opens",
     "newer_point",
     "promotion_quorum",
+    "rank_hosts",
+    "reserve_share",
     "share_connections",
     "shared_name",
+    "team_weight",
     "write_quorum",
 )
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -267,6 +267,7 @@
     """Message: loan refusal."""
 
     code: str
+    connected: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -281,6 +282,7 @@
     team: str = ""
     objective_ms: int = 0
     weight: int = 0
+    any_team: bool = False
 
 
 @attrs.frozen(kw_only=True)
