--- a/src/rosemarysaddle/connection/_lender.py
+++ b/src/rosemarysaddle/connection/_lender.py
@@ -1,4 +1,4 @@
-"""Lends connections to the other entry hosts of the data centre."""
+"""Lends connections to other entry hosts."""
 
 from __future__ import annotations
 
@@ -20,6 +20,7 @@
 from rosemarysaddle.connection._token_links import FrameBatch
 from rosemarysaddle.decide import (
     NS_PER_MS,
+    WEIGHT_SCALE,
     ConnectionRequest,
     FaultCode,
     SessionVariables,
@@ -200,21 +201,21 @@
                 self.abort()
                 return
             if self.lender.waiting > MAX_WAITING_BORROWERS:
-                self._refuse(FaultCode.BUSY)
+                self._refuse(FaultCode.BUSY, connected=False)
                 return
-            if not pool.has_idle:
+            deadline_ns = clock_ns() + request.wait_ms * NS_PER_MS
+            connection_request = _connection_request(request, deadline_ns)
+            if not pool.has_idle_for(connection_request):
                 self.send(frame_message(LoanQueued()))
             found = await pool.acquire(
                 SessionVariables(
                     values={v.name: v.value for v in request.values}
                 ),
-                deadline_ns=clock_ns() + request.wait_ms * NS_PER_MS,
-                connection_request=ConnectionRequest(
-                    priority=request.priority, pinned=request.pinned
-                ),
+                deadline_ns=deadline_ns,
+                connection_request=connection_request,
             )
             if isinstance(found, OpenFault):
-                self._refuse(found.code)
+                self._refuse(found.code, connected=found.connected)
             elif self._transport is None:
                 pool.release(found)
             else:
@@ -255,5 +256,24 @@
         if self._pool is not None:
             self._pool.release(connection)
 
-    def _refuse(self, code: FaultCode) -> None:
-        self.send(frame_message(LoanRefusal(code=code)))
+    def _refuse(self, code: FaultCode, *, connected: bool) -> None:
+        refusal = LoanRefusal(code=code, connected=connected)
+        self.send(frame_message(refusal))
+
+
+def _connection_request(
+    request: LoanRequest, deadline_ns: int
+) -> ConnectionRequest:
+    objective_ns = 0
+    if request.objective_ms:
+        objective_ns = clock_ns() + request.objective_ms * NS_PER_MS
+    weight = request.weight / WEIGHT_SCALE if request.weight else 1.0
+    return ConnectionRequest(
+        priority=request.priority,
+        pinned=request.pinned,
+        team=request.team,
+        any_team=request.any_team,
+        deadline_ns=deadline_ns,
+        objective_ns=objective_ns,
+        weight=weight,
+    )
--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -46,6 +46,11 @@
     RouteTable,
     check_plan,
 )
+from rosemarysaddle.decide.configuration._teams import (
+    TeamDirectory,
+    digest_key,
+    team_weight,
+)
 from rosemarysaddle.decide.control_log._follower import (
     BEHIND_MS,
     FollowerStatus,
@@ -72,6 +77,7 @@
 from rosemarysaddle.decide.load._lending import (
     ConnectionShare,
     LenderRanking,
+    TeamScope,
     share_connections,
 )
 from rosemarysaddle.decide.load._load_balancing import (
@@ -81,6 +87,7 @@
     compute_transfer_cost_ns,
 )
 from rosemarysaddle.decide.load._queueing import (
+    WEIGHT_SCALE,
     ConnectionQueue,
     ConnectionRequest,
     Waiter,
@@ -90,6 +97,11 @@
     LimitSettings,
     LimitShare,
 )
+from rosemarysaddle.decide.load._team_connections import (
+    FULL_BACKOFF_MS,
+    TeamConnections,
+    max_concurrent_opens,
+)
 from rosemarysaddle.decide.load._token_counter import TokenCounter
 from rosemarysaddle.decide.load._token_stock import TokenStock, reserve_share
 from rosemarysaddle.decide.load._window import INITIAL_SIZE, ConcurrencyWindow
@@ -117,10 +129,12 @@
 
 __all__ = (
     "BEHIND_MS",
+    "FULL_BACKOFF_MS",
     "INITIAL_SIZE",
     "LEASE_MS",
     "NO_ANSWER",
     "NS_PER_MS",
+    "WEIGHT_SCALE",
     "Answer",
     "ChangeTimes",
     "CloseSession",
@@ -181,6 +195,9 @@
     "TargetReport",
     "TargetState",
     "TargetView",
+    "TeamConnections",
+    "TeamDirectory",
+    "TeamScope",
     "TokenCodec",
     "TokenCounter",
     "TokenStock",
@@ -192,15 +209,18 @@
     "choose_primary",
     "choose_target",
     "compute_transfer_cost_ns",
+    "digest_key",
     "eligible_reports",
     "is_empty",
     "is_update",
     "join_voters",
+    "max_concurrent_opens",
     "newer_point",
     "promotion_quorum",
     "rank_hosts",
     "reserve_share",
     "share_connections",
     "shared_name",
+    "team_weight",
     "write_quorum",
 )
--- a/src/rosemarysaddle/session/_rate_limits.py
+++ b/src/rosemarysaddle/session/_rate_limits.py
@@ -307,7 +307,8 @@
         self.counter.forget_idle(now_ns)
         for ask in list(self._asks.values()):
             self._clean(ask, now_ns)
-        teams = self.node.state.routes.teams
+        directory = self.node.state.routes.teams
+        teams = directory.by_name if directory is not None else {}
         if len(self._shares) > len(teams):
             kept = self._shares.items()
             self._shares = {n: s for n, s in kept if n in teams}
@@ -511,7 +512,7 @@
         self.stats.refused[cause] += 1
         retry_after_ms = ask.stock.retry_after_ms(now_ns)
         if not ask.refused_count:
-            team = self.node.state.routes.teams.get(ask.team)
+            team = self.node.state.routes.team(ask.team)
             log_event(
                 "limit-reached",
                 f"team={ask.team} cause={cause}"
@@ -568,7 +569,7 @@
             )
             reply(grant)
 
-        team = self.node.state.routes.teams.get(request.team)
+        team = self.node.state.routes.team(request.team)
         if team is None:
             # The plan that has the team arrives here later.
             answer(0, UNKNOWN_TEAM_WAIT_MS)
@@ -793,7 +794,7 @@
     def _share(self, team: str) -> LimitShare | None:
         if not self.is_enabled:
             return None
-        found = self.node.state.routes.teams.get(team)
+        found = self.node.state.routes.team(team)
         if found is None:
             return None
         cached = self._shares.get(team)
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -22,6 +22,7 @@
 )
 from rosemarysaddle.decide import (
     NS_PER_MS,
+    ConnectionRequest,
     FaultCode,
     Freshness,
     LenderRanking,
@@ -34,6 +35,7 @@
     SessionVariables,
     Step,
     TargetState,
+    TeamScope,
     WriteTicket,
     choose_target,
     compute_transfer_cost_ns,
@@ -128,7 +130,9 @@
     _by_group: dict[str, dict[str, TargetState]] = attrs.field(
         factory=dict, init=False
     )
-    _neighbours: tuple[str, ...] = attrs.field(default=(), init=False)
+    _lenders: tuple[object, ...] = attrs.field(
+        factory=lambda: ((), {}), init=False
+    )
     _overloaded_until_ns: int = attrs.field(default=0, init=False)
     _last_tick_ns: int = attrs.field(default=0, init=False)
     _positions: dict[str, PositionHistory] = attrs.field(
@@ -148,7 +152,10 @@
             node=self.node, settings=self.limit_settings, regions=self.regions
         )
         self.loan_client = LoanClient(
-            ranking=LenderRanking(own=self.node.lending_address),
+            ranking=LenderRanking(
+                own=self.node.lending_address,
+                data_center=self.node.data_center,
+            ),
             new_codec=self.new_codec,
         )
 
@@ -387,7 +394,10 @@
         # reports of several hosts.
         term = self.node.state.terms.get(pool.own.group)
         if term is not None and term.primary == pool.own.target:
-            return await pool.check()
+            if await pool.check():
+                return True
+            if not pool.is_passed_over:
+                return False
         return await pool.check_through_lender()
 
     # --- view changes ---
@@ -396,9 +406,10 @@
         """Update targets, pools and neighbours from the node's view."""
         self.rate_limits.apply_view()
         ranking = self.loan_client.ranking
-        if self.node.neighbours != self._neighbours:
-            self._neighbours = self.node.neighbours
-            ranking.replace(self._neighbours)
+        lenders = (self.node.neighbours, self.node.remote_hosts)
+        if lenders != self._lenders:
+            self._lenders = lenders
+            ranking.replace(self.node.neighbours, self.node.remote_hosts)
         records = self.node.state.targets.records
         for name in [n for n in self.targets if n not in records]:
             self._remove_target(name)
@@ -408,7 +419,7 @@
                 self._add_target(name)
                 target_state = self.targets[name]
             target_state.leaving = record.leaving
-            self.pools[name].apply_share(self._compute_share(record.group))
+            self.pools[name].apply_share(self._compute_share(record))
         self.notify_waiters()
 
     def _remove_target(self, name: str) -> None:
@@ -447,18 +458,32 @@
             loan_client=self.loan_client,
             on_refused=self.handle_refused_loan,
         )
-        pool.apply_share(self._compute_share(record.group))
+        pool.apply_share(self._compute_share(record))
         self.pools[name] = pool
         self.admission_queues[name] = AdmissionQueue()
         if record.data_center == self.node.data_center:
             spawn(pool.warm(WARM_CONNECTIONS), self._tasks)
 
-    def _compute_share(self, group: str) -> ConnectionShare:
-        policy = self.node.state.routes.groups.get(group)
+    def _compute_share(self, record: TargetRecord) -> ConnectionShare:
+        routes = self.node.state.routes
+        policy = routes.groups.get(record.group)
+        team_scope = None
+        if routes.teams is not None:
+            team_scope = TeamScope(
+                teams=len(routes.teams.by_name),
+                target_center=record.data_center,
+                own_center=self.node.data_center,
+                remote=self.node.remote_hosts,
+                is_first_lender=self.loan_client.ranking.is_first(
+                    record.target, record.data_center
+                ),
+                can_lend=bool(self.node.lending_address),
+            )
         return share_connections(
             limit=policy.connection_limit if policy is not None else 0,
             hosts=self.node.state.entry_hosts,
             neighbours=len(self.loan_client.ranking.hosts),
+            team_scope=team_scope,
         )
 
     def notify_waiters(self) -> None:
@@ -544,7 +569,9 @@
             clock_ns()
             > positions.newest_ns() + MAX_SHARED_POINT_AGE_MS * NS_PER_MS
         ):
-            await self._start_point_request(group, target)
+            # A lender that asked another one in turn could wait for
+            # itself.
+            await self._start_point_request(group, target, is_lender=True)
         point = positions.newest()
         if point is None:
             return _UNKNOWN_POINT
@@ -556,22 +583,27 @@
         )
 
     def _start_point_request(
-        self, group: str, target: str
+        self, group: str, target: str, *, is_lender: bool = False
     ) -> asyncio.Task[None]:
         # One request at a time: a primary that answers late is busy.
         request = self._point_requests.get(group)
         if request is None or request.done():
-            request = spawn(self._request_point(group, target), self._tasks)
+            request = spawn(
+                self._request_point(group, target, is_lender=is_lender),
+                self._tasks,
+            )
             self._point_requests[group] = request
         return request
 
-    async def _request_point(self, group: str, target: str) -> None:
+    async def _request_point(
+        self, group: str, target: str, *, is_lender: bool
+    ) -> None:
         deadline_ns = clock_ns() + POINT_TIMEOUT_MS * NS_PER_MS
         pool = self.pools[target]
         if not pool.has_share:
             return
         lender = pool.lender
-        if lender != self.loan_client.ranking.own:
+        if lender != self.loan_client.ranking.own and not is_lender:
             asked_ns = clock_ns()
             reply = await self.loan_client.ask_point(
                 target, lender, deadline_ns=deadline_ns
@@ -583,7 +615,9 @@
                 )
             return
         found = await pool.own.acquire(
-            SessionVariables(), deadline_ns=deadline_ns
+            SessionVariables(),
+            deadline_ns=deadline_ns,
+            connection_request=ConnectionRequest(any_team=True),
         )
         if isinstance(found, OpenFault):
             return
