Add metrics of limits; reset buckets of regained teams

Cause: a host that lost and regained a team without a request in between kept the tokens of the bucket it had before, although another host had counted in the meantime (found by a test of the decisions).

Ruled out: reset at each change of the list; a host whose teams did not move would lose their tokens whenever another host restarts.

Before: 30 tokens one second after the team was regained at 10/s. The host's metrics show granted and refused operations, transfers, requests and waits, without a label for a team.

--- a/src/rosemarysaddle/_prometheus.py
+++ b/src/rosemarysaddle/_prometheus.py
@@ -30,12 +30,12 @@
 
 @attrs.frozen(kw_only=True)
 class Counter:
-    """Metric that only increases, with two labels."""
+    """Metric that only increases, with labels."""
 
     name: str
     help_text: str
-    labels: tuple[str, str]
-    values: Mapping[tuple[str, str], int]
+    labels: tuple[str, ...]
+    values: Mapping[tuple[str, str], int] | Mapping[tuple[str], int]
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarysaddle/decide/load/_counting_hosts.py
+++ b/src/rosemarysaddle/decide/load/_counting_hosts.py
@@ -14,15 +14,13 @@
 import attrs
 
 from rosemarysaddle.decide._times import LEASE_MS, NS_PER_MS
+from rosemarysaddle.decide.load._lending import lending_hosts
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
 __all__ = ("CountingHosts", "CountingRole", "rank_hosts")
 
-# Hosts of a data centre that count.  Other data centres are told no
-# more than this many addresses of it.
-MAX_COUNTING_HOSTS: Final = 32
 # Lists that are remembered in order to find out since when this host
 # has counted for a team.  A list change removes no tokens from hosts
 # whose teams did not move.
@@ -41,12 +39,6 @@
     return hashlib.blake2b(f"{host} {name}".encode(), digest_size=8).digest()
 
 
-def _select(hosts: Iterable[str]) -> tuple[str, ...]:
-    # All data centres have to select the same hosts of this one.
-    ranked = sorted(set(hosts), key=lambda host: _hash(host, ""))
-    return tuple(sorted(ranked[:MAX_COUNTING_HOSTS]))
-
-
 @attrs.frozen(kw_only=True)
 class CountingRole:
     """Role of this host for a team.
@@ -95,7 +87,8 @@
         A list that lacks this host is older than its lease, so that
         other hosts ask another one.
         """
-        selected = _select(hosts)
+        # Other data centres know only these hosts of this one.
+        selected = lending_hosts(hosts)
         if selected == self.hosts:
             return
         self.hosts = selected
--- a/src/rosemarysaddle/decide/load/_token_counter.py
+++ b/src/rosemarysaddle/decide/load/_token_counter.py
@@ -244,7 +244,10 @@
         role = self.hosts.role(team)
         if not role.is_first:
             state.bucket = None
-        elif state.bucket is None:
+            return
+        bucket = state.bucket
+        # Another host has counted since an older one was updated.
+        if bucket is None or bucket.updated_ns < role.since_ns:
             state.bucket = TokenBucket(
                 rate_per_s=share.rate_per_s,
                 capacity=share.capacity,
--- a/src/rosemarysaddle/node/_host_metrics.py
+++ b/src/rosemarysaddle/node/_host_metrics.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING, Final
 
 from rosemarysaddle._clock import NS_PER_S, clock_ns
 from rosemarysaddle._prometheus import Counter, Gauge, Histogram, metrics_app
 from rosemarysaddle.link import Address
-from rosemarysaddle.session import LATENCY_BOUNDS_MS
+from rosemarysaddle.session import LATENCY_BOUNDS_MS, WAIT_BOUNDS_MS
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator, Mapping
@@ -16,7 +17,7 @@
     from rosemarysaddle.connection import Lender
     from rosemarysaddle.decide import ClusterState, ControlNode, EntryNode
     from rosemarysaddle.schema import Node
-    from rosemarysaddle.session import Router, StatementStats
+    from rosemarysaddle.session import RateLimits, Router, StatementStats
     from rosemarysaddle.web import HttpServer
 
 __all__ = ("control_metrics", "entry_metrics", "start_metrics")
@@ -61,6 +62,8 @@
     yield _gauge("lease_left_seconds", "Time left on the lease", left_s)
     yield from _state_metrics(node.state)
     yield from _target_metrics(router)
+    if router.rate_limits.is_enabled:
+        yield from _limit_metrics(router.rate_limits)
     yield _gauge(
         "loans_held",
         "Connections on loan from others",
@@ -177,6 +180,63 @@
     )
 
 
+def _limit_metrics(limits: RateLimits) -> Iterator[Metric]:
+    # Labels never name a team: there may be 10,000 of them.
+    stats = limits.stats
+    for name, help_text, label, values in (
+        (
+            "limit_operations",
+            "Operations that needed a token, by result",
+            "result",
+            {"granted": stats.granted, **stats.refused},
+        ),
+        (
+            "limit_transferred",
+            "Tokens received from and given to other data centres",
+            "direction",
+            dict(stats.transferred),
+        ),
+        (
+            "limit_requests",
+            "Requests for tokens",
+            "direction",
+            {
+                "sent": limits.links.requests,
+                "answered": stats.answered,
+                # In place of the first host of the ranking.
+                "takeover": limits.counter.takeovers,
+            },
+        ),
+    ):
+        yield Counter(
+            name=_PREFIX + name,
+            help_text=help_text,
+            labels=(label,),
+            values={(key,): value for key, value in values.items()},
+        )
+    yield Histogram(
+        name=f"{_PREFIX}limit_wait_seconds",
+        help_text="Time that admitted operations waited for a token",
+        label="result",
+        bounds_s=tuple(bound / 1_000 for bound in WAIT_BOUNDS_MS),
+        values={
+            "granted": (
+                list(itertools.accumulate(stats.waits)),
+                stats.wait_sum_ns / NS_PER_S,
+            )
+        },
+    )
+    yield _gauge(
+        "limit_refused_teams", "Teams refused here now", limits.refused_teams
+    )
+    yield _gauge("limit_links", "Links for requests", limits.links.open_count)
+    yield _gauge(
+        "limit_lost_hosts",
+        "Counting hosts that do not answer",
+        limits.links.lost_hosts,
+    )
+
+
 def _gauge(name: str, help_text: str, value: float) -> Gauge:
     return Gauge(name=_PREFIX + name, help_text=help_text, values={"": value})
 
--- a/src/rosemarysaddle/session/__init__.py
+++ b/src/rosemarysaddle/session/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from rosemarysaddle.session._caller import CallerCodec, CallerSession
+from rosemarysaddle.session._rate_limits import WAIT_BOUNDS_MS, RateLimits
 from rosemarysaddle.session._router import ReadTarget, Router
 from rosemarysaddle.session._runner import Runner, Transaction
 from rosemarysaddle.session._statement_stats import (
@@ -12,8 +13,10 @@
 
 __all__ = (
     "LATENCY_BOUNDS_MS",
+    "WAIT_BOUNDS_MS",
     "CallerCodec",
     "CallerSession",
+    "RateLimits",
     "ReadTarget",
     "Router",
     "Runner",
--- a/tests/node/test_host_metrics.py
+++ b/tests/node/test_host_metrics.py
@@ -7,7 +7,12 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from rosemarysaddle.connection import Lender
-from rosemarysaddle.decide import ControlNode, EntryNode, GroupTerm
+from rosemarysaddle.decide import (
+    ControlNode,
+    EntryNode,
+    GroupTerm,
+    LimitSettings,
+)
 from rosemarysaddle.node._host_metrics import (
     control_metrics,
     entry_metrics,
@@ -104,3 +109,22 @@
 
 def test_start_metrics_returns_none_without_address() -> None:
     assert start_metrics(_settings(""), list) is None
+
+
+def test_metrics_of_limits_name_no_team() -> None:
+    # Guards against a label for each of thousands of teams.
+    router = _router()
+    limits = router.rate_limits
+    limits.settings = LimitSettings(window_ns=5_000_000_000)
+    limits.stats.granted = 3
+    limits.stats.record_wait(3 * NS_PER_MS)
+    metrics: dict[str, Any] = {
+        metric.name.removeprefix("rosemarysaddle_"): metric
+        for metric in entry_metrics(
+            router.node, router, _lender(router), sessions=0
+        )
+        if "limit_" in metric.name
+    }
+    assert metrics["limit_operations"].values == {("granted",): 3}
+    waits = metrics["limit_wait_seconds"].values["granted"]
+    assert waits == ([0, 0, 1, 1, 1, 1, 1, 1], 0.003)
--- a/tests/session/limits_simulation.py
+++ b/tests/session/limits_simulation.py
@@ -20,6 +20,7 @@
     Refusal,
     RouteTable,
 )
+from rosemarysaddle.decide.configuration._teams import TeamDirectory
 from rosemarysaddle.schema import Team, TokenGrant, TokenRequest
 from rosemarysaddle.session import _rate_limits as module
 from rosemarysaddle.session._rate_limits import RateLimits
@@ -289,16 +290,15 @@
         host.limits.apply_view()
 
     def _apply_limit(self, host: Host) -> None:
-        teams = host.limits.node.state.routes.teams
+        state = host.limits.node.state
         team = Team(
             name=TEAM,
             api_keys=(),
             rate_per_s=self.rate_per_s,
             burst_size=self.burst_size,
         )
-        if teams.get(TEAM) != team:
-            routes = RouteTable(teams={TEAM: team})
-            host.limits.node.state.routes = routes
+        if state.routes.team(TEAM) != team:
+            state.routes = RouteTable(teams=TeamDirectory.of([team]))
 
     def _list(self, center: str) -> tuple[str, ...]:
         now_s = self.loop.time()
--- a/tests/session/test_rate_limit_faults.py
+++ b/tests/session/test_rate_limit_faults.py
@@ -143,6 +143,17 @@
         assert _served(simulation) > 0.99
 
 
+def test_hosts_with_a_large_burst_restart_at_once() -> None:
+    # Guards against a second burst after a restart.
+    with simulate(rate_per_s=60, burst_size=600, warm_up_s=14) as simulation:
+        simulation.offer(900, 1)
+        for address, host in list(simulation.hosts.items()):
+            host.is_alive = False
+            simulation.start(address, host.center)
+        simulation.offer(900, 4)
+        simulation.check()
+
+
 def test_limit_is_lowered_far_below_what_a_team_sends() -> None:
     # Guards against tokens of the old limit, and a limit that stays.
     with simulate() as simulation:
