Name the cause of a refusal from the answer, not from the clock

Ruled out: a longer pause; it only moves the boundary.

Conclusion: the stock keeps whether the last request was answered.

--- a/src/rosemarysaddle/session/_rate_limits.py
+++ b/src/rosemarysaddle/session/_rate_limits.py
@@ -375,7 +375,9 @@
                 waiter,
                 clock_ns(),
             ),
-            loop.call_later(ADMIT_TIMEOUT_MS / 1_000, _end_wait, waiter),
+            loop.call_later(
+                ADMIT_TIMEOUT_MS / 1_000, self._end_wait, ask, waiter
+            ),
         )
         if not ask.is_asking:
             ask.is_asking = True
@@ -389,11 +391,22 @@
     def _end_wait_if_answered(
         self, ask: _Ask, waiter: asyncio.Future[bool], start_ns: int
     ) -> None:
-        if ask.last_answer_ns <= start_ns:
+        if waiter.done() or ask.last_answer_ns <= start_ns:
+            return
+        # More tokens may arrive at any moment, but not for this one.
+        ask.stock.record_refusal(1, clock_ns(), is_unreachable=False)
+        waiter.set_result(False)
+
+    def _end_wait(self, ask: _Ask, waiter: asyncio.Future[bool]) -> None:
+        if waiter.done():
             return
-        if not waiter.done():
-            ask.stock.record_refusal(1, clock_ns(), is_unreachable=False)
-        _end_wait(waiter)
+        self._record_unreachable(ask)
+        waiter.set_result(False)
+
+    def _record_unreachable(self, ask: _Ask) -> None:
+        ask.stock.record_refusal(
+            UNREACHABLE_RETRY_MS, clock_ns(), is_unreachable=True
+        )
 
     async def _ask_until_served(self, ask: _Ask) -> None:
         try:
@@ -412,6 +425,7 @@
         :return: whether tokens were granted
         """
         if not self._has_hosts.is_set() and not await self._wait_for_hosts():
+            self._record_unreachable(ask)
             return False
         asked = 0
         for host in self.counter.hosts.ranking(ask.team):
@@ -429,6 +443,7 @@
                 return False
             if not ask.waiters or (answer is not None and answer.count):
                 return True
+        self._record_unreachable(ask)
         return False
 
     async def _wait_for_hosts(self) -> bool:
@@ -485,7 +500,7 @@
     ) -> Refusal | None:
         now_ns = clock_ns()
         stock = ask.stock
-        if stock.is_refused(now_ns) and not stock.is_unreachable:
+        if not stock.is_unreachable:
             return self._refuse(ask, now_ns, "limit")
         hosts = self.counter.hosts
         ranking = hosts.ranking(ask.team)
@@ -502,10 +517,6 @@
             ):
                 self.stats.granted += 1
                 return None
-        if not stock.is_refused(now_ns):
-            stock.record_refusal(
-                UNREACHABLE_RETRY_MS, now_ns, is_unreachable=True
-            )
         return self._refuse(ask, now_ns, "unreachable")
 
     def _refuse(self, ask: _Ask, now_ns: int, cause: str) -> Refusal:
@@ -816,8 +827,3 @@
         granted = min(tokens, held.count)
         tokens -= granted
         held.on_answer(granted, 0)
-
-
-def _end_wait(waiter: asyncio.Future[bool]) -> None:
-    if not waiter.done():
-        waiter.set_result(False)
--- a/tests/session/test_rate_limits.py
+++ b/tests/session/test_rate_limits.py
@@ -152,6 +152,8 @@
         for _ in range(200):
             assert isinstance(await limits.admit(TEAM), Refusal)
         assert limits.links.requests <= 2
+        # No refusal blames a host that answers.
+        assert set(limits.stats.refused) == {"limit"}
         assert limits.refused_teams == 1
 
     _run_scenario(scenario, rate_per_s=0, burst_size=100)
