--- a/src/rosemarysaddle/operate/_explain.py
+++ b/src/rosemarysaddle/operate/_explain.py
@@ -16,10 +16,13 @@
 # A change of primary and the events that led to it fit in this time.
 CONTEXT_WINDOW_S: Final = 8.0
 _KEY_VALUE: Final = re.compile(r'(\w+)=("[^"]*"|\S*)')
-_NAME_KEYS: Final = ("peer", "target", "group")
+_NAME_KEYS: Final = ("peer", "target", "group", "team", "counting_host")
 # Events that log the state on which a host bases its decisions. The
 # last one of each kind before the request is shown.
 _STATE_EVENTS: Final = {"started", "readiness", "control", "reloaded"}
+# Logged when a team starts and stops being refused, which may be long
+# before a request.
+_TEAM_STATE_EVENTS: Final = {"limit-reached", "limit-kept"}
 
 
 @attrs.frozen(kw_only=True)
@@ -83,7 +86,7 @@
     hosts |= {line.host for line in related}
     selected = [
         *related,
-        *_last_state_lines(lines, hosts, request_lines[0].at_s),
+        *_last_state_lines(lines, hosts, names, request_lines[0].at_s),
     ]
     unique = {id(line): line for line in selected}
     ordered = sorted(unique.values(), key=lambda line: line.at_s)
@@ -91,14 +94,22 @@
 
 
 def _last_state_lines(
-    lines: Sequence[LogLine], hosts: set[str], before_s: float
+    lines: Sequence[LogLine],
+    hosts: set[str],
+    names: set[str],
+    before_s: float,
 ) -> list[LogLine]:
     latest: dict[tuple[str, str], LogLine] = {}
     for line in lines:
         if line.at_s > before_s:
             break
-        if line.host in hosts and line.event in _STATE_EVENTS:
+        if line.host not in hosts:
+            continue
+        team = line.fields.get("team", "")
+        if line.event in _STATE_EVENTS:
             latest[line.host, line.event] = line
+        elif line.event in _TEAM_STATE_EVENTS and team in names:
+            latest[line.host, f"limit {team}"] = line
     return list(latest.values())
 
 
--- a/src/rosemarysaddle/session/_rate_limits.py
+++ b/src/rosemarysaddle/session/_rate_limits.py
@@ -596,7 +596,10 @@
             return
         given = self.counter.give(request.team, share, request.count, now_ns)
         self.stats.transferred["given"] += given
-        answer(given, self._wait_ms(request.team, share, given, now_ns=now_ns))
+        wait_ms = 0
+        if not given and self.counter.is_counting(now_ns):
+            wait_ms = self.counter.give_wait_ms(request.team, share, now_ns)
+        answer(given, wait_ms)
 
     def _wait_ms(
         self, team: str, share: LimitShare, granted: int, *, now_ns: int
