End what runs under a removed key when the plan is applied

Cause: a session looked at its key only at its next statement, so a transaction that was idle kept its locks, a statement that waited for a target was still sent, and a host that was cut off or suspended went on with keys that it could not know to be removed. A change of one team sent all teams to every host.

Change: EntryHost rechecks its sessions when a plan is applied (CallerSession.recheck_key): idle transactions end, and a statement that waits is not sent any more. Unknown keys are counted and logged once a second. Metrics name the 8 teams with most sessions. Patches of a plan carry teams by name as they carry routes. Objects of the schema show no key, and an unknown effect logs its class only, as its content may hold a plan.

The cost of applying a patch at the grown size is open.

--- a/src/rosemarysaddle/daemon/_host.py
+++ b/src/rosemarysaddle/daemon/_host.py
@@ -388,7 +388,9 @@
                 case FollowPrimary():
                     spawn(self._order_follow(effect), self._jobs)
                 case _:
-                    logging.error("event=unknown-effect kind=%s", effect)
+                    logging.error(
+                        "event=unknown-effect kind=%s", type(effect).__name__
+                    )
 
     def _save(self, effect: SaveVote | SaveEntries | SaveSnapshot) -> None:
         if self._journal is not None:
--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -78,6 +78,8 @@
     :param neighbours: lending addresses of the entry hosts of the data
         centre
     :param renewal_ms: time between renewals, in milliseconds
+    :param view_confirmed_ns: monotonic time at which the state held all
+        that was committed, as the leader has confirmed; 0 before that
     """
 
     host: str
@@ -91,6 +93,9 @@
     lending_address: str = ""
     neighbours: tuple[str, ...] = attrs.field(default=(), init=False)
     renewal_ms: int = RENEWAL_INTERVAL_MS
+    view_confirmed_ns: int = attrs.field(default=0, init=False)
+    # Index that the last grant named, and when its renewal was sent.
+    _named_view: tuple[int, int] = attrs.field(default=(0, 0), init=False)
     _neighbours_tag: int = attrs.field(default=0, init=False)
     _leader_hint: str = attrs.field(default="", init=False)
     _renew_at_ns: int = attrs.field(default=0, init=False)
@@ -131,6 +136,7 @@
             case ViewSnapshot():
                 if message.index > self.state.index:
                     self.state = ClusterState.load(message.state)
+                    self._confirm_view()
             case Announcement():
                 self.announced[message.target] = message
             case Neighbours():
@@ -242,6 +248,15 @@
         )
         return [Send(peer=self._leader(), message=suspicion)]
 
+    def is_view_current(self, now_ns: int, max_age_ms: int) -> bool:
+        """Tell whether the state holds all but the newest changes.
+
+        :param now_ns: monotonic time, in nanoseconds
+        :param max_age_ms: age up to which a change may be missing, in
+            milliseconds
+        """
+        return now_ns < self.view_confirmed_ns + max_age_ms * NS_PER_MS
+
     def stop(self) -> list[Effect]:
         """Return the lease before a planned stop."""
         self._stopping = True
@@ -289,6 +304,8 @@
             )
             effects.extend(self._on_close(source, close, now_ns))
         self.lease.grant(source, attrs.evolve(grant, closing=()))
+        self._named_view = (grant.min_index, grant.sent_ns)
+        self._confirm_view()
         if self.state.index >= self.lease.min_index:
             self.ready = True
         return effects
@@ -311,6 +328,14 @@
                 self._renew_at_ns = now_ns
                 return
             self.state.apply(entry)
+        self._confirm_view()
+
+    def _confirm_view(self) -> None:
+        # All that was acknowledged before the renewal was sent is part
+        # of the state that the leader had when it answered.
+        index, sent_ns = self._named_view
+        if self.state.index >= index:
+            self.view_confirmed_ns = max(self.view_confirmed_ns, sent_ns)
 
     def _on_close(
         self, source: str, close: CloseGroup, now_ns: int
--- a/src/rosemarysaddle/decide/configuration/_plan_patch.py
+++ b/src/rosemarysaddle/decide/configuration/_plan_patch.py
@@ -1,7 +1,7 @@
 """Patches between two texts of a route plan.
 
-With a patch, a change of some routes costs space in the log and traffic
-to every host for these routes only, however long the plan is.
+With a patch, a change of some routes or teams costs space in the log
+and traffic to every host for these only, however long the plan is.
 """
 
 from __future__ import annotations
@@ -12,6 +12,9 @@
 __all__ = ("apply_patch", "make_patch")
 
 _ROUTES: Final = "routes"
+# Also the field of a patch with its steps for the teams.  Patches of
+# earlier versions lack it and hold changed teams in ``rest``.
+_TEAMS: Final = "teams"
 
 
 def make_patch(old: str, new: str) -> str | None:
@@ -25,17 +28,17 @@
     if not old:
         return None
     before, after = json.loads(old), json.loads(new)
-    known = _index_by_name(before[_ROUTES])
-    wanted = _index_by_name(after[_ROUTES])
-    if known is None or wanted is None:
+    routes = _make_steps(before[_ROUTES], after[_ROUTES])
+    if routes is None:
         return None
     rest = {k: v for k, v in after.items() if before.get(k) != v}
     rest.pop(_ROUTES, None)
-    patch = {
-        "remove": [name for name in known if name not in wanted],
-        "put": [r for n, r in wanted.items() if known.get(n) != r],
-        "rest": rest,
-    }
+    patch = {**routes, "rest": rest}
+    if _TEAMS in rest and _TEAMS in before:
+        teams = _make_steps(before[_TEAMS], after[_TEAMS])
+        if teams is not None:
+            patch[_TEAMS] = teams
+            del rest[_TEAMS]
     text = json.dumps(patch, separators=(",", ":"))
     if len(text) >= len(new) or set(before) - set(after):
         return None
@@ -50,16 +53,42 @@
     :return: text of the new plan
     """
     plan, steps = json.loads(old), json.loads(patch)
-    routes = _index_by_name(plan[_ROUTES]) or {}
-    for name in steps["remove"]:
-        routes.pop(name, None)
-    for route in steps["put"]:
-        routes[route["name"]] = route
     plan.update(steps["rest"])
-    plan[_ROUTES] = list(routes.values())
+    plan[_ROUTES] = _apply_steps(plan[_ROUTES], steps)
+    if _TEAMS in steps:
+        plan[_TEAMS] = _apply_steps(plan[_TEAMS], steps[_TEAMS])
     return json.dumps(plan, separators=(",", ":"))
 
 
-def _index_by_name(routes: list[dict[str, Any]]) -> dict[str, Any] | None:
-    found = {route["name"]: route for route in routes}
-    return found if len(found) == len(routes) else None
+def _make_steps(
+    before: list[dict[str, Any]], after: list[dict[str, Any]]
+) -> dict[str, Any] | None:
+    """Make the steps that turn one list of named items into another.
+
+    :return: the steps, or None if they would not reproduce the list:
+        its order differs, or a name occurs twice
+    """
+    known, wanted = _index_by_name(before), _index_by_name(after)
+    if known is None or wanted is None:
+        return None
+    steps = {
+        "remove": [name for name in known if name not in wanted],
+        "put": [item for n, item in wanted.items() if known.get(n) != item],
+    }
+    return steps if _apply_steps(before, steps) == after else None
+
+
+def _apply_steps(
+    items: list[dict[str, Any]], steps: dict[str, Any]
+) -> list[dict[str, Any]]:
+    by_name = _index_by_name(items) or {}
+    for name in steps["remove"]:
+        by_name.pop(name, None)
+    for item in steps["put"]:
+        by_name[item["name"]] = item
+    return list(by_name.values())
+
+
+def _index_by_name(items: list[dict[str, Any]]) -> dict[str, Any] | None:
+    found = {item["name"]: item for item in items}
+    return found if len(found) == len(items) else None
--- a/src/rosemarysaddle/decide/configuration/_teams.py
+++ b/src/rosemarysaddle/decide/configuration/_teams.py
@@ -84,6 +84,20 @@
                 )
         return cls(by_name=by_name, by_digest=by_digest)
 
+    @property
+    def key_count(self) -> int:
+        """Number of keys of all teams."""
+        return len(self._by_digest)
+
+    def teams_with_removed_keys(self, newer: TeamDirectory) -> set[str]:
+        """Return the teams that lack a key in a newer plan."""
+        return {
+            credential.team.name
+            for digest, credential in self._by_digest.items()
+            if (now := newer.find(digest)) is None
+            or now.name != credential.team.name
+        }
+
     def find(self, digest: bytes) -> Team | None:
         """Return the team that holds the key of a digest, or None."""
         # The hash table compares bytes only where 64 bits of a hash
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -440,7 +440,9 @@
                 case FollowPrimary():
                     pass  # the replicas of the platform do this by themselves
                 case _:
-                    logging.error("event=unknown-effect kind=%s", effect)
+                    logging.error(
+                        "event=unknown-effect kind=%s", type(effect).__name__
+                    )
 
     def _save(self, effect: SaveVote | SaveEntries | SaveSnapshot) -> None:
         try:
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -16,14 +16,15 @@
 from absl import logging
 
 from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._events import log_event
 from rosemarysaddle._tasks import spawn
 from rosemarysaddle.connection import Lender
-from rosemarysaddle.decide import EntryNode, Send
+from rosemarysaddle.decide import EntryNode, Send, TeamDirectory
 from rosemarysaddle.link import Address, PeerNetwork, UnmodifiedNetwork
 from rosemarysaddle.node._host_metrics import entry_metrics, start_metrics
 from rosemarysaddle.node._identity import peer_address
 from rosemarysaddle.node._timing import ENTRY_TICK_S, RENEWAL_INTERVAL_MS
-from rosemarysaddle.session import CallerSession, Router
+from rosemarysaddle.session import MAX_PLAN_AGE_MS, CallerSession, Router
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -45,6 +46,8 @@
 LISTEN_BACKLOG: Final = 512
 READINESS_THREADS: Final = 2
 READINESS_MAX_BODY_BYTES: Final = 4_096
+# Teams that one log line about removed keys names.
+MAX_LOGGED_TEAMS: Final = 8
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -71,6 +74,8 @@
     _metrics: HttpServer | None = attrs.field(default=None, init=False)
     _jobs: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
     _was_ready: bool = attrs.field(default=False, init=False)
+    _plan_version: int = attrs.field(default=-1, init=False)
+    _teams: TeamDirectory | None = attrs.field(default=None, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Build the entry node and its parts."""
@@ -89,6 +94,9 @@
             new_codec=self.platform.target_codec,
             send=self._execute_effects,
             regions={p.data_center: p.region for p in settings.places},
+            max_plan_age_ms=min(
+                MAX_PLAN_AGE_MS, settings.revoke_ms or MAX_PLAN_AGE_MS
+            ),
         )
         self.lender = Lender(
             find_pool=self.router.own_pool,
@@ -203,7 +211,7 @@
             self.node,
             self.router,
             self.lender,
-            sessions=len(self._sessions),
+            teams=[s.runner.team for s in list(self._sessions)],
         )
 
     def _seeds(self) -> list[str]:
@@ -231,6 +239,7 @@
             self._execute_effects(self.node.tick(now_ns))
             self.router.refresh_positions()
             self.router.tick_loans(now_ns)
+            self.router.unknown_keys.tick(now_ns)
             self.lender.tick(now_ns)
             self._log_readiness_change()
             await asyncio.sleep(ENTRY_TICK_S)
@@ -254,12 +263,35 @@
             control = {*self._seeds(), *self.node.state.voters}
             self.node.control = sorted(control)
             self.router.apply_view()
+            self._recheck_keys()
         else:
             self.router.notify_waiters()
 
+    def _recheck_keys(self) -> None:
+        """Apply a new plan to the sessions that are open."""
+        routes = self.node.state.routes
+        if routes.version == self._plan_version:
+            return
+        self._plan_version = routes.version
+        ended = sum([s.recheck_key() for s in list(self._sessions)])
+        earlier, self._teams = self._teams, routes.teams
+        teams = routes.teams or TeamDirectory()
+        if earlier is None and routes.teams is None:
+            return
+        losers = sorted((earlier or teams).teams_with_removed_keys(teams))
+        log_event(
+            "teams",
+            f"version={routes.version} teams={len(teams.by_name)}"
+            f" keys={teams.key_count} ended_transactions={ended}"
+            f" lost_keys={len(losers)}"
+            f" losers={','.join(losers[:MAX_LOGGED_TEAMS]) or '-'}",
+        )
+
     def _execute_effects(self, effects: Sequence[Effect]) -> None:
         for effect in effects:
             if isinstance(effect, Send):
                 self.network.send(effect.peer, effect.message)
             else:
-                logging.error("event=unknown-effect kind=%s", effect)
+                logging.error(
+                    "event=unknown-effect kind=%s", type(effect).__name__
+                )
--- a/src/rosemarysaddle/node/_host_metrics.py
+++ b/src/rosemarysaddle/node/_host_metrics.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING, Final
 
 from rosemarysaddle._clock import NS_PER_S, clock_ns
@@ -10,7 +11,13 @@
 from rosemarysaddle.session import LATENCY_BOUNDS_MS
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Iterator, Mapping
+    from collections.abc import (
+        Callable,
+        Iterable,
+        Iterator,
+        Mapping,
+        Sequence,
+    )
 
     from rosemarysaddle._prometheus import Metric
     from rosemarysaddle.connection import Lender
@@ -25,6 +32,10 @@
 MAX_BODY_BYTES: Final = 4_096
 STOP_GRACE_S: Final = 0.05
 _PREFIX: Final = "rosemarysaddle_"
+# A label for each of 10,000 teams on each host would be too many.
+MAX_TEAM_LABELS: Final = 8
+# Not a possible name: a team's name has no space.
+OTHER_TEAMS: Final = "all others"
 
 
 def start_metrics(
@@ -52,11 +63,16 @@
 
 
 def entry_metrics(
-    node: EntryNode, router: Router, lender: Lender, *, sessions: int
+    node: EntryNode, router: Router, lender: Lender, *, teams: Sequence[str]
 ) -> Iterator[Metric]:
-    """Collect the metrics of an entry host."""
+    """Collect the metrics of an entry host.
+
+    :param teams: team of each open session, empty for those without one
+    """
     yield from _statement_metrics(router.statement_stats)
-    yield _gauge("sessions", "Caller sessions that are open", sessions)
+    yield _gauge("sessions", "Caller sessions that are open", len(teams))
+    if node.state.routes.teams is not None:
+        yield from _team_metrics(node, router, teams)
     left_s = (node.lease.deadline_ns - clock_ns()) / NS_PER_S
     yield _gauge("lease_left_seconds", "Time left on the lease", left_s)
     yield from _state_metrics(node.state)
@@ -127,6 +143,30 @@
     )
 
 
+def _team_metrics(
+    node: EntryNode, router: Router, teams: Sequence[str]
+) -> Iterator[Metric]:
+    counts = collections.Counter(filter(None, teams))
+    largest = dict(counts.most_common(MAX_TEAM_LABELS))
+    others = counts.total() - sum(largest.values())
+    yield _labelled_gauge(
+        "team_sessions",
+        "Sessions of the teams with most of them, and of all others",
+        "team",
+        {**largest, OTHER_TEAMS: others},
+    )
+    yield _gauge("teams_connected", "Teams with a session", len(counts))
+    yield _gauge(
+        "unknown_keys",
+        "Sessions refused for an unknown key since the start",
+        router.unknown_keys.total,
+    )
+    age_s = (clock_ns() - node.view_confirmed_ns) / NS_PER_S
+    yield _gauge(
+        "plan_age_seconds", "Time since the plan was known current", age_s
+    )
+
+
 def _state_metrics(state: ClusterState) -> Iterator[Metric]:
     yield _gauge("state_index", "Index of last applied log entry", state.index)
     version = state.routes.version
--- a/src/rosemarysaddle/operate/_explain.py
+++ b/src/rosemarysaddle/operate/_explain.py
@@ -19,7 +19,13 @@
 _NAME_KEYS: Final = ("peer", "target", "group")
 # Events that log the state on which a host bases its decisions. The
 # last one of each kind before the request is shown.
-_STATE_EVENTS: Final = {"started", "readiness", "control", "reloaded"}
+_STATE_EVENTS: Final = {
+    "started",
+    "readiness",
+    "control",
+    "reloaded",
+    "teams",
+}
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarysaddle/schema/_documents.py
+++ b/src/rosemarysaddle/schema/_documents.py
@@ -247,7 +247,7 @@
     """
 
     name: str
-    api_keys: tuple[str, ...]
+    api_keys: tuple[str, ...] = attrs.field(repr=False)
     priority: int = 0
     rate_per_s: float | None = None
     burst_size: float = 0
--- a/src/rosemarysaddle/schema/generate.py
+++ b/src/rosemarysaddle/schema/generate.py
@@ -207,6 +207,9 @@
 
 
 def _default(body: dict[str, Any]) -> str:
+    # Values that must not get into a log line with their object.
+    if body.get("x-secret"):
+        return " = attrs.field(repr=False)"
     if "default" not in body:
         return ""
     value = body["default"]
--- a/src/rosemarysaddle/session/__init__.py
+++ b/src/rosemarysaddle/session/__init__.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 from rosemarysaddle.session._caller import CallerCodec, CallerSession
-from rosemarysaddle.session._router import ReadTarget, Router
+from rosemarysaddle.session._router import (
+    MAX_PLAN_AGE_MS,
+    ReadTarget,
+    Router,
+)
 from rosemarysaddle.session._runner import Runner, Transaction
 from rosemarysaddle.session._statement_stats import (
     LATENCY_BOUNDS_MS,
@@ -12,6 +16,7 @@
 
 __all__ = (
     "LATENCY_BOUNDS_MS",
+    "MAX_PLAN_AGE_MS",
     "CallerCodec",
     "CallerSession",
     "ReadTarget",
--- a/src/rosemarysaddle/session/_caller.py
+++ b/src/rosemarysaddle/session/_caller.py
@@ -20,6 +20,7 @@
     Answer,
     CloseSession,
     OpenSession,
+    Outcome,
     Reason,
     Refusal,
     SessionState,
@@ -29,6 +30,12 @@
     digest_key,
     team_weight,
 )
+from rosemarysaddle.session._refusals import (
+    key_revoked,
+    transaction_ended,
+    unknown_key,
+    view_outdated,
+)
 from rosemarysaddle.session._runner import Runner, Transaction, writes
 
 if TYPE_CHECKING:
@@ -43,7 +50,14 @@
 # Callers close a session that does not open within 2 s, so it is
 # refused before then.
 OPEN_TIMEOUT_MS: Final = 1_500
+# Wait for the confirmation of the plan, e.g. after this host was
+# suspended: a few round trips to the leader.
+PLAN_WAIT_MS: Final = 100
 _DONE: Final = Answer()
+_REFUSAL_EVENTS: Final = {
+    Reason.KEY_REVOKED: "refused-key",
+    Reason.RATE_LIMITED: "refused-limit",
+}
 
 
 class CallerCodec(Protocol):
@@ -179,6 +193,8 @@
             if self._transport is None and self._transaction is not None:
                 self.runner.abandon(self._transaction)
                 self._transaction = None
+            # The plan may have changed while the last statement ran.
+            self.recheck_key()
 
     async def _handle_message(
         self, message: OpenSession | CloseSession | Statement
@@ -203,36 +219,74 @@
                 self.refuse_and_close(_no_configuration())
                 return
         if self.router.route(message.database) is None:
-            self.refuse_and_close(_unknown_database(message.database))
+            # The first word may be a key by mistake.
+            routes = self.router.node.state.routes
+            is_key = routes.authenticate(message.database) is not None
+            name = "" if is_key else message.database
+            self.refuse_and_close(_unknown_database(name))
             return
         self._key_digest = digest_key(message.label)
         if not self._check_key(message.database):
-            self.refuse_and_close(_unknown_key(message.database))
+            self._record_unknown_key(message.database)
+            self.refuse_and_close(unknown_key(message.database))
             return
         self.database = message.database
         self._write(self.codec.encode_ready(SessionState.IDLE))
 
-    def _check_key(self, database: str) -> bool:
-        """Look the session's key up in the plan in force.
+    # --- keys of teams ---
 
-        Sets the team for which the session's statements run.
+    def recheck_key(self) -> bool:
+        """Apply a plan that was put in force since the last statement.
 
-        :return: whether the key, or its absence, gives access
+        Ends the transaction of an idle session whose key was removed or
+        belongs to another team now.  A statement that is running is not
+        sent to a target any more.
+
+        :return: whether a transaction was ended
+        """
+        if not self.database:
+            return False
+        if self.is_busy:
+            team, _, has_access = self._look_key_up(self.database)
+            is_same = _team_name(team) == self.runner.team
+            self.runner.is_revoked = not (has_access and is_same)
+            return False
+        if self._transaction is None:
+            return False
+        self._check_access()
+        return self._was_revoked
+
+    def _look_key_up(self, database: str) -> tuple[Team | None, bool, bool]:
+        """Look the session's key up in the plan in force.
+
+        :return: the team that holds the key, whether a key is required,
+            and whether the key, or its absence, gives access
         """
         routes: RouteTable = self.router.node.state.routes
-        if self._checked_version == routes.version:
-            return self._has_access
-        team: Team | None = routes.find_team(self._key_digest)
+        team = routes.find_team(self._key_digest)
         route = routes.databases.get(database)
         if route is None and self._transaction is not None:
             route = self._transaction.route
-        self._checked_version = routes.version
         # Without a route the statement is refused as such.
-        self._has_access = (
-            team is not None or route is None or not routes.requires_key(route)
-        )
-        self.runner.team = team.name if team is not None else ""
+        requires_key = route is not None and routes.requires_key(route)
+        return team, requires_key, team is not None or not requires_key
+
+    def _check_key(self, database: str) -> bool:
+        """Check the session's key if the plan has changed.
+
+        Sets the team for which the session's statements run.
+
+        :return: whether the key, or its absence, gives access
+        """
+        version = self.router.node.state.routes.version
+        if self._checked_version == version:
+            return self._has_access
+        team, requires_key, self._has_access = self._look_key_up(database)
+        self._checked_version = version
+        self.runner.team = _team_name(team)
         self.runner.weight = team_weight(team)
+        self.runner.requires_key = requires_key
+        self.runner.is_revoked = False
         return self._has_access
 
     def _check_access(self) -> Refusal | None:
@@ -246,16 +300,44 @@
         has_access = self._check_key(self.database)
         transaction = self._transaction
         if transaction is None:
-            is_idle = self.state is SessionState.IDLE
-            return (
-                _revoked(self.database) if is_idle and not has_access else None
+            if has_access or self.state is not SessionState.IDLE:
+                return None
+            return key_revoked(self.database, Step.AUTHORIZE)
+        if not has_access or transaction.team != self.runner.team:
+            log_event(
+                "transaction-revoked",
+                f"database={self.database} target={transaction.target or '-'}"
+                f" team={transaction.team or '-'}"
+                f" new_team={self.runner.team or '-'} access={has_access}"
+                f" version={self._checked_version}",
             )
-        if has_access and transaction.team == self.runner.team:
-            return None
-        self._fail_transaction(_DONE)
-        self._was_revoked = True
+            self._fail_transaction(_DONE)
+            self._was_revoked = True
         return None
 
+    async def _wait_for_plan(self) -> bool:
+        """Wait until the plan is known to be recent enough.
+
+        :return: whether the key may be relied on
+        """
+        until_ns = clock_ns() + PLAN_WAIT_MS * NS_PER_MS
+        while not self.runner.may_run():
+            if self.runner.is_revoked:
+                return False
+            if not await self.router.wait_change(until_ns):
+                return False
+        return True
+
+    def _record_unknown_key(self, database: str) -> None:
+        peer = (
+            self._transport.get_extra_info("peername")
+            if self._transport is not None
+            else None
+        )
+        self.router.unknown_keys.record(
+            database, peer[0] if peer else "-", clock_ns()
+        )
+
     async def _run_statement(self, statement: Statement) -> None:
         if not self.database:
             self.refuse_and_close(_bad_request("open"))
@@ -281,13 +363,15 @@
             if route is not None
             else ""
         )
+        # A caller that goes on with a removed key, or over its limit,
+        # must not use up the lines of other refusals.
         log_event(
-            "refused",
+            _REFUSAL_EVENTS.get(refusal.reason, "refused"),
             f"id={statement.request_id} database={self.database}"
             f" kind={statement.kind} reason={refusal.reason}"
             f" step={refusal.step} peer={refusal.peer}"
             f" outcome={refusal.outcome} spent_ms={spent_ns // NS_PER_MS}"
-            f" {group_description}",
+            f" {group_description}{self._describe_team()}",
         )
 
     def _refuse_revoked(self, statement: Statement) -> Refusal | None:
@@ -304,11 +388,25 @@
             return None
         if statement.kind is StatementKind.COMMIT:
             self.state = SessionState.IDLE
-        return _revoked_in_transaction(self.database, statement)
+            return key_revoked(self.database, Step.COMMIT)
+        return key_revoked(self.database, Step.EXECUTE)
+
+    def _describe_team(self) -> str:
+        return f" team={self.runner.team}" if self.runner.team else ""
 
     async def _dispatch(self, statement: Statement) -> Answer | Refusal:
         refusal = self._refuse_revoked(statement)
-        return refusal or await self._execute(statement)
+        if refusal is not None:
+            return refusal
+        was_open = self._transaction is not None
+        result = await self._execute(statement)
+        if not isinstance(result, Refusal) or not self.runner.is_revoked:
+            return result
+        # A retry, which other refusals suggest, would not succeed.
+        if result.outcome is not Outcome.NOT_RUN or not result.retry_after_ms:
+            return result
+        step = result.step if was_open else Step.AUTHORIZE
+        return key_revoked(self.database, step)
 
     async def _execute(self, statement: Statement) -> Answer | Refusal:
         match statement.kind:
@@ -366,8 +464,12 @@
 
     async def _read_or_write(self, statement: Statement) -> Answer | Refusal:
         if self._transaction is not None:
-            result = await self.runner.run_in_transaction(
-                self._transaction, statement
+            result = (
+                await self.runner.run_in_transaction(
+                    self._transaction, statement
+                )
+                if await self._wait_for_plan()
+                else transaction_ended(self._transaction)
             )
             return (
                 self._fail_transaction(result)
@@ -386,12 +488,20 @@
 
     async def _admit_operation(self) -> Refusal | None:
         while True:
+            # Each wait may have put a new plan in force.
+            if not await self._wait_for_plan() and not self.runner.is_revoked:
+                return view_outdated(self.database)
+            refusal = self._check_access()
+            if refusal is not None:
+                return refusal
             team = self.runner.team
             refusal = await self.router.admit_operation(team)
-            # A new plan may have changed the team during the wait.
             refusal = refusal or self._check_access()
-            if refusal is not None or self.runner.team == team:
+            if refusal is not None:
                 return refusal
+            if self.runner.team == team:
+                may_run = self.runner.may_run()
+                return None if may_run else view_outdated(self.database)
 
     async def _commit(self, statement: Statement) -> Answer | Refusal:
         transaction = self._transaction
@@ -403,7 +513,11 @@
                 if failed
                 else _bad_request("no-transaction")
             )
-        result = await self.runner.commit(transaction, statement)
+        if await self._wait_for_plan():
+            result = await self.runner.commit(transaction, statement)
+        else:
+            self.runner.abandon(transaction)
+            result = transaction_ended(transaction)
         self._transaction = None
         self.state = SessionState.IDLE
         return result
@@ -455,6 +569,10 @@
     return isinstance(result, Refusal)
 
 
+def _team_name(team: Team | None) -> str:
+    return team.name if team is not None else ""
+
+
 def _bad_request(peer: str) -> Refusal:
     """Build the refusal of a message that is malformed or out of order.
 
@@ -473,27 +591,6 @@
     )
 
 
-def _unknown_key(database: str) -> Refusal:
-    return Refusal(
-        reason=Reason.UNKNOWN_KEY, step=Step.AUTHORIZE, peer=database
-    )
-
-
-def _revoked(database: str) -> Refusal:
-    return Refusal(
-        reason=Reason.KEY_REVOKED, step=Step.AUTHORIZE, peer=database
-    )
-
-
-def _revoked_in_transaction(database: str, statement: Statement) -> Refusal:
-    is_commit = statement.kind is StatementKind.COMMIT
-    return Refusal(
-        reason=Reason.KEY_REVOKED,
-        step=Step.COMMIT if is_commit else Step.EXECUTE,
-        peer=database,
-    )
-
-
 def _no_configuration() -> Refusal:
     return Refusal(
         reason=Reason.NO_CONFIGURATION,
--- a/src/rosemarysaddle/session/_refusals.py
+++ b/src/rosemarysaddle/session/_refusals.py
@@ -16,10 +16,13 @@
     from rosemarysaddle.session._runner import Transaction
 
 __all__ = (
+    "key_revoked",
     "not_run_refusal",
     "read_refusal",
     "transaction_ended",
+    "unknown_key",
     "unknown_outcome",
+    "view_outdated",
     "write_refusal",
 )
 
@@ -83,6 +86,32 @@
     )
 
 
+def unknown_key(database: str) -> Refusal:
+    """Build the refusal of a session whose key no team holds."""
+    return Refusal(
+        reason=Reason.UNKNOWN_KEY, step=Step.AUTHORIZE, peer=database
+    )
+
+
+def key_revoked(database: str, step: Step) -> Refusal:
+    """Build the refusal of a statement whose key was removed.
+
+    :param step: AUTHORIZE outside of a transaction; EXECUTE or COMMIT
+        in one, which was rolled back
+    """
+    return Refusal(reason=Reason.KEY_REVOKED, step=step, peer=database)
+
+
+def view_outdated(database: str) -> Refusal:
+    """Build the refusal of an operation whose key cannot be checked."""
+    return Refusal(
+        reason=Reason.NO_LEASE,
+        step=Step.AUTHORIZE,
+        peer=database,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+
+
 def transaction_ended(transaction: Transaction) -> Refusal:
     """Build a refusal that guarantees a transaction has no effect."""
     return Refusal(
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -43,6 +43,7 @@
 from rosemarysaddle.schema import PointReply
 from rosemarysaddle.session._admission import AdmissionQueue
 from rosemarysaddle.session._statement_stats import StatementStats
+from rosemarysaddle.session._unknown_keys import UnknownKeyCounter
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Mapping, Sequence
@@ -57,7 +58,7 @@
     from rosemarysaddle.decide.primaries._registry import TargetRecord
     from rosemarysaddle.schema import Route
 
-__all__ = ("ReadTarget", "Router")
+__all__ = ("MAX_PLAN_AGE_MS", "ReadTarget", "Router")
 
 WARM_CONNECTIONS: Final = 1
 # Request the position of a group whose reads accept bounded staleness
@@ -76,6 +77,9 @@
 # Delay between probes of a target that accepted no connection.
 RECHECK_INTERVAL_MS: Final = 250
 MAX_WAITERS: Final = 400
+# Operations that require a key run only while the plan in force is
+# known to be younger: a removed key may run none 4 s after its removal.
+MAX_PLAN_AGE_MS: Final = 4_000
 RETRY_AFTER_MS: Final = 250
 # A host whose ticks are later than this is overloaded, so its failed
 # connections do not count as evidence against a target.
@@ -104,6 +108,8 @@
     :param label: name of this host, for the targets' logs
     :param send: executes the effects of decisions of the node
     :param regions: region of each data centre
+    :param max_plan_age_ms: age of the plan up to which keys can be
+        checked, in milliseconds
     """
 
     node: EntryNode
@@ -111,12 +117,16 @@
     new_codec: Callable[[], TargetCodec]
     send: Callable[[Sequence[Effect]], None]
     regions: Mapping[str, str] = attrs.field(factory=dict)
+    max_plan_age_ms: int = MAX_PLAN_AGE_MS
     targets: dict[str, TargetState] = attrs.field(factory=dict, init=False)
     pools: dict[str, SharedPool] = attrs.field(factory=dict, init=False)
     loan_client: LoanClient = attrs.field(init=False)
     statement_stats: StatementStats = attrs.field(
         factory=StatementStats, init=False
     )
+    unknown_keys: UnknownKeyCounter = attrs.field(
+        factory=UnknownKeyCounter, init=False
+    )
     admission_queues: dict[str, AdmissionQueue] = attrs.field(
         factory=dict, init=False
     )
@@ -164,6 +174,10 @@
             f" index={state.index} version={state.routes.version}"
         )
 
+    def is_plan_current(self) -> bool:
+        """Tell whether the plan is young enough to check keys."""
+        return self.node.is_view_current(clock_ns(), self.max_plan_age_ms)
+
     async def admit_operation(self, team: str) -> Refusal | None:
         """Admit one operation of a team under its rate limit.
 
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -78,6 +78,10 @@
     :param variables: variables and prepared statements of the session
     :param team: team for which the statements run, or empty
     :param weight: share of the team relative to other teams
+    :param requires_key: whether the session's route requires a key
+    :param is_revoked: whether a plan that was put in force during the
+        present statement has removed the key, or given it to another
+        team
     :param points: log position of the session's newest write, by group
     """
 
@@ -85,8 +89,16 @@
     variables: SessionVariables = attrs.field(factory=SessionVariables)
     team: str = attrs.field(default="", init=False)
     weight: float = attrs.field(default=1.0, init=False)
+    requires_key: bool = attrs.field(default=False, init=False)
+    is_revoked: bool = attrs.field(default=False, init=False)
     points: dict[str, LogPoint] = attrs.field(factory=dict, init=False)
 
+    def may_run(self) -> bool:
+        """Tell whether the key allows to send a statement now."""
+        if self.is_revoked:
+            return False
+        return not self.requires_key or self.router.is_plan_current()
+
     # --- outside transactions ---
 
     async def read(
@@ -112,6 +124,8 @@
             if answer.fault is None:
                 return answer
             last = answer
+            if not self.may_run():
+                break
             failed.add(read_target.target)
             if not answer.fault.is_not_run:
                 attempts += 1
@@ -144,6 +158,8 @@
             last = result
             if not result.fault.is_not_run:
                 return write_refusal(route, result)
+            if not self.may_run():
+                break
             if not await self._back_off(number, start_deadline_ns):
                 break
         return not_run_refusal(route.group, last)
@@ -367,6 +383,8 @@
                 fault = await self._pin_write(transaction, deadline_ns)
             if fault is None:
                 return None
+            if not self.may_run():
+                break
             if not await self._back_off(number, start_deadline_ns):
                 break
         return transaction_ended(transaction)
@@ -465,11 +483,15 @@
             objective_ns=_objective_ns(route, deadline_ns),
             weight=self.weight,
         )
-        return await pool.acquire(
+        connection = await pool.acquire(
             self.variables,
             deadline_ns=start_deadline_ns,
             connection_request=connection_request,
         )
+        if isinstance(connection, OpenFault) or self.may_run():
+            return connection
+        self._release(connection)
+        return OpenFault(code=FaultCode.BUSY, peer=target)
 
     async def _ask(
         self,
@@ -540,6 +562,8 @@
                 break
             if not await self._back_off(number, deadline_ns):
                 break
+            if not self.may_run():
+                break
             answer = await self._ask_admitted(
                 connection, statement, deadline_ns
             )
--- a/tests/decide/test_plan_patch.py
+++ b/tests/decide/test_plan_patch.py
@@ -69,6 +69,48 @@
     assert len(patch) < 120
 
 
+def _teams_plan(version: int, teams: dict[str, int] | None) -> str:
+    body = json.loads(_plan(version, MANY))
+    if teams is not None:
+        body["teams"] = [
+            {"name": n, "api_keys": [f"key-of-{n}"], "rate_per_s": r}
+            for n, r in teams.items()
+        ]
+    return json.dumps(body)
+
+
+@given(st.none() | ROUTES, ROUTES)
+def test_patch_reproduces_teams(
+    before: dict[str, int] | None, after: dict[str, int]
+) -> None:
+    old, new = _teams_plan(1, before), _teams_plan(2, after)
+
+    patch = make_patch(old, new)
+
+    assert patch is not None
+    assert json.loads(apply_patch(old, patch)) == json.loads(new)
+
+
+def test_patch_contains_only_changed_teams() -> None:
+    """Guards against 10,000 teams in each patch that changes one."""
+    teams = {f"t{n}": 1 for n in range(10_000)}
+    after = {**teams, "t7": 2, "new": 1}
+    del after["t8"]
+
+    patch = make_patch(_teams_plan(1, teams), _teams_plan(2, after))
+
+    assert patch is not None
+    assert len(patch) < 250
+
+
+def test_patch_of_an_earlier_version_with_teams_in_rest_is_applied() -> None:
+    old, new = _teams_plan(1, {"a": 1}), _teams_plan(2, {"b": 1})
+    rest = {"version": 2, "teams": json.loads(new)["teams"]}
+    patch = json.dumps({"remove": [], "put": [], "rest": rest})
+
+    assert json.loads(apply_patch(old, patch)) == json.loads(new)
+
+
 @pytest.mark.parametrize(
     ("old", "new"),
     [
--- a/tests/decide/test_teams.py
+++ b/tests/decide/test_teams.py
@@ -36,6 +36,17 @@
     return [table.requires_key(r) for r in table.databases.values()]
 
 
+def test_removed_and_moved_keys_name_the_teams_that_lost_them() -> None:
+    teams = [_team("x", "k1", "k2"), _team("y", "k3"), _team("z", "k4")]
+    older = RouteTable.of(_plan(teams)).teams
+    teams = [_team("x", "k1"), _team("y", "k3", "k4"), _team("z")]
+    newer = RouteTable.of(_plan(teams)).teams
+
+    assert older is not None
+    assert newer is not None
+    assert older.teams_with_removed_keys(newer) == {"x", "z"}
+
+
 def test_plan_without_teams_requires_no_key() -> None:
     table = RouteTable.of(_plan())
 
@@ -100,6 +111,13 @@
     assert KEY not in str(fault)
 
 
+def test_checked_plan_shows_no_key() -> None:
+    plan = check_plan(_plan([_team("x", KEY)]), source="operator")
+
+    assert isinstance(plan, RoutePlan)
+    assert KEY not in repr(plan)
+
+
 def test_misplaced_teams_are_refused_without_showing_a_key() -> None:
     text = _plan(routes={"teams": [_team("x", KEY)]})
 
--- a/tests/node/test_host_metrics.py
+++ b/tests/node/test_host_metrics.py
@@ -6,8 +6,14 @@
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
 
+from rosemarysaddle._prometheus import Gauge
 from rosemarysaddle.connection import Lender
-from rosemarysaddle.decide import ControlNode, EntryNode, GroupTerm
+from rosemarysaddle.decide import (
+    ControlNode,
+    EntryNode,
+    GroupTerm,
+    TeamDirectory,
+)
 from rosemarysaddle.node._host_metrics import (
     control_metrics,
     entry_metrics,
@@ -66,7 +72,7 @@
     lender = _lender(router)
     server = start_metrics(
         _settings(ADDRESS),
-        lambda: entry_metrics(router.node, router, lender, sessions=2),
+        lambda: entry_metrics(router.node, router, lender, teams=["", ""]),
     )
     assert server is not None
     try:
@@ -94,6 +100,28 @@
     assert samples[f"{prefix}lease_left_seconds",] < 0
 
 
+def test_team_metrics_have_a_bounded_number_of_labels() -> None:
+    """Guards against a time series for each of 10,000 teams."""
+    router = _router()
+    router.node.state.routes.teams = TeamDirectory()
+    teams = ["", *(f"t{n}" for n in range(1_000)), *["big"] * 5]
+
+    found = {
+        metric.name: dict(metric.values)
+        for metric in entry_metrics(
+            router.node, router, _lender(router), teams=teams
+        )
+        if isinstance(metric, Gauge)
+    }
+
+    sessions = found["rosemarysaddle_team_sessions"]
+    assert len(sessions) == 9
+    assert sessions["big"] == 5
+    assert sum(sessions.values()) == 1_005
+    assert found["rosemarysaddle_sessions"] == {"": 1_006}
+    assert found["rosemarysaddle_teams_connected"] == {"": 1_001}
+
+
 def test_control_metrics_include_leadership_and_log_term() -> None:
     leader: ControlNode = make_leader(5_000 * NS_PER_MS)
 
--- a/tests/session/standin.py
+++ b/tests/session/standin.py
@@ -49,6 +49,7 @@
     :param received: received statements, each with the number of its
         connection
     :param connections: number of connections accepted so far
+    :param opened: the START of each connection
     """
 
     name: str
@@ -58,6 +59,7 @@
     faults: dict[str, list[str]] = attrs.field(factory=dict)
     received: list[tuple[int, str]] = attrs.field(factory=list)
     connections: int = 0
+    opened: list[str] = attrs.field(factory=list)
     _server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -97,6 +99,7 @@
     def _answer(self, line: str) -> None:
         command, _, rest = line.partition(" ")
         if command == "START":
+            self.target.opened.append(rest)
             self._send("")
             return
         text = rest.partition(" ")[2]
@@ -147,6 +150,10 @@
         """Record that the session closed the connection."""
         self.is_closed = True
 
+    def get_extra_info(self, name: str) -> Any:
+        """Return the address of the caller."""
+        return (IP, 9) if name == "peername" else None
+
     async def ask(self, line: str) -> str:
         """Send one line and wait for the answer."""
         self._sent.clear()
@@ -192,6 +199,7 @@
         term=1, primary=targets[0].name, is_open=True, is_serving=True
     )
     node.lease.deadline_ns = clock_ns() + 60_000_000_000
+    node.view_confirmed_ns = node.lease.deadline_ns
     node.ready = True
     return Router(
         node=node, label="e", new_codec=TargetLineCodec, send=lambda _: None
