Apply patches of a route plan without parsing the whole plan

Change: RouteTable.patched builds the new table from the old one and the patch; the text is brought up to date when it is read, or after 256 patches.

Ruled out: keeping the plan as parsed JSON beside the table, which takes several times the memory of the text.

Conclusion: open is only the leader's part, which parses both plans whole.

--- a/src/rosemarysaddle/decide/configuration/_plan_patch.py
+++ b/src/rosemarysaddle/decide/configuration/_plan_patch.py
@@ -7,9 +7,12 @@
 from __future__ import annotations
 
 import json
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final
 
-__all__ = ("apply_patch", "make_patch")
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+__all__ = ("apply_patch", "apply_patches", "make_patch")
 
 _ROUTES: Final = "routes"
 # Also the field of a patch with its steps for the teams.  Patches of
@@ -52,11 +55,18 @@
     :param patch: text of the patch
     :return: text of the new plan
     """
-    plan, steps = json.loads(old), json.loads(patch)
-    plan.update(steps["rest"])
-    plan[_ROUTES] = _apply_steps(plan[_ROUTES], steps)
-    if _TEAMS in steps:
-        plan[_TEAMS] = _apply_steps(plan[_TEAMS], steps[_TEAMS])
+    return apply_patches(old, [patch])
+
+
+def apply_patches(old: str, patches: Iterable[str]) -> str:
+    """Apply several patches, each to the result of the one before."""
+    plan = json.loads(old)
+    for patch in patches:
+        steps = json.loads(patch)
+        plan.update(steps["rest"])
+        plan[_ROUTES] = _apply_steps(plan[_ROUTES], steps)
+        if _TEAMS in steps:
+            plan[_TEAMS] = _apply_steps(plan[_TEAMS], steps[_TEAMS])
     return json.dumps(plan, separators=(",", ":"))
 
 
--- a/src/rosemarysaddle/decide/configuration/_route_plan.py
+++ b/src/rosemarysaddle/decide/configuration/_route_plan.py
@@ -4,11 +4,15 @@
 
 import enum
 import json
-from typing import Final, NoReturn
+from typing import TYPE_CHECKING, Any, Final, NoReturn
 
 import attrs
 import cattrs
 
+from rosemarysaddle.decide.configuration._plan_patch import (
+    apply_patch,
+    apply_patches,
+)
 from rosemarysaddle.decide.configuration._teams import (
     TeamDirectory,
     digest_key,
@@ -24,9 +28,19 @@
     parse_document,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 __all__ = ("Freshness", "RouteTable", "check_plan")
 
 _CONVERTER: Final = cattrs.Converter()
+_VERSION: Final = "version"
+_GROUPS: Final = "groups"
+_LIMITS: Final = "limits"
+_TEAMS: Final = "teams"
+# Patches of a plan's text that are collected before they are applied.
+# At 32,000 routes, applying them takes 0.3 s and 256 of them 50 kB.
+MAX_PATCHES: Final = 256
 # Faults of a text with one of these names show none of its values: one
 # that is misplaced or of the wrong type may be a key.
 _NAMES_NEAR_KEYS: Final = frozenset({"teams", "api_keys"})
@@ -44,8 +58,10 @@
 class RouteTable:
     """Route plan in force, indexed by database and by group.
 
+    Patches of the text are collected until it is needed or too many,
+    as applying one takes as long as parsing the whole plan.
+
     :param version: version of the plan; -1 before the first plan
-    :param source: text of the plan, as submitted or rebuilt by a patch
     :param databases: first route of each database, by name of the
         database
     :param groups: policy of each group, by name of the group
@@ -54,23 +70,25 @@
     """
 
     version: int = -1
-    source: str = attrs.field(default="", repr=False)
     databases: dict[str, Route] = attrs.field(factory=dict)
     groups: dict[str, GroupPolicy] = attrs.field(factory=dict)
     limits: SessionLimits = attrs.field(factory=SessionLimits)
     teams: TeamDirectory | None = None
+    _text: str = attrs.field(default="", repr=False)
+    _patches: list[str] = attrs.field(factory=list, repr=False)
+    # Routes in the order of the plan; None if two have one name.
+    _routes: dict[str, Route] | None = attrs.field(default=None, repr=False)
 
     @classmethod
     def of(cls, source: str) -> RouteTable:
         """Build the table from the text of a plan already checked."""
         plan = _CONVERTER.structure(json.loads(source), RoutePlan)
-        databases: dict[str, Route] = {}
-        for route in plan.routes:
-            databases.setdefault(route.database, route)
+        routes = {route.name: route for route in plan.routes}
         return cls(
             version=plan.version,
-            source=source,
-            databases=databases,
+            text=source,
+            routes=routes if len(routes) == len(plan.routes) else None,
+            databases=_index_by_database(plan.routes),
             groups={group.name: group for group in plan.groups},
             limits=plan.limits,
             teams=(
@@ -80,6 +98,53 @@
             ),
         )
 
+    @property
+    def source(self) -> str:
+        """Text of the plan, as submitted or rebuilt from patches."""
+        if self._patches:
+            self._text = apply_patches(self._text, self._patches)
+            self._patches = []
+        return self._text
+
+    def patched(self, patch: str) -> RouteTable:
+        """Build the table of a plan that differs by a patch."""
+        steps = json.loads(patch)
+        rest = steps["rest"]
+        if self._routes is None or _TEAMS in rest:
+            return RouteTable.of(apply_patch(self.source, patch))
+        routes = dict(self._routes)
+        for name in steps["remove"]:
+            routes.pop(name, None)
+        for route in _CONVERTER.structure(steps["put"], tuple[Route, ...]):
+            routes[route.name] = route
+        if len(self._patches) >= MAX_PATCHES:
+            text, patches = apply_patch(self.source, patch), []
+        else:
+            text, patches = self._text, [*self._patches, patch]
+        changes = _CONVERTER.structure(
+            {_VERSION: self.version, "routes": [], _GROUPS: [], **rest},
+            RoutePlan,
+        )
+        groups = {group.name: group for group in changes.groups}
+        return RouteTable(
+            version=changes.version,
+            text=text,
+            patches=patches,
+            routes=routes,
+            databases=_index_by_database(routes.values()),
+            groups=groups if _GROUPS in rest else self.groups,
+            limits=changes.limits if _LIMITS in rest else self.limits,
+            teams=self._patch_teams(steps.get(_TEAMS)),
+        )
+
+    def _patch_teams(
+        self, steps: dict[str, Any] | None
+    ) -> TeamDirectory | None:
+        if steps is None or self.teams is None:
+            return self.teams
+        put = _CONVERTER.structure(steps["put"], tuple[Team, ...])
+        return self.teams.patched(remove=steps["remove"], put=put)
+
     def requires_key(self, route: Route) -> bool:
         """Tell whether callers of a route have to show a team's key."""
         return self.teams is not None and not route.public
@@ -93,6 +158,13 @@
         return self.teams.find(digest) if self.teams is not None else None
 
 
+def _index_by_database(routes: Iterable[Route]) -> dict[str, Route]:
+    databases: dict[str, Route] = {}
+    for route in routes:
+        databases.setdefault(route.database, route)
+    return databases
+
+
 def check_plan(text: str, *, source: str) -> RoutePlan | SchemaFault:
     """Check the text of a plan and the references within it.
 
--- a/src/rosemarysaddle/decide/configuration/_teams.py
+++ b/src/rosemarysaddle/decide/configuration/_teams.py
@@ -68,21 +68,43 @@
     _by_digest: dict[bytes, _Credential] = attrs.field(
         factory=dict, repr=False
     )
+    _digests: dict[str, tuple[bytes, ...]] = attrs.field(
+        factory=dict, repr=False
+    )
 
     @classmethod
     def of(cls, teams: Iterable[Team]) -> TeamDirectory:
         """Build the directory from the teams of a checked plan."""
-        by_name: dict[str, Team] = {}
-        by_digest: dict[bytes, _Credential] = {}
-        for team in teams:
+        return cls().patched(remove=(), put=teams)
+
+    def patched(
+        self, *, remove: Iterable[str], put: Iterable[Team]
+    ) -> TeamDirectory:
+        """Build the directory of a plan that differs in some teams.
+
+        :param remove: names of teams that the new plan lacks
+        :param put: teams that are new or changed
+        """
+        added = {team.name: team for team in put}
+        by_name = dict(self.by_name)
+        by_digest = dict(self._by_digest)
+        digests = dict(self._digests)
+        # A key may move between teams, so old ones are removed first.
+        for name in (*remove, *added):
+            by_name.pop(name, None)
+            for digest in digests.pop(name, ()):
+                by_digest.pop(digest, None)
+        for name, team in added.items():
             without_keys = attrs.evolve(team, api_keys=())
-            by_name[team.name] = without_keys
-            for key in team.api_keys:
-                digest = digest_key(key)
+            by_name[name] = without_keys
+            digests[name] = tuple(map(digest_key, team.api_keys))
+            for digest in digests[name]:
                 by_digest[digest] = _Credential(
                     digest=digest, team=without_keys
                 )
-        return cls(by_name=by_name, by_digest=by_digest)
+        return TeamDirectory(
+            by_name=by_name, by_digest=by_digest, digests=digests
+        )
 
     @property
     def key_count(self) -> int:
@@ -94,8 +116,8 @@
         return {
             credential.team.name
             for digest, credential in self._by_digest.items()
-            if (now := newer.find(digest)) is None
-            or now.name != credential.team.name
+            if (now := newer._by_digest.get(digest)) is not credential
+            and (now is None or now.team.name != credential.team.name)
         }
 
     def find(self, digest: bytes) -> Team | None:
--- a/src/rosemarysaddle/decide/control_log/_state.py
+++ b/src/rosemarysaddle/decide/control_log/_state.py
@@ -13,7 +13,6 @@
 import cattrs
 
 from rosemarysaddle.decide.configuration._inventory import InventoryTable
-from rosemarysaddle.decide.configuration._plan_patch import apply_patch
 from rosemarysaddle.decide.configuration._route_plan import RouteTable
 from rosemarysaddle.decide.control_log._voters import MEMBERS
 from rosemarysaddle.decide.primaries._registry import TargetRecord, TargetTable
@@ -270,10 +269,11 @@
         # The plan was checked before it was proposed.  A plan that is
         # sent again or is older changes nothing.
         if change.base_version > self.routes.version:
-            source = change.payload
-            if change.kind == DocumentKind.ROUTES_PATCH:
-                source = apply_patch(self.routes.source, source)
-            self.routes = RouteTable.of(source)
+            self.routes = (
+                self.routes.patched(change.payload)
+                if change.kind == DocumentKind.ROUTES_PATCH
+                else RouteTable.of(change.payload)
+            )
             self.targets.changed_groups.update(self.routes.groups)
         return ChangeReply(
             change_id=change.change_id,
