Remove keys of callers during the soak

Cause: the checks of keys were tested session by session only, not with real leases, plans and suspended hosts.

NOACCESS joins the answers after which nothing may be stored. Runs without the option draw the same faults for a seed as before.

A run of three faults joins the tests (seed 4).

--- a/src/rosemarysaddle/run.py
+++ b/src/rosemarysaddle/run.py
@@ -102,6 +102,7 @@
     only: tuple[str, ...] = (),
     slot: int = 0,
     entry_hosts: int = 1,
+    teams: bool = False,
 ) -> int:
     """Run the platform under faults and check its guarantees.
 
@@ -111,6 +112,7 @@
     :param only: names of faults to inject instead, in this order
     :param slot: number of the loopback network, for parallel soaks
     :param entry_hosts: number of entry hosts of each data centre
+    :param teams: whether callers have teams, whose keys are removed
     """
     unknown = sorted(set(only) - set(FAULTS))
     if unknown:
@@ -124,6 +126,7 @@
             faults=only,
             slot=slot,
             entry_hosts=entry_hosts,
+            teams=teams,
         )
         print(json.dumps(attrs.asdict(result)), flush=True)
         failed_runs += bool(result.violations)
--- a/src/rosemarysaddle/soak/_callers.py
+++ b/src/rosemarysaddle/soak/_callers.py
@@ -35,6 +35,7 @@
 class Caller:
     """One caller, the only writer of its own key.
 
+    :param key: second word of its START
     :param database: determines the freshness of its reads
     :param ips: IP addresses of the entry hosts
     :param value: last value sent; increases with each write
@@ -44,6 +45,7 @@
     """
 
     name: str
+    key: str
     database: str
     ips: list[str]
     rng: random.Random
@@ -85,7 +87,7 @@
         except (OSError, TimeoutError):
             return False
         self._session_value = 0
-        response = await self._exchange(f"START {self.database} {self.name}")
+        response = await self._exchange(f"START {self.database} {self.key}")
         return response.code == "READY"
 
     def _close(self) -> None:
--- a/src/rosemarysaddle/soak/_check.py
+++ b/src/rosemarysaddle/soak/_check.py
@@ -16,7 +16,15 @@
 
 # Codes of answers that promise that nothing was stored.
 NOT_RUN: Final = frozenset(
-    {"BUSY", "ABORTED", "BEHIND", "READONLY", "WRONGHOST", "TOOMANY"}
+    {
+        "BUSY",
+        "ABORTED",
+        "BEHIND",
+        "READONLY",
+        "WRONGHOST",
+        "TOOMANY",
+        "NOACCESS",
+    }
 )
 
 
--- a/src/rosemarysaddle/soak/_platform.py
+++ b/src/rosemarysaddle/soak/_platform.py
@@ -14,7 +14,7 @@
 from rosemarysaddle.web import HttpServer
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Callable, Iterable, Sequence
 
     from rosemarysaddle.soak._nodes import Node, Nodes
     from rosemarysaddle.soak._proxy import FaultProxy
@@ -39,6 +39,8 @@
     """Stand-in for the platform around the nodes.
 
     :param proxies: proxy of each target by name
+    :param teams: returns the teams of the next plan, or None for a plan
+        without teams
     :param version: version of the last plan that was sent
     :param acknowledged: highest version that was acknowledged
     """
@@ -46,6 +48,7 @@
     nodes: Nodes
     group: TargetGroup
     proxies: dict[str, FaultProxy]
+    teams: Callable[[], list[dict[str, Any]]] | None = None
     version: int = 0
     acknowledged: int = 0
     _heartbeat_tasks: list[asyncio.Task[None]] = attrs.field(
@@ -86,7 +89,10 @@
         """
         self.version += 1
         version = self.version
-        body = json.dumps(_plan(version))
+        plan = _plan(version)
+        if self.teams is not None:
+            plan["teams"] = self.teams()
+        body = json.dumps(plan)
         path = "/rosemarysaddle/configuration/replace"
         is_done = await self._post_to_control(path, body, nodes)
         if is_done:
--- a/src/rosemarysaddle/soak/_run.py
+++ b/src/rosemarysaddle/soak/_run.py
@@ -14,6 +14,7 @@
 from rosemarysaddle.soak._callers import Caller
 from rosemarysaddle.soak._check import CallHistory, find_violations
 from rosemarysaddle.soak._faults import FAULTS, FaultContext
+from rosemarysaddle.soak._keys import KEY_PREFIX, TeamKeys
 from rosemarysaddle.soak._nodes import DATA_CENTERS, Nodes
 from rosemarysaddle.soak._platform import DATABASES, GROUP, StandInPlatform
 from rosemarysaddle.soak._proxy import FaultProxy
@@ -59,6 +60,7 @@
     faults: Sequence[str] = (),
     slot: int = 0,
     entry_hosts: int = 1,
+    teams: bool = False,
 ) -> SoakReport:
     """Run one seed.
 
@@ -69,6 +71,8 @@
     :param slot: number of the loopback network, so that soaks can run
         side by side
     :param entry_hosts: number of entry hosts of each data centre
+    :param teams: whether each caller has a team, whose key is removed
+        and put back during the faults
     """
     rng = random.Random(f"soak:{seed}")  # noqa: S311
     names = tuple(faults) or tuple(rng.choices(sorted(FAULTS), k=count))
@@ -79,6 +83,7 @@
         network=f"127.{64 + slot}",
         folder=folder,
         entry_hosts=entry_hosts,
+        has_teams=teams,
     )
     return asyncio.run(soak.run(seed))
 
@@ -90,12 +95,14 @@
     network: str
     folder: Path
     entry_hosts: int
+    has_teams: bool = False
     call_history: CallHistory = attrs.field(factory=CallHistory)
     nodes: Nodes = attrs.field(init=False)
     group: TargetGroup = attrs.field(init=False)
     proxies: dict[str, FaultProxy] = attrs.field(init=False)
     platform: StandInPlatform = attrs.field(init=False)
     callers: list[Caller] = attrs.field(init=False)
+    keys: TeamKeys = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.nodes = Nodes(
@@ -120,6 +127,7 @@
         self.callers = [
             Caller(
                 name=f"{database}{number}",
+                key=f"{KEY_PREFIX}{database}{number}",
                 database=database,
                 ips=ips,
                 rng=random.Random(self.rng.random()),  # noqa: S311
@@ -128,6 +136,13 @@
             for database in DATABASES
             for number in range(CALLERS_PER_DATABASE)
         ]
+        self.keys = TeamKeys(
+            names=tuple(caller.name for caller in self.callers),
+            change=self.platform.change,
+            rng=self.rng,
+        )
+        if self.has_teams:
+            self.platform.teams = self.keys.teams
 
     def _instances(self) -> dict[str, TargetInstance]:
         instances = [
@@ -169,6 +184,9 @@
                 self.call_history, self.group.current_primary.log
             )
             violations.extend(stored_violations)
+            violations.extend(
+                self.keys.find_violations(self.group.statements, self.folder)
+            )
         finally:
             await self._stop(calls)
         if not violations:
@@ -203,10 +221,16 @@
             rng=self.rng,
         )
         tasks = []
+        ended = asyncio.Event()
+        removing = asyncio.ensure_future(
+            self.keys.remove_until(ended) if self.has_teams else ended.wait()
+        )
         for name in self.names:
             tasks.append(asyncio.ensure_future(_run_fault(name, context)))
             await asyncio.sleep(self.rng.uniform(*FAULT_SPACING_RANGE_S))
         await asyncio.gather(*tasks)
+        ended.set()
+        await removing
         await asyncio.sleep(QUIET_PERIOD_S)
 
     async def _check_plan(self) -> list[str]:
--- a/src/rosemarysaddle/soak/_targets.py
+++ b/src/rosemarysaddle/soak/_targets.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import Final
 
 import attrs
@@ -93,10 +94,15 @@
 
 @attrs.define(kw_only=True, eq=False)
 class TargetGroup:
-    """The instances of one group."""
+    """The instances of one group.
+
+    :param statements: monotonic time and request id of each statement
+        of a caller that reached an instance
+    """
 
     name: str
     instances: dict[str, TargetInstance]
+    statements: list[tuple[float, str]] = attrs.field(factory=list)
     _promoting: bool = attrs.field(default=False, init=False)
 
     @property
@@ -208,6 +214,8 @@
             self._send("")
             return
         request_id, _, text = rest.partition(" ")
+        if request_id != "-":
+            self.group.statements.append((time.monotonic(), request_id))
         if text.startswith("AFTER "):
             _, point, text = text.split(" ", 2)
             term, _, position = point.partition(".")
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -11,6 +11,8 @@
 # Loopback network apart from those of soaks started by hand and of
 # test runs side by side.
 SLOT = 30 + os.getpid() % 100
+# Callers of this seed have teams, whose keys are removed meanwhile.
+TEAMS_SEED = 4
 
 
 @pytest.mark.parametrize(
@@ -19,12 +21,15 @@
         (1, ("kill-entry", "harm-primary", "freeze-control")),
         (2, ("crash-primary", "change")),
         (3, ("lose-quorum-disk",)),
+        (4, ("freeze-entry", "restart-control", "freeze-entry")),
     ],
 )
 def test_run_soak_finds_no_violations(
     seed: int, faults: tuple[str, ...]
 ) -> None:
-    report = run_soak(seed=seed, faults=faults, slot=SLOT)
+    teams = seed == TEAMS_SEED
+    report = run_soak(seed=seed, faults=faults, slot=SLOT, teams=teams)
 
     assert report.violations == ()
     assert report.told["DONE"]
+    assert teams is ("NOACCESS" in report.told)
