--- a/src/rosemarysaddle/connection/_lender.py
+++ b/src/rosemarysaddle/connection/_lender.py
@@ -1,4 +1,4 @@
-"""Lends connections to the other entry hosts of the data centre."""
+"""Lends connections to other entry hosts."""
 
 from __future__ import annotations
 
@@ -17,8 +17,10 @@
 from rosemarysaddle.connection._loans import KEEP_ALIVE_INTERVAL_MS
 from rosemarysaddle.connection._pool import OpenFault
 from rosemarysaddle.connection._setups import build_loan_grant, parse_setup
+from rosemarysaddle.connection._token_links import FrameBatch
 from rosemarysaddle.decide import (
     NS_PER_MS,
+    WEIGHT_SCALE,
     ConnectionRequest,
     FaultCode,
     SessionVariables,
@@ -30,6 +32,7 @@
     LoanReturn,
     PointReply,
     PointRequest,
+    TokenRequest,
 )
 
 if TYPE_CHECKING:
@@ -38,6 +41,7 @@
 
     from rosemarysaddle.connection._connection import TargetConnection
     from rosemarysaddle.connection._pool import ConnectionPool
+    from rosemarysaddle.schema import TokenGrant
 
 __all__ = ("Lender",)
 
@@ -54,12 +58,17 @@
     :param find_pool: finds this host's own connections to a target, or
         None
     :param find_point: finds the newest log position of a primary
+    :param on_token_request: handles a request for tokens of a team,
+        with a function that sends the answer
     :param is_stopping: whether this host stops; a borrower that asks
         for a loan is then disconnected
     """
 
     find_pool: Callable[[str], ConnectionPool | None]
     find_point: Callable[[str], Awaitable[PointReply]]
+    on_token_request: (
+        Callable[[TokenRequest, Callable[[TokenGrant], None]], None] | None
+    ) = None
     is_stopping: bool = attrs.field(default=False, init=False)
     _loans: set[_Loan] = attrs.field(factory=set, init=False)
 
@@ -107,6 +116,7 @@
     task: asyncio.Task[None] | None = attrs.field(default=None, init=False)
     _pool: ConnectionPool | None = attrs.field(default=None, init=False)
     _last_received_ns: int = attrs.field(factory=clock_ns, init=False)
+    _batch: FrameBatch | None = attrs.field(default=None, init=False)
 
     def data_received(self, data: bytes) -> None:
         """Handle received bytes unless the loan has timed out."""
@@ -177,6 +187,8 @@
                 self.connection is None and self.task is None
             ):
                 self.task = spawn(self._send_point(frame))
+            case TokenRequest() if self.lender.on_token_request is not None:
+                self.lender.on_token_request(frame, self._send_grant)
             case LoanReturn() if self.connection is not None:
                 self._accept_return(self.connection, frame)
             case _:
@@ -189,21 +201,21 @@
                 self.abort()
                 return
             if self.lender.waiting > MAX_WAITING_BORROWERS:
-                self._refuse(FaultCode.BUSY)
+                self._refuse(FaultCode.BUSY, connected=False)
                 return
-            if not pool.has_idle:
+            deadline_ns = clock_ns() + request.wait_ms * NS_PER_MS
+            connection_request = _connection_request(request, deadline_ns)
+            if not pool.has_idle_for(connection_request):
                 self.send(frame_message(LoanQueued()))
             found = await pool.acquire(
                 SessionVariables(
                     values={v.name: v.value for v in request.values}
                 ),
-                deadline_ns=clock_ns() + request.wait_ms * NS_PER_MS,
-                connection_request=ConnectionRequest(
-                    priority=request.priority, pinned=request.pinned
-                ),
+                deadline_ns=deadline_ns,
+                connection_request=connection_request,
             )
             if isinstance(found, OpenFault):
-                self._refuse(found.code)
+                self._refuse(found.code, connected=found.connected)
             elif self._transport is None:
                 pool.release(found)
             else:
@@ -221,6 +233,11 @@
         finally:
             self.task = None
 
+    def _send_grant(self, grant: TokenGrant) -> None:
+        if self._batch is None:
+            self._batch = FrameBatch(write=self.send)
+        self._batch.add(frame_message(grant))
+
     def _grant(
         self, pool: ConnectionPool, connection: TargetConnection
     ) -> None:
@@ -239,5 +256,24 @@
         if self._pool is not None:
             self._pool.release(connection)
 
-    def _refuse(self, code: FaultCode) -> None:
-        self.send(frame_message(LoanRefusal(code=code)))
+    def _refuse(self, code: FaultCode, *, connected: bool) -> None:
+        refusal = LoanRefusal(code=code, connected=connected)
+        self.send(frame_message(refusal))
+
+
+def _connection_request(
+    request: LoanRequest, deadline_ns: int
+) -> ConnectionRequest:
+    objective_ns = 0
+    if request.objective_ms:
+        objective_ns = clock_ns() + request.objective_ms * NS_PER_MS
+    weight = request.weight / WEIGHT_SCALE if request.weight else 1.0
+    return ConnectionRequest(
+        priority=request.priority,
+        pinned=request.pinned,
+        team=request.team,
+        any_team=request.any_team,
+        deadline_ns=deadline_ns,
+        objective_ns=objective_ns,
+        weight=weight,
+    )
--- a/src/rosemarysaddle/schema/messages.capnp
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -215,6 +215,8 @@
   objectiveMs @6 :UInt32 = 0;
   # Share of the team relative to others, in thousandths.
   weight @7 :UInt32 = 0;
+  # Whether a connection of any team serves the request.
+  anyTeam @8 :Bool = false;
 }
 
 struct LoanQueued {
@@ -227,6 +229,8 @@
 
 struct LoanRefusal {
   code @0 :Text;
+  # Whether the target's host accepted the connection that failed.
+  connected @1 :Bool = false;
 }
 
 struct LoanReturn {
--- a/tests/session/test_team_keys.py
+++ b/tests/session/test_team_keys.py
@@ -380,7 +380,8 @@
         teams = [caller.session.runner.team for caller in callers]
         metrics = entry_metrics(router.node, router, lender, teams=teams)
         shown.extend(map(repr, metrics))
-        shown.extend((repr(router.node.state.routes), *target.opened))
+        shown.append(repr(router.node.state.routes))
+        shown.extend(target.labels.values())
         shown.extend(target.texts)
 
     _run(scenario)
