--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -46,6 +46,11 @@
     RouteTable,
     check_plan,
 )
+from rosemarysaddle.decide.configuration._teams import (
+    TeamDirectory,
+    digest_key,
+    team_weight,
+)
 from rosemarysaddle.decide.control_log._follower import (
     BEHIND_MS,
     FollowerStatus,
@@ -65,6 +70,10 @@
 from rosemarysaddle.decide.control_log._voter_manager import address_of
 from rosemarysaddle.decide.control_log._voters import join_voters
 from rosemarysaddle.decide.leases._lease import HostLease, LeaseTable
+from rosemarysaddle.decide.load._counting_hosts import (
+    CountingHosts,
+    rank_hosts,
+)
 from rosemarysaddle.decide.load._lending import (
     ConnectionShare,
     LenderRanking,
@@ -83,11 +92,18 @@
     ConnectionRequest,
     Waiter,
 )
+from rosemarysaddle.decide.load._rate_limit import (
+    DemandRate,
+    LimitSettings,
+    LimitShare,
+)
 from rosemarysaddle.decide.load._team_connections import (
     FULL_BACKOFF_MS,
     TeamConnections,
     max_concurrent_opens,
 )
+from rosemarysaddle.decide.load._token_counter import TokenCounter
+from rosemarysaddle.decide.load._token_stock import TokenStock, reserve_share
 from rosemarysaddle.decide.load._window import INITIAL_SIZE, ConcurrencyWindow
 from rosemarysaddle.decide.primaries._change import (
     ChangeTimes,
@@ -130,6 +146,8 @@
     "ConnectionSetup",
     "ConnectionShare",
     "ControlNode",
+    "CountingHosts",
+    "DemandRate",
     "DocumentKind",
     "Effect",
     "EntryKind",
@@ -144,6 +162,8 @@
     "InventoryTable",
     "LeaseTable",
     "LenderRanking",
+    "LimitSettings",
+    "LimitShare",
     "LoadSnapshot",
     "LogNode",
     "LogPoint",
@@ -176,8 +196,11 @@
     "TargetState",
     "TargetView",
     "TeamConnections",
+    "TeamDirectory",
     "TeamScope",
     "TokenCodec",
+    "TokenCounter",
+    "TokenStock",
     "Waiter",
     "WriteTicket",
     "address_of",
@@ -186,6 +209,7 @@
     "choose_primary",
     "choose_target",
     "compute_transfer_cost_ns",
+    "digest_key",
     "eligible_reports",
     "is_empty",
     "is_update",
@@ -193,7 +217,10 @@
     "max_concurrent_opens",
     "newer_point",
     "promotion_quorum",
+    "rank_hosts",
+    "reserve_share",
     "share_connections",
     "shared_name",
+    "team_weight",
     "write_quorum",
 )
--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -360,7 +360,7 @@
         out: list[Effect] = []
         if renewal.applied_index < self.state.index:
             out.append(self._view_for(source, renewal.applied_index))
-        with_remote = self.state.routes.team_count is not None
+        with_remote = self.state.routes.uses_teams
         neighbours = self._neighbours.list_if_changed(
             source,
             renewal,
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -26,6 +26,7 @@
     FaultCode,
     Freshness,
     LenderRanking,
+    LimitSettings,
     LogPoint,
     PositionHistory,
     ReadConstraints,
@@ -44,6 +45,7 @@
 from rosemarysaddle.link import Address
 from rosemarysaddle.schema import PointReply
 from rosemarysaddle.session._admission import AdmissionQueue
+from rosemarysaddle.session._rate_limits import RateLimits
 from rosemarysaddle.session._statement_stats import StatementStats
 
 if TYPE_CHECKING:
@@ -106,6 +108,7 @@
     :param label: name of this host, for the targets' logs
     :param send: executes the effects of decisions of the node
     :param regions: region of each data centre
+    :param limit_settings: settings of the rate limits of teams
     """
 
     node: EntryNode
@@ -113,6 +116,8 @@
     new_codec: Callable[[], TargetCodec]
     send: Callable[[Sequence[Effect]], None]
     regions: Mapping[str, str] = attrs.field(factory=dict)
+    limit_settings: LimitSettings = attrs.field(factory=LimitSettings)
+    rate_limits: RateLimits = attrs.field(init=False)
     targets: dict[str, TargetState] = attrs.field(factory=dict, init=False)
     pools: dict[str, SharedPool] = attrs.field(factory=dict, init=False)
     loan_client: LoanClient = attrs.field(init=False)
@@ -142,7 +147,10 @@
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create the loan client."""
+        """Create the loan client and the rate limits."""
+        self.rate_limits = RateLimits(
+            node=self.node, settings=self.limit_settings, regions=self.regions
+        )
         self.loan_client = LoanClient(
             ranking=LenderRanking(
                 own=self.node.lending_address,
@@ -171,6 +179,10 @@
             f" index={state.index} version={state.routes.version}"
         )
 
+    async def admit_operation(self, team: str) -> Refusal | None:
+        """Admit an operation of a team, or refuse it over its limit."""
+        return await self.rate_limits.admit(team)
+
     # --- reads ---
 
     def choose_read_target(
@@ -392,6 +404,7 @@
 
     def apply_view(self) -> None:
         """Update targets, pools and neighbours from the node's view."""
+        self.rate_limits.apply_view()
         ranking = self.loan_client.ranking
         lenders = (self.node.neighbours, self.node.remote_hosts)
         if lenders != self._lenders:
@@ -455,9 +468,9 @@
         routes = self.node.state.routes
         policy = routes.groups.get(record.group)
         team_scope = None
-        if routes.team_count is not None:
+        if routes.teams is not None:
             team_scope = TeamScope(
-                teams=routes.team_count,
+                teams=len(routes.teams.by_name),
                 target_center=record.data_center,
                 own_center=self.node.data_center,
                 remote=self.node.remote_hosts,
@@ -505,6 +518,7 @@
 
     def tick_loans(self, now_ns: int) -> None:
         """Send keep-alives and trim the pools, if this is due."""
+        self.rate_limits.tick(now_ns)
         if self.loan_client.tick(now_ns):
             for pool in self.pools.values():
                 pool.trim()
