Test that a caller's statements keep their team when a lender ends

Failure guarded against: with keys, loans and replaced connections together, a statement runs under another team's name, or fails although only the lender was lost.

--- a/tests/session/test_team_lending.py
+++ b/tests/session/test_team_lending.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import random
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -19,7 +20,13 @@
     RouteTable,
     SessionVariables,
 )
-from tests.session.standin import IP, PLAN, StandInTarget, make_router
+from tests.session.standin import (
+    IP,
+    PLAN,
+    StandInTarget,
+    make_router,
+    open_caller,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -254,3 +261,42 @@
         assert pool.own.limit == LIMIT * 0.9 // 4
 
     _run_scenario(scenario)
+
+
+def test_statements_of_callers_run_under_their_team_when_a_lender_ends() -> (
+    None
+):
+    # More teams than connections, transactions among the statements,
+    # and a lender that is gone halfway.
+    async def scenario(fleet: _Fleet) -> None:
+        numbers = random.Random(3)  # noqa: S311
+
+        async def run(number: int) -> None:
+            team = min(len(TEAMS), int(numbers.paretovariate(0.8))) - 1
+            host = fleet.hosts[numbers.choice([2, 3])]
+            key = str(TEAMS[team]["api_keys"][0])
+            caller = await open_caller(host.router, "own", key)
+            write = f"WRITE {number} team{team}"
+            is_transaction = numbers.random() < 0.3
+            texts = ["BEGIN", write, "COMMIT"] if is_transaction else [write]
+            for text in texts:
+                assert (await caller.query(text)).startswith("OK")
+
+        lender, stand_in = fleet.lender, fleet.local_stand_in
+        tasks = []
+        for number in range(200):
+            tasks.append(asyncio.create_task(run(number)))
+            await asyncio.sleep(0.004)
+            if number == 100:
+                await asyncio.gather(*tasks)
+                lender.stop()
+        await asyncio.gather(*tasks)
+
+        labels = fleet.target.labels
+        for number, text in fleet.target.received:
+            if text.startswith("WRITE"):
+                assert labels[number] == text.split()[2]
+        assert lender.pool.replaced > 0
+        assert 0 < stand_in.pool.opened <= stand_in.pool.limit
+
+    _run_scenario(scenario)
