--- a/src/rosemarysaddle/decide/load/_lending.py
+++ b/src/rosemarysaddle/decide/load/_lending.py
@@ -365,16 +365,18 @@
         self._unable_until_ns.pop((host, target), None)
 
     def _first(self, data_center: str, target: str, now_ns: int) -> str:
-        up = [
-            host
-            for host in self._rank(data_center, target)
-            if now_ns >= self._down_until_ns.get(host, 0)
-        ][:MAX_UNABLE_LENDERS]
-        able = [
-            host for host in up if not self.is_unable(host, target, now_ns)
-        ]
+        # Stops at the first, as each tick asks for every target.
+        up: list[str] = []
+        for host in self._rank(data_center, target):
+            if now_ns < self._down_until_ns.get(host, 0):
+                continue
+            if not self.is_unable(host, target, now_ns):
+                return host
+            up.append(host)
+            if len(up) == MAX_UNABLE_LENDERS:
+                break
         # All agree on the first again if the target itself is down.
-        return next(iter(able or up), "")
+        return up[0] if up else ""
 
     def _rank(self, data_center: str, target: str) -> tuple[str, ...]:
         ranked = self._ranks.get((data_center, target))
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -469,14 +469,15 @@
         policy = routes.groups.get(record.group)
         team_scope = None
         if routes.teams is not None:
+            is_near = record.data_center == self.node.data_center
+            ranking = self.loan_client.ranking
             team_scope = TeamScope(
                 teams=len(routes.teams.by_name),
                 target_center=record.data_center,
                 own_center=self.node.data_center,
                 remote=self.node.remote_hosts,
-                is_first_lender=self.loan_client.ranking.is_first(
-                    record.target, record.data_center
-                ),
+                is_first_lender=is_near
+                and ranking.is_first(record.target, record.data_center),
                 can_lend=bool(self.node.lending_address),
             )
         return share_connections(
