--- a/tests/node/test_host_metrics.py
+++ b/tests/node/test_host_metrics.py
@@ -141,7 +141,7 @@
     pools: Any = {"t": SimpleNamespace(own=counts)}
     router.pools.update(pools)
 
-    metrics = entry_metrics(router.node, router, _lender(router), sessions=0)
+    metrics = entry_metrics(router.node, router, _lender(router), teams=())
 
     found = next(
         m
--- a/tests/session/limits_simulation.py
+++ b/tests/session/limits_simulation.py
@@ -19,6 +19,7 @@
     LimitSettings,
     Refusal,
     RouteTable,
+    TeamDirectory,
 )
 from rosemarysaddle.schema import Team, TokenGrant, TokenRequest
 from rosemarysaddle.session import _rate_limits as module
@@ -289,15 +290,15 @@
         host.limits.apply_view()
 
     def _apply_limit(self, host: Host) -> None:
-        teams = host.limits.node.state.routes.teams
+        current = host.limits.node.state.routes.team(TEAM)
         team = Team(
             name=TEAM,
             api_keys=(),
             rate_per_s=self.rate_per_s,
             burst_size=self.burst_size,
         )
-        if teams.get(TEAM) != team:
-            routes = RouteTable(teams={TEAM: team})
+        if current != team:
+            routes = RouteTable(teams=TeamDirectory.of((team,)))
             host.limits.node.state.routes = routes
 
     def _list(self, center: str) -> tuple[str, ...]:
