--- a/tests/node/test_host_metrics.py
+++ b/tests/node/test_host_metrics.py
@@ -13,6 +13,7 @@
     ControlNode,
     EntryNode,
     GroupTerm,
+    LimitSettings,
     TeamDirectory,
 )
 from rosemarysaddle.node._host_metrics import (
@@ -154,3 +155,22 @@
         ("t", "taken"): 9,
         ("t", "reused"): 6,
     }
+
+
+def test_metrics_of_limits_name_no_team() -> None:
+    # Guards against a label for each of thousands of teams.
+    router = _router()
+    limits = router.rate_limits
+    limits.settings = LimitSettings(window_ns=5_000_000_000)
+    limits.stats.granted = 3
+    limits.stats.record_wait(3 * NS_PER_MS)
+    metrics: dict[str, Any] = {
+        metric.name.removeprefix("rosemarysaddle_"): metric
+        for metric in entry_metrics(
+            router.node, router, _lender(router), teams=()
+        )
+        if "limit_" in metric.name
+    }
+    assert metrics["limit_operations"].values == {("granted",): 3}
+    waits = metrics["limit_wait_seconds"].values["granted"]
+    assert waits == ([0, 0, 1, 1, 1, 1, 1, 1], 0.003)
