--- a/src/rosemarysaddle/operate/_explain.py
+++ b/src/rosemarysaddle/operate/_explain.py
@@ -19,7 +19,13 @@
 _NAME_KEYS: Final = ("peer", "target", "group", "team", "counting_host")
 # Events that log the state on which a host bases its decisions. The
 # last one of each kind before the request is shown.
-_STATE_EVENTS: Final = {"started", "readiness", "control", "reloaded"}
+_STATE_EVENTS: Final = {
+    "started",
+    "readiness",
+    "control",
+    "reloaded",
+    "teams",
+}
 # Logged when a team starts and stops being refused, which may be long
 # before a request.
 _TEAM_STATE_EVENTS: Final = {"limit-reached", "limit-kept"}
--- a/tests/node/test_host_metrics.py
+++ b/tests/node/test_host_metrics.py
@@ -1,17 +1,20 @@
 from __future__ import annotations
 
 import urllib.request
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
 
+from rosemarysaddle._prometheus import Gauge
 from rosemarysaddle.connection import Lender
 from rosemarysaddle.decide import (
     ControlNode,
     EntryNode,
     GroupTerm,
     LimitSettings,
+    TeamDirectory,
 )
 from rosemarysaddle.node._host_metrics import (
     control_metrics,
@@ -71,7 +74,7 @@
     lender = _lender(router)
     server = start_metrics(
         _settings(ADDRESS),
-        lambda: entry_metrics(router.node, router, lender, sessions=2),
+        lambda: entry_metrics(router.node, router, lender, teams=["", ""]),
     )
     assert server is not None
     try:
@@ -99,6 +102,28 @@
     assert samples[f"{prefix}lease_left_seconds",] < 0
 
 
+def test_team_metrics_have_a_bounded_number_of_labels() -> None:
+    """Guards against a time series for each of 10,000 teams."""
+    router = _router()
+    router.node.state.routes.teams = TeamDirectory()
+    teams = ["", *(f"t{n}" for n in range(1_000)), *["big"] * 5]
+
+    found = {
+        metric.name: dict(metric.values)
+        for metric in entry_metrics(
+            router.node, router, _lender(router), teams=teams
+        )
+        if isinstance(metric, Gauge)
+    }
+
+    sessions = found["rosemarysaddle_team_sessions"]
+    assert len(sessions) == 9
+    assert sessions["big"] == 5
+    assert sum(sessions.values()) == 1_005
+    assert found["rosemarysaddle_sessions"] == {"": 1_006}
+    assert found["rosemarysaddle_teams_connected"] == {"": 1_001}
+
+
 def test_control_metrics_include_leadership_and_log_term() -> None:
     leader: ControlNode = make_leader(5_000 * NS_PER_MS)
 
@@ -111,6 +136,27 @@
     assert start_metrics(_settings(""), list) is None
 
 
+def test_entry_metrics_tell_how_many_requests_opened_a_connection() -> None:
+    router = _router()
+    counts = SimpleNamespace(opened=2, opens=3, replaced=1, takes=9, reuses=6)
+    pools: Any = {"t": SimpleNamespace(own=counts)}
+    router.pools.update(pools)
+
+    metrics = entry_metrics(router.node, router, _lender(router), teams=())
+
+    found = next(
+        m
+        for m in metrics
+        if m.name == "rosemarysaddle_target_connection_events"
+    )
+    assert found.values == {
+        ("t", "opened"): 3,
+        ("t", "replaced"): 1,
+        ("t", "taken"): 9,
+        ("t", "reused"): 6,
+    }
+
+
 def test_metrics_of_limits_name_no_team() -> None:
     # Guards against a label for each of thousands of teams.
     router = _router()
@@ -121,7 +167,7 @@
     metrics: dict[str, Any] = {
         metric.name.removeprefix("rosemarysaddle_"): metric
         for metric in entry_metrics(
-            router.node, router, _lender(router), sessions=0
+            router.node, router, _lender(router), teams=()
         )
         if "limit_" in metric.name
     }
