--- a/tests/operate/test_explain.py
+++ b/tests/operate/test_explain.py
@@ -142,3 +142,16 @@
     assert not explain_request(
         "nobody", parse_log_lines(HOST_LOGS.splitlines())
     )
+
+
+def test_refusal_over_a_limit_is_explained_by_an_older_line() -> None:
+    # Guards against a cause that was logged once, long before.
+    start = "time=2026-12-04T10:{}:00.000Z level=info host={} event={}"
+    texts = [
+        start.format("00", "h1", "limit-reached team=t1 cause=limit"),
+        start.format("01", "h1", "limit-reached team=t2 cause=limit"),
+        start.format("02", "h2", "limit-reached team=t1 cause=limit"),
+        start.format("09", "h1", "refused id=5c peer=t1 reason=rate-limited"),
+    ]
+    found = explain_request("5c", parse_log_lines(texts))
+    assert found == [texts[0], texts[3]]
--- a/tests/session/test_rate_limits.py
+++ b/tests/session/test_rate_limits.py
@@ -32,8 +32,6 @@
     window_ns=5 * NS_PER_S,
     overage=0.1,
     slack=20,
-    data_center="dc",
-    data_centers=("dc",),
 )
 
 
@@ -55,23 +53,33 @@
         self.router.rate_limits.close()
 
 
-async def _start_host(number: int, team: dict[str, Any]) -> _Host:
+async def _start_host(
+    number: int, team: dict[str, Any], *, centers: int
+) -> _Host:
+    names = tuple(f"d{n}" for n in range(centers))
+    center = names[number % centers]
+    by_center: dict[str, list[str]] = {name: [] for name in names}
+    for other in range(HOSTS):
+        by_center[names[other % centers]].append(_address(other))
     node = EntryNode(
         host=f"e{number}",
-        data_center="dc",
+        data_center=center,
         address="",
         control=["c"],
         lending_address=_address(number),
     )
     node.state.routes = RouteTable.of(json.dumps({**PLAN, "teams": [team]}))
     node.lease.deadline_ns = clock_ns() + 60 * NS_PER_S
-    node.neighbours = tuple(_address(n) for n in range(HOSTS))
+    node.neighbours = tuple(by_center.pop(center))
+    node.remote_hosts = {n: tuple(a) for n, a in by_center.items()}
     router = Router(
         node=node,
         label="e",
         new_codec=TargetLineCodec,
         send=lambda _: None,
-        limit_settings=SETTINGS,
+        limit_settings=attrs.evolve(
+            SETTINGS, data_center=center, data_centers=names
+        ),
     )
     limits = router.rate_limits
     limits.tick(clock_ns())
@@ -88,11 +96,16 @@
 
 def _run_scenario(
     scenario: Callable[[list[_Host]], Coroutine[None, None, None]],
+    *,
+    centers: int = 1,
     **team: float,
 ) -> None:
     async def run() -> None:
         plan_team = {"name": TEAM, "api_keys": ["k"], **team}
-        hosts = [await _start_host(n, plan_team) for n in range(HOSTS)]
+        hosts = [
+            await _start_host(n, plan_team, centers=centers)
+            for n in range(HOSTS)
+        ]
         try:
             await scenario(hosts)
         finally:
@@ -174,6 +187,19 @@
     _run_scenario(scenario, rate_per_s=400, burst_size=100)
 
 
+def test_tokens_of_another_data_centre_are_used() -> None:
+    # Guards against a team that gets the share of one data centre only.
+    async def scenario(hosts: list[_Host]) -> None:
+        await asyncio.sleep(0.5)
+        limits = hosts[0].router.rate_limits
+        results = [limits.admit(TEAM) for _ in range(90)]
+        refusals = [r for r in await asyncio.gather(*results) if r]
+        assert refusals == []
+        assert limits.stats.transferred["received"] >= 30
+
+    _run_scenario(scenario, centers=2, rate_per_s=400, burst_size=100)
+
+
 def test_team_without_limit_is_admitted() -> None:
     # Guards against limits where the plan has none.
     async def scenario(hosts: list[_Host]) -> None:
