Narrow the window once per round trip; count no lost use as served

Cause: each refusal of one burst narrowed the window, and a connection that was lost while in use widened it, as the pool passed only was_busy. Refusals also entered the mean hold time as short holds.

Ruled out: counting ends of statements since the last decrease (quick refusals beside long statements still narrow several times per round trip); a fixed pause (no round trip is the same for all targets). Chosen: a refusal counts only if the statement was sent after the last decrease, as TCP does for losses of one window.

Lost uses change neither the window nor, when shorter than the mean, the hold time.

--- a/src/rosemarysaddle/connection/_pool.py
+++ b/src/rosemarysaddle/connection/_pool.py
@@ -295,11 +295,16 @@
         self._queue.record_acquired(connection_request)
 
     def _mark_returned(self, connection: TargetConnection) -> None:
-        use = self._connections.record_returned(connection, clock_ns())
+        now_ns = clock_ns()
+        use = self._connections.record_returned(connection, now_ns)
         if use is not None:
             connection_request, held_ns = use
             self._queue.record_released(
-                connection_request, held_ns, was_busy=connection.was_busy
+                connection_request,
+                held_ns,
+                now_ns=now_ns,
+                was_busy=connection.was_busy,
+                was_lost=connection.is_lost,
             )
             connection.was_busy = False
 
--- a/src/rosemarysaddle/decide/load/_queueing.py
+++ b/src/rosemarysaddle/decide/load/_queueing.py
@@ -163,22 +163,29 @@
         connection_request: ConnectionRequest,
         held_ns: int,
         *,
+        now_ns: int,
         was_busy: bool = False,
+        was_lost: bool = False,
     ) -> None:
         """Record that a request has released its connection.
 
         :param held_ns: time for which it was held, in nanoseconds
         :param was_busy: whether the target refused the statement
             because all its slots were in use
+        :param was_lost: whether the connection was lost while in use
         """
         if connection_request.pinned:
             self._pinned -= 1
             return
         if was_busy:
-            self.window.record_shed()
-        else:
+            self.window.record_shed(sent_ns=now_ns - held_ns, now_ns=now_ns)
+        elif not was_lost:
             self.window.record_served()
         self.window.running -= 1
+        # A refusal ran nothing, and a loss shows only that the
+        # statement would have taken at least this long.
+        if was_busy or (was_lost and held_ns < self.mean_hold_ns):
+            return
         self.mean_hold_ns += (
             held_ns - self.mean_hold_ns
         ) // _HOLD_EWMA_DIVISOR
--- a/src/rosemarysaddle/decide/load/_window.py
+++ b/src/rosemarysaddle/decide/load/_window.py
@@ -29,10 +29,12 @@
 
     :param size: number of statements that may run at once
     :param running: number of statements that run now
+    :param narrowed_ns: time of the last decrease; 0 before the first
     """
 
     size: float = INITIAL_SIZE
     running: int = 0
+    narrowed_ns: int = attrs.field(default=0, init=False)
 
     def may_start(self) -> bool:
         """Tell whether one more statement may be sent."""
@@ -43,6 +45,17 @@
         if self.running + 1 >= int(self.size):
             self.size = min(MAX_SIZE, self.size + INCREASE_STEP / self.size)
 
-    def record_shed(self) -> None:
-        """Narrow the window after the target shed a statement."""
+    def record_shed(self, *, sent_ns: int, now_ns: int) -> None:
+        """Narrow the window after the target shed a statement.
+
+        It narrows at most once per round trip: a statement that was
+        sent before the last decrease says nothing about the narrower
+        window.  Without this, a burst of five refusals left an eighth
+        of the window.
+
+        :param sent_ns: time at which the statement was sent
+        """
+        if sent_ns < self.narrowed_ns:
+            return
+        self.narrowed_ns = now_ns
         self.size = max(MIN_SIZE, self.size * DECREASE_FACTOR)
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -506,7 +506,7 @@
             target_state.running -= 1
         queue = self.router.admission_queues.get(target)
         if queue is not None and answer.fault is FaultCode.BUSY:
-            queue.window.record_shed()
+            queue.window.record_shed(sent_ns=asked_ns, now_ns=clock_ns())
         elif queue is not None and answer.fault is None:
             queue.window.record_served()
         self.router.record_answer(
