--- a/benchmarks/remote_lender.py
+++ b/benchmarks/remote_lender.py
@@ -124,7 +124,12 @@
         self, statement: Statement, granted_ms: float, *, is_shed: bool
     ) -> None:
         held_ns = int((self._now_ms - granted_ms) * NS_PER_MS)
-        statement.queue.record_released(_REQUEST, held_ns, was_busy=is_shed)
+        statement.queue.record_released(
+            _REQUEST,
+            held_ns,
+            now_ns=int(self._now_ms * NS_PER_MS),
+            was_busy=is_shed,
+        )
         if is_shed:
             statement.queue.push(_REQUEST, statement)
         else:
