--- a/tests/session/test_team_keys.py
+++ b/tests/session/test_team_keys.py
@@ -88,6 +88,19 @@
     _run(scenario)
 
 
+def test_new_key_opens_a_session_once_the_host_has_its_plan() -> None:
+    async def scenario(router: Router, target: StandInTarget) -> None:
+        del target
+        assert "NOACCESS" in (await _open(router, "own", "k2")).opening
+        _put_plan(router, 3, x=KEY, y="k2")
+        caller = await _open(router, "own", "k2")
+        assert caller.opening == "READY I -"
+        assert caller.session.runner.team == "y"
+        assert router.unknown_keys.total == 1
+
+    _run(scenario)
+
+
 def test_session_without_its_key_runs_nothing_until_the_key_is_back() -> None:
     async def scenario(router: Router, target: StandInTarget) -> None:
         caller = await _open(router, "own", KEY)
