--- a/tests/node/test_host_metrics.py
+++ b/tests/node/test_host_metrics.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import urllib.request
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -12,6 +13,7 @@
     ControlNode,
     EntryNode,
     GroupTerm,
+    LimitSettings,
     TeamDirectory,
 )
 from rosemarysaddle.node._host_metrics import (
@@ -132,3 +134,43 @@
 
 def test_start_metrics_returns_none_without_address() -> None:
     assert start_metrics(_settings(""), list) is None
+
+
+def test_entry_metrics_tell_how_many_requests_opened_a_connection() -> None:
+    router = _router()
+    counts = SimpleNamespace(opened=2, opens=3, replaced=1, takes=9, reuses=6)
+    pools: Any = {"t": SimpleNamespace(own=counts)}
+    router.pools.update(pools)
+
+    metrics = entry_metrics(router.node, router, _lender(router), teams=())
+
+    found = next(
+        m
+        for m in metrics
+        if m.name == "rosemarysaddle_target_connection_events"
+    )
+    assert found.values == {
+        ("t", "opened"): 3,
+        ("t", "replaced"): 1,
+        ("t", "taken"): 9,
+        ("t", "reused"): 6,
+    }
+
+
+def test_metrics_of_limits_name_no_team() -> None:
+    # Guards against a label for each of thousands of teams.
+    router = _router()
+    limits = router.rate_limits
+    limits.settings = LimitSettings(window_ns=5_000_000_000)
+    limits.stats.granted = 3
+    limits.stats.record_wait(3 * NS_PER_MS)
+    metrics: dict[str, Any] = {
+        metric.name.removeprefix("rosemarysaddle_"): metric
+        for metric in entry_metrics(
+            router.node, router, _lender(router), teams=()
+        )
+        if "limit_" in metric.name
+    }
+    assert metrics["limit_operations"].values == {("granted",): 3}
+    waits = metrics["limit_wait_seconds"].values["granted"]
+    assert waits == ([0, 0, 1, 1, 1, 1, 1, 1], 0.003)
