Log peers that an entry host loses and regains

The logs did not show when a host lost its lease, its leader or a control host, nor for how long.

Ruled out: a line for each renewal without an answer (ten a second for each host without a leader); a log call that writes itself (log_event limits the lines and a thread writes them).

Before: only lender-lost and readiness were logged. After: contact-lost and contact-regained for the lease, the leader, each control host and each lender, with link, reason and duration; gauges of the contacts lost now and counters of losses and time lost, by kind and link.

Conclusion: an outage can be told apart by its cause from one host's log.

--- a/src/rosemarysaddle/connection/_loans.py
+++ b/src/rosemarysaddle/connection/_loans.py
@@ -8,6 +8,7 @@
 import attrs
 
 from rosemarysaddle._clock import NS_PER_S, clock_ns
+from rosemarysaddle._contacts import ContactKind, ContactLog
 from rosemarysaddle._events import log_event
 from rosemarysaddle.connection._connection import TargetConnection
 from rosemarysaddle.connection._frames import (
@@ -145,10 +146,12 @@
     """Connections that this host has borrowed.
 
     :param ranking: determines which host lends connections to a target
+    :param contacts: records lenders that are lost and regained
     """
 
     ranking: LenderRanking
     new_codec: Callable[[], TargetCodec]
+    contacts: ContactLog = attrs.field(factory=ContactLog)
     _idle: dict[str, list[_Link]] = attrs.field(factory=dict, init=False)
     _borrowed: dict[TargetConnection, _Link] = attrs.field(
         factory=dict, init=False
@@ -203,6 +206,7 @@
                 return OpenFault(code=code, peer=target, connected=True)
             self._report_lender_lost(target, lender, "ask")
             return None
+        self._record_answer(lender)
         if isinstance(answer, LoanGrant):
             return self._start_loan(link, target, answer)
         self._keep_idle(link)
@@ -230,6 +234,7 @@
         )
         if not isinstance(answer, PointReply):
             return None
+        self._record_answer(lender)
         self._keep_idle(link)
         return answer if answer.known else None
 
@@ -303,7 +308,14 @@
         log_event(
             "lender-lost", f"target={target} lender={lender} step={step}"
         )
-        self.ranking.mark_down(lender, clock_ns())
+        now_ns = clock_ns()
+        self.ranking.mark_down(lender, now_ns)
+        self.contacts.record_lost(
+            ContactKind.LENDER, lender, now_ns, reason=step
+        )
+
+    def _record_answer(self, lender: str) -> None:
+        self.contacts.record_regained(ContactKind.LENDER, lender, clock_ns())
 
     def _keep_idle(self, link: _Link) -> None:
         idle = self._idle.setdefault(link.lender, [])
--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -78,6 +78,9 @@
     :param neighbours: lending addresses of the entry hosts of the data
         centre
     :param renewal_ms: time between renewals, in milliseconds
+    :param last_leader: control host that granted the last lease
+    :param unanswered_since_ns: time of the first renewal after the last
+        grant that got no answer in time; 0 if there is none
     """
 
     host: str
@@ -91,6 +94,8 @@
     lending_address: str = ""
     neighbours: tuple[str, ...] = attrs.field(default=(), init=False)
     renewal_ms: int = RENEWAL_INTERVAL_MS
+    last_leader: str = attrs.field(default="", init=False)
+    unanswered_since_ns: int = attrs.field(default=0, init=False)
     _neighbours_tag: int = attrs.field(default=0, init=False)
     _leader_hint: str = attrs.field(default="", init=False)
     _renew_at_ns: int = attrs.field(default=0, init=False)
@@ -252,6 +257,7 @@
         self._renew_at_ns = now_ns + RENEWAL_TIMEOUT_MS * NS_PER_MS
         peer = self._leader()
         if not self.lease.leader:
+            self.unanswered_since_ns = self.unanswered_since_ns or now_ns
             # No answer to the last renewal: drop the hint after this
             # attempt and try the control hosts in turn.
             self._control_index += 1
@@ -281,6 +287,8 @@
         if self._stopping:
             return []
         self._leader_hint = source
+        self.last_leader = source
+        self.unanswered_since_ns = 0
         self._renew_at_ns = now_ns + self.renewal_ms * NS_PER_MS
         effects: list[Effect] = []
         for closing in grant.closing:
--- a/src/rosemarysaddle/link/_peers.py
+++ b/src/rosemarysaddle/link/_peers.py
@@ -16,6 +16,8 @@
 import attrs
 from absl import logging
 
+from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._contacts import ContactKind
 from rosemarysaddle.link._address import Address
 from rosemarysaddle.link._codec import (
     MAX_MESSAGE_BYTES,
@@ -29,6 +31,7 @@
     import ssl
     from collections.abc import Callable, Mapping
 
+    from rosemarysaddle._contacts import ContactLog
     from rosemarysaddle.link._network_conditions import NetworkConditions
     from rosemarysaddle.schema import Message
 
@@ -82,6 +85,8 @@
     :param network_conditions: delay and partitions to simulate
     :param server_tls: TLS for inbound connections; None for plain TCP
     :param client_tls: TLS for outbound connections; None for plain TCP
+    :param contacts: records peers that this host connects to when they
+        are lost and regained; None if nothing is to be recorded
     """
 
     host: str
@@ -91,6 +96,7 @@
     network_conditions: NetworkConditions
     server_tls: ssl.SSLContext | None = None
     client_tls: ssl.SSLContext | None = None
+    contacts: ContactLog | None = None
     sent_bytes: int = 0
     received_bytes: int = 0
     _inbound: dict[str, _Connection] = attrs.field(factory=dict, init=False)
@@ -179,6 +185,8 @@
         if usable:
             return max(usable, key=lambda c: c.last_received_at_s)
         for connection in candidates:
+            if not connection.writer.is_closing():
+                self._record_lost(peer, "silent")
             self._drop(connection)
         return None
 
@@ -236,8 +244,9 @@
             if address is None:
                 return
             connection = await self._connect(address)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as error:
             self._pending_frames.pop(peer, None)
+            self._record_lost(peer, type(error).__name__)
             return
         finally:
             self._connecting.discard(peer)
@@ -329,7 +338,9 @@
         if self.network_conditions.is_partitioned(*ip_pair):
             return
         connection.last_received_at_s = asyncio.get_running_loop().time()
-        if not connection.is_outbound:
+        if connection.is_outbound:
+            self._record_regained(connection.source)
+        else:
             connection.source = _connection_key(envelope.source)
             self._inbound[connection.source] = connection
             self._send_heartbeat_if_due(connection)
@@ -342,6 +353,18 @@
         if connection.last_received_at_s >= due_s:
             self._write(connection, self._frame(Heartbeat()))
 
+    def _record_lost(self, peer: str, reason: str) -> None:
+        if self.contacts is not None:
+            self.contacts.record_lost(
+                ContactKind.CONTROL_HOST, peer, clock_ns(), reason=reason
+            )
+
+    def _record_regained(self, peer: str) -> None:
+        if self.contacts is not None:
+            self.contacts.record_regained(
+                ContactKind.CONTROL_HOST, peer, clock_ns()
+            )
+
     def _drop(self, connection: _Connection) -> None:
         connection.writer.close()
         for table in (self._inbound, self._outbound):
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -16,6 +16,7 @@
 from absl import logging
 
 from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._contacts import ContactKind, ContactLog
 from rosemarysaddle._tasks import spawn
 from rosemarysaddle.connection import Lender
 from rosemarysaddle.decide import EntryNode, Send
@@ -61,6 +62,7 @@
     router: Router = attrs.field(init=False)
     lender: Lender = attrs.field(init=False)
     network: PeerNetwork = attrs.field(init=False)
+    contacts: ContactLog = attrs.field(factory=ContactLog, init=False)
     is_stopping: bool = attrs.field(default=False, init=False)
     _sessions: set[CallerSession] = attrs.field(factory=set, init=False)
     _server: asyncio.Server = attrs.field(init=False)
@@ -89,6 +91,7 @@
             new_codec=self.platform.target_codec,
             send=self._execute_effects,
             regions={p.data_center: p.region for p in settings.places},
+            contacts=self.contacts,
         )
         self.lender = Lender(
             find_pool=self.router.own_pool,
@@ -100,6 +103,7 @@
             addresses={},
             receive=self._receive,
             network_conditions=UnmodifiedNetwork(),
+            contacts=self.contacts,
         )
 
     async def start(self) -> None:
@@ -203,6 +207,7 @@
             self.node,
             self.router,
             self.lender,
+            self.contacts,
             sessions=len(self._sessions),
         )
 
@@ -232,9 +237,31 @@
             self.router.refresh_positions()
             self.router.tick_loans(now_ns)
             self.lender.tick(now_ns)
+            self._record_contacts(now_ns)
             self._log_readiness_change()
             await asyncio.sleep(ENTRY_TICK_S)
 
+    def _record_contacts(self, now_ns: int) -> None:
+        """Log that the lease or the leader was lost or regained."""
+        node = self.node
+        if not node.last_leader or self.is_stopping:
+            return
+        if now_ns < node.lease.deadline_ns:
+            self.contacts.record_regained(ContactKind.LEASE, "", now_ns)
+        else:
+            self.contacts.record_lost(
+                ContactKind.LEASE, "", node.lease.deadline_ns
+            )
+        if node.unanswered_since_ns:
+            self.contacts.record_lost(
+                ContactKind.LEADER,
+                "",
+                node.unanswered_since_ns,
+                reason=f"unanswered-by:{node.last_leader}",
+            )
+        else:
+            self.contacts.record_regained(ContactKind.LEADER, "", now_ns)
+
     def _log_readiness_change(self) -> None:
         ready = self.is_ready()
         if ready is not self._was_ready:
--- a/src/rosemarysaddle/node/_host_metrics.py
+++ b/src/rosemarysaddle/node/_host_metrics.py
@@ -5,13 +5,16 @@
 from typing import TYPE_CHECKING, Final
 
 from rosemarysaddle._clock import NS_PER_S, clock_ns
+from rosemarysaddle._contacts import ContactKind
 from rosemarysaddle._prometheus import Counter, Gauge, Histogram, metrics_app
+from rosemarysaddle.decide import NS_PER_MS
 from rosemarysaddle.link import Address
 from rosemarysaddle.session import LATENCY_BOUNDS_MS
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator, Mapping
 
+    from rosemarysaddle._contacts import ContactLog
     from rosemarysaddle._prometheus import Metric
     from rosemarysaddle.connection import Lender
     from rosemarysaddle.decide import ClusterState, ControlNode, EntryNode
@@ -52,7 +55,12 @@
 
 
 def entry_metrics(
-    node: EntryNode, router: Router, lender: Lender, *, sessions: int
+    node: EntryNode,
+    router: Router,
+    lender: Lender,
+    contacts: ContactLog,
+    *,
+    sessions: int,
 ) -> Iterator[Metric]:
     """Collect the metrics of an entry host."""
     yield from _statement_metrics(router.statement_stats)
@@ -69,6 +77,38 @@
     yield _gauge(
         "loans_given", "Connections lent to others", lender.lent_count
     )
+    yield from _contact_metrics(contacts)
+
+
+def _contact_metrics(contacts: ContactLog) -> Iterator[Metric]:
+    now_ns = clock_ns()
+    yield _labelled_gauge(
+        "contacts_lost",
+        "Peers that this host has lost now, by role",
+        "kind",
+        {kind: contacts.count_lost(kind) for kind in ContactKind},
+    )
+    yield _labelled_gauge(
+        "contact_lost_seconds",
+        "Time since the first of them was lost",
+        "kind",
+        {kind: contacts.longest_lost_s(kind, now_ns) for kind in ContactKind},
+    )
+    yield Counter(
+        name=f"{_PREFIX}contact_losses",
+        help_text="Times that a peer of a role was lost, by the link to it",
+        labels=("kind", "link"),
+        values=dict(contacts.losses),
+    )
+    yield Counter(
+        name=f"{_PREFIX}contact_outage_ms",
+        help_text="Time for which regained peers had been lost",
+        labels=("kind", "link"),
+        values={
+            key: lost_ns // NS_PER_MS
+            for key, lost_ns in contacts.lost_ns.items()
+        },
+    )
 
 
 def control_metrics(control: ControlNode) -> Iterator[Metric]:
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -12,6 +12,7 @@
 import attrs
 
 from rosemarysaddle._clock import NS_PER_S, clock_ns
+from rosemarysaddle._contacts import ContactLog
 from rosemarysaddle._events import log_event
 from rosemarysaddle._tasks import spawn
 from rosemarysaddle.connection import (
@@ -104,6 +105,7 @@
     :param label: name of this host, for the targets' logs
     :param send: executes the effects of decisions of the node
     :param regions: region of each data centre
+    :param contacts: records lenders that are lost and regained
     """
 
     node: EntryNode
@@ -111,6 +113,7 @@
     new_codec: Callable[[], TargetCodec]
     send: Callable[[Sequence[Effect]], None]
     regions: Mapping[str, str] = attrs.field(factory=dict)
+    contacts: ContactLog = attrs.field(factory=ContactLog)
     targets: dict[str, TargetState] = attrs.field(factory=dict, init=False)
     pools: dict[str, SharedPool] = attrs.field(factory=dict, init=False)
     loan_client: LoanClient = attrs.field(init=False)
@@ -142,6 +145,7 @@
         self.loan_client = LoanClient(
             ranking=LenderRanking(own=self.node.lending_address),
             new_codec=self.new_codec,
+            contacts=self.contacts,
         )
 
     def route(self, database: str) -> Route | None:
--- a/tests/node/test_host_metrics.py
+++ b/tests/node/test_host_metrics.py
@@ -6,6 +6,7 @@
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
 
+from rosemarysaddle._contacts import ContactKind, ContactLog
 from rosemarysaddle.connection import Lender
 from rosemarysaddle.decide import ControlNode, EntryNode, GroupTerm
 from rosemarysaddle.node._host_metrics import (
@@ -64,9 +65,13 @@
     router.statement_stats.record("d", "done", 30 * NS_PER_MS)
     router.statement_stats.record("d", "target-busy", 700 * NS_PER_MS)
     lender = _lender(router)
+    contacts = ContactLog(write=lambda _, __: None)
+    contacts.record_lost(ContactKind.LENDER, "l", 1)
     server = start_metrics(
         _settings(ADDRESS),
-        lambda: entry_metrics(router.node, router, lender, sessions=2),
+        lambda: entry_metrics(
+            router.node, router, lender, contacts, sessions=2
+        ),
     )
     assert server is not None
     try:
@@ -92,6 +97,9 @@
     assert samples[f"{prefix}group_term", "g"] == 4
     assert samples[f"{prefix}sessions",] == 2
     assert samples[f"{prefix}lease_left_seconds",] < 0
+    assert samples[f"{prefix}contacts_lost", "lender"] == 1
+    assert samples[f"{prefix}contact_lost_seconds", "lender"] > 0
+    assert samples[f"{prefix}contact_losses_total", "lender", "direct"] == 1
 
 
 def test_control_metrics_include_leadership_and_log_term() -> None:
