Retry renewals without an answer over new connections

Cause: after a cut a host's lease came back up to 1.1 s late. A renewal without an answer went to one control host each 300 ms, and waited behind a SYN or a segment that the kernel repeats after 1 s or more.

Ruled out: a shorter time-out of every connection (control hosts would redial each other in the ordinary case); writing retries to the silent connection (they arrive together when it comes back); asking all control hosts at once (six messages a round instead of two).

Now a host that had a lease sends each retry to the likely leader and to one more control host in turn, every 100 ms, at most 6,500 rounds a second for the whole fleet (every 400 ms with 2,600 hosts). A retry opens a connection beside one that has been silent for 300 ms; a peer that takes connections and does not answer is dialled up to four times less often. A refusal of a renewal that another control host granted is ignored.

--- a/src/rosemarysaddle/decide/_effects.py
+++ b/src/rosemarysaddle/decide/_effects.py
@@ -28,10 +28,16 @@
 
 @attrs.frozen(kw_only=True)
 class Send:
-    """Send one message to a peer; delivery is not guaranteed."""
+    """Send one message to a peer; delivery is not guaranteed.
+
+    :param is_retry: whether an earlier message to the peer may not have
+        been answered; a new connection is then opened beside one
+        without any sign of life
+    """
 
     peer: str
     message: Message
+    is_retry: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import zlib
 from typing import TYPE_CHECKING, Final
 
 import attrs
@@ -39,6 +40,13 @@
 __all__ = ("EntryNode", "WriteTicket")
 
 RENEWAL_TIMEOUT_MS: Final = 300
+# Time between renewals after one without an answer.  A host whose link
+# heals is found again within this time, a tick and a round trip.
+RETRY_INTERVAL_MS: Final = 100
+# Rounds of renewals per second that all hosts without a leader send
+# together, two messages each.  As many as 2,600 hosts that renew every
+# 400 ms, which is what the control hosts are planned for.
+MAX_RETRY_ROUNDS_PER_S: Final = 6_500
 SUSPICION_INTERVAL_MS: Final = 300
 DRAIN_TIMEOUT_MS: Final = 2_000
 
@@ -104,6 +112,8 @@
     _drains: dict[str, _Drain] = attrs.field(factory=dict, init=False)
     _next_suspicion_ns: dict[str, int] = attrs.field(factory=dict, init=False)
     _stopping: bool = attrs.field(default=False, init=False)
+    _granted_sent_ns: int = attrs.field(default=0, init=False)
+    _asked: tuple[str, ...] = attrs.field(default=(), init=False)
 
     def tick(self, now_ns: int) -> list[Effect]:
         """Finish drains and renew the lease if they are due.
@@ -112,7 +122,7 @@
         """
         effects = self._finish_drains(now_ns)
         if now_ns >= self._renew_at_ns and not self._stopping:
-            effects.append(self._renew(now_ns))
+            effects.extend(self._renew(now_ns))
         return effects
 
     def receive(
@@ -253,16 +263,21 @@
         self.lease.end()
         return [Send(peer=self._leader(), message=LeaseReturn(host=self.host))]
 
-    def _renew(self, now_ns: int) -> Send:
+    def _renew(self, now_ns: int) -> list[Effect]:
         self._renew_at_ns = now_ns + RENEWAL_TIMEOUT_MS * NS_PER_MS
-        peer = self._leader()
-        if not self.lease.leader:
+        peers: tuple[str, ...] = (self._leader(),)
+        if not self.lease.leader and self.last_leader:
+            self._renew_at_ns = now_ns + self._retry_interval_ns()
+            peers = self._retry_peers()
+        is_retry = not self.lease.leader
+        if is_retry:
             self.unanswered_since_ns = self.unanswered_since_ns or now_ns
             # No answer to the last renewal: drop the hint after this
             # attempt and try the control hosts in turn.
             self._control_index += 1
             self._leader_hint = ""
         self.lease.leader = ""
+        self._asked = peers
         renewal = LeaseRenewal(
             host=self.host,
             data_center=self.data_center,
@@ -272,7 +287,28 @@
             lending_address=self.lending_address,
             neighbours_tag=self._neighbours_tag,
         )
-        return Send(peer=peer, message=renewal)
+        return [
+            Send(peer=peer, message=renewal, is_retry=is_retry)
+            for peer in peers
+        ]
+
+    def _retry_interval_ns(self) -> int:
+        hosts = self.state.entry_hosts
+        spread_ns = hosts * 1_000 * NS_PER_MS // MAX_RETRY_ROUNDS_PER_S
+        return max(RETRY_INTERVAL_MS * NS_PER_MS, spread_ns)
+
+    def _retry_peers(self) -> tuple[str, ...]:
+        """Return the likely leader and one more control host.
+
+        The other one is asked in turn, as it may know a new leader.
+        Hosts that lost their leader together start at different ones.
+        """
+        likely = self._leader_hint or self.last_leader
+        others = [peer for peer in self.control if peer != likely]
+        if not others:
+            return (likely,)
+        start = zlib.crc32(self.host.encode())
+        return likely, others[(start + self._control_index) % len(others)]
 
     def _leader(self) -> str:
         if self.lease.leader:
@@ -289,6 +325,7 @@
         self._leader_hint = source
         self.last_leader = source
         self.unanswered_since_ns = 0
+        self._granted_sent_ns = max(self._granted_sent_ns, grant.sent_ns)
         self._renew_at_ns = now_ns + self.renewal_ms * NS_PER_MS
         effects: list[Effect] = []
         for closing in grant.closing:
@@ -302,6 +339,15 @@
         return effects
 
     def _on_refusal(self, refusal: LeaseRefusal, now_ns: int) -> None:
+        if refusal.sent_ns <= self._granted_sent_ns:
+            # Another control host has granted this renewal.
+            return
+        if self.last_leader and self.unanswered_since_ns:
+            if refusal.leader:
+                self._leader_hint = refusal.leader
+            if refusal.leader and refusal.leader not in self._asked:
+                self._renew_at_ns = now_ns
+            return
         if refusal.leader:
             self._leader_hint = refusal.leader
             self.lease.leader = refusal.leader
--- a/src/rosemarysaddle/link/_peers.py
+++ b/src/rosemarysaddle/link/_peers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import contextlib
 import struct
 import zlib
@@ -42,6 +43,13 @@
 HEARTBEAT_INTERVAL_S: Final = 0.4
 CONNECT_TIMEOUT_S: Final = 1.0
 RECONNECT_DELAY_S: Final = 0.1
+# For messages that are sent again after no answer: the kernel sends a
+# lost SYN or segment again only after 1 s or more, which delays the
+# return after a cut, so connections are opened beside those that wait.
+RETRY_SILENCE_S: Final = 0.3
+RETRY_DIAL_INTERVAL_S: Final = 0.08
+RETRY_CONNECT_TIMEOUT_S: Final = 0.4
+MAX_RETRY_DIALS: Final = 4
 MAX_BUFFERED_BYTES: Final = 8 * 1024 * 1024
 # Compression gains little on shorter messages.
 COMPRESS_MIN_BYTES: Final = 512
@@ -58,6 +66,7 @@
     :param last_received_at_s: time of the event loop, in seconds
     :param last_sent_at_s: time of the event loop, in seconds
     :param source: name of the peer; empty until it is known
+    :param has_received: whether the peer has sent anything
     """
 
     reader: asyncio.StreamReader
@@ -68,6 +77,7 @@
     last_received_at_s: float
     last_sent_at_s: float = 0.0
     source: str = ""
+    has_received: bool = False
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -101,7 +111,10 @@
     received_bytes: int = 0
     _inbound: dict[str, _Connection] = attrs.field(factory=dict, init=False)
     _outbound: dict[str, _Connection] = attrs.field(factory=dict, init=False)
-    _connecting: set[str] = attrs.field(factory=set, init=False)
+    _dials: collections.Counter[str] = attrs.field(
+        factory=collections.Counter, init=False
+    )
+    _silence_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _reconnect_at_s: dict[str, float] = attrs.field(factory=dict, init=False)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
     _server: asyncio.Server | None = attrs.field(default=None, init=False)
@@ -109,7 +122,7 @@
     _last_frame: tuple[Message | None, bytes] = attrs.field(
         default=(None, b""), init=False
     )
-    _pending_frames: dict[str, list[bytes]] = attrs.field(
+    _pending_frames: dict[str, list[tuple[float, bytes]]] = attrs.field(
         factory=dict, init=False
     )
 
@@ -133,10 +146,15 @@
             connection.writer.close()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def send(self, peer: str, message: Message) -> None:
+    def send(
+        self, peer: str, message: Message, *, is_retry: bool = False
+    ) -> None:
         """Send a message without waiting; it may be lost.
 
         :param peer: name or address of the receiver
+        :param is_retry: whether an earlier message may not have been
+            answered; it is then sent over a new connection if the
+            present one shows no sign of life
         """
         if peer == self.host:
             loop = asyncio.get_running_loop()
@@ -145,10 +163,13 @@
         frame = self._frame(message)
         key = _connection_key(peer)
         connection = self._connection_to(key)
-        if connection is not None:
+        is_retry = is_retry and self._address_of(key) is not None
+        if connection is not None and not (
+            is_retry and self._is_silent(connection, key)
+        ):
             self._write(connection, frame)
         elif self._address_of(key) is not None:
-            self._connect_later(key, frame)
+            self._connect_later(key, frame, is_retry=is_retry)
 
     def _address_of(self, key: str) -> Address | None:
         address = self.addresses.get(key)
@@ -201,6 +222,14 @@
             and now_s > connection.last_received_at_s + PEER_TIMEOUT_S
         )
 
+    def _is_silent(self, connection: _Connection, peer: str) -> bool:
+        silence_s = self._silence_s.get(peer, RETRY_SILENCE_S)
+        now_s = asyncio.get_running_loop().time()
+        return (
+            connection.last_sent_at_s > connection.last_received_at_s
+            and now_s > connection.last_received_at_s + silence_s
+        )
+
     def _write(self, connection: _Connection, frame: bytes) -> None:
         ip_pair = (connection.local_ip, connection.remote_ip)
         connection.last_sent_at_s = asyncio.get_running_loop().time()
@@ -223,44 +252,78 @@
         self.sent_bytes += len(frame)
         connection.writer.write(frame)
 
-    def _connect_later(self, peer: str, frame: bytes) -> None:
+    def _connect_later(
+        self, peer: str, frame: bytes, *, is_retry: bool
+    ) -> None:
         # Keeps the nine latest frames until the connection is open.
-        self._pending_frames[peer] = [
-            *self._pending_frames.get(peer, [])[-8:],
-            frame,
-        ]
         now_s = asyncio.get_running_loop().time()
-        if peer in self._connecting or now_s < self._reconnect_at_s.get(
+        pending = self._pending_frames.get(peer, [])[-8:]
+        self._pending_frames[peer] = [*pending, (now_s, frame)]
+        max_dials = MAX_RETRY_DIALS if is_retry else 1
+        if self._dials[peer] >= max_dials or now_s < self._reconnect_at_s.get(
             peer, 0
         ):
             return
-        self._connecting.add(peer)
-        self._spawn(self._run_outbound(peer))
-
-    async def _run_outbound(self, peer: str) -> None:
+        self._dials[peer] += 1
+        timeout_s = CONNECT_TIMEOUT_S
+        if is_retry:
+            timeout_s = RETRY_CONNECT_TIMEOUT_S
+            self._reconnect_at_s[peer] = now_s + RETRY_DIAL_INTERVAL_S
+        self._spawn(self._run_outbound(peer, timeout_s))
+
+    async def _run_outbound(self, peer: str, timeout_s: float) -> None:
         loop = asyncio.get_running_loop()
         try:
             address = self._address_of(peer)
             if address is None:
                 return
-            connection = await self._connect(address)
+            connection = await self._connect(address, timeout_s)
         except (OSError, TimeoutError) as error:
-            self._pending_frames.pop(peer, None)
+            if self._dials[peer] == 1:
+                self._pending_frames.pop(peer, None)
             self._record_lost(peer, type(error).__name__)
             return
         finally:
-            self._connecting.discard(peer)
-            self._reconnect_at_s[peer] = loop.time() + RECONNECT_DELAY_S
+            self._dials[peer] -= 1
+            if not self._dials[peer]:
+                del self._dials[peer]
+            if timeout_s == CONNECT_TIMEOUT_S:
+                self._reconnect_at_s[peer] = loop.time() + RECONNECT_DELAY_S
+        if not self._replace_outbound(peer, connection):
+            return
+        oldest_s = loop.time() - CONNECT_TIMEOUT_S
+        for queued_at_s, frame in self._pending_frames.pop(peer, []):
+            if queued_at_s >= oldest_s:
+                self._write(connection, frame)
+        await self._read(connection)
+
+    def _replace_outbound(self, peer: str, connection: _Connection) -> bool:
+        """Use a new connection unless another one proved to work.
+
+        :return: whether the connection is used
+        """
         connection.source = peer
+        current = self._outbound.get(peer)
+        if current is not None:
+            if not self._is_silent(current, peer):
+                connection.writer.transport.abort()
+                return False
+            if not current.has_received:
+                # The network works but the peer's process does not, so
+                # further connections would only queue up there.
+                silence_s = self._silence_s.get(peer, RETRY_SILENCE_S)
+                self._silence_s[peer] = min(2 * silence_s, PEER_TIMEOUT_S)
+            # Discards what still waits to be sent.
+            current.writer.transport.abort()
         self._outbound[peer] = connection
-        for frame in self._pending_frames.pop(peer, []):
-            self._write(connection, frame)
-        await self._read(connection)
+        return True
 
-    async def _connect(self, address: Address) -> _Connection:
+    async def _connect(
+        self, address: Address, timeout_s: float
+    ) -> _Connection:
         local_ip = self.listen.ip
         if self.network_conditions.is_partitioned(local_ip, address.ip):
-            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            await asyncio.sleep(timeout_s)
             raise TimeoutError
         await asyncio.sleep(
             2 * self.network_conditions.delay_s(local_ip, address.ip)
@@ -272,7 +335,7 @@
                 local_addr=(local_ip, 0),
                 ssl=self.client_tls,
             ),
-            CONNECT_TIMEOUT_S,
+            timeout_s,
         )
         return _Connection(
             reader=reader,
@@ -338,7 +401,9 @@
         if self.network_conditions.is_partitioned(*ip_pair):
             return
         connection.last_received_at_s = asyncio.get_running_loop().time()
+        connection.has_received = True
         if connection.is_outbound:
+            self._silence_s.pop(connection.source, None)
             self._record_regained(connection.source)
         else:
             connection.source = _connection_key(envelope.source)
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -287,6 +287,8 @@
     def _execute_effects(self, effects: Sequence[Effect]) -> None:
         for effect in effects:
             if isinstance(effect, Send):
-                self.network.send(effect.peer, effect.message)
+                self.network.send(
+                    effect.peer, effect.message, is_retry=effect.is_retry
+                )
             else:
                 logging.error("event=unknown-effect kind=%s", effect)
