Relay the renewals of a host that does not reach the leader

Ruled out: forwarding statements (each pays the hop and a second queue, and the sessions' variables have to move); relaying over control hosts that follow (the observed cuts separate the host from all of them); relays in a chain (they hide that no host reaches the leader).

Now a host without an answer for 900 ms, longer than an election, asks two neighbours at a time to relay its renewals, unread, with its own clock in them. The leader answers over the direct connection and over the relay for 2.5 s after the last relayed message, so that views, closing orders, grants and the host's answers pass. A neighbour relays only while the leader answers it directly, for at most 32 hosts.

A grant for an older renewal than the last granted one is ignored, and a closing order of a term that the host has left behind is answered at once without a drain.

Before: a host cut off from the control hosts loses its lease after 4 s.

--- a/src/rosemarysaddle/connection/__init__.py
+++ b/src/rosemarysaddle/connection/__init__.py
@@ -11,6 +11,7 @@
 from rosemarysaddle.connection._lender import Lender
 from rosemarysaddle.connection._loans import LoanClient
 from rosemarysaddle.connection._pool import ConnectionPool, OpenFault
+from rosemarysaddle.connection._relay import RelayClient, RelayServer
 from rosemarysaddle.connection._shared import SharedPool
 
 __all__ = (
@@ -18,6 +19,8 @@
     "Lender",
     "LoanClient",
     "OpenFault",
+    "RelayClient",
+    "RelayServer",
     "SharedPool",
     "TargetCodec",
     "TargetConnection",
--- a/src/rosemarysaddle/connection/_frames.py
+++ b/src/rosemarysaddle/connection/_frames.py
@@ -102,6 +102,13 @@
         for frame in frames:
             self.handle_frame(frame)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes that wait to be sent."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
     def send(self, frame: bytes) -> None:
         """Send a frame if the connection is open."""
         if self._transport is not None:
--- a/src/rosemarysaddle/connection/_lender.py
+++ b/src/rosemarysaddle/connection/_lender.py
@@ -30,6 +30,7 @@
     LoanReturn,
     PointReply,
     PointRequest,
+    RelayedMessage,
 )
 
 if TYPE_CHECKING:
@@ -38,6 +39,7 @@
 
     from rosemarysaddle.connection._connection import TargetConnection
     from rosemarysaddle.connection._pool import ConnectionPool
+    from rosemarysaddle.connection._relay import RelayPeer
 
 __all__ = ("Lender",)
 
@@ -54,12 +56,15 @@
     :param find_pool: finds this host's own connections to a target, or
         None
     :param find_point: finds the newest log position of a primary
+    :param relay: passes control messages of borrowers on; None if this
+        host does not relay
     :param is_stopping: whether this host stops; a borrower that asks
         for a loan is then disconnected
     """
 
     find_pool: Callable[[str], ConnectionPool | None]
     find_point: Callable[[str], Awaitable[PointReply]]
+    relay: Callable[[RelayPeer, RelayedMessage], None] | None = None
     is_stopping: bool = attrs.field(default=False, init=False)
     _loans: set[_Loan] = attrs.field(factory=set, init=False)
 
@@ -177,6 +182,8 @@
                 self.connection is None and self.task is None
             ):
                 self.task = spawn(self._send_point(frame))
+            case RelayedMessage() if self.lender.relay is not None:
+                self.lender.relay(self, frame)
             case LoanReturn() if self.connection is not None:
                 self._accept_return(self.connection, frame)
             case _:
--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -18,6 +18,7 @@
     SaveSnapshot,
     SaveVote,
     Send,
+    SendRelayed,
     TargetReport,
 )
 from rosemarysaddle.decide._entry import EntryNode, WriteTicket
@@ -65,6 +66,11 @@
 from rosemarysaddle.decide.control_log._voter_manager import address_of
 from rosemarysaddle.decide.control_log._voters import join_voters
 from rosemarysaddle.decide.leases._lease import HostLease, LeaseTable
+from rosemarysaddle.decide.leases._relay import (
+    RelayChoice,
+    RelayRoutes,
+    is_relayable,
+)
 from rosemarysaddle.decide.load._lending import (
     ConnectionShare,
     LenderRanking,
@@ -149,12 +155,15 @@
     "ReadRequirements",
     "Reason",
     "Refusal",
+    "RelayChoice",
+    "RelayRoutes",
     "Role",
     "RouteTable",
     "SaveEntries",
     "SaveSnapshot",
     "SaveVote",
     "Send",
+    "SendRelayed",
     "SessionState",
     "SessionToken",
     "SessionVariables",
@@ -177,6 +186,7 @@
     "compute_transfer_cost_ns",
     "eligible_reports",
     "is_empty",
+    "is_relayable",
     "is_update",
     "join_voters",
     "newer_point",
--- a/src/rosemarysaddle/decide/_effects.py
+++ b/src/rosemarysaddle/decide/_effects.py
@@ -22,6 +22,7 @@
     "SaveSnapshot",
     "SaveVote",
     "Send",
+    "SendRelayed",
     "TargetReport",
 )
 
@@ -40,6 +41,17 @@
     is_retry: bool = False
 
 
+@attrs.frozen(kw_only=True)
+class SendRelayed:
+    """Send a message to the control leader over another entry host.
+
+    :param neighbour: lending address of the host that relays it
+    """
+
+    neighbour: str
+    message: Message
+
+
 @attrs.frozen(kw_only=True)
 class SaveVote:
     """Store term and vote durably before the next effect runs."""
@@ -161,4 +173,5 @@
     | SaveSnapshot
     | SaveVote
     | Send
+    | SendRelayed
 )
--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -12,11 +12,12 @@
 
 import attrs
 
-from rosemarysaddle.decide._effects import Effect, Send
+from rosemarysaddle.decide._effects import Effect, Send, SendRelayed
 from rosemarysaddle.decide._reasons import Reason, Refusal, Step
 from rosemarysaddle.decide._times import NS_PER_MS, RENEWAL_INTERVAL_MS
 from rosemarysaddle.decide.control_log._state import ClusterState
 from rosemarysaddle.decide.leases._lease import HostLease
+from rosemarysaddle.decide.leases._relay import RelayChoice, is_relayable
 from rosemarysaddle.schema import (
     Announcement,
     CloseGroup,
@@ -89,6 +90,7 @@
     :param last_leader: control host that granted the last lease
     :param unanswered_since_ns: time of the first renewal after the last
         grant that got no answer in time; 0 if there is none
+    :param relay: choice of the neighbours that relay renewals
     """
 
     host: str
@@ -104,6 +106,7 @@
     renewal_ms: int = RENEWAL_INTERVAL_MS
     last_leader: str = attrs.field(default="", init=False)
     unanswered_since_ns: int = attrs.field(default=0, init=False)
+    relay: RelayChoice = attrs.field(init=False)
     _neighbours_tag: int = attrs.field(default=0, init=False)
     _leader_hint: str = attrs.field(default="", init=False)
     _renew_at_ns: int = attrs.field(default=0, init=False)
@@ -115,6 +118,10 @@
     _granted_sent_ns: int = attrs.field(default=0, init=False)
     _asked: tuple[str, ...] = attrs.field(default=(), init=False)
 
+    def __attrs_post_init__(self) -> None:
+        """Create the choice of relays."""
+        self.relay = RelayChoice(host=self.host, own=self.lending_address)
+
     def tick(self, now_ns: int) -> list[Effect]:
         """Finish drains and renew the lease if they are due.
 
@@ -123,7 +130,7 @@
         effects = self._finish_drains(now_ns)
         if now_ns >= self._renew_at_ns and not self._stopping:
             effects.extend(self._renew(now_ns))
-        return effects
+        return self._also_relayed(effects)
 
     def receive(
         self, source: str, message: Message, now_ns: int
@@ -134,6 +141,48 @@
         :param message: message received; unknown types are ignored
         :param now_ns: monotonic time, in nanoseconds
         """
+        if isinstance(message, LeaseGrant):
+            if not self._granted_sent_ns <= message.sent_ns <= now_ns:
+                # Held up on its way: a newer renewal has been granted.
+                return []
+            self.relay.record_direct_grant()
+        return self._also_relayed(self._receive(source, message, now_ns))
+
+    def receive_relayed(
+        self, neighbour: str, source: str, message: Message, now_ns: int
+    ) -> list[Effect]:
+        """Handle a message of the control leader over a neighbour.
+
+        :param neighbour: lending address of the host that relayed it
+        :param source: name of the leader
+        """
+        if isinstance(message, LeaseGrant):
+            if not self._granted_sent_ns < message.sent_ns <= now_ns:
+                # The same renewal was granted on another path, or this
+                # grant was held up on its way.
+                return []
+            self.relay.record_grant(neighbour)
+        return self._also_relayed(self._receive(source, message, now_ns))
+
+    def _also_relayed(self, effects: list[Effect]) -> list[Effect]:
+        """Send what is for the leader over the relay as well."""
+        neighbour = self.relay.current
+        if not neighbour:
+            return effects
+        return [
+            *effects,
+            *(
+                SendRelayed(neighbour=neighbour, message=effect.message)
+                for effect in effects
+                if isinstance(effect, Send)
+                and not isinstance(effect.message, LeaseRenewal)
+                and is_relayable(self.host, effect.message)
+            ),
+        ]
+
+    def _receive(
+        self, source: str, message: Message, now_ns: int
+    ) -> list[Effect]:
         match message:
             case LeaseGrant():
                 return self._on_grant(source, message, now_ns)
@@ -255,13 +304,16 @@
             term=term.term,
             refused=refused,
         )
-        return [Send(peer=self._leader(), message=suspicion)]
+        return self._also_relayed(
+            [Send(peer=self._leader(), message=suspicion)]
+        )
 
     def stop(self) -> list[Effect]:
         """Return the lease before a planned stop."""
         self._stopping = True
         self.lease.end()
-        return [Send(peer=self._leader(), message=LeaseReturn(host=self.host))]
+        message = LeaseReturn(host=self.host)
+        return self._also_relayed([Send(peer=self._leader(), message=message)])
 
     def _renew(self, now_ns: int) -> list[Effect]:
         self._renew_at_ns = now_ns + RENEWAL_TIMEOUT_MS * NS_PER_MS
@@ -269,8 +321,8 @@
         if not self.lease.leader and self.last_leader:
             self._renew_at_ns = now_ns + self._retry_interval_ns()
             peers = self._retry_peers()
-        is_retry = not self.lease.leader
-        if is_retry:
+        is_unanswered = not self.lease.leader
+        if is_unanswered:
             self.unanswered_since_ns = self.unanswered_since_ns or now_ns
             # No answer to the last renewal: drop the hint after this
             # attempt and try the control hosts in turn.
@@ -287,9 +339,18 @@
             lending_address=self.lending_address,
             neighbours_tag=self._neighbours_tag,
         )
+        relays = self.relay.choose(
+            self.neighbours,
+            unanswered_since_ns=self.unanswered_since_ns,
+            now_ns=now_ns,
+        )
+        is_retry = is_unanswered or self.relay.is_active
         return [
-            Send(peer=peer, message=renewal, is_retry=is_retry)
-            for peer in peers
+            *(
+                Send(peer=peer, message=renewal, is_retry=is_retry)
+                for peer in peers
+            ),
+            *(SendRelayed(neighbour=n, message=renewal) for n in relays),
         ]
 
     def _retry_interval_ns(self) -> int:
@@ -370,6 +431,14 @@
         self, source: str, close: CloseGroup, now_ns: int
     ) -> list[Effect]:
         group = close.group
+        current = self.state.terms.get(group)
+        # An order that was held up on its way must not stop the writes
+        # of a later term.
+        is_past = current is not None and close.term < current.term
+        if is_past and group not in self._drains:
+            self.lease.close(group, close.term)
+            message = GroupClosed(host=self.host, group=group, term=close.term)
+            return [Send(peer=source, message=message)]
         if close.drain and group not in self._drains:
             if self._running_writes.get(group, 0):
                 latest_ns = now_ns + DRAIN_TIMEOUT_MS * NS_PER_MS
--- a/src/rosemarysaddle/link/__init__.py
+++ b/src/rosemarysaddle/link/__init__.py
@@ -9,6 +9,7 @@
     UnmodifiedNetwork,
 )
 from rosemarysaddle.link._peers import PeerNetwork
+from rosemarysaddle.link._relayed import unwrap_relayed, wrap_relayed
 
 __all__ = (
     "Address",
@@ -18,4 +19,6 @@
     "UnmodifiedNetwork",
     "decode",
     "encode",
+    "unwrap_relayed",
+    "wrap_relayed",
 )
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -28,16 +28,25 @@
     LogNode,
     ProbeGroup,
     PromoteTarget,
+    RelayRoutes,
     SaveEntries,
     SaveSnapshot,
     SaveVote,
     Send,
     check_plan,
     is_empty,
+    is_relayable,
     is_update,
     join_voters,
 )
-from rosemarysaddle.link import Address, PeerNetwork, UnmodifiedNetwork
+from rosemarysaddle.link import (
+    Address,
+    DecodeFault,
+    PeerNetwork,
+    UnmodifiedNetwork,
+    unwrap_relayed,
+    wrap_relayed,
+)
 from rosemarysaddle.node._follower_log import FollowerLog
 from rosemarysaddle.node._host_metrics import control_metrics, start_metrics
 from rosemarysaddle.node._identity import (
@@ -57,6 +66,7 @@
     IndexReply,
     IndexRequest,
     JoinRequest,
+    RelayedMessage,
     SchemaFault,
     StepOut,
 )
@@ -109,6 +119,7 @@
     _pending_indexes: dict[int, asyncio.Future[IndexReply]] = attrs.field(
         factory=dict, init=False
     )
+    _relay_routes: RelayRoutes = attrs.field(factory=RelayRoutes, init=False)
     _jobs: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
     _logged_state: tuple[object, ...] = attrs.field(default=(), init=False)
     _follower_log: FollowerLog = attrs.field(factory=FollowerLog, init=False)
@@ -391,12 +402,37 @@
         if isinstance(message, IndexReply):
             self._on_index_reply(message)
             return
+        if isinstance(message, RelayedMessage):
+            self._receive_relayed(source, message)
+            return
         index = self.control.state.index
         effects = self.control.receive(source, message, clock_ns())
         self._execute_effects(effects)
         if self.control.state.index != index:
             spawn(self._notify(), self._jobs)
 
+    def _receive_relayed(self, relay: str, message: RelayedMessage) -> None:
+        envelope = unwrap_relayed(message)
+        if isinstance(envelope, DecodeFault):
+            log_event(
+                "bad-relayed", f"peer={relay} reason={envelope.reason!r}"
+            )
+            return
+        if is_relayable(message.host, envelope.body):
+            self._relay_routes.record(message.host, relay, clock_ns())
+            self._receive(message.host, envelope.body)
+
+    def _send_relayed(self, host: str, message: Message) -> None:
+        """Send a message over the host's relay if it has one."""
+        relay = self._relay_routes.find(host, clock_ns())
+        if not relay:
+            return
+        wrapped = wrap_relayed(host, self.host, message)
+        if wrapped is None:
+            log_event("relayed-too-long", f"host={host} kind={type(message)}")
+            return
+        self.network.send(relay, wrapped)
+
     def _on_change_reply(self, reply: ChangeReply) -> None:
         future = self._pending_replies.get(reply.change_id)
         refused = reply.reason == "not-leader"
@@ -431,6 +467,7 @@
             match effect:
                 case Send():
                     self.network.send(effect.peer, effect.message)
+                    self._send_relayed(effect.peer, effect.message)
                 case SaveVote() | SaveEntries() | SaveSnapshot():
                     self._save(effect)
                 case ProbeGroup():
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -16,18 +16,27 @@
 from absl import logging
 
 from rosemarysaddle._clock import clock_ns
-from rosemarysaddle._contacts import ContactKind, ContactLog
+from rosemarysaddle._contacts import ContactKind, ContactLog, LinkKind
+from rosemarysaddle._events import log_event
 from rosemarysaddle._tasks import spawn
-from rosemarysaddle.connection import Lender
-from rosemarysaddle.decide import EntryNode, Send
-from rosemarysaddle.link import Address, PeerNetwork, UnmodifiedNetwork
+from rosemarysaddle.connection import Lender, RelayClient, RelayServer
+from rosemarysaddle.decide import EntryNode, Send, SendRelayed
+from rosemarysaddle.link import (
+    Address,
+    DecodeFault,
+    PeerNetwork,
+    UnmodifiedNetwork,
+    unwrap_relayed,
+    wrap_relayed,
+)
 from rosemarysaddle.node._host_metrics import entry_metrics, start_metrics
 from rosemarysaddle.node._identity import peer_address
 from rosemarysaddle.node._timing import ENTRY_TICK_S, RENEWAL_INTERVAL_MS
+from rosemarysaddle.schema import RelayedMessage
 from rosemarysaddle.session import CallerSession, Router
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Callable, Iterable, Sequence
 
     from rosemarysaddle._prometheus import Metric
     from rosemarysaddle.decide import Effect
@@ -61,6 +70,8 @@
     node: EntryNode = attrs.field(init=False)
     router: Router = attrs.field(init=False)
     lender: Lender = attrs.field(init=False)
+    relay_client: RelayClient = attrs.field(init=False)
+    relay_server: RelayServer = attrs.field(init=False)
     network: PeerNetwork = attrs.field(init=False)
     contacts: ContactLog = attrs.field(factory=ContactLog, init=False)
     is_stopping: bool = attrs.field(default=False, init=False)
@@ -73,6 +84,7 @@
     _metrics: HttpServer | None = attrs.field(default=None, init=False)
     _jobs: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
     _was_ready: bool = attrs.field(default=False, init=False)
+    _last_relay: str = attrs.field(default="", init=False)
 
     def __attrs_post_init__(self) -> None:
         """Build the entry node and its parts."""
@@ -97,6 +109,9 @@
             find_pool=self.router.own_pool,
             find_point=self.router.find_point,
         )
+        self.relay_client = RelayClient(
+            on_message=self._receive_relayed, on_lost=self._on_relay_lost
+        )
         self.network = PeerNetwork(
             host=self.node.host,
             listen=Address(ip=settings.ip, port=0),
@@ -105,6 +120,10 @@
             network_conditions=UnmodifiedNetwork(),
             contacts=self.contacts,
         )
+        self.relay_server = RelayServer(
+            find_leader=self._find_direct_leader, send=self.network.send
+        )
+        self.lender.relay = self.relay_server.relay_to_leader
 
     async def start(self) -> None:
         """Listen for sessions and loan requests, and start ticking."""
@@ -184,6 +203,7 @@
         await asyncio.to_thread(self._readiness_server.stop)
         if self._metrics is not None:
             await asyncio.to_thread(self._metrics.stop)
+        self.relay_client.keep_only(())
         await self.network.stop()
 
     def _stop_lending(self) -> None:
@@ -208,6 +228,7 @@
             self.router,
             self.lender,
             self.contacts,
+            relay_server=self.relay_server,
             sessions=len(self._sessions),
         )
 
@@ -237,6 +258,8 @@
             self.router.refresh_positions()
             self.router.tick_loans(now_ns)
             self.lender.tick(now_ns)
+            self.relay_server.tick(now_ns)
+            self.relay_client.keep_only(self.node.relay.asked)
             self._record_contacts(now_ns)
             self._log_readiness_change()
             await asyncio.sleep(ENTRY_TICK_S)
@@ -246,11 +269,21 @@
         node = self.node
         if not node.last_leader or self.is_stopping:
             return
+        relay = node.relay.current
+        link = LinkKind.RELAYED if relay else LinkKind.DIRECT
+        if relay != self._last_relay:
+            self._last_relay = relay
+            log_event(
+                "leader-link",
+                f"link={link} relay={relay or '-'} leader={node.last_leader}",
+            )
         if now_ns < node.lease.deadline_ns:
-            self.contacts.record_regained(ContactKind.LEASE, "", now_ns)
+            self.contacts.record_regained(
+                ContactKind.LEASE, "", now_ns, link=link
+            )
         else:
             self.contacts.record_lost(
-                ContactKind.LEASE, "", node.lease.deadline_ns
+                ContactKind.LEASE, "", node.lease.deadline_ns, link=link
             )
         if node.unanswered_since_ns:
             self.contacts.record_lost(
@@ -260,7 +293,9 @@
                 reason=f"unanswered-by:{node.last_leader}",
             )
         else:
-            self.contacts.record_regained(ContactKind.LEADER, "", now_ns)
+            self.contacts.record_regained(
+                ContactKind.LEADER, "", now_ns, link=link
+            )
 
     def _log_readiness_change(self) -> None:
         ready = self.is_ready()
@@ -274,9 +309,52 @@
                 self.node.lease.leader,
             )
 
+    def _find_direct_leader(self) -> str:
+        node = self.node
+        is_direct = not node.unanswered_since_ns and not node.relay.is_active
+        has_lease = clock_ns() < node.lease.deadline_ns
+        can_relay = is_direct and has_lease and not self.is_stopping
+        return node.last_leader if can_relay else ""
+
+    def _on_relay_lost(self, neighbour: str, reason: str) -> None:
+        self.node.relay.record_failure(neighbour)
+        self.contacts.record_lost(
+            ContactKind.NEIGHBOUR, neighbour, clock_ns(), reason=reason
+        )
+
+    def _receive_relayed(
+        self, neighbour: str, message: RelayedMessage
+    ) -> None:
+        if message.host != self.node.host:
+            return
+        if not message.body:
+            # The neighbour does not reach the leader itself.
+            self.node.relay.record_failure(neighbour)
+            return
+        envelope = unwrap_relayed(message)
+        if isinstance(envelope, DecodeFault):
+            log_event(
+                "bad-relayed", f"peer={neighbour} reason={envelope.reason!r}"
+            )
+            return
+        self.contacts.record_regained(
+            ContactKind.NEIGHBOUR, neighbour, clock_ns()
+        )
+        self._apply(
+            lambda: self.node.receive_relayed(
+                neighbour, envelope.source, envelope.body, clock_ns()
+            )
+        )
+
     def _receive(self, source: str, message: Message) -> None:
+        if isinstance(message, RelayedMessage):
+            self.relay_server.relay_to_host(message)
+            return
+        self._apply(lambda: self.node.receive(source, message, clock_ns()))
+
+    def _apply(self, receive: Callable[[], Sequence[Effect]]) -> None:
         before = (self.node.state.index, self.node.neighbours)
-        self._execute_effects(self.node.receive(source, message, clock_ns()))
+        self._execute_effects(receive())
         if (self.node.state.index, self.node.neighbours) != before:
             control = {*self._seeds(), *self.node.state.voters}
             self.node.control = sorted(control)
@@ -290,5 +368,11 @@
                 self.network.send(
                     effect.peer, effect.message, is_retry=effect.is_retry
                 )
+            elif isinstance(effect, SendRelayed):
+                wrapped = wrap_relayed(
+                    self.node.host, self.node.host, effect.message
+                )
+                if wrapped is not None:
+                    self.relay_client.send(effect.neighbour, wrapped)
             else:
                 logging.error("event=unknown-effect kind=%s", effect)
--- a/src/rosemarysaddle/node/_host_metrics.py
+++ b/src/rosemarysaddle/node/_host_metrics.py
@@ -16,7 +16,7 @@
 
     from rosemarysaddle._contacts import ContactLog
     from rosemarysaddle._prometheus import Metric
-    from rosemarysaddle.connection import Lender
+    from rosemarysaddle.connection import Lender, RelayServer
     from rosemarysaddle.decide import ClusterState, ControlNode, EntryNode
     from rosemarysaddle.schema import Node
     from rosemarysaddle.session import Router, StatementStats
@@ -60,6 +60,7 @@
     lender: Lender,
     contacts: ContactLog,
     *,
+    relay_server: RelayServer,
     sessions: int,
 ) -> Iterator[Metric]:
     """Collect the metrics of an entry host."""
@@ -77,6 +78,16 @@
     yield _gauge(
         "loans_given", "Connections lent to others", lender.lent_count
     )
+    yield _gauge(
+        "lease_relayed",
+        "Whether a neighbour relays the renewals",
+        bool(node.relay.current),
+    )
+    yield _gauge(
+        "relayed_hosts",
+        "Neighbours for which this host relays",
+        relay_server.host_count,
+    )
     yield from _contact_metrics(contacts)
 
 
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -35,6 +35,7 @@
     "PointReply",
     "PointRequest",
     "PreparedName",
+    "RelayedMessage",
     "RemoteHosts",
     "SnapshotInstall",
     "StepOut",
@@ -318,6 +319,14 @@
     target: str
 
 
+@attrs.frozen(kw_only=True)
+class RelayedMessage:
+    """Message: relayed message."""
+
+    host: str
+    body: bytes
+
+
 @attrs.frozen(kw_only=True)
 class SnapshotInstall:
     """Message: snapshot install."""
@@ -439,6 +448,7 @@
     | Neighbours
     | PointReply
     | PointRequest
+    | RelayedMessage
     | SnapshotInstall
     | StepOut
     | Suspicion
@@ -495,4 +505,5 @@
     "pointReply": PointReply,
     "tokenRequest": TokenRequest,
     "tokenGrant": TokenGrant,
+    "relayedMessage": RelayedMessage,
 }
--- a/src/rosemarysaddle/schema/generate.py
+++ b/src/rosemarysaddle/schema/generate.py
@@ -25,7 +25,7 @@
     "node",
     "stand_in",
 )
-_CAPNP_TYPES: Final = {"text": "str", "bool": "bool"}
+_CAPNP_TYPES: Final = {"text": "str", "bool": "bool", "data": "bytes"}
 _JSON_TYPES: Final = {
     "string": "str",
     "integer": "int",
--- a/src/rosemarysaddle/schema/messages.capnp
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -264,6 +264,15 @@
   waitMs @3 :UInt32 = 0;
 }
 
+# Message between an entry host and the control leader that passes over
+# another entry host, which does not read it.
+struct RelayedMessage {
+  # Entry host that the message is from or for.
+  host @0 :Text;
+  # Encoded envelope; empty if it cannot be relayed.
+  body @1 :Data;
+}
+
 struct Envelope {
   source @0 :Text;
   requestId @1 :UInt64;
@@ -301,5 +310,6 @@
     pointReply @32 :PointReply;
     tokenRequest @33 :TokenRequest;
     tokenGrant @34 :TokenGrant;
+    relayedMessage @35 :RelayedMessage;
   }
 }
--- a/tests/node/test_host_metrics.py
+++ b/tests/node/test_host_metrics.py
@@ -7,7 +7,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from rosemarysaddle._contacts import ContactKind, ContactLog
-from rosemarysaddle.connection import Lender
+from rosemarysaddle.connection import Lender, RelayServer
 from rosemarysaddle.decide import ControlNode, EntryNode, GroupTerm
 from rosemarysaddle.node._host_metrics import (
     control_metrics,
@@ -70,7 +70,12 @@
     server = start_metrics(
         _settings(ADDRESS),
         lambda: entry_metrics(
-            router.node, router, lender, contacts, sessions=2
+            router.node,
+            router,
+            lender,
+            contacts,
+            relay_server=RelayServer(find_leader=str, send=lambda _, __: None),
+            sessions=2,
         ),
     )
     assert server is not None
