Do not drain a closed term again

Cause: a planned change orders hosts to close a term with a drain, and each grant repeats the order until the new term is promoted. A host whose drain had run out with a write still running started a second drain from the repeated order, and acknowledged the write after it had told the leader that no more are. Relays repeat and delay orders more often.

Ruled out: the leader naming each order once (an order may be lost); comparing with the state alone (the host may not have applied the close).

After: a closed term, or one older than the group's current term, is answered at once without a drain.

--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -204,6 +204,16 @@
                 pass
         return []
 
+    def relay_leader(self, now_ns: int) -> str:
+        """Return the leader to which this host can relay for others.
+
+        :return: its name; empty if it does not answer this host
+            directly
+        """
+        if self._stopping or self.relay.is_active or self.unanswered_since_ns:
+            return ""
+        return self.last_leader if now_ns < self.lease.deadline_ns else ""
+
     def begin_write(self, group: str, now_ns: int) -> WriteTicket | Refusal:
         """Begin a write to a group.
 
@@ -431,27 +441,32 @@
         self, source: str, close: CloseGroup, now_ns: int
     ) -> list[Effect]:
         group = close.group
-        current = self.state.terms.get(group)
-        # An order that was held up on its way must not stop the writes
-        # of a later term.
-        is_past = current is not None and close.term < current.term
-        if is_past and group not in self._drains:
-            self.lease.close(group, close.term)
-            message = GroupClosed(host=self.host, group=group, term=close.term)
-            return [Send(peer=source, message=message)]
-        if close.drain and group not in self._drains:
-            if self._running_writes.get(group, 0):
-                latest_ns = now_ns + DRAIN_TIMEOUT_MS * NS_PER_MS
-                self._drains[group] = _Drain(
-                    term=close.term,
-                    leader=source,
-                    deadline_ns=min(latest_ns, self.lease.deadline_ns),
-                )
+        if group in self._drains:
+            if close.drain:
                 return []
-        elif close.drain:
+        elif close.drain and self._may_drain(close):
+            latest_ns = now_ns + DRAIN_TIMEOUT_MS * NS_PER_MS
+            self._drains[group] = _Drain(
+                term=close.term,
+                leader=source,
+                deadline_ns=min(latest_ns, self.lease.deadline_ns),
+            )
             return []
         return [self._close_group(source, group, close.term)]
 
+    def _may_drain(self, close: CloseGroup) -> bool:
+        """Tell whether running writes may delay the end of a term.
+
+        Not if the term has ended: the leader has been told that no
+        write of it is acknowledged any more.
+        """
+        if not self._running_writes.get(close.group, 0):
+            return False
+        if self.lease.is_closed(close.group, close.term):
+            return False
+        current = self.state.terms.get(close.group)
+        return current is None or close.term >= current.term
+
     def _close_group(self, leader: str, group: str, term: int) -> Send:
         self._drains.pop(group, None)
         self.lease.close(group, term)
--- a/src/rosemarysaddle/decide/leases/_lease.py
+++ b/src/rosemarysaddle/decide/leases/_lease.py
@@ -52,6 +52,10 @@
         """Stop covering writes up to a term of a group."""
         self._closed[group] = max(self._closed.get(group, 0), term)
 
+    def is_closed(self, group: str, term: int) -> bool:
+        """Tell whether a term of a group has been closed."""
+        return term <= self._closed.get(group, 0)
+
     def end(self) -> None:
         """End the lease before its deadline."""
         self.deadline_ns = 0
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -310,11 +310,9 @@
             )
 
     def _find_direct_leader(self) -> str:
-        node = self.node
-        is_direct = not node.unanswered_since_ns and not node.relay.is_active
-        has_lease = clock_ns() < node.lease.deadline_ns
-        can_relay = is_direct and has_lease and not self.is_stopping
-        return node.last_leader if can_relay else ""
+        if self.is_stopping:
+            return ""
+        return self.node.relay_leader(clock_ns())
 
     def _on_relay_lost(self, neighbour: str, reason: str) -> None:
         self.node.relay.record_failure(neighbour)
