--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -348,7 +348,8 @@
             return [Send(peer=source, message=refusal)]
         if not self._lease_holders.is_registered(source):
             return self._lease_holders.register(source, renewal, now_ns)
-        self._context.leases.grant(source, now_ns)
+        if self._context.leases.grant(source, now_ns):
+            self.primaries.on_first_renewal(source)
         self._context.centers[source] = renewal.data_center
         self.applied_by_host[source] = renewal.applied_index
         grant = LeaseGrant(
--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -115,6 +115,7 @@
     _drains: dict[str, _Drain] = attrs.field(factory=dict, init=False)
     _next_suspicion_ns: dict[str, int] = attrs.field(factory=dict, init=False)
     _stopping: bool = attrs.field(default=False, init=False)
+    _sent_ns: int = attrs.field(default=0, init=False)
     _granted_sent_ns: int = attrs.field(default=0, init=False)
     _asked: tuple[str, ...] = attrs.field(default=(), init=False)
 
@@ -333,13 +334,16 @@
             peers = self._retry_peers()
         is_unanswered = not self.lease.leader
         if is_unanswered:
-            self.unanswered_since_ns = self.unanswered_since_ns or now_ns
+            self.unanswered_since_ns = (
+                self.unanswered_since_ns or self._sent_ns or now_ns
+            )
             # No answer to the last renewal: drop the hint after this
             # attempt and try the control hosts in turn.
             self._control_index += 1
             self._leader_hint = ""
         self.lease.leader = ""
         self._asked = peers
+        self._sent_ns = now_ns
         renewal = LeaseRenewal(
             host=self.host,
             data_center=self.data_center,
--- a/src/rosemarysaddle/decide/leases/_lease.py
+++ b/src/rosemarysaddle/decide/leases/_lease.py
@@ -106,12 +106,18 @@
             lease_ms=lease_ms,
         )
 
-    def grant(self, host: str, now_ns: int) -> None:
-        """Record a lease granted now."""
+    def grant(self, host: str, now_ns: int) -> bool:
+        """Record a lease granted now.
+
+        :return: whether this is the first one since no earlier leader
+            can grant, while a lease of an earlier leader may be valid
+        """
         self._deadlines_ns[host] = now_ns + self.lease_ms * NS_PER_MS
         # From now on, no earlier leader can grant it a later deadline.
-        if now_ns >= self.led_until_ns:
-            self._renewed.add(host)
+        if now_ns < self.led_until_ns or host in self._renewed:
+            return False
+        self._renewed.add(host)
+        return now_ns < self.unlisted_until_ns
 
     def drop(self, host: str) -> None:
         """Remove a lease that its holder returned."""
--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -457,6 +457,18 @@
         change.fence_deadlines_ns.pop(closed.host, None)
         return self._advance(change, now_ns)
 
+    def on_first_renewal(self, host: str) -> None:
+        """Wait for a host that may hold a lease of an earlier leader.
+
+        It was not listed when the term was closed, and the grant that
+        tells it of the closing may not arrive.
+        """
+        until_ns = self.context.leases.unlisted_until_ns
+        for change in self.changes.values():
+            if change.phase is Phase.FENCE:
+                held_ns = change.fence_deadlines_ns.get(host, 0)
+                change.fence_deadlines_ns[host] = max(held_ns, until_ns)
+
     def on_lease_returned(self, host: str, now_ns: int) -> list[Effect]:
         """Stop waiting for a host that has returned its lease."""
         effects: list[Effect] = []
