--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -47,6 +47,11 @@
     RouteTable,
     check_plan,
 )
+from rosemarysaddle.decide.configuration._teams import (
+    TeamDirectory,
+    digest_key,
+    team_weight,
+)
 from rosemarysaddle.decide.control_log._follower import (
     BEHIND_MS,
     FollowerStatus,
@@ -71,9 +76,14 @@
     RelayRoutes,
     is_relayable,
 )
+from rosemarysaddle.decide.load._counting_hosts import (
+    CountingHosts,
+    rank_hosts,
+)
 from rosemarysaddle.decide.load._lending import (
     ConnectionShare,
     LenderRanking,
+    TeamScope,
     share_connections,
 )
 from rosemarysaddle.decide.load._load_balancing import (
@@ -83,10 +93,23 @@
     compute_transfer_cost_ns,
 )
 from rosemarysaddle.decide.load._queueing import (
+    WEIGHT_SCALE,
     ConnectionQueue,
     ConnectionRequest,
     Waiter,
 )
+from rosemarysaddle.decide.load._rate_limit import (
+    DemandRate,
+    LimitSettings,
+    LimitShare,
+)
+from rosemarysaddle.decide.load._team_connections import (
+    FULL_BACKOFF_MS,
+    TeamConnections,
+    max_concurrent_opens,
+)
+from rosemarysaddle.decide.load._token_counter import TokenCounter
+from rosemarysaddle.decide.load._token_stock import TokenStock, reserve_share
 from rosemarysaddle.decide.load._window import INITIAL_SIZE, ConcurrencyWindow
 from rosemarysaddle.decide.primaries._change import (
     ChangeTimes,
@@ -112,10 +135,12 @@
 
 __all__ = (
     "BEHIND_MS",
+    "FULL_BACKOFF_MS",
     "INITIAL_SIZE",
     "LEASE_MS",
     "NO_ANSWER",
     "NS_PER_MS",
+    "WEIGHT_SCALE",
     "Answer",
     "ChangeTimes",
     "CloseSession",
@@ -127,6 +152,8 @@
     "ConnectionSetup",
     "ConnectionShare",
     "ControlNode",
+    "CountingHosts",
+    "DemandRate",
     "DocumentKind",
     "Effect",
     "EntryKind",
@@ -141,6 +168,8 @@
     "InventoryTable",
     "LeaseTable",
     "LenderRanking",
+    "LimitSettings",
+    "LimitShare",
     "LoadSnapshot",
     "LogNode",
     "LogPoint",
@@ -175,7 +204,12 @@
     "TargetReport",
     "TargetState",
     "TargetView",
+    "TeamConnections",
+    "TeamDirectory",
+    "TeamScope",
     "TokenCodec",
+    "TokenCounter",
+    "TokenStock",
     "Waiter",
     "WriteTicket",
     "address_of",
@@ -184,14 +218,19 @@
     "choose_primary",
     "choose_target",
     "compute_transfer_cost_ns",
+    "digest_key",
     "eligible_reports",
     "is_empty",
     "is_relayable",
     "is_update",
     "join_voters",
+    "max_concurrent_opens",
     "newer_point",
     "promotion_quorum",
+    "rank_hosts",
+    "reserve_share",
     "share_connections",
     "shared_name",
+    "team_weight",
     "write_quorum",
 )
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -15,12 +15,12 @@
 import attrs
 from absl import logging
 
-from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._clock import NS_PER_S, clock_ns
 from rosemarysaddle._contacts import ContactKind, ContactLog, LinkKind
 from rosemarysaddle._events import log_event
 from rosemarysaddle._tasks import spawn
 from rosemarysaddle.connection import Lender, RelayClient, RelayServer
-from rosemarysaddle.decide import EntryNode, Send, SendRelayed
+from rosemarysaddle.decide import EntryNode, LimitSettings, Send, SendRelayed
 from rosemarysaddle.link import (
     Address,
     DecodeFault,
@@ -104,10 +104,12 @@
             send=self._execute_effects,
             regions={p.data_center: p.region for p in settings.places},
             contacts=self.contacts,
+            limit_settings=_limit_settings(settings),
         )
         self.lender = Lender(
             find_pool=self.router.own_pool,
             find_point=self.router.find_point,
+            on_token_request=self.router.rate_limits.handle_request,
         )
         self.relay_client = RelayClient(
             on_message=self._receive_relayed, on_lost=self._on_relay_lost
@@ -199,6 +201,7 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         self.lender.close()
         self._execute_effects(self.node.stop())
+        self.router.rate_limits.close()
         await asyncio.sleep(POLL_INTERVAL_S)
         await asyncio.to_thread(self._readiness_server.stop)
         if self._metrics is not None:
@@ -351,15 +354,19 @@
         self._apply(lambda: self.node.receive(source, message, clock_ns()))
 
     def _apply(self, receive: Callable[[], Sequence[Effect]]) -> None:
-        before = (self.node.state.index, self.node.neighbours)
+        before = self._view_key()
         self._execute_effects(receive())
-        if (self.node.state.index, self.node.neighbours) != before:
+        if self._view_key() != before:
             control = {*self._seeds(), *self.node.state.voters}
             self.node.control = sorted(control)
             self.router.apply_view()
         else:
             self.router.notify_waiters()
 
+    def _view_key(self) -> tuple[object, ...]:
+        node = self.node
+        return node.state.index, node.neighbours, node.remote_hosts
+
     def _execute_effects(self, effects: Sequence[Effect]) -> None:
         for effect in effects:
             if isinstance(effect, Send):
@@ -374,3 +381,13 @@
                     self.relay_client.send(effect.neighbour, wrapped)
             else:
                 logging.error("event=unknown-effect kind=%s", effect)
+
+
+def _limit_settings(settings: Node) -> LimitSettings:
+    return LimitSettings(
+        window_ns=int(settings.limit_window_s * NS_PER_S),
+        overage=settings.limit_overage,
+        slack=settings.limit_slack,
+        data_center=settings.data_center,
+        data_centers=tuple(sorted({p.data_center for p in settings.places})),
+    )
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -268,6 +268,7 @@
     """Message: loan refusal."""
 
     code: str
+    connected: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -282,6 +283,7 @@
     team: str = ""
     objective_ms: int = 0
     weight: int = 0
+    any_team: bool = False
 
 
 @attrs.frozen(kw_only=True)
