Forget lost peers that are not tried any longer

Cause: control hosts and neighbours are asked only during an outage, so those that did not answer in one would count as lost for ever after it.

Ruled out: taking them as regained with the leader (nothing shows that).

Now a peer that has not been tried for 10 s is forgotten, with one line, contact-unused. Lease and leader are excepted, as they are always needed.

--- a/src/rosemarysaddle/_contacts.py
+++ b/src/rosemarysaddle/_contacts.py
@@ -22,6 +22,9 @@
 
 # A data centre of the largest deployment planned has 200 entry hosts.
 MAX_LOST_CONTACTS: Final = 512
+# Control hosts and neighbours are only tried during an outage, so what
+# is known of one that was not tried lately is out of date.
+FORGET_AFTER_NS: Final = 10 * NS_PER_S
 _NS_PER_MS: Final = 1_000_000
 
 
@@ -42,6 +45,12 @@
     RELAYED = "relayed"
 
 
+@attrs.define(kw_only=True)
+class _LostContact:
+    since_ns: int
+    tried_ns: int
+
+
 @attrs.define(kw_only=True)
 class ContactLog:
     """Contacts that are lost now, and counts of those lost so far.
@@ -60,7 +69,7 @@
     lost_ns: collections.Counter[tuple[str, str]] = attrs.field(
         factory=collections.Counter, init=False
     )
-    _lost_since_ns: dict[tuple[ContactKind, str], int] = attrs.field(
+    _lost: dict[tuple[ContactKind, str], _LostContact] = attrs.field(
         factory=dict, init=False
     )
 
@@ -79,11 +88,13 @@
         :param link: path over which it was reached before
         """
         key = (kind, peer)
-        if key in self._lost_since_ns:
+        known = self._lost.get(key)
+        if known is not None:
+            known.tried_ns = max(known.tried_ns, now_ns)
             return
-        if len(self._lost_since_ns) >= MAX_LOST_CONTACTS:
-            del self._lost_since_ns[next(iter(self._lost_since_ns))]
-        self._lost_since_ns[key] = now_ns
+        if len(self._lost) >= MAX_LOST_CONTACTS:
+            del self._lost[next(iter(self._lost))]
+        self._lost[key] = _LostContact(since_ns=now_ns, tried_ns=now_ns)
         self.losses[kind, link] += 1
         text = f"kind={kind} peer={peer or '-'} link={link}"
         if reason:
@@ -103,10 +114,10 @@
         :param now_ns: monotonic time since which it works
         :param link: path over which it is reached now
         """
-        since_ns = self._lost_since_ns.pop((kind, peer), None)
-        if since_ns is None:
+        lost = self._lost.pop((kind, peer), None)
+        if lost is None:
             return
-        spent_ns = max(0, now_ns - since_ns)
+        spent_ns = max(0, now_ns - lost.since_ns)
         self.lost_ns[kind, link] += spent_ns
         self.write(
             "contact-regained",
@@ -114,9 +125,22 @@
             f" lost_ms={spent_ns // _NS_PER_MS}",
         )
 
+    def forget_unused(self, now_ns: int) -> None:
+        """Forget lost peers that have not been tried lately.
+
+        The lease and the leader are always needed.
+        """
+        for key, lost in list(self._lost.items()):
+            kind, peer = key
+            if kind in {ContactKind.LEASE, ContactKind.LEADER}:
+                continue
+            if now_ns >= lost.tried_ns + FORGET_AFTER_NS:
+                del self._lost[key]
+                self.write("contact-unused", f"kind={kind} peer={peer}")
+
     def count_lost(self, kind: ContactKind) -> int:
         """Count the contacts of a kind that are lost now."""
-        return sum(key[0] is kind for key in list(self._lost_since_ns))
+        return sum(key[0] is kind for key in list(self._lost))
 
     def longest_lost_s(self, kind: ContactKind, now_ns: int) -> float:
         """Return for how long the first lost contact has been lost.
@@ -125,8 +149,8 @@
         :return: seconds; 0 if no contact of the kind is lost
         """
         since = [
-            since_ns
-            for key, since_ns in list(self._lost_since_ns.items())
+            lost.since_ns
+            for key, lost in list(self._lost.items())
             if key[0] is kind
         ]
         return max(0, now_ns - min(since)) / NS_PER_S if since else 0.0
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -270,6 +270,7 @@
     def _record_contacts(self, now_ns: int) -> None:
         """Log that the lease or the leader was lost or regained."""
         node = self.node
+        self.contacts.forget_unused(now_ns)
         if not node.last_leader or self.is_stopping:
             return
         relay = node.relay.current
--- a/tests/test_contacts.py
+++ b/tests/test_contacts.py
@@ -27,6 +27,19 @@
     assert log.count_lost(ContactKind.LEASE) == 0
 
 
+def test_peer_that_is_not_tried_any_longer_does_not_count_as_lost() -> None:
+    # Control hosts are asked in turn only during an outage; a gauge that
+    # stays up after it would be a false alarm.
+    log = ContactLog(write=lambda _, __: None)
+    log.record_lost(ContactKind.CONTROL_HOST, "c", 0)
+    log.record_lost(ContactKind.CONTROL_HOST, "c", 8_000 * NS_PER_MS)
+
+    log.forget_unused(12_000 * NS_PER_MS)
+    assert log.count_lost(ContactKind.CONTROL_HOST) == 1
+    log.forget_unused(18_000 * NS_PER_MS)
+    assert log.count_lost(ContactKind.CONTROL_HOST) == 0
+
+
 def test_contact_log_holds_a_bounded_number_of_contacts() -> None:
     # Peers that never return, such as replaced hosts, must not add up.
     log = ContactLog(write=lambda _, __: None)
