--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -100,6 +100,8 @@
     :param unanswered_since_ns: time of the first renewal after the last
         grant that got no answer in time; 0 if there is none
     :param relay: choice of the neighbours that relay renewals
+    :param view_confirmed_ns: monotonic time at which the state held all
+        that was committed, as the leader has confirmed; 0 before that
     """
 
     host: str
@@ -119,6 +121,9 @@
     last_leader: str = attrs.field(default="", init=False)
     unanswered_since_ns: int = attrs.field(default=0, init=False)
     relay: RelayChoice = attrs.field(init=False)
+    view_confirmed_ns: int = attrs.field(default=0, init=False)
+    # Index that the last grant named, and when its renewal was sent.
+    _named_view: tuple[int, int] = attrs.field(default=(0, 0), init=False)
     _neighbours_tag: int = attrs.field(default=0, init=False)
     _leader_hint: str = attrs.field(default="", init=False)
     _renew_at_ns: int = attrs.field(default=0, init=False)
@@ -209,6 +214,7 @@
             case ViewSnapshot():
                 if message.index > self.state.index:
                     self.state = ClusterState.load(message.state)
+                    self._confirm_view()
             case Announcement():
                 self.announced[message.target] = message
             case Neighbours():
@@ -357,6 +363,15 @@
             [Send(peer=self._leader(), message=suspicion)]
         )
 
+    def is_view_current(self, now_ns: int, max_age_ms: int) -> bool:
+        """Tell whether the state holds all but the newest changes.
+
+        :param now_ns: monotonic time, in nanoseconds
+        :param max_age_ms: age up to which a change may be missing, in
+            milliseconds
+        """
+        return now_ns < self.view_confirmed_ns + max_age_ms * NS_PER_MS
+
     def stop(self) -> list[Effect]:
         """Return the lease before a planned stop."""
         self._stopping = True
@@ -447,6 +462,8 @@
             )
             effects.extend(self._on_close(source, close, now_ns))
         self.lease.grant(source, attrs.evolve(grant, closing=()))
+        self._named_view = (grant.min_index, grant.sent_ns)
+        self._confirm_view()
         if self.state.index >= self.lease.min_index:
             self.ready = True
         return effects
@@ -481,6 +498,14 @@
                 self._renew_at_ns = now_ns
                 return
             self.state.apply(entry)
+        self._confirm_view()
+
+    def _confirm_view(self) -> None:
+        # All that was acknowledged before the renewal was sent is part
+        # of the state that the leader had when it answered.
+        index, sent_ns = self._named_view
+        if self.state.index >= index:
+            self.view_confirmed_ns = max(self.view_confirmed_ns, sent_ns)
 
     def _on_close(
         self, source: str, close: CloseGroup, now_ns: int
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -20,7 +20,13 @@
 from rosemarysaddle._events import log_event
 from rosemarysaddle._tasks import spawn
 from rosemarysaddle.connection import Lender, RelayClient, RelayServer
-from rosemarysaddle.decide import EntryNode, LimitSettings, Send, SendRelayed
+from rosemarysaddle.decide import (
+    EntryNode,
+    LimitSettings,
+    Send,
+    SendRelayed,
+    TeamDirectory,
+)
 from rosemarysaddle.link import (
     Address,
     DecodeFault,
@@ -33,7 +39,7 @@
 from rosemarysaddle.node._identity import peer_address
 from rosemarysaddle.node._timing import ENTRY_TICK_S, RENEWAL_INTERVAL_MS
 from rosemarysaddle.schema import RelayedMessage
-from rosemarysaddle.session import CallerSession, Router
+from rosemarysaddle.session import MAX_PLAN_AGE_MS, CallerSession, Router
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
@@ -55,6 +61,8 @@
 LISTEN_BACKLOG: Final = 512
 READINESS_THREADS: Final = 2
 READINESS_MAX_BODY_BYTES: Final = 4_096
+# Teams that one log line about removed keys names.
+MAX_LOGGED_TEAMS: Final = 8
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -85,6 +93,8 @@
     _jobs: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
     _was_ready: bool = attrs.field(default=False, init=False)
     _last_relay: str = attrs.field(default="", init=False)
+    _plan_version: int = attrs.field(default=-1, init=False)
+    _teams: TeamDirectory | None = attrs.field(default=None, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Build the entry node and its parts."""
@@ -104,6 +114,9 @@
             send=self._execute_effects,
             regions={p.data_center: p.region for p in settings.places},
             contacts=self.contacts,
+            max_plan_age_ms=min(
+                MAX_PLAN_AGE_MS, settings.revoke_ms or MAX_PLAN_AGE_MS
+            ),
             limit_settings=_limit_settings(settings),
         )
         self.lender = Lender(
@@ -230,9 +243,8 @@
             self.node,
             self.router,
             self.lender,
-            self.contacts,
-            relay_server=self.relay_server,
-            sessions=len(self._sessions),
+            teams=[s.runner.team for s in list(self._sessions)],
+            relayed_hosts=self.relay_server.host_count,
         )
 
     def _seeds(self) -> list[str]:
@@ -260,6 +272,7 @@
             self._execute_effects(self.node.tick(now_ns))
             self.router.refresh_positions()
             self.router.tick_loans(now_ns)
+            self.router.unknown_keys.tick(now_ns)
             self.lender.tick(now_ns)
             self.relay_server.tick(now_ns)
             self.relay_client.keep_only(self.node.relay.asked)
@@ -361,9 +374,30 @@
             control = {*self._seeds(), *self.node.state.voters}
             self.node.control = sorted(control)
             self.router.apply_view()
+            self._recheck_keys()
         else:
             self.router.notify_waiters()
 
+    def _recheck_keys(self) -> None:
+        """Apply a new plan to the sessions that are open."""
+        routes = self.node.state.routes
+        if routes.version == self._plan_version:
+            return
+        self._plan_version = routes.version
+        ended = sum([s.recheck_key() for s in list(self._sessions)])
+        earlier, self._teams = self._teams, routes.teams
+        teams = routes.teams or TeamDirectory()
+        if earlier is None and routes.teams is None:
+            return
+        losers = sorted((earlier or teams).teams_with_removed_keys(teams))
+        log_event(
+            "teams",
+            f"version={routes.version} teams={len(teams.by_name)}"
+            f" keys={teams.key_count} ended_transactions={ended}"
+            f" lost_keys={len(losers)}"
+            f" losers={','.join(losers[:MAX_LOGGED_TEAMS]) or '-'}",
+        )
+
     def _view_key(self) -> tuple[object, ...]:
         node = self.node
         return node.state.index, node.neighbours, node.remote_hosts
@@ -381,7 +415,9 @@
                 if wrapped is not None:
                     self.relay_client.send(effect.neighbour, wrapped)
             else:
-                logging.error("event=unknown-effect kind=%s", effect)
+                logging.error(
+                    "event=unknown-effect kind=%s", type(effect).__name__
+                )
 
 
 def _limit_settings(settings: Node) -> LimitSettings:
--- a/src/rosemarysaddle/session/__init__.py
+++ b/src/rosemarysaddle/session/__init__.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 from rosemarysaddle.session._caller import CallerCodec, CallerSession
-from rosemarysaddle.session._router import ReadTarget, Router
+from rosemarysaddle.session._rate_limits import WAIT_BOUNDS_MS, RateLimits
+from rosemarysaddle.session._router import (
+    MAX_PLAN_AGE_MS,
+    ReadTarget,
+    Router,
+)
 from rosemarysaddle.session._runner import Runner, Transaction
 from rosemarysaddle.session._statement_stats import (
     LATENCY_BOUNDS_MS,
@@ -12,8 +17,11 @@
 
 __all__ = (
     "LATENCY_BOUNDS_MS",
+    "MAX_PLAN_AGE_MS",
+    "WAIT_BOUNDS_MS",
     "CallerCodec",
     "CallerSession",
+    "RateLimits",
     "ReadTarget",
     "Router",
     "Runner",
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -80,6 +80,10 @@
     :param variables: variables and prepared statements of the session
     :param team: team for which the statements run, or empty
     :param weight: share of the team relative to other teams
+    :param requires_key: whether the session's route requires a key
+    :param is_revoked: whether a plan that was put in force during the
+        present statement has removed the key, or given it to another
+        team
     :param points: log position of the session's newest write, by group
     """
 
@@ -87,8 +91,16 @@
     variables: SessionVariables = attrs.field(factory=SessionVariables)
     team: str = attrs.field(default="", init=False)
     weight: float = attrs.field(default=1.0, init=False)
+    requires_key: bool = attrs.field(default=False, init=False)
+    is_revoked: bool = attrs.field(default=False, init=False)
     points: dict[str, LogPoint] = attrs.field(factory=dict, init=False)
 
+    def may_run(self) -> bool:
+        """Tell whether the key allows to send a statement now."""
+        if self.is_revoked:
+            return False
+        return not self.requires_key or self.router.is_plan_current()
+
     # --- outside transactions ---
 
     async def read(
@@ -103,12 +115,9 @@
         for number in range(MAX_TRIES):
             read_target = self._choose_read_target(route, failed)
             if read_target is None:
-                until_ns = _target_deadline_ns(route, deadline_ns)
-                refusal = self.router.lease_refusal(route.group, until_ns)
+                refusal = await self._wait_for_target(route, deadline_ns, last)
                 if refusal is not None:
                     return refusal
-                if not await self.router.wait_change(until_ns):
-                    break
                 continue
             answer = await self._read_at(
                 route, read_target, statement, deadline_ns
@@ -116,6 +125,8 @@
             if answer.fault is None:
                 return answer
             last = answer
+            if not self.may_run():
+                break
             failed.add(read_target.target)
             if not answer.fault.is_not_run:
                 attempts += 1
@@ -148,6 +159,8 @@
             last = result
             if not result.fault.is_not_run:
                 return write_refusal(route, result)
+            if not self.may_run():
+                break
             if not await self._back_off(number, start_deadline_ns):
                 break
         return not_run_refusal(route.group, last)
@@ -379,6 +392,8 @@
                     transaction_ended(transaction),
                     retry_after_ms=refusal.retry_after_ms,
                 )
+            if not self.may_run():
+                break
             if not await self._back_off(number, start_deadline_ns):
                 break
         return transaction_ended(transaction)
@@ -452,6 +467,23 @@
 
     # --- common steps ---
 
+    async def _wait_for_target(
+        self, route: Route, deadline_ns: int, last: Answer | None
+    ) -> Refusal | None:
+        """Wait until another target may be suitable for a read.
+
+        :param last: answer to the last attempt, or None
+        :return: None after the wait, or a refusal if waiting any longer
+            is of no use
+        """
+        until_ns = _target_deadline_ns(route, deadline_ns)
+        refusal = self.router.lease_refusal(route.group, until_ns)
+        if refusal is not None:
+            return refusal
+        if await self.router.wait_change(until_ns):
+            return None
+        return read_refusal(route, last)
+
     async def _acquire_ticket(
         self, group: str, deadline_ns: int
     ) -> WriteTicket | Refusal:
@@ -480,11 +512,15 @@
             objective_ns=_objective_ns(route, deadline_ns),
             weight=self.weight,
         )
-        return await pool.acquire(
+        connection = await pool.acquire(
             self.variables,
             deadline_ns=start_deadline_ns,
             connection_request=connection_request,
         )
+        if isinstance(connection, OpenFault) or self.may_run():
+            return connection
+        self._release(connection)
+        return OpenFault(code=FaultCode.BUSY, peer=target)
 
     async def _ask(
         self,
@@ -555,6 +591,8 @@
                 break
             if not await self._back_off(number, deadline_ns):
                 break
+            if not self.may_run():
+                break
             answer = await self._ask_admitted(
                 connection, statement, deadline_ns
             )
--- a/tests/node/test_host_metrics.py
+++ b/tests/node/test_host_metrics.py
@@ -1,14 +1,22 @@
 from __future__ import annotations
 
 import urllib.request
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
 
-from rosemarysaddle._contacts import ContactKind, ContactLog
-from rosemarysaddle.connection import Lender, RelayServer
-from rosemarysaddle.decide import ControlNode, EntryNode, GroupTerm
+from rosemarysaddle._contacts import ContactKind
+from rosemarysaddle._prometheus import Gauge
+from rosemarysaddle.connection import Lender
+from rosemarysaddle.decide import (
+    ControlNode,
+    EntryNode,
+    GroupTerm,
+    LimitSettings,
+    TeamDirectory,
+)
 from rosemarysaddle.node._host_metrics import (
     control_metrics,
     entry_metrics,
@@ -65,18 +73,10 @@
     router.statement_stats.record("d", "done", 30 * NS_PER_MS)
     router.statement_stats.record("d", "target-busy", 700 * NS_PER_MS)
     lender = _lender(router)
-    contacts = ContactLog(write=lambda _, __: None)
-    contacts.record_lost(ContactKind.LENDER, "l", 1)
+    router.contacts.record_lost(ContactKind.LENDER, "l", 1)
     server = start_metrics(
         _settings(ADDRESS),
-        lambda: entry_metrics(
-            router.node,
-            router,
-            lender,
-            contacts,
-            relay_server=RelayServer(find_leader=str, send=lambda _, __: None),
-            sessions=2,
-        ),
+        lambda: entry_metrics(router.node, router, lender, teams=["", ""]),
     )
     assert server is not None
     try:
@@ -107,6 +107,28 @@
     assert samples[f"{prefix}contact_losses_total", "lender", "direct"] == 1
 
 
+def test_team_metrics_have_a_bounded_number_of_labels() -> None:
+    """Guards against a time series for each of 10,000 teams."""
+    router = _router()
+    router.node.state.routes.teams = TeamDirectory()
+    teams = ["", *(f"t{n}" for n in range(1_000)), *["big"] * 5]
+
+    found = {
+        metric.name: dict(metric.values)
+        for metric in entry_metrics(
+            router.node, router, _lender(router), teams=teams
+        )
+        if isinstance(metric, Gauge)
+    }
+
+    sessions = found["rosemarysaddle_team_sessions"]
+    assert len(sessions) == 9
+    assert sessions["big"] == 5
+    assert sum(sessions.values()) == 1_005
+    assert found["rosemarysaddle_sessions"] == {"": 1_006}
+    assert found["rosemarysaddle_teams_connected"] == {"": 1_001}
+
+
 def test_control_metrics_include_leadership_and_log_term() -> None:
     leader: ControlNode = make_leader(5_000 * NS_PER_MS)
 
@@ -117,3 +139,43 @@
 
 def test_start_metrics_returns_none_without_address() -> None:
     assert start_metrics(_settings(""), list) is None
+
+
+def test_entry_metrics_tell_how_many_requests_opened_a_connection() -> None:
+    router = _router()
+    counts = SimpleNamespace(opened=2, opens=3, replaced=1, takes=9, reuses=6)
+    pools: Any = {"t": SimpleNamespace(own=counts)}
+    router.pools.update(pools)
+
+    metrics = entry_metrics(router.node, router, _lender(router), teams=())
+
+    found = next(
+        m
+        for m in metrics
+        if m.name == "rosemarysaddle_target_connection_events"
+    )
+    assert found.values == {
+        ("t", "opened"): 3,
+        ("t", "replaced"): 1,
+        ("t", "taken"): 9,
+        ("t", "reused"): 6,
+    }
+
+
+def test_metrics_of_limits_name_no_team() -> None:
+    # Guards against a label for each of thousands of teams.
+    router = _router()
+    limits = router.rate_limits
+    limits.settings = LimitSettings(window_ns=5_000_000_000)
+    limits.stats.granted = 3
+    limits.stats.record_wait(3 * NS_PER_MS)
+    metrics: dict[str, Any] = {
+        metric.name.removeprefix("rosemarysaddle_"): metric
+        for metric in entry_metrics(
+            router.node, router, _lender(router), teams=()
+        )
+        if "limit_" in metric.name
+    }
+    assert metrics["limit_operations"].values == {("granted",): 3}
+    waits = metrics["limit_wait_seconds"].values["granted"]
+    assert waits == ([0, 0, 1, 1, 1, 1, 1, 1], 0.003)
--- a/tests/session/standin.py
+++ b/tests/session/standin.py
@@ -150,6 +150,10 @@
         """Record that the session closed the connection."""
         self.is_closed = True
 
+    def get_extra_info(self, name: str) -> Any:
+        """Return the address of the caller."""
+        return (IP, 9) if name == "peername" else None
+
     async def ask(self, line: str) -> str:
         """Send one line and wait for the answer."""
         self._sent.clear()
@@ -195,6 +199,7 @@
         term=1, primary=targets[0].name, is_open=True, is_serving=True
     )
     node.lease.deadline_ns = clock_ns() + 60_000_000_000
+    node.view_confirmed_ns = node.lease.deadline_ns
     node.ready = True
     return Router(
         node=node, label="e", new_codec=TargetLineCodec, send=lambda _: None
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -10,6 +10,8 @@
 # Loopback network apart from those of soaks started by hand and of
 # test runs side by side.
 SLOT = 30 + int(TEST_NETWORK.removeprefix("127."))
+# Callers of this seed have teams, whose keys are removed meanwhile.
+TEAMS_SEED = 4
 
 
 @pytest.mark.parametrize(
@@ -18,12 +20,15 @@
         (1, ("kill-entry", "harm-primary", "freeze-control")),
         (2, ("crash-primary", "change")),
         (3, ("lose-quorum-disk",)),
+        (4, ("freeze-entry", "restart-control", "freeze-entry")),
     ],
 )
 def test_run_soak_finds_no_violations(
     seed: int, faults: tuple[str, ...]
 ) -> None:
-    report = run_soak(seed=seed, faults=faults, slot=SLOT)
+    teams = seed == TEAMS_SEED
+    report = run_soak(seed=seed, faults=faults, slot=SLOT, teams=teams)
 
     assert report.violations == ()
     assert report.told["DONE"]
+    assert teams is ("NOACCESS" in report.told)
--- a/tests/test_contacts.py
+++ b/tests/test_contacts.py
@@ -28,8 +28,8 @@
 
 
 def test_peer_that_is_not_tried_any_longer_does_not_count_as_lost() -> None:
-    # Control hosts are asked in turn only during an outage; a gauge that
-    # stays up after it would be a false alarm.
+    # Control hosts are asked in turn only during an outage; a gauge
+    # that stays up after it would be a false alarm.
     log = ContactLog(write=lambda _, __: None)
     log.record_lost(ContactKind.CONTROL_HOST, "c", 0)
     log.record_lost(ContactKind.CONTROL_HOST, "c", 8_000 * NS_PER_MS)
