--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -16,23 +16,33 @@
 from absl import logging
 
 from rosemarysaddle._clock import NS_PER_S, clock_ns
+from rosemarysaddle._contacts import ContactKind, ContactLog, LinkKind
 from rosemarysaddle._events import log_event
 from rosemarysaddle._tasks import spawn
-from rosemarysaddle.connection import Lender
+from rosemarysaddle.connection import Lender, RelayClient, RelayServer
 from rosemarysaddle.decide import (
     EntryNode,
     LimitSettings,
     Send,
+    SendRelayed,
     TeamDirectory,
 )
-from rosemarysaddle.link import Address, PeerNetwork, UnmodifiedNetwork
+from rosemarysaddle.link import (
+    Address,
+    DecodeFault,
+    PeerNetwork,
+    UnmodifiedNetwork,
+    unwrap_relayed,
+    wrap_relayed,
+)
 from rosemarysaddle.node._host_metrics import entry_metrics, start_metrics
 from rosemarysaddle.node._identity import peer_address
 from rosemarysaddle.node._timing import ENTRY_TICK_S, RENEWAL_INTERVAL_MS
+from rosemarysaddle.schema import RelayedMessage
 from rosemarysaddle.session import MAX_PLAN_AGE_MS, CallerSession, Router
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Callable, Iterable, Sequence
 
     from rosemarysaddle._prometheus import Metric
     from rosemarysaddle.decide import Effect
@@ -68,7 +78,10 @@
     node: EntryNode = attrs.field(init=False)
     router: Router = attrs.field(init=False)
     lender: Lender = attrs.field(init=False)
+    relay_client: RelayClient = attrs.field(init=False)
+    relay_server: RelayServer = attrs.field(init=False)
     network: PeerNetwork = attrs.field(init=False)
+    contacts: ContactLog = attrs.field(factory=ContactLog, init=False)
     is_stopping: bool = attrs.field(default=False, init=False)
     _sessions: set[CallerSession] = attrs.field(factory=set, init=False)
     _server: asyncio.Server = attrs.field(init=False)
@@ -79,6 +92,7 @@
     _metrics: HttpServer | None = attrs.field(default=None, init=False)
     _jobs: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
     _was_ready: bool = attrs.field(default=False, init=False)
+    _last_relay: str = attrs.field(default="", init=False)
     _plan_version: int = attrs.field(default=-1, init=False)
     _teams: TeamDirectory | None = attrs.field(default=None, init=False)
 
@@ -99,6 +113,7 @@
             new_codec=self.platform.target_codec,
             send=self._execute_effects,
             regions={p.data_center: p.region for p in settings.places},
+            contacts=self.contacts,
             max_plan_age_ms=min(
                 MAX_PLAN_AGE_MS, settings.revoke_ms or MAX_PLAN_AGE_MS
             ),
@@ -109,13 +124,21 @@
             find_point=self.router.find_point,
             on_token_request=self.router.rate_limits.handle_request,
         )
+        self.relay_client = RelayClient(
+            on_message=self._receive_relayed, on_lost=self._on_relay_lost
+        )
         self.network = PeerNetwork(
             host=self.node.host,
             listen=Address(ip=settings.ip, port=0),
             addresses={},
             receive=self._receive,
             network_conditions=UnmodifiedNetwork(),
+            contacts=self.contacts,
         )
+        self.relay_server = RelayServer(
+            find_leader=self._find_direct_leader, send=self.network.send
+        )
+        self.lender.relay = self.relay_server.relay_to_leader
 
     async def start(self) -> None:
         """Listen for sessions and loan requests, and start ticking."""
@@ -196,6 +219,7 @@
         await asyncio.to_thread(self._readiness_server.stop)
         if self._metrics is not None:
             await asyncio.to_thread(self._metrics.stop)
+        self.relay_client.keep_only(())
         await self.network.stop()
 
     def _stop_lending(self) -> None:
@@ -220,6 +244,7 @@
             self.router,
             self.lender,
             teams=[s.runner.team for s in list(self._sessions)],
+            relayed_hosts=self.relay_server.host_count,
         )
 
     def _seeds(self) -> list[str]:
@@ -249,9 +274,46 @@
             self.router.tick_loans(now_ns)
             self.router.unknown_keys.tick(now_ns)
             self.lender.tick(now_ns)
+            self.relay_server.tick(now_ns)
+            self.relay_client.keep_only(self.node.relay.asked)
+            self._record_contacts(now_ns)
             self._log_readiness_change()
             await asyncio.sleep(ENTRY_TICK_S)
 
+    def _record_contacts(self, now_ns: int) -> None:
+        """Log that the lease or the leader was lost or regained."""
+        node = self.node
+        self.contacts.forget_unused(now_ns)
+        if not node.last_leader or self.is_stopping:
+            return
+        relay = node.relay.current
+        link = LinkKind.RELAYED if relay else LinkKind.DIRECT
+        if relay != self._last_relay:
+            self._last_relay = relay
+            log_event(
+                "leader-link",
+                f"link={link} relay={relay or '-'} leader={node.last_leader}",
+            )
+        if now_ns < node.lease.deadline_ns:
+            self.contacts.record_regained(
+                ContactKind.LEASE, "", now_ns, link=link
+            )
+        else:
+            self.contacts.record_lost(
+                ContactKind.LEASE, "", node.lease.deadline_ns, link=link
+            )
+        if node.unanswered_since_ns:
+            self.contacts.record_lost(
+                ContactKind.LEADER,
+                "",
+                node.unanswered_since_ns,
+                reason=f"unanswered-by:{node.last_leader}",
+            )
+        else:
+            self.contacts.record_regained(
+                ContactKind.LEADER, "", now_ns, link=link
+            )
+
     def _log_readiness_change(self) -> None:
         ready = self.is_ready()
         if ready is not self._was_ready:
@@ -264,9 +326,50 @@
                 self.node.lease.leader,
             )
 
+    def _find_direct_leader(self) -> str:
+        if self.is_stopping:
+            return ""
+        return self.node.relay_leader(clock_ns())
+
+    def _on_relay_lost(self, neighbour: str, reason: str) -> None:
+        self.node.relay.record_failure(neighbour)
+        self.contacts.record_lost(
+            ContactKind.NEIGHBOUR, neighbour, clock_ns(), reason=reason
+        )
+
+    def _receive_relayed(
+        self, neighbour: str, message: RelayedMessage
+    ) -> None:
+        if message.host != self.node.host:
+            return
+        if not message.body:
+            # The neighbour does not reach the leader itself.
+            self.node.relay.record_failure(neighbour)
+            return
+        envelope = unwrap_relayed(message)
+        if isinstance(envelope, DecodeFault):
+            log_event(
+                "bad-relayed", f"peer={neighbour} reason={envelope.reason!r}"
+            )
+            return
+        self.contacts.record_regained(
+            ContactKind.NEIGHBOUR, neighbour, clock_ns()
+        )
+        self._apply(
+            lambda: self.node.receive_relayed(
+                neighbour, envelope.source, envelope.body, clock_ns()
+            )
+        )
+
     def _receive(self, source: str, message: Message) -> None:
+        if isinstance(message, RelayedMessage):
+            self.relay_server.relay_to_host(message)
+            return
+        self._apply(lambda: self.node.receive(source, message, clock_ns()))
+
+    def _apply(self, receive: Callable[[], Sequence[Effect]]) -> None:
         before = self._view_key()
-        self._execute_effects(self.node.receive(source, message, clock_ns()))
+        self._execute_effects(receive())
         if self._view_key() != before:
             control = {*self._seeds(), *self.node.state.voters}
             self.node.control = sorted(control)
@@ -302,7 +405,15 @@
     def _execute_effects(self, effects: Sequence[Effect]) -> None:
         for effect in effects:
             if isinstance(effect, Send):
-                self.network.send(effect.peer, effect.message)
+                self.network.send(
+                    effect.peer, effect.message, is_retry=effect.is_retry
+                )
+            elif isinstance(effect, SendRelayed):
+                wrapped = wrap_relayed(
+                    self.node.host, self.node.host, effect.message
+                )
+                if wrapped is not None:
+                    self.relay_client.send(effect.neighbour, wrapped)
             else:
                 logging.error(
                     "event=unknown-effect kind=%s", type(effect).__name__
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -35,6 +35,7 @@
     "PointReply",
     "PointRequest",
     "PreparedName",
+    "RelayedMessage",
     "RemoteHosts",
     "SnapshotInstall",
     "StepOut",
@@ -320,6 +321,14 @@
     target: str
 
 
+@attrs.frozen(kw_only=True)
+class RelayedMessage:
+    """Message: relayed message."""
+
+    host: str
+    body: bytes
+
+
 @attrs.frozen(kw_only=True)
 class SnapshotInstall:
     """Message: snapshot install."""
@@ -441,6 +450,7 @@
     | Neighbours
     | PointReply
     | PointRequest
+    | RelayedMessage
     | SnapshotInstall
     | StepOut
     | Suspicion
@@ -497,4 +507,5 @@
     "pointReply": PointReply,
     "tokenRequest": TokenRequest,
     "tokenGrant": TokenGrant,
+    "relayedMessage": RelayedMessage,
 }
