--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -7,15 +7,17 @@
 
 from __future__ import annotations
 
+import zlib
 from typing import TYPE_CHECKING, Final
 
 import attrs
 
-from rosemarysaddle.decide._effects import Effect, Send
+from rosemarysaddle.decide._effects import Effect, Send, SendRelayed
 from rosemarysaddle.decide._reasons import Reason, Refusal, Step
 from rosemarysaddle.decide._times import NS_PER_MS, RENEWAL_INTERVAL_MS
 from rosemarysaddle.decide.control_log._state import ClusterState
 from rosemarysaddle.decide.leases._lease import HostLease
+from rosemarysaddle.decide.leases._relay import RelayChoice, is_relayable
 from rosemarysaddle.schema import (
     Announcement,
     CloseGroup,
@@ -39,6 +41,20 @@
 __all__ = ("EntryNode", "WriteTicket")
 
 RENEWAL_TIMEOUT_MS: Final = 300
+# Time between renewals after one without an answer.  A host whose link
+# heals is found again within this time, a tick and a round trip.
+RETRY_INTERVAL_MS: Final = 100
+# Rounds of renewals per second that all hosts without a leader send
+# together, two messages each.  As many as 2,600 hosts that renew every
+# 400 ms, which is what the control hosts are planned for.
+MAX_RETRY_ROUNDS_PER_S: Final = 6_500
+# By then an election would be over, and neighbours have been asked.
+OUTAGE_AFTER_MS: Final = 1_500
+# Control hosts that know no leader may elect one within this time.
+ELECTION_HOPE_MS: Final = 6_000
+# Answers of control hosts come with each round of retries.
+HEARD_WITHIN_MS: Final = 600
+MAX_OUTAGE_RETRY_MS: Final = 2_000
 SUSPICION_INTERVAL_MS: Final = 300
 DRAIN_TIMEOUT_MS: Final = 2_000
 
@@ -80,6 +96,10 @@
     :param remote_hosts: lending addresses of hosts of each other data
         centre, only where the plan has teams
     :param renewal_ms: time between renewals, in milliseconds
+    :param last_leader: control host that granted the last lease
+    :param unanswered_since_ns: time of the first renewal after the last
+        grant that got no answer in time; 0 if there is none
+    :param relay: choice of the neighbours that relay renewals
     :param view_confirmed_ns: monotonic time at which the state held all
         that was committed, as the leader has confirmed; 0 before that
     """
@@ -98,6 +118,9 @@
         factory=dict, init=False
     )
     renewal_ms: int = RENEWAL_INTERVAL_MS
+    last_leader: str = attrs.field(default="", init=False)
+    unanswered_since_ns: int = attrs.field(default=0, init=False)
+    relay: RelayChoice = attrs.field(init=False)
     view_confirmed_ns: int = attrs.field(default=0, init=False)
     # Index that the last grant named, and when its renewal was sent.
     _named_view: tuple[int, int] = attrs.field(default=(0, 0), init=False)
@@ -109,6 +132,14 @@
     _drains: dict[str, _Drain] = attrs.field(factory=dict, init=False)
     _next_suspicion_ns: dict[str, int] = attrs.field(factory=dict, init=False)
     _stopping: bool = attrs.field(default=False, init=False)
+    _heard_ns: int = attrs.field(default=0, init=False)
+    _sent_ns: int = attrs.field(default=0, init=False)
+    _granted_sent_ns: int = attrs.field(default=0, init=False)
+    _asked: tuple[str, ...] = attrs.field(default=(), init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the choice of relays."""
+        self.relay = RelayChoice(host=self.host, own=self.lending_address)
 
     def tick(self, now_ns: int) -> list[Effect]:
         """Finish drains and renew the lease if they are due.
@@ -117,8 +148,8 @@
         """
         effects = self._finish_drains(now_ns)
         if now_ns >= self._renew_at_ns and not self._stopping:
-            effects.append(self._renew(now_ns))
-        return effects
+            effects.extend(self._renew(now_ns))
+        return self._also_relayed(effects)
 
     def receive(
         self, source: str, message: Message, now_ns: int
@@ -129,6 +160,48 @@
         :param message: message received; unknown types are ignored
         :param now_ns: monotonic time, in nanoseconds
         """
+        if isinstance(message, LeaseGrant):
+            if not self._granted_sent_ns <= message.sent_ns <= now_ns:
+                # Held up on its way: a newer renewal has been granted.
+                return []
+            self.relay.record_direct_grant()
+        return self._also_relayed(self._receive(source, message, now_ns))
+
+    def receive_relayed(
+        self, neighbour: str, source: str, message: Message, now_ns: int
+    ) -> list[Effect]:
+        """Handle a message of the control leader over a neighbour.
+
+        :param neighbour: lending address of the host that relayed it
+        :param source: name of the leader
+        """
+        if isinstance(message, LeaseGrant):
+            if not self._granted_sent_ns < message.sent_ns <= now_ns:
+                # The same renewal was granted on another path, or this
+                # grant was held up on its way.
+                return []
+            self.relay.record_grant(neighbour)
+        return self._also_relayed(self._receive(source, message, now_ns))
+
+    def _also_relayed(self, effects: list[Effect]) -> list[Effect]:
+        """Send what is for the leader over the relay as well."""
+        neighbour = self.relay.current
+        if not neighbour:
+            return effects
+        return [
+            *effects,
+            *(
+                SendRelayed(neighbour=neighbour, message=effect.message)
+                for effect in effects
+                if isinstance(effect, Send)
+                and not isinstance(effect.message, LeaseRenewal)
+                and is_relayable(self.host, effect.message)
+            ),
+        ]
+
+    def _receive(
+        self, source: str, message: Message, now_ns: int
+    ) -> list[Effect]:
         match message:
             case LeaseGrant():
                 return self._on_grant(source, message, now_ns)
@@ -155,6 +228,16 @@
                 pass
         return []
 
+    def relay_leader(self, now_ns: int) -> str:
+        """Return the leader to which this host can relay for others.
+
+        :return: its name; empty if it does not answer this host
+            directly
+        """
+        if self._stopping or self.relay.is_active or self.unanswered_since_ns:
+            return ""
+        return self.last_leader if now_ns < self.lease.deadline_ns else ""
+
     def begin_write(self, group: str, now_ns: int) -> WriteTicket | Refusal:
         """Begin a write to a group.
 
@@ -185,6 +268,27 @@
             return None
         return term if self.covers(term, group, now_ns) else None
 
+    def outage_retry_ms(self, now_ns: int) -> int:
+        """Estimate when a host without a path to the leader has one.
+
+        An outage that has lasted for some time is expected to last for
+        half of that time more.
+
+        :param now_ns: monotonic time, in nanoseconds
+        :return: time until then, in milliseconds; 0 if the host has a
+            lease or may get one at any moment
+        """
+        since_ns = self.unanswered_since_ns
+        if not since_ns or now_ns < self.lease.deadline_ns:
+            return 0
+        spent_ms = (now_ns - since_ns) // NS_PER_MS
+        has_heard = now_ns < self._heard_ns + HEARD_WITHIN_MS * NS_PER_MS
+        if spent_ms < OUTAGE_AFTER_MS:
+            return 0
+        if has_heard and spent_ms < ELECTION_HOPE_MS:
+            return 0
+        return min(MAX_OUTAGE_RETRY_MS, spent_ms // 2)
+
     def end_write(self, ticket: WriteTicket, now_ns: int) -> bool:
         """End a write.
 
@@ -255,7 +359,9 @@
             term=term.term,
             refused=refused,
         )
-        return [Send(peer=self._leader(), message=suspicion)]
+        return self._also_relayed(
+            [Send(peer=self._leader(), message=suspicion)]
+        )
 
     def is_view_current(self, now_ns: int, max_age_ms: int) -> bool:
         """Tell whether the state holds all but the newest changes.
@@ -270,17 +376,27 @@
         """Return the lease before a planned stop."""
         self._stopping = True
         self.lease.end()
-        return [Send(peer=self._leader(), message=LeaseReturn(host=self.host))]
+        message = LeaseReturn(host=self.host)
+        return self._also_relayed([Send(peer=self._leader(), message=message)])
 
-    def _renew(self, now_ns: int) -> Send:
+    def _renew(self, now_ns: int) -> list[Effect]:
         self._renew_at_ns = now_ns + RENEWAL_TIMEOUT_MS * NS_PER_MS
-        peer = self._leader()
-        if not self.lease.leader:
+        peers: tuple[str, ...] = (self._leader(),)
+        if not self.lease.leader and self.last_leader:
+            self._renew_at_ns = now_ns + self._retry_interval_ns()
+            peers = self._retry_peers()
+        is_unanswered = not self.lease.leader
+        if is_unanswered:
+            self.unanswered_since_ns = (
+                self.unanswered_since_ns or self._sent_ns or now_ns
+            )
             # No answer to the last renewal: drop the hint after this
             # attempt and try the control hosts in turn.
             self._control_index += 1
             self._leader_hint = ""
         self.lease.leader = ""
+        self._asked = peers
+        self._sent_ns = now_ns
         renewal = LeaseRenewal(
             host=self.host,
             data_center=self.data_center,
@@ -290,7 +406,37 @@
             lending_address=self.lending_address,
             neighbours_tag=self._neighbours_tag,
         )
-        return Send(peer=peer, message=renewal)
+        relays = self.relay.choose(
+            self.neighbours,
+            unanswered_since_ns=self.unanswered_since_ns,
+            now_ns=now_ns,
+        )
+        is_retry = is_unanswered or self.relay.is_active
+        return [
+            *(
+                Send(peer=peer, message=renewal, is_retry=is_retry)
+                for peer in peers
+            ),
+            *(SendRelayed(neighbour=n, message=renewal) for n in relays),
+        ]
+
+    def _retry_interval_ns(self) -> int:
+        hosts = self.state.entry_hosts
+        spread_ns = hosts * 1_000 * NS_PER_MS // MAX_RETRY_ROUNDS_PER_S
+        return max(RETRY_INTERVAL_MS * NS_PER_MS, spread_ns)
+
+    def _retry_peers(self) -> tuple[str, ...]:
+        """Return the likely leader and one more control host.
+
+        The other one is asked in turn, as it may know a new leader.
+        Hosts that lost their leader together start at different ones.
+        """
+        likely = self._leader_hint or self.last_leader
+        others = [peer for peer in self.control if peer != likely]
+        if not others:
+            return (likely,)
+        start = zlib.crc32(self.host.encode())
+        return likely, others[(start + self._control_index) % len(others)]
 
     def _leader(self) -> str:
         if self.lease.leader:
@@ -305,6 +451,9 @@
         if self._stopping:
             return []
         self._leader_hint = source
+        self.last_leader = source
+        self.unanswered_since_ns = 0
+        self._granted_sent_ns = max(self._granted_sent_ns, grant.sent_ns)
         self._renew_at_ns = now_ns + self.renewal_ms * NS_PER_MS
         effects: list[Effect] = []
         for closing in grant.closing:
@@ -320,6 +469,18 @@
         return effects
 
     def _on_refusal(self, refusal: LeaseRefusal, now_ns: int) -> None:
+        if refusal.sent_ns <= self._granted_sent_ns:
+            # Another control host has granted this renewal.
+            return
+        if self.last_leader and self.unanswered_since_ns:
+            if refusal.leader not in self._asked:
+                # It knows no leader yet, or one that was not asked.
+                self._heard_ns = now_ns
+            if refusal.leader:
+                self._leader_hint = refusal.leader
+            if refusal.leader and refusal.leader not in self._asked:
+                self._renew_at_ns = now_ns
+            return
         if refusal.leader:
             self._leader_hint = refusal.leader
             self.lease.leader = refusal.leader
@@ -350,19 +511,32 @@
         self, source: str, close: CloseGroup, now_ns: int
     ) -> list[Effect]:
         group = close.group
-        if close.drain and group not in self._drains:
-            if self._running_writes.get(group, 0):
-                latest_ns = now_ns + DRAIN_TIMEOUT_MS * NS_PER_MS
-                self._drains[group] = _Drain(
-                    term=close.term,
-                    leader=source,
-                    deadline_ns=min(latest_ns, self.lease.deadline_ns),
-                )
+        if group in self._drains:
+            if close.drain:
                 return []
-        elif close.drain:
+        elif close.drain and self._may_drain(close):
+            latest_ns = now_ns + DRAIN_TIMEOUT_MS * NS_PER_MS
+            self._drains[group] = _Drain(
+                term=close.term,
+                leader=source,
+                deadline_ns=min(latest_ns, self.lease.deadline_ns),
+            )
             return []
         return [self._close_group(source, group, close.term)]
 
+    def _may_drain(self, close: CloseGroup) -> bool:
+        """Tell whether running writes may delay the end of a term.
+
+        Not if the term has ended: the leader has been told that no
+        write of it is acknowledged any more.
+        """
+        if not self._running_writes.get(close.group, 0):
+            return False
+        if self.lease.is_closed(close.group, close.term):
+            return False
+        current = self.state.terms.get(close.group)
+        return current is None or close.term >= current.term
+
     def _close_group(self, leader: str, group: str, term: int) -> Send:
         self._drains.pop(group, None)
         self.lease.close(group, term)
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -48,6 +48,8 @@
 INITIAL_BACKOFF_MS: Final = 20
 MAX_BACKOFF_MS: Final = 200
 MAX_TRIES: Final = 8
+# No target may be used, rather than one that did not serve.
+_NO_TARGET_FAULTS: Final = {FaultCode.READ_ONLY, FaultCode.BEHIND}
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -113,10 +115,9 @@
         for number in range(MAX_TRIES):
             read_target = self._choose_read_target(route, failed)
             if read_target is None:
-                if not await self.router.wait_change(
-                    _target_deadline_ns(route, deadline_ns)
-                ):
-                    break
+                refusal = await self._wait_for_target(route, deadline_ns, last)
+                if refusal is not None:
+                    return refusal
                 continue
             answer = await self._read_at(
                 route, read_target, statement, deadline_ns
@@ -383,6 +384,14 @@
                 fault = await self._pin_write(transaction, deadline_ns)
             if fault is None:
                 return None
+            refusal = self.router.lease_refusal(
+                transaction.route.group, start_deadline_ns
+            )
+            if refusal is not None and fault in _NO_TARGET_FAULTS:
+                return attrs.evolve(
+                    transaction_ended(transaction),
+                    retry_after_ms=refusal.retry_after_ms,
+                )
             if not self.may_run():
                 break
             if not await self._back_off(number, start_deadline_ns):
@@ -458,6 +467,23 @@
 
     # --- common steps ---
 
+    async def _wait_for_target(
+        self, route: Route, deadline_ns: int, last: Answer | None
+    ) -> Refusal | None:
+        """Wait until another target may be suitable for a read.
+
+        :param last: answer to the last attempt, or None
+        :return: None after the wait, or a refusal if waiting any longer
+            is of no use
+        """
+        until_ns = _target_deadline_ns(route, deadline_ns)
+        refusal = self.router.lease_refusal(route.group, until_ns)
+        if refusal is not None:
+            return refusal
+        if await self.router.wait_change(until_ns):
+            return None
+        return read_refusal(route, last)
+
     async def _acquire_ticket(
         self, group: str, deadline_ns: int
     ) -> WriteTicket | Refusal:
@@ -465,6 +491,9 @@
             found = self.router.begin_write(group)
             if isinstance(found, WriteTicket):
                 return found
+            refusal = self.router.lease_refusal(group, deadline_ns)
+            if refusal is not None:
+                return refusal
             if not await self.router.wait_change(deadline_ns):
                 return found
 
@@ -528,7 +557,7 @@
             target_state.running -= 1
         queue = self.router.admission_queues.get(target)
         if queue is not None and answer.fault is FaultCode.BUSY:
-            queue.window.record_shed()
+            queue.window.record_shed(sent_ns=asked_ns, now_ns=clock_ns())
         elif queue is not None and answer.fault is None:
             queue.window.record_served()
         self.router.record_answer(
