Let stale reads wait for a target during an outage

Cause: a read with a position that is new enough needs no lease, but was refused for lack of one when its targets were down for a moment.

Before: refused with no-lease. After: it waits for a target as before the outage (test_stale_read_waits_for_a_target_without_a_path_to_the_leader).

--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -269,6 +269,13 @@
             )
         return self.node.begin_write(group, now_ns)
 
+    def needs_lease(self, route: Route) -> bool:
+        """Return whether only the leased primary can serve a read.
+
+        Without a position that is new enough, no replica can.
+        """
+        return self._required_point(route, None, clock_ns()) is None
+
     def lease_refusal(self, group: str, until_ns: int) -> Refusal | None:
         """Return a refusal if no lease is expected before a time.
 
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -387,7 +387,11 @@
             refusal = self.router.lease_refusal(
                 transaction.route.group, start_deadline_ns
             )
-            if refusal is not None and fault in _NO_TARGET_FAULTS:
+            if (
+                refusal is not None
+                and fault in _NO_TARGET_FAULTS
+                and self._needs_lease(transaction)
+            ):
                 return attrs.evolve(
                     transaction_ended(transaction),
                     retry_after_ms=refusal.retry_after_ms,
@@ -461,6 +465,11 @@
         transaction.target = target
         return None
 
+    def _needs_lease(self, transaction: Transaction) -> bool:
+        if not transaction.is_read_only:
+            return True
+        return self.router.needs_lease(transaction.route)
+
     def _may_continue(self, transaction: Transaction) -> bool:
         ticket = transaction.ticket
         return ticket is None or self.router.holds(ticket)
@@ -477,9 +486,10 @@
             is of no use
         """
         until_ns = _target_deadline_ns(route, deadline_ns)
-        refusal = self.router.lease_refusal(route.group, until_ns)
-        if refusal is not None:
-            return refusal
+        if self.router.needs_lease(route):
+            refusal = self.router.lease_refusal(route.group, until_ns)
+            if refusal is not None:
+                return refusal
         if await self.router.wait_change(until_ns):
             return None
         return read_refusal(route, last)
--- a/tests/session/test_outage.py
+++ b/tests/session/test_outage.py
@@ -96,6 +96,26 @@
     _run(scenario)
 
 
+def test_stale_read_waits_for_a_target_without_a_path_to_the_leader() -> None:
+    # A target that is down for a moment is no reason to refuse what a
+    # lease would not help.
+    async def scenario(router: Router) -> None:
+        own = await open_caller(router, "own")
+        await own.query("WRITE 1 x")
+        caller = await open_caller(router, "old")
+        _lose_leader(router, 5_000)
+        router.targets["t1"].is_unreachable = True
+        answer = asyncio.create_task(caller.query("READ 1"))
+        await asyncio.sleep(0.05)
+        assert not answer.done()
+
+        router.targets["t1"].is_unreachable = False
+        router.notify_waiters()
+        assert await answer == "OK I"
+
+    _run(scenario)
+
+
 @pytest.mark.parametrize(
     ("leader", "spent_ms", "retry_ms"),
     [
