--- a/tests/session/limits_simulation.py
+++ b/tests/session/limits_simulation.py
@@ -21,7 +21,6 @@
     RouteTable,
     TeamDirectory,
 )
-from rosemarysaddle.decide.configuration._teams import TeamDirectory
 from rosemarysaddle.schema import Team, TokenGrant, TokenRequest
 from rosemarysaddle.session import _rate_limits as module
 from rosemarysaddle.session._rate_limits import RateLimits
