Name the fake network of the tests of limits for what it is

Cause: tests/session/limits_simulation.py is a fake clock and a fake network under the real code of limits, not a simulator of the system. Conclusion: names only.

--- a/tests/session/limits_simulation.py
+++ b/tests/session/limit_hosts.py
@@ -1,4 +1,4 @@
-"""Rate limits of many hosts on an event loop with simulated time."""
+"""Rate limits of many hosts over a fake network with a fake clock."""
 
 from __future__ import annotations
 
@@ -45,7 +45,7 @@
     now_s = 1_000.0
 
     def select(self, timeout: float | None = None) -> list[Any]:
-        assert timeout is not None, "the simulation waits forever"
+        assert timeout is not None, "the network waits forever"
         self.now_s += timeout
         return []
 
@@ -66,13 +66,13 @@
         return int(self._virtual.now_s * NS_PER_S)
 
     def sleep(self, duration_s: float) -> None:
-        """Let simulated time pass."""
+        """Let a fake clock pass."""
         self.run_until_complete(asyncio.sleep(duration_s))
 
 
 @attrs.define(kw_only=True, eq=False)
 class Host:
-    """Simulated host."""
+    """Host on the fake network."""
 
     address: str
     center: str
@@ -96,9 +96,9 @@
 
 @attrs.define(kw_only=True, eq=False)
 class _Links:
-    """Links of one host over the simulated network."""
+    """Links of one host over the fake network."""
 
-    simulation: Simulation
+    network: FakeNetwork
     address: str
     requests: int = 0
     open_count: int = 0
@@ -132,10 +132,10 @@
                 answered = True
                 on_answer(grant)
 
-        self.simulation.send(self.address, host, request, answer)
+        self.network.send(self.address, host, request, answer)
 
     def record_silence(self, host: str) -> None:
-        now_s = self.simulation.loop.time()
+        now_s = self.network.loop.time()
         self._down_until_s[host] = now_s + BACKOFF_S
 
     def retain(self, hosts: set[str]) -> None:
@@ -149,7 +149,7 @@
 
 
 @attrs.define(kw_only=True, eq=False)
-class Simulation:
+class FakeNetwork:
     """Hosts, their leader, and the network between them.
 
     :param admitted: times of the admitted operations, in seconds
@@ -211,7 +211,7 @@
                 data_centers=self.center_names,
             ),
             regions={},
-            links=_Links(simulation=self, address=address),
+            links=_Links(network=self, address=address),
         )
         host = Host(address=address, center=center, limits=limits)
         self.hosts[address] = host
@@ -425,7 +425,7 @@
 
 
 @contextlib.contextmanager
-def simulate(
+def fake_network(
     *,
     centers: int = 6,
     hosts_per_center: int = 3,
@@ -434,9 +434,9 @@
     seed: int = 1,
     has_transfers: bool = True,
     warm_up_s: float = 4.0,
-) -> Iterator[Simulation]:
-    """Run hosts in simulated time; no task may fail."""
-    simulation = Simulation(
+) -> Iterator[FakeNetwork]:
+    """Run hosts in a fake clock; no task may fail."""
+    network = FakeNetwork(
         centers=centers,
         hosts_per_center=hosts_per_center,
         rate_per_s=rate_per_s,
@@ -444,7 +444,7 @@
         seed=seed,
         has_transfers=has_transfers,
     )
-    loop = simulation.loop
+    loop = network.loop
     with (
         mock.patch.object(_rate_limits, "clock_ns", loop.now_ns),
         mock.patch.object(_token_service, "clock_ns", loop.now_ns),
@@ -452,11 +452,11 @@
     ):
         try:
             loop.sleep(warm_up_s)
-            yield simulation
+            yield network
             assert not loop.faults, loop.faults
             assert not on_defect.called
         finally:
-            for host in simulation.hosts.values():
+            for host in network.hosts.values():
                 host.is_alive = False
             loop.sleep(2.0)
             loop.close()
