Order the queue fairly by team and objective; measure the wait

Cause: the queue ordered by priority and arrival, so one team that floods it delayed all others, requests past their objective delayed those that could still meet it, and the expected wait was derived from the window instead of from what the queue serves.

Teams share a priority by start-time fair queueing over team, charged when a connection is obtained, not when a request is pushed: requests that time out or are woken in vain cost nothing. Requests that can still meet their objective go first, at most four in a row while late ones wait. Ruled out: earliest deadline first (a flood has deadlines too); tags at arrival (a team pays for requests that were never served).

A refusal carries the measured wait as retry-after over the loan to the caller, and a host does not try again before it. A woken request keeps its place. The admission queue of a host uses the same order.

Without teams and objectives the order is by arrival as before.

--- a/src/rosemarysaddle/connection/_lender.py
+++ b/src/rosemarysaddle/connection/_lender.py
@@ -201,7 +201,8 @@
                 self.abort()
                 return
             if self.lender.waiting > MAX_WAITING_BORROWERS:
-                self._refuse(FaultCode.BUSY, connected=False)
+                fault = OpenFault(code=FaultCode.BUSY, peer=request.target)
+                self._refuse(fault)
                 return
             deadline_ns = clock_ns() + request.wait_ms * NS_PER_MS
             connection_request = _connection_request(request, deadline_ns)
@@ -215,7 +216,7 @@
                 connection_request=connection_request,
             )
             if isinstance(found, OpenFault):
-                self._refuse(found.code, connected=found.connected)
+                self._refuse(found)
             elif self._transport is None:
                 pool.release(found)
             else:
@@ -256,8 +257,12 @@
         if self._pool is not None:
             self._pool.release(connection)
 
-    def _refuse(self, code: FaultCode, *, connected: bool) -> None:
-        refusal = LoanRefusal(code=code, connected=connected)
+    def _refuse(self, fault: OpenFault) -> None:
+        refusal = LoanRefusal(
+            code=fault.code,
+            connected=fault.connected,
+            retry_after_ms=fault.retry_after_ms,
+        )
         self.send(frame_message(refusal))
 
 
--- a/src/rosemarysaddle/connection/_loans.py
+++ b/src/rosemarysaddle/connection/_loans.py
@@ -232,6 +232,7 @@
                 code=FaultCode(answer.code),
                 peer=target,
                 connected=answer.connected,
+                retry_after_ms=answer.retry_after_ms,
             )
         return OpenFault(code=FaultCode.BUSY, peer=target)
 
--- a/src/rosemarysaddle/connection/_pool.py
+++ b/src/rosemarysaddle/connection/_pool.py
@@ -22,10 +22,12 @@
     ConnectionQueue,
     ConnectionRequest,
     FaultCode,
+    QueueStats,
     SessionVariables,
     TeamConnections,
     Waiter,
     max_concurrent_opens,
+    retry_after,
 )
 
 if TYPE_CHECKING:
@@ -59,12 +61,15 @@
         once
     :param connected: whether the target's host accepted the connection,
         so that the target is slow or full rather than unreachable
+    :param retry_after_ms: time after which a retry may find a
+        connection, in milliseconds; 0 if unknown
     """
 
     code: FaultCode
     peer: str
     refused: bool = False
     connected: bool = False
+    retry_after_ms: int = 0
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -81,6 +86,7 @@
     :param replaced: number of connections closed for another team
     :param takes: number of requests that obtained a connection
     :param reuses: how many of them found an open one of their team
+    :param stats: waits and refusals of its queue
     """
 
     target: str
@@ -97,6 +103,7 @@
     replaced: int = attrs.field(default=0, init=False)
     takes: int = attrs.field(default=0, init=False)
     reuses: int = attrs.field(default=0, init=False)
+    stats: QueueStats = attrs.field(factory=QueueStats, init=False)
     _connections: TeamConnections[TargetConnection] = attrs.field(init=False)
     _queue: ConnectionQueue[asyncio.Future[TargetConnection | _WakeReason]] = (
         attrs.field(init=False)
@@ -126,6 +133,7 @@
         :return: the connection, or why none was obtained
         """
         was_full = False
+        number: int | None = None
         while True:
             # An opening that has no time left would look like a target
             # that takes no connection.
@@ -143,14 +151,22 @@
                     return found
                 was_full = True
                 continue
-            expected_wait_ns = self._queue.expected_wait_ns(connection_request)
-            if clock_ns() + expected_wait_ns > deadline_ns:
-                return self._exhausted_fault()
-            result = await self._wait(connection_request, deadline_ns)
+            now_ns = clock_ns()
+            wait_ns = self._queue.expected_wait_ns(
+                connection_request, now_ns=now_ns
+            )
+            if number is None and now_ns + wait_ns > deadline_ns:
+                return self._refuse(connection_request, "wait", wait_ns)
+            result, number = await self._wait(
+                connection_request, deadline_ns, number
+            )
             if isinstance(result, TargetConnection):
                 return result
             if result is _WakeReason.TIMED_OUT:
-                return self._exhausted_fault()
+                wait_ns = self._queue.expected_wait_ns(
+                    connection_request, now_ns=clock_ns()
+                )
+                return self._refuse(connection_request, "deadline", wait_ns)
 
     @property
     def has_idle(self) -> bool:
@@ -161,6 +177,11 @@
         """Return whether an idle connection may serve a request."""
         return self._connections.has_idle_for(connection_request)
 
+    @property
+    def waiting(self) -> dict[int, int]:
+        """Number of waiting requests by priority."""
+        return self._queue.waiting_by_priority()
+
     @property
     def opened(self) -> int:
         """Number of open connections."""
@@ -283,6 +304,35 @@
         code = FaultCode.TOO_MANY_CONNECTIONS
         return OpenFault(code=code, peer=self.target)
 
+    def _refuse(
+        self,
+        connection_request: ConnectionRequest,
+        reason: str,
+        expected_wait_ns: int,
+    ) -> OpenFault:
+        """Build the fault of a request that would wait too long.
+
+        :param reason: ``wait`` if it is refused at once, ``deadline``
+            if it has waited in vain
+        """
+        priority = connection_request.priority
+        self.stats.record_refused(priority, reason)
+        retry_after_ms = retry_after(expected_wait_ns)
+        log_event(
+            "queue-refused",
+            f"target={self.target} team={connection_request.team or '-'}"
+            f" priority={priority} pinned={connection_request.pinned}"
+            f" reason={reason} waiting={len(self._queue)}"
+            f" expected_wait_ms={expected_wait_ns // NS_PER_MS}"
+            f" window={self._queue.window.size:.1f}"
+            f" retry_after_ms={retry_after_ms}",
+        )
+        return OpenFault(
+            code=FaultCode.TOO_MANY_CONNECTIONS,
+            peer=self.target,
+            retry_after_ms=retry_after_ms,
+        )
+
     def _mark_taken(
         self,
         connection: TargetConnection,
@@ -355,10 +405,12 @@
     def _next_waiter(
         self, is_suitable: Callable[[ConnectionRequest], bool]
     ) -> Waiter[asyncio.Future[TargetConnection | _WakeReason]] | None:
-        while (waiter := self._queue.pop(is_suitable)) is not None:
+        while True:
+            waiter = self._queue.pop(is_suitable, now_ns=clock_ns())
+            if waiter is None:
+                return None
             if not waiter.item.done():
                 return waiter
-        return None
 
     async def _open_one(
         self,
@@ -441,26 +493,40 @@
         return is_full and self._connections.uses_teams and opened > 0
 
     async def _wait(
-        self, connection_request: ConnectionRequest, deadline_ns: int
-    ) -> TargetConnection | _WakeReason:
+        self,
+        connection_request: ConnectionRequest,
+        deadline_ns: int,
+        number: int | None,
+    ) -> tuple[TargetConnection | _WakeReason, int]:
+        """Wait in the queue.
+
+        :param number: place in the order of arrival that the request
+            had before, or None
+        :return: the connection or why there is none, and that place
+        """
         loop = asyncio.get_running_loop()
-        left_s = (deadline_ns - clock_ns()) / NS_PER_S
-        if left_s <= 0:
-            return _WakeReason.TIMED_OUT
+        began_ns = clock_ns()
+        left_s = max(0, deadline_ns - began_ns) / NS_PER_S
         wakeup: asyncio.Future[TargetConnection | _WakeReason] = (
             loop.create_future()
         )
-        waiter = self._queue.push(connection_request, wakeup)
+        waiter = self._queue.push(
+            connection_request, wakeup, now_ns=began_ns, number=number
+        )
         # Cancelling the future on time-out could lose a connection that
         # was assigned to it at the same moment.
         timer = loop.call_later(
             left_s, _wake_waiter, wakeup, _WakeReason.TIMED_OUT
         )
         try:
-            return await wakeup
+            return await wakeup, waiter.number
         finally:
             timer.cancel()
-            self._queue.remove(waiter)
+            now_ns = clock_ns()
+            self._queue.remove(waiter, now_ns=now_ns)
+            self.stats.record_wait(
+                connection_request.priority, now_ns - began_ns
+            )
 
     def _on_connection_lost(self, connection: TargetConnection) -> None:
         self._mark_returned(connection)
--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -86,6 +86,11 @@
     choose_target,
     compute_transfer_cost_ns,
 )
+from rosemarysaddle.decide.load._queue_stats import (
+    QUEUE_WAIT_BOUNDS_MS,
+    QueueStats,
+    retry_after,
+)
 from rosemarysaddle.decide.load._queueing import (
     WEIGHT_SCALE,
     ConnectionQueue,
@@ -134,6 +139,7 @@
     "LEASE_MS",
     "NO_ANSWER",
     "NS_PER_MS",
+    "QUEUE_WAIT_BOUNDS_MS",
     "WEIGHT_SCALE",
     "Answer",
     "ChangeTimes",
@@ -173,6 +179,7 @@
     "PreparedStatement",
     "ProbeGroup",
     "PromoteTarget",
+    "QueueStats",
     "ReadChoice",
     "ReadConstraints",
     "ReadRequirements",
@@ -219,6 +226,7 @@
     "promotion_quorum",
     "rank_hosts",
     "reserve_share",
+    "retry_after",
     "share_connections",
     "shared_name",
     "team_weight",
--- a/src/rosemarysaddle/decide/_statements.py
+++ b/src/rosemarysaddle/decide/_statements.py
@@ -157,6 +157,8 @@
     :param text: text of the fault
     :param state: state of the session after the statement
     :param point: log position that the target reported, or None
+    :param retry_after_ms: time after which a statement that found no
+        connection may find one, in milliseconds; 0 if unknown
     """
 
     rows: tuple[str, ...] = ()
@@ -165,6 +167,7 @@
     text: str = ""
     state: SessionState = SessionState.IDLE
     point: LogPoint | None = None
+    retry_after_ms: int = 0
 
 
 NO_ANSWER = Answer(fault=FaultCode.LOST, state=SessionState.FAILED)
--- /dev/null
+++ b/src/rosemarysaddle/decide/load/_fair_order.py
@@ -0,0 +1,202 @@
+"""Order of the waiting requests of one priority.
+
+Teams share a priority by start-time fair queueing: each team has a
+virtual start time that advances by the inverse of its weight with each
+connection that it gets, and the team with the lowest one is served
+first.  A team that floods the queue therefore waits behind its own
+requests.  Within a team, requests are served in order of arrival.
+
+Requests that can still meet their latency objective go before those
+that cannot; of every ``MAX_ON_TIME_RUN + 1`` requests that are taken
+from the queue while late ones wait, at least one is late.
+"""
+
+from __future__ import annotations
+
+import bisect
+from typing import TYPE_CHECKING, Final, Generic, Protocol, TypeVar
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from rosemarysaddle.decide.load._queueing import ConnectionRequest
+
+__all__ = ("FairOrder",)
+
+# A late answer is worth less than one in time, but the caller still
+# waits for it.
+MAX_ON_TIME_RUN: Final = 4
+MIN_WEIGHT: Final = 0.001
+# Virtual times are kept for this many teams without waiting requests;
+# one that is forgotten is served at most one request too early.
+MAX_IDLE_TEAMS: Final = 256
+
+
+class Waiting(Protocol):
+    """Waiting request."""
+
+    @property
+    def connection_request(self) -> ConnectionRequest:
+        """Request for a connection."""
+
+    @property
+    def number(self) -> int:
+        """Sequence number of its arrival."""
+
+
+_W = TypeVar("_W", bound=Waiting)
+
+
+@attrs.define(kw_only=True)
+class _TeamQueue(Generic[_W]):
+    """Waiting requests of one team.
+
+    :param start: virtual start time of its next request
+    """
+
+    start: float = 0.0
+    waiting: list[_W] = attrs.field(factory=list, init=False)
+
+
+@attrs.define(kw_only=True)
+class FairOrder(Generic[_W]):
+    """Waiting requests of one priority in the order of service."""
+
+    _teams: dict[str, _TeamQueue[_W]] = attrs.field(factory=dict, init=False)
+    _virtual: float = attrs.field(default=0.0, init=False)
+    _on_time_run: int = attrs.field(default=0, init=False)
+
+    def __len__(self) -> int:
+        """Return the number of waiting requests."""
+        return sum(len(t.waiting) for t in self._teams.values())
+
+    def __iter__(self) -> Iterator[_W]:
+        """Iterate over the waiting requests by team."""
+        for queue in self._teams.values():
+            yield from queue.waiting
+
+    def count(self, *, pinned: bool) -> int:
+        """Count the requests for transactions, or for statements."""
+        return sum(w.connection_request.pinned == pinned for w in self)
+
+    def add(self, waiter: _W) -> None:
+        """Add a request, in the order of its number."""
+        queue = self._team(waiter.connection_request.team)
+        bisect.insort(queue.waiting, waiter, key=lambda w: w.number)
+
+    def remove(self, waiter: _W) -> None:
+        """Remove a request, if it still waits."""
+        queue = self._teams.get(waiter.connection_request.team)
+        if queue is not None and waiter in queue.waiting:
+            queue.waiting.remove(waiter)
+
+    def take(
+        self,
+        is_suitable: Callable[[ConnectionRequest], bool],
+        served_ns: int,
+    ) -> _W | None:
+        """Remove and return the request that is served next.
+
+        :param is_suitable: whether a request may be served now
+        :param served_ns: time at which a request that is taken now is
+            expected to be answered
+        """
+        on_time: _W | None = None
+        late: _W | None = None
+        for queue in sorted(
+            (t for t in self._teams.values() if t.waiting),
+            key=lambda t: (t.start, t.waiting[0].number),
+        ):
+            for waiter in queue.waiting:
+                is_late = _is_late(waiter.connection_request, served_ns)
+                if (late if is_late else on_time) is not None:
+                    continue
+                if not is_suitable(waiter.connection_request):
+                    continue
+                if is_late:
+                    late = waiter
+                else:
+                    on_time = waiter
+                    break
+            if on_time is not None and late is not None:
+                break
+        prefers_late = self._on_time_run >= MAX_ON_TIME_RUN
+        if late is None or (on_time is not None and not prefers_late):
+            chosen = on_time
+            self._on_time_run += on_time is not None and late is not None
+        else:
+            chosen = late
+            self._on_time_run = 0
+        if chosen is not None:
+            self.remove(chosen)
+        return chosen
+
+    def record_served(self, request: ConnectionRequest) -> None:
+        """Advance the virtual time of a team that got a connection."""
+        queue = self._team(request.team)
+        self._virtual = max(self._virtual, queue.start)
+        queue.start += 1 / max(MIN_WEIGHT, request.weight)
+        self._forget_idle_teams()
+
+    def count_ahead(self, request: ConnectionRequest, served_ns: int) -> int:
+        """Count the requests that are served before a new one.
+
+        Only those that wait for the same kind of use count: for a
+        statement or for a transaction.
+        """
+        own = self._teams.get(request.team)
+        start = self._virtual
+        if own is not None:
+            kind = self._count(own, request, served_ns)[0]
+            start = max(own.start, start)
+            start += kind / max(MIN_WEIGHT, request.weight)
+        ahead = late = 0
+        for queue in self._teams.values():
+            if not queue.waiting:
+                continue
+            on_time_here, late_here = self._count(queue, request, served_ns)
+            late += late_here
+            if queue is not own:
+                weight = queue.waiting[0].connection_request.weight
+                before = max(0.0, start - queue.start) * weight
+                on_time_here = min(on_time_here, int(before) + 1)
+            ahead += on_time_here
+        if _is_late(request, served_ns):
+            return ahead + late
+        return ahead + min(late, ahead // MAX_ON_TIME_RUN)
+
+    def _count(
+        self,
+        queue: _TeamQueue[_W],
+        request: ConnectionRequest,
+        served_ns: int,
+    ) -> tuple[int, int]:
+        late = same = 0
+        for waiter in queue.waiting:
+            other = waiter.connection_request
+            if other.pinned == request.pinned:
+                same += 1
+                late += _is_late(other, served_ns)
+        return same - late, late
+
+    def _team(self, team: str) -> _TeamQueue[_W]:
+        queue = self._teams.get(team)
+        if queue is None:
+            queue = self._teams[team] = _TeamQueue()
+        if not queue.waiting:
+            queue.start = max(queue.start, self._virtual)
+        return queue
+
+    def _forget_idle_teams(self) -> None:
+        if len(self._teams) <= MAX_IDLE_TEAMS:
+            return
+        idle = [t for t, q in self._teams.items() if not q.waiting]
+        idle.sort(key=lambda t: self._teams[t].start)
+        for team in idle[: len(idle) // 2]:
+            del self._teams[team]
+
+
+def _is_late(request: ConnectionRequest, served_ns: int) -> bool:
+    return 0 < request.objective_ns < served_ns
--- a/src/rosemarysaddle/decide/load/_queueing.py
+++ b/src/rosemarysaddle/decide/load/_queueing.py
@@ -2,22 +2,24 @@
 
 Designed for peak load: more statements than a target can run, from many
 hosts that do not know of each other, and callers that stay idle inside
-transactions.  Requests are served by priority, transactions never hold
-the last connections, and the expected wait allows a request that cannot
-be served in time to be refused at once.  Statements outside of
+transactions.  Requests are served by priority and then fairly by team
+(see :mod:`rosemarysaddle.decide.load._fair_order`), transactions never
+hold the last connections, and the expected wait allows a request that
+cannot be served in time to be refused at once.  Statements outside of
 transactions wait here instead of being refused by a target whose slots
 are all in use: a window that narrows with each refusal limits them.
 """
 
 from __future__ import annotations
 
-import bisect
 import itertools
 from typing import TYPE_CHECKING, Final, Generic, TypeVar
 
 import attrs
 
 from rosemarysaddle.decide._times import NS_PER_MS
+from rosemarysaddle.decide.load._drain_rate import DrainRate
+from rosemarysaddle.decide.load._fair_order import FairOrder
 from rosemarysaddle.decide.load._window import ConcurrencyWindow
 
 if TYPE_CHECKING:
@@ -29,6 +31,11 @@
 WEIGHT_SCALE: Final = 1_000
 # Initial value of the average: one statement and its round trip.
 INITIAL_HOLD_NS: Final = 30 * NS_PER_MS
+# Assumed time of a transaction until transactions were seen to end.
+INITIAL_TRANSACTION_NS: Final = 100 * NS_PER_MS
+# A request is late if it is not expected to be answered in time should
+# it start now.  Half of the services take longer than the mean.
+ON_TIME_HOLDS: Final = 2
 # One connection in this many is reserved for requests outside of
 # transactions.
 CONNECTIONS_PER_RESERVED: Final = 4
@@ -73,11 +80,6 @@
     number: int
     item: _T
 
-    @property
-    def rank(self) -> tuple[int, int]:
-        """Sort key in the queue; the lowest is served first."""
-        return (self.connection_request.priority, self.number)
-
 
 @attrs.define(kw_only=True, eq=False)
 class ConnectionQueue(Generic[_T]):
@@ -94,65 +96,114 @@
     window: ConcurrencyWindow = attrs.field(factory=ConcurrencyWindow)
     mean_hold_ns: int = INITIAL_HOLD_NS
     _pinned: int = attrs.field(default=0, init=False)
-    _waiting: list[Waiter[_T]] = attrs.field(factory=list, init=False)
+    _orders: dict[int, FairOrder[Waiter[_T]]] = attrs.field(
+        factory=dict, init=False
+    )
     _sequence: Iterator[int] = attrs.field(factory=itertools.count, init=False)
+    _statement_rate: DrainRate = attrs.field(factory=DrainRate, init=False)
+    _transaction_rate: DrainRate = attrs.field(factory=DrainRate, init=False)
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
-        return len(self._waiting)
+        return sum(len(order) for order in self._orders.values())
+
+    @property
+    def waiters(self) -> list[Waiter[_T]]:
+        """Waiting requests, by priority."""
+        return [w for _, order in sorted(self._orders.items()) for w in order]
+
+    def waiting_by_priority(self) -> dict[int, int]:
+        """Return the number of waiting requests of each priority."""
+        return {p: len(order) for p, order in sorted(self._orders.items())}
 
     def may_acquire(self, connection_request: ConnectionRequest) -> bool:
         """Tell whether a request may use a free connection."""
         if not connection_request.pinned:
             return self.window.may_start()
-        max_pinned = self.limit - self.limit // CONNECTIONS_PER_RESERVED
-        return self._pinned < max_pinned
-
-    def expected_wait_ns(self, connection_request: ConnectionRequest) -> int:
-        """Estimate the time until a new request gets a connection."""
-        index = bisect.bisect_right(
-            self._waiting,
-            connection_request.priority,
-            key=lambda w: w.connection_request.priority,
+        return self._pinned < self._max_pinned
+
+    def expected_wait_ns(
+        self, connection_request: ConnectionRequest, *, now_ns: int
+    ) -> int:
+        """Estimate the time until a new request gets a connection.
+
+        It follows from the requests ahead and the rate at which such
+        requests were served lately.
+        """
+        priority = connection_request.priority
+        served_ns = now_ns + ON_TIME_HOLDS * self.mean_hold_ns
+        ahead = sum(
+            order.count_ahead(connection_request, served_ns)
+            if p == priority
+            else order.count(pinned=connection_request.pinned)
+            for p, order in self._orders.items()
+            if p <= priority
+        )
+        assumed_ns = INITIAL_TRANSACTION_NS / max(1, self._max_pinned)
+        if not connection_request.pinned:
+            at_once = max(1, min(self.limit, int(self.window.size)))
+            assumed_ns = self.mean_hold_ns / at_once
+        rate = self._rate(connection_request)
+        return rate.expected_wait_ns(
+            ahead, priority, now_ns, assumed_ns=assumed_ns
         )
-        at_once = max(1, min(self.limit, int(self.window.size)))
-        return (index + 1) * self.mean_hold_ns // at_once
 
     def push(
-        self, connection_request: ConnectionRequest, item: _T
+        self,
+        connection_request: ConnectionRequest,
+        item: _T,
+        *,
+        now_ns: int,
+        number: int | None = None,
     ) -> Waiter[_T]:
-        """Add a request to the queue, behind others of its priority."""
+        """Add a request to the queue.
+
+        :param number: sequence number that the request had before, so
+            that one that was woken in vain keeps its place
+        """
         waiter = Waiter(
             connection_request=connection_request,
-            number=next(self._sequence),
+            number=next(self._sequence) if number is None else number,
             item=item,
         )
-        bisect.insort(self._waiting, waiter, key=lambda w: w.rank)
+        self._order(connection_request.priority).add(waiter)
+        self._observe(connection_request, now_ns)
         return waiter
 
-    def remove(self, waiter: Waiter[_T]) -> None:
+    def remove(self, waiter: Waiter[_T], *, now_ns: int) -> None:
         """Remove a waiter from the queue, if it is still there."""
-        if waiter in self._waiting:
-            self._waiting.remove(waiter)
+        request = waiter.connection_request
+        self._order(request.priority).remove(waiter)
+        self._observe(request, now_ns)
 
     def pop(
         self,
         is_suitable: Callable[[ConnectionRequest], bool] = lambda _: True,
+        *,
+        now_ns: int,
     ) -> Waiter[_T] | None:
         """Remove the first waiter that may use a free connection.
 
         :param is_suitable: whether there is a connection for a request
         :return: the waiter, or None if there is none
         """
-        for index, waiter in enumerate(self._waiting):
-            if self.may_acquire(waiter.connection_request) and is_suitable(
-                waiter.connection_request
-            ):
-                return self._waiting.pop(index)
+        served_ns = now_ns + ON_TIME_HOLDS * self.mean_hold_ns
+
+        def may_take(request: ConnectionRequest) -> bool:
+            return self.may_acquire(request) and is_suitable(request)
+
+        for _, order in sorted(self._orders.items()):
+            waiter = order.take(may_take, served_ns)
+            if waiter is not None:
+                self._observe(waiter.connection_request, now_ns)
+                return waiter
         return None
 
     def record_acquired(self, connection_request: ConnectionRequest) -> None:
         """Record that a request has acquired a connection."""
+        self._order(connection_request.priority).record_served(
+            connection_request
+        )
         if connection_request.pinned:
             self._pinned += 1
         else:
@@ -174,6 +225,10 @@
             because all its slots were in use
         :param was_lost: whether the connection was lost while in use
         """
+        if not was_busy:
+            self._rate(connection_request).record_served(
+                connection_request.priority, now_ns
+            )
         if connection_request.pinned:
             self._pinned -= 1
             return
@@ -189,3 +244,27 @@
         self.mean_hold_ns += (
             held_ns - self.mean_hold_ns
         ) // _HOLD_EWMA_DIVISOR
+
+    @property
+    def _max_pinned(self) -> int:
+        return self.limit - self.limit // CONNECTIONS_PER_RESERVED
+
+    def _order(self, priority: int) -> FairOrder[Waiter[_T]]:
+        order = self._orders.get(priority)
+        if order is None:
+            order = self._orders[priority] = FairOrder()
+        return order
+
+    def _rate(self, connection_request: ConnectionRequest) -> DrainRate:
+        if connection_request.pinned:
+            return self._transaction_rate
+        return self._statement_rate
+
+    def _observe(
+        self, connection_request: ConnectionRequest, now_ns: int
+    ) -> None:
+        pinned = connection_request.pinned
+        has_backlog = any(
+            order.count(pinned=pinned) for order in self._orders.values()
+        )
+        self._rate(connection_request).observe(now_ns, has_backlog=has_backlog)
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -268,6 +268,7 @@
 
     code: str
     connected: bool = False
+    retry_after_ms: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarysaddle/schema/messages.capnp
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -231,6 +231,8 @@
   code @0 :Text;
   # Whether the target's host accepted the connection that failed.
   connected @1 :Bool = false;
+  # Time after which a retry may find a connection; 0 if unknown.
+  retryAfterMs @2 :UInt32 = 0;
 }
 
 struct LoanReturn {
--- a/src/rosemarysaddle/session/_admission.py
+++ b/src/rosemarysaddle/session/_admission.py
@@ -1,19 +1,22 @@
-"""Admission of statements to one target, by priority and arrival."""
+"""Admission of statements to one target.
+
+The order is that of the queue at the lender, so that a statement is not
+held up at its own host by those that it would overtake there.
+"""
 
 from __future__ import annotations
 
 import asyncio
-import heapq
-import itertools
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 import attrs
 
 from rosemarysaddle._clock import NS_PER_S, clock_ns
-from rosemarysaddle.decide import ConcurrencyWindow
-
-if TYPE_CHECKING:
-    from collections.abc import Iterator
+from rosemarysaddle.decide import (
+    ConcurrencyWindow,
+    ConnectionQueue,
+    ConnectionRequest,
+)
 
 __all__ = ("AdmissionQueue",)
 
@@ -28,47 +31,51 @@
     """
 
     window: ConcurrencyWindow = attrs.field(factory=ConcurrencyWindow)
-    _queue: list[tuple[int, int, asyncio.Future[None]]] = attrs.field(
-        factory=list, init=False
-    )
-    _sequence: Iterator[int] = attrs.field(factory=itertools.count, init=False)
+    _queue: ConnectionQueue[asyncio.Future[None]] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the empty queue, which the window alone limits."""
+        self._queue = ConnectionQueue(limit=0, window=self.window)
 
     @property
     def waiting(self) -> int:
         """Number of statements in the queue."""
         return len(self._queue)
 
-    async def enter(self, *, priority: int, deadline_ns: int) -> bool:
+    async def enter(
+        self, connection_request: ConnectionRequest, *, deadline_ns: int
+    ) -> bool:
         """Wait for the admission of a statement.
 
         If it is admitted, the caller has to call :meth:`leave` after it
         has run.
 
-        :param priority: priority of the statement; 0 is the highest
+        :param connection_request: request for a connection that follows
         :param deadline_ns: :func:`clock_ns` time until which to wait
         :return: whether the statement is admitted; False if the
             deadline has passed or the queue is full
         """
-        if not self._queue and self.window.may_start():
-            self.window.running += 1
+        if not self.waiting and self.window.may_start():
+            self._queue.record_acquired(connection_request)
             return True
         left_s = (deadline_ns - clock_ns()) / NS_PER_S
-        if left_s <= 0 or len(self._queue) >= MAX_QUEUED_STATEMENTS:
+        if left_s <= 0 or self.waiting >= MAX_QUEUED_STATEMENTS:
             return False
-        return await self._wait(priority, left_s)
+        return await self._wait(connection_request, left_s)
 
-    async def _wait(self, priority: int, left_s: float) -> bool:
+    async def _wait(
+        self, connection_request: ConnectionRequest, left_s: float
+    ) -> bool:
         loop = asyncio.get_running_loop()
         admitted: asyncio.Future[None] = loop.create_future()
-        entry = (priority, next(self._sequence), admitted)
-        heapq.heappush(self._queue, entry)
+        waiter = self._queue.push(
+            connection_request, admitted, now_ns=clock_ns()
+        )
         timer = loop.call_later(left_s, admitted.cancel)
         try:
             await admitted
         except asyncio.CancelledError:
-            if entry in self._queue:
-                self._queue.remove(entry)
-                heapq.heapify(self._queue)
+            self._queue.remove(waiter, now_ns=clock_ns())
             current = asyncio.current_task()
             if current is not None and current.cancelling():
                 raise
@@ -84,8 +91,10 @@
     def leave(self) -> None:
         """Report that a statement has run, and admit the next ones."""
         self.window.running -= 1
-        while self._queue and self.window.may_start():
-            _, _, admitted = heapq.heappop(self._queue)
-            if not admitted.done():
-                self.window.running += 1
-                admitted.set_result(None)
+        if not self.waiting:
+            return
+        now_ns = clock_ns()
+        while (waiter := self._queue.pop(now_ns=now_ns)) is not None:
+            if not waiter.item.done():
+                self._queue.record_acquired(waiter.connection_request)
+                waiter.item.set_result(None)
--- a/src/rosemarysaddle/session/_refusals.py
+++ b/src/rosemarysaddle/session/_refusals.py
@@ -23,8 +23,8 @@
     "write_refusal",
 )
 
-# By then a change of primary is usually complete, or the queue of an
-# overloaded target has drained.
+# By then a change of primary is usually complete.  A refusal by the
+# queue of a target brings the time that it has measured.
 RETRY_AFTER_MS: Final = 200
 # Reason of the refusal by the fault of the last attempt; any other
 # fault means that no target was available.
@@ -55,11 +55,12 @@
     :param last: answer to the last attempt, or None
     """
     fault = last.fault if last is not None else None
+    measured_ms = last.retry_after_ms if last is not None else 0
     return Refusal(
         reason=_REASON_BY_FAULT.get(fault, Reason.NO_PRIMARY),
         step=Step.EXECUTE,
         peer=group,
-        retry_after_ms=RETRY_AFTER_MS,
+        retry_after_ms=measured_ms or RETRY_AFTER_MS,
     )
 
 
@@ -89,5 +90,5 @@
         reason=Reason.TRANSACTION_ENDED,
         step=Step.EXECUTE,
         peer=transaction.target or transaction.route.group,
-        retry_after_ms=RETRY_AFTER_MS,
+        retry_after_ms=transaction.retry_after_ms or RETRY_AFTER_MS,
     )
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -60,6 +60,8 @@
     :param ticket: ticket for the primary if it may write, once begun
     :param has_written: whether it has run a write
     :param team: team for which it was begun, or empty
+    :param retry_after_ms: time after which a connection may be free for
+        it, in milliseconds; 0 if unknown
     """
 
     is_read_only: bool
@@ -69,6 +71,7 @@
     ticket: WriteTicket | None = None
     has_written: bool = False
     team: str = ""
+    retry_after_ms: int = 0
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -119,7 +122,9 @@
                 break
             if not self._choose_read_target(route, failed):
                 failed.clear()
-                if not await self._back_off(number, start_deadline_ns):
+                if not await self._back_off(
+                    number, start_deadline_ns, answer.retry_after_ms
+                ):
                     break
         return read_refusal(route, last)
 
@@ -144,7 +149,9 @@
             last = result
             if not result.fault.is_not_run:
                 return write_refusal(route, result)
-            if not await self._back_off(number, start_deadline_ns):
+            if not await self._back_off(
+                number, start_deadline_ns, result.retry_after_ms
+            ):
                 break
         return not_run_refusal(route.group, last)
 
@@ -163,7 +170,7 @@
     ) -> Answer:
         queue = self.router.admission_queues[read_target.target]
         if not await queue.enter(
-            priority=route.priority,
+            self._connection_request(route, deadline_ns),
             deadline_ns=_start_deadline_ns(route, deadline_ns),
         ):
             return Answer(fault=FaultCode.BUSY, text="not admitted in time")
@@ -172,7 +179,7 @@
                 route, read_target.target, deadline_ns, pinned=False
             )
             if isinstance(connection, OpenFault):
-                return Answer(fault=FaultCode.BUSY, text=str(connection.code))
+                return _busy(connection)
             answer = await self._ask(
                 connection,
                 statement,
@@ -193,7 +200,7 @@
     ) -> Answer | Refusal:
         queue = self.router.admission_queues[ticket.primary]
         if not await queue.enter(
-            priority=route.priority,
+            self._connection_request(route, deadline_ns),
             deadline_ns=_start_deadline_ns(route, deadline_ns),
         ):
             self.router.end_write(ticket)
@@ -217,7 +224,7 @@
         )
         if isinstance(connection, OpenFault):
             self.router.end_write(ticket)
-            return Answer(fault=FaultCode.BUSY, text=str(connection.code))
+            return _busy(connection)
         if not self.router.holds(ticket):
             self._release(connection)
             self.router.end_write(ticket)
@@ -367,7 +374,9 @@
                 fault = await self._pin_write(transaction, deadline_ns)
             if fault is None:
                 return None
-            if not await self._back_off(number, start_deadline_ns):
+            if not await self._back_off(
+                number, start_deadline_ns, transaction.retry_after_ms
+            ):
                 break
         return transaction_ended(transaction)
 
@@ -414,7 +423,9 @@
             transaction.route, target, deadline_ns, pinned=True
         )
         if isinstance(connection, OpenFault):
+            transaction.retry_after_ms = connection.retry_after_ms
             return FaultCode.BUSY
+        transaction.retry_after_ms = 0
         asked_ns = clock_ns()
         was_leased_primary = self.router.is_leased_primary(target)
         data = connection.codec.encode_begin(
@@ -456,20 +467,26 @@
         pool = self.router.pools.get(target)
         if pool is None:
             return OpenFault(code=FaultCode.WRONG_TARGET, peer=target)
-        start_deadline_ns = _start_deadline_ns(route, deadline_ns)
-        connection_request = ConnectionRequest(
+        connection_request = self._connection_request(
+            route, deadline_ns, pinned=pinned
+        )
+        return await pool.acquire(
+            self.variables,
+            deadline_ns=connection_request.deadline_ns,
+            connection_request=connection_request,
+        )
+
+    def _connection_request(
+        self, route: Route, deadline_ns: int, *, pinned: bool = False
+    ) -> ConnectionRequest:
+        return ConnectionRequest(
             priority=route.priority,
             pinned=pinned,
             team=self.team,
-            deadline_ns=start_deadline_ns,
+            deadline_ns=_start_deadline_ns(route, deadline_ns),
             objective_ns=_objective_ns(route, deadline_ns),
             weight=self.weight,
         )
-        return await pool.acquire(
-            self.variables,
-            deadline_ns=start_deadline_ns,
-            connection_request=connection_request,
-        )
 
     async def _ask(
         self,
@@ -564,8 +581,17 @@
         finally:
             queue.leave()
 
-    async def _back_off(self, number: int, deadline_ns: int) -> bool:
+    async def _back_off(
+        self, number: int, deadline_ns: int, retry_after_ms: int = 0
+    ) -> bool:
+        """Wait before another try.
+
+        :param retry_after_ms: time before which none can succeed, in
+            milliseconds; 0 if unknown
+        :return: whether there is time for another try
+        """
         pause_ms = min(MAX_BACKOFF_MS, INITIAL_BACKOFF_MS << number)
+        pause_ms = max(pause_ms, retry_after_ms)
         until_ns = clock_ns() + pause_ms * NS_PER_MS
         if until_ns >= deadline_ns:
             return False
@@ -587,6 +613,15 @@
     return statement.kind.always_writes
 
 
+def _busy(fault: OpenFault) -> Answer:
+    """Build the answer to a statement that got no connection."""
+    return Answer(
+        fault=FaultCode.BUSY,
+        text=str(fault.code),
+        retry_after_ms=fault.retry_after_ms,
+    )
+
+
 def _deadline_ns(route: Route) -> int:
     return clock_ns() + route.timeout_ms * NS_PER_MS
 
