--- a/src/rosemarysaddle/connection/_pool.py
+++ b/src/rosemarysaddle/connection/_pool.py
@@ -155,7 +155,9 @@
             wait_ns = self._queue.expected_wait_ns(
                 connection_request, now_ns=now_ns
             )
-            if number is None and now_ns + wait_ns > deadline_ns:
+            if number is None and self._queue.is_hopeless(
+                wait_ns, deadline_ns=deadline_ns, now_ns=now_ns
+            ):
                 return self._refuse(connection_request, "wait", wait_ns)
             result, number = await self._wait(
                 connection_request, deadline_ns, number
--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -87,6 +87,7 @@
     compute_transfer_cost_ns,
 )
 from rosemarysaddle.decide.load._queue_stats import (
+    MAX_PRIORITY_LABEL,
     QUEUE_WAIT_BOUNDS_MS,
     QueueStats,
     retry_after,
@@ -137,6 +138,7 @@
     "FULL_BACKOFF_MS",
     "INITIAL_SIZE",
     "LEASE_MS",
+    "MAX_PRIORITY_LABEL",
     "NO_ANSWER",
     "NS_PER_MS",
     "QUEUE_WAIT_BOUNDS_MS",
--- a/src/rosemarysaddle/decide/load/_fair_order.py
+++ b/src/rosemarysaddle/decide/load/_fair_order.py
@@ -18,6 +18,8 @@
 
 import attrs
 
+from rosemarysaddle.decide.load._drain_rate import DrainRate
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
@@ -54,9 +56,11 @@
     """Waiting requests of one team.
 
     :param start: virtual start time of its next request
+    :param rate: measure of its services
     """
 
     start: float = 0.0
+    rate: DrainRate = attrs.field(factory=DrainRate, init=False)
     waiting: list[_W] = attrs.field(factory=list, init=False)
 
 
@@ -107,7 +111,7 @@
         late: _W | None = None
         for queue in sorted(
             (t for t in self._teams.values() if t.waiting),
-            key=lambda t: (t.start, t.waiting[0].number),
+            key=lambda t: (self._start(t), t.waiting[0].number),
         ):
             for waiter in queue.waiting:
                 is_late = _is_late(waiter.connection_request, served_ns)
@@ -125,6 +129,12 @@
         prefers_late = self._on_time_run >= MAX_ON_TIME_RUN
         if late is None or (on_time is not None and not prefers_late):
             chosen = on_time
+            if on_time is not None:
+                # The lowest start time of all that may go now.  A late
+                # request is served out of this order, so it does not
+                # advance the virtual time of the others.
+                team = on_time.connection_request.team
+                self._virtual = self._start(self._teams[team])
             self._on_time_run += on_time is not None and late is not None
         else:
             chosen = late
@@ -136,10 +146,46 @@
     def record_served(self, request: ConnectionRequest) -> None:
         """Advance the virtual time of a team that got a connection."""
         queue = self._team(request.team)
-        self._virtual = max(self._virtual, queue.start)
-        queue.start += 1 / max(MIN_WEIGHT, request.weight)
+        start = self._start(queue)
+        if not self.count(pinned=request.pinned):
+            self._virtual = start
+        queue.start = start + 1 / max(MIN_WEIGHT, request.weight)
         self._forget_idle_teams()
 
+    def observe(self, request: ConnectionRequest, now_ns: int) -> None:
+        """Record whether requests of a team wait from now on."""
+        queue = self._teams.get(request.team)
+        if queue is not None:
+            has_backlog = bool(queue.waiting)
+            queue.rate.observe(now_ns, has_backlog=has_backlog)
+
+    def record_released(self, request: ConnectionRequest, now_ns: int) -> None:
+        """Record the end of a service of a team."""
+        queue = self._teams.get(request.team)
+        if queue is not None:
+            queue.rate.record_served(0, now_ns)
+
+    def team_wait_ns(
+        self, request: ConnectionRequest, now_ns: int, *, assumed_ns: float
+    ) -> int:
+        """Estimate the wait from the services of the team alone.
+
+        It exceeds the estimate for the whole queue where requests of
+        other teams that arrive later are served earlier.
+
+        :return: the wait, or 0 if no request of the team waits
+        """
+        queue = self._teams.get(request.team)
+        if queue is None or not queue.waiting:
+            return 0
+        kind = sum(
+            w.connection_request.pinned == request.pinned
+            for w in queue.waiting
+        )
+        return queue.rate.expected_wait_ns(
+            kind, 0, now_ns, assumed_ns=assumed_ns
+        )
+
     def count_ahead(self, request: ConnectionRequest, served_ns: int) -> int:
         """Count the requests that are served before a new one.
 
@@ -150,7 +196,7 @@
         start = self._virtual
         if own is not None:
             kind = self._count(own, request, served_ns)[0]
-            start = max(own.start, start)
+            start = self._start(own)
             start += kind / max(MIN_WEIGHT, request.weight)
         ahead = late = 0
         for queue in self._teams.values():
@@ -160,7 +206,7 @@
             late += late_here
             if queue is not own:
                 weight = queue.waiting[0].connection_request.weight
-                before = max(0.0, start - queue.start) * weight
+                before = max(0.0, start - self._start(queue)) * weight
                 on_time_here = min(on_time_here, int(before) + 1)
             ahead += on_time_here
         if _is_late(request, served_ns):
@@ -185,10 +231,16 @@
         queue = self._teams.get(team)
         if queue is None:
             queue = self._teams[team] = _TeamQueue()
-        if not queue.waiting:
-            queue.start = max(queue.start, self._virtual)
         return queue
 
+    def _start(self, queue: _TeamQueue[_W]) -> float:
+        """Return the virtual start time of a team's next request.
+
+        A team gains no credit while it sends nothing or while its
+        requests are passed over as late.
+        """
+        return max(queue.start, self._virtual)
+
     def _forget_idle_teams(self) -> None:
         if len(self._teams) <= MAX_IDLE_TEAMS:
             return
--- a/src/rosemarysaddle/decide/load/_queue_stats.py
+++ b/src/rosemarysaddle/decide/load/_queue_stats.py
@@ -10,7 +10,12 @@
 
 from rosemarysaddle.decide._times import NS_PER_MS
 
-__all__ = ("QUEUE_WAIT_BOUNDS_MS", "QueueStats", "retry_after")
+__all__ = (
+    "MAX_PRIORITY_LABEL",
+    "QUEUE_WAIT_BOUNDS_MS",
+    "QueueStats",
+    "retry_after",
+)
 
 # Up to half of the longest time-out of a statement (2,000 ms).
 QUEUE_WAIT_BOUNDS_MS: Final = (1, 5, 10, 20, 50, 100, 200, 400, 1_000)
@@ -67,3 +72,13 @@
         bucket = bisect.bisect_left(QUEUE_WAIT_BOUNDS_MS, wait_ns / NS_PER_MS)
         counts[bucket] += 1
         self.wait_sums_ns[label] += wait_ns
+
+    def add(self, other: QueueStats) -> None:
+        """Add the waits and refusals of another queue."""
+        self.refused.update(other.refused)
+        self.wait_sums_ns.update(other.wait_sums_ns)
+        for label, counts in other.waits.items():
+            own = self.waits.get(label, [0] * len(counts))
+            self.waits[label] = [
+                a + b for a, b in zip(own, counts, strict=True)
+            ]
--- a/src/rosemarysaddle/decide/load/_queueing.py
+++ b/src/rosemarysaddle/decide/load/_queueing.py
@@ -36,6 +36,10 @@
 # A request is late if it is not expected to be answered in time should
 # it start now.  Half of the services take longer than the mean.
 ON_TIME_HOLDS: Final = 2
+# The expected wait is taken to be too low by one part in this many, as
+# a request that waits in vain costs its caller more than one that is
+# refused at once.
+WAIT_MARGIN_DIVISOR: Final = 8
 # One connection in this many is reserved for requests outside of
 # transactions.
 CONNECTIONS_PER_RESERVED: Final = 4
@@ -144,9 +148,25 @@
             at_once = max(1, min(self.limit, int(self.window.size)))
             assumed_ns = self.mean_hold_ns / at_once
         rate = self._rate(connection_request)
-        return rate.expected_wait_ns(
+        wait_ns = rate.expected_wait_ns(
             ahead, priority, now_ns, assumed_ns=assumed_ns
         )
+        if connection_request.pinned:
+            return wait_ns
+        team_wait_ns = self._order(priority).team_wait_ns(
+            connection_request, now_ns, assumed_ns=assumed_ns
+        )
+        return max(wait_ns, team_wait_ns)
+
+    def is_hopeless(
+        self, wait_ns: int, *, deadline_ns: int, now_ns: int
+    ) -> bool:
+        """Tell whether a request is refused instead of queued.
+
+        :param wait_ns: expected wait
+        :param deadline_ns: time until which the request may wait
+        """
+        return now_ns + wait_ns + wait_ns // WAIT_MARGIN_DIVISOR > deadline_ns
 
     def push(
         self,
@@ -226,9 +246,11 @@
         :param was_lost: whether the connection was lost while in use
         """
         if not was_busy:
-            self._rate(connection_request).record_served(
-                connection_request.priority, now_ns
-            )
+            priority = connection_request.priority
+            self._rate(connection_request).record_served(priority, now_ns)
+            if not connection_request.pinned:
+                order = self._order(priority)
+                order.record_released(connection_request, now_ns)
         if connection_request.pinned:
             self._pinned -= 1
             return
@@ -263,6 +285,9 @@
     def _observe(
         self, connection_request: ConnectionRequest, now_ns: int
     ) -> None:
+        self._order(connection_request.priority).observe(
+            connection_request, now_ns
+        )
         pinned = connection_request.pinned
         has_backlog = any(
             order.count(pinned=pinned) for order in self._orders.values()
--- a/src/rosemarysaddle/node/_host_metrics.py
+++ b/src/rosemarysaddle/node/_host_metrics.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+import collections
+import itertools
 from typing import TYPE_CHECKING, Final
 
 from rosemarysaddle._clock import NS_PER_S, clock_ns
 from rosemarysaddle._prometheus import Counter, Gauge, Histogram, metrics_app
+from rosemarysaddle.decide import (
+    MAX_PRIORITY_LABEL,
+    QUEUE_WAIT_BOUNDS_MS,
+    QueueStats,
+)
 from rosemarysaddle.link import Address
 from rosemarysaddle.session import LATENCY_BOUNDS_MS
 
@@ -13,7 +20,7 @@
     from collections.abc import Callable, Iterable, Iterator, Mapping
 
     from rosemarysaddle._prometheus import Metric
-    from rosemarysaddle.connection import Lender
+    from rosemarysaddle.connection import ConnectionPool, Lender
     from rosemarysaddle.decide import ClusterState, ControlNode, EntryNode
     from rosemarysaddle.schema import Node
     from rosemarysaddle.session import Router, StatementStats
@@ -175,6 +182,46 @@
         labels=("target", "event"),
         values=events,
     )
+    yield from _queue_metrics([pool.own for pool in pools.values()])
+
+
+def _queue_metrics(pools: Iterable[ConnectionPool]) -> Iterator[Metric]:
+    """Collect the metrics of the queues at this host, as a lender."""
+    waiting: collections.Counter[str] = collections.Counter()
+    refused: collections.Counter[tuple[str, str]] = collections.Counter()
+    waits = QueueStats()
+    for pool in pools:
+        waits.add(pool.stats)
+        for priority, count in pool.waiting.items():
+            waiting[str(min(priority, MAX_PRIORITY_LABEL))] += count
+    for (priority, reason), count in waits.refused.items():
+        refused[str(priority), reason] += count
+    yield _labelled_gauge(
+        "queue_waiting",
+        "Requests that wait for a connection",
+        "priority",
+        waiting,
+    )
+    yield Counter(
+        name=f"{_PREFIX}queue_refused",
+        help_text="Requests without a connection: refused at once because"
+        " of the expected wait, or at the deadline",
+        labels=("priority", "reason"),
+        values=refused,
+    )
+    yield Histogram(
+        name=f"{_PREFIX}queue_wait_seconds",
+        help_text="Time for which requests waited for a connection",
+        label="priority",
+        bounds_s=tuple(bound / 1_000 for bound in QUEUE_WAIT_BOUNDS_MS),
+        values={
+            str(priority): (
+                list(itertools.accumulate(counts)),
+                waits.wait_sums_ns[priority] / NS_PER_S,
+            )
+            for priority, counts in waits.waits.items()
+        },
+    )
 
 
 def _gauge(name: str, help_text: str, value: float) -> Gauge:
