--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -22,7 +22,10 @@
 
 import attrs
 
+from benchmarks.remote_lender import ROUND_TRIPS_MS
+from rosemarysaddle.connection._shared import REMOTE_WINDOW_PER_SLOT
 from rosemarysaddle.decide import (
+    MIN_SIZE,
     NS_PER_MS,
     ConcurrencyWindow,
     ConnectionQueue,
@@ -59,6 +62,7 @@
 
     :param hold_ms: time for which a transaction stays idle; 0 for a
         statement
+    :param way_ms: time one way between the caller's host and the target
     :param tried_ms: arrival of the last try
     """
 
@@ -68,6 +72,7 @@
     priority: int = 0
     objective_ms: int = WRITE_OBJECTIVE_MS
     hold_ms: float = 0
+    way_ms: float = ONE_WAY_MS
     tries: int = 0
     tried_ms: float = 0
 
@@ -125,11 +130,13 @@
 
     :param order: ``decided``, ``fair``, ``deadline`` or ``arrival``
     :param slots: slots of the target by simulated time
+    :param min_size: size down to which the window narrows
     :param ends_ms: times at which operations were served
     """
 
     order: str = "decided"
     slots: Callable[[float], int] = lambda _: SLOTS
+    min_size: float = MIN_SIZE
     results: dict[str, Result] = attrs.field(
         factory=lambda: collections.defaultdict(Result), init=False
     )
@@ -147,7 +154,10 @@
             _ByArrival if self.order == "arrival" else ConnectionQueue
         )
         self._queue = queue_class(
-            limit=LIMIT, window=ConcurrencyWindow(size=SLOTS)
+            limit=LIMIT,
+            window=ConcurrencyWindow(
+                size=max(SLOTS, self.min_size), min_size=self.min_size
+            ),
         )
 
     def play(self, operations: list[Operation]) -> dict[str, Result]:
@@ -227,13 +237,13 @@
     def _start(self, request: ConnectionRequest, operation: Operation) -> None:
         self._queue.record_acquired(request)
         self._in_use += 1
-        reached_ms = self._now_ms + ONE_WAY_MS
+        reached_ms = self._now_ms + operation.way_ms
         self._at(reached_ms, self._reach, request, operation, self._now_ns)
 
     def _reach(
         self, request: ConnectionRequest, operation: Operation, began_ns: int
     ) -> None:
-        answered_ms = self._now_ms + ONE_WAY_MS
+        answered_ms = self._now_ms + operation.way_ms
         end = functools.partial(self._end, request, operation, began_ns)
         if operation.hold_ms:
             self._at(answered_ms + operation.hold_ms, end, _SERVED)
@@ -336,6 +346,19 @@
     return [o for t, r in rates.items() for o in arrivals(t, r, 20_000)]
 
 
+def hot_team_remote() -> list[Operation]:
+    """Play the hot team with one lender for six data centres.
+
+    The round trips and the window are those of
+    `benchmarks.remote_lender`.
+    """
+    source = random.Random(SEED)
+    operations = hot_team()
+    for operation in operations:
+        operation.way_ms = source.choice(ROUND_TRIPS_MS) / 2
+    return operations
+
+
 def idle_transactions() -> list[Operation]:
     """Play 120 callers idle for 5 s in transactions, others at 0.6."""
     idle = [
@@ -382,6 +405,7 @@
 
 LOADS: Final[dict[str, Callable[[], list[Operation]]]] = {
     "hot_team": hot_team,
+    "hot_team_remote": hot_team_remote,
     "idle_transactions": idle_transactions,
     "lost_slots": lost_slots,
     "all_return": all_return,
@@ -393,7 +417,10 @@
 def play(load: str, order: str = "decided") -> Simulation:
     """Play a named load."""
     slots = lost_slots_at if load == "lost_slots" else lambda _: SLOTS
-    simulation = Simulation(order=order, slots=slots)
+    min_size = MIN_SIZE
+    if load == "hot_team_remote":
+        min_size = REMOTE_WINDOW_PER_SLOT * SLOTS
+    simulation = Simulation(order=order, slots=slots, min_size=min_size)
     simulation.play(LOADS[load]())
     return simulation
 
--- a/src/rosemarysaddle/connection/_lender.py
+++ b/src/rosemarysaddle/connection/_lender.py
@@ -32,6 +32,7 @@
     LoanReturn,
     PointReply,
     PointRequest,
+    RelayedMessage,
     TokenRequest,
 )
 
@@ -41,6 +42,7 @@
 
     from rosemarysaddle.connection._connection import TargetConnection
     from rosemarysaddle.connection._pool import ConnectionPool
+    from rosemarysaddle.connection._relay import RelayPeer
     from rosemarysaddle.schema import TokenGrant
 
 __all__ = ("Lender",)
@@ -58,6 +60,8 @@
     :param find_pool: finds this host's own connections to a target, or
         None
     :param find_point: finds the newest log position of a primary
+    :param relay: passes control messages of borrowers on; None if this
+        host does not relay
     :param on_token_request: handles a request for tokens of a team,
         with a function that sends the answer
     :param is_stopping: whether this host stops; a borrower that asks
@@ -66,6 +70,7 @@
 
     find_pool: Callable[[str], ConnectionPool | None]
     find_point: Callable[[str], Awaitable[PointReply]]
+    relay: Callable[[RelayPeer, RelayedMessage], None] | None = None
     on_token_request: (
         Callable[[TokenRequest, Callable[[TokenGrant], None]], None] | None
     ) = None
@@ -187,6 +192,8 @@
                 self.connection is None and self.task is None
             ):
                 self.task = spawn(self._send_point(frame))
+            case RelayedMessage() if self.lender.relay is not None:
+                self.lender.relay(self, frame)
             case TokenRequest() if self.lender.on_token_request is not None:
                 self.lender.on_token_request(frame, self._send_grant)
             case LoanReturn() if self.connection is not None:
--- a/src/rosemarysaddle/connection/_loans.py
+++ b/src/rosemarysaddle/connection/_loans.py
@@ -8,6 +8,7 @@
 import attrs
 
 from rosemarysaddle._clock import NS_PER_S, clock_ns
+from rosemarysaddle._contacts import ContactKind, ContactLog
 from rosemarysaddle._events import log_event
 from rosemarysaddle.connection._connection import TargetConnection
 from rosemarysaddle.connection._frames import (
@@ -51,10 +52,10 @@
 CONNECT_TIMEOUT_MS: Final = 300
 FIRST_ANSWER_TIMEOUT_MS: Final = 500
 # A round trip to another data centre takes up to 25 ms.  Two lenders
-# there that do not answer leave time for one of the own data centre
-# within a statement's 800 ms.
+# there that take no connection, or one that does not answer, leave time
+# for another lender within a statement's 800 ms.
 REMOTE_CONNECT_TIMEOUT_MS: Final = 200
-REMOTE_FIRST_ANSWER_TIMEOUT_MS: Final = 300
+REMOTE_FIRST_ANSWER_TIMEOUT_MS: Final = 400
 # A remote lender stops waiting earlier than the borrower by this, so
 # that a connection is not granted to a borrower that has given up.
 REMOTE_ROUND_TRIP_MS: Final = 25
@@ -159,10 +160,12 @@
     """Connections that this host has borrowed.
 
     :param ranking: determines which host lends connections to a target
+    :param contacts: records lenders that are lost and regained
     """
 
     ranking: LenderRanking
     new_codec: Callable[[], TargetCodec]
+    contacts: ContactLog = attrs.field(factory=ContactLog)
     _idle: dict[str, list[_Link]] = attrs.field(factory=dict, init=False)
     _borrowed: dict[TargetConnection, _Link] = attrs.field(
         factory=dict, init=False
@@ -349,7 +352,11 @@
         log_event(
             "lender-lost", f"target={target} lender={lender} step={step}"
         )
-        center = self.ranking.mark_down(lender, clock_ns())
+        now_ns = clock_ns()
+        self.contacts.record_lost(
+            ContactKind.LENDER, lender, now_ns, reason=step
+        )
+        center = self.ranking.mark_down(lender, now_ns)
         if center:
             log_event(
                 "lending-center",
@@ -358,6 +365,7 @@
             )
 
     def _record_answer(self, lender: str) -> None:
+        self.contacts.record_regained(ContactKind.LENDER, lender, clock_ns())
         center = self.ranking.mark_up(lender)
         if center:
             log_event(
--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -18,6 +18,7 @@
     SaveSnapshot,
     SaveVote,
     Send,
+    SendRelayed,
     TargetReport,
 )
 from rosemarysaddle.decide._entry import EntryNode, WriteTicket
@@ -70,6 +71,11 @@
 from rosemarysaddle.decide.control_log._voter_manager import address_of
 from rosemarysaddle.decide.control_log._voters import join_voters
 from rosemarysaddle.decide.leases._lease import HostLease, LeaseTable
+from rosemarysaddle.decide.leases._relay import (
+    RelayChoice,
+    RelayRoutes,
+    is_relayable,
+)
 from rosemarysaddle.decide.load._counting_hosts import (
     CountingHosts,
     rank_hosts,
@@ -110,7 +116,11 @@
 )
 from rosemarysaddle.decide.load._token_counter import TokenCounter
 from rosemarysaddle.decide.load._token_stock import TokenStock, reserve_share
-from rosemarysaddle.decide.load._window import INITIAL_SIZE, ConcurrencyWindow
+from rosemarysaddle.decide.load._window import (
+    INITIAL_SIZE,
+    MIN_SIZE,
+    ConcurrencyWindow,
+)
 from rosemarysaddle.decide.primaries._change import (
     ChangeTimes,
     choose_primary,
@@ -139,6 +149,7 @@
     "INITIAL_SIZE",
     "LEASE_MS",
     "MAX_PRIORITY_LABEL",
+    "MIN_SIZE",
     "NO_ANSWER",
     "NS_PER_MS",
     "QUEUE_WAIT_BOUNDS_MS",
@@ -187,12 +198,15 @@
     "ReadRequirements",
     "Reason",
     "Refusal",
+    "RelayChoice",
+    "RelayRoutes",
     "Role",
     "RouteTable",
     "SaveEntries",
     "SaveSnapshot",
     "SaveVote",
     "Send",
+    "SendRelayed",
     "SessionState",
     "SessionToken",
     "SessionVariables",
@@ -221,6 +235,7 @@
     "digest_key",
     "eligible_reports",
     "is_empty",
+    "is_relayable",
     "is_update",
     "join_voters",
     "max_concurrent_opens",
--- a/src/rosemarysaddle/node/_host_metrics.py
+++ b/src/rosemarysaddle/node/_host_metrics.py
@@ -7,23 +7,32 @@
 from typing import TYPE_CHECKING, Final
 
 from rosemarysaddle._clock import NS_PER_S, clock_ns
+from rosemarysaddle._contacts import ContactKind
 from rosemarysaddle._prometheus import Counter, Gauge, Histogram, metrics_app
 from rosemarysaddle.decide import (
     MAX_PRIORITY_LABEL,
+    NS_PER_MS,
     QUEUE_WAIT_BOUNDS_MS,
     QueueStats,
 )
 from rosemarysaddle.link import Address
-from rosemarysaddle.session import LATENCY_BOUNDS_MS
+from rosemarysaddle.session import LATENCY_BOUNDS_MS, WAIT_BOUNDS_MS
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Iterator, Mapping
+    from collections.abc import (
+        Callable,
+        Iterable,
+        Iterator,
+        Mapping,
+        Sequence,
+    )
 
+    from rosemarysaddle._contacts import ContactLog
     from rosemarysaddle._prometheus import Metric
     from rosemarysaddle.connection import ConnectionPool, Lender
     from rosemarysaddle.decide import ClusterState, ControlNode, EntryNode
     from rosemarysaddle.schema import Node
-    from rosemarysaddle.session import Router, StatementStats
+    from rosemarysaddle.session import RateLimits, Router, StatementStats
     from rosemarysaddle.web import HttpServer
 
 __all__ = ("control_metrics", "entry_metrics", "start_metrics")
@@ -32,6 +41,10 @@
 MAX_BODY_BYTES: Final = 4_096
 STOP_GRACE_S: Final = 0.05
 _PREFIX: Final = "rosemarysaddle_"
+# A label for each of 10,000 teams on each host would be too many.
+MAX_TEAM_LABELS: Final = 8
+# Not a possible name: a team's name has no space.
+OTHER_TEAMS: Final = "all others"
 
 
 def start_metrics(
@@ -59,15 +72,28 @@
 
 
 def entry_metrics(
-    node: EntryNode, router: Router, lender: Lender, *, sessions: int
+    node: EntryNode,
+    router: Router,
+    lender: Lender,
+    *,
+    teams: Sequence[str],
+    relayed_hosts: int = 0,
 ) -> Iterator[Metric]:
-    """Collect the metrics of an entry host."""
+    """Collect the metrics of an entry host.
+
+    :param teams: team of each open session, empty for those without one
+    :param relayed_hosts: number of hosts for which this host relays
+    """
     yield from _statement_metrics(router.statement_stats)
-    yield _gauge("sessions", "Caller sessions that are open", sessions)
+    yield _gauge("sessions", "Caller sessions that are open", len(teams))
+    if node.state.routes.teams is not None:
+        yield from _team_metrics(node, router, teams)
     left_s = (node.lease.deadline_ns - clock_ns()) / NS_PER_S
     yield _gauge("lease_left_seconds", "Time left on the lease", left_s)
     yield from _state_metrics(node.state)
     yield from _target_metrics(router)
+    if router.rate_limits.is_enabled:
+        yield from _limit_metrics(router.rate_limits)
     yield _gauge(
         "loans_held",
         "Connections on loan from others",
@@ -76,6 +102,48 @@
     yield _gauge(
         "loans_given", "Connections lent to others", lender.lent_count
     )
+    yield _gauge(
+        "lease_relayed",
+        "Whether a neighbour relays the renewals",
+        bool(node.relay.current),
+    )
+    yield _gauge(
+        "relayed_hosts",
+        "Neighbours for which this host relays",
+        relayed_hosts,
+    )
+    yield from _contact_metrics(router.contacts)
+
+
+def _contact_metrics(contacts: ContactLog) -> Iterator[Metric]:
+    now_ns = clock_ns()
+    yield _labelled_gauge(
+        "contacts_lost",
+        "Peers that this host has lost now, by role",
+        "kind",
+        {kind: contacts.count_lost(kind) for kind in ContactKind},
+    )
+    yield _labelled_gauge(
+        "contact_lost_seconds",
+        "Time since the first of them was lost",
+        "kind",
+        {kind: contacts.longest_lost_s(kind, now_ns) for kind in ContactKind},
+    )
+    yield Counter(
+        name=f"{_PREFIX}contact_losses",
+        help_text="Times that a peer of a role was lost, by the link to it",
+        labels=("kind", "link"),
+        values=dict(contacts.losses),
+    )
+    yield Counter(
+        name=f"{_PREFIX}contact_outage_ms",
+        help_text="Time for which regained peers had been lost",
+        labels=("kind", "link"),
+        values={
+            key: lost_ns // NS_PER_MS
+            for key, lost_ns in contacts.lost_ns.items()
+        },
+    )
 
 
 def control_metrics(control: ControlNode) -> Iterator[Metric]:
@@ -134,6 +202,30 @@
     )
 
 
+def _team_metrics(
+    node: EntryNode, router: Router, teams: Sequence[str]
+) -> Iterator[Metric]:
+    counts = collections.Counter(filter(None, teams))
+    largest = dict(counts.most_common(MAX_TEAM_LABELS))
+    others = counts.total() - sum(largest.values())
+    yield _labelled_gauge(
+        "team_sessions",
+        "Sessions of the teams with most of them, and of all others",
+        "team",
+        {**largest, OTHER_TEAMS: others},
+    )
+    yield _gauge("teams_connected", "Teams with a session", len(counts))
+    yield _gauge(
+        "unknown_keys",
+        "Sessions refused for an unknown key since the start",
+        router.unknown_keys.total,
+    )
+    age_s = (clock_ns() - node.view_confirmed_ns) / NS_PER_S
+    yield _gauge(
+        "plan_age_seconds", "Time since the plan was known current", age_s
+    )
+
+
 def _state_metrics(state: ClusterState) -> Iterator[Metric]:
     yield _gauge("state_index", "Index of last applied log entry", state.index)
     version = state.routes.version
@@ -171,6 +263,9 @@
     )
     events: dict[tuple[str, str], int] = {}
     for name, pool in pools.items():
+        if not pool.own.opens:
+            # Most hosts lend connections to few of many targets.
+            continue
         events[name, "opened"] = pool.own.opens
         events[name, "replaced"] = pool.own.replaced
         events[name, "taken"] = pool.own.takes
@@ -224,6 +319,63 @@
     )
 
 
+def _limit_metrics(limits: RateLimits) -> Iterator[Metric]:
+    # Labels never name a team: there may be 10,000 of them.
+    stats = limits.stats
+    for name, help_text, label, values in (
+        (
+            "limit_operations",
+            "Operations that needed a token, by result",
+            "result",
+            {"granted": stats.granted, **stats.refused},
+        ),
+        (
+            "limit_transferred",
+            "Tokens received from and given to other data centres",
+            "direction",
+            dict(stats.transferred),
+        ),
+        (
+            "limit_requests",
+            "Requests for tokens",
+            "direction",
+            {
+                "sent": limits.links.requests,
+                "answered": stats.answered,
+                # In place of the first host of the ranking.
+                "takeover": limits.counter.takeovers,
+            },
+        ),
+    ):
+        yield Counter(
+            name=_PREFIX + name,
+            help_text=help_text,
+            labels=(label,),
+            values={(key,): value for key, value in values.items()},
+        )
+    yield Histogram(
+        name=f"{_PREFIX}limit_wait_seconds",
+        help_text="Time that admitted operations waited for a token",
+        label="result",
+        bounds_s=tuple(bound / 1_000 for bound in WAIT_BOUNDS_MS),
+        values={
+            "granted": (
+                list(itertools.accumulate(stats.waits)),
+                stats.wait_sum_ns / NS_PER_S,
+            )
+        },
+    )
+    yield _gauge(
+        "limit_refused_teams", "Teams refused here now", limits.refused_teams
+    )
+    yield _gauge("limit_links", "Links for requests", limits.links.open_count)
+    yield _gauge(
+        "limit_lost_hosts",
+        "Counting hosts that do not answer",
+        limits.links.lost_hosts,
+    )
+
+
 def _gauge(name: str, help_text: str, value: float) -> Gauge:
     return Gauge(name=_PREFIX + name, help_text=help_text, values={"": value})
 
--- a/src/rosemarysaddle/schema/generate.py
+++ b/src/rosemarysaddle/schema/generate.py
@@ -25,7 +25,7 @@
     "node",
     "stand_in",
 )
-_CAPNP_TYPES: Final = {"text": "str", "bool": "bool"}
+_CAPNP_TYPES: Final = {"text": "str", "bool": "bool", "data": "bytes"}
 _JSON_TYPES: Final = {
     "string": "str",
     "integer": "int",
@@ -207,6 +207,9 @@
 
 
 def _default(body: dict[str, Any]) -> str:
+    # Values that must not get into a log line with their object.
+    if body.get("x-secret"):
+        return " = attrs.field(repr=False)"
     if "default" not in body:
         return ""
     value = body["default"]
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -12,6 +12,7 @@
 import attrs
 
 from rosemarysaddle._clock import NS_PER_S, clock_ns
+from rosemarysaddle._contacts import ContactLog
 from rosemarysaddle._events import log_event
 from rosemarysaddle._tasks import spawn
 from rosemarysaddle.connection import (
@@ -47,6 +48,7 @@
 from rosemarysaddle.session._admission import AdmissionQueue
 from rosemarysaddle.session._rate_limits import RateLimits
 from rosemarysaddle.session._statement_stats import StatementStats
+from rosemarysaddle.session._unknown_keys import UnknownKeyCounter
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Mapping, Sequence
@@ -61,7 +63,7 @@
     from rosemarysaddle.decide.primaries._registry import TargetRecord
     from rosemarysaddle.schema import Route
 
-__all__ = ("ReadTarget", "Router")
+__all__ = ("MAX_PLAN_AGE_MS", "ReadTarget", "Router")
 
 WARM_CONNECTIONS: Final = 1
 # Request the position of a group whose reads accept bounded staleness
@@ -80,6 +82,9 @@
 # Delay between probes of a target that accepted no connection.
 RECHECK_INTERVAL_MS: Final = 250
 MAX_WAITERS: Final = 400
+# Operations that require a key run only while the plan in force is
+# known to be younger: a removed key may run none 4 s after its removal.
+MAX_PLAN_AGE_MS: Final = 4_000
 RETRY_AFTER_MS: Final = 250
 # A host whose ticks are later than this is overloaded, so its failed
 # connections do not count as evidence against a target.
@@ -108,6 +113,9 @@
     :param label: name of this host, for the targets' logs
     :param send: executes the effects of decisions of the node
     :param regions: region of each data centre
+    :param contacts: records lenders that are lost and regained
+    :param max_plan_age_ms: age of the plan up to which keys can be
+        checked, in milliseconds
     :param limit_settings: settings of the rate limits of teams
     """
 
@@ -116,6 +124,8 @@
     new_codec: Callable[[], TargetCodec]
     send: Callable[[Sequence[Effect]], None]
     regions: Mapping[str, str] = attrs.field(factory=dict)
+    contacts: ContactLog = attrs.field(factory=ContactLog)
+    max_plan_age_ms: int = MAX_PLAN_AGE_MS
     limit_settings: LimitSettings = attrs.field(factory=LimitSettings)
     rate_limits: RateLimits = attrs.field(init=False)
     targets: dict[str, TargetState] = attrs.field(factory=dict, init=False)
@@ -124,6 +134,9 @@
     statement_stats: StatementStats = attrs.field(
         factory=StatementStats, init=False
     )
+    unknown_keys: UnknownKeyCounter = attrs.field(
+        factory=UnknownKeyCounter, init=False
+    )
     admission_queues: dict[str, AdmissionQueue] = attrs.field(
         factory=dict, init=False
     )
@@ -157,6 +170,7 @@
                 data_center=self.node.data_center,
             ),
             new_codec=self.new_codec,
+            contacts=self.contacts,
         )
 
     def route(self, database: str) -> Route | None:
@@ -179,6 +193,10 @@
             f" index={state.index} version={state.routes.version}"
         )
 
+    def is_plan_current(self) -> bool:
+        """Tell whether the plan is young enough to check keys."""
+        return self.node.is_view_current(clock_ns(), self.max_plan_age_ms)
+
     async def admit_operation(self, team: str) -> Refusal | None:
         """Admit an operation of a team, or refuse it over its limit."""
         return await self.rate_limits.admit(team)
@@ -251,6 +269,23 @@
             )
         return self.node.begin_write(group, now_ns)
 
+    def lease_refusal(self, group: str, until_ns: int) -> Refusal | None:
+        """Return a refusal if no lease is expected before a time.
+
+        :param until_ns: :func:`clock_ns` time until which a statement
+            could wait for one
+        """
+        now_ns = clock_ns()
+        retry_ms = self.node.outage_retry_ms(now_ns)
+        if not retry_ms or now_ns + retry_ms * NS_PER_MS < until_ns:
+            return None
+        return Refusal(
+            reason=Reason.NO_LEASE,
+            step=Step.ROUTE,
+            peer=group,
+            retry_after_ms=retry_ms,
+        )
+
     def end_write(self, ticket: WriteTicket) -> bool:
         """Return a ticket.
 
@@ -469,14 +504,15 @@
         policy = routes.groups.get(record.group)
         team_scope = None
         if routes.teams is not None:
+            is_near = record.data_center == self.node.data_center
+            ranking = self.loan_client.ranking
             team_scope = TeamScope(
                 teams=len(routes.teams.by_name),
                 target_center=record.data_center,
                 own_center=self.node.data_center,
                 remote=self.node.remote_hosts,
-                is_first_lender=self.loan_client.ranking.is_first(
-                    record.target, record.data_center
-                ),
+                is_first_lender=is_near
+                and ranking.is_first(record.target, record.data_center),
                 can_lend=bool(self.node.lending_address),
             )
         return share_connections(
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -48,6 +48,8 @@
 INITIAL_BACKOFF_MS: Final = 20
 MAX_BACKOFF_MS: Final = 200
 MAX_TRIES: Final = 8
+# No target may be used, rather than one that did not serve.
+_NO_TARGET_FAULTS: Final = {FaultCode.READ_ONLY, FaultCode.BEHIND}
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -81,6 +83,10 @@
     :param variables: variables and prepared statements of the session
     :param team: team for which the statements run, or empty
     :param weight: share of the team relative to other teams
+    :param requires_key: whether the session's route requires a key
+    :param is_revoked: whether a plan that was put in force during the
+        present statement has removed the key, or given it to another
+        team
     :param points: log position of the session's newest write, by group
     """
 
@@ -88,8 +94,16 @@
     variables: SessionVariables = attrs.field(factory=SessionVariables)
     team: str = attrs.field(default="", init=False)
     weight: float = attrs.field(default=1.0, init=False)
+    requires_key: bool = attrs.field(default=False, init=False)
+    is_revoked: bool = attrs.field(default=False, init=False)
     points: dict[str, LogPoint] = attrs.field(factory=dict, init=False)
 
+    def may_run(self) -> bool:
+        """Tell whether the key allows to send a statement now."""
+        if self.is_revoked:
+            return False
+        return not self.requires_key or self.router.is_plan_current()
+
     # --- outside transactions ---
 
     async def read(
@@ -104,10 +118,9 @@
         for number in range(MAX_TRIES):
             read_target = self._choose_read_target(route, failed)
             if read_target is None:
-                if not await self.router.wait_change(
-                    _target_deadline_ns(route, deadline_ns)
-                ):
-                    break
+                refusal = await self._wait_for_target(route, deadline_ns, last)
+                if refusal is not None:
+                    return refusal
                 continue
             answer = await self._read_at(
                 route, read_target, statement, deadline_ns
@@ -115,6 +128,8 @@
             if answer.fault is None:
                 return answer
             last = answer
+            if not self.may_run():
+                break
             failed.add(read_target.target)
             if not answer.fault.is_not_run:
                 attempts += 1
@@ -149,6 +164,8 @@
             last = result
             if not result.fault.is_not_run:
                 return write_refusal(route, result)
+            if not self.may_run():
+                break
             if not await self._back_off(
                 number, start_deadline_ns, result.retry_after_ms
             ):
@@ -374,6 +391,16 @@
                 fault = await self._pin_write(transaction, deadline_ns)
             if fault is None:
                 return None
+            refusal = self.router.lease_refusal(
+                transaction.route.group, start_deadline_ns
+            )
+            if refusal is not None and fault in _NO_TARGET_FAULTS:
+                return attrs.evolve(
+                    transaction_ended(transaction),
+                    retry_after_ms=refusal.retry_after_ms,
+                )
+            if not self.may_run():
+                break
             if not await self._back_off(
                 number, start_deadline_ns, transaction.retry_after_ms
             ):
@@ -451,6 +478,23 @@
 
     # --- common steps ---
 
+    async def _wait_for_target(
+        self, route: Route, deadline_ns: int, last: Answer | None
+    ) -> Refusal | None:
+        """Wait until another target may be suitable for a read.
+
+        :param last: answer to the last attempt, or None
+        :return: None after the wait, or a refusal if waiting any longer
+            is of no use
+        """
+        until_ns = _target_deadline_ns(route, deadline_ns)
+        refusal = self.router.lease_refusal(route.group, until_ns)
+        if refusal is not None:
+            return refusal
+        if await self.router.wait_change(until_ns):
+            return None
+        return read_refusal(route, last)
+
     async def _acquire_ticket(
         self, group: str, deadline_ns: int
     ) -> WriteTicket | Refusal:
@@ -458,6 +502,9 @@
             found = self.router.begin_write(group)
             if isinstance(found, WriteTicket):
                 return found
+            refusal = self.router.lease_refusal(group, deadline_ns)
+            if refusal is not None:
+                return refusal
             if not await self.router.wait_change(deadline_ns):
                 return found
 
@@ -470,11 +517,15 @@
         connection_request = self._connection_request(
             route, deadline_ns, pinned=pinned
         )
-        return await pool.acquire(
+        connection = await pool.acquire(
             self.variables,
             deadline_ns=connection_request.deadline_ns,
             connection_request=connection_request,
         )
+        if isinstance(connection, OpenFault) or self.may_run():
+            return connection
+        self._release(connection)
+        return OpenFault(code=FaultCode.BUSY, peer=target)
 
     def _connection_request(
         self, route: Route, deadline_ns: int, *, pinned: bool = False
@@ -557,6 +608,8 @@
                 break
             if not await self._back_off(number, deadline_ns):
                 break
+            if not self.may_run():
+                break
             answer = await self._ask_admitted(
                 connection, statement, deadline_ns
             )
