Test the way of a refusal; record one wait for each request

Cause: a request that was woken in vain counted as two waits, and no test held the way of the measured time from the lender to the caller.

After: the wait of a request counts once, until it has a connection or is refused.

--- a/src/rosemarysaddle/connection/_pool.py
+++ b/src/rosemarysaddle/connection/_pool.py
@@ -73,6 +73,16 @@
     retry_after_ms: int = 0
 
 
+@attrs.define(kw_only=True)
+class _Place:
+    """Place of a request in the order of arrival.
+
+    :param number: sequence number in the queue; None until it waits
+    """
+
+    number: int | None = None
+
+
 @attrs.define(kw_only=True, eq=False)
 class ConnectionPool:
     """Open connections to one target.
@@ -133,8 +143,26 @@
             whether it is for a transaction
         :return: the connection, or why none was obtained
         """
+        began_ns = clock_ns()
+        place = _Place()
+        try:
+            return await self._acquire(
+                variables, deadline_ns, connection_request, place
+            )
+        finally:
+            if place.number is not None:
+                self.stats.record_wait(
+                    connection_request.priority, clock_ns() - began_ns
+                )
+
+    async def _acquire(
+        self,
+        variables: SessionVariables,
+        deadline_ns: int,
+        connection_request: ConnectionRequest,
+        place: _Place,
+    ) -> TargetConnection | OpenFault:
         was_full = False
-        number: int | None = None
         while True:
             # An opening that has no time left would look like a target
             # that takes no connection.
@@ -156,13 +184,11 @@
             wait_ns = self._queue.expected_wait_ns(
                 connection_request, now_ns=now_ns
             )
-            if number is None and self._queue.is_hopeless(
+            if place.number is None and self._queue.is_hopeless(
                 wait_ns, deadline_ns=deadline_ns, now_ns=now_ns
             ):
                 return self._refuse(connection_request, "wait", wait_ns)
-            result, number = await self._wait(
-                connection_request, deadline_ns, number
-            )
+            result = await self._wait(connection_request, deadline_ns, place)
             if isinstance(result, TargetConnection):
                 return result
             if result is _WakeReason.TIMED_OUT:
@@ -508,37 +534,28 @@
         self,
         connection_request: ConnectionRequest,
         deadline_ns: int,
-        number: int | None,
-    ) -> tuple[TargetConnection | _WakeReason, int]:
-        """Wait in the queue.
-
-        :param number: place in the order of arrival that the request
-            had before, or None
-        :return: the connection or why there is none, and that place
-        """
+        place: _Place,
+    ) -> TargetConnection | _WakeReason:
         loop = asyncio.get_running_loop()
-        began_ns = clock_ns()
-        left_s = max(0, deadline_ns - began_ns) / NS_PER_S
+        now_ns = clock_ns()
+        left_s = max(0, deadline_ns - now_ns) / NS_PER_S
         wakeup: asyncio.Future[TargetConnection | _WakeReason] = (
             loop.create_future()
         )
         waiter = self._queue.push(
-            connection_request, wakeup, now_ns=began_ns, number=number
+            connection_request, wakeup, now_ns=now_ns, number=place.number
         )
+        place.number = waiter.number
         # Cancelling the future on time-out could lose a connection that
         # was assigned to it at the same moment.
         timer = loop.call_later(
             left_s, _wake_waiter, wakeup, _WakeReason.TIMED_OUT
         )
         try:
-            return await wakeup, waiter.number
+            return await wakeup
         finally:
             timer.cancel()
-            now_ns = clock_ns()
-            self._queue.remove(waiter, now_ns=now_ns)
-            self.stats.record_wait(
-                connection_request.priority, now_ns - began_ns
-            )
+            self._queue.remove(waiter, now_ns=clock_ns())
 
     def _on_connection_lost(self, connection: TargetConnection) -> None:
         self._mark_returned(connection)
--- a/src/rosemarysaddle/decide/load/_queue_stats.py
+++ b/src/rosemarysaddle/decide/load/_queue_stats.py
@@ -63,7 +63,10 @@
         self.refused[min(priority, MAX_PRIORITY_LABEL), reason] += 1
 
     def record_wait(self, priority: int, wait_ns: int) -> None:
-        """Record the end of one wait, with or without a connection."""
+        """Record the end of one wait, with or without a connection.
+
+        :param wait_ns: time from the request to its end
+        """
         label = min(priority, MAX_PRIORITY_LABEL)
         counts = self.waits.get(label)
         if counts is None:
--- a/tests/connection/test_pool.py
+++ b/tests/connection/test_pool.py
@@ -284,3 +284,29 @@
         assert pool._queue.mean_hold_ns == mean_hold_ns
 
     _run_scenario(scenario, 8)
+
+
+def test_pool_refuses_with_the_time_after_which_to_retry() -> None:
+    # A refusal by the queue named 200 ms, however long the queue was.
+    async def scenario(pool: ConnectionPool) -> None:
+        held = await _acquire(pool, ConnectionRequest())
+        pool._queue.window.size = 1
+        waiting = [
+            asyncio.create_task(_acquire(pool, ConnectionRequest()))
+            for _ in range(20)
+        ]
+        await asyncio.sleep(0)
+        found = await pool.acquire(
+            NO_VARIABLES, deadline_ns=_deadline_after_ms(100)
+        )
+        assert isinstance(found, OpenFault)
+        # 21 statements of 30 ms, one after the other.
+        assert 600 <= found.retry_after_ms <= 1_200
+        assert pool.stats.refused == {(0, "wait"): 1}
+        assert pool.waiting == {0: 20}
+        pool.release(held)
+        for task in waiting:
+            pool.release(await task)
+        assert sum(pool.stats.waits[0]) == 20
+
+    _run_scenario(scenario, 8)
--- a/tests/session/test_admission.py
+++ b/tests/session/test_admission.py
@@ -76,3 +76,22 @@
 
     assert len(lines) == MAX_LINES_PER_SECOND + 2
     assert lines[-2] == f"event=left-out kind=refused count={180}"
+
+
+def test_queue_admits_a_rare_team_before_the_rest_of_a_flood() -> None:
+    async def scenario() -> list[str]:
+        queue = AdmissionQueue(window=ConcurrencyWindow(size=1.0))
+        order: list[str] = []
+
+        async def run(team: str) -> None:
+            request = ConnectionRequest(team=team)
+            deadline_ns = clock_ns() + FAR_FUTURE_NS
+            if await queue.enter(request, deadline_ns=deadline_ns):
+                order.append(team)
+                await asyncio.sleep(0)
+                queue.leave()
+
+        await asyncio.gather(*(run(t) for t in ["hot"] * 9 + ["rare"]))
+        return order
+
+    assert "rare" in asyncio.run(scenario())[:3]
--- a/tests/session/test_lending.py
+++ b/tests/session/test_lending.py
@@ -8,10 +8,16 @@
 
 import attrs
 
-from rosemarysaddle.connection import Lender
+from rosemarysaddle._clock import clock_ns
+from rosemarysaddle.connection import Lender, OpenFault
 from rosemarysaddle.connection import _lender as lender_module
 from rosemarysaddle.connection import _loans as loans_module
-from rosemarysaddle.decide import LenderRanking, PositionHistory, RouteTable
+from rosemarysaddle.decide import (
+    FaultCode,
+    LenderRanking,
+    PositionHistory,
+    RouteTable,
+)
 from tests.session.standin import (
     IP,
     PLAN,
@@ -25,6 +31,7 @@
 
     import pytest
 
+    from rosemarysaddle.decide import ConnectionRequest
     from tests.session.standin import Caller
 
 PORT = 17_700
@@ -306,3 +313,36 @@
         assert center.target.connections == connections
 
     _run_scenario(scenario)
+
+
+def test_refusal_of_a_lender_reaches_the_caller_with_its_time() -> None:
+    # The time that the lender had measured was lost on the way.
+    async def scenario(center: _DataCenter) -> None:
+        caller = await center.caller(center.borrower)
+        lender = center.hosts[center.lender]
+        pool = lender.router.pools["t1"].own
+        requests: list[ConnectionRequest] = []
+
+        async def refuse(*_: object, **names: Any) -> OpenFault:
+            requests.append(names["connection_request"])
+            code = FaultCode.TOO_MANY_CONNECTIONS
+            return OpenFault(code=code, peer="t1", retry_after_ms=1_234)
+
+        refusing: Any = _Refusing(pool, refuse)
+        lender.lender.find_pool = lambda _: refusing
+        answer = await caller.ask("QUERY 5c WRITE 1 x")
+        assert answer.startswith("ERROR BUSY")
+        assert "retry-after-ms=1234" in answer
+        # Another try before then would be refused as well.
+        assert len(requests) == 1
+        assert requests[0].deadline_ns > clock_ns()
+
+    _run_scenario(scenario)
+
+
+class _Refusing:
+    """Pool that refuses each request."""
+
+    def __init__(self, pool: Any, acquire: Any) -> None:
+        self.has_idle_for = pool.has_idle_for
+        self.acquire = acquire
