--- a/src/rosemarysaddle/connection/_pool.py
+++ b/src/rosemarysaddle/connection/_pool.py
@@ -358,7 +358,8 @@
         retry_after_ms = retry_after(expected_wait_ns)
         log_event(
             "queue-refused",
-            f"target={self.target} team={connection_request.team or '-'}"
+            f"target={self.target} group={self.group}"
+            f" team={connection_request.team or '-'}"
             f" priority={priority} pinned={connection_request.pinned}"
             f" reason={reason} waiting={len(self._queue)}"
             f" expected_wait_ms={expected_wait_ns // NS_PER_MS}"
--- a/src/rosemarysaddle/session/_caller.py
+++ b/src/rosemarysaddle/session/_caller.py
@@ -371,6 +371,7 @@
             f" kind={statement.kind} reason={refusal.reason}"
             f" step={refusal.step} peer={refusal.peer}"
             f" outcome={refusal.outcome} spent_ms={spent_ns // NS_PER_MS}"
+            f" retry_after_ms={refusal.retry_after_ms}"
             f" {group_description}{self._describe_team()}",
         )
 
--- a/tests/node/test_host_metrics.py
+++ b/tests/node/test_host_metrics.py
@@ -8,8 +8,8 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from rosemarysaddle._contacts import ContactKind
-from rosemarysaddle._prometheus import Gauge
-from rosemarysaddle.connection import Lender
+from rosemarysaddle._prometheus import Counter, Gauge, Histogram
+from rosemarysaddle.connection import ConnectionPool, Lender
 from rosemarysaddle.decide import (
     ControlNode,
     EntryNode,
@@ -17,7 +17,9 @@
     LimitSettings,
     TeamDirectory,
 )
+from rosemarysaddle.link import Address
 from rosemarysaddle.node._host_metrics import (
+    _queue_metrics,
     control_metrics,
     entry_metrics,
     start_metrics,
@@ -107,6 +109,36 @@
     assert samples[f"{prefix}contact_losses_total", "lender", "direct"] == 1
 
 
+def test_queue_metrics_add_up_targets_under_bounded_labels() -> None:
+    # Plans choose the priorities, so their number has to be bounded.
+    pools = [
+        ConnectionPool(
+            target=name,
+            group="g",
+            address=Address.parse(ADDRESS),
+            label="h",
+            limit=1,
+            new_codec=_never,
+            on_open_fault=_never,
+        )
+        for name in ("t", "u")
+    ]
+    for pool in pools:
+        for priority in (1, 7, 8, 300):
+            pool.stats.record_refused(priority, "wait")
+            pool.stats.record_wait(priority, 30 * NS_PER_MS)
+
+    _, refused, waits = _queue_metrics(pools)
+
+    assert isinstance(refused, Counter)
+    assert isinstance(waits, Histogram)
+    assert refused.values == {("1", "wait"): 2, ("7", "wait"): 6}
+    assert set(waits.values) == {"1", "7"}
+    counts, sum_s = waits.values["7"]
+    assert counts[-1] == 6
+    assert sum_s == pytest.approx(0.18)
+
+
 def test_team_metrics_have_a_bounded_number_of_labels() -> None:
     """Guards against a time series for each of 10,000 teams."""
     router = _router()
