--- a/benchmarks/remote_lender.py
+++ b/benchmarks/remote_lender.py
@@ -93,12 +93,16 @@
     def _at(self, at_ms: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._events, (at_ms, next(self._sequence), action))
 
+    @property
+    def _now_ns(self) -> int:
+        return int(self._now_ms * NS_PER_MS)
+
     def _push(self, statement: Statement) -> None:
-        statement.queue.push(_REQUEST, statement)
+        statement.queue.push(_REQUEST, statement, now_ns=self._now_ns)
         self._serve(statement.queue)
 
     def _serve(self, queue: ConnectionQueue[Statement]) -> None:
-        while (waiter := queue.pop()) is not None:
+        while (waiter := queue.pop(now_ns=self._now_ns)) is not None:
             queue.record_acquired(_REQUEST)
             action = functools.partial(self._reach, waiter.item, self._now_ms)
             self._at(self._now_ms + waiter.item.way_ms, action)
@@ -127,11 +131,11 @@
         statement.queue.record_released(
             _REQUEST,
             held_ns,
-            now_ns=int(self._now_ms * NS_PER_MS),
+            now_ns=self._now_ns,
             was_busy=is_shed,
         )
         if is_shed:
-            statement.queue.push(_REQUEST, statement)
+            statement.queue.push(_REQUEST, statement, now_ns=self._now_ns)
         else:
             self.waits_ms.append(self._now_ms - statement.arrived_ms)
         self._serve(statement.queue)
--- a/src/rosemarysaddle/connection/_loans.py
+++ b/src/rosemarysaddle/connection/_loans.py
@@ -235,6 +235,7 @@
                 code=FaultCode(answer.code),
                 peer=target,
                 connected=answer.connected,
+                retry_after_ms=answer.retry_after_ms,
             )
         return OpenFault(code=FaultCode.BUSY, peer=target)
 
--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -92,6 +92,12 @@
     choose_target,
     compute_transfer_cost_ns,
 )
+from rosemarysaddle.decide.load._queue_stats import (
+    MAX_PRIORITY_LABEL,
+    QUEUE_WAIT_BOUNDS_MS,
+    QueueStats,
+    retry_after,
+)
 from rosemarysaddle.decide.load._queueing import (
     WEIGHT_SCALE,
     ConnectionQueue,
@@ -142,9 +148,11 @@
     "FULL_BACKOFF_MS",
     "INITIAL_SIZE",
     "LEASE_MS",
+    "MAX_PRIORITY_LABEL",
     "MIN_SIZE",
     "NO_ANSWER",
     "NS_PER_MS",
+    "QUEUE_WAIT_BOUNDS_MS",
     "WEIGHT_SCALE",
     "Answer",
     "ChangeTimes",
@@ -184,6 +192,7 @@
     "PreparedStatement",
     "ProbeGroup",
     "PromoteTarget",
+    "QueueStats",
     "ReadChoice",
     "ReadConstraints",
     "ReadRequirements",
@@ -234,6 +243,7 @@
     "promotion_quorum",
     "rank_hosts",
     "reserve_share",
+    "retry_after",
     "share_connections",
     "shared_name",
     "team_weight",
