--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -6,103 +6,114 @@
 
 from __future__ import annotations
 
-from rosemarysaddle.decide._control import ControlNode
-from rosemarysaddle.decide._effects import (
-    Committed,
-    Effect,
-    FollowPrimary,
-    LoadSnapshot,
-    ProbeGroup,
-    PromoteTarget,
-    SaveEntries,
-    SaveSnapshot,
-    SaveVote,
-    Send,
-    TargetReport,
-)
-from rosemarysaddle.decide._entry import EntryNode, WriteTicket
-from rosemarysaddle.decide._reasons import Outcome, Reason, Refusal, Step
-from rosemarysaddle.decide._statements import (
-    NO_ANSWER,
-    Answer,
-    CloseSession,
-    FaultCode,
-    OpenSession,
-    PreparedStatement,
-    SessionState,
-    Statement,
-    StatementKind,
-)
-from rosemarysaddle.decide._times import LEASE_MS, NS_PER_MS
-from rosemarysaddle.decide._variables import (
-    ConnectionSetup,
-    SessionVariables,
-    SetupPlan,
-    shared_name,
-)
-from rosemarysaddle.decide.configuration._inventory import InventoryTable
-from rosemarysaddle.decide.configuration._route_plan import (
-    Freshness,
-    RouteTable,
-    check_plan,
-)
-from rosemarysaddle.decide.control_log._follower import (
-    BEHIND_MS,
-    FollowerStatus,
-)
-from rosemarysaddle.decide.control_log._log import (
-    LogNode,
-    Role,
-    StoredLog,
-    is_empty,
-)
-from rosemarysaddle.decide.control_log._state import (
-    ClusterState,
-    DocumentKind,
-    EntryKind,
-    check_change,
-)
-from rosemarysaddle.decide.control_log._voter_manager import address_of
-from rosemarysaddle.decide.control_log._voters import join_voters
-from rosemarysaddle.decide.leases._lease import HostLease, LeaseTable
-from rosemarysaddle.decide.load._lending import (
-    ConnectionShare,
-    LenderRanking,
-    share_connections,
-)
-from rosemarysaddle.decide.load._load_balancing import (
-    ReadConstraints,
-    TargetState,
-    choose_target,
-    compute_transfer_cost_ns,
-)
-from rosemarysaddle.decide.load._queueing import (
-    ConnectionQueue,
-    ConnectionRequest,
-    Waiter,
-)
-from rosemarysaddle.decide.load._window import INITIAL_SIZE, ConcurrencyWindow
-from rosemarysaddle.decide.primaries._change import (
-    ChangeTimes,
-    choose_primary,
-    eligible_reports,
-    promotion_quorum,
-    write_quorum,
-)
-from rosemarysaddle.decide.primaries._registry import is_update
-from rosemarysaddle.decide.primaries._terms import GroupTerm
-from rosemarysaddle.decide.reads._freshness import PositionHistory, newer_point
-from rosemarysaddle.decide.reads._replica_choice import (
-    GroupView,
-    ReadChoice,
-    ReadRequirements,
-    TargetView,
-)
-from rosemarysaddle.decide.reads._token import (
-    LogPoint,
-    SessionToken,
-    TokenCodec,
-)
+from typing import TYPE_CHECKING, Any, Final
+
+from rosemarysaddle._lazy import LazyNames
+
+if TYPE_CHECKING:
+    from rosemarysaddle.decide._control import ControlNode
+    from rosemarysaddle.decide._effects import (
+        Committed,
+        Effect,
+        FollowPrimary,
+        LoadSnapshot,
+        ProbeGroup,
+        PromoteTarget,
+        SaveEntries,
+        SaveSnapshot,
+        SaveVote,
+        Send,
+        TargetReport,
+    )
+    from rosemarysaddle.decide._entry import EntryNode, WriteTicket
+    from rosemarysaddle.decide._reasons import Outcome, Reason, Refusal, Step
+    from rosemarysaddle.decide._statements import (
+        NO_ANSWER,
+        Answer,
+        CloseSession,
+        FaultCode,
+        OpenSession,
+        PreparedStatement,
+        SessionState,
+        Statement,
+        StatementKind,
+    )
+    from rosemarysaddle.decide._times import LEASE_MS, NS_PER_MS
+    from rosemarysaddle.decide._variables import (
+        ConnectionSetup,
+        SessionVariables,
+        SetupPlan,
+        shared_name,
+    )
+    from rosemarysaddle.decide.configuration._inventory import InventoryTable
+    from rosemarysaddle.decide.configuration._route_plan import (
+        Freshness,
+        RouteTable,
+        check_plan,
+    )
+    from rosemarysaddle.decide.control_log._follower import (
+        BEHIND_MS,
+        FollowerStatus,
+    )
+    from rosemarysaddle.decide.control_log._log import (
+        LogNode,
+        Role,
+        StoredLog,
+        is_empty,
+    )
+    from rosemarysaddle.decide.control_log._state import (
+        ClusterState,
+        DocumentKind,
+        EntryKind,
+        check_change,
+    )
+    from rosemarysaddle.decide.control_log._voter_manager import address_of
+    from rosemarysaddle.decide.control_log._voters import join_voters
+    from rosemarysaddle.decide.leases._lease import HostLease, LeaseTable
+    from rosemarysaddle.decide.load._lending import (
+        ConnectionShare,
+        LenderRanking,
+        share_connections,
+    )
+    from rosemarysaddle.decide.load._load_balancing import (
+        ReadConstraints,
+        TargetState,
+        choose_target,
+        compute_transfer_cost_ns,
+    )
+    from rosemarysaddle.decide.load._queueing import (
+        ConnectionQueue,
+        ConnectionRequest,
+        Waiter,
+    )
+    from rosemarysaddle.decide.load._window import (
+        INITIAL_SIZE,
+        ConcurrencyWindow,
+    )
+    from rosemarysaddle.decide.primaries._change import (
+        ChangeTimes,
+        choose_primary,
+        eligible_reports,
+        promotion_quorum,
+        write_quorum,
+    )
+    from rosemarysaddle.decide.primaries._registry import is_update
+    from rosemarysaddle.decide.primaries._terms import GroupTerm
+    from rosemarysaddle.decide.reads._freshness import (
+        PositionHistory,
+        newer_point,
+    )
+    from rosemarysaddle.decide.reads._replica_choice import (
+        GroupView,
+        ReadChoice,
+        ReadRequirements,
+        TargetView,
+    )
+    from rosemarysaddle.decide.reads._token import (
+        LogPoint,
+        SessionToken,
+        TokenCodec,
+    )
 
 __all__ = (
     "BEHIND_MS",
@@ -185,3 +196,133 @@
     "shared_name",
     "write_quorum",
 )
+
+# An entry host uses about half of these modules.  Building the classes
+# of the others would take a tenth of its start.
+_NAMES: Final = LazyNames(
+    package=__name__,
+    modules={
+        "_control": ("ControlNode",),
+        "_effects": (
+            "Committed",
+            "Effect",
+            "FollowPrimary",
+            "LoadSnapshot",
+            "ProbeGroup",
+            "PromoteTarget",
+            "SaveEntries",
+            "SaveSnapshot",
+            "SaveVote",
+            "Send",
+            "TargetReport",
+        ),
+        "_entry": (
+            "EntryNode",
+            "WriteTicket",
+        ),
+        "_reasons": (
+            "Outcome",
+            "Reason",
+            "Refusal",
+            "Step",
+        ),
+        "_statements": (
+            "NO_ANSWER",
+            "Answer",
+            "CloseSession",
+            "FaultCode",
+            "OpenSession",
+            "PreparedStatement",
+            "SessionState",
+            "Statement",
+            "StatementKind",
+        ),
+        "_times": (
+            "LEASE_MS",
+            "NS_PER_MS",
+        ),
+        "_variables": (
+            "ConnectionSetup",
+            "SessionVariables",
+            "SetupPlan",
+            "shared_name",
+        ),
+        "configuration._inventory": ("InventoryTable",),
+        "configuration._route_plan": (
+            "Freshness",
+            "RouteTable",
+            "check_plan",
+        ),
+        "control_log._follower": (
+            "BEHIND_MS",
+            "FollowerStatus",
+        ),
+        "control_log._log": (
+            "LogNode",
+            "Role",
+            "StoredLog",
+            "is_empty",
+        ),
+        "control_log._state": (
+            "ClusterState",
+            "DocumentKind",
+            "EntryKind",
+            "check_change",
+        ),
+        "control_log._voter_manager": ("address_of",),
+        "control_log._voters": ("join_voters",),
+        "leases._lease": (
+            "HostLease",
+            "LeaseTable",
+        ),
+        "load._lending": (
+            "ConnectionShare",
+            "LenderRanking",
+            "share_connections",
+        ),
+        "load._load_balancing": (
+            "ReadConstraints",
+            "TargetState",
+            "choose_target",
+            "compute_transfer_cost_ns",
+        ),
+        "load._queueing": (
+            "ConnectionQueue",
+            "ConnectionRequest",
+            "Waiter",
+        ),
+        "load._window": (
+            "INITIAL_SIZE",
+            "ConcurrencyWindow",
+        ),
+        "primaries._change": (
+            "ChangeTimes",
+            "choose_primary",
+            "eligible_reports",
+            "promotion_quorum",
+            "write_quorum",
+        ),
+        "primaries._registry": ("is_update",),
+        "primaries._terms": ("GroupTerm",),
+        "reads._freshness": (
+            "PositionHistory",
+            "newer_point",
+        ),
+        "reads._replica_choice": (
+            "GroupView",
+            "ReadChoice",
+            "ReadRequirements",
+            "TargetView",
+        ),
+        "reads._token": (
+            "LogPoint",
+            "SessionToken",
+            "TokenCodec",
+        ),
+    },
+)
+
+
+def __getattr__(name: str) -> Any:
+    """Import a name when it is used for the first time."""
+    return _NAMES.load(name, globals())
--- a/src/rosemarysaddle/decide/configuration/_route_plan.py
+++ b/src/rosemarysaddle/decide/configuration/_route_plan.py
@@ -4,10 +4,9 @@
 
 import enum
 import json
-from typing import Final, NoReturn
+from typing import NoReturn
 
 import attrs
-import cattrs
 
 from rosemarysaddle.schema import (
     GroupPolicy,
@@ -15,13 +14,12 @@
     RoutePlan,
     SchemaFault,
     SessionLimits,
+    build_document,
     parse_document,
 )
 
 __all__ = ("Freshness", "RouteTable", "check_plan")
 
-_CONVERTER: Final = cattrs.Converter()
-
 
 class Freshness(enum.StrEnum):
     """Freshness of the data that a read on a route requires."""
@@ -52,7 +50,7 @@
     @classmethod
     def of(cls, source: str) -> RouteTable:
         """Build the table from the text of a plan already checked."""
-        plan = _CONVERTER.structure(json.loads(source), RoutePlan)
+        plan = build_document(RoutePlan, json.loads(source))
         databases: dict[str, Route] = {}
         for route in plan.routes:
             databases.setdefault(route.database, route)
--- a/src/rosemarysaddle/decide/control_log/_state.py
+++ b/src/rosemarysaddle/decide/control_log/_state.py
@@ -6,11 +6,11 @@
 
 from __future__ import annotations
 
+import functools
 import json
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 import attrs
-import cattrs
 
 from rosemarysaddle.decide.configuration._inventory import InventoryTable
 from rosemarysaddle.decide.configuration._plan_patch import apply_patch
@@ -32,10 +32,13 @@
     LogEntry,
     Rules,
     SchemaFault,
+    build_document,
     load_document,
 )
 
 if TYPE_CHECKING:
+    import cattrs
+
     from rosemarysaddle.decide.control_log._log import StoredLog
     from rosemarysaddle.schema import RequestClass, Tenant
 
@@ -49,6 +52,8 @@
 
 MAX_KEPT_CHANGES: Final = 4_096
 
+T = TypeVar("T")
+
 
 class EntryKind:
     """Kinds of entries in the control log.
@@ -208,14 +213,15 @@
 
     def dump(self) -> str:
         """Serialize the state as JSON for a snapshot."""
+        unstructure = _converter().unstructure
         body = {
             "index": self.index,
             "versions": [self.inventory_version, self.rules_version],
-            "inventory": _CONVERTER.unstructure(self.inventory.document()),
-            "rules": _CONVERTER.unstructure(self.rules),
-            "terms": _CONVERTER.unstructure(self.terms),
-            "replies": _CONVERTER.unstructure(self.replies),
-            "history": _CONVERTER.unstructure(self.history),
+            "inventory": unstructure(self.inventory.document()),
+            "rules": unstructure(self.rules),
+            "terms": unstructure(self.terms),
+            "replies": unstructure(self.replies),
+            "history": unstructure(self.history),
             "voters": self.voters,
             "entry_hosts": self.entry_hosts,
             "lease_holders": sorted(self.lease_holders),
@@ -235,18 +241,21 @@
     def load(cls, text: str) -> ClusterState:
         """Rebuild a state from the JSON text of a snapshot."""
         body = json.loads(text)
-        inventory = _CONVERTER.structure(body["inventory"], Inventory)
+        inventory = build_document(Inventory, body["inventory"])
         return cls(
             index=body["index"],
             inventory_version=body["versions"][0],
             rules_version=body["versions"][1],
             inventory=InventoryTable.of(inventory),
-            rules=_CONVERTER.structure(body["rules"], Rules),
-            terms=_CONVERTER.structure(body["terms"], dict[str, GroupTerm]),
-            replies=_CONVERTER.structure(
-                body["replies"], dict[str, ChangeReply]
-            ),
-            history=_CONVERTER.structure(body["history"], list[AuditRecord]),
+            rules=build_document(Rules, body["rules"]),
+            terms={
+                name: _load_term(row) for name, row in body["terms"].items()
+            },
+            replies={
+                change_id: _build(ChangeReply, row)
+                for change_id, row in body["replies"].items()
+            },
+            history=[_build(AuditRecord, row) for row in body["history"]],
             voters=tuple(body["voters"]),
             entry_hosts=int(body["entry_hosts"]),
             lease_holders=set(body["lease_holders"]),
@@ -432,4 +441,19 @@
     )
 
 
-_CONVERTER: Final = cattrs.Converter()
+@functools.cache
+def _converter() -> cattrs.Converter:
+    import cattrs  # noqa: PLC0415  # entry hosts dump no state
+
+    return cattrs.Converter()
+
+
+def _load_term(row: dict[str, Any]) -> GroupTerm:
+    starts = [_build(TermStart, start) for start in row.get("starts", ())]
+    return _build(GroupTerm, {**row, "starts": tuple(starts)})
+
+
+def _build(row_class: type[T], row: dict[str, Any]) -> T:
+    """Build a row of a snapshot; ignore fields of later versions."""
+    names = row_class.__annotations__
+    return row_class(**{k: v for k, v in row.items() if k in names})
--- a/src/rosemarysaddle/link/_codec.py
+++ b/src/rosemarysaddle/link/_codec.py
@@ -6,21 +6,20 @@
 
 from __future__ import annotations
 
-import re
+import functools
 from pathlib import Path
 from typing import Any, Final
 
 import attrs
 import capnp
 
-import rosemarysaddle.schema
-from rosemarysaddle.schema import Envelope
+from rosemarysaddle.schema import Envelope, _messages
 from rosemarysaddle.schema._messages import BODIES
 
 __all__ = ("MAX_MESSAGE_BYTES", "DecodeFault", "decode", "encode")
 
 MAX_MESSAGE_BYTES: Final = 64 * 1024 * 1024
-_SCHEMA_FOLDER: Final = Path(rosemarysaddle.schema.__file__).parent
+_SCHEMA_FOLDER: Final = Path(_messages.__file__).parent
 _CAPNP_SCHEMA: Final = capnp.load(str(_SCHEMA_FOLDER / "messages.capnp"))
 _WIRE_NAMES: Final = {
     message_class: wire_name for wire_name, message_class in BODIES.items()
@@ -76,7 +75,7 @@
 
 
 def _write_fields(builder: Any, message: Any) -> None:
-    for name, wire_name in _FIELDS[type(message)]:
+    for name, wire_name, _ in _fields(message.__class__):
         value = getattr(message, name)
         if isinstance(value, tuple):
             items = builder.init(wire_name, len(value))
@@ -87,11 +86,9 @@
 
 
 def _read_fields(message_class: type, reader: Any) -> dict[str, Any]:
-    nested = _NESTED.get(message_class, {})
     result: dict[str, Any] = {}
-    for name, wire_name in _FIELDS[message_class]:
+    for name, wire_name, item in _fields(message_class):
         value = getattr(reader, wire_name)
-        item = nested.get(name)
         if item is not None:
             value = tuple(item(**_read_fields(item, v)) for v in value)
         result[name] = value
@@ -103,27 +100,19 @@
     return head + "".join(part.title() for part in tail)
 
 
-def _field_names(message_class: type) -> tuple[tuple[str, str], ...]:
+@functools.cache
+def _fields(message_class: type) -> tuple[tuple[str, str, type | None], ...]:
+    """List the fields of a message: name, name on the wire, item class.
+
+    The item class is that of a list of structs, None for other fields.
+    """
     return tuple(
-        (f.name, _to_camel_case(f.name)) for f in attrs.fields(message_class)
+        (name, _to_camel_case(name), _item_class(kind))
+        for name, kind in message_class.__annotations__.items()
     )
 
 
-def _nested_types(message_class: type) -> dict[str, type]:
-    result: dict[str, type] = {}
-    for field in attrs.fields(message_class):
-        match = re.fullmatch(r"tuple\[(\w+), \.\.\.\]", str(field.type))
-        if match:
-            result[field.name] = getattr(rosemarysaddle.schema, match[1])
-    return result
-
-
-_NESTED: Final = {
-    message_class: _nested_types(message_class)
-    for message_class in BODIES.values()
-}
-_ITEMS: Final = {item for types in _NESTED.values() for item in types.values()}
-_FIELDS: Final = {
-    message_class: _field_names(message_class)
-    for message_class in {*BODIES.values(), *_ITEMS}
-}
+def _item_class(kind: str) -> type | None:
+    name = kind.removeprefix("tuple[").removesuffix(", ...]")
+    item: type | None = getattr(_messages, name, None)
+    return item if name != kind else None
--- a/src/rosemarysaddle/schema/__init__.py
+++ b/src/rosemarysaddle/schema/__init__.py
@@ -4,6 +4,7 @@
 
 from rosemarysaddle.schema._check import (
     SchemaFault,
+    build_document,
     load_document,
     load_file,
     parse_document,
@@ -133,6 +134,7 @@
     "ViewSnapshot",
     "VoteReply",
     "VoteRequest",
+    "build_document",
     "load_document",
     "load_file",
     "parse_document",
--- a/src/rosemarysaddle/schema/_check.py
+++ b/src/rosemarysaddle/schema/_check.py
@@ -7,21 +7,26 @@
 from __future__ import annotations
 
 import functools
-import json
-import re
 from pathlib import Path
-from typing import Any, Final, TypeVar
+from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 import attrs
-import cattrs
-import jsonschema
 import pyjson5
 
-__all__ = ("SchemaFault", "load_document", "load_file", "parse_document")
+from rosemarysaddle.schema._readers import READERS, UncheckedError
+
+if TYPE_CHECKING:
+    import cattrs
+
+__all__ = (
+    "SchemaFault",
+    "build_document",
+    "load_document",
+    "load_file",
+    "parse_document",
+)
 
 MAX_DOCUMENT_BYTES: Final = 64 * 1024 * 1024
-_FOLDER: Final = Path(__file__).parent
-_CONVERTER: Final = cattrs.Converter()
 
 T = TypeVar("T")
 
@@ -92,29 +97,47 @@
     :param source: file or peer to name in a fault
     :return: the document, or the fault found in it
     """
-    error = jsonschema.exceptions.best_match(
-        _validator(_schema_name(document_class)).iter_errors(value)
-    )
-    if error is not None:
-        path = error.json_path
-        return SchemaFault(source=source, path=path, reason=error.message)
-    return _CONVERTER.structure(value, document_class)
+    document = _read(document_class, value)
+    if document is not None:
+        return document
+    # Imported only for a document that the generated reader leaves
+    # open, because the import takes longer than the start of a host.
+    from rosemarysaddle.schema._full_check import find_fault  # noqa: PLC0415
+
+    fault = find_fault(document_class, value, source=source)
+    return fault or _structure(document_class, value)
+
 
+def build_document(document_class: type[T], value: Any) -> T:
+    """Build the class of a decoded document that was checked before.
 
-def _schema_name(document_class: type) -> str:
-    return re.sub("(?<!^)([A-Z])", r"_\1", document_class.__name__).lower()
+    :param document_class: generated class of the document
+    :param value: decoded JSON value
+    """
+    document = _read(document_class, value)
+    if document is not None:
+        return document
+    return _structure(document_class, value)
+
+
+def _read(document_class: type[T], value: Any) -> T | None:
+    """Build a document, or return None if it may be invalid."""
+    reader = READERS.get(document_class)
+    if reader is None:
+        return None
+    try:
+        document: T = reader(value)
+    except UncheckedError:
+        return None
+    return document
+
+
+def _structure(document_class: type[T], value: Any) -> T:
+    return _converter().structure(value, document_class)
 
 
 @functools.cache
-def _validator(stem: str) -> jsonschema.Draft202012Validator:
-    schema = _schema(stem)
-    # Names the schema that contains the definitions of this one.
-    if "x-defs-from" in schema:
-        schema["$defs"] = _schema(schema["x-defs-from"])["$defs"]
-    return jsonschema.Draft202012Validator(schema)
-
-
-def _schema(stem: str) -> dict[str, Any]:
-    text = (_FOLDER / f"{stem}.schema.json").read_text()
-    schema_body: dict[str, Any] = json.loads(text)
-    return schema_body
+def _converter() -> cattrs.Converter:
+    import cattrs  # noqa: PLC0415  # used by few documents of a host
+
+    return cattrs.Converter()
--- a/src/rosemarysaddle/schema/_documents.py
+++ b/src/rosemarysaddle/schema/_documents.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import attrs
+from rosemarysaddle.schema._record import Record, record
 
 __all__ = (
     "ControlHost",
@@ -26,20 +26,35 @@
 )
 
 
-@attrs.frozen(kw_only=True)
-class ControlHost:
+@record(kw_only=True, init=False)
+class ControlHost(Record):
     """Control host and its address.
 
     :param host: Name of the host
     :param address: IP address and port for the other hosts
     """
 
+    __slots__ = (
+        "host",
+        "address",
+    )
+
     host: str
     address: str
 
+    def __init__(
+        self,
+        *,
+        host: str,
+        address: str,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "host", host)
+        set_field(self, "address", address)
+
 
-@attrs.frozen(kw_only=True)
-class Settings:
+@record(kw_only=True, init=False)
+class Settings(Record):
     """Settings of one entry or control host.
 
     :param host: Name of this host
@@ -68,26 +83,83 @@
         nothing
     """
 
+    __slots__ = (
+        "host",
+        "data_center",
+        "region",
+        "callers_address",
+        "peers_address",
+        "bind_address",
+        "data_folder",
+        "control",
+        "token_keys",
+        "admin_credential_sha256",
+        "target_user",
+        "target_password",
+        "worker_threads",
+        "connections_per_target",
+        "held_per_group",
+        "statsd_address",
+    )
+
     host: str
     data_center: str
     region: str
-    callers_address: str = ""
+    callers_address: str
     peers_address: str
-    bind_address: str = ""
-    data_folder: str = ""
+    bind_address: str
+    data_folder: str
     control: tuple[ControlHost, ...]
     token_keys: tuple[str, ...]
-    admin_credential_sha256: str = ""
-    target_user: str = "rosemarysaddle"
-    target_password: str = ""
-    worker_threads: int = 16
-    connections_per_target: int = 3
-    held_per_group: int = 8
-    statsd_address: str = ""
-
-
-@attrs.frozen(kw_only=True)
-class Instance:
+    admin_credential_sha256: str
+    target_user: str
+    target_password: str
+    worker_threads: int
+    connections_per_target: int
+    held_per_group: int
+    statsd_address: str
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        data_center: str,
+        region: str,
+        callers_address: str = "",
+        peers_address: str,
+        bind_address: str = "",
+        data_folder: str = "",
+        control: tuple[ControlHost, ...],
+        token_keys: tuple[str, ...],
+        admin_credential_sha256: str = "",
+        target_user: str = "rosemarysaddle",
+        target_password: str = "",
+        worker_threads: int = 16,
+        connections_per_target: int = 3,
+        held_per_group: int = 8,
+        statsd_address: str = "",
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "host", host)
+        set_field(self, "data_center", data_center)
+        set_field(self, "region", region)
+        set_field(self, "callers_address", callers_address)
+        set_field(self, "peers_address", peers_address)
+        set_field(self, "bind_address", bind_address)
+        set_field(self, "data_folder", data_folder)
+        set_field(self, "control", control)
+        set_field(self, "token_keys", token_keys)
+        set_field(self, "admin_credential_sha256", admin_credential_sha256)
+        set_field(self, "target_user", target_user)
+        set_field(self, "target_password", target_password)
+        set_field(self, "worker_threads", worker_threads)
+        set_field(self, "connections_per_target", connections_per_target)
+        set_field(self, "held_per_group", held_per_group)
+        set_field(self, "statsd_address", statsd_address)
+
+
+@record(kw_only=True, init=False)
+class Instance(Record):
     """Database instance of a group.
 
     :param name: Name of the instance
@@ -98,27 +170,66 @@
         concurrently
     """
 
+    __slots__ = (
+        "name",
+        "data_center",
+        "address",
+        "connections",
+        "slots",
+    )
+
     name: str
     data_center: str
     address: str
-    connections: int = 30
-    slots: int = 5
-
-
-@attrs.frozen(kw_only=True)
-class Group:
+    connections: int
+    slots: int
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        data_center: str,
+        address: str,
+        connections: int = 30,
+        slots: int = 5,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "name", name)
+        set_field(self, "data_center", data_center)
+        set_field(self, "address", address)
+        set_field(self, "connections", connections)
+        set_field(self, "slots", slots)
+
+
+@record(kw_only=True, init=False)
+class Group(Record):
     """Group of instances, one of which is the primary.
 
     :param name: Name of the group
     :param instances: Instances of the group
     """
 
+    __slots__ = (
+        "name",
+        "instances",
+    )
+
     name: str
     instances: tuple[Instance, ...]
 
+    def __init__(
+        self,
+        *,
+        name: str,
+        instances: tuple[Instance, ...],
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "name", name)
+        set_field(self, "instances", instances)
+
 
-@attrs.frozen(kw_only=True)
-class Tenant:
+@record(kw_only=True, init=False)
+class Tenant(Record):
     """Tenant and the groups that it may access.
 
     :param name: Name of the tenant
@@ -126,25 +237,58 @@
     :param groups: Names of the groups that the tenant may access
     """
 
+    __slots__ = (
+        "name",
+        "credential_sha256",
+        "groups",
+    )
+
     name: str
     credential_sha256: str
     groups: tuple[str, ...]
 
-
-@attrs.frozen(kw_only=True)
-class Inventory:
+    def __init__(
+        self,
+        *,
+        name: str,
+        credential_sha256: str,
+        groups: tuple[str, ...],
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "name", name)
+        set_field(self, "credential_sha256", credential_sha256)
+        set_field(self, "groups", groups)
+
+
+@record(kw_only=True, init=False)
+class Inventory(Record):
     """Database instances, and the tenants that may access them.
 
     :param groups: Groups of instances that replicate one database
     :param tenants: Tenants and the groups that they may access
     """
 
+    __slots__ = (
+        "groups",
+        "tenants",
+    )
+
     groups: tuple[Group, ...]
     tenants: tuple[Tenant, ...]
 
+    def __init__(
+        self,
+        *,
+        groups: tuple[Group, ...],
+        tenants: tuple[Tenant, ...],
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "groups", groups)
+        set_field(self, "tenants", tenants)
 
-@attrs.frozen(kw_only=True)
-class InventoryPatch:
+
+@record(kw_only=True, init=False)
+class InventoryPatch(Record):
     """Change of some groups and tenants of the inventory.
 
     :param put_groups: Groups to add, or to replace by name
@@ -153,14 +297,35 @@
     :param remove_tenants: Names of the tenants to remove
     """
 
-    put_groups: tuple[Group, ...] = ()
-    remove_groups: tuple[str, ...] = ()
-    put_tenants: tuple[Tenant, ...] = ()
-    remove_tenants: tuple[str, ...] = ()
-
-
-@attrs.frozen(kw_only=True)
-class RequestClass:
+    __slots__ = (
+        "put_groups",
+        "remove_groups",
+        "put_tenants",
+        "remove_tenants",
+    )
+
+    put_groups: tuple[Group, ...]
+    remove_groups: tuple[str, ...]
+    put_tenants: tuple[Tenant, ...]
+    remove_tenants: tuple[str, ...]
+
+    def __init__(
+        self,
+        *,
+        put_groups: tuple[Group, ...] = (),
+        remove_groups: tuple[str, ...] = (),
+        put_tenants: tuple[Tenant, ...] = (),
+        remove_tenants: tuple[str, ...] = (),
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "put_groups", put_groups)
+        set_field(self, "remove_groups", remove_groups)
+        set_field(self, "put_tenants", put_tenants)
+        set_field(self, "remove_tenants", remove_tenants)
+
+
+@record(kw_only=True, init=False)
+class RequestClass(Record):
     """Class of requests.
 
     :param name: Name of the class
@@ -169,23 +334,51 @@
     :param priority: Priority under overload; 0 is the highest
     """
 
-    name: str
-    stale_ms: int = 0
-    priority: int = 5
-
+    __slots__ = (
+        "name",
+        "stale_ms",
+        "priority",
+    )
 
-@attrs.frozen(kw_only=True)
-class Rules:
+    name: str
+    stale_ms: int
+    priority: int
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        stale_ms: int = 0,
+        priority: int = 5,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "name", name)
+        set_field(self, "stale_ms", stale_ms)
+        set_field(self, "priority", priority)
+
+
+@record(kw_only=True, init=False)
+class Rules(Record):
     """Rules that operators set in addition to the inventory.
 
     :param classes: Classes of requests
     """
 
+    __slots__ = ("classes",)
+
     classes: tuple[RequestClass, ...]
 
+    def __init__(
+        self,
+        *,
+        classes: tuple[RequestClass, ...],
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "classes", classes)
+
 
-@attrs.frozen(kw_only=True)
-class Route:
+@record(kw_only=True, init=False)
+class Route(Record):
     """Assignment of a database's statements to a group.
 
     :param name: Name of the route
@@ -204,21 +397,63 @@
     :param public: Whether callers need no key
     """
 
+    __slots__ = (
+        "name",
+        "database",
+        "path_prefix",
+        "freshness",
+        "timeout_ms",
+        "latency_objective_ms",
+        "priority",
+        "group",
+        "max_attempts",
+        "max_staleness_ms",
+        "public",
+    )
+
     name: str
     database: str
-    path_prefix: str = "/"
+    path_prefix: str
     freshness: str
     timeout_ms: int
-    latency_objective_ms: int = 0
-    priority: int = 0
+    latency_objective_ms: int
+    priority: int
     group: str
-    max_attempts: int = 1
-    max_staleness_ms: int = 0
-    public: bool = False
-
-
-@attrs.frozen(kw_only=True)
-class GroupPolicy:
+    max_attempts: int
+    max_staleness_ms: int
+    public: bool
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        database: str,
+        path_prefix: str = "/",
+        freshness: str,
+        timeout_ms: int,
+        latency_objective_ms: int = 0,
+        priority: int = 0,
+        group: str,
+        max_attempts: int = 1,
+        max_staleness_ms: int = 0,
+        public: bool = False,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "name", name)
+        set_field(self, "database", database)
+        set_field(self, "path_prefix", path_prefix)
+        set_field(self, "freshness", freshness)
+        set_field(self, "timeout_ms", timeout_ms)
+        set_field(self, "latency_objective_ms", latency_objective_ms)
+        set_field(self, "priority", priority)
+        set_field(self, "group", group)
+        set_field(self, "max_attempts", max_attempts)
+        set_field(self, "max_staleness_ms", max_staleness_ms)
+        set_field(self, "public", public)
+
+
+@record(kw_only=True, init=False)
+class GroupPolicy(Record):
     """Limits and replication of a group.
 
     :param name: Name of the group
@@ -228,13 +463,31 @@
         when it is acknowledged
     """
 
-    name: str
-    connection_limit: int = 0
-    sync_replicas: int = 0
-
+    __slots__ = (
+        "name",
+        "connection_limit",
+        "sync_replicas",
+    )
 
-@attrs.frozen(kw_only=True)
-class Team:
+    name: str
+    connection_limit: int
+    sync_replicas: int
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        connection_limit: int = 0,
+        sync_replicas: int = 0,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "name", name)
+        set_field(self, "connection_limit", connection_limit)
+        set_field(self, "sync_replicas", sync_replicas)
+
+
+@record(kw_only=True, init=False)
+class Team(Record):
     """Organisation whose callers share the targets with others.
 
     :param name: Name of the team, told to targets
@@ -246,26 +499,60 @@
         of the rate
     """
 
+    __slots__ = (
+        "name",
+        "api_keys",
+        "priority",
+        "rate_per_s",
+        "burst_size",
+    )
+
     name: str
     api_keys: tuple[str, ...]
-    priority: int = 0
-    rate_per_s: float | None = None
-    burst_size: float = 0
-
-
-@attrs.frozen(kw_only=True)
-class SessionLimits:
+    priority: int
+    rate_per_s: float | None
+    burst_size: float
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        api_keys: tuple[str, ...],
+        priority: int = 0,
+        rate_per_s: float | None = None,
+        burst_size: float = 0,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "name", name)
+        set_field(self, "api_keys", api_keys)
+        set_field(self, "priority", priority)
+        set_field(self, "rate_per_s", rate_per_s)
+        set_field(self, "burst_size", burst_size)
+
+
+@record(kw_only=True, init=False)
+class SessionLimits(Record):
     """Limits of sessions.
 
     :param transaction_idle_ms: Idle time after which a transaction may
         be ended, in milliseconds; 0 means never
     """
 
-    transaction_idle_ms: int = 0
+    __slots__ = ("transaction_idle_ms",)
+
+    transaction_idle_ms: int
+
+    def __init__(
+        self,
+        *,
+        transaction_idle_ms: int = 0,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "transaction_idle_ms", transaction_idle_ms)
 
 
-@attrs.frozen(kw_only=True)
-class RoutePlan:
+@record(kw_only=True, init=False)
+class RoutePlan(Record):
     """Databases that callers can name, and the groups that serve them.
 
     :param version: Version of the plan; the plan with the highest
@@ -277,27 +564,66 @@
         no key
     """
 
+    __slots__ = (
+        "version",
+        "routes",
+        "groups",
+        "limits",
+        "teams",
+    )
+
     version: int
     routes: tuple[Route, ...]
     groups: tuple[GroupPolicy, ...]
-    limits: SessionLimits = SessionLimits()
-    teams: tuple[Team, ...] | None = None
-
-
-@attrs.frozen(kw_only=True)
-class Place:
+    limits: SessionLimits
+    teams: tuple[Team, ...] | None
+
+    def __init__(
+        self,
+        *,
+        version: int,
+        routes: tuple[Route, ...],
+        groups: tuple[GroupPolicy, ...],
+        limits: SessionLimits = SessionLimits(),
+        teams: tuple[Team, ...] | None = None,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "version", version)
+        set_field(self, "routes", routes)
+        set_field(self, "groups", groups)
+        set_field(self, "limits", limits)
+        set_field(self, "teams", teams)
+
+
+@record(kw_only=True, init=False)
+class Place(Record):
     """Data centre and its region.
 
     :param data_center: Name of the data centre
     :param region: Region of the data centre
     """
 
+    __slots__ = (
+        "data_center",
+        "region",
+    )
+
     data_center: str
     region: str
 
+    def __init__(
+        self,
+        *,
+        data_center: str,
+        region: str,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "data_center", data_center)
+        set_field(self, "region", region)
+
 
-@attrs.frozen(kw_only=True)
-class Node:
+@record(kw_only=True, init=False)
+class Node(Record):
     """Settings of a host that discovers the others by seed addresses.
 
     :param host: Name of this host
@@ -336,32 +662,107 @@
         within a window besides
     """
 
+    __slots__ = (
+        "host",
+        "role",
+        "data_center",
+        "region",
+        "places",
+        "ip",
+        "peers_port",
+        "seeds",
+        "first_start",
+        "data_folder",
+        "sessions_address",
+        "lending_address",
+        "metrics_address",
+        "ready_address",
+        "control_address",
+        "promotion_address",
+        "tolerated_hosts",
+        "grace_s",
+        "revoke_ms",
+        "limit_window_s",
+        "limit_overage",
+        "limit_slack",
+    )
+
     host: str
     role: str
     data_center: str
     region: str
-    places: tuple[Place, ...] = ()
+    places: tuple[Place, ...]
     ip: str
     peers_port: int
     seeds: tuple[str, ...]
-    first_start: bool = False
-    data_folder: str = ""
-    sessions_address: str = ""
-    lending_address: str = ""
-    metrics_address: str = ""
-    ready_address: str = ""
-    control_address: str = ""
-    promotion_address: str = ""
-    tolerated_hosts: int = 1
-    grace_s: int = 6
-    revoke_ms: int = 0
-    limit_window_s: float = 0
-    limit_overage: float = 0
-    limit_slack: float = 0
-
-
-@attrs.frozen(kw_only=True)
-class StandInTarget:
+    first_start: bool
+    data_folder: str
+    sessions_address: str
+    lending_address: str
+    metrics_address: str
+    ready_address: str
+    control_address: str
+    promotion_address: str
+    tolerated_hosts: int
+    grace_s: int
+    revoke_ms: int
+    limit_window_s: float
+    limit_overage: float
+    limit_slack: float
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        role: str,
+        data_center: str,
+        region: str,
+        places: tuple[Place, ...] = (),
+        ip: str,
+        peers_port: int,
+        seeds: tuple[str, ...],
+        first_start: bool = False,
+        data_folder: str = "",
+        sessions_address: str = "",
+        lending_address: str = "",
+        metrics_address: str = "",
+        ready_address: str = "",
+        control_address: str = "",
+        promotion_address: str = "",
+        tolerated_hosts: int = 1,
+        grace_s: int = 6,
+        revoke_ms: int = 0,
+        limit_window_s: float = 0,
+        limit_overage: float = 0,
+        limit_slack: float = 0,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "host", host)
+        set_field(self, "role", role)
+        set_field(self, "data_center", data_center)
+        set_field(self, "region", region)
+        set_field(self, "places", places)
+        set_field(self, "ip", ip)
+        set_field(self, "peers_port", peers_port)
+        set_field(self, "seeds", seeds)
+        set_field(self, "first_start", first_start)
+        set_field(self, "data_folder", data_folder)
+        set_field(self, "sessions_address", sessions_address)
+        set_field(self, "lending_address", lending_address)
+        set_field(self, "metrics_address", metrics_address)
+        set_field(self, "ready_address", ready_address)
+        set_field(self, "control_address", control_address)
+        set_field(self, "promotion_address", promotion_address)
+        set_field(self, "tolerated_hosts", tolerated_hosts)
+        set_field(self, "grace_s", grace_s)
+        set_field(self, "revoke_ms", revoke_ms)
+        set_field(self, "limit_window_s", limit_window_s)
+        set_field(self, "limit_overage", limit_overage)
+        set_field(self, "limit_slack", limit_slack)
+
+
+@record(kw_only=True, init=False)
+class StandInTarget(Record):
     """Stand-in instance.
 
     :param name: Name of the instance
@@ -372,16 +773,43 @@
     :param slots: Number of statements run concurrently
     """
 
+    __slots__ = (
+        "name",
+        "group",
+        "data_center",
+        "address",
+        "connections",
+        "slots",
+    )
+
     name: str
     group: str
     data_center: str
     address: str
-    connections: int = 30
-    slots: int = 5
-
-
-@attrs.frozen(kw_only=True)
-class StandIn:
+    connections: int
+    slots: int
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        group: str,
+        data_center: str,
+        address: str,
+        connections: int = 30,
+        slots: int = 5,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "name", name)
+        set_field(self, "group", group)
+        set_field(self, "data_center", data_center)
+        set_field(self, "address", address)
+        set_field(self, "connections", connections)
+        set_field(self, "slots", slots)
+
+
+@record(kw_only=True, init=False)
+class StandIn(Record):
     """Settings of a process that serves stand-in targets.
 
     :param instances: Instances to serve; those of one group replicate
@@ -396,11 +824,44 @@
     :param connect_ms: Time that a new connection takes, in milliseconds
     """
 
+    __slots__ = (
+        "instances",
+        "announce_to",
+        "data_folder",
+        "user",
+        "password",
+        "schema",
+        "lag_ms",
+        "connect_ms",
+    )
+
     instances: tuple[StandInTarget, ...]
     announce_to: tuple[str, ...]
     data_folder: str
-    user: str = "rosemarysaddle"
-    password: str = ""
-    schema: tuple[str, ...] = ()
-    lag_ms: int = 20
-    connect_ms: int = 12
+    user: str
+    password: str
+    schema: tuple[str, ...]
+    lag_ms: int
+    connect_ms: int
+
+    def __init__(
+        self,
+        *,
+        instances: tuple[StandInTarget, ...],
+        announce_to: tuple[str, ...],
+        data_folder: str,
+        user: str = "rosemarysaddle",
+        password: str = "",
+        schema: tuple[str, ...] = (),
+        lag_ms: int = 20,
+        connect_ms: int = 12,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "instances", instances)
+        set_field(self, "announce_to", announce_to)
+        set_field(self, "data_folder", data_folder)
+        set_field(self, "user", user)
+        set_field(self, "password", password)
+        set_field(self, "schema", schema)
+        set_field(self, "lag_ms", lag_ms)
+        set_field(self, "connect_ms", connect_ms)
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import attrs
+from rosemarysaddle.schema._record import Record, record
 
 __all__ = (
     "BODIES",
@@ -50,59 +50,163 @@
 )
 
 
-@attrs.frozen(kw_only=True)
-class ClosingGroup:
+@record(kw_only=True, init=False)
+class ClosingGroup(Record):
     """Message: closing group."""
 
+    __slots__ = (
+        "group",
+        "term",
+        "drain",
+    )
+
     group: str
     term: int
     drain: bool
 
-
-@attrs.frozen(kw_only=True)
-class LogEntry:
+    def __init__(
+        self,
+        *,
+        group: str,
+        term: int,
+        drain: bool,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "group", group)
+        set_field(self, "term", term)
+        set_field(self, "drain", drain)
+
+
+@record(kw_only=True, init=False)
+class LogEntry(Record):
     """Message: log entry."""
 
+    __slots__ = (
+        "index",
+        "term",
+        "kind",
+        "payload",
+    )
+
     index: int
     term: int
     kind: str
     payload: str
 
-
-@attrs.frozen(kw_only=True)
-class Neighbour:
+    def __init__(
+        self,
+        *,
+        index: int,
+        term: int,
+        kind: str,
+        payload: str,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "index", index)
+        set_field(self, "term", term)
+        set_field(self, "kind", kind)
+        set_field(self, "payload", payload)
+
+
+@record(kw_only=True, init=False)
+class Neighbour(Record):
     """Message: neighbour."""
 
+    __slots__ = ("address",)
+
     address: str
 
+    def __init__(
+        self,
+        *,
+        address: str,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "address", address)
+
 
-@attrs.frozen(kw_only=True)
-class PreparedName:
+@record(kw_only=True, init=False)
+class PreparedName(Record):
     """Message: prepared name."""
 
+    __slots__ = ("name",)
+
     name: str
 
+    def __init__(
+        self,
+        *,
+        name: str,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "name", name)
+
 
-@attrs.frozen(kw_only=True)
-class RemoteHosts:
+@record(kw_only=True, init=False)
+class RemoteHosts(Record):
     """Message: remote hosts."""
 
+    __slots__ = (
+        "data_center",
+        "hosts",
+    )
+
     data_center: str
     hosts: tuple[Neighbour, ...]
 
+    def __init__(
+        self,
+        *,
+        data_center: str,
+        hosts: tuple[Neighbour, ...],
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "data_center", data_center)
+        set_field(self, "hosts", hosts)
 
-@attrs.frozen(kw_only=True)
-class Variable:
+
+@record(kw_only=True, init=False)
+class Variable(Record):
     """Message: variable."""
 
+    __slots__ = (
+        "name",
+        "value",
+    )
+
     name: str
     value: str
 
+    def __init__(
+        self,
+        *,
+        name: str,
+        value: str,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "name", name)
+        set_field(self, "value", value)
+
 
-@attrs.frozen(kw_only=True)
-class Announcement:
+@record(kw_only=True, init=False)
+class Announcement(Record):
     """Message: announcement."""
 
+    __slots__ = (
+        "target",
+        "group",
+        "data_center",
+        "address",
+        "role",
+        "term",
+        "position",
+        "leaving",
+        "identity",
+        "slots",
+        "incarnation_ms",
+        "gone",
+    )
+
     target: str
     group: str
     data_center: str
@@ -112,28 +216,98 @@
     position: int
     leaving: bool
     identity: str
-    slots: int = 0
-    incarnation_ms: int = 0
-    gone: bool = False
-
-
-@attrs.frozen(kw_only=True)
-class AppendReply:
+    slots: int
+    incarnation_ms: int
+    gone: bool
+
+    def __init__(
+        self,
+        *,
+        target: str,
+        group: str,
+        data_center: str,
+        address: str,
+        role: str,
+        term: int,
+        position: int,
+        leaving: bool,
+        identity: str,
+        slots: int = 0,
+        incarnation_ms: int = 0,
+        gone: bool = False,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "target", target)
+        set_field(self, "group", group)
+        set_field(self, "data_center", data_center)
+        set_field(self, "address", address)
+        set_field(self, "role", role)
+        set_field(self, "term", term)
+        set_field(self, "position", position)
+        set_field(self, "leaving", leaving)
+        set_field(self, "identity", identity)
+        set_field(self, "slots", slots)
+        set_field(self, "incarnation_ms", incarnation_ms)
+        set_field(self, "gone", gone)
+
+
+@record(kw_only=True, init=False)
+class AppendReply(Record):
     """Message: append reply."""
 
+    __slots__ = (
+        "term",
+        "ok",
+        "match_index",
+        "sent_ns",
+        "hint_term",
+        "prev_index",
+        "commit_index",
+    )
+
     term: int
     ok: bool
     match_index: int
     sent_ns: int
-    hint_term: int = 0
-    prev_index: int = 0
-    commit_index: int = 0
-
+    hint_term: int
+    prev_index: int
+    commit_index: int
 
-@attrs.frozen(kw_only=True)
-class AppendRequest:
+    def __init__(
+        self,
+        *,
+        term: int,
+        ok: bool,
+        match_index: int,
+        sent_ns: int,
+        hint_term: int = 0,
+        prev_index: int = 0,
+        commit_index: int = 0,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "term", term)
+        set_field(self, "ok", ok)
+        set_field(self, "match_index", match_index)
+        set_field(self, "sent_ns", sent_ns)
+        set_field(self, "hint_term", hint_term)
+        set_field(self, "prev_index", prev_index)
+        set_field(self, "commit_index", commit_index)
+
+
+@record(kw_only=True, init=False)
+class AppendRequest(Record):
     """Message: append request."""
 
+    __slots__ = (
+        "term",
+        "leader",
+        "prev_index",
+        "prev_term",
+        "commit_index",
+        "sent_ns",
+        "entries",
+    )
+
     term: int
     leader: str
     prev_index: int
@@ -142,277 +316,821 @@
     sent_ns: int
     entries: tuple[LogEntry, ...]
 
-
-@attrs.frozen(kw_only=True)
-class ChangeProposal:
+    def __init__(
+        self,
+        *,
+        term: int,
+        leader: str,
+        prev_index: int,
+        prev_term: int,
+        commit_index: int,
+        sent_ns: int,
+        entries: tuple[LogEntry, ...],
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "term", term)
+        set_field(self, "leader", leader)
+        set_field(self, "prev_index", prev_index)
+        set_field(self, "prev_term", prev_term)
+        set_field(self, "commit_index", commit_index)
+        set_field(self, "sent_ns", sent_ns)
+        set_field(self, "entries", entries)
+
+
+@record(kw_only=True, init=False)
+class ChangeProposal(Record):
     """Message: change proposal."""
 
+    __slots__ = (
+        "change_id",
+        "kind",
+        "base_version",
+        "author",
+        "payload",
+    )
+
     change_id: str
     kind: str
     base_version: int
     author: str
     payload: str
 
-
-@attrs.frozen(kw_only=True)
-class ChangeReply:
+    def __init__(
+        self,
+        *,
+        change_id: str,
+        kind: str,
+        base_version: int,
+        author: str,
+        payload: str,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "change_id", change_id)
+        set_field(self, "kind", kind)
+        set_field(self, "base_version", base_version)
+        set_field(self, "author", author)
+        set_field(self, "payload", payload)
+
+
+@record(kw_only=True, init=False)
+class ChangeReply(Record):
     """Message: change reply."""
 
+    __slots__ = (
+        "change_id",
+        "accepted",
+        "version",
+        "reason",
+        "path",
+    )
+
     change_id: str
     accepted: bool
     version: int
     reason: str
     path: str
 
-
-@attrs.frozen(kw_only=True)
-class CloseGroup:
+    def __init__(
+        self,
+        *,
+        change_id: str,
+        accepted: bool,
+        version: int,
+        reason: str,
+        path: str,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "change_id", change_id)
+        set_field(self, "accepted", accepted)
+        set_field(self, "version", version)
+        set_field(self, "reason", reason)
+        set_field(self, "path", path)
+
+
+@record(kw_only=True, init=False)
+class CloseGroup(Record):
     """Message: close group."""
 
+    __slots__ = (
+        "group",
+        "term",
+        "drain",
+    )
+
     group: str
     term: int
     drain: bool
 
-
-@attrs.frozen(kw_only=True)
-class GroupClosed:
+    def __init__(
+        self,
+        *,
+        group: str,
+        term: int,
+        drain: bool,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "group", group)
+        set_field(self, "term", term)
+        set_field(self, "drain", drain)
+
+
+@record(kw_only=True, init=False)
+class GroupClosed(Record):
     """Message: group closed."""
 
+    __slots__ = (
+        "host",
+        "group",
+        "term",
+    )
+
     host: str
     group: str
     term: int
 
-
-@attrs.frozen(kw_only=True)
-class Heartbeat:
+    def __init__(
+        self,
+        *,
+        host: str,
+        group: str,
+        term: int,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "host", host)
+        set_field(self, "group", group)
+        set_field(self, "term", term)
+
+
+@record(kw_only=True, init=False)
+class Heartbeat(Record):
     """Message: heartbeat."""
 
+    __slots__ = ()
 
-@attrs.frozen(kw_only=True)
-class IndexReply:
+
+@record(kw_only=True, init=False)
+class IndexReply(Record):
     """Message: index reply."""
 
+    __slots__ = (
+        "asked_ns",
+        "index",
+        "current",
+    )
+
     asked_ns: int
     index: int
     current: bool
 
-
-@attrs.frozen(kw_only=True)
-class IndexRequest:
+    def __init__(
+        self,
+        *,
+        asked_ns: int,
+        index: int,
+        current: bool,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "asked_ns", asked_ns)
+        set_field(self, "index", index)
+        set_field(self, "current", current)
+
+
+@record(kw_only=True, init=False)
+class IndexRequest(Record):
     """Message: index request."""
 
+    __slots__ = ("asked_ns",)
+
     asked_ns: int
 
+    def __init__(
+        self,
+        *,
+        asked_ns: int,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "asked_ns", asked_ns)
+
 
-@attrs.frozen(kw_only=True)
-class JoinRequest:
+@record(kw_only=True, init=False)
+class JoinRequest(Record):
     """Message: join request."""
 
+    __slots__ = ("host",)
+
     host: str
 
+    def __init__(
+        self,
+        *,
+        host: str,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "host", host)
+
 
-@attrs.frozen(kw_only=True)
-class LeaseGrant:
+@record(kw_only=True, init=False)
+class LeaseGrant(Record):
     """Message: lease grant."""
 
+    __slots__ = (
+        "sent_ns",
+        "lease_ms",
+        "min_index",
+        "closing",
+    )
+
     sent_ns: int
     lease_ms: int
     min_index: int
     closing: tuple[ClosingGroup, ...]
 
-
-@attrs.frozen(kw_only=True)
-class LeaseRefusal:
+    def __init__(
+        self,
+        *,
+        sent_ns: int,
+        lease_ms: int,
+        min_index: int,
+        closing: tuple[ClosingGroup, ...],
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "sent_ns", sent_ns)
+        set_field(self, "lease_ms", lease_ms)
+        set_field(self, "min_index", min_index)
+        set_field(self, "closing", closing)
+
+
+@record(kw_only=True, init=False)
+class LeaseRefusal(Record):
     """Message: lease refusal."""
 
+    __slots__ = (
+        "sent_ns",
+        "leader",
+    )
+
     sent_ns: int
     leader: str
 
+    def __init__(
+        self,
+        *,
+        sent_ns: int,
+        leader: str,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "sent_ns", sent_ns)
+        set_field(self, "leader", leader)
+
 
-@attrs.frozen(kw_only=True)
-class LeaseRenewal:
+@record(kw_only=True, init=False)
+class LeaseRenewal(Record):
     """Message: lease renewal."""
 
+    __slots__ = (
+        "host",
+        "data_center",
+        "sent_ns",
+        "applied_index",
+        "address",
+        "lending_address",
+        "neighbours_tag",
+    )
+
     host: str
     data_center: str
     sent_ns: int
     applied_index: int
     address: str
-    lending_address: str = ""
-    neighbours_tag: int = 0
-
-
-@attrs.frozen(kw_only=True)
-class LeaseReturn:
+    lending_address: str
+    neighbours_tag: int
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        data_center: str,
+        sent_ns: int,
+        applied_index: int,
+        address: str,
+        lending_address: str = "",
+        neighbours_tag: int = 0,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "host", host)
+        set_field(self, "data_center", data_center)
+        set_field(self, "sent_ns", sent_ns)
+        set_field(self, "applied_index", applied_index)
+        set_field(self, "address", address)
+        set_field(self, "lending_address", lending_address)
+        set_field(self, "neighbours_tag", neighbours_tag)
+
+
+@record(kw_only=True, init=False)
+class LeaseReturn(Record):
     """Message: lease return."""
 
+    __slots__ = ("host",)
+
     host: str
 
+    def __init__(
+        self,
+        *,
+        host: str,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "host", host)
+
 
-@attrs.frozen(kw_only=True)
-class LoanGrant:
+@record(kw_only=True, init=False)
+class LoanGrant(Record):
     """Message: loan grant."""
 
+    __slots__ = (
+        "values",
+        "prepared",
+    )
+
     values: tuple[Variable, ...]
     prepared: tuple[PreparedName, ...]
 
+    def __init__(
+        self,
+        *,
+        values: tuple[Variable, ...],
+        prepared: tuple[PreparedName, ...],
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "values", values)
+        set_field(self, "prepared", prepared)
+
 
-@attrs.frozen(kw_only=True)
-class LoanQueued:
+@record(kw_only=True, init=False)
+class LoanQueued(Record):
     """Message: loan queued."""
 
+    __slots__ = ()
+
 
-@attrs.frozen(kw_only=True)
-class LoanRefusal:
+@record(kw_only=True, init=False)
+class LoanRefusal(Record):
     """Message: loan refusal."""
 
+    __slots__ = ("code",)
+
     code: str
 
+    def __init__(
+        self,
+        *,
+        code: str,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "code", code)
+
 
-@attrs.frozen(kw_only=True)
-class LoanRequest:
+@record(kw_only=True, init=False)
+class LoanRequest(Record):
     """Message: loan request."""
 
+    __slots__ = (
+        "target",
+        "wait_ms",
+        "values",
+        "priority",
+        "pinned",
+        "team",
+        "objective_ms",
+        "weight",
+    )
+
     target: str
     wait_ms: int
     values: tuple[Variable, ...]
     priority: int
     pinned: bool
-    team: str = ""
-    objective_ms: int = 0
-    weight: int = 0
-
-
-@attrs.frozen(kw_only=True)
-class LoanReturn:
+    team: str
+    objective_ms: int
+    weight: int
+
+    def __init__(
+        self,
+        *,
+        target: str,
+        wait_ms: int,
+        values: tuple[Variable, ...],
+        priority: int,
+        pinned: bool,
+        team: str = "",
+        objective_ms: int = 0,
+        weight: int = 0,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "target", target)
+        set_field(self, "wait_ms", wait_ms)
+        set_field(self, "values", values)
+        set_field(self, "priority", priority)
+        set_field(self, "pinned", pinned)
+        set_field(self, "team", team)
+        set_field(self, "objective_ms", objective_ms)
+        set_field(self, "weight", weight)
+
+
+@record(kw_only=True, init=False)
+class LoanReturn(Record):
     """Message: loan return."""
 
+    __slots__ = (
+        "values",
+        "prepared",
+        "was_busy",
+    )
+
     values: tuple[Variable, ...]
     prepared: tuple[PreparedName, ...]
-    was_busy: bool = False
-
-
-@attrs.frozen(kw_only=True)
-class Neighbours:
+    was_busy: bool
+
+    def __init__(
+        self,
+        *,
+        values: tuple[Variable, ...],
+        prepared: tuple[PreparedName, ...],
+        was_busy: bool = False,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "values", values)
+        set_field(self, "prepared", prepared)
+        set_field(self, "was_busy", was_busy)
+
+
+@record(kw_only=True, init=False)
+class Neighbours(Record):
     """Message: neighbours."""
 
+    __slots__ = (
+        "tag",
+        "hosts",
+        "remote",
+    )
+
     tag: int
     hosts: tuple[Neighbour, ...]
-    remote: tuple[RemoteHosts, ...] = ()
-
-
-@attrs.frozen(kw_only=True)
-class PointReply:
+    remote: tuple[RemoteHosts, ...]
+
+    def __init__(
+        self,
+        *,
+        tag: int,
+        hosts: tuple[Neighbour, ...],
+        remote: tuple[RemoteHosts, ...] = (),
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "tag", tag)
+        set_field(self, "hosts", hosts)
+        set_field(self, "remote", remote)
+
+
+@record(kw_only=True, init=False)
+class PointReply(Record):
     """Message: point reply."""
 
+    __slots__ = (
+        "known",
+        "age_ns",
+        "term",
+        "position",
+    )
+
     known: bool
     age_ns: int
     term: int
     position: int
 
-
-@attrs.frozen(kw_only=True)
-class PointRequest:
+    def __init__(
+        self,
+        *,
+        known: bool,
+        age_ns: int,
+        term: int,
+        position: int,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "known", known)
+        set_field(self, "age_ns", age_ns)
+        set_field(self, "term", term)
+        set_field(self, "position", position)
+
+
+@record(kw_only=True, init=False)
+class PointRequest(Record):
     """Message: point request."""
 
+    __slots__ = ("target",)
+
     target: str
 
+    def __init__(
+        self,
+        *,
+        target: str,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "target", target)
+
 
-@attrs.frozen(kw_only=True)
-class SnapshotInstall:
+@record(kw_only=True, init=False)
+class SnapshotInstall(Record):
     """Message: snapshot install."""
 
+    __slots__ = (
+        "term",
+        "leader",
+        "index",
+        "last_term",
+        "sent_ns",
+        "state",
+        "voters",
+    )
+
     term: int
     leader: str
     index: int
     last_term: int
     sent_ns: int
     state: str
-    voters: str = ""
-
-
-@attrs.frozen(kw_only=True)
-class StepOut:
+    voters: str
+
+    def __init__(
+        self,
+        *,
+        term: int,
+        leader: str,
+        index: int,
+        last_term: int,
+        sent_ns: int,
+        state: str,
+        voters: str = "",
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "term", term)
+        set_field(self, "leader", leader)
+        set_field(self, "index", index)
+        set_field(self, "last_term", last_term)
+        set_field(self, "sent_ns", sent_ns)
+        set_field(self, "state", state)
+        set_field(self, "voters", voters)
+
+
+@record(kw_only=True, init=False)
+class StepOut(Record):
     """Message: step out."""
 
+    __slots__ = ("host",)
+
     host: str
 
+    def __init__(
+        self,
+        *,
+        host: str,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "host", host)
+
 
-@attrs.frozen(kw_only=True)
-class Suspicion:
+@record(kw_only=True, init=False)
+class Suspicion(Record):
     """Message: suspicion."""
 
+    __slots__ = (
+        "host",
+        "group",
+        "target",
+        "term",
+        "refused",
+    )
+
     host: str
     group: str
     target: str
     term: int
     refused: bool
 
-
-@attrs.frozen(kw_only=True)
-class Switchover:
+    def __init__(
+        self,
+        *,
+        host: str,
+        group: str,
+        target: str,
+        term: int,
+        refused: bool,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "host", host)
+        set_field(self, "group", group)
+        set_field(self, "target", target)
+        set_field(self, "term", term)
+        set_field(self, "refused", refused)
+
+
+@record(kw_only=True, init=False)
+class Switchover(Record):
     """Message: switchover."""
 
+    __slots__ = (
+        "group",
+        "target",
+    )
+
     group: str
     target: str
 
+    def __init__(
+        self,
+        *,
+        group: str,
+        target: str,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "group", group)
+        set_field(self, "target", target)
+
 
-@attrs.frozen(kw_only=True)
-class TokenGrant:
+@record(kw_only=True, init=False)
+class TokenGrant(Record):
     """Message: token grant."""
 
+    __slots__ = (
+        "request_id",
+        "team",
+        "count",
+        "wait_ms",
+    )
+
     request_id: int
     team: str
     count: int
-    wait_ms: int = 0
-
+    wait_ms: int
 
-@attrs.frozen(kw_only=True)
-class TokenRequest:
+    def __init__(
+        self,
+        *,
+        request_id: int,
+        team: str,
+        count: int,
+        wait_ms: int = 0,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "request_id", request_id)
+        set_field(self, "team", team)
+        set_field(self, "count", count)
+        set_field(self, "wait_ms", wait_ms)
+
+
+@record(kw_only=True, init=False)
+class TokenRequest(Record):
     """Message: token request."""
 
+    __slots__ = (
+        "request_id",
+        "team",
+        "count",
+        "transfer",
+    )
+
     request_id: int
     team: str
     count: int
-    transfer: bool = False
-
-
-@attrs.frozen(kw_only=True)
-class ViewDelta:
+    transfer: bool
+
+    def __init__(
+        self,
+        *,
+        request_id: int,
+        team: str,
+        count: int,
+        transfer: bool = False,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "request_id", request_id)
+        set_field(self, "team", team)
+        set_field(self, "count", count)
+        set_field(self, "transfer", transfer)
+
+
+@record(kw_only=True, init=False)
+class ViewDelta(Record):
     """Message: view delta."""
 
+    __slots__ = ("entries",)
+
     entries: tuple[LogEntry, ...]
 
+    def __init__(
+        self,
+        *,
+        entries: tuple[LogEntry, ...],
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "entries", entries)
+
 
-@attrs.frozen(kw_only=True)
-class ViewSnapshot:
+@record(kw_only=True, init=False)
+class ViewSnapshot(Record):
     """Message: view snapshot."""
 
+    __slots__ = (
+        "index",
+        "state",
+    )
+
     index: int
     state: str
 
+    def __init__(
+        self,
+        *,
+        index: int,
+        state: str,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "index", index)
+        set_field(self, "state", state)
+
 
-@attrs.frozen(kw_only=True)
-class VoteReply:
+@record(kw_only=True, init=False)
+class VoteReply(Record):
     """Message: vote reply."""
 
+    __slots__ = (
+        "term",
+        "granted",
+        "pre",
+        "heard_age_ns",
+        "restarted",
+    )
+
     term: int
     granted: bool
     pre: bool
     heard_age_ns: int
-    restarted: bool = False
-
-
-@attrs.frozen(kw_only=True)
-class VoteRequest:
+    restarted: bool
+
+    def __init__(
+        self,
+        *,
+        term: int,
+        granted: bool,
+        pre: bool,
+        heard_age_ns: int,
+        restarted: bool = False,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "term", term)
+        set_field(self, "granted", granted)
+        set_field(self, "pre", pre)
+        set_field(self, "heard_age_ns", heard_age_ns)
+        set_field(self, "restarted", restarted)
+
+
+@record(kw_only=True, init=False)
+class VoteRequest(Record):
     """Message: vote request."""
 
+    __slots__ = (
+        "term",
+        "candidate",
+        "last_index",
+        "last_term",
+        "pre",
+        "after_restart",
+    )
+
     term: int
     candidate: str
     last_index: int
     last_term: int
     pre: bool
-    after_restart: bool = False
+    after_restart: bool
+
+    def __init__(
+        self,
+        *,
+        term: int,
+        candidate: str,
+        last_index: int,
+        last_term: int,
+        pre: bool,
+        after_restart: bool = False,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "term", term)
+        set_field(self, "candidate", candidate)
+        set_field(self, "last_index", last_index)
+        set_field(self, "last_term", last_term)
+        set_field(self, "pre", pre)
+        set_field(self, "after_restart", after_restart)
 
 
 Message = (
@@ -452,14 +1170,32 @@
 )
 
 
-@attrs.frozen(kw_only=True)
-class Envelope:
+@record(kw_only=True, init=False)
+class Envelope(Record):
     """Envelope of a message: its sender and a request id."""
 
+    __slots__ = (
+        "source",
+        "request_id",
+        "body",
+    )
+
     source: str
     request_id: int
     body: Message
 
+    def __init__(
+        self,
+        *,
+        source: str,
+        request_id: int,
+        body: Message,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "source", source)
+        set_field(self, "request_id", request_id)
+        set_field(self, "body", body)
+
 
 BODIES: dict[str, type[Message]] = {
     "voteRequest": VoteRequest,
