Log without absl at the start of a host, import http.client when it is used

Cause: absl.logging imports a parser of command lines (argparse, gettext, xml), http.client the packages email and ssl. The modules that a host needs at its start log through a child of absl's logger, so that the level that commands set with absl stays in force. http.client is imported by the first promotion; CherryPy has imported it on a control host by then.

--- a/src/rosemarysaddle/_events.py
+++ b/src/rosemarysaddle/_events.py
@@ -10,8 +10,8 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
-from absl import logging
 
+from rosemarysaddle import _log as logging
 from rosemarysaddle._clock import NS_PER_S, clock_ns
 
 if TYPE_CHECKING:
--- a/src/rosemarysaddle/_logging.py
+++ b/src/rosemarysaddle/_logging.py
@@ -7,14 +7,13 @@
 from __future__ import annotations
 
 import logging
-import logging.handlers
 import queue
 import sys
 import threading
 import time
 from typing import TYPE_CHECKING, Final
 
-from absl import logging as absl_logging
+from rosemarysaddle._log import LOGGER
 
 if TYPE_CHECKING:
     from typing import TextIO
@@ -115,7 +114,7 @@
     handler.setFormatter(LogfmtFormatter(host))
     root = logging.getLogger()
     root.handlers[:] = [handler]
-    absl_logging.set_verbosity(absl_logging.INFO)
+    LOGGER.setLevel(logging.INFO)
 
 
 def _quoted(text: str) -> str:
--- a/src/rosemarysaddle/_tasks.py
+++ b/src/rosemarysaddle/_tasks.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
-from absl import logging
+from rosemarysaddle import _log as logging
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
--- a/src/rosemarysaddle/link/_peers.py
+++ b/src/rosemarysaddle/link/_peers.py
@@ -14,8 +14,8 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
-from absl import logging
 
+from rosemarysaddle import _log as logging
 from rosemarysaddle.link._address import Address
 from rosemarysaddle.link._codec import (
     MAX_MESSAGE_BYTES,
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -13,8 +13,8 @@
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
-from absl import logging
 
+from rosemarysaddle import _log as logging
 from rosemarysaddle._clock import clock_ns
 from rosemarysaddle._events import log_event
 from rosemarysaddle._jitter import election_jitter
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -13,8 +13,8 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
-from absl import logging
 
+from rosemarysaddle import _log as logging
 from rosemarysaddle._clock import clock_ns
 from rosemarysaddle._tasks import spawn
 from rosemarysaddle.connection import Lender
--- a/src/rosemarysaddle/node/_follower_log.py
+++ b/src/rosemarysaddle/node/_follower_log.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING
 
 import attrs
-from absl import logging
 
+from rosemarysaddle import _log as logging
 from rosemarysaddle.decide import BEHIND_MS, NS_PER_MS
 
 if TYPE_CHECKING:
--- a/src/rosemarysaddle/node/_identity.py
+++ b/src/rosemarysaddle/node/_identity.py
@@ -5,8 +5,6 @@
 import secrets
 from typing import TYPE_CHECKING, Final
 
-from rosemarysaddle.store import Journal
-
 if TYPE_CHECKING:
     from pathlib import Path
 
@@ -27,6 +25,9 @@
 
     :param folder: data folder of the host
     """
+    # Entry hosts use this module too and have no journal.
+    from rosemarysaddle.store import Journal  # noqa: PLC0415
+
     folder.mkdir(parents=True, exist_ok=True)
     path = folder / IDENTITY_FILE
     if path.exists():
--- a/src/rosemarysaddle/node/_main.py
+++ b/src/rosemarysaddle/node/_main.py
@@ -9,8 +9,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Final
 
-from absl import logging
-
+from rosemarysaddle import _log as logging
 from rosemarysaddle._limits import raise_file_limit
 from rosemarysaddle._logging import set_up_logging
 from rosemarysaddle.schema import Node, SchemaFault, load_file
--- a/src/rosemarysaddle/node/_orders.py
+++ b/src/rosemarysaddle/node/_orders.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
-from absl import logging
 
+from rosemarysaddle import _log as logging
 from rosemarysaddle._clock import clock_ns
 from rosemarysaddle.connection import TargetConnection, open_connection
 from rosemarysaddle.decide import NS_PER_MS, FaultCode, TargetReport
--- a/src/rosemarysaddle/platform/_http.py
+++ b/src/rosemarysaddle/platform/_http.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-import http.client
+import http
 import json
 import socket
 import struct
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
-from absl import logging
 
+from rosemarysaddle import _log as logging
 from rosemarysaddle._clock import NS_PER_S, clock_ns
 from rosemarysaddle.link import Address
 from rosemarysaddle.node import TargetStatus
@@ -209,6 +209,10 @@
             order is dropped if it returns false
         :return: whether the platform accepted the order
         """
+        # Imports the packages for e-mail and TLS; CherryPy has imported
+        # them on a control host that serves its API.
+        import http.client  # noqa: PLC0415
+
         address = Address.parse(self.address)
         remaining_s = (order.deadline_ns - clock_ns()) / NS_PER_S
         timeout_s = max(_MIN_TIMEOUT_S, min(remaining_s, _PROMOTE_TIMEOUT_S))
@@ -246,7 +250,7 @@
             order.target,
             status,
         )
-        return status == http.client.OK
+        return status == http.HTTPStatus.OK
 
 
 def _is_ip(text: str) -> bool:
@@ -265,7 +269,7 @@
 def _reply(start_response: Any, code: int, body: Any) -> Iterable[bytes]:
     text = body if isinstance(body, str) else json.dumps(body)
     data = text.encode()
-    reason = http.client.responses[code]
+    reason = http.HTTPStatus(code).phrase
     start_response(
         f"{code} {reason}",
         [
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -14,7 +14,8 @@
 ) -> int:
     logged: list[Any] = []
     monkeypatch.setattr(
-        "absl.logging.error", lambda *_, exc_info: logged.append(exc_info)
+        "rosemarysaddle._log.error",
+        lambda *_, exc_info: logged.append(exc_info),
     )
 
     async def work() -> None:
