Start a host without CherryPy, jsonschema, pyjson5 and OpenSSL

Cause: an entry host imported CherryPy for one readiness check a second and for metrics; settings that are plain JSON but for comment lines went through pyjson5 (datetime, decimal, pprint) and jsonschema; asyncio imports ssl, which no link between hosts uses; pathlib imports urllib.parse and ipaddress.

Readiness checks are answered on the event loop. Any other request makes the HttpServer take the same socket over, so that it stays behind the address. Metrics start their HttpServer with the first scrape. The launcher imports asyncio as on a Python without OpenSSL and collects no garbage until the host has started.

Ruled out: handing the address over after a fixed time: all hosts that lost power would then import CherryPy in the same seconds, under the load of the return.

--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -22,11 +22,11 @@
         SaveEntries,
         SaveSnapshot,
         SaveVote,
-        Send,
         TargetReport,
     )
     from rosemarysaddle.decide._entry import EntryNode, WriteTicket
     from rosemarysaddle.decide._reasons import Outcome, Reason, Refusal, Step
+    from rosemarysaddle.decide._send import Send
     from rosemarysaddle.decide._statements import (
         NO_ANSWER,
         Answer,
@@ -213,7 +213,6 @@
             "SaveEntries",
             "SaveSnapshot",
             "SaveVote",
-            "Send",
             "TargetReport",
         ),
         "_entry": (
@@ -226,6 +225,7 @@
             "Refusal",
             "Step",
         ),
+        "_send": ("Send",),
         "_statements": (
             "NO_ANSWER",
             "Answer",
--- a/src/rosemarysaddle/decide/_effects.py
+++ b/src/rosemarysaddle/decide/_effects.py
@@ -6,10 +6,12 @@
 
 import attrs
 
+from rosemarysaddle.decide._send import Send
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from rosemarysaddle.schema import LogEntry, Message
+    from rosemarysaddle.schema import LogEntry
 
 __all__ = (
     "Committed",
@@ -26,14 +28,6 @@
 )
 
 
-@attrs.frozen(kw_only=True)
-class Send:
-    """Send one message to a peer; delivery is not guaranteed."""
-
-    peer: str
-    message: Message
-
-
 @attrs.frozen(kw_only=True)
 class SaveVote:
     """Store term and vote durably before the next effect runs."""
--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -11,8 +11,8 @@
 
 import attrs
 
-from rosemarysaddle.decide._effects import Effect, Send
 from rosemarysaddle.decide._reasons import Reason, Refusal, Step
+from rosemarysaddle.decide._send import Send
 from rosemarysaddle.decide._times import NS_PER_MS, RENEWAL_INTERVAL_MS
 from rosemarysaddle.decide.control_log._state import ClusterState
 from rosemarysaddle.decide.leases._lease import HostLease
@@ -33,6 +33,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from rosemarysaddle.decide._effects import Effect
     from rosemarysaddle.decide.primaries._terms import GroupTerm
     from rosemarysaddle.schema import Message
 
--- a/src/rosemarysaddle/link/_codec.py
+++ b/src/rosemarysaddle/link/_codec.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import functools
-from pathlib import Path
+import os.path
 from typing import Any, Final
 
 import attrs
@@ -19,8 +19,13 @@
 __all__ = ("MAX_MESSAGE_BYTES", "DecodeFault", "decode", "encode")
 
 MAX_MESSAGE_BYTES: Final = 64 * 1024 * 1024
-_SCHEMA_FOLDER: Final = Path(_messages.__file__).parent
-_CAPNP_SCHEMA: Final = capnp.load(str(_SCHEMA_FOLDER / "messages.capnp"))
+# pathlib imports urllib.parse and ipaddress, which a start can do
+# without.
+_SCHEMA_PATH: Final = os.path.join(  # noqa: PTH118
+    os.path.dirname(_messages.__file__),  # noqa: PTH120
+    "messages.capnp",
+)
+_CAPNP_SCHEMA: Final = capnp.load(_SCHEMA_PATH)
 _WIRE_NAMES: Final = {
     message_class: wire_name for wire_name, message_class in BODIES.items()
 }
--- a/src/rosemarysaddle/node/__init__.py
+++ b/src/rosemarysaddle/node/__init__.py
@@ -6,13 +6,18 @@
 
 from __future__ import annotations
 
-from rosemarysaddle.node._main import run_node
-from rosemarysaddle.node._platform import (
-    Platform,
-    Promoter,
-    PromotionOrder,
-    TargetStatus,
-)
+from typing import TYPE_CHECKING, Any, Final
+
+from rosemarysaddle._lazy import LazyNames
+
+if TYPE_CHECKING:
+    from rosemarysaddle.node._main import run_node
+    from rosemarysaddle.node._platform import (
+        Platform,
+        Promoter,
+        PromotionOrder,
+        TargetStatus,
+    )
 
 __all__ = (
     "Platform",
@@ -21,3 +26,22 @@
     "TargetStatus",
     "run_node",
 )
+
+# Only control hosts use the classes of the platform's interface.
+_NAMES: Final = LazyNames(
+    package=__name__,
+    modules={
+        "_main": ("run_node",),
+        "_platform": (
+            "Platform",
+            "Promoter",
+            "PromotionOrder",
+            "TargetStatus",
+        ),
+    },
+)
+
+
+def __getattr__(name: str) -> Any:
+    """Import a name when it is used for the first time."""
+    return _NAMES.load(name, globals())
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -39,11 +39,11 @@
 )
 from rosemarysaddle.link import Address, PeerNetwork, UnmodifiedNetwork
 from rosemarysaddle.node._follower_log import FollowerLog
-from rosemarysaddle.node._host_metrics import control_metrics, start_metrics
 from rosemarysaddle.node._identity import (
     load_or_create_host_name,
     peer_address,
 )
+from rosemarysaddle.node._lazy_http import LazyHttpServer
 from rosemarysaddle.node._orders import AnnouncedTargetOrders
 from rosemarysaddle.node._timing import (
     CONTROL_TICK_S,
@@ -63,6 +63,7 @@
 from rosemarysaddle.store import Journal
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Sequence
 
     from rosemarysaddle.decide import Effect
@@ -102,7 +103,7 @@
     _orders: AnnouncedTargetOrders = attrs.field(init=False)
     _loop: asyncio.AbstractEventLoop = attrs.field(init=False)
     _http: HttpServer = attrs.field(init=False)
-    _metrics: HttpServer | None = attrs.field(default=None, init=False)
+    _metrics: LazyHttpServer | None = attrs.field(default=None, init=False)
     _pending_replies: dict[str, asyncio.Future[ChangeReply]] = attrs.field(
         factory=dict, init=False
     )
@@ -160,7 +161,7 @@
         await asyncio.sleep(STOP_GRACE_S)
         await asyncio.to_thread(self._http.stop)
         if self._metrics is not None:
-            await asyncio.to_thread(self._metrics.stop)
+            await self._metrics.stop()
         for task in list(self._jobs):
             task.cancel()
         await self.network.stop()
@@ -212,8 +213,21 @@
         )
         self._http.tree.graft(self.platform.control_app(self), "")
         self._http.start()
-        self._metrics = start_metrics(
-            self.settings, lambda: control_metrics(self.control)
+        if self.settings.metrics_address:
+            self._metrics = LazyHttpServer(
+                address=Address.parse(self.settings.metrics_address),
+                start_server=self._start_metrics,
+            )
+            await self._metrics.start()
+
+    def _start_metrics(self, listener: socket.socket) -> HttpServer | None:
+        from rosemarysaddle.node._host_metrics import (  # noqa: PLC0415
+            control_metrics,
+            start_metrics,
+        )
+
+        return start_metrics(
+            self.settings, lambda: control_metrics(self.control), listener
         )
 
     # --- called from the threads of the HTTP server ---
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import importlib
 import secrets
 from typing import TYPE_CHECKING, Final
 
@@ -20,12 +19,13 @@
 from rosemarysaddle.connection import Lender
 from rosemarysaddle.decide import EntryNode, Send
 from rosemarysaddle.link import Address, PeerNetwork, UnmodifiedNetwork
-from rosemarysaddle.node._host_metrics import entry_metrics, start_metrics
 from rosemarysaddle.node._identity import peer_address
+from rosemarysaddle.node._lazy_http import LazyHttpServer
 from rosemarysaddle.node._timing import ENTRY_TICK_S, RENEWAL_INTERVAL_MS
 from rosemarysaddle.session import CallerSession, Router
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Iterable, Sequence
 
     from rosemarysaddle._prometheus import Metric
@@ -67,8 +67,7 @@
     _lending_server: asyncio.Server | None = attrs.field(
         default=None, init=False
     )
-    _readiness_server: HttpServer = attrs.field(init=False)
-    _metrics: HttpServer | None = attrs.field(default=None, init=False)
+    _http_servers: list[LazyHttpServer] = attrs.field(factory=list, init=False)
     _jobs: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
     _was_ready: bool = attrs.field(default=False, init=False)
 
@@ -115,23 +114,45 @@
         )
         await self._start_lending()
         spawn(self._tick_forever(), self._jobs)
-        # The import takes as long as getting the first lease, so it
-        # runs in a thread to keep the event loop responsive.
-        web = await asyncio.to_thread(
-            importlib.import_module, "rosemarysaddle.web"
+        await self._start_http()
+        logging.info("event=started name=%s", self.node.host)
+
+    async def _start_http(self) -> None:
+        readiness = LazyHttpServer(
+            address=Address.parse(self.settings.ready_address),
+            start_server=self._start_readiness,
+            plain_app=self.platform.readiness_app(self.is_ready),
         )
-        self._readiness_server = web.HttpServer(
+        self._http_servers.append(readiness)
+        if self.settings.metrics_address:
+            metrics = LazyHttpServer(
+                address=Address.parse(self.settings.metrics_address),
+                start_server=self._start_metrics,
+            )
+            self._http_servers.append(metrics)
+        for server in self._http_servers:
+            await server.start()
+
+    def _start_readiness(self, listener: socket.socket) -> HttpServer:
+        from rosemarysaddle.web import HttpServer  # noqa: PLC0415
+
+        server = HttpServer(
             address=Address.parse(self.settings.ready_address),
             threads=READINESS_THREADS,
             max_body_bytes=READINESS_MAX_BODY_BYTES,
             stop_timeout_s=POLL_INTERVAL_S,
+            listener=listener,
         )
-        self._readiness_server.tree.graft(
-            self.platform.readiness_app(self.is_ready), ""
+        server.tree.graft(self.platform.readiness_app(self.is_ready), "")
+        server.start()
+        return server
+
+    def _start_metrics(self, listener: socket.socket) -> HttpServer | None:
+        from rosemarysaddle.node._host_metrics import (  # noqa: PLC0415
+            start_metrics,
         )
-        self._readiness_server.start()
-        self._metrics = start_metrics(self.settings, self._collect_metrics)
-        logging.info("event=started name=%s", self.node.host)
+
+        return start_metrics(self.settings, self._collect_metrics, listener)
 
     async def _start_lending(self) -> None:
         if not self.settings.lending_address:
@@ -177,9 +198,8 @@
         self.lender.close()
         self._execute_effects(self.node.stop())
         await asyncio.sleep(POLL_INTERVAL_S)
-        await asyncio.to_thread(self._readiness_server.stop)
-        if self._metrics is not None:
-            await asyncio.to_thread(self._metrics.stop)
+        for server in self._http_servers:
+            await server.stop()
         await self.network.stop()
 
     def _stop_lending(self) -> None:
@@ -199,6 +219,10 @@
         logging.info("event=reloaded seeds=%s", ",".join(settings.seeds))
 
     def _collect_metrics(self) -> Iterable[Metric]:
+        from rosemarysaddle.node._host_metrics import (  # noqa: PLC0415
+            entry_metrics,
+        )
+
         return entry_metrics(
             self.node,
             self.router,
--- a/src/rosemarysaddle/node/_host_metrics.py
+++ b/src/rosemarysaddle/node/_host_metrics.py
@@ -10,6 +10,7 @@
 from rosemarysaddle.session import LATENCY_BOUNDS_MS
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Callable, Iterable, Iterator, Mapping
 
     from rosemarysaddle._prometheus import Metric
@@ -28,12 +29,17 @@
 
 
 def start_metrics(
-    settings: Node, metrics: Callable[[], Iterable[Metric]]
+    settings: Node,
+    metrics: Callable[[], Iterable[Metric]],
+    listener: socket.socket | None = None,
 ) -> HttpServer | None:
     """Serve the metrics of a host if the settings name an address.
 
-    Call it once :mod:`rosemarysaddle.web` is imported: that takes time.
+    The import of :mod:`rosemarysaddle.web` takes time; call it in a
+    thread.
 
+    :param listener: socket that listens on the address, if there is one
+        already
     :return: the server, or None without an address
     """
     if not settings.metrics_address:
@@ -45,6 +51,7 @@
         threads=METRICS_THREADS,
         max_body_bytes=MAX_BODY_BYTES,
         stop_timeout_s=STOP_GRACE_S,
+        listener=listener,
     )
     server.tree.graft(metrics_app(metrics), "/metrics")
     server.start()
--- a/src/rosemarysaddle/node/_main.py
+++ b/src/rosemarysaddle/node/_main.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import os
 import signal
 import sys
-from pathlib import Path
 from typing import TYPE_CHECKING, Final
 
 from rosemarysaddle import _log as logging
@@ -63,6 +63,10 @@
         loop.add_signal_handler(signal_number, stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, host, path)
     await host.start()
+    # Launching disables the collection of cyclic garbage; what exists
+    # now stays for as long as the process.
+    gc.freeze()
+    gc.enable()
     watch_task = loop.create_task(
         watch_settings(path, lambda: _reload(host, path))
     )
@@ -88,7 +92,7 @@
 
 def _file_fingerprint(path: str) -> tuple[int, int, int] | None:
     try:
-        status = Path(path).stat()
+        status = os.stat(path)  # noqa: PTH116  # pathlib is slow to import
     except OSError:
         # The file is being replaced; the next poll finds the new one.
         return None
--- a/src/rosemarysaddle/platform/__init__.py
+++ b/src/rosemarysaddle/platform/__init__.py
@@ -10,12 +10,7 @@
 
 import attrs
 
-from rosemarysaddle.platform._http import (
-    ControlApp,
-    PromotionClient,
-    read_status,
-    readiness_app,
-)
+from rosemarysaddle.platform._readiness import readiness_app
 from rosemarysaddle.platform._wire import CallerLineCodec, TargetLineCodec
 
 if TYPE_CHECKING:
@@ -32,7 +27,10 @@
 
 @attrs.frozen(kw_only=True)
 class UsersPlatform:
-    """Implementation of the node's interface to the platform."""
+    """Implementation of the node's interface to the platform.
+
+    What only control hosts use is imported when they use it.
+    """
 
     def caller_codec(self) -> CallerCodec:
         """Build the codec for the connection of one caller."""
@@ -44,10 +42,16 @@
 
     def read_status(self, answer: Answer) -> TargetStatus | None:
         """Decode the answer of a target to a status request."""
+        from rosemarysaddle.platform._http import read_status  # noqa: PLC0415
+
         return read_status(answer)
 
     def promoter(self, address: str) -> Promoter:
         """Build the client that sends promotion orders."""
+        from rosemarysaddle.platform._http import (  # noqa: PLC0415
+            PromotionClient,
+        )
+
         return PromotionClient(address=address)
 
     def readiness_app(self, is_ready: Callable[[], bool]) -> Any:
@@ -56,6 +60,8 @@
 
     def control_app(self, host: Any) -> Any:
         """Build the WSGI application for operators and targets."""
+        from rosemarysaddle.platform._http import ControlApp  # noqa: PLC0415
+
         return ControlApp(host=host)
 
     def settings_path(self, environment: Mapping[str, str]) -> str:
--- a/src/rosemarysaddle/platform/_http.py
+++ b/src/rosemarysaddle/platform/_http.py
@@ -14,6 +14,7 @@
 from rosemarysaddle._clock import NS_PER_S, clock_ns
 from rosemarysaddle.link import Address
 from rosemarysaddle.node import TargetStatus
+from rosemarysaddle.platform._readiness import PATH_PREFIX
 from rosemarysaddle.schema import Announcement, SchemaFault
 
 if TYPE_CHECKING:
@@ -27,28 +28,14 @@
     "PromotionClient",
     "read_announcement",
     "read_status",
-    "readiness_app",
 )
 
-_PATH_PREFIX: Final = "/rosemarysaddle"
 _ROLES: Final = {"primary", "replica"}
 _MIN_STATUS_FIELDS: Final = 4
 _PROMOTE_TIMEOUT_S: Final = 1.0
 _MIN_TIMEOUT_S: Final = 0.05
 
 
-def readiness_app(is_ready: Callable[[], bool]) -> Any:
-    """Build the WSGI application for readiness checks."""
-
-    def app(environ: Any, start_response: Any) -> Iterable[bytes]:
-        is_ok = (
-            environ["PATH_INFO"] == f"{_PATH_PREFIX}/readiness" and is_ready()
-        )
-        return _reply(start_response, 200 if is_ok else 503, {})
-
-    return app
-
-
 @attrs.frozen(kw_only=True)
 class ControlApp:
     """WSGI application for operators and targets.
@@ -67,7 +54,7 @@
     def _dispatch(
         self, environ: Any, method: str, path: str
     ) -> tuple[int, Any]:
-        parts = path.removeprefix(_PATH_PREFIX).strip("/").split("/")
+        parts = path.removeprefix(PATH_PREFIX).strip("/").split("/")
         match (method, parts):
             case ("POST", ["instances", target, "heartbeat"]):
                 return self._heartbeat(target, _read_body(environ))
--- a/src/rosemarysaddle/schema/_check.py
+++ b/src/rosemarysaddle/schema/_check.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 import functools
-from pathlib import Path
+import json
+import re
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 import attrs
-import pyjson5
 
 from rosemarysaddle.schema._readers import READERS, UncheckedError
 
@@ -27,6 +27,9 @@
 )
 
 MAX_DOCUMENT_BYTES: Final = 64 * 1024 * 1024
+# A string of JSON does not continue on the next line, so that such a
+# line is never part of a value.
+_COMMENT_LINE: Final = re.compile(r"^[ \t]*//.*$", re.MULTILINE)
 
 T = TypeVar("T")
 
@@ -57,7 +60,9 @@
     :return: the document, or the fault found in it
     """
     try:
-        text = Path(path).read_text(encoding="utf-8")
+        # pathlib is imported by no other module that a start needs.
+        with open(path, encoding="utf-8") as file:  # noqa: PTH123
+            text = file.read()
     except (OSError, UnicodeDecodeError) as error:
         return SchemaFault(source=path, path="$", reason=str(error))
     return load_document(document_class, text, source=path)
@@ -79,6 +84,13 @@
             path="$",
             reason="document longer than 64 Mi characters",
         )
+    # Most documents are JSON but for lines of comments, and most are
+    # valid: then pyjson5 and jsonschema need not be imported.
+    document = _load_plain(document_class, text)
+    if document is not None:
+        return document
+    import pyjson5  # noqa: PLC0415
+
     try:
         value = pyjson5.decode(text, maxdepth=32)
     except (pyjson5.Json5Exception, ValueError) as error:
@@ -87,6 +99,18 @@
     return parse_document(document_class, value, source=source)
 
 
+def _load_plain(document_class: type[T], text: str) -> T | None:
+    """Load a valid document in JSON with lines of comments.
+
+    :return: the document, or None if the text may be anything else
+    """
+    try:
+        value = json.loads(_COMMENT_LINE.sub("", text))
+    except (ValueError, RecursionError):
+        return None
+    return _read(document_class, value)
+
+
 def parse_document(
     document_class: type[T], value: Any, *, source: str
 ) -> T | SchemaFault:
--- a/src/rosemarysaddle/schema/_readers.py
+++ b/src/rosemarysaddle/schema/_readers.py
@@ -111,7 +111,7 @@
         item = value["role"]
         if type(item) is not str:
             raise UncheckedError
-        if item not in ("entry", "control"):
+        if item not in {"entry", "control"}:
             raise UncheckedError
         fields["role"] = item
     else:
@@ -285,7 +285,7 @@
         item = value["freshness"]
         if type(item) is not str:
             raise UncheckedError
-        if item not in ("primary", "bounded_staleness", "read_your_writes"):
+        if item not in {"primary", "bounded_staleness", "read_your_writes"}:
             raise UncheckedError
         fields["freshness"] = item
     else:
--- a/src/rosemarysaddle/schema/generate.py
+++ b/src/rosemarysaddle/schema/generate.py
@@ -313,7 +313,7 @@
     rows = "\n".join(f"    {n}: _read_{_snake_class(n)}," for n in classes)
     table = f"READERS: Final[dict[type, Any]] = {{\n{rows}\n}}\n"
     header = _READERS_HEADER.format(names=names)
-    return "\n\n".join([header, constants, *functions, table])
+    return "\n\n".join([header, f"{constants}\n", *functions, table])
 
 
 def _reader(
@@ -363,7 +363,8 @@
     kind = body["type"]
     faults = [_TYPE_FAULTS[kind].format(value=value)]
     if "enum" in body:
-        faults.append(f"{value} not in {tuple(body['enum'])!r}")
+        values = ", ".join(json.dumps(v) for v in body["enum"])
+        faults.append(f"{value} not in {{{values}}}")
     if "pattern" in body:
         constant = patterns.setdefault(
             body["pattern"], f"_PATTERN_{len(patterns) + 1}"
--- a/src/rosemarysaddle/web/_server.py
+++ b/src/rosemarysaddle/web/_server.py
@@ -45,12 +45,15 @@
     :param max_body_bytes: maximum size of a request body
     :param stop_timeout_s: time for running requests to finish when the
         server stops, in seconds
+    :param listener: socket that listens on the address, if there is one
+        already
     """
 
     address: Address
     threads: int
     max_body_bytes: int
     stop_timeout_s: float = STOP_TIMEOUT_S
+    listener: socket.socket | None = None
     tree: Any = attrs.field(factory=Tree, init=False)
     _server: Any = attrs.field(default=None, init=False)
     _thread: threading.Thread | None = attrs.field(default=None, init=False)
@@ -71,7 +74,7 @@
         adapter.shutdown_timeout = self.stop_timeout_s
         adapter.max_request_body_size = self.max_body_bytes
         adapter.max_request_header_size = MAX_HEADER_BYTES
-        self._server = _ParkingServer(adapter)
+        self._server = _ParkingServer(adapter, self.listener)
         self._server.wsgi_app = self.tree
         self._server.max_request_body_size = self.max_body_bytes
         self._server.max_request_header_size = MAX_HEADER_BYTES
@@ -94,8 +97,9 @@
 
     keep_alive_conn_limit = None
 
-    def __init__(self, adapter: Any) -> None:
+    def __init__(self, adapter: Any, listener: socket.socket | None) -> None:
         super().__init__(adapter)
+        self._listener = listener
         self._partial: dict[Any, float] = {}
         self._partial_lock = threading.Lock()
         self._stopped = threading.Event()
@@ -109,6 +113,14 @@
         super().prepare()
         self._poller.start()
 
+    def bind(self, family: int, kind: int, proto: int = 0) -> Any:
+        """Bind the address unless a socket already listens on it."""
+        if self._listener is None:
+            return super().bind(family, kind, proto)
+        self.socket = self._listener
+        self.bind_addr = self.resolve_real_bind_addr(self._listener)
+        return self.socket
+
     def process_conn(self, conn: Any) -> None:
         """Pass a connection to a worker, or park it.
 
--- a/tests/schema/test_generate.py
+++ b/tests/schema/test_generate.py
@@ -13,3 +13,9 @@
     committed = (generate.FOLDER / "_documents.py").read_text()
 
     assert generate.render_documents() == committed
+
+
+def test_render_readers_matches_committed_module() -> None:
+    committed = (generate.FOLDER / "_readers.py").read_text()
+
+    assert generate.render_readers() == committed
