Answer renewals from before an election once a leader is known

Cause: an entry host that starts together with the control hosts asked one of them after the other, 100 to 300 ms each, and learned of the leader up to 0.5 s after the election; control hosts imported CherryPy during the election, which took 0.23 s longer for it.

Control hosts keep the renewals that found no leader and answer them when they know one. An entry host asks all control hosts until one answers, and goes to the leader as soon as it is named. Control hosts import CherryPy after the election. A new leader converts small states without cattrs.

Ruled out: asking all control hosts every 100 ms until the lease, which takes 810 messages/s of each of six control hosts with 81 entry hosts.

--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -34,6 +34,7 @@
 from rosemarysaddle.decide.leases._lease import LeaseTable
 from rosemarysaddle.decide.leases._lease_holders import LeaseHolderRegistry
 from rosemarysaddle.decide.leases._neighbours import NeighbourLists
+from rosemarysaddle.decide.leases._waiting_hosts import WaitingHosts
 from rosemarysaddle.decide.primaries._primaries import PrimaryManager
 from rosemarysaddle.decide.primaries._reconciler import (
     ADMIT_ATTEMPT,
@@ -109,6 +110,9 @@
         factory=lambda: collections.deque(maxlen=MAX_RECENT_ENTRIES),
         init=False,
     )
+    _waiting_hosts: WaitingHosts = attrs.field(
+        factory=WaitingHosts, init=False
+    )
     _snapshot: ViewSnapshot | None = attrs.field(default=None, init=False)
     _lease_term: int = attrs.field(default=0, init=False)
     _waiting_proposers: dict[str, list[str]] = attrs.field(
@@ -149,6 +153,7 @@
             effects.extend(self.primaries.tick(now_ns))
             effects.extend(self._lease_holders.tick(now_ns))
             effects.extend(self._tick_voters(now_ns))
+        effects.extend(self._answer_waiting_hosts(now_ns))
         return effects
 
     def receive(
@@ -164,6 +169,7 @@
             case LeaseRenewal():
                 return self._on_renewal(source, message, now_ns)
             case LeaseReturn():
+                self._waiting_hosts.drop(message.host)
                 self._context.leases.drop(message.host)
                 return self.primaries.on_lease_returned(message.host, now_ns)
             case GroupClosed():
@@ -191,7 +197,8 @@
                 return [self._answer_index_request(source, message, now_ns)]
             case _:
                 effects = self.log.receive(source, message, now_ns)
-                return self._process_effects(effects, now_ns)
+                out = self._process_effects(effects, now_ns)
+                return [*out, *self._answer_waiting_hosts(now_ns)]
 
     def on_probe(
         self,
@@ -343,7 +350,9 @@
         self, source: str, renewal: LeaseRenewal, now_ns: int
     ) -> list[Effect]:
         if not self._leads(now_ns):
-            leader = self.log.leader if self.log.leader != self.host else ""
+            leader = self._other_leader()
+            if not leader:
+                self._waiting_hosts.add(source, renewal, now_ns)
             refusal = LeaseRefusal(sent_ns=renewal.sent_ns, leader=leader)
             return [Send(peer=source, message=refusal)]
         if not self._lease_holders.is_registered(source):
@@ -377,6 +386,18 @@
         out.extend(Send(peer=h, message=m) for h, m in lists.items())
         return [*out, Send(peer=source, message=grant)]
 
+    def _other_leader(self) -> str:
+        return self.log.leader if self.log.leader != self.host else ""
+
+    def _answer_waiting_hosts(self, now_ns: int) -> list[Effect]:
+        leads, leader = self._leads(now_ns), self._other_leader()
+        if not leads and not leader:
+            return []
+        out: list[Effect] = []
+        for host, renewal in self._waiting_hosts.take(now_ns):
+            out.extend(self._on_renewal(host, renewal, now_ns))
+        return out
+
     def _view_for(self, host: str, applied_index: int) -> Send:
         entries = self._entries_after(applied_index)
         if entries is None:
--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -100,6 +100,8 @@
     _drains: dict[str, _Drain] = attrs.field(factory=dict, init=False)
     _next_suspicion_ns: dict[str, int] = attrs.field(factory=dict, init=False)
     _stopping: bool = attrs.field(default=False, init=False)
+    _has_heard_control: bool = attrs.field(default=False, init=False)
+    _is_redirected: bool = attrs.field(default=False, init=False)
 
     def tick(self, now_ns: int) -> list[Effect]:
         """Finish drains and renew the lease if they are due.
@@ -108,7 +110,7 @@
         """
         effects = self._finish_drains(now_ns)
         if now_ns >= self._renew_at_ns and not self._stopping:
-            effects.append(self._renew(now_ns))
+            effects.extend(self._renew(now_ns))
         return effects
 
     def receive(
@@ -124,7 +126,7 @@
             case LeaseGrant():
                 return self._on_grant(source, message, now_ns)
             case LeaseRefusal():
-                self._on_refusal(message, now_ns)
+                return self._on_refusal(source, message, now_ns)
             case CloseGroup():
                 return self._on_close(source, message, now_ns)
             case ViewDelta():
@@ -249,9 +251,13 @@
         self.lease.end()
         return [Send(peer=self._leader(), message=LeaseReturn(host=self.host))]
 
-    def _renew(self, now_ns: int) -> Send:
+    def _renew(self, now_ns: int) -> list[Effect]:
         self._renew_at_ns = now_ns + RENEWAL_TIMEOUT_MS * NS_PER_MS
-        peer = self._leader()
+        self._is_redirected = False
+        peers = [self._leader()]
+        if not self._has_heard_control:
+            # At the start, any of them may be the one that answers.
+            peers = list(self.control)
         if not self.lease.leader:
             # No answer to the last renewal: drop the hint after this
             # attempt and try the control hosts in turn.
@@ -267,7 +273,7 @@
             lending_address=self.lending_address,
             neighbours_tag=self._neighbours_tag,
         )
-        return Send(peer=peer, message=renewal)
+        return [Send(peer=peer, message=renewal) for peer in peers]
 
     def _leader(self) -> str:
         if self.lease.leader:
@@ -281,6 +287,7 @@
     ) -> list[Effect]:
         if self._stopping:
             return []
+        self._has_heard_control = True
         self._leader_hint = source
         self._renew_at_ns = now_ns + self.renewal_ms * NS_PER_MS
         effects: list[Effect] = []
@@ -294,16 +301,28 @@
             self.ready = True
         return effects
 
-    def _on_refusal(self, refusal: LeaseRefusal, now_ns: int) -> None:
+    def _on_refusal(
+        self, source: str, refusal: LeaseRefusal, now_ns: int
+    ) -> list[Effect]:
+        self._has_heard_control = True
+        if self.lease.leader not in {"", source}:
+            # Late: another control host has answered since.
+            return []
         if refusal.leader:
             self._leader_hint = refusal.leader
             self.lease.leader = refusal.leader
             self._renew_at_ns = now_ns
-            return
+            if self._is_redirected or self._stopping:
+                # Hosts that name each other wait for the next tick.
+                return []
+            effects = self._renew(now_ns)
+            self._is_redirected = True
+            return effects
         # Without a known leader, try the next control host, sooner than
         # after a renewal that got no answer.
         self._control_index += 1
         self._renew_at_ns = now_ns + RENEWAL_TIMEOUT_MS * NS_PER_MS // 3
+        return []
 
     def _on_delta(self, delta: ViewDelta, now_ns: int) -> None:
         for entry in delta.entries:
--- a/src/rosemarysaddle/decide/control_log/_state.py
+++ b/src/rosemarysaddle/decide/control_log/_state.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import functools
 import json
 from typing import TYPE_CHECKING, Any, Final, TypeVar
 
@@ -37,7 +36,7 @@
 )
 
 if TYPE_CHECKING:
-    import cattrs
+    from collections.abc import Callable
 
     from rosemarysaddle.decide.control_log._log import StoredLog
     from rosemarysaddle.schema import RequestClass, Tenant
@@ -51,6 +50,9 @@
 )
 
 MAX_KEPT_CHANGES: Final = 4_096
+# cattrs is four times as fast, but takes longer to import than such a
+# state to convert, at a time when a new leader has leases to grant.
+MAX_ROWS_WITHOUT_CATTRS: Final = 2_000
 
 T = TypeVar("T")
 
@@ -213,15 +215,20 @@
 
     def dump(self) -> str:
         """Serialize the state as JSON for a snapshot."""
-        unstructure = _converter().unstructure
+        to_json: Callable[[Any], Any] = _as_json
+        rows = len(self.inventory.groups) + len(self.terms)
+        if rows + len(self.replies) > MAX_ROWS_WITHOUT_CATTRS:
+            import cattrs  # noqa: PLC0415
+
+            to_json = cattrs.unstructure
         body = {
             "index": self.index,
             "versions": [self.inventory_version, self.rules_version],
-            "inventory": unstructure(self.inventory.document()),
-            "rules": unstructure(self.rules),
-            "terms": unstructure(self.terms),
-            "replies": unstructure(self.replies),
-            "history": unstructure(self.history),
+            "inventory": to_json(self.inventory.document()),
+            "rules": to_json(self.rules),
+            "terms": to_json(self.terms),
+            "replies": to_json(self.replies),
+            "history": to_json(self.history),
             "voters": self.voters,
             "entry_hosts": self.entry_hosts,
             "lease_holders": sorted(self.lease_holders),
@@ -441,11 +448,15 @@
     )
 
 
-@functools.cache
-def _converter() -> cattrs.Converter:
-    import cattrs  # noqa: PLC0415  # entry hosts dump no state
-
-    return cattrs.Converter()
+def _as_json(value: Any) -> Any:
+    """Convert an object and the objects in it to JSON."""
+    if isinstance(value, str | int):
+        return value
+    if isinstance(value, dict):
+        return {key: _as_json(item) for key, item in value.items()}
+    if isinstance(value, tuple | list):
+        return [_as_json(item) for item in value]
+    return {n: _as_json(getattr(value, n)) for n in value.__annotations__}
 
 
 def _load_term(row: dict[str, Any]) -> GroupTerm:
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import importlib
 import uuid
 from pathlib import Path
@@ -81,6 +82,9 @@
 HTTP_THREADS: Final = 6
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 STOP_GRACE_S: Final = 0.3
+# Nothing can be committed before the election, but a host must answer
+# operators and targets even if there is no leader.
+ELECTION_WAIT_S: Final = 0.4
 DISK_FAILED_EXIT_STATUS: Final = 74  # EX_IOERR in sysexits.h
 
 
@@ -113,6 +117,9 @@
     _jobs: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
     _logged_state: tuple[object, ...] = attrs.field(default=(), init=False)
     _follower_log: FollowerLog = attrs.field(factory=FollowerLog, init=False)
+    _leader_known: asyncio.Event = attrs.field(
+        factory=asyncio.Event, init=False
+    )
     _changed: asyncio.Condition = attrs.field(
         factory=asyncio.Condition, init=False
     )
@@ -200,8 +207,10 @@
         self.control.primaries.promote_timeout_ms = PROMOTE_TIMEOUT_MS
 
     async def _start_http(self) -> None:
-        # The import takes as long as an election, so it runs in a
-        # thread to keep the event loop responsive.
+        # The import takes as long as an election, so it waits for one
+        # and runs in a thread to keep the event loop responsive.
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._leader_known.wait(), ELECTION_WAIT_S)
         web = await asyncio.to_thread(
             importlib.import_module, "rosemarysaddle.web"
         )
@@ -428,6 +437,8 @@
         if log_state == self._logged_state:
             return
         self._logged_state = log_state
+        if log.leader:
+            self._leader_known.set()
         logging.info(
             "event=control role=%s term=%d leader=%s voters=%s learners=%s"
             " index=%d",
