--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -51,6 +51,11 @@
         RouteTable,
         check_plan,
     )
+    from rosemarysaddle.decide.configuration._teams import (
+        TeamDirectory,
+        digest_key,
+        team_weight,
+    )
     from rosemarysaddle.decide.control_log._follower import (
         BEHIND_MS,
         FollowerStatus,
@@ -70,9 +75,14 @@
     from rosemarysaddle.decide.control_log._voter_manager import address_of
     from rosemarysaddle.decide.control_log._voters import join_voters
     from rosemarysaddle.decide.leases._lease import HostLease, LeaseTable
+    from rosemarysaddle.decide.load._counting_hosts import (
+        CountingHosts,
+        rank_hosts,
+    )
     from rosemarysaddle.decide.load._lending import (
         ConnectionShare,
         LenderRanking,
+        TeamScope,
         share_connections,
     )
     from rosemarysaddle.decide.load._load_balancing import (
@@ -82,10 +92,26 @@
         compute_transfer_cost_ns,
     )
     from rosemarysaddle.decide.load._queueing import (
+        WEIGHT_SCALE,
         ConnectionQueue,
         ConnectionRequest,
         Waiter,
     )
+    from rosemarysaddle.decide.load._rate_limit import (
+        DemandRate,
+        LimitSettings,
+        LimitShare,
+    )
+    from rosemarysaddle.decide.load._team_connections import (
+        FULL_BACKOFF_MS,
+        TeamConnections,
+        max_concurrent_opens,
+    )
+    from rosemarysaddle.decide.load._token_counter import TokenCounter
+    from rosemarysaddle.decide.load._token_stock import (
+        TokenStock,
+        reserve_share,
+    )
     from rosemarysaddle.decide.load._window import (
         INITIAL_SIZE,
         ConcurrencyWindow,
@@ -117,10 +143,12 @@
 
 __all__ = (
     "BEHIND_MS",
+    "FULL_BACKOFF_MS",
     "INITIAL_SIZE",
     "LEASE_MS",
     "NO_ANSWER",
     "NS_PER_MS",
+    "WEIGHT_SCALE",
     "Answer",
     "ChangeTimes",
     "CloseSession",
@@ -132,6 +160,8 @@
     "ConnectionSetup",
     "ConnectionShare",
     "ControlNode",
+    "CountingHosts",
+    "DemandRate",
     "DocumentKind",
     "Effect",
     "EntryKind",
@@ -146,6 +176,8 @@
     "InventoryTable",
     "LeaseTable",
     "LenderRanking",
+    "LimitSettings",
+    "LimitShare",
     "LoadSnapshot",
     "LogNode",
     "LogPoint",
@@ -177,7 +209,12 @@
     "TargetReport",
     "TargetState",
     "TargetView",
+    "TeamConnections",
+    "TeamDirectory",
+    "TeamScope",
     "TokenCodec",
+    "TokenCounter",
+    "TokenStock",
     "Waiter",
     "WriteTicket",
     "address_of",
@@ -186,14 +223,19 @@
     "choose_primary",
     "choose_target",
     "compute_transfer_cost_ns",
+    "digest_key",
     "eligible_reports",
     "is_empty",
     "is_update",
     "join_voters",
+    "max_concurrent_opens",
     "newer_point",
     "promotion_quorum",
+    "rank_hosts",
+    "reserve_share",
     "share_connections",
     "shared_name",
+    "team_weight",
     "write_quorum",
 )
 
@@ -215,16 +257,8 @@
             "SaveVote",
             "TargetReport",
         ),
-        "_entry": (
-            "EntryNode",
-            "WriteTicket",
-        ),
-        "_reasons": (
-            "Outcome",
-            "Reason",
-            "Refusal",
-            "Step",
-        ),
+        "_entry": ("EntryNode", "WriteTicket"),
+        "_reasons": ("Outcome", "Reason", "Refusal", "Step"),
         "_send": ("Send",),
         "_statements": (
             "NO_ANSWER",
@@ -237,10 +271,7 @@
             "Statement",
             "StatementKind",
         ),
-        "_times": (
-            "LEASE_MS",
-            "NS_PER_MS",
-        ),
+        "_times": ("LEASE_MS", "NS_PER_MS"),
         "_variables": (
             "ConnectionSetup",
             "SessionVariables",
@@ -248,21 +279,10 @@
             "shared_name",
         ),
         "configuration._inventory": ("InventoryTable",),
-        "configuration._route_plan": (
-            "Freshness",
-            "RouteTable",
-            "check_plan",
-        ),
-        "control_log._follower": (
-            "BEHIND_MS",
-            "FollowerStatus",
-        ),
-        "control_log._log": (
-            "LogNode",
-            "Role",
-            "StoredLog",
-            "is_empty",
-        ),
+        "configuration._route_plan": ("Freshness", "RouteTable", "check_plan"),
+        "configuration._teams": ("TeamDirectory", "digest_key", "team_weight"),
+        "control_log._follower": ("BEHIND_MS", "FollowerStatus"),
+        "control_log._log": ("LogNode", "Role", "StoredLog", "is_empty"),
         "control_log._state": (
             "ClusterState",
             "DocumentKind",
@@ -271,13 +291,12 @@
         ),
         "control_log._voter_manager": ("address_of",),
         "control_log._voters": ("join_voters",),
-        "leases._lease": (
-            "HostLease",
-            "LeaseTable",
-        ),
+        "leases._lease": ("HostLease", "LeaseTable"),
+        "load._counting_hosts": ("CountingHosts", "rank_hosts"),
         "load._lending": (
             "ConnectionShare",
             "LenderRanking",
+            "TeamScope",
             "share_connections",
         ),
         "load._load_balancing": (
@@ -287,14 +306,20 @@
             "compute_transfer_cost_ns",
         ),
         "load._queueing": (
+            "WEIGHT_SCALE",
             "ConnectionQueue",
             "ConnectionRequest",
             "Waiter",
         ),
-        "load._window": (
-            "INITIAL_SIZE",
-            "ConcurrencyWindow",
+        "load._rate_limit": ("DemandRate", "LimitSettings", "LimitShare"),
+        "load._team_connections": (
+            "FULL_BACKOFF_MS",
+            "TeamConnections",
+            "max_concurrent_opens",
         ),
+        "load._token_counter": ("TokenCounter",),
+        "load._token_stock": ("TokenStock", "reserve_share"),
+        "load._window": ("INITIAL_SIZE", "ConcurrencyWindow"),
         "primaries._change": (
             "ChangeTimes",
             "choose_primary",
@@ -304,21 +329,14 @@
         ),
         "primaries._registry": ("is_update",),
         "primaries._terms": ("GroupTerm",),
-        "reads._freshness": (
-            "PositionHistory",
-            "newer_point",
-        ),
+        "reads._freshness": ("PositionHistory", "newer_point"),
         "reads._replica_choice": (
             "GroupView",
             "ReadChoice",
             "ReadRequirements",
             "TargetView",
         ),
-        "reads._token": (
-            "LogPoint",
-            "SessionToken",
-            "TokenCodec",
-        ),
+        "reads._token": ("LogPoint", "SessionToken", "TokenCodec"),
     },
 )
 
--- a/src/rosemarysaddle/schema/_check.py
+++ b/src/rosemarysaddle/schema/_check.py
@@ -112,13 +112,18 @@
 
 
 def parse_document(
-    document_class: type[T], value: Any, *, source: str
+    document_class: type[T],
+    value: Any,
+    *,
+    source: str,
+    show_values: bool = True,
 ) -> T | SchemaFault:
     """Validate a decoded document and build its class.
 
     :param document_class: generated class of the document
     :param value: decoded JSON value
     :param source: file or peer to name in a fault
+    :param show_values: whether a fault may show values of the document
     :return: the document, or the fault found in it
     """
     document = _read(document_class, value)
@@ -128,7 +133,9 @@
     # open, because the import takes longer than the start of a host.
     from rosemarysaddle.schema._full_check import find_fault  # noqa: PLC0415
 
-    fault = find_fault(document_class, value, source=source)
+    fault = find_fault(
+        document_class, value, source=source, show_values=show_values
+    )
     return fault or _structure(document_class, value)
 
 
--- a/src/rosemarysaddle/schema/_full_check.py
+++ b/src/rosemarysaddle/schema/_full_check.py
@@ -18,13 +18,18 @@
 
 
 def find_fault(
-    document_class: type, value: Any, *, source: str
+    document_class: type,
+    value: Any,
+    *,
+    source: str,
+    show_values: bool = True,
 ) -> SchemaFault | None:
     """Validate a decoded document.
 
     :param document_class: generated class of the document
     :param value: decoded JSON value
     :param source: file or peer to name in a fault
+    :param show_values: whether a fault may show values of the document
     :return: the fault that tells most about what is wrong, or None
     """
     error = jsonschema.exceptions.best_match(
@@ -32,9 +37,16 @@
     )
     if error is None:
         return None
-    return SchemaFault(
-        source=source, path=error.json_path, reason=error.message
-    )
+    reason = error.message if show_values else _describe_rule(error)
+    return SchemaFault(source=source, path=error.json_path, reason=reason)
+
+
+def _describe_rule(error: jsonschema.ValidationError) -> str:
+    """Describe a fault by the schema only."""
+    # Names the missing property, which the schema defines.
+    if error.validator == "required":
+        return str(error.message)
+    return f"value violates {error.validator}: {error.validator_value}"
 
 
 def _schema_name(document_class: type) -> str:
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -677,17 +677,23 @@
 class LoanRefusal(Record):
     """Message: loan refusal."""
 
-    __slots__ = ("code",)
+    __slots__ = (
+        "code",
+        "connected",
+    )
 
     code: str
+    connected: bool
 
     def __init__(
         self,
         *,
         code: str,
+        connected: bool = False,
     ) -> None:
         set_field = object.__setattr__
         set_field(self, "code", code)
+        set_field(self, "connected", connected)
 
 
 @record(kw_only=True, init=False)
@@ -703,6 +709,7 @@
         "team",
         "objective_ms",
         "weight",
+        "any_team",
     )
 
     target: str
@@ -713,6 +720,7 @@
     team: str
     objective_ms: int
     weight: int
+    any_team: bool
 
     def __init__(
         self,
@@ -725,6 +733,7 @@
         team: str = "",
         objective_ms: int = 0,
         weight: int = 0,
+        any_team: bool = False,
     ) -> None:
         set_field = object.__setattr__
         set_field(self, "target", target)
@@ -735,6 +744,7 @@
         set_field(self, "team", team)
         set_field(self, "objective_ms", objective_ms)
         set_field(self, "weight", weight)
+        set_field(self, "any_team", any_team)
 
 
 @record(kw_only=True, init=False)
