--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -46,6 +46,7 @@
 )
 from rosemarysaddle.node._lazy_http import LazyHttpServer
 from rosemarysaddle.node._orders import AnnouncedTargetOrders
+from rosemarysaddle.node._start_timeline import StartStep, StartTimeline
 from rosemarysaddle.node._timing import (
     CONTROL_TICK_S,
     LEASE_MS,
@@ -65,8 +66,9 @@
 
 if TYPE_CHECKING:
     import socket
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Sequence
 
+    from rosemarysaddle._prometheus import Metric
     from rosemarysaddle.decide import Effect
     from rosemarysaddle.node._platform import Platform
     from rosemarysaddle.schema import Message, Node
@@ -120,6 +122,7 @@
     _leader_known: asyncio.Event = attrs.field(
         factory=asyncio.Event, init=False
     )
+    _timeline: StartTimeline = attrs.field(factory=StartTimeline, init=False)
     _changed: asyncio.Condition = attrs.field(
         factory=asyncio.Condition, init=False
     )
@@ -129,10 +132,12 @@
     async def start(self) -> None:
         """Load the journal, listen, and start to tick and join."""
         self._loop = asyncio.get_running_loop()
+        self._timeline.record(StartStep.IMPORTED)
         folder = Path(self.settings.data_folder)
         self.host = load_or_create_host_name(folder, self.settings)
         self._journal = Journal(folder=folder)
         self._open_log()
+        self._timeline.record(StartStep.LOG_READ)
         self._orders = AnnouncedTargetOrders(
             host=self.settings.host,
             platform=self.platform,
@@ -149,9 +154,11 @@
             network_conditions=UnmodifiedNetwork(),
         )
         await self.network.start()
+        self._timeline.record(StartStep.LISTENING)
         spawn(self._tick_forever(), self._jobs)
         spawn(self._join_forever(), self._jobs)
         await self._start_http()
+        self._timeline.record(StartStep.API)
         logging.info(
             "event=started name=%s voters=%s index=%d",
             self.host,
@@ -231,14 +238,20 @@
 
     def _start_metrics(self, listener: socket.socket) -> HttpServer | None:
         from rosemarysaddle.node._host_metrics import (  # noqa: PLC0415
-            control_metrics,
             start_metrics,
         )
 
-        return start_metrics(
-            self.settings, lambda: control_metrics(self.control), listener
+        return start_metrics(self.settings, self._collect_metrics, listener)
+
+    def _collect_metrics(self) -> Iterable[Metric]:
+        from rosemarysaddle.node._host_metrics import (  # noqa: PLC0415
+            control_metrics,
+            timeline_metric,
         )
 
+        yield from control_metrics(self.control)
+        yield timeline_metric(self._timeline)
+
     # --- called from the threads of the HTTP server ---
 
     def announce_from_thread(self, announcement: Announcement) -> bool:
@@ -386,8 +399,20 @@
             now_ns = clock_ns()
             self._execute_effects(self.control.tick(now_ns))
             self._follower_log.update(self.control.log, now_ns)
+            self._record_start(now_ns)
             await asyncio.sleep(CONTROL_TICK_S)
 
+    def _record_start(self, now_ns: int) -> None:
+        record, leads = self._timeline.record, self.control.leads(now_ns)
+        record(StartStep.LEADER_KNOWN, reached=bool(self.control.log.leader))
+        record(StartStep.ELECTED, reached=leads)
+        if not leads or StartStep.ALL_LEASES in self._timeline.steps_s:
+            return
+        leases = len(self.control.lease_holders(now_ns))
+        entry_hosts = self.control.state.entry_hosts
+        record(StartStep.LEASE_GRANTED, reached=leases > 0)
+        record(StartStep.ALL_LEASES, reached=0 < entry_hosts <= leases)
+
     async def _join_forever(self) -> None:
         while True:
             await asyncio.sleep(JOIN_INTERVAL_S)
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -21,6 +21,7 @@
 from rosemarysaddle.link import Address, PeerNetwork, UnmodifiedNetwork
 from rosemarysaddle.node._identity import peer_address
 from rosemarysaddle.node._lazy_http import LazyHttpServer
+from rosemarysaddle.node._start_timeline import StartStep, StartTimeline
 from rosemarysaddle.node._timing import ENTRY_TICK_S, RENEWAL_INTERVAL_MS
 from rosemarysaddle.session import CallerSession, Router
 
@@ -70,6 +71,7 @@
     _http_servers: list[LazyHttpServer] = attrs.field(factory=list, init=False)
     _jobs: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
     _was_ready: bool = attrs.field(default=False, init=False)
+    _timeline: StartTimeline = attrs.field(factory=StartTimeline, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Build the entry node and its parts."""
@@ -102,6 +104,7 @@
             receive=self._receive,
             network_conditions=UnmodifiedNetwork(),
         )
+        self._timeline.record(StartStep.IMPORTED)
 
     async def start(self) -> None:
         """Listen for sessions and loan requests, and start ticking."""
@@ -117,6 +120,7 @@
         await self._start_lending()
         spawn(self._tick_forever(), self._jobs)
         await self._start_http()
+        self._timeline.record(StartStep.LISTENING)
         logging.info("event=started name=%s", self.node.host)
 
     async def _start_http(self) -> None:
@@ -224,14 +228,16 @@
     def _collect_metrics(self) -> Iterable[Metric]:
         from rosemarysaddle.node._host_metrics import (  # noqa: PLC0415
             entry_metrics,
+            timeline_metric,
         )
 
-        return entry_metrics(
+        yield from entry_metrics(
             self.node,
             self.router,
             self.lender,
             sessions=len(self._sessions),
         )
+        yield timeline_metric(self._timeline)
 
     def _seeds(self) -> list[str]:
         port = self.settings.peers_port
@@ -260,6 +266,7 @@
             self.router.tick_loans(now_ns)
             self.lender.tick(now_ns)
             self._log_readiness_change()
+            self._record_start()
             await asyncio.sleep(ENTRY_TICK_S)
 
     def _log_readiness_change(self) -> None:
@@ -275,7 +282,7 @@
             )
 
     def _receive(self, source: str, message: Message) -> None:
-        before = self._view_key()
+        before, node_was_ready = self._view_key(), self.node.ready
         self._execute_effects(self.node.receive(source, message, clock_ns()))
         if self._view_key() != before:
             control = {*self._seeds(), *self.node.state.voters}
@@ -283,6 +290,18 @@
             self.router.apply_view()
         else:
             self.router.notify_waiters()
+        if not node_was_ready:
+            self._record_start()
+
+    def _record_start(self) -> None:
+        node, record = self.node, self._timeline.record
+        record(StartStep.LEASE, reached=node.lease.deadline_ns > 0)
+        record(StartStep.VIEW, reached=node.state.index > 0)
+        record(StartStep.NEIGHBOURS, reached=bool(node.neighbours))
+        record(StartStep.READY, reached=node.ready)
+        record(StartStep.FIRST_SESSION, reached=bool(self._sessions))
+        results = self.router.statement_stats.results
+        record(StartStep.FIRST_STATEMENT, reached=bool(results))
 
     def _view_key(self) -> tuple[object, ...]:
         node = self.node
--- a/src/rosemarysaddle/node/_host_metrics.py
+++ b/src/rosemarysaddle/node/_host_metrics.py
@@ -16,11 +16,17 @@
     from rosemarysaddle._prometheus import Metric
     from rosemarysaddle.connection import Lender
     from rosemarysaddle.decide import ClusterState, ControlNode, EntryNode
+    from rosemarysaddle.node._start_timeline import StartTimeline
     from rosemarysaddle.schema import Node
     from rosemarysaddle.session import Router, StatementStats
     from rosemarysaddle.web import HttpServer
 
-__all__ = ("control_metrics", "entry_metrics", "start_metrics")
+__all__ = (
+    "control_metrics",
+    "entry_metrics",
+    "start_metrics",
+    "timeline_metric",
+)
 
 METRICS_THREADS: Final = 1
 MAX_BODY_BYTES: Final = 4_096
@@ -94,6 +100,17 @@
     yield from _state_metrics(control.state)
 
 
+def timeline_metric(timeline: StartTimeline) -> Metric:
+    """Return when this host reached each step of its start."""
+    steps_s = dict(timeline.steps_s)
+    return _labelled_gauge(
+        "start_step_seconds",
+        "Time from the start of the process to a step of its start",
+        "step",
+        {str(step): spent_s for step, spent_s in steps_s.items()},
+    )
+
+
 def _follower_metrics(control: ControlNode, now_ns: int) -> Iterator[Metric]:
     statuses = control.log.follower_statuses()
     if not control.leads(now_ns):
