--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -12,6 +12,7 @@
 import argparse
 import json
 import os
+import re
 import shutil
 import socket
 import statistics
@@ -33,6 +34,7 @@
 NETWORK: Final = "127.141"
 TIMEOUT_S: Final = 30.0
 SETTLE_S: Final = 3.0
+_STEP_LINE: Final = re.compile(r"step=(\S+) after_ms=(\d+)")
 _TICKS_PER_S: Final = os.sysconf("SC_CLK_TCK")
 _CHECK: Final = b"GET /rosemarysaddle/readiness HTTP/1.1\r\nHost: h\r\n\r\n"
 
@@ -47,6 +49,7 @@
     node: Node
     process: subprocess.Popen[bytes]
     launched_s: float
+    log_offset: int
     ready_s: float = 0.0
     cpu_s: float = 0.0
 
@@ -83,13 +86,20 @@
     path = node.folder / "settings.json"
     path.write_text(json.dumps(node.settings))
     with (node.folder / "log").open("ab") as log:
+        log_offset = log.tell()
         process = subprocess.Popen(  # noqa: S603
             [sys.executable, str(LAUNCH)],
             env={**os.environ, "ROSEMARYSADDLE_NODE_FILE": str(path)},
             stdout=log,
             stderr=log,
         )
-    return Started(node=node, process=process, launched_s=time.monotonic())
+    node.settings["first_start"] = False
+    return Started(
+        node=node,
+        process=process,
+        launched_s=time.monotonic(),
+        log_offset=log_offset,
+    )
 
 
 def _report(role: str, hosts: list[Started]) -> None:
@@ -103,6 +113,17 @@
     )
 
 
+def _report_steps(role: str, hosts: list[Started]) -> None:
+    """Print the earliest, median and latest time of each step."""
+    times: dict[str, list[float]] = {}
+    for host in hosts:
+        text = (host.node.folder / "log").read_text()[host.log_offset :]
+        for step, after_ms in _STEP_LINE.findall(text):
+            times.setdefault(step, []).append(int(after_ms) / 1_000)
+    for step, values in times.items():
+        print(f"  {role} {step}: {len(values)} hosts, {_range(values)} s")
+
+
 def _range(values: list[float]) -> str:
     if not values:
         return "-"
@@ -110,36 +131,52 @@
     return f"{min(values):.2f}/{middle:.2f}/{max(values):.2f}"
 
 
-def main() -> None:
-    """Play one start of all hosts."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--control", type=int, default=3, choices=(1, 2, 3))
-    parser.add_argument("--entry", type=int, default=6)
-    parser.add_argument("--keep", action="store_true", help="keep the logs")
-    options = parser.parse_args()
-    folder = Path(tempfile.mkdtemp(prefix="start-"))
-    nodes = Nodes(
-        network=NETWORK, folder=folder, entry_hosts=-(-options.entry // 3)
-    )
-    control = [_launch(n) for n in nodes.control[: options.control]]
-    entry = [_launch(n) for n in nodes.entry[: options.entry]]
+def _play(
+    control_nodes: list[Node], entry_nodes: list[Node], settle_s: float
+) -> None:
+    """Start all hosts together, report, and kill them."""
+    control = [_launch(node) for node in control_nodes]
+    entry = [_launch(node) for node in entry_nodes]
     try:
         end_s = time.monotonic() + TIMEOUT_S
         while time.monotonic() < end_s and not all(h.ready_s for h in entry):
             for host in entry:
                 host.check()
             time.sleep(0.02)
-        time.sleep(SETTLE_S)
+        time.sleep(settle_s)
         _report("control", control)
         _report("entry", entry)
     finally:
         for host in [*entry, *control]:
             host.process.kill()
             host.process.wait()
-        if options.keep:
-            print(f"logs in {folder}")
-        else:
-            shutil.rmtree(folder)
+    _report_steps("control", control)
+    _report_steps("entry", entry)
+
+
+def main() -> None:
+    """Play one first start of all hosts, then starts after a kill."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--control", type=int, default=3, choices=(1, 2, 3))
+    parser.add_argument("--entry", type=int, default=6)
+    parser.add_argument("--restarts", type=int, default=0)
+    parser.add_argument("--keep", action="store_true", help="keep the logs")
+    options = parser.parse_args()
+    folder = Path(tempfile.mkdtemp(prefix="start-"))
+    nodes = Nodes(
+        network=NETWORK, folder=folder, entry_hosts=-(-options.entry // 3)
+    )
+    for number in range(1 + options.restarts):
+        print("first start" if number == 0 else f"restart {number}")
+        _play(
+            nodes.control[: options.control],
+            nodes.entry[: options.entry],
+            SETTLE_S,
+        )
+    if options.keep:
+        print(f"logs in {folder}")
+    else:
+        shutil.rmtree(folder)
 
 
 if __name__ == "__main__":
