Start hosts without OpenSSL in hashlib, and test launched hosts

Cause: hashlib loads OpenSSL for hash functions that Python has itself.

The test that starts both roles by the launcher found it.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -10,6 +10,10 @@
 import importlib
 import os.path
 import sys
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from types import ModuleType
 
 
 def main() -> int:
@@ -17,30 +21,19 @@
     # Nearly all objects that imports create stay: looking for others
     # takes a twentieth of the start. The node enables it again.
     gc.disable()
-    folder = os.path.dirname(os.path.abspath(__file__))  # noqa: PTH100, PTH120
-    sys.path[0] = os.path.join(os.path.dirname(folder), "src")  # noqa: PTH118, PTH120
-    _import_asyncio_without_ssl()
-    platform = importlib.import_module("rosemarysaddle.platform")
-    node = importlib.import_module("rosemarysaddle.node")
+    platform, node = import_packages()
     status: int = node.run_node(platform.UsersPlatform())
     return status
 
 
-def _import_asyncio_without_ssl() -> None:
-    """Import asyncio as on a Python without OpenSSL.
-
-    The links between the hosts of the platform are plain TCP. Without
-    OpenSSL, a host starts sooner and takes 1.5 MB less. Later imports
-    of ``ssl`` succeed.
-    """
-    if "ssl" in sys.modules:
-        return
-    # An entry of None makes an import fail; asyncio then does without.
-    sys.modules["ssl"] = None  # type: ignore[assignment]
-    try:
-        importlib.import_module("asyncio")
-    finally:
-        del sys.modules["ssl"]
+def import_packages() -> tuple[ModuleType, ModuleType]:
+    """Import the packages of the platform and of the node."""
+    folder = os.path.dirname(os.path.abspath(__file__))  # noqa: PTH100, PTH120
+    sys.path[0] = os.path.join(os.path.dirname(folder), "src")  # noqa: PTH118, PTH120
+    imports = importlib.import_module("rosemarysaddle._imports")
+    imports.import_without_openssl("asyncio", "hashlib", "hmac")
+    platform = importlib.import_module("rosemarysaddle.platform")
+    return platform, importlib.import_module("rosemarysaddle.node")
 
 
 if __name__ == "__main__":
--- a/tests/node/test_start_imports.py
+++ b/tests/node/test_start_imports.py
@@ -11,6 +11,7 @@
 ROOT = Path(__file__).parents[2]
 # Packages that a start of a host does not use, and their dependencies.
 SLOW = {
+    "_hashlib",
     "absl",
     "argparse",
     "cattrs",
@@ -40,7 +41,7 @@
 import json, sys
 sys.path.insert(0, sys.argv[2])
 import launch
-launch._import_asyncio_without_ssl()
+launch.import_packages()
 import rosemarysaddle.platform
 from rosemarysaddle.node import _main
 from rosemarysaddle.schema import Node, load_file
