--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -114,6 +114,7 @@
     )
     from rosemarysaddle.decide.load._window import (
         INITIAL_SIZE,
+        MIN_SIZE,
         ConcurrencyWindow,
     )
     from rosemarysaddle.decide.primaries._change import (
@@ -146,6 +147,7 @@
     "FULL_BACKOFF_MS",
     "INITIAL_SIZE",
     "LEASE_MS",
+    "MIN_SIZE",
     "NO_ANSWER",
     "NS_PER_MS",
     "WEIGHT_SCALE",
@@ -319,7 +321,7 @@
         ),
         "load._token_counter": ("TokenCounter",),
         "load._token_stock": ("TokenStock", "reserve_share"),
-        "load._window": ("INITIAL_SIZE", "ConcurrencyWindow"),
+        "load._window": ("INITIAL_SIZE", "MIN_SIZE", "ConcurrencyWindow"),
         "primaries._change": (
             "ChangeTimes",
             "choose_primary",
--- a/src/rosemarysaddle/schema/_documents.py
+++ b/src/rosemarysaddle/schema/_documents.py
@@ -506,6 +506,7 @@
         "rate_per_s",
         "burst_size",
     )
+    _hidden_fields = ("api_keys",)
 
     name: str
     api_keys: tuple[str, ...]
--- a/src/rosemarysaddle/schema/_record.py
+++ b/src/rosemarysaddle/schema/_record.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import functools
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, ClassVar
 
 if TYPE_CHECKING:
     # Makes type checkers treat the generated classes as attrs classes.
@@ -44,6 +44,8 @@
     """Immutable object that is compared by its values."""
 
     __slots__ = ()
+    # Values that must not get into a log line with their object.
+    _hidden_fields: ClassVar[tuple[str, ...]] = ()
     if not TYPE_CHECKING:
         __attrs_attrs__ = _Fields()
 
@@ -67,8 +69,8 @@
 
     def __repr__(self) -> str:
         """Format as a call of the constructor."""
-        pairs = zip(_names(self), _values(self), strict=True)
-        text = ", ".join(f"{name}={value!r}" for name, value in pairs)
+        names = [n for n in _names(self) if n not in self._hidden_fields]
+        text = ", ".join(f"{name}={getattr(self, name)!r}" for name in names)
         return f"{self.__class__.__qualname__}({text})"
 
     def __reduce__(self) -> tuple[Any, ...]:
--- a/src/rosemarysaddle/schema/generate.py
+++ b/src/rosemarysaddle/schema/generate.py
@@ -9,10 +9,13 @@
 import re
 import textwrap
 from pathlib import Path
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final
 
 import capnp
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 __all__ = (
     "render_documents",
     "render_messages",
@@ -57,6 +60,7 @@
         "minimum",
         "pattern",
         "type",
+        "x-secret",
     }
 )
 # Conditions under which a value may be invalid.  A few valid values
@@ -207,17 +211,24 @@
 
 
 def _record_class(
-    name: str, docstring: list[str], fields: list[tuple[str, str, str]]
+    name: str,
+    docstring: list[str],
+    fields: list[tuple[str, str, str]],
+    hidden: Sequence[str] = (),
 ) -> str:
     """Render one class.
 
     :param docstring: lines of the docstring, indented
     :param fields: name, type and default of each field
+    :param hidden: fields that the text of an object leaves out
     """
     lines = ["@record(kw_only=True, init=False)", f"class {name}(Record):"]
     lines.extend([*docstring, "", *_slots([field for field, _, _ in fields])])
     if not fields:
         return "\n".join(lines) + "\n"
+    if hidden:
+        rows = "".join(f'"{field}", ' for field in hidden).strip()
+        lines.append(f"    _hidden_fields = ({rows})")
     lines.append("")
     lines.extend(f"    {field}: {kind}" for field, kind, _ in fields)
     lines.extend(["", "    def __init__(", "        self,", "        *,"])
@@ -288,7 +299,9 @@
         (key, _json_type(body), _default(body))
         for key, body in properties.items()
     ]
-    return _record_class(name, docstring, fields)
+    # Values that must not get into a log line with their object.
+    hidden = [key for key, body in properties.items() if body.get("x-secret")]
+    return _record_class(name, docstring, fields, hidden=hidden)
 
 
 def render_readers() -> str:
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -47,6 +47,7 @@
 from rosemarysaddle.session._admission import AdmissionQueue
 from rosemarysaddle.session._rate_limits import RateLimits
 from rosemarysaddle.session._statement_stats import StatementStats
+from rosemarysaddle.session._unknown_keys import UnknownKeyCounter
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Mapping, Sequence
@@ -61,7 +62,7 @@
     from rosemarysaddle.decide.primaries._registry import TargetRecord
     from rosemarysaddle.schema import Route
 
-__all__ = ("ReadTarget", "Router")
+__all__ = ("MAX_PLAN_AGE_MS", "ReadTarget", "Router")
 
 WARM_CONNECTIONS: Final = 1
 # Request the position of a group whose reads accept bounded staleness
@@ -80,6 +81,9 @@
 # Delay between probes of a target that accepted no connection.
 RECHECK_INTERVAL_MS: Final = 250
 MAX_WAITERS: Final = 400
+# Operations that require a key run only while the plan in force is
+# known to be younger: a removed key may run none 4 s after its removal.
+MAX_PLAN_AGE_MS: Final = 4_000
 RETRY_AFTER_MS: Final = 250
 # A host whose ticks are later than this is overloaded, so its failed
 # connections do not count as evidence against a target.
@@ -108,6 +112,8 @@
     :param label: name of this host, for the targets' logs
     :param send: executes the effects of decisions of the node
     :param regions: region of each data centre
+    :param max_plan_age_ms: age of the plan up to which keys can be
+        checked, in milliseconds
     :param limit_settings: settings of the rate limits of teams
     """
 
@@ -116,6 +122,7 @@
     new_codec: Callable[[], TargetCodec]
     send: Callable[[Sequence[Effect]], None]
     regions: Mapping[str, str] = attrs.field(factory=dict)
+    max_plan_age_ms: int = MAX_PLAN_AGE_MS
     limit_settings: LimitSettings = attrs.field(factory=LimitSettings)
     rate_limits: RateLimits = attrs.field(init=False)
     targets: dict[str, TargetState] = attrs.field(factory=dict, init=False)
@@ -124,6 +131,9 @@
     statement_stats: StatementStats = attrs.field(
         factory=StatementStats, init=False
     )
+    unknown_keys: UnknownKeyCounter = attrs.field(
+        factory=UnknownKeyCounter, init=False
+    )
     admission_queues: dict[str, AdmissionQueue] = attrs.field(
         factory=dict, init=False
     )
@@ -179,6 +189,10 @@
             f" index={state.index} version={state.routes.version}"
         )
 
+    def is_plan_current(self) -> bool:
+        """Tell whether the plan is young enough to check keys."""
+        return self.node.is_view_current(clock_ns(), self.max_plan_age_ms)
+
     async def admit_operation(self, team: str) -> Refusal | None:
         """Admit an operation of a team, or refuse it over its limit."""
         return await self.rate_limits.admit(team)
@@ -469,14 +483,15 @@
         policy = routes.groups.get(record.group)
         team_scope = None
         if routes.teams is not None:
+            is_near = record.data_center == self.node.data_center
+            ranking = self.loan_client.ranking
             team_scope = TeamScope(
                 teams=len(routes.teams.by_name),
                 target_center=record.data_center,
                 own_center=self.node.data_center,
                 remote=self.node.remote_hosts,
-                is_first_lender=self.loan_client.ranking.is_first(
-                    record.target, record.data_center
-                ),
+                is_first_lender=is_near
+                and ranking.is_first(record.target, record.data_center),
                 can_lend=bool(self.node.lending_address),
             )
         return share_connections(
--- a/tests/schema/test_readers.py
+++ b/tests/schema/test_readers.py
@@ -18,6 +18,7 @@
     RoutePlan,
     SchemaFault,
     SessionLimits,
+    Team,
     load_document,
     parse_document,
 )
@@ -151,3 +152,11 @@
     assert attrs.asdict(limits) == {"transaction_idle_ms": 5}
     assert attrs.fields(SessionLimits).transaction_idle_ms.default == 0
     assert attrs.has(LeaseGrant)
+
+
+def test_text_of_a_generated_class_leaves_secrets_out() -> None:
+    """Guards against keys in log lines."""
+    team = Team(name="t", api_keys=("secret-key",))
+
+    assert "secret-key" not in repr(team)
+    assert "name='t'" in repr(team)
