--- a/src/rosemarysaddle/connection/_loans.py
+++ b/src/rosemarysaddle/connection/_loans.py
@@ -8,6 +8,7 @@
 import attrs
 
 from rosemarysaddle._clock import NS_PER_S, clock_ns
+from rosemarysaddle._contacts import ContactKind, ContactLog
 from rosemarysaddle._events import log_event
 from rosemarysaddle.connection._connection import TargetConnection
 from rosemarysaddle.connection._frames import (
@@ -159,10 +160,12 @@
     """Connections that this host has borrowed.
 
     :param ranking: determines which host lends connections to a target
+    :param contacts: records lenders that are lost and regained
     """
 
     ranking: LenderRanking
     new_codec: Callable[[], TargetCodec]
+    contacts: ContactLog = attrs.field(factory=ContactLog)
     _idle: dict[str, list[_Link]] = attrs.field(factory=dict, init=False)
     _borrowed: dict[TargetConnection, _Link] = attrs.field(
         factory=dict, init=False
@@ -348,7 +351,11 @@
         log_event(
             "lender-lost", f"target={target} lender={lender} step={step}"
         )
-        center = self.ranking.mark_down(lender, clock_ns())
+        now_ns = clock_ns()
+        self.contacts.record_lost(
+            ContactKind.LENDER, lender, now_ns, reason=step
+        )
+        center = self.ranking.mark_down(lender, now_ns)
         if center:
             log_event(
                 "lending-center",
@@ -357,6 +364,7 @@
             )
 
     def _record_answer(self, lender: str) -> None:
+        self.contacts.record_regained(ContactKind.LENDER, lender, clock_ns())
         center = self.ranking.mark_up(lender)
         if center:
             log_event(
--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -26,7 +26,7 @@
     )
     from rosemarysaddle.decide._entry import EntryNode, WriteTicket
     from rosemarysaddle.decide._reasons import Outcome, Reason, Refusal, Step
-    from rosemarysaddle.decide._send import Send
+    from rosemarysaddle.decide._send import Send, SendRelayed
     from rosemarysaddle.decide._statements import (
         NO_ANSWER,
         Answer,
@@ -75,6 +75,11 @@
     from rosemarysaddle.decide.control_log._voter_manager import address_of
     from rosemarysaddle.decide.control_log._voters import join_voters
     from rosemarysaddle.decide.leases._lease import HostLease, LeaseTable
+    from rosemarysaddle.decide.leases._relay import (
+        RelayChoice,
+        RelayRoutes,
+        is_relayable,
+    )
     from rosemarysaddle.decide.load._counting_hosts import (
         CountingHosts,
         rank_hosts,
@@ -194,12 +199,15 @@
     "ReadRequirements",
     "Reason",
     "Refusal",
+    "RelayChoice",
+    "RelayRoutes",
     "Role",
     "RouteTable",
     "SaveEntries",
     "SaveSnapshot",
     "SaveVote",
     "Send",
+    "SendRelayed",
     "SessionState",
     "SessionToken",
     "SessionVariables",
@@ -228,6 +236,7 @@
     "digest_key",
     "eligible_reports",
     "is_empty",
+    "is_relayable",
     "is_update",
     "join_voters",
     "max_concurrent_opens",
@@ -261,7 +270,7 @@
         ),
         "_entry": ("EntryNode", "WriteTicket"),
         "_reasons": ("Outcome", "Reason", "Refusal", "Step"),
-        "_send": ("Send",),
+        "_send": ("Send", "SendRelayed"),
         "_statements": (
             "NO_ANSWER",
             "Answer",
@@ -294,6 +303,7 @@
         "control_log._voter_manager": ("address_of",),
         "control_log._voters": ("join_voters",),
         "leases._lease": ("HostLease", "LeaseTable"),
+        "leases._relay": ("RelayChoice", "RelayRoutes", "is_relayable"),
         "load._counting_hosts": ("CountingHosts", "rank_hosts"),
         "load._lending": (
             "ConnectionShare",
--- a/src/rosemarysaddle/decide/_effects.py
+++ b/src/rosemarysaddle/decide/_effects.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from rosemarysaddle.decide._send import Send
+from rosemarysaddle.decide._send import Send, SendRelayed
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -24,6 +24,7 @@
     "SaveSnapshot",
     "SaveVote",
     "Send",
+    "SendRelayed",
     "TargetReport",
 )
 
@@ -149,4 +150,5 @@
     | SaveSnapshot
     | SaveVote
     | Send
+    | SendRelayed
 )
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -35,6 +35,7 @@
     "PointReply",
     "PointRequest",
     "PreparedName",
+    "RelayedMessage",
     "RemoteHosts",
     "SnapshotInstall",
     "StepOut",
@@ -849,6 +850,29 @@
         set_field(self, "target", target)
 
 
+@record(kw_only=True, init=False)
+class RelayedMessage(Record):
+    """Message: relayed message."""
+
+    __slots__ = (
+        "host",
+        "body",
+    )
+
+    host: str
+    body: bytes
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        body: bytes,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "host", host)
+        set_field(self, "body", body)
+
+
 @record(kw_only=True, init=False)
 class SnapshotInstall(Record):
     """Message: snapshot install."""
@@ -1167,6 +1191,7 @@
     | Neighbours
     | PointReply
     | PointRequest
+    | RelayedMessage
     | SnapshotInstall
     | StepOut
     | Suspicion
@@ -1241,4 +1266,5 @@
     "pointReply": PointReply,
     "tokenRequest": TokenRequest,
     "tokenGrant": TokenGrant,
+    "relayedMessage": RelayedMessage,
 }
--- a/src/rosemarysaddle/schema/generate.py
+++ b/src/rosemarysaddle/schema/generate.py
@@ -79,7 +79,7 @@
     "minItems": "len({value}) < {bound}",
     "maxItems": "len({value}) > {bound}",
 }
-_CAPNP_TYPES: Final = {"text": "str", "bool": "bool"}
+_CAPNP_TYPES: Final = {"text": "str", "bool": "bool", "data": "bytes"}
 _JSON_TYPES: Final = {
     "string": "str",
     "integer": "int",
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -12,6 +12,7 @@
 import attrs
 
 from rosemarysaddle._clock import NS_PER_S, clock_ns
+from rosemarysaddle._contacts import ContactLog
 from rosemarysaddle._events import log_event
 from rosemarysaddle._tasks import spawn
 from rosemarysaddle.connection import (
@@ -112,6 +113,7 @@
     :param label: name of this host, for the targets' logs
     :param send: executes the effects of decisions of the node
     :param regions: region of each data centre
+    :param contacts: records lenders that are lost and regained
     :param max_plan_age_ms: age of the plan up to which keys can be
         checked, in milliseconds
     :param limit_settings: settings of the rate limits of teams
@@ -122,6 +124,7 @@
     new_codec: Callable[[], TargetCodec]
     send: Callable[[Sequence[Effect]], None]
     regions: Mapping[str, str] = attrs.field(factory=dict)
+    contacts: ContactLog = attrs.field(factory=ContactLog)
     max_plan_age_ms: int = MAX_PLAN_AGE_MS
     limit_settings: LimitSettings = attrs.field(factory=LimitSettings)
     rate_limits: RateLimits = attrs.field(init=False)
@@ -167,6 +170,7 @@
                 data_center=self.node.data_center,
             ),
             new_codec=self.new_codec,
+            contacts=self.contacts,
         )
 
     def route(self, database: str) -> Route | None:
@@ -265,6 +269,23 @@
             )
         return self.node.begin_write(group, now_ns)
 
+    def lease_refusal(self, group: str, until_ns: int) -> Refusal | None:
+        """Return a refusal if no lease is expected before a time.
+
+        :param until_ns: :func:`clock_ns` time until which a statement
+            could wait for one
+        """
+        now_ns = clock_ns()
+        retry_ms = self.node.outage_retry_ms(now_ns)
+        if not retry_ms or now_ns + retry_ms * NS_PER_MS < until_ns:
+            return None
+        return Refusal(
+            reason=Reason.NO_LEASE,
+            step=Step.ROUTE,
+            peer=group,
+            retry_after_ms=retry_ms,
+        )
+
     def end_write(self, ticket: WriteTicket) -> bool:
         """Return a ticket.
 
--- a/tests/node/test_host_metrics.py
+++ b/tests/node/test_host_metrics.py
@@ -7,6 +7,7 @@
 import pytest
 from prometheus_client.parser import text_string_to_metric_families
 
+from rosemarysaddle._contacts import ContactKind
 from rosemarysaddle._prometheus import Gauge
 from rosemarysaddle.connection import Lender
 from rosemarysaddle.decide import (
@@ -72,6 +73,7 @@
     router.statement_stats.record("d", "done", 30 * NS_PER_MS)
     router.statement_stats.record("d", "target-busy", 700 * NS_PER_MS)
     lender = _lender(router)
+    router.contacts.record_lost(ContactKind.LENDER, "l", 1)
     server = start_metrics(
         _settings(ADDRESS),
         lambda: entry_metrics(router.node, router, lender, teams=["", ""]),
@@ -100,6 +102,9 @@
     assert samples[f"{prefix}group_term", "g"] == 4
     assert samples[f"{prefix}sessions",] == 2
     assert samples[f"{prefix}lease_left_seconds",] < 0
+    assert samples[f"{prefix}contacts_lost", "lender"] == 1
+    assert samples[f"{prefix}contact_lost_seconds", "lender"] > 0
+    assert samples[f"{prefix}contact_losses_total", "lender", "direct"] == 1
 
 
 def test_team_metrics_have_a_bounded_number_of_labels() -> None:
@@ -161,7 +166,7 @@
     # Guards against a label for each of thousands of teams.
     router = _router()
     limits = router.rate_limits
-    limits.settings = LimitSettings(window_ns=5_000_000_000)
+    limits.service.settings = LimitSettings(window_ns=5_000_000_000)
     limits.stats.granted = 3
     limits.stats.record_wait(3 * NS_PER_MS)
     metrics: dict[str, Any] = {
