--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -6,19 +6,35 @@
 
 from __future__ import annotations
 
+import gc
 import importlib
+import os.path
 import sys
-from pathlib import Path
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from types import ModuleType
 
 
 def main() -> int:
     """Run the node that the platform's settings file describes."""
-    sys.path[0] = str(Path(__file__).resolve().parent.parent / "src")
-    platform = importlib.import_module("rosemarysaddle.platform")
-    node = importlib.import_module("rosemarysaddle.node")
+    # Nearly all objects that imports create stay: looking for others
+    # takes a twentieth of the start. The node enables it again.
+    gc.disable()
+    platform, node = import_packages()
     status: int = node.run_node(platform.UsersPlatform())
     return status
 
 
+def import_packages() -> tuple[ModuleType, ModuleType]:
+    """Import the packages of the platform and of the node."""
+    folder = os.path.dirname(os.path.abspath(__file__))  # noqa: PTH100, PTH120
+    sys.path[0] = os.path.join(os.path.dirname(folder), "src")  # noqa: PTH118, PTH120
+    imports = importlib.import_module("rosemarysaddle._imports")
+    imports.import_without_openssl("asyncio", "hashlib", "hmac")
+    platform = importlib.import_module("rosemarysaddle.platform")
+    return platform, importlib.import_module("rosemarysaddle.node")
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/src/rosemarysaddle/decide/configuration/_route_plan.py
+++ b/src/rosemarysaddle/decide/configuration/_route_plan.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING, Any, Final, NoReturn
 
 import attrs
-import cattrs
 
 from rosemarysaddle.decide.configuration._plan_patch import (
     apply_patch,
@@ -25,6 +24,7 @@
     SchemaFault,
     SessionLimits,
     Team,
+    build_document,
     parse_document,
 )
 
@@ -33,7 +33,6 @@
 
 __all__ = ("Freshness", "RouteTable", "check_plan")
 
-_CONVERTER: Final = cattrs.Converter()
 _VERSION: Final = "version"
 _GROUPS: Final = "groups"
 _LIMITS: Final = "limits"
@@ -82,7 +81,7 @@
     @classmethod
     def of(cls, source: str) -> RouteTable:
         """Build the table from the text of a plan already checked."""
-        plan = _CONVERTER.structure(json.loads(source), RoutePlan)
+        plan = build_document(RoutePlan, json.loads(source))
         routes = {route.name: route for route in plan.routes}
         return cls(
             version=plan.version,
@@ -115,15 +114,16 @@
         routes = dict(self._routes)
         for name in steps["remove"]:
             routes.pop(name, None)
-        for route in _CONVERTER.structure(steps["put"], tuple[Route, ...]):
+        for row in steps["put"]:
+            route = build_document(Route, row)
             routes[route.name] = route
         if len(self._patches) >= MAX_PATCHES:
             text, patches = apply_patch(self.source, patch), []
         else:
             text, patches = self._text, [*self._patches, patch]
-        changes = _CONVERTER.structure(
-            {_VERSION: self.version, "routes": [], _GROUPS: [], **rest},
+        changes = build_document(
             RoutePlan,
+            {_VERSION: self.version, "routes": [], _GROUPS: [], **rest},
         )
         groups = {group.name: group for group in changes.groups}
         return RouteTable(
@@ -142,7 +142,7 @@
     ) -> TeamDirectory | None:
         if steps is None or self.teams is None:
             return self.teams
-        put = _CONVERTER.structure(steps["put"], tuple[Team, ...])
+        put = tuple([build_document(Team, row) for row in steps["put"]])
         return self.teams.patched(remove=steps["remove"], put=put)
 
     @property
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -8,13 +8,12 @@
 from __future__ import annotations
 
 import asyncio
-import importlib
 import secrets
 from typing import TYPE_CHECKING, Final
 
 import attrs
-from absl import logging
 
+from rosemarysaddle import _log as logging
 from rosemarysaddle._clock import NS_PER_S, clock_ns
 from rosemarysaddle._contacts import ContactKind, ContactLog, LinkKind
 from rosemarysaddle._events import log_event
@@ -35,13 +34,15 @@
     unwrap_relayed,
     wrap_relayed,
 )
-from rosemarysaddle.node._host_metrics import entry_metrics, start_metrics
 from rosemarysaddle.node._identity import peer_address
+from rosemarysaddle.node._lazy_http import LazyHttpServer
+from rosemarysaddle.node._start_timeline import StartStep, StartTimeline
 from rosemarysaddle.node._timing import ENTRY_TICK_S, RENEWAL_INTERVAL_MS
 from rosemarysaddle.schema import RelayedMessage
 from rosemarysaddle.session import MAX_PLAN_AGE_MS, CallerSession, Router
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Callable, Iterable, Sequence
 
     from rosemarysaddle._prometheus import Metric
@@ -88,13 +89,13 @@
     _lending_server: asyncio.Server | None = attrs.field(
         default=None, init=False
     )
-    _readiness_server: HttpServer = attrs.field(init=False)
-    _metrics: HttpServer | None = attrs.field(default=None, init=False)
+    _http_servers: list[LazyHttpServer] = attrs.field(factory=list, init=False)
     _jobs: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
     _was_ready: bool = attrs.field(default=False, init=False)
     _last_relay: str = attrs.field(default="", init=False)
     _plan_version: int = attrs.field(default=-1, init=False)
     _teams: TeamDirectory | None = attrs.field(default=None, init=False)
+    _timeline: StartTimeline = attrs.field(factory=StartTimeline, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Build the entry node and its parts."""
@@ -139,6 +140,7 @@
             find_leader=self._find_direct_leader, send=self.network.send
         )
         self.lender.relay = self.relay_server.relay_to_leader
+        self._timeline.record(StartStep.IMPORTED)
 
     async def start(self) -> None:
         """Listen for sessions and loan requests, and start ticking."""
@@ -153,23 +155,46 @@
         )
         await self._start_lending()
         spawn(self._tick_forever(), self._jobs)
-        # The import takes as long as getting the first lease, so it
-        # runs in a thread to keep the event loop responsive.
-        web = await asyncio.to_thread(
-            importlib.import_module, "rosemarysaddle.web"
+        await self._start_http()
+        self._timeline.record(StartStep.LISTENING)
+        logging.info("event=started name=%s", self.node.host)
+
+    async def _start_http(self) -> None:
+        readiness = LazyHttpServer(
+            address=Address.parse(self.settings.ready_address),
+            start_server=self._start_readiness,
+            plain_app=self.platform.readiness_app(self.is_ready),
         )
-        self._readiness_server = web.HttpServer(
+        self._http_servers.append(readiness)
+        if self.settings.metrics_address:
+            metrics = LazyHttpServer(
+                address=Address.parse(self.settings.metrics_address),
+                start_server=self._start_metrics,
+            )
+            self._http_servers.append(metrics)
+        for server in self._http_servers:
+            await server.start()
+
+    def _start_readiness(self, listener: socket.socket) -> HttpServer:
+        from rosemarysaddle.web import HttpServer  # noqa: PLC0415
+
+        server = HttpServer(
             address=Address.parse(self.settings.ready_address),
             threads=READINESS_THREADS,
             max_body_bytes=READINESS_MAX_BODY_BYTES,
             stop_timeout_s=POLL_INTERVAL_S,
+            listener=listener,
         )
-        self._readiness_server.tree.graft(
-            self.platform.readiness_app(self.is_ready), ""
+        server.tree.graft(self.platform.readiness_app(self.is_ready), "")
+        server.start()
+        return server
+
+    def _start_metrics(self, listener: socket.socket) -> HttpServer | None:
+        from rosemarysaddle.node._host_metrics import (  # noqa: PLC0415
+            start_metrics,
         )
-        self._readiness_server.start()
-        self._metrics = start_metrics(self.settings, self._collect_metrics)
-        logging.info("event=started name=%s", self.node.host)
+
+        return start_metrics(self.settings, self._collect_metrics, listener)
 
     async def _start_lending(self) -> None:
         if not self.settings.lending_address:
@@ -216,9 +241,8 @@
         self._execute_effects(self.node.stop())
         self.router.rate_limits.close()
         await asyncio.sleep(POLL_INTERVAL_S)
-        await asyncio.to_thread(self._readiness_server.stop)
-        if self._metrics is not None:
-            await asyncio.to_thread(self._metrics.stop)
+        for server in self._http_servers:
+            await server.stop()
         self.relay_client.keep_only(())
         await self.network.stop()
 
@@ -239,13 +263,19 @@
         logging.info("event=reloaded seeds=%s", ",".join(settings.seeds))
 
     def _collect_metrics(self) -> Iterable[Metric]:
-        return entry_metrics(
+        from rosemarysaddle.node._host_metrics import (  # noqa: PLC0415
+            entry_metrics,
+            timeline_metric,
+        )
+
+        yield from entry_metrics(
             self.node,
             self.router,
             self.lender,
             teams=[s.runner.team for s in list(self._sessions)],
             relayed_hosts=self.relay_server.host_count,
         )
+        yield timeline_metric(self._timeline)
 
     def _seeds(self) -> list[str]:
         port = self.settings.peers_port
@@ -278,6 +308,7 @@
             self.relay_client.keep_only(self.node.relay.asked)
             self._record_contacts(now_ns)
             self._log_readiness_change()
+            self._record_start()
             await asyncio.sleep(ENTRY_TICK_S)
 
     def _record_contacts(self, now_ns: int) -> None:
@@ -368,7 +399,7 @@
         self._apply(lambda: self.node.receive(source, message, clock_ns()))
 
     def _apply(self, receive: Callable[[], Sequence[Effect]]) -> None:
-        before = self._view_key()
+        before, node_was_ready = self._view_key(), self.node.ready
         self._execute_effects(receive())
         if self._view_key() != before:
             control = {*self._seeds(), *self.node.state.voters}
@@ -377,6 +408,18 @@
             self._recheck_keys()
         else:
             self.router.notify_waiters()
+        if not node_was_ready:
+            self._record_start()
+
+    def _record_start(self) -> None:
+        node, record = self.node, self._timeline.record
+        record(StartStep.LEASE, reached=node.lease.deadline_ns > 0)
+        record(StartStep.VIEW, reached=node.state.index > 0)
+        record(StartStep.NEIGHBOURS, reached=bool(node.neighbours))
+        record(StartStep.READY, reached=node.ready)
+        record(StartStep.FIRST_SESSION, reached=bool(self._sessions))
+        results = self.router.statement_stats.results
+        record(StartStep.FIRST_STATEMENT, reached=bool(results))
 
     def _recheck_keys(self) -> None:
         """Apply a new plan to the sessions that are open."""
