Walk the waiting teams with fewer calls

Cause: with 60 requests of 60 teams waiting, one request cost the queue 257 us, most of it calls for each team; at some 500 requests/s under overload that is an eighth of a core.

--- a/src/rosemarysaddle/decide/load/_fair_order.py
+++ b/src/rosemarysaddle/decide/load/_fair_order.py
@@ -71,10 +71,12 @@
     _teams: dict[str, _TeamQueue[_W]] = attrs.field(factory=dict, init=False)
     _virtual: float = attrs.field(default=0.0, init=False)
     _on_time_run: int = attrs.field(default=0, init=False)
+    _waiting: int = attrs.field(default=0, init=False)
+    _transactions: int = attrs.field(default=0, init=False)
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
-        return sum(len(t.waiting) for t in self._teams.values())
+        return self._waiting
 
     def __iter__(self) -> Iterator[_W]:
         """Iterate over the waiting requests by team."""
@@ -83,18 +85,23 @@
 
     def count(self, *, pinned: bool) -> int:
         """Count the requests for transactions, or for statements."""
-        return sum(w.connection_request.pinned == pinned for w in self)
+        transactions = self._transactions
+        return transactions if pinned else self._waiting - transactions
 
     def add(self, waiter: _W) -> None:
         """Add a request, in the order of its number."""
         queue = self._team(waiter.connection_request.team)
         bisect.insort(queue.waiting, waiter, key=lambda w: w.number)
+        self._waiting += 1
+        self._transactions += waiter.connection_request.pinned
 
     def remove(self, waiter: _W) -> None:
         """Remove a request, if it still waits."""
         queue = self._teams.get(waiter.connection_request.team)
         if queue is not None and waiter in queue.waiting:
             queue.waiting.remove(waiter)
+            self._waiting -= 1
+            self._transactions -= waiter.connection_request.pinned
 
     def take(
         self,
@@ -109,10 +116,14 @@
         """
         on_time: _W | None = None
         late: _W | None = None
-        for queue in sorted(
-            (t for t in self._teams.values() if t.waiting),
-            key=lambda t: (self._start(t), t.waiting[0].number),
-        ):
+        virtual = self._virtual
+        # The numbers differ, so that the queues are never compared.
+        ordered = sorted(
+            (max(virtual, t.start), t.waiting[0].number, t)
+            for t in self._teams.values()
+            if t.waiting
+        )
+        for _, _, queue in ordered:
             for waiter in queue.waiting:
                 is_late = _is_late(waiter.connection_request, served_ns)
                 if (late if is_late else on_time) is not None:
@@ -204,7 +215,7 @@
                 continue
             on_time_here, late_here = self._count(queue, request, served_ns)
             late += late_here
-            if queue is not own:
+            if queue is not own and on_time_here > 1:
                 weight = queue.waiting[0].connection_request.weight
                 before = max(0.0, start - self._start(queue)) * weight
                 on_time_here = min(on_time_here, int(before) + 1)
@@ -219,13 +230,17 @@
         request: ConnectionRequest,
         served_ns: int,
     ) -> tuple[int, int]:
-        late = same = 0
+        # Called for each waiting team, so it makes no further calls.
+        pinned = request.pinned
+        on_time = late = 0
         for waiter in queue.waiting:
             other = waiter.connection_request
-            if other.pinned == request.pinned:
-                same += 1
-                late += _is_late(other, served_ns)
-        return same - late, late
+            if other.pinned == pinned:
+                if 0 < other.objective_ns < served_ns:
+                    late += 1
+                else:
+                    on_time += 1
+        return on_time, late
 
     def _team(self, team: str) -> _TeamQueue[_W]:
         queue = self._teams.get(team)
