--- a/src/rosemarysaddle/decide/_effects.py
+++ b/src/rosemarysaddle/decide/_effects.py
@@ -6,10 +6,12 @@
 
 import attrs
 
+from rosemarysaddle.decide._send import Send, SendRelayed
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from rosemarysaddle.schema import LogEntry, Message
+    from rosemarysaddle.schema import LogEntry
 
 __all__ = (
     "Committed",
@@ -27,31 +29,6 @@
 )
 
 
-@attrs.frozen(kw_only=True)
-class Send:
-    """Send one message to a peer; delivery is not guaranteed.
-
-    :param is_retry: whether an earlier message to the peer may not have
-        been answered; a new connection is then opened beside one
-        without any sign of life
-    """
-
-    peer: str
-    message: Message
-    is_retry: bool = False
-
-
-@attrs.frozen(kw_only=True)
-class SendRelayed:
-    """Send a message to the control leader over another entry host.
-
-    :param neighbour: lending address of the host that relays it
-    """
-
-    neighbour: str
-    message: Message
-
-
 @attrs.frozen(kw_only=True)
 class SaveVote:
     """Store term and vote durably before the next effect runs."""
--- a/src/rosemarysaddle/link/_peers.py
+++ b/src/rosemarysaddle/link/_peers.py
@@ -15,8 +15,8 @@
 from typing import TYPE_CHECKING, Final
 
 import attrs
-from absl import logging
 
+from rosemarysaddle import _log as logging
 from rosemarysaddle._clock import clock_ns
 from rosemarysaddle._contacts import ContactKind
 from rosemarysaddle.link._address import Address
--- a/src/rosemarysaddle/node/_host_metrics.py
+++ b/src/rosemarysaddle/node/_host_metrics.py
@@ -19,6 +19,7 @@
 from rosemarysaddle.session import LATENCY_BOUNDS_MS, WAIT_BOUNDS_MS
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import (
         Callable,
         Iterable,
@@ -31,11 +32,17 @@
     from rosemarysaddle._prometheus import Metric
     from rosemarysaddle.connection import ConnectionPool, Lender
     from rosemarysaddle.decide import ClusterState, ControlNode, EntryNode
+    from rosemarysaddle.node._start_timeline import StartTimeline
     from rosemarysaddle.schema import Node
     from rosemarysaddle.session import RateLimits, Router, StatementStats
     from rosemarysaddle.web import HttpServer
 
-__all__ = ("control_metrics", "entry_metrics", "start_metrics")
+__all__ = (
+    "control_metrics",
+    "entry_metrics",
+    "start_metrics",
+    "timeline_metric",
+)
 
 METRICS_THREADS: Final = 1
 MAX_BODY_BYTES: Final = 4_096
@@ -48,12 +55,17 @@
 
 
 def start_metrics(
-    settings: Node, metrics: Callable[[], Iterable[Metric]]
+    settings: Node,
+    metrics: Callable[[], Iterable[Metric]],
+    listener: socket.socket | None = None,
 ) -> HttpServer | None:
     """Serve the metrics of a host if the settings name an address.
 
-    Call it once :mod:`rosemarysaddle.web` is imported: that takes time.
+    The import of :mod:`rosemarysaddle.web` takes time; call it in a
+    thread.
 
+    :param listener: socket that listens on the address, if there is one
+        already
     :return: the server, or None without an address
     """
     if not settings.metrics_address:
@@ -65,6 +77,7 @@
         threads=METRICS_THREADS,
         max_body_bytes=MAX_BODY_BYTES,
         stop_timeout_s=STOP_GRACE_S,
+        listener=listener,
     )
     server.tree.graft(metrics_app(metrics), "/metrics")
     server.start()
@@ -162,6 +175,17 @@
     yield from _state_metrics(control.state)
 
 
+def timeline_metric(timeline: StartTimeline) -> Metric:
+    """Return when this host reached each step of its start."""
+    steps_s = dict(timeline.steps_s)
+    return _labelled_gauge(
+        "start_step_seconds",
+        "Time from the start of the process to a step of its start",
+        "step",
+        {str(step): spent_s for step, spent_s in steps_s.items()},
+    )
+
+
 def _follower_metrics(control: ControlNode, now_ns: int) -> Iterator[Metric]:
     statuses = control.log.follower_statuses()
     if not control.leads(now_ns):
--- a/src/rosemarysaddle/schema/__init__.py
+++ b/src/rosemarysaddle/schema/__init__.py
@@ -4,6 +4,7 @@
 
 from rosemarysaddle.schema._check import (
     SchemaFault,
+    build_document,
     load_document,
     load_file,
     parse_document,
@@ -135,6 +136,7 @@
     "ViewSnapshot",
     "VoteReply",
     "VoteRequest",
+    "build_document",
     "load_document",
     "load_file",
     "parse_document",
--- a/src/rosemarysaddle/schema/_check.py
+++ b/src/rosemarysaddle/schema/_check.py
@@ -9,19 +9,27 @@
 import functools
 import json
 import re
-from pathlib import Path
-from typing import Any, Final, TypeVar
+from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 import attrs
-import cattrs
-import jsonschema
-import pyjson5
 
-__all__ = ("SchemaFault", "load_document", "load_file", "parse_document")
+from rosemarysaddle.schema._readers import READERS, UncheckedError
+
+if TYPE_CHECKING:
+    import cattrs
+
+__all__ = (
+    "SchemaFault",
+    "build_document",
+    "load_document",
+    "load_file",
+    "parse_document",
+)
 
 MAX_DOCUMENT_BYTES: Final = 64 * 1024 * 1024
-_FOLDER: Final = Path(__file__).parent
-_CONVERTER: Final = cattrs.Converter()
+# A string of JSON does not continue on the next line, so that such a
+# line is never part of a value.
+_COMMENT_LINE: Final = re.compile(r"^[ \t]*//.*$", re.MULTILINE)
 
 T = TypeVar("T")
 
@@ -52,7 +60,9 @@
     :return: the document, or the fault found in it
     """
     try:
-        text = Path(path).read_text(encoding="utf-8")
+        # pathlib is imported by no other module that a start needs.
+        with open(path, encoding="utf-8") as file:  # noqa: PTH123
+            text = file.read()
     except (OSError, UnicodeDecodeError) as error:
         return SchemaFault(source=path, path="$", reason=str(error))
     return load_document(document_class, text, source=path)
@@ -74,6 +84,13 @@
             path="$",
             reason="document longer than 64 Mi characters",
         )
+    # Most documents are JSON but for lines of comments, and most are
+    # valid: then pyjson5 and jsonschema need not be imported.
+    document = _load_plain(document_class, text)
+    if document is not None:
+        return document
+    import pyjson5  # noqa: PLC0415
+
     try:
         value = pyjson5.decode(text, maxdepth=32)
     except (pyjson5.Json5Exception, ValueError) as error:
@@ -82,6 +99,18 @@
     return parse_document(document_class, value, source=source)
 
 
+def _load_plain(document_class: type[T], text: str) -> T | None:
+    """Load a valid document in JSON with lines of comments.
+
+    :return: the document, or None if the text may be anything else
+    """
+    try:
+        value = json.loads(_COMMENT_LINE.sub("", text))
+    except (ValueError, RecursionError):
+        return None
+    return _read(document_class, value)
+
+
 def parse_document(
     document_class: type[T],
     value: Any,
@@ -97,37 +126,49 @@
     :param show_values: whether a fault may show values of the document
     :return: the document, or the fault found in it
     """
-    error = jsonschema.exceptions.best_match(
-        _validator(_schema_name(document_class)).iter_errors(value)
+    document = _read(document_class, value)
+    if document is not None:
+        return document
+    # Imported only for a document that the generated reader leaves
+    # open, because the import takes longer than the start of a host.
+    from rosemarysaddle.schema._full_check import find_fault  # noqa: PLC0415
+
+    fault = find_fault(
+        document_class, value, source=source, show_values=show_values
     )
-    if error is not None:
-        reason = error.message if show_values else _describe_rule(error)
-        return SchemaFault(source=source, path=error.json_path, reason=reason)
-    return _CONVERTER.structure(value, document_class)
+    return fault or _structure(document_class, value)
 
 
-def _describe_rule(error: jsonschema.ValidationError) -> str:
-    """Describe a fault by the schema only."""
-    # Names the missing property, which the schema defines.
-    if error.validator == "required":
-        return str(error.message)
-    return f"value violates {error.validator}: {error.validator_value}"
+def build_document(document_class: type[T], value: Any) -> T:
+    """Build the class of a decoded document that was checked before.
+
+    :param document_class: generated class of the document
+    :param value: decoded JSON value
+    """
+    document = _read(document_class, value)
+    if document is not None:
+        return document
+    return _structure(document_class, value)
 
 
-def _schema_name(document_class: type) -> str:
-    return re.sub("(?<!^)([A-Z])", r"_\1", document_class.__name__).lower()
+def _read(document_class: type[T], value: Any) -> T | None:
+    """Build a document, or return None if it may be invalid."""
+    reader = READERS.get(document_class)
+    if reader is None:
+        return None
+    try:
+        document: T = reader(value)
+    except UncheckedError:
+        return None
+    return document
+
+
+def _structure(document_class: type[T], value: Any) -> T:
+    return _converter().structure(value, document_class)
 
 
 @functools.cache
-def _validator(stem: str) -> jsonschema.Draft202012Validator:
-    schema = _schema(stem)
-    # Names the schema that contains the definitions of this one.
-    if "x-defs-from" in schema:
-        schema["$defs"] = _schema(schema["x-defs-from"])["$defs"]
-    return jsonschema.Draft202012Validator(schema)
-
-
-def _schema(stem: str) -> dict[str, Any]:
-    text = (_FOLDER / f"{stem}.schema.json").read_text()
-    schema_body: dict[str, Any] = json.loads(text)
-    return schema_body
+def _converter() -> cattrs.Converter:
+    import cattrs  # noqa: PLC0415  # used by few documents of a host
+
+    return cattrs.Converter()
