Send fewer reads to targets that fail more often than others

Cause: a target that fails a share of its statements, or goes down and up, keeps its reads while its health check succeeds, because load balancing only knows the latency of the statements that succeed.

Conclusion: kept with a small added cost that is left out where the other targets have no room; slow targets are left to load balancing.

--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -92,6 +92,12 @@
     choose_target,
     compute_transfer_cost_ns,
 )
+from rosemarysaddle.decide.load._outliers import (
+    OutlierChange,
+    OutlierDetector,
+    OutlierLevel,
+    StatementSample,
+)
 from rosemarysaddle.decide.load._queueing import (
     WEIGHT_SCALE,
     ConnectionQueue,
@@ -180,6 +186,9 @@
     "LogPoint",
     "OpenSession",
     "Outcome",
+    "OutlierChange",
+    "OutlierDetector",
+    "OutlierLevel",
     "PositionHistory",
     "PreparedStatement",
     "ProbeGroup",
@@ -204,6 +213,7 @@
     "SetupPlan",
     "Statement",
     "StatementKind",
+    "StatementSample",
     "Step",
     "StoredLog",
     "TargetReport",
--- a/src/rosemarysaddle/decide/load/_load_balancing.py
+++ b/src/rosemarysaddle/decide/load/_load_balancing.py
@@ -49,6 +49,8 @@
     :param running: statements of this host that run there
     :param queued: statements of this host in its admission queue
     :param latency_ns: moving average of the time a statement takes
+    :param penalty_ns: added cost of a target that stands out in its
+        group, see :mod:`rosemarysaddle.decide.load._outliers`
     :param point: newest position that the target reported
     :param lagging_until_ns: time until which it is assumed to lag
     :param down_until_ns: time until which it gets no work
@@ -66,6 +68,7 @@
     running: int = 0
     queued: int = 0
     latency_ns: int = INITIAL_LATENCY_NS
+    penalty_ns: int = 0
     point: LogPoint | None = None
     lagging_until_ns: int = 0
     down_until_ns: int = 0
@@ -95,7 +98,7 @@
         busy = self.running + self.queued
         waiting = max(0, busy + 1 - max(1, self.slots))
         cost_ns = self.latency_ns * (1 + waiting // max(1, self.slots))
-        return cost_ns + self.transfer_cost_ns
+        return cost_ns + self.transfer_cost_ns + self.penalty_ns
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarysaddle/node/_host_metrics.py
+++ b/src/rosemarysaddle/node/_host_metrics.py
@@ -247,6 +247,30 @@
     yield _labelled_gauge(
         "target_waiting", "Statements that wait", "target", waiting
     )
+    yield _labelled_gauge(
+        "target_outlier",
+        "Level to which reads avoid a target: 1 fewer reads, 2 only probes",
+        "target",
+        router.outliers.avoided,
+    )
+    yield Counter(
+        name=f"{_PREFIX}target_outlier_changes",
+        help_text="Changes of the level to which reads avoid a target",
+        labels=("level",),
+        values={
+            (level.name.lower(),): count
+            for level, count in dict(router.outliers.changes).items()
+        },
+    )
+    yield Counter(
+        name=f"{_PREFIX}target_outlier_probes",
+        help_text="Reads that were sent to a target that others avoid",
+        labels=("target",),
+        values={
+            (target,): count
+            for target, count in dict(router.outliers.probes).items()
+        },
+    )
     yield _labelled_gauge(
         "target_running", "Statements that run", "target", running
     )
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -38,7 +38,6 @@
     TargetState,
     TeamScope,
     WriteTicket,
-    choose_target,
     compute_transfer_cost_ns,
     newer_point,
     share_connections,
@@ -48,6 +47,7 @@
 from rosemarysaddle.session._admission import AdmissionQueue
 from rosemarysaddle.session._rate_limits import RateLimits
 from rosemarysaddle.session._statement_stats import StatementStats
+from rosemarysaddle.session._target_outliers import TargetOutliers
 from rosemarysaddle.session._unknown_keys import UnknownKeyCounter
 
 if TYPE_CHECKING:
@@ -129,6 +129,7 @@
     limit_settings: LimitSettings = attrs.field(factory=LimitSettings)
     rate_limits: RateLimits = attrs.field(init=False)
     targets: dict[str, TargetState] = attrs.field(factory=dict, init=False)
+    outliers: TargetOutliers = attrs.field(init=False)
     pools: dict[str, SharedPool] = attrs.field(factory=dict, init=False)
     loan_client: LoanClient = attrs.field(init=False)
     statement_stats: StatementStats = attrs.field(
@@ -160,7 +161,8 @@
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create the loan client and the rate limits."""
+        """Create the loan client, the rate limits and the outliers."""
+        self.outliers = TargetOutliers(targets=self.targets)
         self.rate_limits = RateLimits(
             node=self.node, settings=self.limit_settings, regions=self.regions
         )
@@ -208,11 +210,15 @@
         route: Route,
         session_point: LogPoint | None,
         excluded: Collection[str],
+        *,
+        may_probe: bool = False,
     ) -> ReadTarget | None:
         """Choose the target of a read.
 
         :param session_point: log position of the session's newest write
         :param excluded: targets on which the read has already failed
+        :param may_probe: whether the read may go to an outlier, to find
+            out whether that has recovered
         :return: the target, or None if none is suitable now
         """
         now_ns = clock_ns()
@@ -231,7 +237,9 @@
             target_state.queued = self.admission_queues[
                 target_state.target
             ].waiting
-        chosen = choose_target(candidates, constraints)
+        chosen = self.outliers.choose(
+            candidates, constraints, may_probe=may_probe
+        )
         if chosen is None:
             return None
         after = None if chosen.target == primary else point
@@ -329,10 +337,18 @@
         if target_state is None:
             return
         target_state.record_point(answer.point)
+        now_ns = clock_ns()
+        # The faults of an overloaded host are no evidence.
+        if now_ns >= self._overloaded_until_ns:
+            self.outliers.record_statement(
+                target_state,
+                answer.fault,
+                now_ns,
+            )
         if answer.fault is None:
-            target_state.record_latency(clock_ns() - asked_ns)
+            target_state.record_latency(now_ns - asked_ns)
         elif answer.fault is FaultCode.BEHIND:
-            target_state.mark_lagging(clock_ns())
+            target_state.mark_lagging(now_ns)
         elif answer.fault in {FaultCode.LOST, FaultCode.TIMEOUT}:
             self.check(target)
         if was_leased_primary and answer.point is not None:
@@ -406,6 +422,7 @@
     def _start_rechecking(self, target_state: TargetState) -> None:
         if not target_state.is_unreachable:
             target_state.is_unreachable = True
+            self.outliers.record_down(target_state, clock_ns())
             spawn(self._recheck_until_up(target_state), self._tasks)
 
     async def _recheck_until_up(self, target_state: TargetState) -> None:
@@ -459,6 +476,7 @@
 
     def _remove_target(self, name: str) -> None:
         target_state = self.targets.pop(name)
+        self.outliers.remove_target(target_state)
         del self._by_group[target_state.group][name]
         self.pools.pop(name).close()
         del self.admission_queues[name]
@@ -477,6 +495,7 @@
             slots=record.slots,
         )
         self.targets[name] = target_state
+        self.outliers.add_target(target_state)
         self._by_group.setdefault(record.group, {})[name] = target_state
         own = ConnectionPool(
             target=name,
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -113,7 +113,9 @@
         attempts = 0
         last: Answer | None = None
         for number in range(MAX_TRIES):
-            read_target = self._choose_read_target(route, failed)
+            read_target = self._choose_read_target(
+                route, failed, may_probe=not failed
+            )
             if read_target is None:
                 refusal = await self._wait_for_target(route, deadline_ns, last)
                 if refusal is not None:
@@ -166,10 +168,12 @@
         return not_run_refusal(route.group, last)
 
     def _choose_read_target(
-        self, route: Route, failed: set[str]
+        self, route: Route, failed: set[str], *, may_probe: bool = False
     ) -> ReadTarget | None:
         point = self.points.get(route.group)
-        return self.router.choose_read_target(route, point, failed)
+        return self.router.choose_read_target(
+            route, point, failed, may_probe=may_probe
+        )
 
     async def _read_at(
         self,
