--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -12,8 +12,8 @@
 
 import attrs
 
-from rosemarysaddle.decide._effects import Effect, Send, SendRelayed
 from rosemarysaddle.decide._reasons import Reason, Refusal, Step
+from rosemarysaddle.decide._send import Send, SendRelayed
 from rosemarysaddle.decide._times import NS_PER_MS, RENEWAL_INTERVAL_MS
 from rosemarysaddle.decide.control_log._state import ClusterState
 from rosemarysaddle.decide.leases._lease import HostLease
@@ -35,6 +35,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from rosemarysaddle.decide._effects import Effect
     from rosemarysaddle.decide.primaries._terms import GroupTerm
     from rosemarysaddle.schema import Message
 
@@ -132,6 +133,8 @@
     _drains: dict[str, _Drain] = attrs.field(factory=dict, init=False)
     _next_suspicion_ns: dict[str, int] = attrs.field(factory=dict, init=False)
     _stopping: bool = attrs.field(default=False, init=False)
+    _has_heard_control: bool = attrs.field(default=False, init=False)
+    _is_redirected: bool = attrs.field(default=False, init=False)
     _heard_ns: int = attrs.field(default=0, init=False)
     _sent_ns: int = attrs.field(default=0, init=False)
     _granted_sent_ns: int = attrs.field(default=0, init=False)
@@ -206,7 +209,7 @@
             case LeaseGrant():
                 return self._on_grant(source, message, now_ns)
             case LeaseRefusal():
-                self._on_refusal(message, now_ns)
+                return self._on_refusal(message, now_ns)
             case CloseGroup():
                 return self._on_close(source, message, now_ns)
             case ViewDelta():
@@ -381,10 +384,14 @@
 
     def _renew(self, now_ns: int) -> list[Effect]:
         self._renew_at_ns = now_ns + RENEWAL_TIMEOUT_MS * NS_PER_MS
+        self._is_redirected = False
         peers: tuple[str, ...] = (self._leader(),)
         if not self.lease.leader and self.last_leader:
             self._renew_at_ns = now_ns + self._retry_interval_ns()
             peers = self._retry_peers()
+        elif not self._has_heard_control:
+            # At the start, any of them may be the one that answers.
+            peers = tuple(self.control)
         is_unanswered = not self.lease.leader
         if is_unanswered:
             self.unanswered_since_ns = (
@@ -450,6 +457,7 @@
     ) -> list[Effect]:
         if self._stopping:
             return []
+        self._has_heard_control = True
         self._leader_hint = source
         self.last_leader = source
         self.unanswered_since_ns = 0
@@ -468,10 +476,11 @@
             self.ready = True
         return effects
 
-    def _on_refusal(self, refusal: LeaseRefusal, now_ns: int) -> None:
+    def _on_refusal(self, refusal: LeaseRefusal, now_ns: int) -> list[Effect]:
+        self._has_heard_control = True
         if refusal.sent_ns <= self._granted_sent_ns:
             # Another control host has granted this renewal.
-            return
+            return []
         if self.last_leader and self.unanswered_since_ns:
             if refusal.leader not in self._asked:
                 # It knows no leader yet, or one that was not asked.
@@ -480,16 +489,22 @@
                 self._leader_hint = refusal.leader
             if refusal.leader and refusal.leader not in self._asked:
                 self._renew_at_ns = now_ns
-            return
+            return []
         if refusal.leader:
             self._leader_hint = refusal.leader
             self.lease.leader = refusal.leader
             self._renew_at_ns = now_ns
-            return
+            if self._is_redirected or self._stopping:
+                # Hosts that name each other wait for the next tick.
+                return []
+            effects = self._renew(now_ns)
+            self._is_redirected = True
+            return effects
         # Without a known leader, try the next control host, sooner than
         # after a renewal that got no answer.
         self._control_index += 1
         self._renew_at_ns = now_ns + RENEWAL_TIMEOUT_MS * NS_PER_MS // 3
+        return []
 
     def _on_delta(self, delta: ViewDelta, now_ns: int) -> None:
         for entry in delta.entries:
--- a/src/rosemarysaddle/decide/control_log/_state.py
+++ b/src/rosemarysaddle/decide/control_log/_state.py
@@ -7,10 +7,9 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 import attrs
-import cattrs
 
 from rosemarysaddle.decide.configuration._inventory import InventoryTable
 from rosemarysaddle.decide.configuration._route_plan import RouteTable
@@ -31,10 +30,13 @@
     LogEntry,
     Rules,
     SchemaFault,
+    build_document,
     load_document,
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from rosemarysaddle.decide.control_log._log import StoredLog
     from rosemarysaddle.schema import RequestClass, Tenant
 
@@ -47,6 +49,11 @@
 )
 
 MAX_KEPT_CHANGES: Final = 4_096
+# cattrs is four times as fast, but takes longer to import than such a
+# state to convert, at a time when a new leader has leases to grant.
+MAX_ROWS_WITHOUT_CATTRS: Final = 2_000
+
+T = TypeVar("T")
 
 
 class EntryKind:
@@ -207,14 +214,20 @@
 
     def dump(self) -> str:
         """Serialize the state as JSON for a snapshot."""
+        to_json: Callable[[Any], Any] = _as_json
+        rows = len(self.inventory.groups) + len(self.terms)
+        if rows + len(self.replies) > MAX_ROWS_WITHOUT_CATTRS:
+            import cattrs  # noqa: PLC0415
+
+            to_json = cattrs.unstructure
         body = {
             "index": self.index,
             "versions": [self.inventory_version, self.rules_version],
-            "inventory": _CONVERTER.unstructure(self.inventory.document()),
-            "rules": _CONVERTER.unstructure(self.rules),
-            "terms": _CONVERTER.unstructure(self.terms),
-            "replies": _CONVERTER.unstructure(self.replies),
-            "history": _CONVERTER.unstructure(self.history),
+            "inventory": to_json(self.inventory.document()),
+            "rules": to_json(self.rules),
+            "terms": to_json(self.terms),
+            "replies": to_json(self.replies),
+            "history": to_json(self.history),
             "voters": self.voters,
             "entry_hosts": self.entry_hosts,
             "lease_holders": sorted(self.lease_holders),
@@ -234,18 +247,21 @@
     def load(cls, text: str) -> ClusterState:
         """Rebuild a state from the JSON text of a snapshot."""
         body = json.loads(text)
-        inventory = _CONVERTER.structure(body["inventory"], Inventory)
+        inventory = build_document(Inventory, body["inventory"])
         return cls(
             index=body["index"],
             inventory_version=body["versions"][0],
             rules_version=body["versions"][1],
             inventory=InventoryTable.of(inventory),
-            rules=_CONVERTER.structure(body["rules"], Rules),
-            terms=_CONVERTER.structure(body["terms"], dict[str, GroupTerm]),
-            replies=_CONVERTER.structure(
-                body["replies"], dict[str, ChangeReply]
-            ),
-            history=_CONVERTER.structure(body["history"], list[AuditRecord]),
+            rules=build_document(Rules, body["rules"]),
+            terms={
+                name: _load_term(row) for name, row in body["terms"].items()
+            },
+            replies={
+                change_id: _build(ChangeReply, row)
+                for change_id, row in body["replies"].items()
+            },
+            history=[_build(AuditRecord, row) for row in body["history"]],
             voters=tuple(body["voters"]),
             entry_hosts=int(body["entry_hosts"]),
             lease_holders=set(body["lease_holders"]),
@@ -432,4 +448,23 @@
     )
 
 
-_CONVERTER: Final = cattrs.Converter()
+def _as_json(value: Any) -> Any:
+    """Convert an object and the objects in it to JSON."""
+    if isinstance(value, str | int):
+        return value
+    if isinstance(value, dict):
+        return {key: _as_json(item) for key, item in value.items()}
+    if isinstance(value, tuple | list):
+        return [_as_json(item) for item in value]
+    return {n: _as_json(getattr(value, n)) for n in value.__annotations__}
+
+
+def _load_term(row: dict[str, Any]) -> GroupTerm:
+    starts = [_build(TermStart, start) for start in row.get("starts", ())]
+    return _build(GroupTerm, {**row, "starts": tuple(starts)})
+
+
+def _build(row_class: type[T], row: dict[str, Any]) -> T:
+    """Build a row of a snapshot; ignore fields of later versions."""
+    names = row_class.__annotations__
+    return row_class(**{k: v for k, v in row.items() if k in names})
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -7,14 +7,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import importlib
 import uuid
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
-from absl import logging
 
+from rosemarysaddle import _log as logging
 from rosemarysaddle._clock import clock_ns
 from rosemarysaddle._events import log_event
 from rosemarysaddle._jitter import election_jitter
@@ -48,12 +49,13 @@
     wrap_relayed,
 )
 from rosemarysaddle.node._follower_log import FollowerLog
-from rosemarysaddle.node._host_metrics import control_metrics, start_metrics
 from rosemarysaddle.node._identity import (
     load_or_create_host_name,
     peer_address,
 )
+from rosemarysaddle.node._lazy_http import LazyHttpServer
 from rosemarysaddle.node._orders import AnnouncedTargetOrders
+from rosemarysaddle.node._start_timeline import StartStep, StartTimeline
 from rosemarysaddle.node._timing import (
     CONTROL_TICK_S,
     LEASE_MS,
@@ -73,8 +75,10 @@
 from rosemarysaddle.store import Journal
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    import socket
+    from collections.abc import Iterable, Sequence
 
+    from rosemarysaddle._prometheus import Metric
     from rosemarysaddle.decide import Effect
     from rosemarysaddle.node._platform import Platform
     from rosemarysaddle.schema import Message, Node
@@ -90,6 +94,9 @@
 HTTP_THREADS: Final = 6
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 STOP_GRACE_S: Final = 0.3
+# Nothing can be committed before the election, but a host must answer
+# operators and targets even if there is no leader.
+ELECTION_WAIT_S: Final = 0.4
 DISK_FAILED_EXIT_STATUS: Final = 74  # EX_IOERR in sysexits.h
 
 
@@ -112,7 +119,7 @@
     _orders: AnnouncedTargetOrders = attrs.field(init=False)
     _loop: asyncio.AbstractEventLoop = attrs.field(init=False)
     _http: HttpServer = attrs.field(init=False)
-    _metrics: HttpServer | None = attrs.field(default=None, init=False)
+    _metrics: LazyHttpServer | None = attrs.field(default=None, init=False)
     _pending_replies: dict[str, asyncio.Future[ChangeReply]] = attrs.field(
         factory=dict, init=False
     )
@@ -123,6 +130,10 @@
     _jobs: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
     _logged_state: tuple[object, ...] = attrs.field(default=(), init=False)
     _follower_log: FollowerLog = attrs.field(factory=FollowerLog, init=False)
+    _leader_known: asyncio.Event = attrs.field(
+        factory=asyncio.Event, init=False
+    )
+    _timeline: StartTimeline = attrs.field(factory=StartTimeline, init=False)
     _changed: asyncio.Condition = attrs.field(
         factory=asyncio.Condition, init=False
     )
@@ -132,10 +143,12 @@
     async def start(self) -> None:
         """Load the journal, listen, and start to tick and join."""
         self._loop = asyncio.get_running_loop()
+        self._timeline.record(StartStep.IMPORTED)
         folder = Path(self.settings.data_folder)
         self.host = load_or_create_host_name(folder, self.settings)
         self._journal = Journal(folder=folder)
         self._open_log()
+        self._timeline.record(StartStep.LOG_READ)
         self._orders = AnnouncedTargetOrders(
             host=self.settings.host,
             platform=self.platform,
@@ -152,9 +165,11 @@
             network_conditions=UnmodifiedNetwork(),
         )
         await self.network.start()
+        self._timeline.record(StartStep.LISTENING)
         spawn(self._tick_forever(), self._jobs)
         spawn(self._join_forever(), self._jobs)
         await self._start_http()
+        self._timeline.record(StartStep.API)
         logging.info(
             "event=started name=%s voters=%s index=%d",
             self.host,
@@ -171,7 +186,7 @@
         await asyncio.sleep(STOP_GRACE_S)
         await asyncio.to_thread(self._http.stop)
         if self._metrics is not None:
-            await asyncio.to_thread(self._metrics.stop)
+            await self._metrics.stop()
         for task in list(self._jobs):
             task.cancel()
         await self.network.stop()
@@ -210,8 +225,10 @@
         self.control.primaries.promote_timeout_ms = PROMOTE_TIMEOUT_MS
 
     async def _start_http(self) -> None:
-        # The import takes as long as an election, so it runs in a
-        # thread to keep the event loop responsive.
+        # The import takes as long as an election, so it waits for one
+        # and runs in a thread to keep the event loop responsive.
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._leader_known.wait(), ELECTION_WAIT_S)
         web = await asyncio.to_thread(
             importlib.import_module, "rosemarysaddle.web"
         )
@@ -223,10 +240,29 @@
         )
         self._http.tree.graft(self.platform.control_app(self), "")
         self._http.start()
-        self._metrics = start_metrics(
-            self.settings, lambda: control_metrics(self.control)
+        if self.settings.metrics_address:
+            self._metrics = LazyHttpServer(
+                address=Address.parse(self.settings.metrics_address),
+                start_server=self._start_metrics,
+            )
+            await self._metrics.start()
+
+    def _start_metrics(self, listener: socket.socket) -> HttpServer | None:
+        from rosemarysaddle.node._host_metrics import (  # noqa: PLC0415
+            start_metrics,
+        )
+
+        return start_metrics(self.settings, self._collect_metrics, listener)
+
+    def _collect_metrics(self) -> Iterable[Metric]:
+        from rosemarysaddle.node._host_metrics import (  # noqa: PLC0415
+            control_metrics,
+            timeline_metric,
         )
 
+        yield from control_metrics(self.control)
+        yield timeline_metric(self._timeline)
+
     # --- called from the threads of the HTTP server ---
 
     def announce_from_thread(self, announcement: Announcement) -> bool:
@@ -374,8 +410,20 @@
             now_ns = clock_ns()
             self._execute_effects(self.control.tick(now_ns))
             self._follower_log.update(self.control.log, now_ns)
+            self._record_start(now_ns)
             await asyncio.sleep(CONTROL_TICK_S)
 
+    def _record_start(self, now_ns: int) -> None:
+        record, leads = self._timeline.record, self.control.leads(now_ns)
+        record(StartStep.LEADER_KNOWN, reached=bool(self.control.log.leader))
+        record(StartStep.ELECTED, reached=leads)
+        if not leads or StartStep.ALL_LEASES in self._timeline.steps_s:
+            return
+        leases = len(self.control.lease_holders(now_ns))
+        entry_hosts = self.control.state.entry_hosts
+        record(StartStep.LEASE_GRANTED, reached=leases > 0)
+        record(StartStep.ALL_LEASES, reached=0 < entry_hosts <= leases)
+
     async def _join_forever(self) -> None:
         while True:
             await asyncio.sleep(JOIN_INTERVAL_S)
@@ -450,6 +498,8 @@
         if log_state == self._logged_state:
             return
         self._logged_state = log_state
+        if log.leader:
+            self._leader_known.set()
         logging.info(
             "event=control role=%s term=%d leader=%s voters=%s learners=%s"
             " index=%d",
--- a/src/rosemarysaddle/node/_host_metrics.py
+++ b/src/rosemarysaddle/node/_host_metrics.py
@@ -9,11 +9,17 @@
 from rosemarysaddle._clock import NS_PER_S, clock_ns
 from rosemarysaddle._contacts import ContactKind
 from rosemarysaddle._prometheus import Counter, Gauge, Histogram, metrics_app
-from rosemarysaddle.decide import NS_PER_MS
+from rosemarysaddle.decide import (
+    MAX_PRIORITY_LABEL,
+    NS_PER_MS,
+    QUEUE_WAIT_BOUNDS_MS,
+    QueueStats,
+)
 from rosemarysaddle.link import Address
 from rosemarysaddle.session import LATENCY_BOUNDS_MS, WAIT_BOUNDS_MS
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import (
         Callable,
         Iterable,
@@ -24,13 +30,19 @@
 
     from rosemarysaddle._contacts import ContactLog
     from rosemarysaddle._prometheus import Metric
-    from rosemarysaddle.connection import Lender
+    from rosemarysaddle.connection import ConnectionPool, Lender
     from rosemarysaddle.decide import ClusterState, ControlNode, EntryNode
+    from rosemarysaddle.node._start_timeline import StartTimeline
     from rosemarysaddle.schema import Node
     from rosemarysaddle.session import RateLimits, Router, StatementStats
     from rosemarysaddle.web import HttpServer
 
-__all__ = ("control_metrics", "entry_metrics", "start_metrics")
+__all__ = (
+    "control_metrics",
+    "entry_metrics",
+    "start_metrics",
+    "timeline_metric",
+)
 
 METRICS_THREADS: Final = 1
 MAX_BODY_BYTES: Final = 4_096
@@ -43,12 +55,17 @@
 
 
 def start_metrics(
-    settings: Node, metrics: Callable[[], Iterable[Metric]]
+    settings: Node,
+    metrics: Callable[[], Iterable[Metric]],
+    listener: socket.socket | None = None,
 ) -> HttpServer | None:
     """Serve the metrics of a host if the settings name an address.
 
-    Call it once :mod:`rosemarysaddle.web` is imported: that takes time.
+    The import of :mod:`rosemarysaddle.web` takes time; call it in a
+    thread.
 
+    :param listener: socket that listens on the address, if there is one
+        already
     :return: the server, or None without an address
     """
     if not settings.metrics_address:
@@ -60,6 +77,7 @@
         threads=METRICS_THREADS,
         max_body_bytes=MAX_BODY_BYTES,
         stop_timeout_s=STOP_GRACE_S,
+        listener=listener,
     )
     server.tree.graft(metrics_app(metrics), "/metrics")
     server.start()
@@ -157,6 +175,17 @@
     yield from _state_metrics(control.state)
 
 
+def timeline_metric(timeline: StartTimeline) -> Metric:
+    """Return when this host reached each step of its start."""
+    steps_s = dict(timeline.steps_s)
+    return _labelled_gauge(
+        "start_step_seconds",
+        "Time from the start of the process to a step of its start",
+        "step",
+        {str(step): spent_s for step, spent_s in steps_s.items()},
+    )
+
+
 def _follower_metrics(control: ControlNode, now_ns: int) -> Iterator[Metric]:
     statuses = control.log.follower_statuses()
     if not control.leads(now_ns):
@@ -296,6 +325,46 @@
         labels=("target", "event"),
         values=events,
     )
+    yield from _queue_metrics([pool.own for pool in pools.values()])
+
+
+def _queue_metrics(pools: Iterable[ConnectionPool]) -> Iterator[Metric]:
+    """Collect the metrics of the queues at this host, as a lender."""
+    waiting: collections.Counter[str] = collections.Counter()
+    refused: collections.Counter[tuple[str, str]] = collections.Counter()
+    waits = QueueStats()
+    for pool in pools:
+        waits.add(pool.stats)
+        for priority, count in pool.waiting.items():
+            waiting[str(min(priority, MAX_PRIORITY_LABEL))] += count
+    for (priority, reason), count in waits.refused.items():
+        refused[str(priority), reason] += count
+    yield _labelled_gauge(
+        "queue_waiting",
+        "Requests that wait for a connection",
+        "priority",
+        waiting,
+    )
+    yield Counter(
+        name=f"{_PREFIX}queue_refused",
+        help_text="Requests without a connection: refused at once because"
+        " of the expected wait, or at the deadline",
+        labels=("priority", "reason"),
+        values=refused,
+    )
+    yield Histogram(
+        name=f"{_PREFIX}queue_wait_seconds",
+        help_text="Time for which requests waited for a connection",
+        label="priority",
+        bounds_s=tuple(bound / 1_000 for bound in QUEUE_WAIT_BOUNDS_MS),
+        values={
+            str(priority): (
+                list(itertools.accumulate(counts)),
+                waits.wait_sums_ns[priority] / NS_PER_S,
+            )
+            for priority, counts in waits.waits.items()
+        },
+    )
 
 
 def _limit_metrics(limits: RateLimits) -> Iterator[Metric]:
--- a/tests/session/test_team_keys.py
+++ b/tests/session/test_team_keys.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING, Any
 
 import pytest
-from absl import logging
 
+from rosemarysaddle import _log as logging
 from rosemarysaddle.connection import Lender
 from rosemarysaddle.decide import Reason, Refusal, RouteTable, Step
 from rosemarysaddle.node._host_metrics import entry_metrics
