--- a/tests/session/test_target_outliers.py
+++ b/tests/session/test_target_outliers.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
+from rosemarysaddle._clock import clock_ns
 from rosemarysaddle.decide import (
     NS_PER_MS,
+    Answer,
     FaultCode,
     OutlierDetector,
     OutlierLevel,
     StatementSample,
 )
 from tests.session.outlier_simulation import Behaviour, Simulation
+from tests.session.standin import StandInTarget, make_router
 
 NS_PER_S = 1_000 * NS_PER_MS
 LATENCY_OBJECTIVE_MS = 1_000
@@ -162,3 +167,43 @@
             probes += 1
 
     assert 5 <= probes <= 11
+
+
+def _avoided_after(target: str, fault: FaultCode) -> set[str]:
+    """Let a router record faults of one of three targets.
+
+    :return: the targets that reads avoid after that
+    """
+
+    async def run() -> set[str]:
+        targets = [
+            StandInTarget(name=f"t{number}", port=17_981 + number)
+            for number in range(3)
+        ]
+        router = make_router(targets)
+        router.apply_view()
+        for _ in range(20):
+            for name in router.targets:
+                answer = Answer(fault=fault if name == target else None)
+                router.record_answer(
+                    name,
+                    answer,
+                    asked_ns=clock_ns(),
+                    was_leased_primary=False,
+                )
+        for pool in router.pools.values():
+            pool.close()
+        return set(router.outliers.avoided)
+
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("fault", "avoided"),
+    [(FaultCode.FAILED, {"t1"}), (FaultCode.BUSY, set())],
+)
+def test_router_judges_targets_by_their_answers(
+    fault: FaultCode, avoided: set[str]
+) -> None:
+    """Guards against answers that do not reach the detection."""
+    assert _avoided_after("t1", fault) == avoided
