--- a/src/rosemarysaddle/decide/load/_outliers.py
+++ b/src/rosemarysaddle/decide/load/_outliers.py
@@ -100,7 +100,9 @@
 class _TargetRecord:
     """Decayed counts and level of one target.
 
-    :param transfer_cost_ns: latency that its distance may explain
+    :param transfer_cost_ns: cost of a transfer between this host's data
+        centre and the target's
+    :param hold_ns: time without a fault that reinstatement requires
     :param changed_ns: time of the last change of level
     :param clean_since_ns: time of the last fault
     :param reinstated_ns: time at which it last left EJECTED; 0 if never
