--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -96,6 +96,12 @@
         choose_target,
         compute_transfer_cost_ns,
     )
+    from rosemarysaddle.decide.load._outliers import (
+        OutlierChange,
+        OutlierDetector,
+        OutlierLevel,
+        StatementSample,
+    )
     from rosemarysaddle.decide.load._queue_stats import (
         MAX_PRIORITY_LABEL,
         QUEUE_WAIT_BOUNDS_MS,
@@ -198,6 +204,9 @@
     "LogPoint",
     "OpenSession",
     "Outcome",
+    "OutlierChange",
+    "OutlierDetector",
+    "OutlierLevel",
     "PositionHistory",
     "PreparedStatement",
     "ProbeGroup",
@@ -223,6 +232,7 @@
     "SetupPlan",
     "Statement",
     "StatementKind",
+    "StatementSample",
     "Step",
     "StoredLog",
     "TargetReport",
@@ -327,6 +337,12 @@
             "choose_target",
             "compute_transfer_cost_ns",
         ),
+        "load._outliers": (
+            "OutlierChange",
+            "OutlierDetector",
+            "OutlierLevel",
+            "StatementSample",
+        ),
         "load._queue_stats": (
             "MAX_PRIORITY_LABEL",
             "QUEUE_WAIT_BOUNDS_MS",
