Stop an HTTP server at once instead of after half a second

Ruled out: sessions that hold the stop (they are closed by then) and the threads of requests (none run).

--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -241,8 +241,7 @@
         self._execute_effects(self.node.stop())
         self.router.rate_limits.close()
         await asyncio.sleep(POLL_INTERVAL_S)
-        for server in self._http_servers:
-            await server.stop()
+        await asyncio.gather(*(s.stop() for s in self._http_servers))
         self.relay_client.keep_only(())
         await self.network.stop()
 
--- a/src/rosemarysaddle/web/_server.py
+++ b/src/rosemarysaddle/web/_server.py
@@ -103,6 +103,7 @@
         self._partial: dict[Any, float] = {}
         self._partial_lock = threading.Lock()
         self._stopped = threading.Event()
+        self._is_closed = threading.Event()
         self._has_partial = threading.Event()
         self._poller = threading.Thread(
             target=self._poll, name="http-partial", daemon=True
@@ -143,7 +144,22 @@
         """Finish running requests, then close all connections."""
         self._stopped.set()
         self._has_partial.set()
+        # The selector waits up to half a second for connections, which
+        # a host that stops does not have.
+        waker = threading.Thread(target=self._wake_selector, daemon=True)
+        waker.start()
         super().stop()
+        self._is_closed.set()
+        waker.join()
+
+    def _wake_selector(self) -> None:
+        address = self.bind_addr
+        while not self._is_closed.wait(POLL_INTERVAL_S):
+            try:
+                socket.create_connection(address, POLL_INTERVAL_S).close()
+            except OSError:
+                # The socket is closed: the selector has ended.
+                return
 
     def _poll(self) -> None:
         while not self._stopped.wait(POLL_INTERVAL_S):
--- a/tests/web/test_server.py
+++ b/tests/web/test_server.py
@@ -107,3 +107,16 @@
         data += sock.recv(4_096)
     assert data.count(b"200 OK") == 3
     sock.close()
+
+
+def test_idle_server_stops_within_a_part_of_the_grace_time() -> None:
+    # Guards against hosts that outlive their grace time, as each of
+    # their servers took half a second to stop.
+    http_server = HttpServer(address=ADDRESS, threads=2, max_body_bytes=100)
+    http_server.start()
+    time.sleep(0.1)
+    start_s = time.monotonic()
+
+    http_server.stop()
+
+    assert time.monotonic() - start_s < 0.3
