--- a/tests/session/outlier_simulation.py
+++ b/tests/session/outlier_targets.py
@@ -49,7 +49,7 @@
 
 
 class Host:
-    """Entry host of the simulation."""
+    """Entry host of the fake group."""
 
     def __init__(self, data_center: str) -> None:
         """Create a host that knows all targets."""
@@ -72,7 +72,7 @@
 
 
 @attrs.define(kw_only=True)
-class Simulation:
+class FakeGroup:
     """Runs reads and records what callers get."""
 
     behaviour: Behaviour
@@ -96,7 +96,7 @@
         factory=lambda: dict.fromkeys(CENTERS, 0)
     )
 
-    def run(self) -> Simulation:
+    def run(self) -> FakeGroup:
         """Run all reads; only those after ``settle_ms`` are counted."""
         self.rng = random.Random(self.seed)  # noqa: S311
         self.hosts = [
--- a/tests/session/test_target_outliers.py
+++ b/tests/session/test_target_outliers.py
@@ -15,7 +15,7 @@
     OutlierLevel,
     StatementSample,
 )
-from tests.session.outlier_simulation import Behaviour, Simulation
+from tests.session.outlier_targets import Behaviour, FakeGroup
 from tests.session.standin import StandInTarget, make_router
 
 NS_PER_S = 1_000 * NS_PER_MS
@@ -51,8 +51,8 @@
     name: str,
 ) -> None:
     """Guards against a change of routing for healthy groups."""
-    before = Simulation(behaviour=UNAFFECTED[name], detects=False).run()
-    after = Simulation(behaviour=UNAFFECTED[name]).run()
+    before = FakeGroup(behaviour=UNAFFECTED[name], detects=False).run()
+    after = FakeGroup(behaviour=UNAFFECTED[name]).run()
 
     assert after.level_changes() == 0
     assert after.sent == before.sent
@@ -72,8 +72,8 @@
     behaviour: Behaviour, max_sent_share: float
 ) -> None:
     """Guards against reads that go on failing at one target."""
-    before = Simulation(behaviour=behaviour, detects=False).run()
-    after = Simulation(behaviour=behaviour).run()
+    before = FakeGroup(behaviour=behaviour, detects=False).run()
+    after = FakeGroup(behaviour=behaviour).run()
 
     assert 0 < after.sent["t0"] < max_sent_share * before.sent["t0"]
     assert after.served_share() >= before.served_share()
