Give the log positions of groups a module of their own

Behaviour is unchanged: tests of session, node and connection pass before and after. Conclusion: freshness of reads can be read in one place.

--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -122,7 +122,7 @@
         )
         self.lender = Lender(
             find_pool=self.router.own_pool,
-            find_point=self.router.find_point,
+            find_point=self.router.positions.find,
             on_token_request=self.router.rate_limits.handle_request,
         )
         self.relay_client = RelayClient(
@@ -299,7 +299,7 @@
             now_ns = clock_ns()
             self.router.record_tick(now_ns, ENTRY_TICK_S)
             self._execute_effects(self.node.tick(now_ns))
-            self.router.refresh_positions()
+            self.router.positions.refresh()
             self.router.tick_loans(now_ns)
             self.router.unknown_keys.tick(now_ns)
             self.lender.tick(now_ns)
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -23,28 +23,23 @@
 )
 from rosemarysaddle.decide import (
     NS_PER_MS,
-    ConnectionRequest,
     FaultCode,
-    Freshness,
     LenderRanking,
     LimitSettings,
     LogPoint,
-    PositionHistory,
     ReadConstraints,
     Reason,
     Refusal,
-    SessionVariables,
     Step,
     TargetState,
     TeamScope,
     WriteTicket,
     compute_transfer_cost_ns,
-    newer_point,
     share_connections,
 )
 from rosemarysaddle.link import Address
-from rosemarysaddle.schema import PointReply
 from rosemarysaddle.session._admission import AdmissionQueue
+from rosemarysaddle.session._positions import PositionTracker
 from rosemarysaddle.session._rate_limits import RateLimits
 from rosemarysaddle.session._statement_stats import StatementStats
 from rosemarysaddle.session._target_outliers import TargetOutliers
@@ -66,18 +61,6 @@
 __all__ = ("MAX_PLAN_AGE_MS", "ReadTarget", "Router")
 
 WARM_CONNECTIONS: Final = 1
-# Request the position of a group whose reads accept bounded staleness
-# if its primary has not sent one for this long.
-POINT_REFRESH_MS: Final = 400
-# A younger position is sent to other entry hosts of the data centre
-# without asking the primary again.
-MAX_SHARED_POINT_AGE_MS: Final = 200
-# Until then a busy primary is not asked again and its connection is not
-# closed.
-POINT_TIMEOUT_MS: Final = 1_000
-# The position of a group is refreshed for this long after a read needed
-# it.
-POINT_INTEREST_MS: Final = 5_000
 MIN_CHECK_INTERVAL_MS: Final = 300
 # Delay between probes of a target that accepted no connection.
 RECHECK_INTERVAL_MS: Final = 250
@@ -91,7 +74,6 @@
 MAX_TICK_DELAY_MS: Final = 50
 # Time for which a host counts as overloaded after a late tick.
 OVERLOAD_HOLD_MS: Final = 1_000
-_UNKNOWN_POINT: Final = PointReply(known=False, age_ns=0, term=0, position=0)
 
 
 @attrs.frozen(kw_only=True)
@@ -132,6 +114,7 @@
     outliers: TargetOutliers = attrs.field(init=False)
     pools: dict[str, SharedPool] = attrs.field(factory=dict, init=False)
     loan_client: LoanClient = attrs.field(init=False)
+    positions: PositionTracker = attrs.field(init=False)
     statement_stats: StatementStats = attrs.field(
         factory=StatementStats, init=False
     )
@@ -149,19 +132,13 @@
     )
     _overloaded_until_ns: int = attrs.field(default=0, init=False)
     _last_tick_ns: int = attrs.field(default=0, init=False)
-    _positions: dict[str, PositionHistory] = attrs.field(
-        factory=dict, init=False
-    )
-    _point_needed_ns: dict[str, int] = attrs.field(factory=dict, init=False)
     _next_check_ns: dict[str, int] = attrs.field(factory=dict, init=False)
-    _point_requests: dict[str, asyncio.Task[None]] = attrs.field(
-        factory=dict, init=False
-    )
     _waiters: set[asyncio.Future[None]] = attrs.field(factory=set, init=False)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create the loan client, the rate limits and the outliers."""
+        """Create the parts that share the state of this host."""
+        self.positions = PositionTracker(owner=self)
         self.outliers = TargetOutliers(targets=self.targets)
         self.rate_limits = RateLimits(
             node=self.node, settings=self.limit_settings, regions=self.regions
@@ -185,8 +162,7 @@
         state = self.node.state
         term = state.terms.get(group)
         left_ms = (self.node.lease.deadline_ns - now_ns) // NS_PER_MS
-        positions = self._positions.get(group)
-        newest_ns = positions.newest_ns() if positions is not None else 0
+        newest_ns = self.positions.newest_ns(group)
         age_ms = (now_ns - newest_ns) // NS_PER_MS if newest_ns else -1
         return (
             f"group={group} term={term.term if term is not None else 0}"
@@ -225,7 +201,7 @@
         group = route.group
         term = self.node.primary_of(group, now_ns)
         primary = term.primary if term is not None else ""
-        point = self._required_point(route, session_point, now_ns)
+        point = self.positions.required_point(route, session_point, now_ns)
         constraints = ReadConstraints(
             point=point,
             primary=primary,
@@ -245,20 +221,6 @@
         after = None if chosen.target == primary else point
         return ReadTarget(target=chosen.target, after=after)
 
-    def _required_point(
-        self, route: Route, session_point: LogPoint | None, now_ns: int
-    ) -> LogPoint | None:
-        if route.freshness == Freshness.PRIMARY:
-            return None
-        self._point_needed_ns[route.group] = now_ns
-        positions = self._positions.setdefault(route.group, PositionHistory())
-        point = positions.required_point(
-            now_ns=now_ns, staleness_ms=route.max_staleness_ms
-        )
-        if point is None or route.freshness != Freshness.SESSION:
-            return point
-        return newer_point(point, session_point)
-
     # --- writes ---
 
     def begin_write(self, group: str) -> WriteTicket | Refusal:
@@ -282,7 +244,7 @@
 
         Without a position that is new enough, no replica can.
         """
-        return self._required_point(route, None, clock_ns()) is None
+        return self.positions.required_point(route, None, clock_ns()) is None
 
     def lease_refusal(self, group: str, until_ns: int) -> Refusal | None:
         """Return a refusal if no lease is expected before a time.
@@ -359,10 +321,7 @@
         elif answer.fault in {FaultCode.LOST, FaultCode.TIMEOUT}:
             self.check(target)
         if was_leased_primary and answer.point is not None:
-            positions = self._positions.setdefault(
-                target_state.group, PositionHistory()
-            )
-            positions.add_sample(asked_ns, answer.point)
+            self.positions.record(target_state.group, asked_ns, answer.point)
 
     def handle_open_fault(self, fault: OpenFault) -> None:
         """Mark a target down that could not be connected to.
@@ -603,100 +562,6 @@
             self._overloaded_until_ns = now_ns + OVERLOAD_HOLD_MS * NS_PER_MS
         self._last_tick_ns = now_ns
 
-    def refresh_positions(self) -> None:
-        """Request the log positions that reads need if they are old."""
-        now_ns = clock_ns()
-        for group, needed_ns in list(self._point_needed_ns.items()):
-            if now_ns > needed_ns + POINT_INTEREST_MS * NS_PER_MS:
-                del self._point_needed_ns[group]
-                continue
-            newest_ns = self._positions[group].newest_ns()
-            if now_ns < newest_ns + POINT_REFRESH_MS * NS_PER_MS:
-                continue
-            term = self.node.primary_of(group, now_ns)
-            if term is not None and term.primary in self.pools:
-                self._start_point_request(group, term.primary)
-
-    async def find_point(self, target: str) -> PointReply:
-        """Find the newest log position of a primary for a borrower.
-
-        :return: the position; ``known`` is False if there is none
-        """
-        target_state = self.targets.get(target)
-        if target_state is None:
-            return _UNKNOWN_POINT
-        group = target_state.group
-        positions = self._positions.setdefault(group, PositionHistory())
-        if (
-            clock_ns()
-            > positions.newest_ns() + MAX_SHARED_POINT_AGE_MS * NS_PER_MS
-        ):
-            # A lender that asked another one in turn could wait for
-            # itself.
-            await self._start_point_request(group, target, is_lender=True)
-        point = positions.newest()
-        if point is None:
-            return _UNKNOWN_POINT
-        return PointReply(
-            known=True,
-            age_ns=clock_ns() - positions.newest_ns(),
-            term=point.term,
-            position=point.position,
-        )
-
-    def _start_point_request(
-        self, group: str, target: str, *, is_lender: bool = False
-    ) -> asyncio.Task[None]:
-        # One request at a time: a primary that answers late is busy.
-        request = self._point_requests.get(group)
-        if request is None or request.done():
-            request = spawn(
-                self._request_point(group, target, is_lender=is_lender),
-                self._tasks,
-            )
-            self._point_requests[group] = request
-        return request
-
-    async def _request_point(
-        self, group: str, target: str, *, is_lender: bool
-    ) -> None:
-        deadline_ns = clock_ns() + POINT_TIMEOUT_MS * NS_PER_MS
-        pool = self.pools[target]
-        if not pool.has_share:
-            return
-        lender = pool.lender
-        if lender != self.loan_client.ranking.own and not is_lender:
-            asked_ns = clock_ns()
-            reply = await self.loan_client.ask_point(
-                target, lender, deadline_ns=deadline_ns
-            )
-            if reply is not None:
-                point = LogPoint(term=reply.term, position=reply.position)
-                self._positions[group].add_sample(
-                    asked_ns - reply.age_ns, point
-                )
-            return
-        found = await pool.own.acquire(
-            SessionVariables(),
-            deadline_ns=deadline_ns,
-            connection_request=ConnectionRequest(any_team=True),
-        )
-        if isinstance(found, OpenFault):
-            return
-        asked_ns = clock_ns()
-        was_leased_primary = self.is_leased_primary(target)
-        answer = await found.ask(
-            found.codec.encode_reset(), deadline_ns=deadline_ns
-        )
-        found.setup.clear()
-        pool.own.release(found)
-        self.record_answer(
-            target,
-            answer,
-            asked_ns=asked_ns,
-            was_leased_primary=was_leased_primary,
-        )
-
 
 def _is_outdated(target_state: TargetState, record: TargetRecord) -> bool:
     current = (target_state.address, target_state.group)
--- a/tests/node/test_host_metrics.py
+++ b/tests/node/test_host_metrics.py
@@ -58,7 +58,7 @@
 
 
 def _lender(router: Router) -> Lender:
-    return Lender(find_pool=router.own_pool, find_point=router.find_point)
+    return Lender(find_pool=router.own_pool, find_point=router.positions.find)
 
 
 def _samples(text: str) -> dict[tuple[str, ...], float]:
--- a/tests/session/test_lending.py
+++ b/tests/session/test_lending.py
@@ -74,7 +74,9 @@
     router.node.neighbours = tuple(_address(n) for n in range(HOSTS))
     router.loan_client.ranking = LenderRanking(own=_address(number))
     router.apply_view()
-    lender = Lender(find_pool=router.own_pool, find_point=router.find_point)
+    lender = Lender(
+        find_pool=router.own_pool, find_point=router.positions.find
+    )
     return _Host(router=router, lender=lender)
 
 
@@ -245,7 +247,7 @@
         ]
         for host, caller in zip(center.hosts, callers, strict=True):
             await caller.query("READ 1")
-            host.router.refresh_positions()
+            host.router.positions.refresh()
         for _ in range(400):
             if all(_knows_point(host) for host in center.hosts):
                 break
@@ -257,17 +259,17 @@
 
 
 def _knows_point(host: _Host) -> bool:
-    return host.router._positions["g"].newest() is not None
+    return host.router.positions.newest("g") is not None
 
 
 def test_router_asks_a_busy_primary_for_its_position_once() -> None:
     async def scenario(center: _DataCenter) -> None:
         router = center.hosts[center.lender].router
         caller = await open_caller(router, "old")
-        router._point_needed_ns["g"] = 2**62
-        router._positions["g"] = PositionHistory()
+        router.positions._needed_ns["g"] = 2**62
+        router.positions._histories["g"] = PositionHistory()
         for _ in range(5):
-            router.refresh_positions()
+            router.positions.refresh()
             await asyncio.sleep(0.02)
         assert center.target.texts.count("RESET") == 1
         assert await caller.query("READ 1") == "OK I"
--- a/tests/session/test_rate_limits.py
+++ b/tests/session/test_rate_limits.py
@@ -86,7 +86,7 @@
     router.apply_view()
     lender = Lender(
         find_pool=router.own_pool,
-        find_point=router.find_point,
+        find_point=router.positions.find,
         on_token_request=limits.handle_request,
     )
     loop = asyncio.get_running_loop()
--- a/tests/session/test_team_keys.py
+++ b/tests/session/test_team_keys.py
@@ -388,7 +388,7 @@
         later = ("READ 1", "ROLLBACK", "READ 1")
         shown.extend([await callers[0].ask(f"QUERY 5c {t}") for t in later])
         lender = Lender(
-            find_pool=router.own_pool, find_point=router.find_point
+            find_pool=router.own_pool, find_point=router.positions.find
         )
         teams = [caller.session.runner.team for caller in callers]
         metrics = entry_metrics(router.node, router, lender, teams=teams)
--- a/tests/session/test_team_lending.py
+++ b/tests/session/test_team_lending.py
@@ -110,7 +110,9 @@
         own=_address(number), data_center=CENTERS[number]
     )
     router.apply_view()
-    lender = Lender(find_pool=router.own_pool, find_point=router.find_point)
+    lender = Lender(
+        find_pool=router.own_pool, find_point=router.positions.find
+    )
     return _Host(router=router, lender=lender)
 
 
