Move the state of a transaction out of the runner

Cause: session._refusals and session._runner imported each other. Change: Transaction stands in session/_transaction.py, which both import.

--- a/src/rosemarysaddle/session/__init__.py
+++ b/src/rosemarysaddle/session/__init__.py
@@ -9,12 +9,13 @@
     ReadTarget,
     Router,
 )
-from rosemarysaddle.session._runner import Runner, Transaction
+from rosemarysaddle.session._runner import Runner
 from rosemarysaddle.session._statement_stats import (
     LATENCY_BOUNDS_MS,
     StatementStats,
 )
 from rosemarysaddle.session._token_service import WAIT_BOUNDS_MS
+from rosemarysaddle.session._transaction import Transaction
 
 __all__ = (
     "LATENCY_BOUNDS_MS",
--- a/src/rosemarysaddle/session/_caller.py
+++ b/src/rosemarysaddle/session/_caller.py
@@ -36,7 +36,8 @@
     unknown_key,
     view_outdated,
 )
-from rosemarysaddle.session._runner import Runner, Transaction, writes
+from rosemarysaddle.session._runner import Runner, writes
+from rosemarysaddle.session._transaction import Transaction
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/rosemarysaddle/session/_refusals.py
+++ b/src/rosemarysaddle/session/_refusals.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from rosemarysaddle.decide import Answer
     from rosemarysaddle.schema import Route
-    from rosemarysaddle.session._runner import Transaction
+    from rosemarysaddle.session._transaction import Transaction
 
 __all__ = (
     "key_revoked",
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -40,8 +40,9 @@
 if TYPE_CHECKING:
     from rosemarysaddle.schema import Route
     from rosemarysaddle.session._router import ReadTarget, Router
+    from rosemarysaddle.session._transaction import Transaction
 
-__all__ = ("Runner", "Transaction")
+__all__ = ("Runner", "writes")
 
 # Delay before a statement that was not run is tried again; doubles with
 # each try.
@@ -52,30 +53,6 @@
 _NO_TARGET_FAULTS: Final = {FaultCode.READ_ONLY, FaultCode.BEHIND}
 
 
-@attrs.define(kw_only=True, eq=False)
-class Transaction:
-    """Transaction of one session, pinned to one connection.
-
-    :param connection: connection to which it is pinned, or None before
-        its first statement and after its end
-    :param target: target at which it has begun, or empty
-    :param ticket: ticket for the primary if it may write, once begun
-    :param has_written: whether it has run a write
-    :param team: team for which it was begun, or empty
-    :param retry_after_ms: time after which a connection may be free for
-        it, in milliseconds; 0 if unknown
-    """
-
-    is_read_only: bool
-    route: Route
-    connection: TargetConnection | None = None
-    target: str = ""
-    ticket: WriteTicket | None = None
-    has_written: bool = False
-    team: str = ""
-    retry_after_ms: int = 0
-
-
 @attrs.define(kw_only=True, eq=False)
 class Runner:
     """Runs the statements of one session.
