Expect waits without teams as before the queue measured them

The measured wait, its margin and the order by objective applied to deployments without teams as well, and refused transactions that were served before.

--- a/src/rosemarysaddle/connection/_pool.py
+++ b/src/rosemarysaddle/connection/_pool.py
@@ -285,6 +285,7 @@
         self._queue.limit = limit
         self._connections.limit = limit
         self._connections.uses_teams = uses_teams
+        self._queue.measures_wait = uses_teams
         self._connections.max_openings = max_concurrent_opens(
             slots=self.slots, uses_teams=uses_teams
         )
--- a/src/rosemarysaddle/decide/load/_queueing.py
+++ b/src/rosemarysaddle/decide/load/_queueing.py
@@ -94,11 +94,15 @@
         transactions
     :param mean_hold_ns: moving average of the time for which a
         connection is held outside of transactions
+    :param measures_wait: whether the expected wait follows from the
+        measured rate of services; otherwise from the window, the place
+        in the queue and the mean hold
     """
 
     limit: int
     window: ConcurrencyWindow = attrs.field(factory=ConcurrencyWindow)
     mean_hold_ns: int = INITIAL_HOLD_NS
+    measures_wait: bool = True
     _pinned: int = attrs.field(default=0, init=False)
     _orders: dict[int, FairOrder[Waiter[_T]]] = attrs.field(
         factory=dict, init=False
@@ -134,6 +138,8 @@
         It follows from the requests ahead and the rate at which such
         requests were served lately.
         """
+        if not self.measures_wait:
+            return self._assumed_wait_ns(connection_request.priority)
         priority = connection_request.priority
         served_ns = now_ns + ON_TIME_HOLDS * self.mean_hold_ns
         ahead = sum(
@@ -166,7 +172,8 @@
         :param wait_ns: expected wait
         :param deadline_ns: time until which the request may wait
         """
-        return now_ns + wait_ns + wait_ns // WAIT_MARGIN_DIVISOR > deadline_ns
+        margin_ns = wait_ns // WAIT_MARGIN_DIVISOR if self.measures_wait else 0
+        return now_ns + wait_ns + margin_ns > deadline_ns
 
     def push(
         self,
@@ -261,12 +268,18 @@
         self.window.running -= 1
         # A refusal ran nothing, and a loss shows only that the
         # statement would have taken at least this long.
-        if was_busy or (was_lost and held_ns < self.mean_hold_ns):
+        ran_nothing = was_busy and self.measures_wait
+        if ran_nothing or (was_lost and held_ns < self.mean_hold_ns):
             return
         self.mean_hold_ns += (
             held_ns - self.mean_hold_ns
         ) // _HOLD_EWMA_DIVISOR
 
+    def _assumed_wait_ns(self, priority: int) -> int:
+        ahead = sum(len(o) for p, o in self._orders.items() if p <= priority)
+        at_once = max(1, min(self.limit, int(self.window.size)))
+        return (ahead + 1) * self.mean_hold_ns // at_once
+
     @property
     def _max_pinned(self) -> int:
         return self.limit - self.limit // CONNECTIONS_PER_RESERVED
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -521,12 +521,15 @@
     def _connection_request(
         self, route: Route, deadline_ns: int, *, pinned: bool = False
     ) -> ConnectionRequest:
+        # Only where teams compete is the order by objective in force.
+        uses_teams = self.router.node.state.routes.uses_teams
+        objective_ns = _objective_ns(route, deadline_ns) if uses_teams else 0
         return ConnectionRequest(
             priority=route.priority,
             pinned=pinned,
             team=self.team,
             deadline_ns=_start_deadline_ns(route, deadline_ns),
-            objective_ns=_objective_ns(route, deadline_ns),
+            objective_ns=objective_ns,
             weight=self.weight,
         )
 
--- a/tests/connection/test_pool.py
+++ b/tests/connection/test_pool.py
@@ -310,3 +310,27 @@
         assert sum(pool.stats.waits[0]) == 20
 
     _run_scenario(scenario, 8)
+
+
+def test_pool_without_teams_expects_waits_as_before_teams() -> None:
+    # Guards against refusals of transactions that earlier deployments
+    # served: without teams the wait follows from place and window.
+    pool = ConnectionPool(
+        target="t",
+        group="g",
+        address=Address(ip=IP, port=PORT),
+        label="h",
+        limit=8,
+        slots=4,
+        new_codec=TargetLineCodec,
+        on_open_fault=lambda _: None,
+    )
+    waits_ns = {}
+    for uses_teams in (False, True):
+        pool.set_limit(8, uses_teams=uses_teams)
+        waits_ns[uses_teams] = pool._queue.expected_wait_ns(
+            ConnectionRequest(pinned=True), now_ns=0
+        )
+
+    assert waits_ns[False] == pool._queue.mean_hold_ns // 4
+    assert waits_ns[True] > waits_ns[False]
