Trace the two tests that fail beside load; let their callers retry

test_hosts_share_one_limit: with three busy processes on its core it failed in 1 of 5 runs. A trace of 25 runs: the three hosts share one event loop, so requests for tokens exceed their time-out of 50 ms, which is refused as unreachable with a wait of 250 ms; the burst took 74 to 249 ms, in which 30 to 100 more tokens accrue. Each run admitted fewer than burst + rate * elapsed (71 to 100 of 120 to 190), so the rule held. The test over real connections takes that bound; the old bounds (60 to 110 admitted, wait up to 10 ms) are held by a test on the fake clock.

test_statements_of_callers_run_under_their_team_when_a_lender_ends: 5 of 6 runs failed on a core with three busy processes, with BUSY I or ABORTED E. The log shows refusals of the queue (expected wait 88 to 210 ms) and openings that timed out: 250 operations/s exceed what the core runs, and each refusal said not-run. The callers now repeat a refused operation, and the test checks in addition that each statement outside of a transaction ran exactly once. With a route time-out of 400 ms a starved write ended with an unknown outcome; 5 s here.

Ruled out: a statement that ran under another team (no run showed one).

--- a/tests/session/standin.py
+++ b/tests/session/standin.py
@@ -24,18 +24,19 @@
     "timeout_ms": ROUTE_TIMEOUT_MS,
     "max_attempts": 2,
 }
+ROUTES = [
+    {**_ROUTE, "name": "p", "database": "own", "freshness": "primary"},
+    {
+        **_ROUTE,
+        "database": "old",
+        "freshness": "bounded_staleness",
+        "max_staleness_ms": 1500,
+    },
+]
 PLAN = {
     "version": 1,
     "groups": [{"name": GROUP, "connection_limit": 30}],
-    "routes": [
-        {**_ROUTE, "name": "p", "database": "own", "freshness": "primary"},
-        {
-            **_ROUTE,
-            "database": "old",
-            "freshness": "bounded_staleness",
-            "max_staleness_ms": 1500,
-        },
-    ],
+    "routes": ROUTES,
     "limits": {"transaction_idle_ms": 150},
 }
 
--- a/tests/session/test_rate_limits.py
+++ b/tests/session/test_rate_limits.py
@@ -20,6 +20,7 @@
 )
 from rosemarysaddle.platform import TargetLineCodec
 from rosemarysaddle.session import Router
+from tests.session.limit_hosts import fake_network
 from tests.session.standin import IP, PLAN
 
 if TYPE_CHECKING:
@@ -123,23 +124,45 @@
 
 def test_hosts_share_one_limit() -> None:
     # Guards against hosts that each grant the whole limit.
+    rate_per_s, burst_size = 400, 90
+
     async def scenario(hosts: list[_Host]) -> None:
         await asyncio.sleep(0.3)
+        start_ns = clock_ns()
         asked = [
             host.router.admit_operation(TEAM)
             for _ in range(100)
             for host in hosts
         ]
         refusals = [r for r in await asyncio.gather(*asked) if r is not None]
+        elapsed_s = (clock_ns() - start_ns) / NS_PER_S
         admitted = 300 - len(refusals)
-        assert 60 <= admitted <= 110
-        refusal = refusals[0]
-        assert refusal.reason is Reason.RATE_LIMITED
-        assert refusal.step is Step.ADMIT
-        assert refusal.peer == TEAM
-        assert 0 < refusal.retry_after_ms <= 10
-
-    _run_scenario(scenario, rate_per_s=400, burst_size=90)
+        # A busy machine takes longer, and more tokens accrue meanwhile.
+        assert 60 <= admitted <= burst_size + rate_per_s * elapsed_s
+        assert {(r.reason, r.step, r.peer) for r in refusals} == {
+            (Reason.RATE_LIMITED, Step.ADMIT, TEAM)
+        }
+
+    _run_scenario(scenario, rate_per_s=rate_per_s, burst_size=burst_size)
+
+
+def test_hosts_grant_the_limit_at_once_and_name_the_wait() -> None:
+    # Guards against hosts that each grant the whole limit, and against
+    # a wait that is not that for the next token.
+    with fake_network(
+        centers=1, hosts_per_center=HOSTS, rate_per_s=400, burst_size=90
+    ) as network:
+        network.settle(0)
+        for _ in range(100):
+            for host in network.hosts.values():
+                network.operate(host)
+        network.loop.sleep(0.2)
+
+        assert 60 <= len(network.admitted) <= 110
+        assert len(network.refusals) == 300 - len(network.admitted)
+        waits_ms = {r.retry_after_ms for r in network.refusals}
+        assert min(waits_ms) > 0
+        assert max(waits_ms) <= 10
 
 
 def test_requests_of_one_turn_share_one_message() -> None:
--- a/tests/session/test_team_lending.py
+++ b/tests/session/test_team_lending.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import json
 import random
 from typing import TYPE_CHECKING, Any
@@ -23,6 +24,8 @@
 from tests.session.standin import (
     IP,
     PLAN,
+    ROUTES,
+    Caller,
     StandInTarget,
     make_router,
     open_caller,
@@ -38,6 +41,13 @@
 LIMIT = 12
 # The target is in the data centre of the first two hosts.
 CENTERS = ("dc", "dc", "other", "other")
+# Codes of refusals after which the whole operation may be run again.
+PROMISES = {"BUSY", "ABORTED"}
+# A statement that was sent has an unknown outcome at its time-out, and
+# the machine of a test run may be busy.
+TIMEOUT_MS = 5_000
+# Time within which an operation has to be served.
+RETRY_MS = 20_000
 TEAMS = [
     {"name": f"team{n}", "api_keys": [f"key-{n:02d}-0123456789"]}
     for n in range(9)
@@ -94,6 +104,7 @@
     node = router.node
     plan = {
         **PLAN,
+        "routes": [{**r, "timeout_ms": TIMEOUT_MS} for r in ROUTES],
         "groups": [{"name": "g", "connection_limit": LIMIT}],
         "teams": TEAMS,
     }
@@ -266,13 +277,32 @@
     _run_scenario(scenario)
 
 
+async def _run_operation(caller: Caller, texts: list[str]) -> bool:
+    """Run the statements of one operation.
+
+    :return: whether they ran; False after a refusal that promises that
+        nothing is kept
+    """
+    for text in texts:
+        answer = await caller.query(text)
+        code, state = answer.split()
+        if code != "OK":
+            assert code in PROMISES, answer
+            if state != "I":
+                assert (await caller.query("ROLLBACK")).startswith("OK")
+            return False
+    return True
+
+
 def test_statements_of_callers_run_under_their_team_when_a_lender_ends() -> (
     None
 ):
     # More teams than connections, transactions among the statements,
-    # and a lender that is gone halfway.
+    # and a lender that is gone halfway.  On a busy machine statements
+    # may be refused; their callers try again.
     async def scenario(fleet: _Fleet) -> None:
         numbers = random.Random(3)  # noqa: S311
+        plain: list[str] = []
 
         async def run(number: int) -> None:
             team = min(len(TEAMS), int(numbers.paretovariate(0.8))) - 1
@@ -282,8 +312,12 @@
             write = f"WRITE {number} team{team}"
             is_transaction = numbers.random() < 0.3
             texts = ["BEGIN", write, "COMMIT"] if is_transaction else [write]
-            for text in texts:
-                assert (await caller.query(text)).startswith("OK")
+            if not is_transaction:
+                plain.append(write)
+            until_ns = clock_ns() + RETRY_MS * NS_PER_MS
+            while not await _run_operation(caller, texts):
+                assert clock_ns() < until_ns
+                await asyncio.sleep(0.1)
 
         lender, stand_in = fleet.lender, fleet.local_stand_in
         tasks = []
@@ -299,6 +333,9 @@
         for number, text in fleet.target.received:
             if text.startswith("WRITE"):
                 assert labels[number] == text.split()[2]
+        # No refused statement was run.
+        received = collections.Counter(fleet.target.texts)
+        assert {received[text] for text in plain} == {1}
         assert lender.pool.replaced > 0
         assert 0 < stand_in.pool.opened <= stand_in.pool.limit
 
