--- a/src/rosemarysaddle/connection/_connection.py
+++ b/src/rosemarysaddle/connection/_connection.py
@@ -135,6 +135,10 @@
         all its slots were in use
     :param borrower: receiver of the target's data while the connection
         is lent to another host, or None
+    :param on_activity: called when a statement starts or ends on the
+        connection
+    :param is_active: whether a statement runs, i.e. bytes were sent and
+        nothing was received since
     """
 
     target: str
@@ -146,6 +150,8 @@
     was_connected: bool = attrs.field(default=False, init=False)
     was_busy: bool = attrs.field(default=False, init=False)
     borrower: Borrower | None = attrs.field(default=None, init=False)
+    on_activity: Callable[[TargetConnection], None] | None = None
+    is_active: bool = attrs.field(default=False, init=False)
     _transport: Channel | None = attrs.field(default=None, init=False)
     _pending: collections.deque[asyncio.Future[Answer]] = attrs.field(
         factory=collections.deque, init=False
@@ -172,8 +178,17 @@
     def forward_raw(self, data: bytes) -> None:
         """Forward bytes of the borrower to the target, not decoded."""
         if self._transport is not None and not self.is_lost:
+            self.set_active(is_active=True)
             self._transport.write(data)
 
+    def set_active(self, *, is_active: bool) -> None:
+        """Record that a statement was sent, or that it is answered."""
+        if self.is_active == is_active:
+            return
+        self.is_active = is_active
+        if self.on_activity is not None:
+            self.on_activity(self)
+
     def data_received(self, data: bytes) -> None:
         """Match complete answers to the pending requests, in order.
 
@@ -182,6 +197,7 @@
         """
         if self.borrower is not None:
             self.borrower.forward_to_borrower(data)
+            self.set_active(is_active=False)
             return
         answers = self.codec.feed(data)
         if answers is None:
@@ -195,6 +211,7 @@
             pending = self._pending.popleft()
             if not pending.done():
                 pending.set_result(answer)
+        self.set_active(is_active=bool(self._pending))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the requests that still wait for an answer."""
@@ -219,6 +236,7 @@
             return _TIMED_OUT
         pending: asyncio.Future[Answer] = loop.create_future()
         self._pending.append(pending)
+        self.set_active(is_active=True)
         self._transport.write(data)
         timer = loop.call_later(left_s, self._on_timeout, pending)
         try:
--- a/src/rosemarysaddle/connection/_pool.py
+++ b/src/rosemarysaddle/connection/_pool.py
@@ -216,6 +216,34 @@
         """Number of open connections."""
         return self._connections.opened
 
+    @property
+    def running(self) -> int:
+        """Number of statements that run, those of transactions included."""
+        return self._queue.window.running
+
+    @property
+    def pinned(self) -> int:
+        """Number of connections that transactions keep."""
+        return self._queue.pinned
+
+    def log_load(self) -> None:
+        """Log the use of the target if requests wait for it."""
+        if not len(self._queue):
+            return
+        waiting = ",".join(
+            f"{priority}:{count}" for priority, count in self.waiting.items()
+        )
+        log_event(
+            "target-load",
+            f"target={self.target} group={self.group}"
+            f" open={self.opened} opening={self._connections.opening}"
+            f" limit={self.limit} pinned={self.pinned}"
+            f" running={self.running}"
+            f" window={self._queue.window.size:.1f} waiting={waiting}"
+            f" taken={self.takes} opened={self.opens}"
+            f" failed_opens={self.failed_opens}",
+        )
+
     def release(self, connection: TargetConnection) -> None:
         """Return a connection to the pool.
 
@@ -384,11 +412,23 @@
         )
         self._queue.record_acquired(connection_request)
 
+    def _on_activity(self, connection: TargetConnection) -> None:
+        """Count the running statements of transactions."""
+        use = self._connections.use_of(connection)
+        if use is None or not use.pinned:
+            return
+        self._queue.record_statement(is_running=connection.is_active)
+        if not connection.is_active:
+            self._serve_waiters()
+
     def _mark_returned(self, connection: TargetConnection) -> None:
         now_ns = clock_ns()
         use = self._connections.record_returned(connection, now_ns)
         if use is not None:
             connection_request, held_ns = use
+            if connection_request.pinned and connection.is_active:
+                self._queue.record_statement(is_running=False)
+            connection.is_active = False
             self._queue.record_released(
                 connection_request,
                 held_ns,
@@ -469,6 +509,7 @@
             target=self.target,
             codec=self.new_codec(),
             on_lost=self._on_connection_lost,
+            on_activity=self._on_activity,
         )
         opening = connection.codec.encode_open(
             group=self.group, label=team or self.label, target=self.target
--- a/src/rosemarysaddle/decide/load/_queueing.py
+++ b/src/rosemarysaddle/decide/load/_queueing.py
@@ -115,6 +115,11 @@
         """Return the number of waiting requests."""
         return sum(len(order) for order in self._orders.values())
 
+    @property
+    def pinned(self) -> int:
+        """Number of connections that transactions keep."""
+        return self._pinned
+
     @property
     def waiters(self) -> list[Waiter[_T]]:
         """Waiting requests, by priority."""
@@ -126,9 +131,9 @@
 
     def may_acquire(self, connection_request: ConnectionRequest) -> bool:
         """Tell whether a request may use a free connection."""
-        if not connection_request.pinned:
-            return self.window.may_start()
-        return self._pinned < self._max_pinned
+        if not self.window.may_start():
+            return False
+        return not connection_request.pinned or self._pinned < self._max_pinned
 
     def expected_wait_ns(
         self, connection_request: ConnectionRequest, *, now_ns: int
@@ -236,6 +241,13 @@
         else:
             self.window.running += 1
 
+    def record_statement(self, *, is_running: bool) -> None:
+        """Record that a statement of a transaction starts or ends.
+
+        It does not wait, but new work has to leave it a slot.
+        """
+        self.window.running += 1 if is_running else -1
+
     def record_released(
         self,
         connection_request: ConnectionRequest,
--- a/src/rosemarysaddle/decide/load/_team_connections.py
+++ b/src/rosemarysaddle/decide/load/_team_connections.py
@@ -244,6 +244,11 @@
                 use = self._uses[request.team] = _Use()
             use.add(now_ns)
 
+    def use_of(self, connection: _T) -> ConnectionRequest | None:
+        """Return the request that uses a connection, or None."""
+        taken = self._taken.get(connection)
+        return taken[0] if taken is not None else None
+
     def record_returned(
         self, connection: _T, now_ns: int
     ) -> tuple[ConnectionRequest, int] | None:
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -543,6 +543,7 @@
         if self.loan_client.tick(now_ns):
             for pool in self.pools.values():
                 pool.trim()
+                pool.own.log_load()
 
     def own_pool(self, target: str) -> ConnectionPool | None:
         """Return this host's own connections to a target, or None."""
