Let short operations go first at a target's queue

Cause: while the replicas of a group are behind, its primary gets up to twice what its slots do.

Operations of routes with the same freshness and objective are one kind; a host measures the work of each kind, as the lowest mean lately, since a full target makes all of them look long. After eight that went before an older one, the oldest goes.

--- a/src/rosemarysaddle/connection/_connection.py
+++ b/src/rosemarysaddle/connection/_connection.py
@@ -139,6 +139,8 @@
         connection
     :param is_active: whether a statement runs, i.e. bytes were sent and
         nothing was received since
+    :param active_ns: time for which statements ran, since the
+        connection was taken from its pool
     """
 
     target: str
@@ -152,6 +154,8 @@
     borrower: Borrower | None = attrs.field(default=None, init=False)
     on_activity: Callable[[TargetConnection], None] | None = None
     is_active: bool = attrs.field(default=False, init=False)
+    active_ns: int = attrs.field(default=0, init=False)
+    _active_since_ns: int = attrs.field(default=0, init=False)
     _transport: Channel | None = attrs.field(default=None, init=False)
     _pending: collections.deque[asyncio.Future[Answer]] = attrs.field(
         factory=collections.deque, init=False
@@ -186,6 +190,11 @@
         if self.is_active == is_active:
             return
         self.is_active = is_active
+        now_ns = clock_ns()
+        if is_active:
+            self._active_since_ns = now_ns
+        else:
+            self.active_ns += now_ns - self._active_since_ns
         if self.on_activity is not None:
             self.on_activity(self)
 
--- a/src/rosemarysaddle/connection/_lender.py
+++ b/src/rosemarysaddle/connection/_lender.py
@@ -288,4 +288,5 @@
         deadline_ns=deadline_ns,
         objective_ns=objective_ns,
         weight=weight,
+        service_class=request.service_class,
     )
--- a/src/rosemarysaddle/connection/_loans.py
+++ b/src/rosemarysaddle/connection/_loans.py
@@ -218,6 +218,7 @@
             any_team=connection_request.any_team,
             objective_ms=_remaining_ms(connection_request.objective_ns),
             weight=round(connection_request.weight * WEIGHT_SCALE),
+            service_class=connection_request.service_class,
         )
         answer = await link.ask(request, deadline_ns=deadline_ns)
         if answer is None:
--- a/src/rosemarysaddle/connection/_pool.py
+++ b/src/rosemarysaddle/connection/_pool.py
@@ -27,6 +27,7 @@
     SessionVariables,
     TeamConnections,
     Waiter,
+    WorkEstimates,
     max_concurrent_opens,
     retry_after,
 )
@@ -92,6 +93,8 @@
     :param limit: greatest number of connections that this host may open
     :param slots: statements that the target runs at once; 0 if unknown
     :param on_open_fault: called when a connection could not be opened
+    :param work: work of the operations of each kind, shared by all
+        pools
     :param failed_opens: number of connections that could not be opened
     :param opens: number of connections that were opened
     :param replaced: number of connections closed for another team
@@ -114,6 +117,7 @@
     replaced: int = attrs.field(default=0, init=False)
     takes: int = attrs.field(default=0, init=False)
     reuses: int = attrs.field(default=0, init=False)
+    work: WorkEstimates = attrs.field(factory=WorkEstimates)
     stats: QueueStats = attrs.field(factory=QueueStats, init=False)
     _connections: TeamConnections[TargetConnection] = attrs.field(init=False)
     _queue: ConnectionQueue[asyncio.Future[TargetConnection | _WakeReason]] = (
@@ -123,7 +127,9 @@
     def __attrs_post_init__(self) -> None:
         """Create the empty wait queue."""
         window = ConcurrencyWindow(size=max(INITIAL_SIZE, self.slots))
-        self._queue = ConnectionQueue(limit=self.limit, window=window)
+        self._queue = ConnectionQueue(
+            limit=self.limit, window=window, work=self.work
+        )
         self._connections = TeamConnections(limit=self.limit)
 
     async def acquire(
@@ -218,7 +224,7 @@
 
     @property
     def running(self) -> int:
-        """Number of statements that run, those of transactions included."""
+        """Number of running statements, also of transactions."""
         return self._queue.window.running
 
     @property
@@ -410,6 +416,7 @@
         self._connections.record_taken(
             connection, connection_request, clock_ns()
         )
+        connection.active_ns = 0
         self._queue.record_acquired(connection_request)
 
     def _on_activity(self, connection: TargetConnection) -> None:
@@ -433,6 +440,7 @@
                 connection_request,
                 held_ns,
                 now_ns=now_ns,
+                work_ns=connection.active_ns,
                 was_busy=connection.was_busy,
                 was_lost=connection.is_lost,
             )
--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -134,6 +134,10 @@
         MIN_SIZE,
         ConcurrencyWindow,
     )
+    from rosemarysaddle.decide.load._work_estimates import (
+        WorkEstimates,
+        WorkKind,
+    )
     from rosemarysaddle.decide.primaries._change import (
         ChangeTimes,
         choose_primary,
@@ -245,6 +249,8 @@
     "TokenCounter",
     "TokenStock",
     "Waiter",
+    "WorkEstimates",
+    "WorkKind",
     "WriteTicket",
     "address_of",
     "check_change",
@@ -364,6 +370,7 @@
         "load._token_counter": ("TokenCounter",),
         "load._token_stock": ("TokenStock", "reserve_share"),
         "load._window": ("INITIAL_SIZE", "MIN_SIZE", "ConcurrencyWindow"),
+        "load._work_estimates": ("WorkEstimates", "WorkKind"),
         "primaries._change": (
             "ChangeTimes",
             "choose_primary",
--- a/src/rosemarysaddle/decide/load/_fair_order.py
+++ b/src/rosemarysaddle/decide/load/_fair_order.py
@@ -4,7 +4,9 @@
 virtual start time that advances by the inverse of its weight with each
 connection that it gets, and the team with the lowest one is served
 first.  A team that floods the queue therefore waits behind its own
-requests.  Within a team, requests are served in order of arrival.
+requests.  Within a team, requests that are expected to need less work
+go first, then in order of arrival; after ``MAX_PASSES`` requests that
+went before an older one, the oldest goes next.
 
 Requests that can still meet their latency objective go before those
 that cannot; of every ``MAX_ON_TIME_RUN + 1`` requests that are taken
@@ -19,6 +21,7 @@
 import attrs
 
 from rosemarysaddle.decide.load._drain_rate import DrainRate
+from rosemarysaddle.decide.load._work_estimates import WorkEstimates, WorkKind
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -30,6 +33,10 @@
 # A late answer is worth less than one in time, but the caller still
 # waits for it.
 MAX_ON_TIME_RUN: Final = 4
+# Under overload the short operations alone can use all slots.  The long
+# ones get a ninth of the services then, and more while fewer short ones
+# wait.
+MAX_PASSES: Final = 8
 MIN_WEIGHT: Final = 0.001
 # Virtual times are kept for this many teams without waiting requests;
 # one that is forgotten is served at most one request too early.
@@ -47,6 +54,10 @@
     def number(self) -> int:
         """Sequence number of its arrival."""
 
+    @property
+    def kind(self) -> WorkKind:
+        """Kind of the operation."""
+
 
 _W = TypeVar("_W", bound=Waiting)
 
@@ -57,17 +68,55 @@
 
     :param start: virtual start time of its next request
     :param rate: measure of its services
+    :param rates: measure of its services of each kind
+    :param waiting: waiting requests in order of arrival
+    :param passes: number of requests that went before an older one
+        since the oldest was served
     """
 
     start: float = 0.0
     rate: DrainRate = attrs.field(factory=DrainRate, init=False)
+    rates: dict[WorkKind, DrainRate] = attrs.field(factory=dict, init=False)
     waiting: list[_W] = attrs.field(factory=list, init=False)
+    passes: int = attrs.field(default=0, init=False)
+
+    def in_order(self, work: WorkEstimates) -> list[_W]:
+        """Return the waiting requests in the order of service."""
+        if self.passes >= MAX_PASSES:
+            return self.waiting
+        ranks = {kind: work.rank(kind) for kind in self.kinds}
+        if len(set(ranks.values())) <= 1:
+            return self.waiting
+        return sorted(self.waiting, key=lambda w: ranks[w.kind])
+
+    @property
+    def kinds(self) -> set[WorkKind]:
+        """Kinds of the waiting requests."""
+        return {w.kind for w in self.waiting}
+
+    def observe(self, now_ns: int) -> None:
+        """Record which kinds have waiting requests from now on."""
+        self.rate.observe(now_ns, has_backlog=bool(self.waiting))
+        waiting = self.kinds
+        for kind in waiting - self.rates.keys():
+            self.rates[kind] = DrainRate()
+        for kind, rate in self.rates.items():
+            rate.observe(now_ns, has_backlog=kind in waiting)
+
+    def record_taken(self, waiter: _W) -> None:
+        """Record that a request is served, before it is removed."""
+        is_oldest = waiter is self.waiting[0]
+        self.passes = 0 if is_oldest else self.passes + 1
 
 
 @attrs.define(kw_only=True)
 class FairOrder(Generic[_W]):
-    """Waiting requests of one priority in the order of service."""
+    """Waiting requests of one priority in the order of service.
+
+    :param work: work of the operations of each kind
+    """
 
+    work: WorkEstimates = attrs.field(factory=WorkEstimates)
     _teams: dict[str, _TeamQueue[_W]] = attrs.field(factory=dict, init=False)
     _virtual: float = attrs.field(default=0.0, init=False)
     _on_time_run: int = attrs.field(default=0, init=False)
@@ -124,7 +173,7 @@
             if t.waiting
         )
         for _, _, queue in ordered:
-            for waiter in queue.waiting:
+            for waiter in queue.in_order(self.work):
                 is_late = _is_late(waiter.connection_request, served_ns)
                 if (late if is_late else on_time) is not None:
                     continue
@@ -151,6 +200,8 @@
             chosen = late
             self._on_time_run = 0
         if chosen is not None:
+            team = chosen.connection_request.team
+            self._teams[team].record_taken(chosen)
             self.remove(chosen)
         return chosen
 
@@ -167,54 +218,100 @@
         """Record whether requests of a team wait from now on."""
         queue = self._teams.get(request.team)
         if queue is not None:
-            has_backlog = bool(queue.waiting)
-            queue.rate.observe(now_ns, has_backlog=has_backlog)
+            queue.observe(now_ns)
 
     def record_released(self, request: ConnectionRequest, now_ns: int) -> None:
         """Record the end of a service of a team."""
         queue = self._teams.get(request.team)
-        if queue is not None:
-            queue.rate.record_served(0, now_ns)
+        if queue is None:
+            return
+        queue.rate.record_served(0, now_ns)
+        rate = queue.rates.get(request.work_kind)
+        if rate is not None:
+            rate.record_served(0, now_ns)
 
     def team_wait_ns(
-        self, request: ConnectionRequest, now_ns: int, *, assumed_ns: float
+        self,
+        request: ConnectionRequest,
+        kind: WorkKind,
+        now_ns: int,
+        *,
+        assumed_ns: float,
     ) -> int:
         """Estimate the wait from the services of the team alone.
 
         It exceeds the estimate for the whole queue where requests of
-        other teams that arrive later are served earlier.
+        other teams that arrive later are served earlier, and likewise
+        where shorter requests of the team are.
 
+        :param kind: kind of the operation
         :return: the wait, or 0 if no request of the team waits
         """
         queue = self._teams.get(request.team)
         if queue is None or not queue.waiting:
             return 0
-        kind = sum(
+        waiting = sum(
             w.connection_request.pinned == request.pinned
             for w in queue.waiting
         )
-        return queue.rate.expected_wait_ns(
-            kind, 0, now_ns, assumed_ns=assumed_ns
+        wait_ns = queue.rate.expected_wait_ns(
+            self._ahead_in_team(queue, waiting, kind),
+            0,
+            now_ns,
+            assumed_ns=assumed_ns,
+        )
+        same_kind = sum(w.kind == kind for w in queue.waiting)
+        rate = queue.rates.get(kind)
+        if rate is None or not same_kind:
+            return wait_ns
+        kind_wait_ns = rate.expected_wait_ns(
+            same_kind, 0, now_ns, assumed_ns=assumed_ns
         )
+        return max(wait_ns, kind_wait_ns)
 
-    def count_ahead(self, request: ConnectionRequest, served_ns: int) -> int:
+    def _ahead_in_team(
+        self, queue: _TeamQueue[_W], waiting: int, kind: WorkKind
+    ) -> int:
+        """Count the requests of a team ahead of a new one.
+
+        :param waiting: number of its requests that wait
+        :param kind: kind of the new request
+        """
+        rank = self.work.rank(kind)
+        ranks = {k: self.work.rank(k) for k in queue.kinds}
+        longer = sum(
+            ranks[w.kind] > rank
+            and w.kind.is_transaction == kind.is_transaction
+            for w in queue.waiting
+        )
+        longer = min(waiting, longer)
+        shorter = waiting - longer
+        return shorter + min(longer, shorter // MAX_PASSES)
+
+    def count_ahead(
+        self, request: ConnectionRequest, kind: WorkKind, served_ns: int
+    ) -> int:
         """Count the requests that are served before a new one.
 
         Only those that wait for the same kind of use count: for a
         statement or for a transaction.
+
+        :param kind: kind of the new request
         """
         own = self._teams.get(request.team)
         start = self._virtual
         if own is not None:
-            kind = self._count(own, request, served_ns)[0]
+            on_time = self._count(own, request, served_ns)[0]
             start = self._start(own)
-            start += kind / max(MIN_WEIGHT, request.weight)
+            start += on_time / max(MIN_WEIGHT, request.weight)
         ahead = late = 0
         for queue in self._teams.values():
             if not queue.waiting:
                 continue
             on_time_here, late_here = self._count(queue, request, served_ns)
             late += late_here
+            if queue is own:
+                on_time_here = self._ahead_in_team(queue, on_time_here, kind)
             if queue is not own and on_time_here > 1:
                 weight = queue.waiting[0].connection_request.weight
                 before = max(0.0, start - self._start(queue)) * weight
--- a/src/rosemarysaddle/decide/load/_queueing.py
+++ b/src/rosemarysaddle/decide/load/_queueing.py
@@ -21,6 +21,7 @@
 from rosemarysaddle.decide.load._drain_rate import DrainRate
 from rosemarysaddle.decide.load._fair_order import FairOrder
 from rosemarysaddle.decide.load._window import ConcurrencyWindow
+from rosemarysaddle.decide.load._work_estimates import WorkEstimates, WorkKind
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -61,6 +62,8 @@
     :param objective_ns: time by which the statement has to be answered
         to meet its latency objective; 0 if unknown
     :param weight: share of the team relative to other teams
+    :param service_class: class of the route, whose earlier operations
+        tell how much work to expect; empty if unknown
     """
 
     priority: int = 0
@@ -70,6 +73,14 @@
     deadline_ns: int = 0
     objective_ns: int = 0
     weight: float = 1.0
+    service_class: str = ""
+
+    @property
+    def work_kind(self) -> WorkKind:
+        """Kind of the operation for the estimate of its work."""
+        return WorkKind(
+            service_class=self.service_class, is_transaction=self.pinned
+        )
 
 
 @attrs.frozen(kw_only=True, eq=False)
@@ -77,11 +88,13 @@
     """One waiting request of the queue.
 
     :param number: sequence number that keeps the order of arrival
+    :param kind: kind of the operation
     :param item: object that the owner of the queue attached
     """
 
     connection_request: ConnectionRequest
     number: int
+    kind: WorkKind
     item: _T
 
 
@@ -94,6 +107,7 @@
         transactions
     :param mean_hold_ns: moving average of the time for which a
         connection is held outside of transactions
+    :param work: work of the operations of each kind
     :param measures_wait: whether the expected wait follows from the
         measured rate of services; otherwise from the window, the place
         in the queue and the mean hold
@@ -102,6 +116,7 @@
     limit: int
     window: ConcurrencyWindow = attrs.field(factory=ConcurrencyWindow)
     mean_hold_ns: int = INITIAL_HOLD_NS
+    work: WorkEstimates = attrs.field(factory=WorkEstimates)
     measures_wait: bool = True
     _pinned: int = attrs.field(default=0, init=False)
     _orders: dict[int, FairOrder[Waiter[_T]]] = attrs.field(
@@ -143,21 +158,22 @@
         It follows from the requests ahead and the rate at which such
         requests were served lately.
         """
-        if not self.measures_wait:
-            return self._assumed_wait_ns(connection_request.priority)
         priority = connection_request.priority
+        kind = connection_request.work_kind
         served_ns = now_ns + ON_TIME_HOLDS * self.mean_hold_ns
         ahead = sum(
-            order.count_ahead(connection_request, served_ns)
+            order.count_ahead(connection_request, kind, served_ns)
             if p == priority
             else order.count(pinned=connection_request.pinned)
             for p, order in self._orders.items()
             if p <= priority
         )
-        assumed_ns = INITIAL_TRANSACTION_NS / max(1, self._max_pinned)
-        if not connection_request.pinned:
-            at_once = max(1, min(self.limit, int(self.window.size)))
-            assumed_ns = self.mean_hold_ns / at_once
+        at_once = max(1, min(self.limit, int(self.window.size)))
+        if not self.measures_wait:
+            return (ahead + 1) * self.mean_hold_ns // at_once
+        assumed_ns = self.mean_hold_ns / at_once
+        if connection_request.pinned:
+            assumed_ns = INITIAL_TRANSACTION_NS / max(1, self._max_pinned)
         rate = self._rate(connection_request)
         wait_ns = rate.expected_wait_ns(
             ahead, priority, now_ns, assumed_ns=assumed_ns
@@ -165,7 +181,7 @@
         if connection_request.pinned:
             return wait_ns
         team_wait_ns = self._order(priority).team_wait_ns(
-            connection_request, now_ns, assumed_ns=assumed_ns
+            connection_request, kind, now_ns, assumed_ns=assumed_ns
         )
         return max(wait_ns, team_wait_ns)
 
@@ -196,6 +212,7 @@
         waiter = Waiter(
             connection_request=connection_request,
             number=next(self._sequence) if number is None else number,
+            kind=connection_request.work_kind,
             item=item,
         )
         self._order(connection_request.priority).add(waiter)
@@ -254,12 +271,15 @@
         held_ns: int,
         *,
         now_ns: int,
+        work_ns: int | None = None,
         was_busy: bool = False,
         was_lost: bool = False,
     ) -> None:
         """Record that a request has released its connection.
 
         :param held_ns: time for which it was held, in nanoseconds
+        :param work_ns: time for which its statements ran, in
+            nanoseconds; None if it was held for one statement
         :param was_busy: whether the target refused the statement
             because all its slots were in use
         :param was_lost: whether the connection was lost while in use
@@ -270,6 +290,12 @@
             if not connection_request.pinned:
                 order = self._order(priority)
                 order.record_released(connection_request, now_ns)
+            if not was_lost:
+                self.work.record(
+                    connection_request.work_kind,
+                    held_ns if work_ns is None else work_ns,
+                    now_ns,
+                )
         if connection_request.pinned:
             self._pinned -= 1
             return
@@ -287,11 +313,6 @@
             held_ns - self.mean_hold_ns
         ) // _HOLD_EWMA_DIVISOR
 
-    def _assumed_wait_ns(self, priority: int) -> int:
-        ahead = sum(len(o) for p, o in self._orders.items() if p <= priority)
-        at_once = max(1, min(self.limit, int(self.window.size)))
-        return (ahead + 1) * self.mean_hold_ns // at_once
-
     @property
     def _max_pinned(self) -> int:
         return self.limit - self.limit // CONNECTIONS_PER_RESERVED
@@ -299,7 +320,7 @@
     def _order(self, priority: int) -> FairOrder[Waiter[_T]]:
         order = self._orders.get(priority)
         if order is None:
-            order = self._orders[priority] = FairOrder()
+            order = self._orders[priority] = FairOrder(work=self.work)
         return order
 
     def _rate(self, connection_request: ConnectionRequest) -> DrainRate:
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -715,6 +715,7 @@
         "objective_ms",
         "weight",
         "any_team",
+        "service_class",
     )
 
     target: str
@@ -726,6 +727,7 @@
     objective_ms: int
     weight: int
     any_team: bool
+    service_class: str
 
     def __init__(
         self,
@@ -739,6 +741,7 @@
         objective_ms: int = 0,
         weight: int = 0,
         any_team: bool = False,
+        service_class: str = "",
     ) -> None:
         set_field = object.__setattr__
         set_field(self, "target", target)
@@ -750,6 +753,7 @@
         set_field(self, "objective_ms", objective_ms)
         set_field(self, "weight", weight)
         set_field(self, "any_team", any_team)
+        set_field(self, "service_class", service_class)
 
 
 @record(kw_only=True, init=False)
--- a/src/rosemarysaddle/schema/messages.capnp
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -217,6 +217,8 @@
   weight @7 :UInt32 = 0;
   # Whether a connection of any team serves the request.
   anyTeam @8 :Bool = false;
+  # Class of the route, for the estimate of the operation's work.
+  serviceClass @9 :Text = "";
 }
 
 struct LoanQueued {
--- a/src/rosemarysaddle/session/_admission.py
+++ b/src/rosemarysaddle/session/_admission.py
@@ -16,6 +16,7 @@
     ConcurrencyWindow,
     ConnectionQueue,
     ConnectionRequest,
+    WorkEstimates,
 )
 
 __all__ = ("AdmissionQueue",)
@@ -28,14 +29,18 @@
     """Queue of the statements that wait to run at one target.
 
     :param window: limit on the number of statements that run at once
+    :param work: work of the operations of each kind
     """
 
     window: ConcurrencyWindow = attrs.field(factory=ConcurrencyWindow)
+    work: WorkEstimates = attrs.field(factory=WorkEstimates)
     _queue: ConnectionQueue[asyncio.Future[None]] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the empty queue, which the window alone limits."""
-        self._queue = ConnectionQueue(limit=0, window=self.window)
+        self._queue = ConnectionQueue(
+            limit=0, window=self.window, work=self.work
+        )
 
     @property
     def waiting(self) -> int:
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -33,6 +33,7 @@
     Step,
     TargetState,
     TeamScope,
+    WorkEstimates,
     WriteTicket,
     compute_transfer_cost_ns,
     share_connections,
@@ -121,6 +122,7 @@
     unknown_keys: UnknownKeyCounter = attrs.field(
         factory=UnknownKeyCounter, init=False
     )
+    work: WorkEstimates = attrs.field(factory=WorkEstimates, init=False)
     admission_queues: dict[str, AdmissionQueue] = attrs.field(
         factory=dict, init=False
     )
@@ -472,6 +474,7 @@
             slots=record.slots,
             new_codec=self.new_codec,
             on_open_fault=self.handle_open_fault,
+            work=self.work,
         )
         pool = SharedPool(
             own=own,
@@ -480,7 +483,7 @@
         )
         pool.apply_share(self._compute_share(record))
         self.pools[name] = pool
-        self.admission_queues[name] = AdmissionQueue()
+        self.admission_queues[name] = AdmissionQueue(work=self.work)
         if record.data_center == self.node.data_center:
             spawn(pool.warm(WARM_CONNECTIONS), self._tasks)
 
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -531,6 +531,7 @@
             deadline_ns=_start_deadline_ns(route, deadline_ns),
             objective_ns=objective_ns,
             weight=self.weight,
+            service_class=_service_class(route),
         )
 
     async def _ask(
@@ -685,6 +686,15 @@
     return began_ns + route.latency_objective_ms * NS_PER_MS
 
 
+def _service_class(route: Route) -> str:
+    """Return the class of operations that a route belongs to.
+
+    Routes that promise their callers the same are taken to run the same
+    kinds of operations.
+    """
+    return f"{route.freshness}/{route.latency_objective_ms}"
+
+
 def _target_deadline_ns(route: Route, deadline_ns: int) -> int:
     """Return the time until which to wait for a target to appear.
 
