Bound the windows of lenders by the slots of the target

Six lenders kept 42 statements at the target, which served them in order of arrival. All lenders together now let three statements for each slot run.

Considered: windows by measured delay (no gain where a lender starts under load); shares agreed between lenders (no addresses of other data centres where the plan has no teams).

--- a/src/rosemarysaddle/connection/_pool.py
+++ b/src/rosemarysaddle/connection/_pool.py
@@ -17,6 +17,7 @@
 from rosemarysaddle.decide import (
     FULL_BACKOFF_MS,
     INITIAL_SIZE,
+    MAX_SIZE,
     MIN_SIZE,
     NS_PER_MS,
     ConcurrencyWindow,
@@ -306,14 +307,17 @@
         *,
         uses_teams: bool = False,
         min_window: float = MIN_SIZE,
+        max_window: float = MAX_SIZE,
     ) -> None:
         """Change the limit and close idle connections above it.
 
         :param uses_teams: whether the plan in force has teams
         :param min_window: number of statements outside of transactions
             that may run at once however busy the target is
+        :param max_window: greatest number of statements that may run at
+            once, besides those of transactions
         """
-        self._queue.window.set_min_size(min_window)
+        self._queue.window.set_bounds(min_window, max_window)
         has_grown = limit > self.limit
         self.limit = limit
         self._queue.limit = limit
--- a/src/rosemarysaddle/connection/_shared.py
+++ b/src/rosemarysaddle/connection/_shared.py
@@ -234,7 +234,10 @@
         if share.lending_center:
             min_window = max(MIN_SIZE, self.own.slots * REMOTE_WINDOW_PER_SLOT)
         self.own.set_limit(
-            share.limit, uses_teams=share.uses_teams, min_window=min_window
+            share.limit,
+            uses_teams=share.uses_teams,
+            min_window=min_window,
+            max_window=max(min_window, share.max_window(self.own.slots)),
         )
         if share.is_pending:
             self._has_share.clear()
--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -131,6 +131,7 @@
     )
     from rosemarysaddle.decide.load._window import (
         INITIAL_SIZE,
+        MAX_SIZE,
         MIN_SIZE,
         ConcurrencyWindow,
     )
@@ -169,6 +170,7 @@
     "INITIAL_SIZE",
     "LEASE_MS",
     "MAX_PRIORITY_LABEL",
+    "MAX_SIZE",
     "MIN_SIZE",
     "NO_ANSWER",
     "NS_PER_MS",
@@ -369,7 +371,12 @@
         ),
         "load._token_counter": ("TokenCounter",),
         "load._token_stock": ("TokenStock", "reserve_share"),
-        "load._window": ("INITIAL_SIZE", "MIN_SIZE", "ConcurrencyWindow"),
+        "load._window": (
+            "INITIAL_SIZE",
+            "MAX_SIZE",
+            "MIN_SIZE",
+            "ConcurrencyWindow",
+        ),
         "load._work_estimates": ("WorkEstimates", "WorkKind"),
         "primaries._change": (
             "ChangeTimes",
--- a/src/rosemarysaddle/decide/load/_lending.py
+++ b/src/rosemarysaddle/decide/load/_lending.py
@@ -22,6 +22,7 @@
 import attrs
 
 from rosemarysaddle.decide._times import NS_PER_MS
+from rosemarysaddle.decide.load._window import MAX_SIZE
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
@@ -62,6 +63,16 @@
 UNABLE_BACKOFF_MS: Final = 5_000
 
 
+# The lenders of all data centres together let this many statements for
+# each slot run, so that two thirds of them may be without demand.
+OVERCOMMITMENT: Final = 3.0
+# A single lender covers the round trip of a loan to another region,
+# which lasts up to 48 ms longer than its statement.
+MAX_STATEMENTS_PER_SLOT: Final = 2.0
+# One statement runs while another is on its way.
+MIN_LENDER_WINDOW: Final = 2.0
+
+
 @attrs.frozen(kw_only=True)
 class ConnectionShare:
     """Connections of an entry host to each target of a group.
@@ -75,12 +86,29 @@
         or empty if lending stays within each data centre; the limit is
         then that of this host as a lender while that data centre cannot
         be reached
+    :param fraction: part of all entry hosts that borrow from one lender
     """
 
     limit: int
     uses_lender: bool
     uses_teams: bool = False
     lending_center: str = ""
+    fraction: float = 1.0
+
+    def max_window(self, slots: int) -> float:
+        """Return how many statements a lender lets run at once.
+
+        A target queues what exceeds its slots, in order of arrival.
+        The lenders therefore keep most of the statements in their own
+        queues, which know who should go next.
+
+        :param slots: statements that the target runs at once; 0 if
+            unknown
+        """
+        if not self.uses_lender or not slots:
+            return MAX_SIZE
+        part = min(MAX_STATEMENTS_PER_SLOT, OVERCOMMITMENT * self.fraction)
+        return max(MIN_LENDER_WINDOW, slots * part)
 
     @property
     def is_pending(self) -> bool:
@@ -205,8 +233,12 @@
         return ConnectionShare(limit=0, uses_lender=True)
     if own >= MIN_OWN_CONNECTIONS or neighbours <= 1:
         return ConnectionShare(limit=max(1, own), uses_lender=False)
-    together = int(usable * min(neighbours, hosts) / hosts)
-    return ConnectionShare(limit=max(1, together), uses_lender=True)
+    fraction = min(neighbours, hosts) / hosts
+    return ConnectionShare(
+        limit=max(1, int(usable * fraction)),
+        uses_lender=True,
+        fraction=fraction,
+    )
 
 
 def lending_hosts(addresses: Iterable[str]) -> tuple[str, ...]:
--- a/src/rosemarysaddle/decide/load/_window.py
+++ b/src/rosemarysaddle/decide/load/_window.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-__all__ = ("INITIAL_SIZE", "MIN_SIZE", "ConcurrencyWindow")
+__all__ = ("INITIAL_SIZE", "MAX_SIZE", "MIN_SIZE", "ConcurrencyWindow")
 
 INITIAL_SIZE: Final = 3.0
 MIN_SIZE: Final = 1.0
@@ -30,12 +30,14 @@
     :param size: number of statements that may run at once
     :param running: number of statements that run now
     :param min_size: size down to which the window narrows
+    :param max_size: size up to which the window widens
     :param narrowed_ns: time of the last decrease; 0 before the first
     """
 
     size: float = INITIAL_SIZE
     running: int = 0
     min_size: float = MIN_SIZE
+    max_size: float = MAX_SIZE
     narrowed_ns: int = attrs.field(default=0, init=False)
 
     def may_start(self) -> bool:
@@ -45,12 +47,14 @@
     def record_served(self) -> None:
         """Widen the window, if it is full, after a served statement."""
         if self.running + 1 >= int(self.size):
-            self.size = min(MAX_SIZE, self.size + INCREASE_STEP / self.size)
+            wider = self.size + INCREASE_STEP / self.size
+            self.size = min(self.max_size, wider)
 
-    def set_min_size(self, min_size: float) -> None:
-        """Change the size down to which the window narrows."""
+    def set_bounds(self, min_size: float, max_size: float) -> None:
+        """Change the sizes between which the window adapts."""
         self.min_size = min_size
-        self.size = max(self.size, min_size)
+        self.max_size = max_size
+        self.size = max(min_size, min(max_size, self.size))
 
     def record_shed(self, *, sent_ns: int, now_ns: int) -> None:
         """Narrow the window after the target shed a statement.
--- a/tests/connection/test_pool.py
+++ b/tests/connection/test_pool.py
@@ -334,3 +334,29 @@
 
     assert waits_ns[False] == pool._queue.mean_hold_ns // 4
     assert waits_ns[True] > waits_ns[False]
+
+
+def test_statement_of_a_transaction_leaves_new_work_no_slot() -> None:
+    # Statements of transactions do not wait, so new work that did not
+    # count them met a target whose slots were all in use.
+    async def scenario(pool: ConnectionPool) -> None:
+        pinned = await _acquire(pool, ConnectionRequest(pinned=True))
+        queue = pool._queue
+        queue.window.set_bounds(1, 1)
+        pinned.set_active(is_active=True)
+
+        assert pool.running == 1
+        assert not queue.may_acquire(ConnectionRequest())
+        assert not queue.may_acquire(ConnectionRequest(pinned=True))
+
+        waiting = asyncio.create_task(_acquire(pool, ConnectionRequest()))
+        await asyncio.sleep(0)
+        pinned.set_active(is_active=False)
+        statement = await waiting
+
+        assert pool.running == 1
+        pool.release(statement)
+        pool.release(pinned)
+        assert pool.running == 0
+
+    _run_scenario(scenario, limit=4)
--- a/tests/decide/test_lending.py
+++ b/tests/decide/test_lending.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from rosemarysaddle.decide import (
+    MAX_SIZE,
     NS_PER_MS,
     ConnectionShare,
     LenderRanking,
@@ -19,13 +20,17 @@
 )
 
 
+def _lent(limit: int, fraction: float) -> ConnectionShare:
+    return ConnectionShare(limit=limit, uses_lender=True, fraction=fraction)
+
+
 @pytest.mark.parametrize(
     ("limit", "hosts", "neighbours", "share"),
     [
         (30, 7, 3, ConnectionShare(limit=3, uses_lender=False)),
-        (49, 66, 11, ConnectionShare(limit=7, uses_lender=True)),
-        (166, 78, 13, ConnectionShare(limit=24, uses_lender=True)),
-        (500, 2_600, 200, ConnectionShare(limit=34, uses_lender=True)),
+        (49, 66, 11, _lent(limit=7, fraction=11 / 66)),
+        (166, 78, 13, _lent(limit=24, fraction=13 / 78)),
+        (500, 2_600, 200, _lent(limit=34, fraction=200 / 2_600)),
         (49, 66, 0, ConnectionShare(limit=0, uses_lender=True)),
         (0, 66, 11, ConnectionShare(limit=2, uses_lender=False)),
         (49, 0, 0, ConnectionShare(limit=2, uses_lender=False)),
@@ -279,3 +284,22 @@
     tried = far.trial_lender("t", later_ns, data_center="dc0")
     far.mark_up(tried)
     assert far.lender("t", later_ns, data_center="dc0").startswith("dc0")
+
+
+@pytest.mark.parametrize(
+    ("slots", "fraction", "size"),
+    [(6, 1 / 6, 3), (6, 1 / 2, 9), (6, 1, 12), (6, 1 / 13, 2), (2, 1 / 6, 2)],
+)
+def test_lenders_together_keep_the_queue_of_a_target_short(
+    slots: int, fraction: float, size: float
+) -> None:
+    # With a window of nine each, six lenders had 42 statements at a
+    # target with six slots, which served them in order of arrival.
+    assert _lent(limit=8, fraction=fraction).max_window(slots) == size
+
+
+def test_host_without_lender_has_no_bound_by_slots() -> None:
+    # Its connections are fewer than that already.
+    share = ConnectionShare(limit=3, uses_lender=False)
+
+    assert share.max_window(5) == MAX_SIZE
