Do not take a full target for one that is down; name what kept a read

Cause: an opening that timed out behind a target's full slots marked it down for 400 ms, at each host. A lender's refusal of this kind also made each host probe the target with openings of its own.

A target that is down is now chosen if no other may serve the read; only one that took no connection is probed. A refusal names replicas that are behind, and a known primary is not reported as missing. Tests: fail before (the choice returned None; is_unreachable was set).

--- a/src/rosemarysaddle/decide/load/_load_balancing.py
+++ b/src/rosemarysaddle/decide/load/_load_balancing.py
@@ -53,7 +53,8 @@
         group, see :mod:`rosemarysaddle.decide.load._outliers`
     :param point: newest position that the target reported
     :param lagging_until_ns: time until which it is assumed to lag
-    :param down_until_ns: time until which it gets no work
+    :param down_until_ns: time until which it gets work only if no other
+        target may serve it
     :param is_unreachable: whether it took no connection at the last
         attempt; it gets no work until one of this host's own checks
         succeeds
@@ -141,15 +142,16 @@
     :return: the target, or None if none is eligible
     """
     eligible = [t for t in targets if _is_eligible(t, need)]
+    up = [t for t in eligible if need.now_ns >= t.down_until_ns]
     if not eligible:
         return None
-    return min(eligible, key=lambda t: _rank(t, need))
+    return min(up or eligible, key=lambda t: _rank(t, need))
 
 
 def _is_eligible(target: TargetState, need: ReadConstraints) -> bool:
     if target.target in need.excluded or target.leaving:
         return False
-    if target.is_unreachable or need.now_ns < target.down_until_ns:
+    if target.is_unreachable:
         return False
     if target.target == need.primary:
         return True
--- a/src/rosemarysaddle/session/_refusals.py
+++ b/src/rosemarysaddle/session/_refusals.py
@@ -29,38 +29,47 @@
 # By then a change of primary is usually complete.  A refusal by the
 # queue of a target brings the time that it has measured.
 RETRY_AFTER_MS: Final = 200
-# Reason of the refusal by the fault of the last attempt; any other
-# fault means that no target was available.
+# Reason of the refusal by the fault of the last attempt.  After any
+# other fault, or without an attempt, no target took the statement.
 _REASON_BY_FAULT: Final[dict[FaultCode | None, Reason]] = {
     FaultCode.BUSY: Reason.TARGET_BUSY,
     FaultCode.TOO_MANY_CONNECTIONS: Reason.TARGET_BUSY,
     FaultCode.LOST: Reason.CONNECTION_LOST,
     FaultCode.TIMEOUT: Reason.CONNECTION_LOST,
+    FaultCode.BEHIND: Reason.REPLICAS_BEHIND,
+    FaultCode.READ_ONLY: Reason.NO_PRIMARY,
 }
 
 
-def read_refusal(route: Route, last: Answer | None) -> Refusal:
+def read_refusal(
+    route: Route, last: Answer | None, *, has_primary: bool
+) -> Refusal:
     """Build the refusal of a read that is not attempted again.
 
     :param last: answer to the last attempt, or None
+    :param has_primary: whether the primary of the group is known
     """
     if last is not None and last.fault is FaultCode.FAILED:
         return Refusal(
             reason=Reason.STATEMENT_FAILED, step=Step.EXECUTE, peer=route.group
         )
     # A read has no effect, whether it was run or not.
-    return not_run_refusal(route.group, last)
+    return not_run_refusal(route.group, last, has_primary=has_primary)
 
 
-def not_run_refusal(group: str, last: Answer | None) -> Refusal:
+def not_run_refusal(
+    group: str, last: Answer | None, *, has_primary: bool
+) -> Refusal:
     """Build a refusal that guarantees that nothing was run.
 
     :param last: answer to the last attempt, or None
+    :param has_primary: whether the primary of the group is known
     """
+    no_target = Reason.NO_CONNECTION if has_primary else Reason.NO_PRIMARY
     fault = last.fault if last is not None else None
     measured_ms = last.retry_after_ms if last is not None else 0
     return Refusal(
-        reason=_REASON_BY_FAULT.get(fault, Reason.NO_PRIMARY),
+        reason=_REASON_BY_FAULT.get(fault, no_target),
         step=Step.EXECUTE,
         peer=group,
         retry_after_ms=measured_ms or RETRY_AFTER_MS,
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -241,6 +241,10 @@
             )
         return self.node.begin_write(group, now_ns)
 
+    def has_primary(self, group: str) -> bool:
+        """Return whether the lease covers a primary of a group."""
+        return self.node.primary_of(group, clock_ns()) is not None
+
     def needs_lease(self, route: Route) -> bool:
         """Return whether only the leased primary can serve a read.
 
@@ -359,7 +363,8 @@
         """Log that a lender refused to lend a connection.
 
         The target is marked down and probed if the lender could not
-        connect to it.
+        connect to it.  One that accepted a connection and did not
+        answer in time is slow or full.
         """
         target_state = self.targets.get(fault.peer)
         if target_state is None:
@@ -371,7 +376,8 @@
         )
         if fault.code in {FaultCode.LOST, FaultCode.TIMEOUT}:
             target_state.mark_down(clock_ns())
-            self._start_rechecking(target_state)
+            if not fault.connected:
+                self._start_rechecking(target_state)
 
     def check(self, target: str) -> None:
         """Probe a target over a new connection unless just done."""
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -120,7 +120,7 @@
                     number, start_deadline_ns, answer.retry_after_ms
                 ):
                     break
-        return read_refusal(route, last)
+        return self._refuse_read(route, last)
 
     async def write(
         self, route: Route, statement: Statement
@@ -149,7 +149,13 @@
                 number, start_deadline_ns, result.retry_after_ms
             ):
                 break
-        return not_run_refusal(route.group, last)
+        return not_run_refusal(
+            route.group, last, has_primary=self.router.has_primary(route.group)
+        )
+
+    def _refuse_read(self, route: Route, last: Answer | None) -> Refusal:
+        has_primary = self.router.has_primary(route.group)
+        return read_refusal(route, last, has_primary=has_primary)
 
     def _choose_read_target(
         self, route: Route, failed: set[str], *, may_probe: bool = False
@@ -484,7 +490,7 @@
                 return refusal
         if await self.router.wait_change(until_ns):
             return None
-        return read_refusal(route, last)
+        return self._refuse_read(route, last)
 
     async def _acquire_ticket(
         self, group: str, deadline_ns: int
--- a/tests/decide/test_load_balancing.py
+++ b/tests/decide/test_load_balancing.py
@@ -60,3 +60,31 @@
     assert compute_transfer_cost_ns("a1", "x", {}) == compute_transfer_cost_ns(
         "a1", "b1", REGIONS
     )
+
+
+def test_target_that_is_down_is_chosen_if_no_other_may_serve() -> None:
+    # A primary that was only full was left out, so that reads which it
+    # alone could serve waited for nothing and were refused.
+    full, other = _target("own"), _target("near")
+    full.mark_down(0)
+    need = ReadConstraints(point=None, primary="own", excluded=(), now_ns=0)
+
+    assert choose_target([full, other], need) is full
+
+
+def test_target_that_is_down_is_avoided_while_another_may_serve() -> None:
+    down, other = _target("own"), _target("far")
+    down.mark_down(0)
+    need = ReadConstraints(
+        point=LogPoint(term=1, position=1), primary="", excluded=(), now_ns=0
+    )
+
+    assert choose_target([down, other], need) is other
+
+
+def test_unreachable_target_is_not_chosen() -> None:
+    target = _target("own")
+    target.is_unreachable = True
+    need = ReadConstraints(point=None, primary="own", excluded=(), now_ns=0)
+
+    assert choose_target([target], need) is None
--- a/tests/session/test_lending.py
+++ b/tests/session/test_lending.py
@@ -348,3 +348,20 @@
     def __init__(self, pool: Any, acquire: Any) -> None:
         self.has_idle_for = pool.has_idle_for
         self.acquire = acquire
+
+
+def test_refusal_of_a_full_target_does_not_make_it_unreachable() -> None:
+    # Each host probed a target that was only full, with openings that
+    # took slots from statements.
+    async def scenario(center: _DataCenter) -> None:
+        router = center.hosts[center.borrower].router
+        target_state = router.targets["t1"]
+        for is_connected in (True, False):
+            router.handle_refused_loan(
+                OpenFault(
+                    code=FaultCode.TIMEOUT, peer="t1", connected=is_connected
+                )
+            )
+            assert target_state.is_unreachable is not is_connected
+
+    _run_scenario(scenario)
