Let statements wait only at the lender where connections are borrowed

Cause: a host admitted statements to a target by a window of its own, in front of the lender's queue, so that a short statement waited at its host for a long one to return from there. The wait at the lender now counts in the choice of a read's target.

--- a/src/rosemarysaddle/connection/_shared.py
+++ b/src/rosemarysaddle/connection/_shared.py
@@ -53,6 +53,8 @@
         others instead of each opening its own
     :param lending_center: data centre whose hosts lend to all others,
         or empty
+    :param waiting: number of requests of this host that wait for a
+        connection
     """
 
     own: ConnectionPool
@@ -60,6 +62,7 @@
     on_refused: Callable[[OpenFault], None]
     uses_lender: bool = attrs.field(default=False, init=False)
     lending_center: str = attrs.field(default="", init=False)
+    waiting: int = attrs.field(default=0, init=False)
     _has_share: asyncio.Event = attrs.field(factory=asyncio.Event, init=False)
 
     @property
@@ -106,6 +109,20 @@
             whether it is for a transaction
         :return: the connection, or why none was obtained
         """
+        self.waiting += 1
+        try:
+            return await self._acquire(
+                variables, deadline_ns, connection_request
+            )
+        finally:
+            self.waiting -= 1
+
+    async def _acquire(
+        self,
+        variables: SessionVariables,
+        deadline_ns: int,
+        connection_request: ConnectionRequest,
+    ) -> TargetConnection | OpenFault:
         target = self.own.target
         if not await self._wait_for_share(deadline_ns):
             code = FaultCode.TOO_MANY_CONNECTIONS
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -212,9 +212,10 @@
         )
         candidates = self._by_group.get(group, {}).values()
         for target_state in candidates:
-            target_state.queued = self.admission_queues[
-                target_state.target
-            ].waiting
+            name = target_state.target
+            target_state.queued = (
+                self.admission_queues[name].waiting + self.pools[name].waiting
+            )
         chosen = self.outliers.choose(
             candidates, constraints, may_probe=may_probe
         )
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -39,6 +39,7 @@
 
 if TYPE_CHECKING:
     from rosemarysaddle.schema import Route
+    from rosemarysaddle.session._admission import AdmissionQueue
     from rosemarysaddle.session._router import ReadTarget, Router
     from rosemarysaddle.session._transaction import Transaction
 
@@ -172,12 +173,9 @@
         statement: Statement,
         deadline_ns: int,
     ) -> Answer:
-        queue = self.router.admission_queues[read_target.target]
-        if not await queue.enter(
-            self._connection_request(route, deadline_ns),
-            deadline_ns=_start_deadline_ns(route, deadline_ns),
-        ):
-            return Answer(fault=FaultCode.BUSY, text="not admitted in time")
+        queue = await self._enter_queue(route, read_target.target, deadline_ns)
+        if isinstance(queue, Answer):
+            return queue
         try:
             connection = await self._connect(
                 route, read_target.target, deadline_ns, pinned=False
@@ -192,9 +190,33 @@
             )
             self._release(connection)
         finally:
-            queue.leave()
+            if queue is not None:
+                queue.leave()
         return answer
 
+    async def _enter_queue(
+        self, route: Route, target: str, deadline_ns: int
+    ) -> AdmissionQueue | Answer | None:
+        """Wait in this host's queue for a target, if there is one.
+
+        Where another host lends the connections, statements wait only
+        there: a statement that waits at its own host for another one to
+        return from the lender's queue could not overtake it.
+
+        :return: the queue to leave afterwards, None if there is none,
+            or a fault if the statement is not admitted in time
+        """
+        pool = self.router.pools.get(target)
+        if pool is not None and not pool.opens_own_connections:
+            return None
+        queue = self.router.admission_queues[target]
+        if await queue.enter(
+            self._connection_request(route, deadline_ns),
+            deadline_ns=_start_deadline_ns(route, deadline_ns),
+        ):
+            return queue
+        return Answer(fault=FaultCode.BUSY, text="not admitted in time")
+
     async def _write_admitted(
         self,
         route: Route,
@@ -202,19 +224,17 @@
         statement: Statement,
         deadline_ns: int,
     ) -> Answer | Refusal:
-        queue = self.router.admission_queues[ticket.primary]
-        if not await queue.enter(
-            self._connection_request(route, deadline_ns),
-            deadline_ns=_start_deadline_ns(route, deadline_ns),
-        ):
+        queue = await self._enter_queue(route, ticket.primary, deadline_ns)
+        if isinstance(queue, Answer):
             self.router.end_write(ticket)
-            return Answer(fault=FaultCode.BUSY, text="not admitted in time")
+            return queue
         try:
             return await self._write_once(
                 route, ticket, statement, deadline_ns
             )
         finally:
-            queue.leave()
+            if queue is not None:
+                queue.leave()
 
     async def _write_once(
         self,
