Refuse all that wait for a target that cannot be reached at once

One opening after the other timed out, and only the request that made it learned so; the others waited for their deadline and had no time left for another target. Test: fails before (five openings instead of one).

--- a/src/rosemarysaddle/connection/_pool.py
+++ b/src/rosemarysaddle/connection/_pool.py
@@ -75,6 +75,9 @@
     retry_after_ms: int = 0
 
 
+_Outcome = TargetConnection | OpenFault | _WakeReason
+
+
 @attrs.define(kw_only=True)
 class _Place:
     """Place of a request in the order of arrival.
@@ -121,9 +124,7 @@
     work: WorkEstimates = attrs.field(factory=WorkEstimates)
     stats: QueueStats = attrs.field(factory=QueueStats, init=False)
     _connections: TeamConnections[TargetConnection] = attrs.field(init=False)
-    _queue: ConnectionQueue[asyncio.Future[TargetConnection | _WakeReason]] = (
-        attrs.field(init=False)
-    )
+    _queue: ConnectionQueue[asyncio.Future[_Outcome]] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the empty wait queue."""
@@ -196,7 +197,7 @@
             ):
                 return self._refuse(connection_request, "wait", wait_ns)
             result = await self._wait(connection_request, deadline_ns, place)
-            if isinstance(result, TargetConnection):
+            if not isinstance(result, _WakeReason):
                 return result
             if result is _WakeReason.TIMED_OUT:
                 wait_ns = self._queue.expected_wait_ns(
@@ -488,7 +489,7 @@
     def _hand_over(
         self,
         connection: TargetConnection,
-        waiter: Waiter[asyncio.Future[TargetConnection | _WakeReason]],
+        waiter: Waiter[asyncio.Future[_Outcome]],
     ) -> None:
         self.reuses += 1
         self._mark_taken(connection, waiter.connection_request)
@@ -496,7 +497,7 @@
 
     def _next_waiter(
         self, is_suitable: Callable[[ConnectionRequest], bool]
-    ) -> Waiter[asyncio.Future[TargetConnection | _WakeReason]] | None:
+    ) -> Waiter[asyncio.Future[_Outcome]] | None:
         while True:
             waiter = self._queue.pop(is_suitable, now_ns=clock_ns())
             if waiter is None:
@@ -573,9 +574,21 @@
             loop.call_later(FULL_BACKOFF_MS / 1_000, self._wake_one)
         else:
             self.on_open_fault(fault)
+        if not fault.connected and not self._connections.opened:
+            self._fail_waiters(fault)
         self._wake_one()
         return fault
 
+    def _fail_waiters(self, fault: OpenFault) -> None:
+        """Refuse all that wait for a target that cannot be reached.
+
+        They would wait for their deadline while one opening after the
+        other times out, and then have no time left for another target.
+        """
+        for waiter in self._queue.waiters:
+            if not waiter.item.done():
+                waiter.item.set_result(fault)
+
     def _waits_for_full(self, fault: OpenFault) -> bool:
         """Return whether a request may wait although an opening failed.
 
@@ -590,13 +603,11 @@
         connection_request: ConnectionRequest,
         deadline_ns: int,
         place: _Place,
-    ) -> TargetConnection | _WakeReason:
+    ) -> _Outcome:
         loop = asyncio.get_running_loop()
         now_ns = clock_ns()
         left_s = max(0, deadline_ns - now_ns) / NS_PER_S
-        wakeup: asyncio.Future[TargetConnection | _WakeReason] = (
-            loop.create_future()
-        )
+        wakeup: asyncio.Future[_Outcome] = loop.create_future()
         waiter = self._queue.push(
             connection_request, wakeup, now_ns=now_ns, number=place.number
         )
@@ -624,7 +635,7 @@
 
 
 def _wake_waiter(
-    wakeup: asyncio.Future[TargetConnection | _WakeReason], reason: _WakeReason
+    wakeup: asyncio.Future[_Outcome], reason: _WakeReason
 ) -> None:
     if not wakeup.done():
         wakeup.set_result(reason)
--- a/tests/connection/test_pool.py
+++ b/tests/connection/test_pool.py
@@ -10,9 +10,12 @@
     OpenFault,
     TargetConnection,
 )
+from rosemarysaddle.connection import _pool as pool_module
 from rosemarysaddle.decide import (
     NS_PER_MS,
+    Answer,
     ConnectionRequest,
+    FaultCode,
     SessionVariables,
 )
 from rosemarysaddle.link import Address
@@ -22,6 +25,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
+    import pytest
+
 PORT = 17_770
 NO_VARIABLES = SessionVariables()
 
@@ -360,3 +365,31 @@
         assert pool.running == 0
 
     _run_scenario(scenario, limit=4)
+
+
+def test_all_that_wait_for_an_unreachable_target_are_refused_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Only the request that made the opening learned that it failed; the
+    # others waited for one opening after the other to time out.
+    openings = []
+
+    async def time_out(*args: object, **kwargs: object) -> Answer:
+        openings.append((args, kwargs))
+        await asyncio.sleep(0.01)
+        return Answer(fault=FaultCode.TIMEOUT)
+
+    monkeypatch.setattr(pool_module, "open_connection", time_out)
+
+    async def scenario(pool: ConnectionPool) -> None:
+        deadline_ns = _deadline_after_ms(60_000)
+        found = await asyncio.gather(
+            *(
+                pool.acquire(NO_VARIABLES, deadline_ns=deadline_ns)
+                for _ in range(5)
+            )
+        )
+        assert {type(fault) for fault in found} == {OpenFault}
+        assert len(openings) == 1
+
+    _run_scenario(scenario, limit=4)
