Relieve a primary by a replica that is behind; ask lagging replicas less

A promoted replica begins with what it has received.

A host now asks such a replica after 150 ms, and then up to 1.2 s later.

The wait for a connection counts in the choice of a read's target.

--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -54,6 +54,7 @@
     LeaseRenewal,
     LeaseReturn,
     LogEntry,
+    ReplicasBehind,
     StepOut,
     Suspicion,
     Switchover,
@@ -174,8 +175,8 @@
                 return self.primaries.on_lease_returned(message.host, now_ns)
             case GroupClosed():
                 return self.primaries.on_closed(message, now_ns)
-            case Suspicion():
-                return self.primaries.on_suspicion(message, now_ns)
+            case Suspicion() | ReplicasBehind():
+                return self.primaries.on_report(message, now_ns)
             case ChangeProposal():
                 return self._on_proposal(source, message, now_ns)
             case Announcement():
--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -27,6 +27,7 @@
     LeaseRenewal,
     LeaseReturn,
     Neighbours,
+    ReplicasBehind,
     Suspicion,
     ViewDelta,
     ViewSnapshot,
@@ -37,6 +38,7 @@
 
     from rosemarysaddle.decide._effects import Effect
     from rosemarysaddle.decide.primaries._terms import GroupTerm
+    from rosemarysaddle.decide.reads._token import LogPoint
     from rosemarysaddle.schema import Message
 
 __all__ = ("EntryNode", "WriteTicket")
@@ -58,6 +60,7 @@
 MAX_OUTAGE_RETRY_MS: Final = 2_000
 SUSPICION_INTERVAL_MS: Final = 300
 DRAIN_TIMEOUT_MS: Final = 2_000
+BEHIND_REPORT_INTERVAL_MS: Final = 1_000
 
 
 @attrs.frozen(kw_only=True)
@@ -130,6 +133,9 @@
     _renew_at_ns: int = attrs.field(default=0, init=False)
     _control_index: int = attrs.field(default=0, init=False)
     _running_writes: dict[str, int] = attrs.field(factory=dict, init=False)
+    _next_behind_report_ns: dict[str, int] = attrs.field(
+        factory=dict, init=False
+    )
     _drains: dict[str, _Drain] = attrs.field(factory=dict, init=False)
     _next_suspicion_ns: dict[str, int] = attrs.field(factory=dict, init=False)
     _stopping: bool = attrs.field(default=False, init=False)
@@ -366,6 +372,31 @@
             [Send(peer=self._leader(), message=suspicion)]
         )
 
+    def report_replicas_behind(
+        self, group: str, point: LogPoint, now_ns: int
+    ) -> list[Effect]:
+        """Report that reads are refused while replicas are behind.
+
+        Limited to one report per ``BEHIND_REPORT_INTERVAL_MS`` for each
+        group.
+
+        :param point: newest position of the primary
+        """
+        term = self.primary_of(group, now_ns)
+        if term is None or now_ns < self._next_behind_report_ns.get(group, 0):
+            return []
+        self._next_behind_report_ns[group] = (
+            now_ns + BEHIND_REPORT_INTERVAL_MS * NS_PER_MS
+        )
+        report = ReplicasBehind(
+            host=self.host,
+            group=group,
+            term=term.term,
+            point_term=point.term,
+            point_position=point.position,
+        )
+        return self._also_relayed([Send(peer=self._leader(), message=report)])
+
     def is_view_current(self, now_ns: int, max_age_ms: int) -> bool:
         """Tell whether the state holds all but the newest changes.
 
--- a/src/rosemarysaddle/decide/leases/_relay.py
+++ b/src/rosemarysaddle/decide/leases/_relay.py
@@ -17,6 +17,7 @@
     GroupClosed,
     LeaseRenewal,
     LeaseReturn,
+    ReplicasBehind,
     Suspicion,
 )
 
@@ -42,7 +43,13 @@
     :param host: host that the relay names as the sender
     """
     match message:
-        case LeaseRenewal() | GroupClosed() | LeaseReturn() | Suspicion():
+        case (
+            LeaseRenewal()
+            | GroupClosed()
+            | LeaseReturn()
+            | Suspicion()
+            | ReplicasBehind()
+        ):
             return message.host == host
         case _:
             return False
--- a/src/rosemarysaddle/decide/load/_load_balancing.py
+++ b/src/rosemarysaddle/decide/load/_load_balancing.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Final
 
 import attrs
@@ -32,8 +33,16 @@
 OTHER_REGION_COST_NS: Final = 60 * NS_PER_MS
 # Keeps primaries free for writes while a replica is equally near.
 PRIMARY_PENALTY_NS: Final = 15 * NS_PER_MS
+# A replica that lacked a position is asked again after the first time,
+# which doubles up to the second while it lacks others.  Several hosts
+# ask, so one of them soon learns that it has caught up.
 LAGGING_MS: Final = 150
+MAX_LAGGING_MS: Final = 1_200
+# Covers the time until a replica that lags is asked again.
+BEHIND_MS: Final = 2_500
 DOWN_BACKOFF_MS: Final = 400
+# A queue at a lender is served or refused within about this time.
+WAIT_HALF_LIFE_MS: Final = 1_000
 INITIAL_LATENCY_NS: Final = 20 * NS_PER_MS
 _LATENCY_EWMA_DIVISOR: Final = 8
 
@@ -53,6 +62,8 @@
         group, see :mod:`rosemarysaddle.decide.load._outliers`
     :param point: newest position that the target reported
     :param lagging_until_ns: time until which it is assumed to lag
+    :param behind_ns: time of the newest statement for which it lacked a
+        position, if it has served none since; otherwise 0
     :param down_until_ns: time until which it gets work only if no other
         target may serve it
     :param is_unreachable: whether it took no connection at the last
@@ -72,8 +83,12 @@
     penalty_ns: int = 0
     point: LogPoint | None = None
     lagging_until_ns: int = 0
+    behind_ns: int = 0
     down_until_ns: int = 0
     is_unreachable: bool = False
+    _lagging_ms: int = attrs.field(default=LAGGING_MS, init=False)
+    _wait_ns: int = attrs.field(default=0, init=False)
+    _waited_ns: int = attrs.field(default=0, init=False)
 
     def record_latency(self, latency_ns: int) -> None:
         """Add the time that a statement took to the moving average."""
@@ -88,17 +103,40 @@
 
     def mark_lagging(self, now_ns: int) -> None:
         """Mark the target as lagging: it lacked a required position."""
-        self.lagging_until_ns = now_ns + LAGGING_MS * NS_PER_MS
+        if now_ns >= self.lagging_until_ns:
+            is_first = not self.behind_ns
+            longer_ms = min(MAX_LAGGING_MS, 2 * self._lagging_ms)
+            self._lagging_ms = LAGGING_MS if is_first else longer_ms
+            self.lagging_until_ns = now_ns + self._lagging_ms * NS_PER_MS
+        self.behind_ns = now_ns
+
+    def is_behind(self, now_ns: int) -> bool:
+        """Tell whether it lately lacked what reads require."""
+        return now_ns < self.behind_ns + BEHIND_MS * NS_PER_MS
 
     def mark_down(self, now_ns: int) -> None:
         """Mark the target as down: it accepted no connection."""
         self.down_until_ns = now_ns + DOWN_BACKOFF_MS * NS_PER_MS
 
-    def cost_ns(self) -> int:
+    def record_wait(self, wait_ns: int, now_ns: int) -> None:
+        """Record the time that a statement waited for a connection."""
+        self._wait_ns = (self.wait_ns(now_ns) + wait_ns) // 2
+        self._waited_ns = now_ns
+
+    def wait_ns(self, now_ns: int) -> int:
+        """Estimate the wait for a connection.
+
+        It decays, as a target that is avoided shows no shorter wait.
+        """
+        age_ms = (now_ns - self._waited_ns) / NS_PER_MS
+        return int(self._wait_ns * math.exp2(-age_ms / WAIT_HALF_LIFE_MS))
+
+    def cost_ns(self, now_ns: int) -> int:
         """Estimate the time until a new statement is answered."""
         busy = self.running + self.queued
         waiting = max(0, busy + 1 - max(1, self.slots))
         cost_ns = self.latency_ns * (1 + waiting // max(1, self.slots))
+        cost_ns += self.wait_ns(now_ns)
         return cost_ns + self.transfer_cost_ns + self.penalty_ns
 
 
@@ -169,7 +207,7 @@
 
 
 def _rank(target: TargetState, need: ReadConstraints) -> tuple[int, str]:
-    cost_ns = target.cost_ns()
+    cost_ns = target.cost_ns(need.now_ns)
     if target.target == need.primary:
         cost_ns += PRIMARY_PENALTY_NS
     return (cost_ns, target.target)
--- /dev/null
+++ b/src/rosemarysaddle/decide/primaries/_relief.py
@@ -0,0 +1,148 @@
+"""Relief of a primary whose replicas have fallen behind.
+
+Designed for replicas that receive all writes but apply them many
+seconds late.  The primary then has to serve the reads of its group too,
+and refuses what exceeds its slots.  A replica that is promoted begins
+with all that it has received, and the former primary, which has applied
+everything, serves reads as a replica.  A change stops the group's
+writes for a few seconds, so it is worth it only if the replicas have
+been behind for longer than that.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from rosemarysaddle.decide._times import NS_PER_MS
+from rosemarysaddle.decide.reads._freshness import newer_point
+from rosemarysaddle.decide.reads._token import LogPoint
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Mapping, Sequence
+
+    from rosemarysaddle.decide._effects import TargetReport
+    from rosemarysaddle.schema import ReplicasBehind
+
+__all__ = ("ReliefRequests", "choose_relief")
+
+# A change costs the group two to three seconds of its writes.  Replicas
+# that have been behind for longer are likely to stay so for as long.
+MIN_DURATION_MS: Final = 4_000
+# Hosts report once a second while they refuse statements.
+REPORT_WINDOW_MS: Final = 2_500
+MIN_HOSTS: Final = 3
+# The next change of the group is not started before the replicas have
+# had the time to catch up.
+COOL_DOWN_MS: Final = 30_000
+# Writes that a healthy replica has not received yet when the status of
+# all is read, at some tens of writes per second.
+MAX_MISSING_WRITES: Final = 5
+
+
+@attrs.define(kw_only=True)
+class _Reports:
+    """Reports about one group.
+
+    :param first_ns: time since which reports have arrived without a gap
+    :param point: newest log point of the primary in any report
+    :param hosts_ns: time of the newest report of each host
+    """
+
+    term: int
+    first_ns: int
+    point: LogPoint | None = None
+    hosts_ns: dict[str, int] = attrs.field(factory=dict)
+
+
+@attrs.define(kw_only=True)
+class ReliefRequests:
+    """Reports of hosts that refuse reads which no replica can serve."""
+
+    _reports: dict[str, _Reports] = attrs.field(factory=dict, init=False)
+    _not_before_ns: dict[str, int] = attrs.field(factory=dict, init=False)
+
+    def clear(self) -> None:
+        """Forget all reports, as another host led meanwhile."""
+        self._reports.clear()
+
+    def record(self, report: ReplicasBehind, now_ns: int) -> None:
+        """Record the report of a host."""
+        oldest_ns = now_ns - REPORT_WINDOW_MS * NS_PER_MS
+        found = self._reports.get(report.group)
+        if (
+            found is None
+            or found.term != report.term
+            or max(found.hosts_ns.values()) < oldest_ns
+        ):
+            found = _Reports(term=report.term, first_ns=now_ns)
+            self._reports[report.group] = found
+        found.hosts_ns[report.host] = now_ns
+        point = LogPoint(
+            term=report.point_term, position=report.point_position
+        )
+        found.point = newer_point(found.point, point)
+
+    def is_due(
+        self,
+        group: str,
+        centers: Mapping[str, str],
+        *,
+        live_centers: int,
+        now_ns: int,
+    ) -> bool:
+        """Tell whether enough hosts have reported for long enough.
+
+        :param centers: data centre of each known host
+        :param live_centers: number of data centres of the live hosts
+        """
+        found = self._reports.get(group)
+        if found is None or now_ns < self._not_before_ns.get(group, 0):
+            return False
+        if now_ns < found.first_ns + MIN_DURATION_MS * NS_PER_MS:
+            return False
+        oldest_ns = now_ns - REPORT_WINDOW_MS * NS_PER_MS
+        recent = {h for h, at in found.hosts_ns.items() if at > oldest_ns}
+        spanned = {centers[h] for h in recent if h in centers}
+        return len(recent) >= MIN_HOSTS and len(spanned) >= min(
+            2, live_centers
+        )
+
+    def point(self, group: str) -> LogPoint | None:
+        """Return the newest reported log point of a group's primary."""
+        found = self._reports.get(group)
+        return found.point if found is not None else None
+
+    def begin(self, group: str, now_ns: int) -> None:
+        """Record that a change is tried; the next one has to wait."""
+        self._not_before_ns[group] = now_ns + COOL_DOWN_MS * NS_PER_MS
+
+
+def choose_relief(
+    reports: Sequence[TargetReport],
+    *,
+    leaving: Collection[str],
+    point: LogPoint,
+) -> str:
+    """Choose the replica to promote in place of the primary.
+
+    The status of the primary is not needed, as it may be too full to
+    accept another connection.
+
+    :param reports: status of the targets of the group
+    :param leaving: targets that are about to stop
+    :param point: newest log point of the primary that is known
+    :return: a replica that has received nearly all writes, or empty
+    """
+    candidates = [
+        r
+        for r in reports
+        if r.role == "replica"
+        and r.term == point.term
+        and r.target not in leaving
+        and r.position + MAX_MISSING_WRITES >= point.position
+    ]
+    if not candidates:
+        return ""
+    return max(candidates, key=lambda r: (r.position, r.target)).target
--- a/src/rosemarysaddle/decide/primaries/_succession.py
+++ b/src/rosemarysaddle/decide/primaries/_succession.py
@@ -26,11 +26,14 @@
     :param former: primary of the closed term, or empty for a new group
     :param leaving: targets that are about to stop
     :param allow_lagging: whether a lagging replica may be chosen
+    :param reuse_former: whether the former primary is chosen if the
+        replicas lag
     """
 
     former: str
     leaving: Collection[str]
     allow_lagging: bool
+    reuse_former: bool = False
 
 
 def choose_successor(
@@ -60,6 +63,8 @@
     lags = former is not None and (
         not _has_status(former) or _progress(best) < _progress(former)
     )
+    if lags and criteria.reuse_former and former is not None:
+        return former if _has_status(former) else None
     if lags and not criteria.allow_lagging:
         return None
     return best
--- a/src/rosemarysaddle/node/_host_metrics.py
+++ b/src/rosemarysaddle/node/_host_metrics.py
@@ -309,6 +309,25 @@
     yield _labelled_gauge(
         "target_connections", "Open connections", "target", opened
     )
+    yield _labelled_gauge(
+        "target_pinned",
+        "Connections that transactions of any host keep, at their lender",
+        "target",
+        {name: pool.own.pinned for name, pool in pools.items()},
+    )
+    yield _labelled_gauge(
+        "target_lent_running",
+        "Statements that run over this host's connections",
+        "target",
+        {name: pool.own.running for name, pool in pools.items()},
+    )
+    now_ns = clock_ns()
+    yield _labelled_gauge(
+        "target_behind",
+        "Whether it lately lacked the position that reads need",
+        "target",
+        {n: int(t.is_behind(now_ns)) for n, t in dict(router.targets).items()},
+    )
     events: dict[tuple[str, str], int] = {}
     for name, pool in pools.items():
         if not pool.own.opens:
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -37,6 +37,7 @@
     "PreparedName",
     "RelayedMessage",
     "RemoteHosts",
+    "ReplicasBehind",
     "SnapshotInstall",
     "StepOut",
     "Suspicion",
@@ -881,6 +882,41 @@
         set_field(self, "body", body)
 
 
+@record(kw_only=True, init=False)
+class ReplicasBehind(Record):
+    """Message: replicas behind."""
+
+    __slots__ = (
+        "host",
+        "group",
+        "term",
+        "point_term",
+        "point_position",
+    )
+
+    host: str
+    group: str
+    term: int
+    point_term: int
+    point_position: int
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        group: str,
+        term: int,
+        point_term: int,
+        point_position: int,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "host", host)
+        set_field(self, "group", group)
+        set_field(self, "term", term)
+        set_field(self, "point_term", point_term)
+        set_field(self, "point_position", point_position)
+
+
 @record(kw_only=True, init=False)
 class SnapshotInstall(Record):
     """Message: snapshot install."""
@@ -1200,6 +1236,7 @@
     | PointReply
     | PointRequest
     | RelayedMessage
+    | ReplicasBehind
     | SnapshotInstall
     | StepOut
     | Suspicion
@@ -1275,4 +1312,5 @@
     "tokenRequest": TokenRequest,
     "tokenGrant": TokenGrant,
     "relayedMessage": RelayedMessage,
+    "replicasBehind": ReplicasBehind,
 }
--- a/src/rosemarysaddle/schema/messages.capnp
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -130,6 +130,17 @@
   refused @4 :Bool;
 }
 
+# Reads are refused, as the replicas of a group are behind and its
+# primary is full.
+struct ReplicasBehind {
+  host @0 :Text;
+  group @1 :Text;
+  term @2 :UInt64;
+  # Newest log point of the primary that the host has seen.
+  pointTerm @3 :UInt64;
+  pointPosition @4 :UInt64;
+}
+
 struct ViewDelta {
   entries @0 :List(LogEntry);
 }
@@ -319,5 +330,6 @@
     tokenRequest @33 :TokenRequest;
     tokenGrant @34 :TokenGrant;
     relayedMessage @35 :RelayedMessage;
+    replicasBehind @36 :ReplicasBehind;
   }
 }
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -323,13 +323,58 @@
             )
         if answer.fault is None:
             target_state.record_latency(now_ns - asked_ns)
+            self._record_caught_up(target_state, now_ns)
         elif answer.fault is FaultCode.BEHIND:
-            target_state.mark_lagging(now_ns)
+            self._record_behind(target_state, now_ns)
         elif answer.fault in {FaultCode.LOST, FaultCode.TIMEOUT}:
             self.check(target)
         if was_leased_primary and answer.point is not None:
             self.positions.record(target_state.group, asked_ns, answer.point)
 
+    def _record_behind(self, target_state: TargetState, now_ns: int) -> None:
+        if not target_state.behind_ns:
+            point = target_state.point
+            newest = self.positions.newest(target_state.group)
+            log_event(
+                "target-behind",
+                f"target={target_state.target} group={target_state.group}"
+                f" position={_describe_point(point)}"
+                f" newest={_describe_point(newest)}",
+            )
+        target_state.mark_lagging(now_ns)
+
+    @staticmethod
+    def _record_caught_up(target_state: TargetState, now_ns: int) -> None:
+        if target_state.behind_ns:
+            asked_ms = (now_ns - target_state.behind_ns) // NS_PER_MS
+            log_event(
+                "target-caught-up",
+                f"target={target_state.target} group={target_state.group}"
+                f" position={_describe_point(target_state.point)}"
+                f" last_behind_ms={asked_ms}",
+            )
+        target_state.behind_ns = 0
+
+    def record_refused_read(self, group: str) -> None:
+        """Report replicas that are behind while reads are refused.
+
+        The leader may then have a replica relieve the primary.
+        """
+        now_ns = clock_ns()
+        term = self.node.primary_of(group, now_ns)
+        if term is None or now_ns < self._overloaded_until_ns:
+            return
+        replicas = [
+            t
+            for t in self._by_group.get(group, {}).values()
+            if t.target != term.primary and not t.leaving
+        ]
+        point = self.positions.newest(group)
+        if not replicas or point is None:
+            return
+        if all(t.is_behind(now_ns) for t in replicas):
+            self.send(self.node.report_replicas_behind(group, point, now_ns))
+
     def handle_open_fault(self, fault: OpenFault) -> None:
         """Mark a target down that could not be connected to.
 
@@ -579,6 +624,10 @@
     return current != (record.address, record.group)
 
 
+def _describe_point(point: LogPoint | None) -> str:
+    return f"{point.term}.{point.position}" if point is not None else "-"
+
+
 def _wake_waiter(waiter: asyncio.Future[None]) -> None:
     if not waiter.done():
         waiter.set_result(None)
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -155,6 +155,7 @@
         )
 
     def _refuse_read(self, route: Route, last: Answer | None) -> Refusal:
+        self.router.record_refused_read(route.group)
         has_primary = self.router.has_primary(route.group)
         return read_refusal(route, last, has_primary=has_primary)
 
@@ -534,16 +535,34 @@
         connection_request = self._connection_request(
             route, deadline_ns, pinned=pinned
         )
+        asked_ns = clock_ns()
         connection = await pool.acquire(
             self.variables,
             deadline_ns=connection_request.deadline_ns,
             connection_request=connection_request,
         )
+        self._record_wait(target, connection, asked_ns)
         if isinstance(connection, OpenFault) or self.may_run():
             return connection
         self._release(connection)
         return OpenFault(code=FaultCode.BUSY, peer=target)
 
+    def _record_wait(
+        self,
+        target: str,
+        connection: TargetConnection | OpenFault,
+        asked_ns: int,
+    ) -> None:
+        """Record what the wait for a connection was, or would be."""
+        target_state = self.router.targets.get(target)
+        if target_state is None:
+            return
+        now_ns = clock_ns()
+        wait_ns = now_ns - asked_ns
+        if isinstance(connection, OpenFault):
+            wait_ns = max(wait_ns, connection.retry_after_ms * NS_PER_MS)
+        target_state.record_wait(wait_ns, now_ns)
+
     def _connection_request(
         self, route: Route, deadline_ns: int, *, pinned: bool = False
     ) -> ConnectionRequest:
--- /dev/null
+++ b/tests/decide/announced_group.py
@@ -0,0 +1,143 @@
+"""Control leader of one group of the route plan, for tests."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import attrs
+
+from rosemarysaddle.decide import (
+    ControlNode,
+    DocumentKind,
+    ProbeGroup,
+    PromoteTarget,
+    TargetReport,
+)
+from rosemarysaddle.schema import Announcement, ChangeProposal, LeaseRenewal
+from tests.helpers import NS_PER_MS, make_leader
+
+__all__ = ("PLAN", "TARGETS", "Harness")
+
+START_NS = 10_000 * NS_PER_MS
+TARGETS = ("t1", "t2", "t3")
+PLAN = json.dumps(
+    {
+        "version": 4,
+        "groups": [{"name": "g"}],
+        "routes": [
+            {
+                "name": "r",
+                "database": "d",
+                "freshness": "primary",
+                "timeout_ms": 800,
+                "group": "g",
+            }
+        ],
+    }
+)
+
+
+def _announcement(target: str, **changes: Any) -> Announcement:
+    number = TARGETS.index(target) + 1
+    found = Announcement(
+        target=target,
+        group="g",
+        data_center="dc",
+        address=f"127.0.0.{number}:1",
+        role="replica",
+        term=0,
+        position=0,
+        leaving=False,
+        identity="",
+        slots=2,
+        incarnation_ms=100,
+    )
+    return attrs.evolve(found, **changes)
+
+
+@attrs.define(kw_only=True)
+class Harness:
+    """One control leader with a route plan."""
+
+    now_ns: int = START_NS
+    leader: ControlNode = attrs.field(
+        factory=lambda: make_leader(START_NS - 5_000 * NS_PER_MS)
+    )
+    effects: list[Any] = attrs.field(factory=list)
+
+    @classmethod
+    def open(cls) -> Harness:
+        """Build a harness with a group whose primary is t1."""
+        harness = cls()
+        harness.plan(PLAN, version=4)
+        for target in TARGETS:
+            harness.announce(target)
+        harness.elapse(50)
+        harness.probe(primary="t1")
+        harness.promoted()
+        harness.effects.clear()
+        return harness
+
+    def plan(self, text: str, *, version: int) -> None:
+        """Propose a route plan."""
+        change = ChangeProposal(
+            change_id=str(self.now_ns),
+            kind=DocumentKind.ROUTES,
+            base_version=version,
+            author="op",
+            payload=text,
+        )
+        self._take(self.leader.receive("op", change, self.now_ns))
+
+    def announce(self, target: str, **changes: Any) -> None:
+        """Deliver an announcement of a target."""
+        message = _announcement(target, **changes)
+        self._take(self.leader.receive("x", message, self.now_ns))
+
+    def renew(self, host: str, data_center: str = "dc") -> None:
+        """Deliver a lease renewal of an entry host."""
+        renewal = LeaseRenewal(
+            host=host,
+            data_center=data_center,
+            sent_ns=self.now_ns,
+            applied_index=self.leader.state.index,
+            address="",
+        )
+        self._take(self.leader.receive(host, renewal, self.now_ns))
+
+    def elapse(self, spent_ms: int) -> None:
+        """Advance the time in ticks of 50 ms."""
+        for _ in range(0, spent_ms, 50):
+            self.now_ns += 50 * NS_PER_MS
+            self._take(self.leader.tick(self.now_ns))
+
+    def probe(self, *, primary: str) -> None:
+        """Answer the newest probe of a change."""
+        attempt = max(p.attempt for p in self.found(ProbeGroup))
+        reports = [
+            TargetReport(
+                target=t,
+                reachable=True,
+                role="primary" if t == primary else "replica",
+                term=1,
+                position=7,
+            )
+            for t in TARGETS
+        ]
+        self._take(self.leader.on_probe("g", attempt, reports, self.now_ns))
+
+    def promoted(self) -> None:
+        """Confirm the newest order to promote."""
+        order = self.found(PromoteTarget)[-1]
+        found = self.leader.on_promoted(
+            "g", order.term, done=True, now_ns=self.now_ns
+        )
+        self._take(found)
+
+    def found(self, kind: type) -> list[Any]:
+        """List the effects of a class."""
+        return [e for e in self.effects if isinstance(e, kind)]
+
+    def _take(self, effects: list[Any]) -> None:
+        self.effects.extend(effects)
--- a/tests/node/test_host_metrics.py
+++ b/tests/node/test_host_metrics.py
@@ -15,6 +15,7 @@
     EntryNode,
     GroupTerm,
     LimitSettings,
+    QueueStats,
     TeamDirectory,
 )
 from rosemarysaddle.link import Address
@@ -175,18 +176,28 @@
 
 def test_entry_metrics_tell_how_many_requests_opened_a_connection() -> None:
     router = _router()
-    counts = SimpleNamespace(opened=2, opens=3, replaced=1, takes=9, reuses=6)
+    counts = SimpleNamespace(
+        opened=2,
+        opens=3,
+        replaced=1,
+        takes=9,
+        reuses=6,
+        pinned=1,
+        running=4,
+        stats=QueueStats(),
+        waiting={},
+    )
     pools: Any = {"t": SimpleNamespace(own=counts)}
     router.pools.update(pools)
 
-    metrics = entry_metrics(router.node, router, _lender(router), teams=())
+    metrics = {
+        m.name.removeprefix("rosemarysaddle_"): m
+        for m in entry_metrics(router.node, router, _lender(router), teams=())
+    }
 
-    found = next(
-        m
-        for m in metrics
-        if m.name == "rosemarysaddle_target_connection_events"
-    )
-    assert found.values == {
+    assert metrics["target_pinned"].values == {"t": 1}
+    assert metrics["target_lent_running"].values == {"t": 4}
+    assert metrics["target_connection_events"].values == {
         ("t", "opened"): 3,
         ("t", "replaced"): 1,
         ("t", "taken"): 9,
--- a/tests/session/test_refusals.py
+++ b/tests/session/test_refusals.py
@@ -1,9 +1,22 @@
 from __future__ import annotations
 
+import asyncio
+from typing import Any
+
 import pytest
 
-from rosemarysaddle.decide import Answer, FaultCode, Outcome, Reason
+from rosemarysaddle._clock import clock_ns
+from rosemarysaddle.decide import (
+    Answer,
+    FaultCode,
+    LogPoint,
+    Outcome,
+    Reason,
+    Send,
+)
+from rosemarysaddle.schema import ReplicasBehind
 from rosemarysaddle.session._refusals import not_run_refusal
+from tests.session.standin import GROUP, StandInTarget, make_router
 
 
 @pytest.mark.parametrize(
@@ -31,3 +44,33 @@
     assert refusal.reason is reason
     assert refusal.outcome is Outcome.NOT_RUN
     assert refusal.retry_after_ms > 0
+
+
+def test_host_reports_once_that_all_replicas_are_behind() -> None:
+    # Guards against a report where a replica still serves reads, and
+    # against one for each refusal.
+    async def scenario() -> list[Any]:
+        router = make_router(
+            [StandInTarget(name=f"t{n}", port=17_990 + n) for n in range(3)]
+        )
+        sent: list[Any] = []
+        router.send = sent.extend
+        router.apply_view()
+        newest = LogPoint(term=1, position=7)
+        router.positions.record(GROUP, clock_ns(), newest)
+        router.targets["t1"].mark_lagging(clock_ns())
+        router.record_refused_read(GROUP)
+        assert not sent
+
+        router.targets["t2"].mark_lagging(clock_ns())
+        for _ in range(3):
+            router.record_refused_read(GROUP)
+        return [e.message for e in sent if isinstance(e, Send)]
+
+    reports = asyncio.run(scenario())
+
+    assert reports == [
+        ReplicasBehind(
+            host="e", group=GROUP, term=1, point_term=1, point_position=7
+        )
+    ]
