Tell borrowers that wait for room in the window; measure waits always

Cause: a lender with an idle connection but no room in its window sent no answer to a request that had to wait.

--- a/src/rosemarysaddle/connection/_lender.py
+++ b/src/rosemarysaddle/connection/_lender.py
@@ -213,7 +213,7 @@
                 return
             deadline_ns = clock_ns() + request.wait_ms * NS_PER_MS
             connection_request = _connection_request(request, deadline_ns)
-            if not pool.has_idle_for(connection_request):
+            if not pool.serves_at_once(connection_request):
                 self.send(frame_message(LoanQueued()))
             found = await pool.acquire(
                 SessionVariables(
--- a/src/rosemarysaddle/connection/_pool.py
+++ b/src/rosemarysaddle/connection/_pool.py
@@ -210,9 +210,11 @@
         """Return whether the pool has an idle connection."""
         return bool(self._connections.idle)
 
-    def has_idle_for(self, connection_request: ConnectionRequest) -> bool:
-        """Return whether an idle connection may serve a request."""
-        return self._connections.has_idle_for(connection_request)
+    def serves_at_once(self, connection_request: ConnectionRequest) -> bool:
+        """Return whether a request gets a connection without a wait."""
+        return self._connections.has_idle_for(
+            connection_request
+        ) and self._queue.may_acquire(connection_request)
 
     @property
     def waiting(self) -> dict[int, int]:
@@ -324,7 +326,6 @@
         self._queue.limit = limit
         self._connections.limit = limit
         self._connections.uses_teams = uses_teams
-        self._queue.measures_wait = uses_teams
         self._connections.max_openings = max_concurrent_opens(
             slots=self.slots, uses_teams=uses_teams
         )
