Read the status of replicas again before a relief is given up

The change now probes once more, and is tried again after 8 s. Test: fails before (the former primary is promoted).

--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -71,8 +71,9 @@
 NEW_PRIMARY_GRACE_MS: Final = 1_500
 CANDIDATE_TIMEOUT_MS: Final = 5_000
 MAX_KEPT_TIMES: Final = 256
-# A replica receives the last writes within a round trip.
-CATCH_UP_TIMEOUT_MS: Final = 300
+# A replica receives the last writes within a round trip, and a second
+# probe finds one whose status could not be read at first.
+CATCH_UP_TIMEOUT_MS: Final = 600
 # A change numbers its probes from 1.  Two others here have numbers of
 # their own: the probe that confirms a suspicion, and the warm-up probe,
 # which only opens the connections for the next one; its result is
@@ -220,6 +221,8 @@
         del self.changes[group]
         self._groups_to_open.discard(group)
         self._evidence.pop(group, None)
+        if change.kept and change.chosen == change.kept:
+            self._relief.record_failure(group, now_ns)
         if self._is_route_group(group):
             self._grace_until_ns[group] = (
                 now_ns + NEW_PRIMARY_GRACE_MS * NS_PER_MS
@@ -417,7 +420,7 @@
         if not chosen:
             return []
         return self.start_change(
-            group, term.term, now_ns, chosen, keeps_former=True
+            group, term.term, now_ns, chosen, kept=term.primary
         )
 
     def _live_centers(self, now_ns: int) -> set[str]:
@@ -498,7 +501,7 @@
         preferred: str = "",
         suspected_ns: int = 0,
         *,
-        keeps_former: bool = False,
+        kept: str = "",
     ) -> list[Effect]:
         """Start a change by closing the current term of a group.
 
@@ -508,8 +511,8 @@
         :param preferred: instance to promote in a planned change
         :param suspected_ns: time of the first evidence, in nanoseconds,
             or 0 where there is none
-        :param keeps_former: whether the former primary stays if no
-            replica holds all its writes soon after the fence
+        :param kept: primary that stays if no replica holds all its
+            writes soon after the fence; empty in other changes
         """
         self.changes[group] = GroupChange(
             group=group,
@@ -517,7 +520,7 @@
             suspected_ns=suspected_ns or now_ns,
             started_ns=now_ns,
             preferred=preferred,
-            keeps_former=keeps_former,
+            kept=kept,
             candidate_deadline_ns=now_ns + CANDIDATE_TIMEOUT_MS * NS_PER_MS,
         )
         payload = json.dumps({"group": group, "term": term})
@@ -646,9 +649,10 @@
         criteria = SuccessorCriteria(
             former="" if term is None else term.primary,
             leaving={r.target for r in records if r.leaving},
-            allow_lagging=not change.keeps_former
+            allow_lagging=not change.kept
             and now_ns >= change.candidate_deadline_ns,
-            reuse_former=change.keeps_former
+            keeps_former=bool(change.kept),
+            reuse_former=bool(change.kept)
             and now_ns >= change.fenced_ns + CATCH_UP_TIMEOUT_MS * NS_PER_MS,
         )
         choice = choose_successor(reports, criteria)
--- a/src/rosemarysaddle/decide/primaries/_relief.py
+++ b/src/rosemarysaddle/decide/primaries/_relief.py
@@ -36,6 +36,9 @@
 # The next change of the group is not started before the replicas have
 # had the time to catch up.
 COOL_DOWN_MS: Final = 30_000
+# A replica that was lost, or whose status could not be read, is usually
+# back by then.
+RETRY_MS: Final = 8_000
 # Writes that a healthy replica has not received yet when the status of
 # all is read, at some tens of writes per second.
 MAX_MISSING_WRITES: Final = 5
@@ -118,6 +121,10 @@
         """Record that a change is tried; the next one has to wait."""
         self._not_before_ns[group] = now_ns + COOL_DOWN_MS * NS_PER_MS
 
+    def record_failure(self, group: str, now_ns: int) -> None:
+        """Record that no replica could relieve the primary."""
+        self._not_before_ns[group] = now_ns + RETRY_MS * NS_PER_MS
+
 
 def choose_relief(
     reports: Sequence[TargetReport],
--- a/src/rosemarysaddle/decide/primaries/_succession.py
+++ b/src/rosemarysaddle/decide/primaries/_succession.py
@@ -26,13 +26,15 @@
     :param former: primary of the closed term, or empty for a new group
     :param leaving: targets that are about to stop
     :param allow_lagging: whether a lagging replica may be chosen
-    :param reuse_former: whether the former primary is chosen if the
-        replicas lag
+    :param keeps_former: whether the former primary may stay
+    :param reuse_former: whether the former primary is chosen now if the
+        replicas lag or do not answer
     """
 
     former: str
     leaving: Collection[str]
     allow_lagging: bool
+    keeps_former: bool = False
     reuse_former: bool = False
 
 
@@ -58,6 +60,8 @@
         if r.target not in criteria.leaving and r is not former
     ]
     if not candidates:
+        if criteria.keeps_former and not criteria.reuse_former:
+            return None
         return _reuse_former(former, criteria)
     best = max(candidates, key=_progress)
     lags = former is not None and (
--- a/tests/decide/test_relief.py
+++ b/tests/decide/test_relief.py
@@ -171,3 +171,20 @@
     other_term = choose_relief(reports, leaving=(), point=later)
 
     assert (leaving, other_term) == ("t2", "")
+
+
+def test_replica_whose_status_was_not_read_is_asked_again() -> None:
+    # The former primary was opened again at once, and nothing was
+    # gained by the change.
+    harness = Harness.open()
+    _complain(harness, MIN_DURATION_MS)
+    _read_status(harness, _report("t2"))
+    _close(harness)
+    silent = TargetReport(target="t2", reachable=True)
+    _read_status(harness, _report("t1"), silent)
+    assert not harness.found(PromoteTarget)
+
+    harness.elapse(100)
+    _read_status(harness, _report("t1"), _report("t2"))
+
+    assert harness.found(PromoteTarget)[-1].target == "t2"
