--- a/benchmarks/full_primary.py
+++ b/benchmarks/full_primary.py
@@ -157,13 +157,11 @@
     :param bounds_windows: whether the slots bound the lenders' windows
     :param counts_transactions: whether statements of transactions count
         in the window, and a transaction begins only with room in it
-    :param measures_wait: whether the wait follows from measured rates
     """
 
     shortest_first: bool = True
     bounds_windows: bool = True
     counts_transactions: bool = True
-    measures_wait: bool = True
 
 
 class _EqualWork(WorkEstimates):
@@ -230,7 +228,6 @@
             limit=limit,
             window=window,
             work=WorkEstimates() if policy.shortest_first else _EqualWork(),
-            measures_wait=policy.measures_wait,
         )
 
     def play(self) -> dict[str, Result]:
@@ -428,13 +425,11 @@
         shortest_first=False,
         bounds_windows=False,
         counts_transactions=False,
-        measures_wait=False,
     ),
     "all": Policy(),
     "without shortest first": Policy(shortest_first=False),
     "without bounded windows": Policy(bounds_windows=False),
     "without counted transactions": Policy(counts_transactions=False),
-    "without measured wait": Policy(measures_wait=False),
 }
 SEEDS: Final = (1, 2, 3)
 RATES_PER_S: Final = (100, 150, 268)
--- a/src/rosemarysaddle/decide/load/_queueing.py
+++ b/src/rosemarysaddle/decide/load/_queueing.py
@@ -108,16 +108,12 @@
     :param mean_hold_ns: moving average of the time for which a
         connection is held outside of transactions
     :param work: work of the operations of each kind
-    :param measures_wait: whether the expected wait follows from the
-        measured rate of services; otherwise from the window, the place
-        in the queue and the mean hold
     """
 
     limit: int
     window: ConcurrencyWindow = attrs.field(factory=ConcurrencyWindow)
     mean_hold_ns: int = INITIAL_HOLD_NS
     work: WorkEstimates = attrs.field(factory=WorkEstimates)
-    measures_wait: bool = True
     _pinned: int = attrs.field(default=0, init=False)
     _orders: dict[int, FairOrder[Waiter[_T]]] = attrs.field(
         factory=dict, init=False
@@ -169,8 +165,6 @@
             if p <= priority
         )
         at_once = max(1, min(self.limit, int(self.window.size)))
-        if not self.measures_wait:
-            return (ahead + 1) * self.mean_hold_ns // at_once
         assumed_ns = self.mean_hold_ns / at_once
         if connection_request.pinned:
             assumed_ns = INITIAL_TRANSACTION_NS / max(1, self._max_pinned)
@@ -193,7 +187,7 @@
         :param wait_ns: expected wait
         :param deadline_ns: time until which the request may wait
         """
-        margin_ns = wait_ns // WAIT_MARGIN_DIVISOR if self.measures_wait else 0
+        margin_ns = wait_ns // WAIT_MARGIN_DIVISOR
         return now_ns + wait_ns + margin_ns > deadline_ns
 
     def push(
@@ -306,8 +300,7 @@
         self.window.running -= 1
         # A refusal ran nothing, and a loss shows only that the
         # statement would have taken at least this long.
-        ran_nothing = was_busy and self.measures_wait
-        if ran_nothing or (was_lost and held_ns < self.mean_hold_ns):
+        if was_busy or (was_lost and held_ns < self.mean_hold_ns):
             return
         self.mean_hold_ns += (
             held_ns - self.mean_hold_ns
