Move the relief of primaries and lagging replicas to modules of their own

PrimaryManager and Router had grown; the relief now stands beside the reconciler, and what a host knows of replicas that are behind beside the positions. An attempt that left the primary in place is repeated after 8 s, which needs no message from the change itself any more.

--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -41,6 +41,10 @@
     InstanceReconciler,
 )
 from rosemarysaddle.decide.primaries._registry import is_update, record_of
+from rosemarysaddle.decide.primaries._relief import (
+    RELIEF_ATTEMPT,
+    PrimaryRelief,
+)
 from rosemarysaddle.schema import (
     Announcement,
     ChangeProposal,
@@ -96,6 +100,7 @@
     applied_by_host: dict[str, int] = attrs.field(factory=dict, init=False)
     _context: LeaderContext = attrs.field(init=False)
     _reconciler: InstanceReconciler = attrs.field(init=False)
+    _relief: PrimaryRelief = attrs.field(init=False)
     _lease_holders: LeaseHolderRegistry = attrs.field(init=False)
     _voter_manager: VoterManager = attrs.field(init=False)
     _last_proposed_plan: tuple[int, str] = attrs.field(
@@ -134,6 +139,9 @@
         self._reconciler = InstanceReconciler(
             context=self._context, primaries=self.primaries
         )
+        self._relief = PrimaryRelief(
+            context=self._context, primaries=self.primaries
+        )
         self._lease_holders = LeaseHolderRegistry(context=self._context)
         self._voter_manager = VoterManager(
             log=self.log, wanted=self.wanted_voters
@@ -176,7 +184,7 @@
             case GroupClosed():
                 return self.primaries.on_closed(message, now_ns)
             case Suspicion() | ReplicasBehind():
-                return self.primaries.on_report(message, now_ns)
+                return self._on_outage_report(message, now_ns)
             case ChangeProposal():
                 return self._on_proposal(source, message, now_ns)
             case Announcement():
@@ -188,6 +196,13 @@
             case _:
                 return self._receive_from_control(source, message, now_ns)
 
+    def _on_outage_report(
+        self, report: Suspicion | ReplicasBehind, now_ns: int
+    ) -> list[Effect]:
+        if isinstance(report, Suspicion):
+            return self.primaries.on_suspicion(report, now_ns)
+        return self._relief.on_report(report, now_ns)
+
     def _receive_from_control(
         self, source: str, message: Message, now_ns: int
     ) -> list[Effect]:
@@ -217,6 +232,8 @@
         """
         if attempt == ADMIT_ATTEMPT:
             return self._reconciler.on_admission_probe(group, reports, now_ns)
+        if attempt == RELIEF_ATTEMPT:
+            return self._relief.on_probe(group, reports, now_ns)
         return self.primaries.on_probe(group, attempt, reports, now_ns)
 
     def on_promoted(
@@ -338,6 +355,7 @@
         )
         self.primaries.on_elected()
         self._reconciler.on_elected()
+        self._relief.on_elected()
         self._lease_holders.on_elected()
 
     def _replace_state(self, state: ClusterState) -> None:
--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -31,10 +31,6 @@
     eligible_reports,
     promotion_quorum,
 )
-from rosemarysaddle.decide.primaries._relief import (
-    ReliefRequests,
-    choose_relief,
-)
 from rosemarysaddle.decide.primaries._succession import (
     SuccessorCriteria,
     choose_successor,
@@ -45,7 +41,6 @@
     ClosingGroup,
     GroupClosed,
     LogEntry,
-    ReplicasBehind,
     Suspicion,
 )
 
@@ -80,9 +75,6 @@
 # ignored.
 CONFIRM_ATTEMPT: Final = 0
 WARM_UP_ATTEMPT: Final = -1
-# Reads the status before a change that relieves a primary.  The number
-# -2 is that of the admission of instances.
-RELIEF_ATTEMPT: Final = -3
 
 
 @attrs.define(kw_only=True)
@@ -101,7 +93,6 @@
     changes: dict[str, GroupChange] = attrs.field(factory=dict)
     times: list[ChangeTimes] = attrs.field(factory=list)
     _evidence: dict[str, Evidence] = attrs.field(factory=dict, init=False)
-    _relief: ReliefRequests = attrs.field(factory=ReliefRequests, init=False)
     _groups_to_open: set[str] = attrs.field(factory=set, init=False)
     _confirming: set[str] = attrs.field(factory=set, init=False)
     _departure_checks: set[str] = attrs.field(factory=set, init=False)
@@ -110,7 +101,6 @@
     def on_elected(self) -> None:
         """Reset the state when this host is elected leader."""
         self._evidence.clear()
-        self._relief.clear()
         state = self.context.state
         self._groups_to_open = {*state.inventory.groups, *state.routes.groups}
         self._departure_checks = set(state.routes.groups)
@@ -187,8 +177,6 @@
             not answer may be missing
         :param now_ns: monotonic time, in nanoseconds
         """
-        if attempt == RELIEF_ATTEMPT:
-            return self._on_relief_probe(group, reports, now_ns)
         if attempt == CONFIRM_ATTEMPT:
             return self._on_confirmation(group, reports, now_ns)
         change = self.changes.get(group)
@@ -221,8 +209,6 @@
         del self.changes[group]
         self._groups_to_open.discard(group)
         self._evidence.pop(group, None)
-        if change.kept and change.chosen == change.kept:
-            self._relief.record_failure(group, now_ns)
         if self._is_route_group(group):
             self._grace_until_ns[group] = (
                 now_ns + NEW_PRIMARY_GRACE_MS * NS_PER_MS
@@ -337,14 +323,6 @@
             for i in group.instances
         )
 
-    def on_report(
-        self, report: Suspicion | ReplicasBehind, now_ns: int
-    ) -> list[Effect]:
-        """Handle the report of a host about the targets of a group."""
-        if isinstance(report, Suspicion):
-            return self.on_suspicion(report, now_ns)
-        return self.on_replicas_behind(report, now_ns)
-
     def on_suspicion(self, suspicion: Suspicion, now_ns: int) -> list[Effect]:
         """Handle a suspected outage of a primary.
 
@@ -365,69 +343,6 @@
             return effects
         return self._probe_to_confirm(suspicion.group, now_ns)
 
-    def on_replicas_behind(
-        self, report: ReplicasBehind, now_ns: int
-    ) -> list[Effect]:
-        """Handle a report that a primary serves all reads of its group.
-
-        Once enough hosts have reported for long enough, the status of
-        the group's targets is read, to find a replica that can relieve
-        the primary.
-        """
-        group = report.group
-        term = self.context.state.terms.get(group)
-        if (
-            term is None
-            or term.term != report.term
-            or not term.is_serving
-            or not self._is_route_group(group)
-            or self.changes
-            or not self.context.leads(now_ns)
-            or not self.context.lists_all_leases(now_ns)
-        ):
-            return []
-        self._relief.record(report, now_ns)
-        live = self._live_centers(now_ns)
-        if not self._relief.is_due(
-            group,
-            self.context.centers,
-            live_centers=len(live),
-            now_ns=now_ns,
-        ):
-            return []
-        self._relief.begin(group, now_ns)
-        return [
-            ProbeGroup(
-                group=group,
-                attempt=RELIEF_ATTEMPT,
-                deadline_ns=now_ns + PROBE_TIMEOUT_MS * NS_PER_MS,
-                quorum=len(self.context.instances(group)),
-            )
-        ]
-
-    def _on_relief_probe(
-        self, group: str, reports: Sequence[TargetReport], now_ns: int
-    ) -> list[Effect]:
-        term = self.context.state.terms.get(group)
-        if term is None or self.changes or not self.context.leads(now_ns):
-            return []
-        records = self.context.state.targets.of_group(group)
-        leaving = {r.target for r in records if r.leaving}
-        point = self._relief.point(group)
-        if point is None:
-            return []
-        chosen = choose_relief(reports, leaving=leaving, point=point)
-        if not chosen:
-            return []
-        return self.start_change(
-            group, term.term, now_ns, chosen, kept=term.primary
-        )
-
-    def _live_centers(self, now_ns: int) -> set[str]:
-        centers = self.context.centers
-        holders = self.context.leases.deadlines_ns(now_ns)
-        return {centers[h] for h in holders if h in centers}
-
     def _record_evidence(self, group: str, host: str, now_ns: int) -> None:
         term = self.context.state.terms[group].term
         evidence = self._evidence.get(group)
--- a/src/rosemarysaddle/decide/primaries/_relief.py
+++ b/src/rosemarysaddle/decide/primaries/_relief.py
@@ -15,18 +15,29 @@
 
 import attrs
 
+from rosemarysaddle.decide._effects import Effect, ProbeGroup, TargetReport
 from rosemarysaddle.decide._times import NS_PER_MS
+from rosemarysaddle.decide.primaries._primaries import PROBE_TIMEOUT_MS
 from rosemarysaddle.decide.reads._freshness import newer_point
 from rosemarysaddle.decide.reads._token import LogPoint
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Mapping, Sequence
 
-    from rosemarysaddle.decide._effects import TargetReport
+    from rosemarysaddle.decide.control_log._context import LeaderContext
+    from rosemarysaddle.decide.primaries._primaries import PrimaryManager
     from rosemarysaddle.schema import ReplicasBehind
 
-__all__ = ("ReliefRequests", "choose_relief")
+__all__ = (
+    "RELIEF_ATTEMPT",
+    "PrimaryRelief",
+    "ReliefRequests",
+    "choose_relief",
+)
 
+# Attempt number of a probe for a relief; it differs from those that
+# `_primaries` and `_reconciler` use.
+RELIEF_ATTEMPT: Final = -3
 # A change costs the group two to three seconds of its writes.  Replicas
 # that have been behind for longer are likely to stay so for as long.
 MIN_DURATION_MS: Final = 4_000
@@ -36,8 +47,8 @@
 # The next change of the group is not started before the replicas have
 # had the time to catch up.
 COOL_DOWN_MS: Final = 30_000
-# A replica that was lost, or whose status could not be read, is usually
-# back by then.
+# If no replica could relieve the primary, one that was lost, or whose
+# status could not be read, is usually back by then.
 RETRY_MS: Final = 8_000
 # Writes that a healthy replica has not received yet when the status of
 # all is read, at some tens of writes per second.
@@ -59,12 +70,23 @@
     hosts_ns: dict[str, int] = attrs.field(factory=dict)
 
 
+@attrs.frozen(kw_only=True)
+class _Attempt:
+    """Attempt to relieve a primary.
+
+    :param primary: primary at that time
+    """
+
+    primary: str
+    at_ns: int
+
+
 @attrs.define(kw_only=True)
 class ReliefRequests:
     """Reports of hosts that refuse reads which no replica can serve."""
 
     _reports: dict[str, _Reports] = attrs.field(factory=dict, init=False)
-    _not_before_ns: dict[str, int] = attrs.field(factory=dict, init=False)
+    _attempts: dict[str, _Attempt] = attrs.field(factory=dict, init=False)
 
     def clear(self) -> None:
         """Forget all reports, as another host led meanwhile."""
@@ -90,6 +112,7 @@
     def is_due(
         self,
         group: str,
+        primary: str,
         centers: Mapping[str, str],
         *,
         live_centers: int,
@@ -97,11 +120,12 @@
     ) -> bool:
         """Tell whether enough hosts have reported for long enough.
 
+        :param primary: present primary of the group
         :param centers: data centre of each known host
         :param live_centers: number of data centres of the live hosts
         """
         found = self._reports.get(group)
-        if found is None or now_ns < self._not_before_ns.get(group, 0):
+        if found is None or now_ns < self._next_attempt_ns(group, primary):
             return False
         if now_ns < found.first_ns + MIN_DURATION_MS * NS_PER_MS:
             return False
@@ -112,18 +136,22 @@
             2, live_centers
         )
 
+    def _next_attempt_ns(self, group: str, primary: str) -> int:
+        attempt = self._attempts.get(group)
+        if attempt is None:
+            return 0
+        is_relieved = attempt.primary != primary
+        wait_ms = COOL_DOWN_MS if is_relieved else RETRY_MS
+        return attempt.at_ns + wait_ms * NS_PER_MS
+
     def point(self, group: str) -> LogPoint | None:
         """Return the newest reported log point of a group's primary."""
         found = self._reports.get(group)
         return found.point if found is not None else None
 
-    def begin(self, group: str, now_ns: int) -> None:
-        """Record that a change is tried; the next one has to wait."""
-        self._not_before_ns[group] = now_ns + COOL_DOWN_MS * NS_PER_MS
-
-    def record_failure(self, group: str, now_ns: int) -> None:
-        """Record that no replica could relieve the primary."""
-        self._not_before_ns[group] = now_ns + RETRY_MS * NS_PER_MS
+    def begin(self, group: str, primary: str, now_ns: int) -> None:
+        """Record an attempt to relieve a primary."""
+        self._attempts[group] = _Attempt(primary=primary, at_ns=now_ns)
 
 
 def choose_relief(
@@ -153,3 +181,81 @@
     if not candidates:
         return ""
     return max(candidates, key=lambda r: (r.position, r.target)).target
+
+
+@attrs.define(kw_only=True)
+class PrimaryRelief:
+    """Lets replicas relieve primaries that serve all reads."""
+
+    context: LeaderContext
+    primaries: PrimaryManager
+    _requests: ReliefRequests = attrs.field(factory=ReliefRequests, init=False)
+
+    def on_elected(self) -> None:
+        """Reset the state when this host is elected leader."""
+        self._requests.clear()
+
+    def on_report(self, report: ReplicasBehind, now_ns: int) -> list[Effect]:
+        """Handle a report that a primary serves all reads of its group.
+
+        Once enough hosts have reported for long enough, the status of
+        the group's targets is read, to find a replica that can relieve
+        the primary.
+        """
+        group = report.group
+        term = self.context.state.terms.get(group)
+        if term is None or term.term != report.term or not term.is_serving:
+            return []
+        if group not in self.context.state.routes.groups:
+            return []
+        if not self._may_change(now_ns):
+            return []
+        self._requests.record(report, now_ns)
+        is_due = self._requests.is_due(
+            group,
+            term.primary,
+            self.context.centers,
+            live_centers=len(self._live_centers(now_ns)),
+            now_ns=now_ns,
+        )
+        if not is_due:
+            return []
+        self._requests.begin(group, term.primary, now_ns)
+        return [
+            ProbeGroup(
+                group=group,
+                attempt=RELIEF_ATTEMPT,
+                deadline_ns=now_ns + PROBE_TIMEOUT_MS * NS_PER_MS,
+                quorum=len(self.context.instances(group)),
+            )
+        ]
+
+    def on_probe(
+        self, group: str, reports: Sequence[TargetReport], now_ns: int
+    ) -> list[Effect]:
+        """Start a change if a replica can relieve the primary."""
+        term = self.context.state.terms.get(group)
+        point = self._requests.point(group)
+        if term is None or point is None or not self._may_change(now_ns):
+            return []
+        records = self.context.state.targets.of_group(group)
+        leaving = {r.target for r in records if r.leaving}
+        chosen = choose_relief(reports, leaving=leaving, point=point)
+        if not chosen:
+            return []
+        return self.primaries.start_change(
+            group, term.term, now_ns, chosen, kept=term.primary
+        )
+
+    def _may_change(self, now_ns: int) -> bool:
+        """Tell whether a change may start; one at a time at most."""
+        return (
+            not self.primaries.changes
+            and self.context.leads(now_ns)
+            and self.context.lists_all_leases(now_ns)
+        )
+
+    def _live_centers(self, now_ns: int) -> set[str]:
+        centers = self.context.centers
+        holders = self.context.leases.deadlines_ns(now_ns)
+        return {centers[h] for h in holders if h in centers}
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -40,6 +40,7 @@
 )
 from rosemarysaddle.link import Address
 from rosemarysaddle.session._admission import AdmissionQueue
+from rosemarysaddle.session._lagging_replicas import LaggingReplicas
 from rosemarysaddle.session._positions import PositionTracker
 from rosemarysaddle.session._rate_limits import RateLimits
 from rosemarysaddle.session._statement_stats import StatementStats
@@ -116,6 +117,7 @@
     pools: dict[str, SharedPool] = attrs.field(factory=dict, init=False)
     loan_client: LoanClient = attrs.field(init=False)
     positions: PositionTracker = attrs.field(init=False)
+    lagging: LaggingReplicas = attrs.field(init=False)
     statement_stats: StatementStats = attrs.field(
         factory=StatementStats, init=False
     )
@@ -141,6 +143,11 @@
     def __attrs_post_init__(self) -> None:
         """Create the parts that share the state of this host."""
         self.positions = PositionTracker(owner=self)
+        self.lagging = LaggingReplicas(
+            node=self.node,
+            positions=self.positions,
+            send=self.send,
+        )
         self.outliers = TargetOutliers(targets=self.targets)
         self.rate_limits = RateLimits(
             node=self.node, settings=self.limit_settings, regions=self.regions
@@ -323,57 +330,21 @@
             )
         if answer.fault is None:
             target_state.record_latency(now_ns - asked_ns)
-            self._record_caught_up(target_state, now_ns)
+            self.lagging.record_served(target_state, now_ns)
         elif answer.fault is FaultCode.BEHIND:
-            self._record_behind(target_state, now_ns)
+            self.lagging.record_behind(target_state, now_ns)
         elif answer.fault in {FaultCode.LOST, FaultCode.TIMEOUT}:
             self.check(target)
         if was_leased_primary and answer.point is not None:
             self.positions.record(target_state.group, asked_ns, answer.point)
 
-    def _record_behind(self, target_state: TargetState, now_ns: int) -> None:
-        if not target_state.behind_ns:
-            point = target_state.point
-            newest = self.positions.newest(target_state.group)
-            log_event(
-                "target-behind",
-                f"target={target_state.target} group={target_state.group}"
-                f" position={_describe_point(point)}"
-                f" newest={_describe_point(newest)}",
-            )
-        target_state.mark_lagging(now_ns)
-
-    @staticmethod
-    def _record_caught_up(target_state: TargetState, now_ns: int) -> None:
-        if target_state.behind_ns:
-            asked_ms = (now_ns - target_state.behind_ns) // NS_PER_MS
-            log_event(
-                "target-caught-up",
-                f"target={target_state.target} group={target_state.group}"
-                f" position={_describe_point(target_state.point)}"
-                f" last_behind_ms={asked_ms}",
-            )
-        target_state.behind_ns = 0
-
     def record_refused_read(self, group: str) -> None:
-        """Report replicas that are behind while reads are refused.
-
-        The leader may then have a replica relieve the primary.
-        """
+        """Record that a read of a group was refused by this host."""
         now_ns = clock_ns()
-        term = self.node.primary_of(group, now_ns)
-        if term is None or now_ns < self._overloaded_until_ns:
-            return
-        replicas = [
-            t
-            for t in self._by_group.get(group, {}).values()
-            if t.target != term.primary and not t.leaving
-        ]
-        point = self.positions.newest(group)
-        if not replicas or point is None:
-            return
-        if all(t.is_behind(now_ns) for t in replicas):
-            self.send(self.node.report_replicas_behind(group, point, now_ns))
+        # An overloaded host refuses reads whatever the replicas do.
+        if now_ns >= self._overloaded_until_ns:
+            targets = self._by_group.get(group, {}).values()
+            self.lagging.record_refused_read(group, targets, now_ns)
 
     def handle_open_fault(self, fault: OpenFault) -> None:
         """Mark a target down that could not be connected to.
@@ -624,10 +595,6 @@
     return current != (record.address, record.group)
 
 
-def _describe_point(point: LogPoint | None) -> str:
-    return f"{point.term}.{point.position}" if point is not None else "-"
-
-
 def _wake_waiter(waiter: asyncio.Future[None]) -> None:
     if not waiter.done():
         waiter.set_result(None)
--- a/tests/decide/test_relief.py
+++ b/tests/decide/test_relief.py
@@ -10,14 +10,13 @@
     PromoteTarget,
     TargetReport,
 )
-from rosemarysaddle.decide.primaries._primaries import (
-    CATCH_UP_TIMEOUT_MS,
-    RELIEF_ATTEMPT,
-)
+from rosemarysaddle.decide.primaries._primaries import CATCH_UP_TIMEOUT_MS
 from rosemarysaddle.decide.primaries._relief import (
     COOL_DOWN_MS,
     MAX_MISSING_WRITES,
     MIN_DURATION_MS,
+    RELIEF_ATTEMPT,
+    RETRY_MS,
     choose_relief,
 )
 from rosemarysaddle.schema import GroupClosed, ReplicasBehind
@@ -135,7 +134,10 @@
     # behind.
     harness = Harness.open()
     _complain(harness, MIN_DURATION_MS)
-    _read_status(harness, *(_report(t, 9) for t in TARGETS[1:]))
+    _read_status(harness, _report("t2"))
+    _close(harness)
+    _read_status(harness, _report("t1"), _report("t2"))
+    harness.promoted()
     harness.effects.clear()
     _complain(harness, COOL_DOWN_MS // 2)
 
@@ -144,6 +146,18 @@
     assert _was_probed(harness)
 
 
+def test_relief_is_tried_again_if_no_replica_could_be_chosen() -> None:
+    # Replicas that have received nothing now may have later.
+    harness = Harness.open()
+    _complain(harness, MIN_DURATION_MS)
+    _read_status(harness, _report("t2", 9), _report("t3", 9))
+    harness.effects.clear()
+    _complain(harness, RETRY_MS)
+
+    assert harness.leader.state.terms["g"].is_open
+    assert _was_probed(harness)
+
+
 @pytest.mark.parametrize(
     ("reports", "chosen"),
     [
--- a/tests/session/test_refusals.py
+++ b/tests/session/test_refusals.py
@@ -54,7 +54,7 @@
             [StandInTarget(name=f"t{n}", port=17_990 + n) for n in range(3)]
         )
         sent: list[Any] = []
-        router.send = sent.extend
+        router.lagging.send = sent.extend
         router.apply_view()
         newest = LogPoint(term=1, position=7)
         router.positions.record(GROUP, clock_ns(), newest)
