Do not take refused statements for short work

Cause: reading the code: a replica that is behind refuses reads within a round trip, and the lowest mean of the kind fell to that. After such a replica had relieved the primary, all kinds had one rank at its lenders, and the order was that of arrival, when it mattered most. A borrower now tells with the return that the statement was not run. Rates of kinds without waiting requests are bounded. Test: fails before.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -380,7 +380,9 @@
         frame_message(build_loan_grant(setup)),
         frame_bytes(text),
         frame_bytes(text),
-        frame_message(build_loan_return(setup, was_busy=False)),
+        frame_message(
+            build_loan_return(setup, was_busy=False, ran_nothing=False)
+        ),
     ):
         reader.feed(frame)
 
--- a/src/rosemarysaddle/connection/_connection.py
+++ b/src/rosemarysaddle/connection/_connection.py
@@ -133,6 +133,8 @@
     :param on_lost: called once when the connection is closed
     :param was_busy: whether the target refused the last statement, as
         all its slots were in use
+    :param ran_nothing: whether the target refused the last statement
+        without running it, for whatever reason
     :param borrower: receiver of the target's data while the connection
         is lent to another host, or None
     :param on_activity: called when a statement starts or ends on the
@@ -151,6 +153,7 @@
     is_lost: bool = attrs.field(default=False, init=False)
     was_connected: bool = attrs.field(default=False, init=False)
     was_busy: bool = attrs.field(default=False, init=False)
+    ran_nothing: bool = attrs.field(default=False, init=False)
     borrower: Borrower | None = attrs.field(default=None, init=False)
     on_activity: Callable[[TargetConnection], None] | None = None
     is_active: bool = attrs.field(default=False, init=False)
@@ -253,6 +256,7 @@
         finally:
             timer.cancel()
         self.was_busy = answer.fault is FaultCode.BUSY
+        self.ran_nothing = answer.fault is not None and answer.fault.is_not_run
         return answer
 
     async def prepare(self, plan: SetupPlan, *, deadline_ns: int) -> bool:
--- a/src/rosemarysaddle/connection/_lender.py
+++ b/src/rosemarysaddle/connection/_lender.py
@@ -261,6 +261,7 @@
         connection.borrower = None
         connection.setup = parse_setup(message)
         connection.was_busy = message.was_busy
+        connection.ran_nothing = message.ran_nothing
         if self._pool is not None:
             self._pool.release(connection)
 
--- a/src/rosemarysaddle/connection/_loans.py
+++ b/src/rosemarysaddle/connection/_loans.py
@@ -274,7 +274,9 @@
         link.send(
             frame_message(
                 build_loan_return(
-                    connection.setup, was_busy=connection.was_busy
+                    connection.setup,
+                    was_busy=connection.was_busy,
+                    ran_nothing=connection.ran_nothing,
                 )
             )
         )
--- a/src/rosemarysaddle/connection/_pool.py
+++ b/src/rosemarysaddle/connection/_pool.py
@@ -449,8 +449,10 @@
                 work_ns=connection.active_ns,
                 was_busy=connection.was_busy,
                 was_lost=connection.is_lost,
+                ran_nothing=connection.ran_nothing,
             )
             connection.was_busy = False
+            connection.ran_nothing = False
 
     def _serve_waiters(self) -> None:
         """Hand idle connections to the waiters that may use them.
--- a/src/rosemarysaddle/connection/_setups.py
+++ b/src/rosemarysaddle/connection/_setups.py
@@ -34,15 +34,20 @@
     )
 
 
-def build_loan_return(setup: ConnectionSetup, *, was_busy: bool) -> LoanReturn:
+def build_loan_return(
+    setup: ConnectionSetup, *, was_busy: bool, ran_nothing: bool
+) -> LoanReturn:
     """Build the return that describes the setup after a loan.
 
-    :param was_busy: whether the target refused the last statement
+    :param was_busy: whether the target refused the last statement, as
+        it was busy
+    :param ran_nothing: whether it refused it for whatever reason
     """
     return LoanReturn(
         values=build_variables(setup.values),
         prepared=_prepared_names(setup),
         was_busy=was_busy,
+        ran_nothing=ran_nothing,
     )
 
 
--- a/src/rosemarysaddle/decide/load/_fair_order.py
+++ b/src/rosemarysaddle/decide/load/_fair_order.py
@@ -37,6 +37,8 @@
 # ones get a ninth of the services then, and more while fewer short ones
 # wait.
 MAX_PASSES: Final = 8
+# Rates of kinds without waiting requests are kept up to this many.
+MAX_KIND_RATES: Final = 32
 MIN_WEIGHT: Final = 0.001
 # Virtual times are kept for this many teams without waiting requests;
 # one that is forgotten is served at most one request too early.
@@ -98,6 +100,8 @@
         """Record which kinds have waiting requests from now on."""
         self.rate.observe(now_ns, has_backlog=bool(self.waiting))
         waiting = self.kinds
+        if len(self.rates) > MAX_KIND_RATES:
+            self.rates = {k: r for k, r in self.rates.items() if k in waiting}
         for kind in waiting - self.rates.keys():
             self.rates[kind] = DrainRate()
         for kind, rate in self.rates.items():
--- a/src/rosemarysaddle/decide/load/_queueing.py
+++ b/src/rosemarysaddle/decide/load/_queueing.py
@@ -268,6 +268,7 @@
         work_ns: int | None = None,
         was_busy: bool = False,
         was_lost: bool = False,
+        ran_nothing: bool = False,
     ) -> None:
         """Record that a request has released its connection.
 
@@ -277,6 +278,8 @@
         :param was_busy: whether the target refused the statement
             because all its slots were in use
         :param was_lost: whether the connection was lost while in use
+        :param ran_nothing: whether the target refused the statement
+            without running it, so that its work is not known
         """
         if not was_busy:
             priority = connection_request.priority
@@ -284,7 +287,7 @@
             if not connection_request.pinned:
                 order = self._order(priority)
                 order.record_released(connection_request, now_ns)
-            if not was_lost:
+            if not (was_lost or ran_nothing):
                 self.work.record(
                     connection_request.work_kind,
                     held_ns if work_ns is None else work_ns,
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -765,11 +765,13 @@
         "values",
         "prepared",
         "was_busy",
+        "ran_nothing",
     )
 
     values: tuple[Variable, ...]
     prepared: tuple[PreparedName, ...]
     was_busy: bool
+    ran_nothing: bool
 
     def __init__(
         self,
@@ -777,11 +779,13 @@
         values: tuple[Variable, ...],
         prepared: tuple[PreparedName, ...],
         was_busy: bool = False,
+        ran_nothing: bool = False,
     ) -> None:
         set_field = object.__setattr__
         set_field(self, "values", values)
         set_field(self, "prepared", prepared)
         set_field(self, "was_busy", was_busy)
+        set_field(self, "ran_nothing", ran_nothing)
 
 
 @record(kw_only=True, init=False)
--- a/src/rosemarysaddle/schema/messages.capnp
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -253,6 +253,8 @@
   prepared @1 :List(PreparedName);
   # Whether the target refused the last statement, as it was busy.
   wasBusy @2 :Bool = false;
+  # Whether the target refused the last statement without running it.
+  ranNothing @3 :Bool = false;
 }
 
 struct PointRequest {
--- a/tests/decide/test_fair_order.py
+++ b/tests/decide/test_fair_order.py
@@ -267,3 +267,16 @@
     assert wait_ns == _queue_of_short_and_long().expected_wait_ns(
         SHORT, now_ns=NOW_NS
     )
+
+
+def test_refused_statements_do_not_make_a_kind_look_short() -> None:
+    # A replica that is behind refuses reads within a round trip.  Once
+    # it was the primary, all kinds looked alike.
+    queue = _queue_of_short_and_long()
+    for _ in range(10 * MIN_OPERATIONS):
+        queue.record_acquired(LONG)
+        queue.record_released(LONG, 1, now_ns=NOW_NS, ran_nothing=True)
+    queue.push(LONG, "long", now_ns=NOW_NS)
+    queue.push(SHORT, "short", now_ns=NOW_NS)
+
+    assert _serve(queue, 2) == ["short", "long"]
