Keep the writes of a full primary that cannot be read during a relief

Cause: reading the code: a primary whose connections are at their cap resets a new one and counts as unreachable, and a replica that lacked its last writes could then be promoted, as after a loss. Test: fails before for an unreachable primary.

--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -564,8 +564,7 @@
         criteria = SuccessorCriteria(
             former="" if term is None else term.primary,
             leaving={r.target for r in records if r.leaving},
-            allow_lagging=not change.kept
-            and now_ns >= change.candidate_deadline_ns,
+            allow_lagging=now_ns >= change.candidate_deadline_ns,
             keeps_former=bool(change.kept),
             reuse_former=bool(change.kept)
             and now_ns >= change.fenced_ns + CATCH_UP_TIMEOUT_MS * NS_PER_MS,
--- a/src/rosemarysaddle/decide/primaries/_succession.py
+++ b/src/rosemarysaddle/decide/primaries/_succession.py
@@ -54,6 +54,14 @@
         return _current_primary(answers, criteria)
     former = next((r for r in reports if r.target == criteria.former), None)
     former = former if former is not None and former.reachable else None
+    if (
+        criteria.keeps_former
+        and not criteria.allow_lagging
+        and not _is_readable(former)
+    ):
+        # A former primary that was only full holds writes that no
+        # replica may have.
+        return None
     candidates = [
         r
         for r in answers
@@ -67,8 +75,8 @@
     lags = former is not None and (
         not _has_status(former) or _progress(best) < _progress(former)
     )
-    if lags and criteria.reuse_former and former is not None:
-        return former if _has_status(former) else None
+    if lags and criteria.reuse_former and _is_readable(former):
+        return former
     if lags and not criteria.allow_lagging:
         return None
     return best
@@ -92,6 +100,10 @@
     return max(answers, key=_progress) if criteria.allow_lagging else None
 
 
+def _is_readable(report: TargetReport | None) -> bool:
+    return report is not None and _has_status(report)
+
+
 def _has_status(report: TargetReport) -> bool:
     return report.role != ""
 
--- a/tests/decide/test_relief.py
+++ b/tests/decide/test_relief.py
@@ -202,3 +202,30 @@
     _read_status(harness, _report("t1"), _report("t2"))
 
     assert harness.found(PromoteTarget)[-1].target == "t2"
+
+
+@pytest.mark.parametrize(
+    "former",
+    [
+        TargetReport(target="t1", reachable=False),
+        TargetReport(target="t1", reachable=True),
+    ],
+    ids=["unreachable", "no-status"],
+)
+def test_replica_is_not_promoted_while_the_full_primary_is_not_read(
+    former: TargetReport,
+) -> None:
+    # A full primary took no connection, and a replica without its last
+    # writes was promoted in its place.
+    harness = Harness.open()
+    _complain(harness, MIN_DURATION_MS)
+    _read_status(harness, _report("t2"))
+    _close(harness)
+    for _ in range(0, CATCH_UP_TIMEOUT_MS + 500, 100):
+        _read_status(harness, former, _report("t2", POSITION - 1))
+        harness.elapse(100)
+    assert not harness.found(PromoteTarget)
+
+    _read_status(harness, _report("t1"), _report("t2", POSITION - 1))
+
+    assert harness.found(PromoteTarget)[-1].target == "t1"
