Start a relief as a planned change; count activity only at the pool

The primary that a change keeps was stored by name and used as a flag only, and the relief started its change beside start_planned_change, which makes the same checks. A borrowed connection read the clock twice for each statement for a measure that only the lender's pool uses. Behaviour is the same.

--- a/src/rosemarysaddle/connection/_connection.py
+++ b/src/rosemarysaddle/connection/_connection.py
@@ -190,7 +190,8 @@
 
     def set_active(self, *, is_active: bool) -> None:
         """Record that a statement was sent, or that it is answered."""
-        if self.is_active == is_active:
+        # Only the pool that opened the connection counts.
+        if self.on_activity is None or self.is_active == is_active:
             return
         self.is_active = is_active
         now_ns = clock_ns()
@@ -198,8 +199,7 @@
             self._active_since_ns = now_ns
         else:
             self.active_ns += now_ns - self._active_since_ns
-        if self.on_activity is not None:
-            self.on_activity(self)
+        self.on_activity(self)
 
     def data_received(self, data: bytes) -> None:
         """Match complete answers to the pending requests, in order.
--- a/src/rosemarysaddle/decide/load/_load_balancing.py
+++ b/src/rosemarysaddle/decide/load/_load_balancing.py
@@ -180,9 +180,9 @@
     :return: the target, or None if none is eligible
     """
     eligible = [t for t in targets if _is_eligible(t, need)]
-    up = [t for t in eligible if need.now_ns >= t.down_until_ns]
     if not eligible:
         return None
+    up = [t for t in eligible if need.now_ns >= t.down_until_ns]
     return min(up or eligible, key=lambda t: _rank(t, need))
 
 
--- a/src/rosemarysaddle/decide/primaries/_change.py
+++ b/src/rosemarysaddle/decide/primaries/_change.py
@@ -67,8 +67,8 @@
 
     :param term: term that is being closed; 0 for a new group
     :param preferred: instance to promote in a planned change, or empty
-    :param kept: primary that stays if no replica holds all its writes
-        soon after the fence; empty in other changes
+    :param keeps_former: whether the former primary stays if no replica
+        holds all its writes soon after the fence
     :param fence_deadlines_ns: lease deadline of each host that may
         still write under the old term
     :param attempt: number of the latest probe
@@ -85,7 +85,7 @@
     suspected_ns: int
     started_ns: int
     preferred: str = ""
-    kept: str = ""
+    keeps_former: bool = False
     phase: Phase = Phase.CLOSE
     fence_deadlines_ns: dict[str, int] = attrs.field(factory=dict)
     attempt: int = 0
--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -141,7 +141,12 @@
         return []
 
     def start_planned_change(
-        self, group: str, preferred: str, now_ns: int
+        self,
+        group: str,
+        preferred: str,
+        now_ns: int,
+        *,
+        keeps_former: bool = False,
     ) -> list[Effect]:
         """Start a planned change of primary.
 
@@ -151,6 +156,8 @@
         :param group: name of the group
         :param preferred: instance to promote
         :param now_ns: monotonic time, in nanoseconds
+        :param keeps_former: whether the former primary stays if no
+            replica holds all its writes soon after the fence
         """
         term = self.context.state.terms.get(group)
         if (
@@ -161,7 +168,9 @@
             return []
         if term.primary == preferred:
             return []
-        return self.start_change(group, term.term, now_ns, preferred)
+        return self.start_change(
+            group, term.term, now_ns, preferred, keeps_former=keeps_former
+        )
 
     def on_probe(
         self,
@@ -416,7 +425,7 @@
         preferred: str = "",
         suspected_ns: int = 0,
         *,
-        kept: str = "",
+        keeps_former: bool = False,
     ) -> list[Effect]:
         """Start a change by closing the current term of a group.
 
@@ -426,8 +435,8 @@
         :param preferred: instance to promote in a planned change
         :param suspected_ns: time of the first evidence, in nanoseconds,
             or 0 where there is none
-        :param kept: primary that stays if no replica holds all its
-            writes soon after the fence; empty in other changes
+        :param keeps_former: whether the former primary stays if no
+            replica holds all its writes soon after the fence
         """
         self.changes[group] = GroupChange(
             group=group,
@@ -435,7 +444,7 @@
             suspected_ns=suspected_ns or now_ns,
             started_ns=now_ns,
             preferred=preferred,
-            kept=kept,
+            keeps_former=keeps_former,
             candidate_deadline_ns=now_ns + CANDIDATE_TIMEOUT_MS * NS_PER_MS,
         )
         payload = json.dumps({"group": group, "term": term})
@@ -565,8 +574,8 @@
             former="" if term is None else term.primary,
             leaving={r.target for r in records if r.leaving},
             allow_lagging=now_ns >= change.candidate_deadline_ns,
-            keeps_former=bool(change.kept),
-            reuse_former=bool(change.kept)
+            keeps_former=change.keeps_former,
+            reuse_former=change.keeps_former
             and now_ns >= change.fenced_ns + CATCH_UP_TIMEOUT_MS * NS_PER_MS,
         )
         choice = choose_successor(reports, criteria)
--- a/src/rosemarysaddle/decide/primaries/_relief.py
+++ b/src/rosemarysaddle/decide/primaries/_relief.py
@@ -234,17 +234,16 @@
         self, group: str, reports: Sequence[TargetReport], now_ns: int
     ) -> list[Effect]:
         """Start a change if a replica can relieve the primary."""
-        term = self.context.state.terms.get(group)
         point = self._requests.point(group)
-        if term is None or point is None or not self._may_change(now_ns):
+        if point is None or not self._may_change(now_ns):
             return []
         records = self.context.state.targets.of_group(group)
         leaving = {r.target for r in records if r.leaving}
         chosen = choose_relief(reports, leaving=leaving, point=point)
         if not chosen:
             return []
-        return self.primaries.start_change(
-            group, term.term, now_ns, chosen, kept=term.primary
+        return self.primaries.start_planned_change(
+            group, chosen, now_ns, keeps_former=True
         )
 
     def _may_change(self, now_ns: int) -> bool:
