Use one class for the reports of hosts about a primary

The relief counted hosts, data centres and gaps between reports as Evidence does for a suspected primary; Evidence now takes the window and the number of hosts.

--- a/src/rosemarysaddle/decide/primaries/_change.py
+++ b/src/rosemarysaddle/decide/primaries/_change.py
@@ -124,24 +124,28 @@
 
 @attrs.define(kw_only=True)
 class Evidence:
-    """Reports that a primary accepts no new connections.
+    """Reports of hosts about the primary of one term.
 
-    :param term: term of the suspected primary
+    :param term: term of the primary
     :param first_ns: time of the first report of the current outage
+    :param window_ms: time for which a report counts, in milliseconds
+    :param min_hosts: number of hosts that have to agree
     """
 
     term: int
     first_ns: int
+    window_ms: int = EVIDENCE_WINDOW_MS
+    min_hosts: int = 2
     _reports_ns: dict[str, int] = attrs.field(factory=dict)
 
     def add(self, host: str, now_ns: int) -> None:
         """Record a report from a host.
 
-        A report that follows the newest one by more than
-        ``EVIDENCE_WINDOW_MS`` counts as the start of a new outage.
+        A report that follows the newest one by more than ``window_ms``
+        counts as the start of a new outage.
         """
         if now_ns - max(self._reports_ns.values(), default=0) > (
-            EVIDENCE_WINDOW_MS * NS_PER_MS
+            self.window_ms * NS_PER_MS
         ):
             self.first_ns = now_ns
         self._reports_ns[host] = now_ns
@@ -151,17 +155,18 @@
     ) -> bool:
         """Tell whether enough hosts agree.
 
-        At least two hosts have to agree.  Where the live hosts span two
-        data centres, the reports have to come from two as well.
+        Where the live hosts span two data centres, the reports have to
+        come from two as well.
 
         :param centers: data centre of each known host
         :param live_centers: number of data centres of the live hosts
         :param now_ns: monotonic time, in nanoseconds
         """
-        oldest_ns = now_ns - EVIDENCE_WINDOW_MS * NS_PER_MS
-        recent = {h for h, at in self._reports_ns.items() if at > oldest_ns}
+        recent = self._recent(now_ns)
         spanned = {centers[h] for h in recent if h in centers}
-        return len(recent) >= 2 and len(spanned) >= min(2, live_centers)  # noqa: PLR2004
+        return len(recent) >= self.min_hosts and len(spanned) >= min(
+            2, live_centers
+        )
 
     def is_corroborated(
         self, *, observer: str, hosts: int, now_ns: int
@@ -175,13 +180,20 @@
         :param hosts: number of the entry hosts
         :param now_ns: time of the decision, in nanoseconds
         """
-        oldest_ns = now_ns - EVIDENCE_WINDOW_MS * NS_PER_MS
-        recent = {h for h, at in self._reports_ns.items() if at > oldest_ns}
+        recent = self._recent(now_ns)
         if observer in recent:
             return True
-        lasts = now_ns >= self.first_ns + MIN_OUTAGE_MS * NS_PER_MS
+        lasts = self.has_lasted(MIN_OUTAGE_MS, now_ns)
         return lasts and 2 * len(recent) > hosts
 
+    def has_lasted(self, duration_ms: int, now_ns: int) -> bool:
+        """Tell whether hosts have reported for that long."""
+        return now_ns >= self.first_ns + duration_ms * NS_PER_MS
+
+    def _recent(self, now_ns: int) -> set[str]:
+        oldest_ns = now_ns - self.window_ms * NS_PER_MS
+        return {h for h, at in self._reports_ns.items() if at > oldest_ns}
+
 
 def write_quorum(instances: int) -> int:
     """Compute how many instances must hold an acknowledged write."""
--- a/src/rosemarysaddle/decide/primaries/_relief.py
+++ b/src/rosemarysaddle/decide/primaries/_relief.py
@@ -17,6 +17,7 @@
 
 from rosemarysaddle.decide._effects import Effect, ProbeGroup, TargetReport
 from rosemarysaddle.decide._times import NS_PER_MS
+from rosemarysaddle.decide.primaries._change import Evidence
 from rosemarysaddle.decide.primaries._primaries import PROBE_TIMEOUT_MS
 from rosemarysaddle.decide.reads._freshness import newer_point
 from rosemarysaddle.decide.reads._token import LogPoint
@@ -59,15 +60,11 @@
 class _Reports:
     """Reports about one group.
 
-    :param first_ns: time since which reports have arrived without a gap
     :param point: newest log point of the primary in any report
-    :param hosts_ns: time of the newest report of each host
     """
 
-    term: int
-    first_ns: int
+    evidence: Evidence
     point: LogPoint | None = None
-    hosts_ns: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
@@ -94,16 +91,16 @@
 
     def record(self, report: ReplicasBehind, now_ns: int) -> None:
         """Record the report of a host."""
-        oldest_ns = now_ns - REPORT_WINDOW_MS * NS_PER_MS
         found = self._reports.get(report.group)
-        if (
-            found is None
-            or found.term != report.term
-            or max(found.hosts_ns.values()) < oldest_ns
-        ):
-            found = _Reports(term=report.term, first_ns=now_ns)
-            self._reports[report.group] = found
-        found.hosts_ns[report.host] = now_ns
+        if found is None or found.evidence.term != report.term:
+            evidence = Evidence(
+                term=report.term,
+                first_ns=now_ns,
+                window_ms=REPORT_WINDOW_MS,
+                min_hosts=MIN_HOSTS,
+            )
+            found = self._reports[report.group] = _Reports(evidence=evidence)
+        found.evidence.add(report.host, now_ns)
         point = LogPoint(
             term=report.point_term, position=report.point_position
         )
@@ -127,13 +124,11 @@
         found = self._reports.get(group)
         if found is None or now_ns < self._next_attempt_ns(group, primary):
             return False
-        if now_ns < found.first_ns + MIN_DURATION_MS * NS_PER_MS:
-            return False
-        oldest_ns = now_ns - REPORT_WINDOW_MS * NS_PER_MS
-        recent = {h for h, at in found.hosts_ns.items() if at > oldest_ns}
-        spanned = {centers[h] for h in recent if h in centers}
-        return len(recent) >= MIN_HOSTS and len(spanned) >= min(
-            2, live_centers
+        evidence = found.evidence
+        return evidence.has_lasted(
+            MIN_DURATION_MS, now_ns
+        ) and evidence.has_host_quorum(
+            centers, live_centers=live_centers, now_ns=now_ns
         )
 
     def _next_attempt_ns(self, group: str, primary: str) -> int:
