Keep both bounds of a lender's window in one place; store no back-off time

The number of statements for each slot stood in _shared and in _lending with the same reason; the share now tells both bounds. A replica that lags keeps the number of doublings instead of a duration. Behaviour is the same.

--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -23,7 +23,6 @@
 import attrs
 
 from benchmarks.remote_lender import ROUND_TRIPS_MS
-from rosemarysaddle.connection._shared import REMOTE_WINDOW_PER_SLOT
 from rosemarysaddle.decide import (
     MIN_SIZE,
     NS_PER_MS,
@@ -32,6 +31,7 @@
     ConnectionRequest,
     retry_after,
 )
+from rosemarysaddle.decide.load._lending import STATEMENTS_PER_SLOT
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -419,7 +419,7 @@
     slots = lost_slots_at if load == "lost_slots" else lambda _: SLOTS
     min_size = MIN_SIZE
     if load == "hot_team_remote":
-        min_size = REMOTE_WINDOW_PER_SLOT * SLOTS
+        min_size = STATEMENTS_PER_SLOT * SLOTS
     simulation = Simulation(order=order, slots=slots, min_size=min_size)
     simulation.play(LOADS[load]())
     return simulation
--- a/src/rosemarysaddle/connection/_shared.py
+++ b/src/rosemarysaddle/connection/_shared.py
@@ -12,7 +12,6 @@
 from rosemarysaddle.connection._connection import TargetConnection
 from rosemarysaddle.connection._pool import OpenFault
 from rosemarysaddle.decide import (
-    MIN_SIZE,
     NS_PER_MS,
     ConnectionRequest,
     FaultCode,
@@ -30,10 +29,6 @@
 
 # Covers the way to the lender and an opening there.
 CHECK_TIMEOUT_MS: Final = 500
-# The window of a lender of all data centres keeps this size for each
-# slot of the target.  A loan to another region lasts for up to 48 ms
-# longer than its statement, so a smaller window leaves slots unused.
-REMOTE_WINDOW_PER_SLOT: Final = 2
 # Idle connections of teams are kept this long at a host that is not the
 # lender, as others may ask it in place of a lender that they cannot
 # reach.
@@ -247,14 +242,11 @@
             )
         self.uses_lender = share.uses_lender
         self.lending_center = share.lending_center
-        min_window = MIN_SIZE
-        if share.lending_center:
-            min_window = max(MIN_SIZE, self.own.slots * REMOTE_WINDOW_PER_SLOT)
         self.own.set_limit(
             share.limit,
             uses_teams=share.uses_teams,
-            min_window=min_window,
-            max_window=max(min_window, share.max_window(self.own.slots)),
+            min_window=share.min_window(self.own.slots),
+            max_window=share.max_window(self.own.slots),
         )
         if share.is_pending:
             self._has_share.clear()
--- a/src/rosemarysaddle/decide/load/_lending.py
+++ b/src/rosemarysaddle/decide/load/_lending.py
@@ -22,7 +22,7 @@
 import attrs
 
 from rosemarysaddle.decide._times import NS_PER_MS
-from rosemarysaddle.decide.load._window import MAX_SIZE
+from rosemarysaddle.decide.load._window import MAX_SIZE, MIN_SIZE
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
@@ -61,14 +61,13 @@
 # target for this long.  Trying it again costs a request the time-out of
 # a connection.
 UNABLE_BACKOFF_MS: Final = 5_000
-
-
 # The lenders of all data centres together let this many statements for
 # each slot run, so that two thirds of them may be without demand.
 OVERCOMMITMENT: Final = 3.0
-# A single lender covers the round trip of a loan to another region,
-# which lasts up to 48 ms longer than its statement.
-MAX_STATEMENTS_PER_SLOT: Final = 2.0
+# A lender of all data centres lets this many statements for each slot
+# run, and no lender lets more.  A loan to another region lasts for up
+# to 48 ms longer than its statement, so fewer leave slots unused.
+STATEMENTS_PER_SLOT: Final = 2.0
 # One statement runs while another is on its way.
 MIN_LENDER_WINDOW: Final = 2.0
 
@@ -95,6 +94,16 @@
     lending_center: str = ""
     fraction: float = 1.0
 
+    def min_window(self, slots: int) -> float:
+        """Return how many statements run however busy the target is.
+
+        :param slots: statements that the target runs at once; 0 if
+            unknown
+        """
+        if not self.lending_center:
+            return MIN_SIZE
+        return max(MIN_SIZE, slots * STATEMENTS_PER_SLOT)
+
     def max_window(self, slots: int) -> float:
         """Return how many statements a lender lets run at once.
 
@@ -107,7 +116,7 @@
         """
         if not self.uses_lender or not slots:
             return MAX_SIZE
-        part = min(MAX_STATEMENTS_PER_SLOT, OVERCOMMITMENT * self.fraction)
+        part = min(STATEMENTS_PER_SLOT, OVERCOMMITMENT * self.fraction)
         return max(MIN_LENDER_WINDOW, slots * part)
 
     @property
--- a/src/rosemarysaddle/decide/load/_load_balancing.py
+++ b/src/rosemarysaddle/decide/load/_load_balancing.py
@@ -33,11 +33,11 @@
 OTHER_REGION_COST_NS: Final = 60 * NS_PER_MS
 # Keeps primaries free for writes while a replica is equally near.
 PRIMARY_PENALTY_NS: Final = 15 * NS_PER_MS
-# A replica that lacked a position is asked again after the first time,
-# which doubles up to the second while it lacks others.  Several hosts
+# A replica that lacked a position is asked again after this time, which
+# doubles up to 1.2 s while it lacks others.  Several hosts
 # ask, so one of them soon learns that it has caught up.
 LAGGING_MS: Final = 150
-MAX_LAGGING_MS: Final = 1_200
+MAX_LAGGING_DOUBLINGS: Final = 3
 # Covers the time until a replica that lags is asked again.
 BEHIND_MS: Final = 2_500
 DOWN_BACKOFF_MS: Final = 400
@@ -86,7 +86,7 @@
     behind_ns: int = 0
     down_until_ns: int = 0
     is_unreachable: bool = False
-    _lagging_ms: int = attrs.field(default=LAGGING_MS, init=False)
+    _doublings: int = attrs.field(default=0, init=False)
     _wait_ns: int = attrs.field(default=0, init=False)
     _waited_ns: int = attrs.field(default=0, init=False)
 
@@ -104,10 +104,10 @@
     def mark_lagging(self, now_ns: int) -> None:
         """Mark the target as lagging: it lacked a required position."""
         if now_ns >= self.lagging_until_ns:
-            is_first = not self.behind_ns
-            longer_ms = min(MAX_LAGGING_MS, 2 * self._lagging_ms)
-            self._lagging_ms = LAGGING_MS if is_first else longer_ms
-            self.lagging_until_ns = now_ns + self._lagging_ms * NS_PER_MS
+            doublings = min(MAX_LAGGING_DOUBLINGS, self._doublings + 1)
+            self._doublings = doublings if self.behind_ns else 0
+            wait_ms = LAGGING_MS << self._doublings
+            self.lagging_until_ns = now_ns + wait_ms * NS_PER_MS
         self.behind_ns = now_ns
 
     def is_behind(self, now_ns: int) -> bool:
