Rank a kind once for each operation that ends, and derive it from the request

The kind of an operation was passed beside the request that tells it, and kept again at the waiter; the rank was computed with a logarithm for each kind several times for each request. The request now holds its kind, and the estimate its rank. Behaviour is the same.

--- a/src/rosemarysaddle/decide/load/_fair_order.py
+++ b/src/rosemarysaddle/decide/load/_fair_order.py
@@ -56,10 +56,6 @@
     def number(self) -> int:
         """Sequence number of its arrival."""
 
-    @property
-    def kind(self) -> WorkKind:
-        """Kind of the operation."""
-
 
 _W = TypeVar("_W", bound=Waiting)
 
@@ -89,12 +85,14 @@
         ranks = {kind: work.rank(kind) for kind in self.kinds}
         if len(set(ranks.values())) <= 1:
             return self.waiting
-        return sorted(self.waiting, key=lambda w: ranks[w.kind])
+        return sorted(
+            self.waiting, key=lambda w: ranks[w.connection_request.work_kind]
+        )
 
     @property
     def kinds(self) -> set[WorkKind]:
         """Kinds of the waiting requests."""
-        return {w.kind for w in self.waiting}
+        return {w.connection_request.work_kind for w in self.waiting}
 
     def observe(self, now_ns: int) -> None:
         """Record which kinds have waiting requests from now on."""
@@ -235,12 +233,7 @@
             rate.record_served(0, now_ns)
 
     def team_wait_ns(
-        self,
-        request: ConnectionRequest,
-        kind: WorkKind,
-        now_ns: int,
-        *,
-        assumed_ns: float,
+        self, request: ConnectionRequest, now_ns: int, *, assumed_ns: float
     ) -> int:
         """Estimate the wait from the services of the team alone.
 
@@ -248,7 +241,6 @@
         other teams that arrive later are served earlier, and likewise
         where shorter requests of the team are.
 
-        :param kind: kind of the operation
         :return: the wait, or 0 if no request of the team waits
         """
         queue = self._teams.get(request.team)
@@ -259,12 +251,15 @@
             for w in queue.waiting
         )
         wait_ns = queue.rate.expected_wait_ns(
-            self._ahead_in_team(queue, waiting, kind),
+            self._ahead_in_team(queue, waiting, request),
             0,
             now_ns,
             assumed_ns=assumed_ns,
         )
-        same_kind = sum(w.kind == kind for w in queue.waiting)
+        kind = request.work_kind
+        same_kind = sum(
+            w.connection_request.work_kind == kind for w in queue.waiting
+        )
         rate = queue.rates.get(kind)
         if rate is None or not same_kind:
             return wait_ns
@@ -274,33 +269,33 @@
         return max(wait_ns, kind_wait_ns)
 
     def _ahead_in_team(
-        self, queue: _TeamQueue[_W], waiting: int, kind: WorkKind
+        self, queue: _TeamQueue[_W], waiting: int, request: ConnectionRequest
     ) -> int:
         """Count the requests of a team ahead of a new one.
 
         :param waiting: number of its requests that wait
-        :param kind: kind of the new request
+        :param request: the new request
         """
-        rank = self.work.rank(kind)
-        ranks = {k: self.work.rank(k) for k in queue.kinds}
+        rank = self.work.rank(request.work_kind)
+        longer_kinds = {
+            kind
+            for kind in queue.kinds
+            if kind.is_transaction == request.pinned
+            and self.work.rank(kind) > rank
+        }
         longer = sum(
-            ranks[w.kind] > rank
-            and w.kind.is_transaction == kind.is_transaction
+            w.connection_request.work_kind in longer_kinds
             for w in queue.waiting
         )
         longer = min(waiting, longer)
         shorter = waiting - longer
         return shorter + min(longer, shorter // MAX_PASSES)
 
-    def count_ahead(
-        self, request: ConnectionRequest, kind: WorkKind, served_ns: int
-    ) -> int:
+    def count_ahead(self, request: ConnectionRequest, served_ns: int) -> int:
         """Count the requests that are served before a new one.
 
         Only those that wait for the same kind of use count: for a
         statement or for a transaction.
-
-        :param kind: kind of the new request
         """
         own = self._teams.get(request.team)
         start = self._virtual
@@ -315,7 +310,9 @@
             on_time_here, late_here = self._count(queue, request, served_ns)
             late += late_here
             if queue is own:
-                on_time_here = self._ahead_in_team(queue, on_time_here, kind)
+                on_time_here = self._ahead_in_team(
+                    queue, on_time_here, request
+                )
             if queue is not own and on_time_here > 1:
                 weight = queue.waiting[0].connection_request.weight
                 before = max(0.0, start - self._start(queue)) * weight
--- a/src/rosemarysaddle/decide/load/_load_balancing.py
+++ b/src/rosemarysaddle/decide/load/_load_balancing.py
@@ -34,8 +34,8 @@
 # Keeps primaries free for writes while a replica is equally near.
 PRIMARY_PENALTY_NS: Final = 15 * NS_PER_MS
 # A replica that lacked a position is asked again after this time, which
-# doubles up to 1.2 s while it lacks others.  Several hosts
-# ask, so one of them soon learns that it has caught up.
+# doubles up to 1.2 s while it lacks others.  Several hosts ask, so one
+# of them soon learns that it has caught up.
 LAGGING_MS: Final = 150
 MAX_LAGGING_DOUBLINGS: Final = 3
 # Covers the time until a replica that lags is asked again.
--- a/src/rosemarysaddle/decide/load/_queueing.py
+++ b/src/rosemarysaddle/decide/load/_queueing.py
@@ -64,6 +64,7 @@
     :param weight: share of the team relative to other teams
     :param service_class: class of the route, whose earlier operations
         tell how much work to expect; empty if unknown
+    :param work_kind: kind of the operation for the estimate of its work
     """
 
     priority: int = 0
@@ -74,10 +75,10 @@
     objective_ns: int = 0
     weight: float = 1.0
     service_class: str = ""
+    work_kind: WorkKind = attrs.field(init=False, eq=False, repr=False)
 
-    @property
-    def work_kind(self) -> WorkKind:
-        """Kind of the operation for the estimate of its work."""
+    @work_kind.default
+    def _find_work_kind(self) -> WorkKind:
         return WorkKind(
             service_class=self.service_class, is_transaction=self.pinned
         )
@@ -88,13 +89,11 @@
     """One waiting request of the queue.
 
     :param number: sequence number that keeps the order of arrival
-    :param kind: kind of the operation
     :param item: object that the owner of the queue attached
     """
 
     connection_request: ConnectionRequest
     number: int
-    kind: WorkKind
     item: _T
 
 
@@ -155,10 +154,9 @@
         requests were served lately.
         """
         priority = connection_request.priority
-        kind = connection_request.work_kind
         served_ns = now_ns + ON_TIME_HOLDS * self.mean_hold_ns
         ahead = sum(
-            order.count_ahead(connection_request, kind, served_ns)
+            order.count_ahead(connection_request, served_ns)
             if p == priority
             else order.count(pinned=connection_request.pinned)
             for p, order in self._orders.items()
@@ -175,7 +173,7 @@
         if connection_request.pinned:
             return wait_ns
         team_wait_ns = self._order(priority).team_wait_ns(
-            connection_request, kind, now_ns, assumed_ns=assumed_ns
+            connection_request, now_ns, assumed_ns=assumed_ns
         )
         return max(wait_ns, team_wait_ns)
 
@@ -206,7 +204,6 @@
         waiter = Waiter(
             connection_request=connection_request,
             number=next(self._sequence) if number is None else number,
-            kind=connection_request.work_kind,
             item=item,
         )
         self._order(connection_request.priority).add(waiter)
--- a/src/rosemarysaddle/decide/load/_work_estimates.py
+++ b/src/rosemarysaddle/decide/load/_work_estimates.py
@@ -33,6 +33,13 @@
 MAX_KINDS: Final = 1_024
 
 
+def _rank(work_ns: float) -> int:
+    return math.floor(math.log(max(1.0, work_ns), RANK_FACTOR))
+
+
+INITIAL_RANK: Final = _rank(INITIAL_WORK_NS)
+
+
 @attrs.frozen(kw_only=True)
 class WorkKind:
     """Kind of operations that are taken to need the same work.
@@ -51,12 +58,14 @@
 
     :param mean_ns: moving average
     :param floor_ns: lowest average lately
+    :param rank: rank of the lowest average
     """
 
     count: int = 0
     mean_ns: float = 0.0
     floor_ns: float = math.inf
     updated_ns: int = 0
+    rank: int = INITIAL_RANK
 
     def add(self, work_ns: int, now_ns: int) -> None:
         """Add the work of one operation."""
@@ -70,6 +79,7 @@
         if math.isfinite(self.floor_ns):
             self.floor_ns *= math.exp2(age_ms / FLOOR_DOUBLING_MS)
         self.floor_ns = min(self.floor_ns, self.mean_ns)
+        self.rank = _rank(self.floor_ns)
 
 
 @attrs.define(kw_only=True)
@@ -89,14 +99,7 @@
             estimate = self._estimates[kind] = _Estimate()
         estimate.add(work_ns, now_ns)
 
-    def work_ns(self, kind: WorkKind) -> float:
-        """Return the work to expect of one operation."""
-        estimate = self._estimates.get(kind)
-        if estimate is None or not math.isfinite(estimate.floor_ns):
-            return INITIAL_WORK_NS
-        return estimate.floor_ns
-
     def rank(self, kind: WorkKind) -> int:
         """Rank a kind by its work; shorter ones have lower ranks."""
-        work_ns = max(1.0, self.work_ns(kind))
-        return math.floor(math.log(work_ns, RANK_FACTOR))
+        estimate = self._estimates.get(kind)
+        return estimate.rank if estimate is not None else INITIAL_RANK
