--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -16,13 +16,13 @@
 
 import collections
 import functools
-import heapq
 import random
 from typing import TYPE_CHECKING, Final
 
 import attrs
 
 from benchmarks.remote_lender import ROUND_TRIPS_MS
+from benchmarks.timeline import Timeline
 from rosemarysaddle.decide import (
     MIN_SIZE,
     NS_PER_MS,
@@ -38,7 +38,6 @@
 
     from rosemarysaddle.decide import Waiter
 
-    _Event = tuple[float, int, Callable[[], None]]
 
 LIMIT: Final = 40
 SLOTS: Final = 4
@@ -125,7 +124,7 @@
 
 
 @attrs.define(kw_only=True, eq=False)
-class Simulation:
+class Simulation(Timeline):
     """Play of one load at one lender.
 
     :param order: ``decided``, ``fair``, ``deadline`` or ``arrival``
@@ -142,11 +141,8 @@
     )
     ends_ms: list[float] = attrs.field(factory=list, init=False)
     _queue: ConnectionQueue[Operation] = attrs.field(init=False)
-    _now_ms: float = attrs.field(default=0, init=False)
     _in_use: int = attrs.field(default=0, init=False)
     _running: int = attrs.field(default=0, init=False)
-    _sequence: int = attrs.field(default=0, init=False)
-    _events: list[_Event] = attrs.field(factory=list, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the empty queue."""
@@ -165,23 +161,9 @@
         for operation in operations:
             self.results[operation.team].operations += 1
             self._at(operation.at_ms, self._arrive, operation)
-        while self._events:
-            self._now_ms, _, action = heapq.heappop(self._events)
-            action()
+        self._run_events()
         return dict(self.results)
 
-    def _at(
-        self, at_ms: float, action: Callable[..., None], *args: object
-    ) -> None:
-        self._sequence += 1
-        bound = functools.partial(action, *args)
-        event: _Event = (at_ms, self._sequence, bound)
-        heapq.heappush(self._events, event)
-
-    @property
-    def _now_ns(self) -> int:
-        return round(self._now_ms * NS_PER_MS)
-
     def _arrive(self, operation: Operation) -> None:
         operation.tries += 1
         operation.tried_ms = self._now_ms
--- a/benchmarks/full_primary.py
+++ b/benchmarks/full_primary.py
@@ -12,13 +12,13 @@
 
 import collections
 import functools
-import heapq
 import math
 import random
 from typing import TYPE_CHECKING, Final
 
 import attrs
 
+from benchmarks.timeline import Timeline
 from rosemarysaddle.decide import (
     MAX_SIZE,
     NS_PER_MS,
@@ -32,11 +32,8 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from rosemarysaddle.decide import Waiter
 
-    _Event = tuple[float, int, Callable[[], None]]
 
 SLOTS: Final = 6
 TARGET_QUEUE: Final = 48
@@ -182,7 +179,7 @@
 
 
 @attrs.define(kw_only=True, eq=False)
-class Simulation:
+class Simulation(Timeline):
     """Play of the load at one target and its lenders."""
 
     policy: Policy = attrs.field(factory=Policy)
@@ -195,13 +192,10 @@
     _queues: list[ConnectionQueue[Operation]] = attrs.field(init=False)
     _free: list[int] = attrs.field(init=False)
     _random: random.Random = attrs.field(init=False)
-    _now_ms: float = attrs.field(default=0, init=False)
     _running: int = attrs.field(default=0, init=False)
     _at_target: collections.deque[Operation] = attrs.field(
         factory=collections.deque, init=False
     )
-    _events: list[_Event] = attrs.field(factory=list, init=False)
-    _sequence: int = attrs.field(default=0, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the lenders' queues."""
@@ -241,9 +235,7 @@
             while at_ms < end_ms:
                 self._at(at_ms, self._arrive, self._draw(at_ms))
                 at_ms += self._random.expovariate(rate_per_s / 1_000)
-        while self._events:
-            self._now_ms, _, action = heapq.heappop(self._events)
-            action()
+        self._run_events()
         return dict(self.results)
 
     def _draw(self, at_ms: float) -> Operation:
@@ -263,21 +255,6 @@
             lender=self._random.randrange(len(CONNECTIONS)),
         )
 
-    def _at(
-        self, at_ms: float, action: Callable[..., None], *args: object
-    ) -> None:
-        self._sequence += 1
-        event: _Event = (
-            at_ms,
-            self._sequence,
-            functools.partial(action, *args),
-        )
-        heapq.heappush(self._events, event)
-
-    @property
-    def _now_ns(self) -> int:
-        return round(self._now_ms * NS_PER_MS)
-
     # --- lender ---
 
     def _arrive(self, operation: Operation) -> None:
--- a/benchmarks/remote_lender.py
+++ b/benchmarks/remote_lender.py
@@ -14,13 +14,12 @@
 from __future__ import annotations
 
 import functools
-import heapq
-import itertools
 import random
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 import attrs
 
+from benchmarks.timeline import Timeline
 from rosemarysaddle.decide import (
     NS_PER_MS,
     ConcurrencyWindow,
@@ -28,9 +27,6 @@
     ConnectionRequest,
 )
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
 SLOTS: Final = 4
 WORK_MS: Final = 18.0
 PLAYED_S: Final = 30
@@ -55,20 +51,15 @@
     way_ms: float
 
 
-@attrs.define(kw_only=True)
-class Simulation:
+@attrs.define(kw_only=True, eq=False)
+class Simulation(Timeline):
     """Target with its lenders, in simulated time."""
 
     queues: list[ConnectionQueue[Statement]]
     waits_ms: list[float] = attrs.field(factory=list)
     sheds: int = 0
     _running: int = 0
-    _now_ms: float = 0.0
     _numbers: random.Random = attrs.field(factory=lambda: random.Random(SEED))
-    _sequence: itertools.count[int] = attrs.field(factory=itertools.count)
-    _events: list[tuple[float, int, Callable[[], None]]] = attrs.field(
-        factory=list
-    )
 
     def run(self, rate_per_s: float) -> None:
         """Play all arrivals and wait for the last answer."""
@@ -85,17 +76,8 @@
                 arrived_ms=at_ms,
                 way_ms=way_ms,
             )
-            self._at(at_ms, functools.partial(self._push, statement))
-        while self._events:
-            self._now_ms, _, action = heapq.heappop(self._events)
-            action()
-
-    def _at(self, at_ms: float, action: Callable[[], None]) -> None:
-        heapq.heappush(self._events, (at_ms, next(self._sequence), action))
-
-    @property
-    def _now_ns(self) -> int:
-        return int(self._now_ms * NS_PER_MS)
+            self._at(at_ms, self._push, statement)
+        self._run_events()
 
     def _push(self, statement: Statement) -> None:
         statement.queue.push(_REQUEST, statement, now_ns=self._now_ns)
