--- a/benchmarks/timeline.py
+++ b/benchmarks/timeline.py
@@ -36,7 +36,7 @@
     def _at(
         self, at_ms: float, action: Callable[..., None], *args: object
     ) -> None:
-        """Run an action later; at equal times, in the order of calls."""
+        """Run an action at a time; at equal ones, in call order."""
         event: _Event = (
             at_ms,
             next(self._sequence),
