Confirm a promoted target over one connection

Ruled out: the promotion itself; the platform had accepted it. Before: with 300 ms of queue the promotion is never confirmed (test fails); after: confirmed after one opening and one status, each with 1.5 s. A target that was just read as a replica is not read again before the order. The fence does not pass targets, so nothing changes there.

--- a/src/rosemarysaddle/decide/_effects.py
+++ b/src/rosemarysaddle/decide/_effects.py
@@ -117,6 +117,8 @@
     :param start: position at which the term began, which the instance
         must have reached
     :param deadline_ns: monotonic deadline of the promotion
+    :param may_be_primary: whether the instance may be the primary
+        already, so that its status is read before the order is sent
     """
 
     group: str
@@ -124,6 +126,7 @@
     term: int
     start: int
     deadline_ns: int
+    may_be_primary: bool = True
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarysaddle/decide/primaries/_change.py
+++ b/src/rosemarysaddle/decide/primaries/_change.py
@@ -77,6 +77,8 @@
         the preferred one, or one that lacks writes, may be chosen, and
         from which a new group may open without some of its instances
     :param chosen: instance that becomes primary under the new term
+    :param may_be_primary: whether the chosen instance may be the
+        primary already
     :param blocked_reason: why no primary can be chosen yet, or empty
     """
 
@@ -95,6 +97,7 @@
     chosen_ns: int = 0
     new_term: int = 0
     chosen: str = ""
+    may_be_primary: bool = True
     blocked_reason: str = ""
 
     def begin_fence(self, deadlines_ns: dict[str, int]) -> None:
--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -597,6 +597,7 @@
         newest = max((r.term for r in reports), default=0)
         change.new_term = max(change.term, newest) + 1
         change.chosen = choice.target
+        change.may_be_primary = choice.role != "replica"
         change.chosen_ns = now_ns
         change.phase = Phase.OPEN
         change.blocked_reason = ""
@@ -624,5 +625,6 @@
                 term=change.new_term,
                 start=term.start_of(change.new_term) or 0,
                 deadline_ns=now_ns + self.promote_timeout_ms * NS_PER_MS,
+                may_be_primary=change.may_be_primary,
             )
         ]
--- a/src/rosemarysaddle/node/_orders.py
+++ b/src/rosemarysaddle/node/_orders.py
@@ -24,7 +24,12 @@
 __all__ = ("AnnouncedTargetOrders",)
 
 POLL_INTERVAL_S: Final = 0.05
+# Limits the check whether an earlier leader's promotion took effect.
 STATUS_TIMEOUT_MS: Final = 400
+# A full target queues the opening of a connection and the status
+# request behind up to 40 statements of callers each.  A connection that
+# has gone silent is replaced after this time.
+CONFIRM_TIMEOUT_MS: Final = 1_500
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -79,8 +84,7 @@
         """
         if instance is None:
             return False
-        status = await self._read_status(instance, _status_deadline_ns(order))
-        if status is not None and status.role == "primary":
+        if order.may_be_primary and await self._is_primary(instance, order):
             return True
         promotion = PromotionOrder(
             group=order.group,
@@ -101,16 +105,52 @@
         )
         return accepted and await self._wait_until_primary(order, instance)
 
+    async def _is_primary(
+        self, instance: Instance, order: PromoteTarget
+    ) -> bool:
+        limit_ns = clock_ns() + STATUS_TIMEOUT_MS * NS_PER_MS
+        status = await self._request_status(
+            self._new_connection(instance),
+            instance,
+            min(order.deadline_ns, limit_ns),
+        )
+        return status is not None and status.role == "primary"
+
     async def _wait_until_primary(
         self, order: PromoteTarget, instance: Instance
     ) -> bool:
         while clock_ns() < order.deadline_ns:
             await asyncio.sleep(POLL_INTERVAL_S)
-            status = await self._read_status(
-                instance, _status_deadline_ns(order)
+            connection = self._new_connection(instance)
+            try:
+                if await self._poll_until_primary(connection, order, instance):
+                    return True
+            finally:
+                connection.abort()
+        return False
+
+    async def _poll_until_primary(
+        self,
+        connection: TargetConnection,
+        order: PromoteTarget,
+        instance: Instance,
+    ) -> bool:
+        """Read the status over one connection until it is primary.
+
+        :return: whether it is; False if the connection failed
+        """
+        is_open = await self._open(
+            connection, instance, _confirm_deadline_ns(order)
+        )
+        while is_open and not connection.is_lost:
+            answer = await connection.ask(
+                connection.codec.encode_status(),
+                deadline_ns=_confirm_deadline_ns(order),
             )
+            status = self.platform.read_status(answer)
             if status is not None and status.role == "primary":
                 return True
+            await asyncio.sleep(POLL_INTERVAL_S)
         return False
 
     async def _probe_instance(
@@ -131,13 +171,6 @@
             position=status.position,
         )
 
-    async def _read_status(
-        self, instance: Instance, deadline_ns: int
-    ) -> TargetStatus | None:
-        return await self._request_status(
-            self._new_connection(instance), instance, deadline_ns
-        )
-
     def _new_connection(self, instance: Instance) -> TargetConnection:
         return TargetConnection(
             target=instance.name,
@@ -151,17 +184,7 @@
         instance: Instance,
         deadline_ns: int,
     ) -> TargetStatus | None:
-        group = self.group_of(instance.name)
-        open_message = connection.codec.encode_open(
-            group=group, label="control", target=instance.name
-        )
-        answer = await open_connection(
-            connection,
-            Address.parse(instance.address),
-            open_message,
-            deadline_ns=deadline_ns,
-        )
-        if answer.fault is not None:
+        if not await self._open(connection, instance, deadline_ns):
             return None
         status = None
         while status is None and clock_ns() < deadline_ns:
@@ -175,9 +198,28 @@
         connection.abort()
         return status
 
+    async def _open(
+        self,
+        connection: TargetConnection,
+        instance: Instance,
+        deadline_ns: int,
+    ) -> bool:
+        open_message = connection.codec.encode_open(
+            group=self.group_of(instance.name),
+            label="control",
+            target=instance.name,
+        )
+        answer = await open_connection(
+            connection,
+            Address.parse(instance.address),
+            open_message,
+            deadline_ns=deadline_ns,
+        )
+        return answer.fault is None
+
 
-def _status_deadline_ns(order: PromoteTarget) -> int:
-    return min(order.deadline_ns, clock_ns() + STATUS_TIMEOUT_MS * NS_PER_MS)
+def _confirm_deadline_ns(order: PromoteTarget) -> int:
+    return min(order.deadline_ns, clock_ns() + CONFIRM_TIMEOUT_MS * NS_PER_MS)
 
 
 def _ignore(connection: TargetConnection) -> None:
--- /dev/null
+++ b/tests/node/test_orders.py
@@ -0,0 +1,155 @@
+"""Tests of the promotion of targets that announce themselves."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import pytest
+
+from rosemarysaddle._clock import clock_ns
+from rosemarysaddle.decide import NS_PER_MS, PromoteTarget
+from rosemarysaddle.node._orders import AnnouncedTargetOrders
+from rosemarysaddle.platform import UsersPlatform
+from rosemarysaddle.schema import Instance
+from tests.helpers import TEST_NETWORK
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from rosemarysaddle.node import PromotionOrder
+
+IP = f"{TEST_NETWORK}.1.1"
+PORT = 19_310
+PROMOTE_DELAY_S = 0.05
+INSTANCE = Instance(name="t", address=f"{IP}:{PORT}", data_center="dc-1")
+
+
+@attrs.define(kw_only=True)
+class FullTarget:
+    """Target whose queue delays each opening and each status.
+
+    :param wait_s: time in the queue of one request
+    :param silent: number of connections, from the first one, that get
+        no answer after their opening
+    """
+
+    wait_s: float
+    silent: int = 0
+    role: str = "replica"
+    status_reads: int = 0
+    connections: int = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer the requests of one connection in order."""
+        self.connections += 1
+        number = self.connections
+        while line := await reader.readline():
+            await asyncio.sleep(self.wait_s)
+            if line.startswith(b"START"):
+                writer.write(b"READY I 1.5\r\n")
+            elif number > self.silent:
+                self.status_reads += 1
+                row = f"ROW {self.role} 2 1.5 0 12 5 30\r\n"
+                writer.write(row.encode() + b"DONE -\r\nREADY I 1.5\r\n")
+        writer.close()
+
+
+@attrs.define(kw_only=True)
+class AcceptingPromoter:
+    """Promotes the target a moment after it accepts the order."""
+
+    target: FullTarget
+    loop: asyncio.AbstractEventLoop
+    orders: list[PromotionOrder] = attrs.field(factory=list)
+
+    def promote(
+        self, order: PromotionOrder, *, may_send: Callable[[], bool]
+    ) -> bool:
+        """Accept the order."""
+        if not may_send():
+            return False
+        self.orders.append(order)
+        self.loop.call_soon_threadsafe(
+            self.loop.call_later, PROMOTE_DELAY_S, self._take_effect
+        )
+        return True
+
+    def _take_effect(self) -> None:
+        self.target.role = "primary"
+
+
+async def _promote(
+    target: FullTarget, *, may_be_primary: bool = False
+) -> tuple[bool, AcceptingPromoter]:
+    server = await asyncio.start_server(target.serve, IP, PORT)
+    promoter: Any = AcceptingPromoter(
+        target=target, loop=asyncio.get_running_loop()
+    )
+    orders = AnnouncedTargetOrders(
+        host="c1",
+        platform=UsersPlatform(),
+        promoter=promoter,
+        fencing_token=lambda: 3,
+        leads=lambda: True,
+        group_of=lambda _: "g",
+    )
+    order = PromoteTarget(
+        group="g",
+        target="t",
+        term=2,
+        start=5,
+        deadline_ns=clock_ns() + 4_000 * NS_PER_MS,
+        may_be_primary=may_be_primary,
+    )
+    try:
+        return await orders.promote(order, INSTANCE), promoter
+    finally:
+        server.close()
+
+
+@pytest.mark.parametrize(
+    ("wait_s", "silent"),
+    [
+        pytest.param(0.0, 0, id="idle"),
+        # Together the opening and the status take longer than one of
+        # them may in an idle target.
+        pytest.param(0.3, 0, id="full queue"),
+        pytest.param(0.0, 1, id="first connection goes silent"),
+    ],
+)
+def test_promotion_of_a_full_target_is_confirmed(
+    wait_s: float, silent: int
+) -> None:
+    """Guards against a primary that is promoted but never confirmed.
+
+    The group then has no primary until another change has failed too.
+    """
+    target = FullTarget(wait_s=wait_s, silent=silent)
+
+    done, promoter = asyncio.run(_promote(target))
+
+    assert done
+    assert len(promoter.orders) == 1
+
+
+def test_confirmation_waits_in_the_queue_once_for_each_status() -> None:
+    """Guards against status reads that add openings to a full queue."""
+    target = FullTarget(wait_s=0.1)
+
+    asyncio.run(_promote(target))
+
+    assert target.connections == 1
+
+
+def test_promotion_that_took_effect_is_not_ordered_again() -> None:
+    """Guards against an order that repeats one of an earlier leader."""
+    target = FullTarget(wait_s=0.0, role="primary")
+
+    done, promoter = asyncio.run(_promote(target, may_be_primary=True))
+
+    assert done
+    assert not promoter.orders
