Let teams use what accrued while all hosts were down

Now the leader tells, with the first lists, since when no earlier process of a data centre can have counted, which it knows once every registered host has a newer process that never had a list; buckets start with what accrued since then. Callers wait for the first list, 500 ms at most, and for answers longer in the first second. Ruled out: half the rate without the leader's knowledge of a full restart, as another process may count beside; full buckets.

--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -34,6 +34,7 @@
 from rosemarysaddle.decide.leases._lease import LeaseTable
 from rosemarysaddle.decide.leases._lease_holders import LeaseHolderRegistry
 from rosemarysaddle.decide.leases._neighbours import NeighbourLists
+from rosemarysaddle.decide.leases._restarted_hosts import RestartedHosts
 from rosemarysaddle.decide.leases._waiting_hosts import WaitingHosts
 from rosemarysaddle.decide.primaries._primaries import PrimaryManager
 from rosemarysaddle.decide.primaries._reconciler import (
@@ -116,6 +117,9 @@
         factory=lambda: collections.deque(maxlen=MAX_RECENT_ENTRIES),
         init=False,
     )
+    _restarted_hosts: RestartedHosts = attrs.field(
+        factory=RestartedHosts, init=False
+    )
     _waiting_hosts: WaitingHosts = attrs.field(
         factory=WaitingHosts, init=False
     )
@@ -357,6 +361,7 @@
         self._reconciler.on_elected()
         self._relief.on_elected()
         self._lease_holders.on_elected()
+        self._restarted_hosts.on_elected()
 
     def _replace_state(self, state: ClusterState) -> None:
         self.state = state
@@ -379,6 +384,7 @@
         if self._context.leases.grant(source, now_ns):
             self.primaries.on_first_renewal(source)
         self._context.centers[source] = renewal.data_center
+        self._restarted_hosts.record(source, renewal, now_ns)
         self.applied_by_host[source] = renewal.applied_index
         grant = LeaseGrant(
             sent_ns=renewal.sent_ns,
@@ -405,10 +411,16 @@
             present=self._context.leases.holders,
             now_ns=now_ns,
             with_remote=with_remote,
+            find_uncounted_ns=self._find_uncounted_ns,
         )
         out.extend(Send(peer=h, message=m) for h, m in lists.items())
         return [*out, Send(peer=source, message=grant)]
 
+    def _find_uncounted_ns(self, data_center: str) -> int:
+        return self._restarted_hosts.uncounted_since_ns(
+            data_center, self.state.lease_holders
+        )
+
     def _other_leader(self) -> str:
         return self.log.leader if self.log.leader != self.host else ""
 
--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -101,6 +101,11 @@
         centre
     :param remote_hosts: lending addresses of hosts of each other data
         centre, only where the plan has teams
+    :param uncounted_since_ns: time since which no earlier process has
+        counted operations in the data centre, as told with the first
+        list of neighbours; 0 if it is not known
+    :param started_ns: time of the start of this process; 0 if it is not
+        known
     :param renewal_ms: time between renewals, in milliseconds
     :param last_leader: control host that granted the last lease
     :param unanswered_since_ns: time of the first renewal after the last
@@ -123,6 +128,8 @@
     remote_hosts: dict[str, tuple[str, ...]] = attrs.field(
         factory=dict, init=False
     )
+    uncounted_since_ns: int = attrs.field(default=0, init=False)
+    started_ns: int = 0
     renewal_ms: int = RENEWAL_INTERVAL_MS
     last_leader: str = attrs.field(default="", init=False)
     unanswered_since_ns: int = attrs.field(default=0, init=False)
@@ -230,6 +237,9 @@
             case Announcement():
                 self.announced[message.target] = message
             case Neighbours():
+                if not self.neighbours and message.uncounted_ms:
+                    age_ns = message.uncounted_ms * NS_PER_MS
+                    self.uncounted_since_ns = now_ns - age_ns
                 self.neighbours = tuple(n.address for n in message.hosts)
                 self.remote_hosts = {
                     remote.data_center: tuple(n.address for n in remote.hosts)
@@ -448,6 +458,7 @@
             address=self.address,
             lending_address=self.lending_address,
             neighbours_tag=self._neighbours_tag,
+            started_age_ms=self._age_ms(now_ns),
         )
         relays = self.relay.choose(
             self.neighbours,
@@ -463,6 +474,11 @@
             *(SendRelayed(neighbour=n, message=renewal) for n in relays),
         ]
 
+    def _age_ms(self, now_ns: int) -> int:
+        return (
+            (now_ns - self.started_ns) // NS_PER_MS if self.started_ns else 0
+        )
+
     def _retry_interval_ns(self) -> int:
         hosts = self.state.entry_hosts
         spread_ns = hosts * 1_000 * NS_PER_MS // MAX_RETRY_ROUNDS_PER_S
--- a/src/rosemarysaddle/decide/leases/_neighbours.py
+++ b/src/rosemarysaddle/decide/leases/_neighbours.py
@@ -17,7 +17,7 @@
 from rosemarysaddle.schema import Neighbour, Neighbours, RemoteHosts
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Mapping
+    from collections.abc import Callable, Collection, Mapping
 
     from rosemarysaddle.schema import LeaseRenewal
 
@@ -31,6 +31,9 @@
 # The lists are complete once this fraction of the recorded hosts has
 # renewed.  The hosts that come later take over few targets as lenders.
 COMPLETE_FRACTION: Final = 0.9
+# Time for those that come later than this fraction.  Without them, the
+# leader does not know whether all earlier processes have ended.
+STRAGGLER_WAIT_MS: Final = 200
 
 
 @attrs.define(kw_only=True)
@@ -51,7 +54,8 @@
     _remote: tuple[RemoteHosts, ...] = attrs.field(default=(), init=False)
     _remote_until_ns: int = attrs.field(default=0, init=False)
     _gather_until_ns: int = attrs.field(default=0, init=False)
-    _complete_count: float = attrs.field(default=0, init=False)
+    _recorded_hosts: int = attrs.field(default=0, init=False)
+    _is_nearly_complete: bool = attrs.field(default=False, init=False)
     _is_push_due: bool = attrs.field(default=False, init=False)
 
     def on_elected(self, now_ns: int, *, entry_hosts: int = 0) -> None:
@@ -67,7 +71,8 @@
         self._remote_until_ns = 0
         self._gather_until_ns = now_ns + GATHER_WINDOW_MS * NS_PER_MS
         self._is_push_due = True
-        self._complete_count = entry_hosts * COMPLETE_FRACTION
+        self._recorded_hosts = entry_hosts
+        self._is_nearly_complete = False
 
     def list_if_changed(
         self,
@@ -111,28 +116,36 @@
         present: Collection[str],
         now_ns: int,
         with_remote: bool = False,
+        find_uncounted_ns: Callable[[str], int] = lambda _: 0,
     ) -> dict[str, Neighbours]:
         """Return the lists of all hosts, once after each election.
 
         Hosts that restarted together wait for their list, and would
         otherwise get it with their next renewal.
 
+        :param find_uncounted_ns: returns since when no earlier process
+            of a data centre has counted operations, or 0
         :return: list by host; empty if already returned or incomplete
         """
         if not self._is_push_due or self._is_gathering(now_ns):
             return {}
         self._is_push_due = False
-        return {
-            host: self._list(
-                centers[host],
+        hosts = [host for host in present if host in centers]
+        lists: dict[str, Neighbours] = {}
+        for center in {centers[host] for host in hosts}:
+            message = self._list(
+                center,
                 centers=centers,
                 present=present,
                 now_ns=now_ns,
                 with_remote=with_remote,
             )
-            for host in present
-            if host in centers
-        }
+            since_ns = find_uncounted_ns(center)
+            if since_ns:
+                uncounted_ms = (now_ns - since_ns) // NS_PER_MS
+                message = attrs.evolve(message, uncounted_ms=uncounted_ms)
+            lists[center] = message
+        return {host: lists[centers[host]] for host in hosts}
 
     def _list(
         self,
@@ -167,10 +180,16 @@
     def _is_gathering(self, now_ns: int) -> bool:
         if now_ns >= self._gather_until_ns:
             return False
-        known = self._complete_count > 0
-        if known and len(self._addresses) >= self._complete_count:
+        found, recorded = len(self._addresses), self._recorded_hosts
+        if recorded and found >= recorded:
             self._gather_until_ns = now_ns
             return False
+        if found < recorded * COMPLETE_FRACTION or not recorded:
+            return True
+        if not self._is_nearly_complete:
+            self._is_nearly_complete = True
+            wait_until_ns = now_ns + STRAGGLER_WAIT_MS * NS_PER_MS
+            self._gather_until_ns = min(self._gather_until_ns, wait_until_ns)
         return True
 
     def _list_remote(
--- a/src/rosemarysaddle/decide/load/_counting_hosts.py
+++ b/src/rosemarysaddle/decide/load/_counting_hosts.py
@@ -81,11 +81,21 @@
     _ranks: dict[str, tuple[str, ...]] = attrs.field(factory=dict, init=False)
     _started_ns: int = attrs.field(default=0, init=False)
 
-    def replace(self, hosts: Iterable[str], now_ns: int) -> None:
+    def replace(
+        self,
+        hosts: Iterable[str],
+        now_ns: int,
+        *,
+        uncounted_since_ns: int = 0,
+    ) -> None:
         """Replace the list of the data centre's hosts.
 
         A list that lacks this host is older than its lease, so that
         other hosts ask another one.
+
+        :param uncounted_since_ns: time since which no earlier process
+            of the data centre has counted, or 0 if one may count; used
+            with the first list only
         """
         # Other data centres know only these hosts of this one.
         selected = lending_hosts(hosts)
@@ -94,9 +104,14 @@
         self.hosts = selected
         self.changed_ns = now_ns
         self._ranks.clear()
-        if not self._epochs:
+        since_ns = now_ns
+        if not self._epochs and uncounted_since_ns:
+            # All hosts of the data centre have this list or none, so
+            # that no other one counts for the same teams.
+            since_ns = uncounted_since_ns
+        elif not self._epochs:
             self._started_ns = now_ns
-        self._epochs.append(_Epoch(since_ns=now_ns, hosts=selected))
+        self._epochs.append(_Epoch(since_ns=since_ns, hosts=selected))
 
     def restart(self, now_ns: int) -> None:
         """Forget since when this host counts: its lease had ended.
--- a/src/rosemarysaddle/decide/load/_token_counter.py
+++ b/src/rosemarysaddle/decide/load/_token_counter.py
@@ -65,10 +65,21 @@
     _version: int = attrs.field(default=0, init=False)
     _lease_until_ns: int = attrs.field(default=0, init=False)
 
-    def replace_hosts(self, hosts: tuple[str, ...], now_ns: int) -> None:
-        """Replace the list of the data centre's hosts."""
+    def replace_hosts(
+        self,
+        hosts: tuple[str, ...],
+        now_ns: int,
+        *,
+        uncounted_since_ns: int = 0,
+    ) -> None:
+        """Replace the list of the data centre's hosts.
+
+        :param uncounted_since_ns: see :meth:`CountingHosts.replace`
+        """
         before = self.hosts.hosts
-        self.hosts.replace(hosts, now_ns)
+        self.hosts.replace(
+            hosts, now_ns, uncounted_since_ns=uncounted_since_ns
+        )
         if self.hosts.hosts != before:
             self._version += 1
 
--- a/src/rosemarysaddle/link/_peers.py
+++ b/src/rosemarysaddle/link/_peers.py
@@ -122,6 +122,9 @@
     _last_frame: tuple[Message | None, bytes] = attrs.field(
         default=(None, b""), init=False
     )
+    _last_large_frame: tuple[Message | None, bytes] = attrs.field(
+        default=(None, b""), init=False
+    )
     _pending_frames: dict[str, list[tuple[float, bytes]]] = attrs.field(
         factory=dict, init=False
     )
@@ -178,11 +181,16 @@
         return address
 
     def _frame(self, message: Message) -> bytes:
-        # A broadcast sends one object to many hosts: encode it once.
-        if message is self._last_frame[0]:
-            return self._last_frame[1]
+        # A broadcast sends one object to many hosts, at times with a
+        # message of its own for each of them in between.
+        for recent, frame in (self._last_frame, self._last_large_frame):
+            if recent is message:
+                return frame
         frame = self._encode(message)
-        self._last_frame = (message, frame)
+        if len(frame) < COMPRESS_MIN_BYTES:
+            self._last_frame = (message, frame)
+        else:
+            self._last_large_frame = (message, frame)
         return frame
 
     def _encode(self, message: Message) -> bytes:
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -116,6 +116,7 @@
             control=self._seeds(),
             renewal_ms=RENEWAL_INTERVAL_MS,
             lending_address=settings.lending_address,
+            started_ns=self.started_ns,
         )
         self.router = Router(
             node=self.node,
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -597,6 +597,7 @@
         "address",
         "lending_address",
         "neighbours_tag",
+        "started_age_ms",
     )
 
     host: str
@@ -606,6 +607,7 @@
     address: str
     lending_address: str
     neighbours_tag: int
+    started_age_ms: int
 
     def __init__(
         self,
@@ -617,6 +619,7 @@
         address: str,
         lending_address: str = "",
         neighbours_tag: int = 0,
+        started_age_ms: int = 0,
     ) -> None:
         set_field = object.__setattr__
         set_field(self, "host", host)
@@ -626,6 +629,7 @@
         set_field(self, "address", address)
         set_field(self, "lending_address", lending_address)
         set_field(self, "neighbours_tag", neighbours_tag)
+        set_field(self, "started_age_ms", started_age_ms)
 
 
 @record(kw_only=True, init=False)
@@ -796,11 +800,13 @@
         "tag",
         "hosts",
         "remote",
+        "uncounted_ms",
     )
 
     tag: int
     hosts: tuple[Neighbour, ...]
     remote: tuple[RemoteHosts, ...]
+    uncounted_ms: int
 
     def __init__(
         self,
@@ -808,11 +814,13 @@
         tag: int,
         hosts: tuple[Neighbour, ...],
         remote: tuple[RemoteHosts, ...] = (),
+        uncounted_ms: int = 0,
     ) -> None:
         set_field = object.__setattr__
         set_field(self, "tag", tag)
         set_field(self, "hosts", hosts)
         set_field(self, "remote", remote)
+        set_field(self, "uncounted_ms", uncounted_ms)
 
 
 @record(kw_only=True, init=False)
--- a/src/rosemarysaddle/schema/messages.capnp
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -92,6 +92,9 @@
   address @4 :Text;
   lendingAddress @5 :Text = "";
   neighboursTag @6 :UInt32 = 0;
+  # Time since the start of the sender's process, at the sending; 0 if
+  # it is not known.
+  startedAgeMs @7 :UInt64 = 0;
 }
 
 struct LeaseGrant {
@@ -204,6 +207,9 @@
   hosts @1 :List(Neighbour);
   # Only where teams share connections across data centres.
   remote @2 :List(RemoteHosts) = [];
+  # Time for which no earlier process has counted operations in the data
+  # centre, at the sending; 0 if it is not known.
+  uncountedMs @3 :UInt64 = 0;
 }
 
 struct Variable {
--- a/src/rosemarysaddle/session/_rate_limits.py
+++ b/src/rosemarysaddle/session/_rate_limits.py
@@ -8,11 +8,12 @@
 
 import asyncio
 import collections
+import contextlib
 from typing import TYPE_CHECKING, Final
 
 import attrs
 
-from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._clock import NS_PER_S, clock_ns
 from rosemarysaddle._events import log_event
 from rosemarysaddle._tasks import spawn
 from rosemarysaddle.connection import TokenLinks
@@ -57,6 +58,15 @@
 # Time after which a host that reaches no counting host has usually
 # learned of another one.
 UNREACHABLE_RETRY_MS: Final = 250
+# After a start, the list of the counting hosts follows the lease once
+# nearly all hosts have one.  A caller that is refused meanwhile uses up
+# a retry and comes back later than the list.
+FIRST_LIST_TIMEOUT_MS: Final = 500
+# Hosts that started together open their links and admit what has waited
+# at the same time, each on part of a core.
+SETTLING_MS: Final = 1_000
+SETTLING_REQUEST_TIMEOUT_MS: Final = 150
+SETTLING_ADMIT_TIMEOUT_MS: Final = 300
 CLEAN_INTERVAL_MS: Final = 1_000
 # A team without a refusal for this long is no longer refused.
 REFUSED_HOLD_MS: Final = 5_000
@@ -115,6 +125,8 @@
     service: TokenService = attrs.field(init=False)
     _asks: dict[str, _Ask] = attrs.field(factory=dict, init=False)
     _has_hosts: asyncio.Event = attrs.field(factory=asyncio.Event, init=False)
+    _hosts_deadline_ns: int = attrs.field(default=0, init=False)
+    _settled_ns: int = attrs.field(default=0, init=False)
     _next_clean_ns: int = attrs.field(default=0, init=False)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
 
@@ -149,8 +161,19 @@
 
     def apply_view(self) -> None:
         """Apply a changed list of hosts or a changed plan."""
-        if self.is_enabled and self.service.apply_view():
+        if not (self.is_enabled and self.service.apply_view()):
+            return
+        if not self._has_hosts.is_set():
+            now_ns = clock_ns()
+            self._settled_ns = now_ns + SETTLING_MS * NS_PER_MS
             self._has_hosts.set()
+            since_ns = self.node.uncounted_since_ns
+            uncounted_ms = (now_ns - since_ns) // NS_PER_MS if since_ns else 0
+            log_event(
+                "counting-hosts",
+                f"hosts={len(self.counter.hosts.hosts)}"
+                f" uncounted_ms={uncounted_ms}",
+            )
 
     def tick(self, now_ns: int) -> None:
         """Observe the lease, close idle links and forget idle teams."""
@@ -193,6 +216,9 @@
                 ),
             )
         ask.stock.demand.record(1, now_ns)
+        if not self._has_hosts.is_set():
+            await self._wait_for_hosts(now_ns)
+            now_ns = clock_ns()
         if ask.stock.take(now_ns) or self._take_own(ask, share, now_ns):
             self.stats.granted += 1
             return None
@@ -218,17 +244,19 @@
         loop = asyncio.get_running_loop()
         waiter: asyncio.Future[bool] = loop.create_future()
         ask.waiters.append(waiter)
+        now_ns = clock_ns()
+        timeout_ms = ADMIT_TIMEOUT_MS
+        if now_ns < self._settled_ns:
+            timeout_ms = SETTLING_ADMIT_TIMEOUT_MS
         timers = (
             loop.call_later(
                 ANSWERED_TIMEOUT_MS / 1_000,
                 self._end_wait_if_answered,
                 ask,
                 waiter,
-                clock_ns(),
-            ),
-            loop.call_later(
-                ADMIT_TIMEOUT_MS / 1_000, self._end_wait, ask, waiter
+                now_ns,
             ),
+            loop.call_later(timeout_ms / 1_000, self._end_wait, ask, waiter),
         )
         if not ask.is_asking:
             ask.is_asking = True
@@ -275,7 +303,7 @@
 
         :return: whether tokens were granted
         """
-        if not self._has_hosts.is_set() and not await self._wait_for_hosts():
+        if not self._has_hosts.is_set():
             self._record_unreachable(ask)
             return False
         asked = 0
@@ -297,13 +325,20 @@
         self._record_unreachable(ask)
         return False
 
-    async def _wait_for_hosts(self) -> bool:
-        try:
-            async with asyncio.timeout(ADMIT_TIMEOUT_MS / 1_000):
+    async def _wait_for_hosts(self, now_ns: int) -> None:
+        """Wait for the first list of the hosts that count.
+
+        All operations since the start share one deadline.
+        """
+        if not self._hosts_deadline_ns:
+            timeout_ns = FIRST_LIST_TIMEOUT_MS * NS_PER_MS
+            self._hosts_deadline_ns = now_ns + timeout_ns
+        left_s = (self._hosts_deadline_ns - now_ns) / NS_PER_S
+        if left_s <= 0:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(left_s):
                 await self._has_hosts.wait()
-        except TimeoutError:
-            return False
-        return True
 
     async def _ask_host(self, ask: _Ask, host: str) -> TokenGrant | None:
         loop = asyncio.get_running_loop()
@@ -331,8 +366,11 @@
                 transfer=False,
                 on_answer=on_answer,
             )
+        timeout_ms = REQUEST_TIMEOUT_MS
+        if sent_ns < self._settled_ns:
+            timeout_ms = SETTLING_REQUEST_TIMEOUT_MS
         timer = loop.call_later(
-            REQUEST_TIMEOUT_MS / 1_000, self._handle_silence, future, host
+            timeout_ms / 1_000, self._handle_silence, future, host
         )
         try:
             return await future
--- a/src/rosemarysaddle/session/_token_service.py
+++ b/src/rosemarysaddle/session/_token_service.py
@@ -214,7 +214,10 @@
             # Without lending, this host serves its data centre alone.
             hosts = (self.node.lending_address,)
         if hosts:
-            self.counter.replace_hosts(hosts, now_ns)
+            self.observe_lease(now_ns)
+            self.counter.replace_hosts(
+                hosts, now_ns, uncounted_since_ns=self.node.uncounted_since_ns
+            )
         if self.node.remote_hosts != self._remote:
             self._remote = dict(self.node.remote_hosts)
             self._givers.clear()
--- a/tests/session/limit_hosts.py
+++ b/tests/session/limit_hosts.py
@@ -181,6 +181,7 @@
         factory=dict
     )
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+    _gathering: set[str] = attrs.field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         self.random = random.Random(self.seed)  # noqa: S311
@@ -221,6 +222,23 @@
         self.loop.call_later(0, self._tick, host)
         return host
 
+    def restart_all(self, *, uncounted: bool) -> None:
+        """Start all hosts again, as after a loss of power.
+
+        The leader sends the lists once all hosts have renewed.
+
+        :param uncounted: whether it knows that all hosts have restarted
+        """
+        self._renewed_s.clear()
+        self._lists.clear()
+        self._gathering = set(self.hosts)
+        now_ns = self.loop.now_ns()
+        for host in list(self.hosts.values()):
+            host.is_alive = False
+            started = self.start(host.address, host.center)
+            if uncounted:
+                started.limits.node.uncounted_since_ns = now_ns
+
     def set_limit(self, rate_per_s: float, burst_size: float) -> None:
         """Change the limit; hosts learn of it when they renew."""
         self.rate_per_s, self.burst_size = rate_per_s, burst_size
@@ -283,6 +301,16 @@
         self._renewed_s[host.address] = now_s
         node = host.limits.node
         node.lease.deadline_ns = int((now_s + LEASE_S) * NS_PER_S)
+        if self._gathering:
+            self._gathering.discard(host.address)
+            if not self._gathering:
+                for other in list(self.hosts.values()):
+                    self._apply_lists(other)
+            return
+        self._apply_lists(host)
+
+    def _apply_lists(self, host: Host) -> None:
+        node = host.limits.node
         node.neighbours = self._list(host.center)
         if self.has_transfers:
             node.remote_hosts = {c: self._list(c) for c in self.center_names}
--- a/tests/session/test_rate_limit_faults.py
+++ b/tests/session/test_rate_limit_faults.py
@@ -9,6 +9,7 @@
 import contextlib
 from typing import TYPE_CHECKING
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -154,6 +155,37 @@
         network.check()
 
 
+def test_teams_within_their_limit_are_served_after_a_loss_of_power() -> None:
+    """Guards against teams that are refused because buckets are empty.
+
+    Callers repeat what failed while the power was off.
+    """
+    with fake_network(hosts_per_center=13) as network:
+        network.offer(0.6 * RATE, 6)
+        network.restart_all(uncounted=True)
+        network.settle(0.6)
+
+        network.offer(1.2 * RATE, 1)
+        network.offer(0.6 * RATE, 4)
+
+        assert len(network.refused) <= 0.02 * len(network.started)
+
+
+@pytest.mark.parametrize("outage_s", [0.0, 0.6, 2.0])
+@pytest.mark.parametrize("rate_per_s", [2, RATE])
+def test_limit_holds_over_a_loss_of_power(
+    outage_s: float, rate_per_s: int
+) -> None:
+    """Guards against tokens that accrue twice for the same time."""
+    with fake_network(rate_per_s=rate_per_s, burst_size=rate_per_s) as network:
+        network.offer(3 * rate_per_s, 6)
+        network.loop.sleep(outage_s)
+        network.restart_all(uncounted=True)
+        network.offer(3 * rate_per_s, 8)
+
+        network.check()
+
+
 def test_limit_is_lowered_far_below_what_a_team_sends() -> None:
     # Guards against tokens of the old limit, and a limit that stays.
     with fake_network() as network:
