Spread the first reads after a start over the replicas

Limits still refused 980 in the first second, of teams of all sizes: transfers between data centres take longer than their 35 ms while all hosts admit what has waited. Now reads wait for the first position of their group, 250 ms at most, by one request; in the first second a counting host holds a request for 120 ms, and an answered caller waits 150 ms. Ruled out: hosts that ask before the first read, as most groups may not be read there.

--- a/src/rosemarysaddle/session/_positions.py
+++ b/src/rosemarysaddle/session/_positions.py
@@ -7,11 +7,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING, Final, Protocol
 
 import attrs
 
-from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._clock import NS_PER_S, clock_ns
 from rosemarysaddle._tasks import spawn
 from rosemarysaddle.connection import OpenFault
 from rosemarysaddle.decide import (
@@ -26,7 +27,6 @@
 from rosemarysaddle.schema import PointReply
 
 if TYPE_CHECKING:
-    import asyncio
     from collections.abc import Mapping
 
     from rosemarysaddle.connection import LoanClient, SharedPool
@@ -44,6 +44,10 @@
 # Until then a busy primary is not asked again and its connection is not
 # closed.
 POINT_TIMEOUT_MS: Final = 1_000
+# After a start, reads wait this long for the first position, so that
+# they need not all go to the primary.  A request that waits longer has
+# found a full primary.
+FIRST_POINT_TIMEOUT_MS: Final = 250
 # The position of a group is refreshed for this long after a read needed
 # it.
 POINT_INTEREST_MS: Final = 5_000
@@ -90,6 +94,7 @@
         factory=dict, init=False
     )
     _needed_ns: dict[str, int] = attrs.field(factory=dict, init=False)
+    _first_until_ns: dict[str, int] = attrs.field(factory=dict, init=False)
     _requests: dict[str, asyncio.Task[None]] = attrs.field(
         factory=dict, init=False
     )
@@ -113,6 +118,28 @@
             return point
         return newer_point(point, session_point)
 
+    async def wait_for_first(self, route: Route) -> bool:
+        """Wait for the first position of a group since the start.
+
+        All reads of the group share one request and its time-out.
+
+        :return: whether it waited
+        """
+        group, now_ns = route.group, clock_ns()
+        if route.freshness == Freshness.PRIMARY or self.newest_ns(group):
+            return False
+        term = self.owner.node.primary_of(group, now_ns)
+        if term is None or term.primary not in self.owner.pools:
+            return False
+        until_ns = self._first_until_ns.setdefault(
+            group, now_ns + FIRST_POINT_TIMEOUT_MS * NS_PER_MS
+        )
+        if now_ns >= until_ns:
+            return False
+        request = self._start_request(group, term.primary)
+        await asyncio.wait([request], timeout=(until_ns - now_ns) / NS_PER_S)
+        return True
+
     def newest_ns(self, group: str) -> int:
         """Return the time of the newest position, or 0."""
         history = self._histories.get(group)
--- a/src/rosemarysaddle/session/_rate_limits.py
+++ b/src/rosemarysaddle/session/_rate_limits.py
@@ -67,6 +67,7 @@
 SETTLING_MS: Final = 1_000
 SETTLING_REQUEST_TIMEOUT_MS: Final = 150
 SETTLING_ADMIT_TIMEOUT_MS: Final = 300
+SETTLING_ANSWERED_TIMEOUT_MS: Final = 150
 CLEAN_INTERVAL_MS: Final = 1_000
 # A team without a refusal for this long is no longer refused.
 REFUSED_HOLD_MS: Final = 5_000
@@ -126,7 +127,6 @@
     _asks: dict[str, _Ask] = attrs.field(factory=dict, init=False)
     _has_hosts: asyncio.Event = attrs.field(factory=asyncio.Event, init=False)
     _hosts_deadline_ns: int = attrs.field(default=0, init=False)
-    _settled_ns: int = attrs.field(default=0, init=False)
     _next_clean_ns: int = attrs.field(default=0, init=False)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
 
@@ -165,7 +165,7 @@
             return
         if not self._has_hosts.is_set():
             now_ns = clock_ns()
-            self._settled_ns = now_ns + SETTLING_MS * NS_PER_MS
+            self.service.settled_ns = now_ns + SETTLING_MS * NS_PER_MS
             self._has_hosts.set()
             since_ns = self.node.uncounted_since_ns
             uncounted_ms = (now_ns - since_ns) // NS_PER_MS if since_ns else 0
@@ -245,12 +245,13 @@
         waiter: asyncio.Future[bool] = loop.create_future()
         ask.waiters.append(waiter)
         now_ns = clock_ns()
-        timeout_ms = ADMIT_TIMEOUT_MS
-        if now_ns < self._settled_ns:
+        timeout_ms, answered_ms = ADMIT_TIMEOUT_MS, ANSWERED_TIMEOUT_MS
+        if now_ns < self.service.settled_ns:
             timeout_ms = SETTLING_ADMIT_TIMEOUT_MS
+            answered_ms = SETTLING_ANSWERED_TIMEOUT_MS
         timers = (
             loop.call_later(
-                ANSWERED_TIMEOUT_MS / 1_000,
+                answered_ms / 1_000,
                 self._end_wait_if_answered,
                 ask,
                 waiter,
@@ -367,7 +368,7 @@
                 on_answer=on_answer,
             )
         timeout_ms = REQUEST_TIMEOUT_MS
-        if sent_ns < self._settled_ns:
+        if sent_ns < self.service.settled_ns:
             timeout_ms = SETTLING_REQUEST_TIMEOUT_MS
         timer = loop.call_later(
             timeout_ms / 1_000, self._handle_silence, future, host
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -97,6 +97,7 @@
         attempts = 0
         last: Answer | None = None
         for number in range(MAX_TRIES):
+            await self._wait_for_position(route)
             read_target = self._choose_read_target(
                 route, failed, may_probe=not failed
             )
@@ -425,6 +426,7 @@
     async def _pin_read(
         self, transaction: Transaction, failed: set[str], deadline_ns: int
     ) -> FaultCode | None:
+        await self._wait_for_position(transaction.route)
         read_target = self._choose_read_target(transaction.route, failed)
         if read_target is None:
             failed.clear()
@@ -517,6 +519,11 @@
             return None
         return self._refuse_read(route, last)
 
+    async def _wait_for_position(self, route: Route) -> None:
+        since_ns = clock_ns()
+        if await self.router.positions.wait_for_first(route):
+            self.stages.add(Stage.TARGET, since_ns)
+
     async def _acquire_ticket(
         self, group: str, deadline_ns: int
     ) -> WriteTicket | Refusal:
--- a/src/rosemarysaddle/session/_token_service.py
+++ b/src/rosemarysaddle/session/_token_service.py
@@ -46,6 +46,8 @@
 # Time that a counting host holds a request for a transfer; one between
 # regions takes 24 ms.
 HOLD_TIMEOUT_MS: Final = 35
+# While all hosts admit what has waited for their start.
+SETTLING_HOLD_TIMEOUT_MS: Final = 120
 MAX_TRANSFER_BACKOFF_MS: Final = 1_000
 MIN_GIVERS: Final = 2
 # A host that gave less than was asked for accrues more in the meantime.
@@ -162,12 +164,15 @@
 
     :param regions: region of each data centre
     :param links: links to the other hosts
+    :param settled_ns: time until which hosts that started together are
+        slow to answer
     """
 
     node: EntryNode
     settings: LimitSettings
     regions: Mapping[str, str]
     links: TokenRequester
+    settled_ns: int = attrs.field(default=0, init=False)
     counter: TokenCounter = attrs.field(init=False)
     stats: RateLimitStats = attrs.field(factory=RateLimitStats, init=False)
     _shares: dict[str, tuple[Team, LimitShare | None]] = attrs.field(
@@ -339,8 +344,11 @@
             return
         held = _Held(count=count, on_answer=on_answer)
         transfers.held.append(held)
+        timeout_ms = HOLD_TIMEOUT_MS
+        if now_ns < self.settled_ns:
+            timeout_ms = SETTLING_HOLD_TIMEOUT_MS
         asyncio.get_running_loop().call_later(
-            HOLD_TIMEOUT_MS / 1_000, self._end_hold, team, share, held
+            timeout_ms / 1_000, self._end_hold, team, share, held
         )
 
     def _end_hold(self, team: str, share: LimitShare, held: _Held) -> None:
