Assign targets to lenders with bounded loads

Now a target goes to the first host of its ranking that does not lend its part already (1.25 of the mean), and a stand-in is one that lends least. Builds before this one rank otherwise, so during an upgrade a target may have two lenders, as when lists differ.

--- a/src/rosemarysaddle/decide/load/_lending.py
+++ b/src/rosemarysaddle/decide/load/_lending.py
@@ -22,6 +22,10 @@
 import attrs
 
 from rosemarysaddle.decide._times import NS_PER_MS
+from rosemarysaddle.decide.load._lender_assignment import (
+    assign_lenders,
+    rank_lenders,
+)
 from rosemarysaddle.decide.load._window import MAX_SIZE, MIN_SIZE
 
 if TYPE_CHECKING:
@@ -263,9 +267,8 @@
 class LenderRanking:
     """Ranking of hosts as lenders of each target.
 
-    Rendezvous hashing: all hosts with the same list agree on the
-    ranking, and when a host leaves, only the targets that it lent move
-    to other lenders.
+    All hosts with the same lists of hosts and targets agree on the
+    ranking.
 
     :param own: lending address of this host
     :param hosts: lending addresses of all hosts of the data centre
@@ -278,6 +281,12 @@
     hosts: tuple[str, ...] = ()
     data_center: str = ""
     centers: dict[str, tuple[str, ...]] = attrs.field(factory=dict, init=False)
+    _targets: dict[str, tuple[str, ...]] = attrs.field(
+        factory=dict, init=False
+    )
+    _assigned: dict[str, dict[str, str]] = attrs.field(
+        factory=dict, init=False
+    )
     _ranks: dict[tuple[str, str], tuple[str, ...]] = attrs.field(
         factory=dict, init=False
     )
@@ -308,7 +317,21 @@
             self.centers[self.data_center] = lending_hosts(self.hosts)
         trials = self._center_trial_ns.items()
         self._center_trial_ns = {c: t for c, t in trials if c in self.centers}
+        self._forget_ranks()
+
+    def set_targets(self, targets: Mapping[str, Sequence[str]]) -> None:
+        """Set the targets that are lent.
+
+        :param targets: names of the targets by their data centre
+        """
+        found = {center: tuple(sorted(targets[center])) for center in targets}
+        if found != self._targets:
+            self._targets = found
+            self._forget_ranks()
+
+    def _forget_ranks(self) -> None:
         self._ranks.clear()
+        self._assigned.clear()
 
     def lender(
         self, target: str, now_ns: int, *, data_center: str = ""
@@ -425,15 +448,28 @@
             hosts = self.hosts
             if data_center:
                 hosts = self.centers.get(data_center, ())
-            ranked = tuple(
-                sorted(hosts, key=lambda host: _rendezvous_hash(host, target))
+            ranked = rank_lenders(
+                hosts, target, self._assignment(data_center, hosts)
             )
             self._ranks[data_center, target] = ranked
         return ranked
 
+    def _assignment(
+        self, data_center: str, hosts: Sequence[str]
+    ) -> Mapping[str, str]:
+        """Assign the targets that the hosts lend.
 
-def _rendezvous_hash(host: str, target: str) -> bytes:
-    return hashlib.blake2b(f"{host} {target}".encode()).digest()
+        :param data_center: data centre whose hosts lend its targets to
+            all others, or empty if they lend all targets to their own
+        """
+        assigned = self._assigned.get(data_center)
+        if assigned is None:
+            targets = self._targets.get(data_center, ())
+            if not data_center:
+                targets = tuple(t for c in self._targets.values() for t in c)
+            assigned = assign_lenders(hosts, targets)
+            self._assigned[data_center] = assigned
+        return assigned
 
 
 @functools.lru_cache(maxsize=4_096)
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -49,7 +49,13 @@
 from rosemarysaddle.session._unknown_keys import UnknownKeyCounter
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection, Mapping, Sequence
+    from collections.abc import (
+        Callable,
+        Collection,
+        Iterable,
+        Mapping,
+        Sequence,
+    )
 
     from rosemarysaddle.connection import TargetCodec
     from rosemarysaddle.decide import (
@@ -457,6 +463,7 @@
             self._lenders = lenders
             ranking.replace(self.node.neighbours, self.node.remote_hosts)
         records = self.node.state.targets.records
+        ranking.set_targets(_names_by_center(records.values()))
         for name in [n for n in self.targets if n not in records]:
             self._remove_target(name)
         for name, record in records.items():
@@ -593,6 +600,15 @@
         self._last_tick_ns = now_ns
 
 
+def _names_by_center(
+    records: Iterable[TargetRecord],
+) -> dict[str, list[str]]:
+    names: dict[str, list[str]] = {}
+    for record in records:
+        names.setdefault(record.data_center, []).append(record.target)
+    return names
+
+
 def _is_outdated(target_state: TargetState, record: TargetRecord) -> bool:
     current = (target_state.address, target_state.group)
     return current != (record.address, record.group)
