Tell refused callers successive times to come back

Now each caller is told a later time than the one before, at the rate at which this host gets tokens, 2 s at most. Ruled out: keeping tokens for callers that return, who cannot be told apart from new ones.

--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -119,6 +119,7 @@
         LimitSettings,
         LimitShare,
     )
+    from rosemarysaddle.decide.load._return_times import ReturnTimes
     from rosemarysaddle.decide.load._team_connections import (
         FULL_BACKOFF_MS,
         TeamConnections,
@@ -225,6 +226,7 @@
     "Refusal",
     "RelayChoice",
     "RelayRoutes",
+    "ReturnTimes",
     "Role",
     "RouteTable",
     "SaveEntries",
@@ -364,6 +366,7 @@
             "Waiter",
         ),
         "load._rate_limit": ("DemandRate", "LimitSettings", "LimitShare"),
+        "load._return_times": ("ReturnTimes",),
         "load._team_connections": (
             "FULL_BACKOFF_MS",
             "TeamConnections",
--- a/src/rosemarysaddle/decide/load/_lender_assignment.py
+++ b/src/rosemarysaddle/decide/load/_lender_assignment.py
@@ -17,8 +17,8 @@
 
 __all__ = ("assign_lenders", "rank_lenders")
 
-# Targets of one host relative to the mean.  Less would move more of them
-# whenever a host joins or leaves.
+# Targets of one host relative to the mean.  Less would move more of
+# them whenever a host joins or leaves.
 MAX_LOAD: Final = 1.25
 
 
--- a/src/rosemarysaddle/decide/load/_token_stock.py
+++ b/src/rosemarysaddle/decide/load/_token_stock.py
@@ -38,6 +38,7 @@
     :param token_age_ns: time from a request to the end of the tokens
     :param expired: number of tokens that expired unused
     :param is_unreachable: whether no counting host answered last
+    :param expected_ns: time at which a token is expected
     """
 
     token_age_ns: int
@@ -45,11 +46,11 @@
     reserve: WindowAllowance = attrs.field(factory=WindowAllowance)
     expired: int = attrs.field(default=0, init=False)
     is_unreachable: bool = attrs.field(default=False, init=False)
+    expected_ns: int = attrs.field(default=0, init=False)
     _tokens: collections.deque[list[int]] = attrs.field(
         factory=collections.deque, init=False
     )
     _refused_until_ns: int = attrs.field(default=0, init=False)
-    _expected_ns: int = attrs.field(default=0, init=False)
 
     def take(self, now_ns: int) -> int:
         """Take one token that is still valid.
@@ -106,14 +107,10 @@
         :param is_unreachable: whether no counting host answered
         """
         self.is_unreachable = is_unreachable
-        self._expected_ns = now_ns + wait_ms * NS_PER_MS
+        self.expected_ns = now_ns + wait_ms * NS_PER_MS
         refused_ms = min(wait_ms, MAX_REFUSED_MS)
         self._refused_until_ns = now_ns + refused_ms * NS_PER_MS
 
     def is_refused(self, now_ns: int) -> bool:
         """Return whether asking again would be too early."""
         return now_ns < self._refused_until_ns
-
-    def retry_after_ms(self, now_ns: int) -> int:
-        """Return the time until a token is expected."""
-        return max(1, math.ceil((self._expected_ns - now_ns) / NS_PER_MS))
--- a/src/rosemarysaddle/session/_rate_limits.py
+++ b/src/rosemarysaddle/session/_rate_limits.py
@@ -22,6 +22,7 @@
     DemandRate,
     Reason,
     Refusal,
+    ReturnTimes,
     Step,
     TokenStock,
     reserve_share,
@@ -99,6 +100,7 @@
 
     team: str
     stock: TokenStock
+    returns: ReturnTimes
     waiters: collections.deque[asyncio.Future[int]] = attrs.field(
         factory=collections.deque
     )
@@ -229,6 +231,7 @@
                     token_age_ns=self.settings.token_age_ns,
                     demand=DemandRate(updated_ns=now_ns),
                 ),
+                returns=ReturnTimes(granted=DemandRate(updated_ns=now_ns)),
             )
         ask.stock.demand.record(1, now_ns)
         if not self._has_hosts.is_set():
@@ -237,17 +240,20 @@
         deadline_ns = ask.stock.take(now_ns)
         deadline_ns = deadline_ns or self._take_own(ask, share, now_ns)
         if deadline_ns:
-            self.stats.granted += 1
-            return AdmissionToken(team=team, deadline_ns=deadline_ns)
+            return self._grant(ask, deadline_ns)
         if not ask.waiters and ask.stock.is_refused(now_ns):
             return self._decide_without_token(ask, share)
         deadline_ns = await self._wait_for_token(ask)
         if deadline_ns:
-            self.stats.granted += 1
             self.stats.waits.record(clock_ns() - now_ns)
-            return AdmissionToken(team=team, deadline_ns=deadline_ns)
+            return self._grant(ask, deadline_ns)
         return self._decide_without_token(ask, share)
 
+    def _grant(self, ask: _Ask, deadline_ns: int) -> AdmissionToken:
+        self.stats.granted += 1
+        ask.returns.granted.record(1, clock_ns())
+        return AdmissionToken(team=ask.team, deadline_ns=deadline_ns)
+
     def give_back(self, token: AdmissionToken) -> None:
         """Return the token of an operation that did not run anywhere.
 
@@ -442,7 +448,7 @@
 
     def _refuse(self, ask: _Ask, now_ns: int, cause: str) -> Refusal:
         self.stats.refused[cause] += 1
-        retry_after_ms = ask.stock.retry_after_ms(now_ns)
+        retry_after_ms = ask.returns.next_ms(ask.stock.expected_ns, now_ns)
         if not ask.refused_count:
             team = self.node.state.routes.team(ask.team)
             log_event(
--- a/tests/decide/test_rate_limit.py
+++ b/tests/decide/test_rate_limit.py
@@ -173,4 +173,4 @@
     stock.record_refusal(400, S, is_unreachable=False)
     assert stock.is_refused(S + 99 * NS_PER_MS)
     assert not stock.is_refused(S + 100 * NS_PER_MS)
-    assert stock.retry_after_ms(S + 50 * NS_PER_MS) == 350
+    assert stock.expected_ns - (S + 50 * NS_PER_MS) == 350 * NS_PER_MS
--- a/tests/session/limit_hosts.py
+++ b/tests/session/limit_hosts.py
@@ -154,6 +154,9 @@
 
     :param idle_share: part of the admitted operations that find no
         target, do not run and give their token back
+    :param tries: how often a caller tries; it comes back at another
+        host at the time that it is told
+    :param operations: number of operations, however often they tried
     :param admitted: times of the admitted operations, in seconds
     :param refused: times of the refused operations, in seconds
     """
@@ -167,6 +170,8 @@
     loss: float = 0.0
     late: float = 0.0
     idle_share: float = 0.0
+    tries: int = 1
+    operations: int = 0
     loop: VirtualLoop = attrs.field(factory=VirtualLoop)
     hosts: dict[str, Host] = attrs.field(factory=dict)
     cuts: set[tuple[str, str]] = attrs.field(factory=set)
@@ -372,11 +377,12 @@
 
     def operate(self, host: Host) -> None:
         """Start one operation at a host."""
-        task = self.loop.create_task(self._operate(host))
+        self.operations += 1
+        task = self.loop.create_task(self._operate(host, self.tries))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _operate(self, host: Host) -> None:
+    async def _operate(self, host: Host, tries: int) -> None:
         if not host.is_running:
             return
         start_s = self.loop.time()
@@ -386,6 +392,10 @@
         if isinstance(result, Refusal):
             self.refused.append(self.loop.time())
             self.refusals.append(result)
+            if tries > 1:
+                await asyncio.sleep(result.retry_after_ms / 1_000)
+                other = self.random.choice(list(self.hosts.values()))
+                await self._operate(other, tries - 1)
         elif self.random.random() < self.idle_share:
             host.limits.give_back(result)
         else:
--- a/tests/session/test_rate_limit_faults.py
+++ b/tests/session/test_rate_limit_faults.py
@@ -186,6 +186,26 @@
         assert len(network.refused) <= 0.05 * len(network.started)
 
 
+@pytest.mark.parametrize("rate_per_s", [18, RATE])
+def test_callers_that_come_back_when_told_are_served(rate_per_s: int) -> None:
+    """Guards against callers that are all told the time of one token.
+
+    They use up their three tries for it.  For a while, half as much
+    again as the limit allows is offered.
+    """
+    with fake_network(
+        hosts_per_center=13, rate_per_s=rate_per_s, burst_size=rate_per_s
+    ) as network:
+        network.settle(0)
+        network.tries = 3
+        network.operations = 0
+        network.offer(1.5 * rate_per_s, 8)
+        network.loop.sleep(6)
+
+        network.check()
+        assert len(network.admitted) >= 0.85 * network.operations
+
+
 def test_limit_holds_while_tokens_are_given_back() -> None:
     """Guards against tokens that are used later than they may be."""
     with fake_network() as network:
