Keep the status connections of a change between its probes

The warm-up probe kept nothing, contrary to its comment, and probes that were cancelled left their connections open. Now a connection outlasts the attempt for 1.5 s, opening or open, and the next attempt sends its own request over it; a probe that confirms an outage opens its own. The confirmation of a promotion uses the same. Ruled out: longer probes, which delay the change when a second target is dark. With 250 ms of queue and probes of 400 ms the second one reads the status (before: none does, test fails).

--- a/src/rosemarysaddle/node/_orders.py
+++ b/src/rosemarysaddle/node/_orders.py
@@ -9,16 +9,15 @@
 
 from rosemarysaddle import _log as logging
 from rosemarysaddle._clock import clock_ns
-from rosemarysaddle.connection import TargetConnection, open_connection
-from rosemarysaddle.decide import NS_PER_MS, FaultCode, TargetReport
-from rosemarysaddle.link import Address
+from rosemarysaddle.decide import NS_PER_MS, TargetReport
 from rosemarysaddle.node._platform import PromotionOrder
+from rosemarysaddle.node._status_reader import StatusReader
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
     from rosemarysaddle.decide import ProbeGroup, PromoteTarget
-    from rosemarysaddle.node._platform import Platform, Promoter, TargetStatus
+    from rosemarysaddle.node._platform import Platform, Promoter
     from rosemarysaddle.schema import Instance
 
 __all__ = ("AnnouncedTargetOrders",)
@@ -27,8 +26,7 @@
 # Limits the check whether an earlier leader's promotion took effect.
 STATUS_TIMEOUT_MS: Final = 400
 # A full target queues the opening of a connection and the status
-# request behind up to 40 statements of callers each.  A connection that
-# has gone silent is replaced after this time.
+# request behind up to 40 statements of callers each.
 CONFIRM_TIMEOUT_MS: Final = 1_500
 
 
@@ -49,6 +47,15 @@
     fencing_token: Callable[[], int]
     leads: Callable[[], bool]
     group_of: Callable[[str], str]
+    _reader: StatusReader = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Create the reader, without any connection."""
+        self._reader = StatusReader(
+            new_codec=self.platform.target_codec,
+            read_status=self.platform.read_status,
+            group_of=self.group_of,
+        )
 
     async def probe(
         self, probe: ProbeGroup, instances: Sequence[Instance]
@@ -62,7 +69,9 @@
         """
         tasks = [
             asyncio.create_task(
-                self._probe_instance(instance, probe.deadline_ns)
+                self._probe_instance(
+                    instance, probe.deadline_ns, fresh=probe.fresh
+                )
             )
             for instance in instances
         ]
@@ -84,7 +93,9 @@
         """
         if instance is None:
             return False
-        if order.may_be_primary and await self._is_primary(instance, order):
+        if order.may_be_primary and await self._is_primary(
+            instance, order, STATUS_TIMEOUT_MS
+        ):
             return True
         promotion = PromotionOrder(
             group=order.group,
@@ -106,121 +117,36 @@
         return accepted and await self._wait_until_primary(order, instance)
 
     async def _is_primary(
-        self, instance: Instance, order: PromoteTarget
+        self, instance: Instance, order: PromoteTarget, timeout_ms: int
     ) -> bool:
-        limit_ns = clock_ns() + STATUS_TIMEOUT_MS * NS_PER_MS
-        status = await self._request_status(
-            self._new_connection(instance),
-            instance,
-            min(order.deadline_ns, limit_ns),
+        limit_ns = clock_ns() + timeout_ms * NS_PER_MS
+        found = await self._reader.read(
+            instance, min(order.deadline_ns, limit_ns)
         )
-        return status is not None and status.role == "primary"
+        return found.status is not None and found.status.role == "primary"
 
     async def _wait_until_primary(
         self, order: PromoteTarget, instance: Instance
     ) -> bool:
         while clock_ns() < order.deadline_ns:
             await asyncio.sleep(POLL_INTERVAL_S)
-            connection = self._new_connection(instance)
-            try:
-                if await self._poll_until_primary(connection, order, instance):
-                    return True
-            finally:
-                connection.abort()
-        return False
-
-    async def _poll_until_primary(
-        self,
-        connection: TargetConnection,
-        order: PromoteTarget,
-        instance: Instance,
-    ) -> bool:
-        """Read the status over one connection until it is primary.
-
-        :return: whether it is; False if the connection failed
-        """
-        is_open = await self._open(
-            connection, instance, _confirm_deadline_ns(order)
-        )
-        while is_open and not connection.is_lost:
-            answer = await connection.ask(
-                connection.codec.encode_status(),
-                deadline_ns=_confirm_deadline_ns(order),
-            )
-            status = self.platform.read_status(answer)
-            if status is not None and status.role == "primary":
+            if await self._is_primary(instance, order, CONFIRM_TIMEOUT_MS):
                 return True
-            await asyncio.sleep(POLL_INTERVAL_S)
         return False
 
     async def _probe_instance(
-        self, instance: Instance, deadline_ns: int
+        self, instance: Instance, deadline_ns: int, *, fresh: bool
     ) -> TargetReport:
-        connection = self._new_connection(instance)
-        status = await self._request_status(connection, instance, deadline_ns)
-        if status is None:
+        found = await self._reader.read(instance, deadline_ns, fresh=fresh)
+        if found.status is None:
             # A target that accepts a connection is slow but reachable.
             return TargetReport(
-                target=instance.name, reachable=connection.was_connected
+                target=instance.name, reachable=found.is_reachable
             )
         return TargetReport(
             target=instance.name,
             reachable=True,
-            role=status.role,
-            term=status.term,
-            position=status.position,
-        )
-
-    def _new_connection(self, instance: Instance) -> TargetConnection:
-        return TargetConnection(
-            target=instance.name,
-            codec=self.platform.target_codec(),
-            on_lost=_ignore,
+            role=found.status.role,
+            term=found.status.term,
+            position=found.status.position,
         )
-
-    async def _request_status(
-        self,
-        connection: TargetConnection,
-        instance: Instance,
-        deadline_ns: int,
-    ) -> TargetStatus | None:
-        if not await self._open(connection, instance, deadline_ns):
-            return None
-        status = None
-        while status is None and clock_ns() < deadline_ns:
-            answer = await connection.ask(
-                connection.codec.encode_status(), deadline_ns=deadline_ns
-            )
-            status = self.platform.read_status(answer)
-            if answer.fault is not FaultCode.BUSY:
-                break
-            await asyncio.sleep(POLL_INTERVAL_S)
-        connection.abort()
-        return status
-
-    async def _open(
-        self,
-        connection: TargetConnection,
-        instance: Instance,
-        deadline_ns: int,
-    ) -> bool:
-        open_message = connection.codec.encode_open(
-            group=self.group_of(instance.name),
-            label="control",
-            target=instance.name,
-        )
-        answer = await open_connection(
-            connection,
-            Address.parse(instance.address),
-            open_message,
-            deadline_ns=deadline_ns,
-        )
-        return answer.fault is None
-
-
-def _confirm_deadline_ns(order: PromoteTarget) -> int:
-    return min(order.deadline_ns, clock_ns() + CONFIRM_TIMEOUT_MS * NS_PER_MS)
-
-
-def _ignore(connection: TargetConnection) -> None:
-    del connection
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -9,7 +9,12 @@
 import pytest
 
 from rosemarysaddle._clock import clock_ns
-from rosemarysaddle.decide import NS_PER_MS, PromoteTarget
+from rosemarysaddle.decide import (
+    NS_PER_MS,
+    ProbeGroup,
+    PromoteTarget,
+    TargetReport,
+)
 from rosemarysaddle.node._orders import AnnouncedTargetOrders
 from rosemarysaddle.platform import UsersPlatform
 from rosemarysaddle.schema import Instance
@@ -40,12 +45,14 @@
     role: str = "replica"
     status_reads: int = 0
     connections: int = 0
+    writers: list[asyncio.StreamWriter] = attrs.field(factory=list)
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Answer the requests of one connection in order."""
         self.connections += 1
+        self.writers.append(writer)
         number = self.connections
         while line := await reader.readline():
             await asyncio.sleep(self.wait_s)
@@ -82,14 +89,8 @@
         self.target.role = "primary"
 
 
-async def _promote(
-    target: FullTarget, *, may_be_primary: bool = False
-) -> tuple[bool, AcceptingPromoter]:
-    server = await asyncio.start_server(target.serve, IP, PORT)
-    promoter: Any = AcceptingPromoter(
-        target=target, loop=asyncio.get_running_loop()
-    )
-    orders = AnnouncedTargetOrders(
+def _orders(promoter: Any) -> AnnouncedTargetOrders:
+    return AnnouncedTargetOrders(
         host="c1",
         platform=UsersPlatform(),
         promoter=promoter,
@@ -97,6 +98,16 @@
         leads=lambda: True,
         group_of=lambda _: "g",
     )
+
+
+async def _promote(
+    target: FullTarget, *, may_be_primary: bool = False
+) -> tuple[bool, AcceptingPromoter]:
+    server = await asyncio.start_server(target.serve, IP, PORT)
+    promoter = AcceptingPromoter(
+        target=target, loop=asyncio.get_running_loop()
+    )
+    orders = _orders(promoter)
     order = PromoteTarget(
         group="g",
         target="t",
@@ -153,3 +164,71 @@
 
     assert done
     assert not promoter.orders
+
+
+async def _probe(
+    target: FullTarget, attempts: int, *, fresh: bool = False
+) -> list[TargetReport]:
+    server = await asyncio.start_server(target.serve, IP, PORT)
+    orders = _orders(None)
+    reports = []
+    try:
+        for attempt in range(attempts):
+            probe = ProbeGroup(
+                group="g",
+                attempt=attempt,
+                deadline_ns=clock_ns() + 400 * NS_PER_MS,
+                quorum=1,
+                fresh=fresh,
+            )
+            reports.extend(await orders.probe(probe, [INSTANCE]))
+    finally:
+        server.close()
+    return reports
+
+
+def test_attempts_go_on_with_the_connection_of_the_one_before() -> None:
+    """Guards against probes that join a full queue anew each time.
+
+    A change of primary then waits until its time-out for the status of
+    a former primary that is only full.
+    """
+    target = FullTarget(wait_s=0.25)
+
+    reports = asyncio.run(_probe(target, 2))
+
+    assert [report.role for report in reports] == ["", "replica"]
+    assert [report.reachable for report in reports] == [True, True]
+    assert target.connections == 1
+
+
+def test_fresh_probe_opens_a_connection_of_its_own() -> None:
+    """Guards against an outage that an older connection hides."""
+    target = FullTarget(wait_s=0.0)
+
+    asyncio.run(_probe(target, 2, fresh=True))
+
+    assert target.connections == 2
+
+
+def test_closed_target_is_unreachable_over_a_kept_connection() -> None:
+    """Guards against a change that waits for a crashed target."""
+
+    async def scenario() -> TargetReport:
+        target = FullTarget(wait_s=0.0)
+        server = await asyncio.start_server(target.serve, IP, PORT)
+        orders = _orders(None)
+        probe = ProbeGroup(
+            group="g",
+            attempt=1,
+            deadline_ns=clock_ns() + 400 * NS_PER_MS,
+            quorum=1,
+        )
+        await orders.probe(probe, [INSTANCE])
+        server.close()
+        for writer in target.writers:
+            writer.transport.abort()
+        await asyncio.sleep(0.05)
+        return (await orders.probe(probe, [INSTANCE]))[0]
+
+    assert not asyncio.run(scenario()).reachable
