--- a/src/rosemarysaddle/run.py
+++ b/src/rosemarysaddle/run.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import http
 import json
 import os
@@ -42,7 +43,7 @@
     load_file,
 )
 from rosemarysaddle.serve import EntryServer
-from rosemarysaddle.soak import FAULTS, run_soak
+from rosemarysaddle.soak import FAULTS, checked_out_build, run_soak
 from rosemarysaddle.standin import StandInDaemon, load_stand_in
 
 if TYPE_CHECKING:
@@ -103,6 +104,7 @@
     slot: int = 0,
     entry_hosts: int = 1,
     teams: bool = False,
+    from_build: str = "",
 ) -> int:
     """Run the platform under faults and check its guarantees.
 
@@ -113,23 +115,31 @@
     :param slot: number of the loopback network, for parallel soaks
     :param entry_hosts: number of entry hosts of each data centre
     :param teams: whether callers have teams, whose keys are removed
+    :param from_build: commit with which all hosts start; they are
+        replaced by the present build, and half of them back, during the
+        faults
     """
     unknown = sorted(set(only) - set(FAULTS))
     if unknown:
         print(f"no such fault: {', '.join(unknown)}", file=sys.stderr)
         return 2
     failed_runs = 0
-    for run_seed in range(seed, seed + runs):
-        result = run_soak(
-            seed=run_seed,
-            count=faults,
-            faults=only,
-            slot=slot,
-            entry_hosts=entry_hosts,
-            teams=teams,
-        )
-        print(json.dumps(attrs.asdict(result)), flush=True)
-        failed_runs += bool(result.violations)
+    with contextlib.ExitStack() as stack:
+        build = None
+        if from_build:
+            build = stack.enter_context(checked_out_build(from_build))
+        for run_seed in range(seed, seed + runs):
+            result = run_soak(
+                seed=run_seed,
+                count=faults,
+                faults=only,
+                slot=slot,
+                entry_hosts=entry_hosts,
+                teams=teams,
+                earlier_build=build,
+            )
+            print(json.dumps(attrs.asdict(result)), flush=True)
+            failed_runs += bool(result.violations)
     return 1 if failed_runs else 0
 
 
--- a/src/rosemarysaddle/soak/__init__.py
+++ b/src/rosemarysaddle/soak/__init__.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from rosemarysaddle.soak._builds import checked_out_build
 from rosemarysaddle.soak._check import CallHistory, find_violations
 from rosemarysaddle.soak._faults import FAULTS
 from rosemarysaddle.soak._run import SoakReport, run_soak
@@ -14,6 +15,7 @@
     "FAULTS",
     "CallHistory",
     "SoakReport",
+    "checked_out_build",
     "find_violations",
     "run_soak",
 )
--- a/src/rosemarysaddle/soak/_nodes.py
+++ b/src/rosemarysaddle/soak/_nodes.py
@@ -32,7 +32,11 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Node:
-    """One host process with its settings."""
+    """One host process with its settings.
+
+    :param sources: folder of the sources of another build that it runs,
+        or None for the present one
+    """
 
     name: str
     role: str
@@ -40,16 +44,20 @@
     folder: Path
     settings: dict[str, Any]
     process: subprocess.Popen[bytes] | None = None
+    sources: Path | None = None
 
     def start(self) -> None:
         """Write the settings and start the process."""
         self.folder.mkdir(parents=True, exist_ok=True)
         path = self.folder / "settings.json"
         path.write_text(json.dumps(self.settings), encoding="utf-8")
+        environment = {**os.environ, "ROSEMARYSADDLE_NODE_FILE": str(path)}
+        if self.sources is not None:
+            environment["PYTHONPATH"] = str(self.sources)
         with (self.folder / "log").open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "rosemarysaddle.platform"],
-                env={**os.environ, "ROSEMARYSADDLE_NODE_FILE": str(path)},
+                env=environment,
                 stdout=log,
                 stderr=log,
             )
--- a/src/rosemarysaddle/soak/_run.py
+++ b/src/rosemarysaddle/soak/_run.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from rosemarysaddle.soak._builds import replace_builds
 from rosemarysaddle.soak._callers import Caller
 from rosemarysaddle.soak._check import CallHistory, find_violations
 from rosemarysaddle.soak._faults import FAULTS, FaultContext
@@ -61,6 +62,7 @@
     slot: int = 0,
     entry_hosts: int = 1,
     teams: bool = False,
+    earlier_build: Path | None = None,
 ) -> SoakReport:
     """Run one seed.
 
@@ -73,6 +75,8 @@
     :param entry_hosts: number of entry hosts of each data centre
     :param teams: whether each caller has a team, whose key is removed
         and put back during the faults
+    :param earlier_build: folder of the sources of a build with which
+        all hosts start, and that is replaced during the faults
     """
     rng = random.Random(f"soak:{seed}")  # noqa: S311
     names = tuple(faults) or tuple(rng.choices(sorted(FAULTS), k=count))
@@ -84,6 +88,7 @@
         folder=folder,
         entry_hosts=entry_hosts,
         has_teams=teams,
+        earlier_build=earlier_build,
     )
     return asyncio.run(soak.run(seed))
 
@@ -96,6 +101,7 @@
     folder: Path
     entry_hosts: int
     has_teams: bool = False
+    earlier_build: Path | None = None
     call_history: CallHistory = attrs.field(factory=CallHistory)
     nodes: Nodes = attrs.field(init=False)
     group: TargetGroup = attrs.field(init=False)
@@ -205,6 +211,7 @@
         for proxy in self.proxies.values():
             await proxy.start()
         for node in self.nodes.all:
+            node.sources = self.earlier_build
             node.start()
         self.platform.start()
         await _wait_until(self._is_configured, START_TIMEOUT_S)
@@ -225,6 +232,9 @@
         removing = asyncio.ensure_future(
             self.keys.remove_until(ended) if self.has_teams else ended.wait()
         )
+        if self.earlier_build is not None:
+            replacing = replace_builds(context, self.earlier_build)
+            tasks.append(asyncio.ensure_future(replacing))
         for name in self.names:
             tasks.append(asyncio.ensure_future(_run_fault(name, context)))
             await asyncio.sleep(self.rng.uniform(*FAULT_SPACING_RANGE_S))
