Split the runner: access to targets and deadlines in their own modules

The module had grown to 790 lines with two jobs: what a caller is told in each case, and how connections, tickets and waits are had. No behaviour changes; the tests of sessions pass unchanged but for the module of one function.

--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -14,9 +14,7 @@
 from rosemarysaddle._events import log_event
 from rosemarysaddle.connection import OpenFault, TargetConnection
 from rosemarysaddle.decide import (
-    NS_PER_MS,
     Answer,
-    ConnectionRequest,
     FaultCode,
     LogPoint,
     PreparedStatement,
@@ -27,8 +25,8 @@
     Statement,
     Step,
     WriteTicket,
-    shared_name,
 )
+from rosemarysaddle.session import _deadlines
 from rosemarysaddle.session._refusals import (
     not_run_refusal,
     read_refusal,
@@ -36,57 +34,29 @@
     unknown_outcome,
     write_refusal,
 )
-from rosemarysaddle.session._stages import Stage, StageTimes, service_class
+from rosemarysaddle.session._stages import Stage
+from rosemarysaddle.session._target_access import MAX_TRIES, TargetAccess
 
 if TYPE_CHECKING:
     from rosemarysaddle.schema import Route
     from rosemarysaddle.session._admission import AdmissionQueue
-    from rosemarysaddle.session._router import ReadTarget, Router
+    from rosemarysaddle.session._router import ReadTarget
     from rosemarysaddle.session._transaction import Transaction
 
 __all__ = ("Runner", "writes")
 
-# Delay before a statement that was not run is tried again; doubles with
-# each try.
-INITIAL_BACKOFF_MS: Final = 20
-MAX_BACKOFF_MS: Final = 200
-MAX_TRIES: Final = 8
 # No target may be used, rather than one that did not serve.
 _NO_TARGET_FAULTS: Final = {FaultCode.READ_ONLY, FaultCode.BEHIND}
 
 
 @attrs.define(kw_only=True, eq=False)
-class Runner:
+class Runner(TargetAccess):
     """Runs the statements of one session.
 
-    :param variables: variables and prepared statements of the session
-    :param team: team for which the statements run, or empty
-    :param weight: share of the team relative to other teams
-    :param requires_key: whether the session's route requires a key
-    :param is_revoked: whether a plan that was put in force during the
-        present statement has removed the key, or given it to another
-        team
     :param points: log position of the session's newest write, by group
-    :param has_run: whether a target may have run a statement of the
-        present operation
-    :param stages: where the present statement has spent its time
     """
 
-    router: Router
-    variables: SessionVariables = attrs.field(factory=SessionVariables)
-    team: str = attrs.field(default="", init=False)
-    weight: float = attrs.field(default=1.0, init=False)
-    requires_key: bool = attrs.field(default=False, init=False)
-    is_revoked: bool = attrs.field(default=False, init=False)
     points: dict[str, LogPoint] = attrs.field(factory=dict, init=False)
-    has_run: bool = attrs.field(default=False, init=False)
-    stages: StageTimes = attrs.field(factory=StageTimes, init=False)
-
-    def may_run(self) -> bool:
-        """Tell whether the key allows to send a statement now."""
-        if self.is_revoked:
-            return False
-        return not self.requires_key or self.router.is_plan_current()
 
     # --- outside transactions ---
 
@@ -94,8 +64,8 @@
         self, route: Route, statement: Statement
     ) -> Answer | Refusal:
         """Run one read outside a transaction."""
-        deadline_ns = _deadline_ns(route)
-        start_deadline_ns = _start_deadline_ns(route, deadline_ns)
+        deadline_ns = _deadlines.deadline_ns(route)
+        start_deadline_ns = _deadlines.start_deadline_ns(route, deadline_ns)
         failed: set[str] = set()
         attempts = 0
         last: Answer | None = None
@@ -134,12 +104,12 @@
         self, route: Route, statement: Statement
     ) -> Answer | Refusal:
         """Run one write outside a transaction, at most once."""
-        deadline_ns = _deadline_ns(route)
-        start_deadline_ns = _start_deadline_ns(route, deadline_ns)
+        deadline_ns = _deadlines.deadline_ns(route)
+        start_deadline_ns = _deadlines.start_deadline_ns(route, deadline_ns)
         last: Answer | None = None
         for number in range(MAX_TRIES):
             ticket = await self._acquire_ticket(
-                route.group, _target_deadline_ns(route, deadline_ns)
+                route.group, _deadlines.target_deadline_ns(route, deadline_ns)
             )
             if isinstance(ticket, Refusal):
                 return ticket
@@ -220,7 +190,7 @@
         queue = self.router.admission_queues[target]
         if await queue.enter(
             self._connection_request(route, deadline_ns),
-            deadline_ns=_start_deadline_ns(route, deadline_ns),
+            deadline_ns=_deadlines.start_deadline_ns(route, deadline_ns),
         ):
             return queue
         return Answer(fault=FaultCode.BUSY, text="not admitted in time")
@@ -283,7 +253,7 @@
 
         A refusal ends the transaction, which then has no effect.
         """
-        deadline_ns = _deadline_ns(transaction.route)
+        deadline_ns = _deadlines.deadline_ns(transaction.route)
         connection = await self._pinned_connection(transaction, deadline_ns)
         if isinstance(connection, Refusal):
             return connection
@@ -304,7 +274,7 @@
         self, transaction: Transaction, statement: Statement
     ) -> Answer | Refusal:
         """Commit a transaction, at most once."""
-        deadline_ns = _deadline_ns(transaction.route)
+        deadline_ns = _deadlines.deadline_ns(transaction.route)
         connection = await self._pinned_connection(transaction, deadline_ns)
         if isinstance(connection, Refusal):
             return connection
@@ -348,7 +318,7 @@
         transaction.connection = None
         await connection.ask(
             connection.codec.encode_rollback(),
-            deadline_ns=_deadline_ns(transaction.route),
+            deadline_ns=_deadlines.deadline_ns(transaction.route),
         )
         self._release(connection)
         self._end_ticket(transaction)
@@ -398,7 +368,9 @@
         if transaction.connection is not None or transaction.target:
             return None
         failed: set[str] = set()
-        start_deadline_ns = _start_deadline_ns(transaction.route, deadline_ns)
+        start_deadline_ns = _deadlines.start_deadline_ns(
+            transaction.route, deadline_ns
+        )
         for number in range(MAX_TRIES):
             if transaction.is_read_only:
                 fault = await self._pin_read(transaction, failed, deadline_ns)
@@ -446,7 +418,7 @@
     ) -> FaultCode | None:
         route = transaction.route
         ticket = await self._acquire_ticket(
-            route.group, _target_deadline_ns(route, deadline_ns)
+            route.group, _deadlines.target_deadline_ns(route, deadline_ns)
         )
         if isinstance(ticket, Refusal):
             return FaultCode.READ_ONLY
@@ -503,7 +475,7 @@
         ticket = transaction.ticket
         return ticket is None or self.router.holds(ticket)
 
-    # --- common steps ---
+    # --- waits ---
 
     async def _wait_for_target(
         self, route: Route, deadline_ns: int, last: Answer | None
@@ -514,7 +486,7 @@
         :return: None after the wait, or a refusal if waiting any longer
             is of no use
         """
-        until_ns = _target_deadline_ns(route, deadline_ns)
+        until_ns = _deadlines.target_deadline_ns(route, deadline_ns)
         if self.router.needs_lease(route):
             refusal = self.router.lease_refusal(route.group, until_ns)
             if refusal is not None:
@@ -523,198 +495,6 @@
             return None
         return self._refuse_read(route, last)
 
-    async def _wait_for_position(self, route: Route) -> None:
-        since_ns = clock_ns()
-        if await self.router.positions.wait_for_first(route):
-            self.stages.add(Stage.TARGET, since_ns)
-
-    async def _acquire_ticket(
-        self, group: str, deadline_ns: int
-    ) -> WriteTicket | Refusal:
-        while True:
-            found = self.router.begin_write(group)
-            if isinstance(found, WriteTicket):
-                return found
-            refusal = self.router.lease_refusal(group, deadline_ns)
-            if refusal is not None:
-                return refusal
-            if not await self._wait_change(Stage.TARGET, deadline_ns):
-                return found
-
-    async def _connect(
-        self, route: Route, target: str, deadline_ns: int, *, pinned: bool
-    ) -> TargetConnection | OpenFault:
-        pool = self.router.pools.get(target)
-        if pool is None:
-            return OpenFault(code=FaultCode.WRONG_TARGET, peer=target)
-        connection_request = self._connection_request(
-            route, deadline_ns, pinned=pinned
-        )
-        asked_ns = clock_ns()
-        connection = await pool.acquire(
-            self.variables,
-            deadline_ns=connection_request.deadline_ns,
-            connection_request=connection_request,
-        )
-        self.stages.add(Stage.CONNECTION, asked_ns)
-        self._record_wait(target, connection, asked_ns)
-        if isinstance(connection, OpenFault) or self.may_run():
-            return connection
-        self._release(connection)
-        return OpenFault(code=FaultCode.BUSY, peer=target)
-
-    def _record_wait(
-        self,
-        target: str,
-        connection: TargetConnection | OpenFault,
-        asked_ns: int,
-    ) -> None:
-        """Record what the wait for a connection was, or would be."""
-        target_state = self.router.targets.get(target)
-        if target_state is None:
-            return
-        now_ns = clock_ns()
-        wait_ns = now_ns - asked_ns
-        if isinstance(connection, OpenFault):
-            wait_ns = max(wait_ns, connection.retry_after_ms * NS_PER_MS)
-        target_state.record_wait(wait_ns, now_ns)
-
-    def _connection_request(
-        self, route: Route, deadline_ns: int, *, pinned: bool = False
-    ) -> ConnectionRequest:
-        # Only where teams compete is the order by objective in force.
-        uses_teams = self.router.node.state.routes.uses_teams
-        objective_ns = _objective_ns(route, deadline_ns) if uses_teams else 0
-        return ConnectionRequest(
-            priority=route.priority,
-            pinned=pinned,
-            team=self.team,
-            deadline_ns=_start_deadline_ns(route, deadline_ns),
-            objective_ns=objective_ns,
-            weight=self.weight,
-            service_class=service_class(route),
-        )
-
-    async def _ask(
-        self,
-        connection: TargetConnection,
-        statement: Statement,
-        *,
-        after: LogPoint | None = None,
-        deadline_ns: int,
-    ) -> Answer:
-        shape = self.variables.shapes.get(statement.name)
-        if not statement.kind.uses_prepared:
-            shape = None
-        plan = connection.setup.plan(self.variables, shape)
-        if not plan.is_empty and not await connection.prepare(
-            plan, deadline_ns=deadline_ns
-        ):
-            return Answer(fault=FaultCode.BUSY, state=SessionState.FAILED)
-        data = connection.codec.encode_statement(
-            statement, shared=shared_name(shape) if shape else "", after=after
-        )
-        return await self._send_and_record(connection, data, deadline_ns)
-
-    async def _send_and_record(
-        self, connection: TargetConnection, data: bytes, deadline_ns: int
-    ) -> Answer:
-        target = connection.target
-        target_state = self.router.targets.get(target)
-        asked_ns = clock_ns()
-        was_leased_primary = self.router.is_leased_primary(target)
-        if target_state is not None:
-            target_state.running += 1
-        answer = await connection.ask(data, deadline_ns=deadline_ns)
-        self.stages.add(Stage.EXECUTION, asked_ns)
-        if answer.fault is None or not answer.fault.is_not_run:
-            self.has_run = True
-        if target_state is not None:
-            target_state.running -= 1
-        queue = self.router.admission_queues.get(target)
-        if queue is not None and answer.fault is FaultCode.BUSY:
-            queue.window.record_shed(sent_ns=asked_ns, now_ns=clock_ns())
-        elif queue is not None and answer.fault is None:
-            queue.window.record_served()
-        self.router.record_answer(
-            target,
-            answer,
-            asked_ns=asked_ns,
-            was_leased_primary=was_leased_primary,
-        )
-        return answer
-
-    def _release(self, connection: TargetConnection) -> None:
-        pool = self.router.pools.get(connection.target)
-        if pool is None:
-            connection.abort()
-        else:
-            pool.release(connection)
-
-    async def _ask_pinned(
-        self,
-        connection: TargetConnection,
-        statement: Statement,
-        deadline_ns: int,
-    ) -> Answer:
-        # A target that answers "busy" has not run the statement and
-        # keeps the transaction open.
-        answer = await self._ask_admitted(connection, statement, deadline_ns)
-        for number in range(MAX_TRIES):
-            if answer.fault is not FaultCode.BUSY:
-                break
-            if answer.state is not SessionState.TRANSACTION:
-                break
-            if not await self._back_off(number, deadline_ns):
-                break
-            if not self.may_run():
-                break
-            answer = await self._ask_admitted(
-                connection, statement, deadline_ns
-            )
-        return answer
-
-    async def _ask_admitted(
-        self,
-        connection: TargetConnection,
-        statement: Statement,
-        deadline_ns: int,
-    ) -> Answer:
-        queue = self.router.admission_queues.get(connection.target)
-        if queue is None:
-            return await self._ask(
-                connection, statement, deadline_ns=deadline_ns
-            )
-        queue.enter_now()
-        try:
-            return await self._ask(
-                connection, statement, deadline_ns=deadline_ns
-            )
-        finally:
-            queue.leave()
-
-    async def _back_off(
-        self, number: int, deadline_ns: int, retry_after_ms: int = 0
-    ) -> bool:
-        """Wait before another try.
-
-        :param retry_after_ms: time before which none can succeed, in
-            milliseconds; 0 if unknown
-        :return: whether there is time for another try
-        """
-        pause_ms = min(MAX_BACKOFF_MS, INITIAL_BACKOFF_MS << number)
-        pause_ms = max(pause_ms, retry_after_ms)
-        until_ns = clock_ns() + pause_ms * NS_PER_MS
-        if until_ns >= deadline_ns:
-            return False
-        return await self._wait_change(Stage.PAUSE, until_ns)
-
-    async def _wait_change(self, stage: Stage, until_ns: int) -> bool:
-        since_ns = clock_ns()
-        has_changed = await self.router.wait_change(until_ns)
-        self.stages.add(stage, since_ns)
-        return has_changed
-
     def _writes(self, statement: Statement) -> bool:
         return writes(statement, self.variables)
 
@@ -738,42 +518,3 @@
         text=str(fault.code),
         retry_after_ms=fault.retry_after_ms,
     )
-
-
-def _deadline_ns(route: Route) -> int:
-    return clock_ns() + route.timeout_ms * NS_PER_MS
-
-
-def _objective_ns(route: Route, deadline_ns: int) -> int:
-    """Return the time by which a statement has to be answered.
-
-    :param deadline_ns: time at which it times out
-    :return: the time that meets the latency objective; 0 without one
-    """
-    if not route.latency_objective_ms:
-        return 0
-    began_ns = deadline_ns - route.timeout_ms * NS_PER_MS
-    return began_ns + route.latency_objective_ms * NS_PER_MS
-
-
-def _target_deadline_ns(route: Route, deadline_ns: int) -> int:
-    """Return the time until which to wait for a target to appear.
-
-    Later than for a connection: a change of primary takes longer than a
-    queue is worth waiting for, and leaves the caller no other target.
-    """
-    return deadline_ns - route.timeout_ms * NS_PER_MS // 4
-
-
-def _start_deadline_ns(route: Route, deadline_ns: int) -> int:
-    """Return the time until which a statement may wait to start.
-
-    The wait for admission and for a connection may take half of the
-    route's time-out.  A statement that waits longer rarely finishes in
-    the time left, and a refusal lets its caller retry sooner.  One that
-    waited longer for a target to appear gets an eighth more.
-    """
-    timeout_ns = route.timeout_ms * NS_PER_MS
-    eighth_ns = timeout_ns // 8
-    after_wait_ns = min(clock_ns() + eighth_ns, deadline_ns - eighth_ns)
-    return max(deadline_ns - timeout_ns // 2, after_wait_ns)
--- a/tests/session/test_caller.py
+++ b/tests/session/test_caller.py
@@ -9,7 +9,7 @@
 from rosemarysaddle._clock import clock_ns
 from rosemarysaddle.decide import NS_PER_MS
 from rosemarysaddle.schema import Route
-from rosemarysaddle.session import _runner as runner_module
+from rosemarysaddle.session import _deadlines
 from tests.session.standin import (
     ROUTE_TIMEOUT_MS,
     StandInTarget,
@@ -332,10 +332,8 @@
         timeout_ms=800,
         group="g",
     )
-    monkeypatch.setattr(
-        runner_module, "clock_ns", lambda: spent_ms * NS_PER_MS
-    )
+    monkeypatch.setattr(_deadlines, "clock_ns", lambda: spent_ms * NS_PER_MS)
 
-    found_ns = runner_module._start_deadline_ns(route, 800 * NS_PER_MS)
+    found_ns = _deadlines.start_deadline_ns(route, 800 * NS_PER_MS)
 
     assert found_ns == start_ms * NS_PER_MS
