--- a/src/rosemarysaddle/session/_rate_limits.py
+++ b/src/rosemarysaddle/session/_rate_limits.py
@@ -46,14 +46,6 @@
 
 __all__ = ("NO_TOKEN", "AdmissionToken", "RateLimits")
 
-# An operation waits for a token no longer than this.  A refusal after a
-# quarter of the latency objective (400 ms and more) would be late.
-ADMIT_TIMEOUT_MS: Final = 90
-# Time for an answer within the data centre, which includes a transfer.
-REQUEST_TIMEOUT_MS: Final = 50
-# After an answer, operations that still wait are over the limit unless
-# a transfer was in flight, which has arrived by then.
-ANSWERED_TIMEOUT_MS: Final = 45
 # The host that counts and the next one in the ranking.
 MAX_HOSTS_ASKED: Final = 2
 # Time after which a host that reaches no counting host has usually
@@ -63,18 +55,37 @@
 # nearly all hosts have one.  A caller that is refused meanwhile uses up
 # a retry and comes back later than the list.
 FIRST_LIST_TIMEOUT_MS: Final = 500
-# Hosts that started together open their links and admit what has waited
-# at the same time, each on part of a core.
 SETTLING_MS: Final = 1_000
-SETTLING_REQUEST_TIMEOUT_MS: Final = 150
-SETTLING_ADMIT_TIMEOUT_MS: Final = 300
-SETTLING_ANSWERED_TIMEOUT_MS: Final = 150
 CLEAN_INTERVAL_MS: Final = 1_000
 # A team without a refusal for this long is no longer refused.
 REFUSED_HOLD_MS: Final = 5_000
 IDLE_MS: Final = 60_000
 
 
+@attrs.frozen(kw_only=True)
+class _Timeouts:
+    """Times after which an operation no longer waits for a token.
+
+    :param admit_ms: for all of its wait
+    :param answered_ms: after an answer; it is over the limit then
+        unless a transfer was in flight, which has arrived by that time
+    :param request_ms: for the answer of one host, which includes a
+        transfer between data centres
+    """
+
+    admit_ms: int
+    answered_ms: int
+    request_ms: int
+
+
+# A refusal after a quarter of the latency objective (400 ms and more)
+# would be late.
+_USUAL: Final = _Timeouts(admit_ms=90, answered_ms=45, request_ms=50)
+# Hosts that started together open their links and admit what has waited
+# at the same time, each on part of a core.
+_SETTLING: Final = _Timeouts(admit_ms=300, answered_ms=150, request_ms=150)
+
+
 @attrs.frozen(kw_only=True)
 class AdmissionToken:
     """Token with which one operation of a team was admitted.
@@ -223,16 +234,7 @@
         if share is None:
             return NO_TOKEN
         now_ns = clock_ns()
-        ask = self._asks.get(team)
-        if ask is None:
-            ask = self._asks[team] = _Ask(
-                team=team,
-                stock=TokenStock(
-                    token_age_ns=self.settings.token_age_ns,
-                    demand=DemandRate(updated_ns=now_ns),
-                ),
-                returns=ReturnTimes(granted=DemandRate(updated_ns=now_ns)),
-            )
+        ask = self._ask_of(team, now_ns)
         ask.stock.demand.record(1, now_ns)
         if not self._has_hosts.is_set():
             await self._wait_for_hosts(now_ns)
@@ -249,6 +251,19 @@
             return self._grant(ask, deadline_ns)
         return self._decide_without_token(ask, share)
 
+    def _ask_of(self, team: str, now_ns: int) -> _Ask:
+        ask = self._asks.get(team)
+        if ask is None:
+            ask = self._asks[team] = _Ask(
+                team=team,
+                stock=TokenStock(
+                    token_age_ns=self.settings.token_age_ns,
+                    demand=DemandRate(updated_ns=now_ns),
+                ),
+                returns=ReturnTimes(granted=DemandRate(updated_ns=now_ns)),
+            )
+        return ask
+
     def _grant(self, ask: _Ask, deadline_ns: int) -> AdmissionToken:
         self.stats.granted += 1
         ask.returns.granted.record(1, clock_ns())
@@ -282,19 +297,18 @@
         waiter: asyncio.Future[int] = loop.create_future()
         ask.waiters.append(waiter)
         now_ns = clock_ns()
-        timeout_ms, answered_ms = ADMIT_TIMEOUT_MS, ANSWERED_TIMEOUT_MS
-        if now_ns < self.service.settled_ns:
-            timeout_ms = SETTLING_ADMIT_TIMEOUT_MS
-            answered_ms = SETTLING_ANSWERED_TIMEOUT_MS
+        timeouts = self._timeouts(now_ns)
         timers = (
             loop.call_later(
-                answered_ms / 1_000,
+                timeouts.answered_ms / 1_000,
                 self._end_wait_if_answered,
                 ask,
                 waiter,
                 now_ns,
             ),
-            loop.call_later(timeout_ms / 1_000, self._end_wait, ask, waiter),
+            loop.call_later(
+                timeouts.admit_ms / 1_000, self._end_wait, ask, waiter
+            ),
         )
         if not ask.is_asking:
             ask.is_asking = True
@@ -305,6 +319,9 @@
             for timer in timers:
                 timer.cancel()
 
+    def _timeouts(self, now_ns: int) -> _Timeouts:
+        return _SETTLING if now_ns < self.service.settled_ns else _USUAL
+
     def _end_wait_if_answered(
         self, ask: _Ask, waiter: asyncio.Future[int], start_ns: int
     ) -> None:
@@ -404,11 +421,11 @@
                 transfer=False,
                 on_answer=on_answer,
             )
-        timeout_ms = REQUEST_TIMEOUT_MS
-        if sent_ns < self.service.settled_ns:
-            timeout_ms = SETTLING_REQUEST_TIMEOUT_MS
         timer = loop.call_later(
-            timeout_ms / 1_000, self._handle_silence, future, host
+            self._timeouts(sent_ns).request_ms / 1_000,
+            self._handle_silence,
+            future,
+            host,
         )
         try:
             return await future
