--- a/src/rosemarysaddle/node/_host_metrics.py
+++ b/src/rosemarysaddle/node/_host_metrics.py
@@ -33,6 +33,7 @@
     )
 
     from rosemarysaddle._contacts import ContactLog
+    from rosemarysaddle._durations import DurationHistogram
     from rosemarysaddle._prometheus import Metric
     from rosemarysaddle.connection import ConnectionPool, Lender
     from rosemarysaddle.decide import ClusterState, ControlNode, EntryNode
@@ -226,26 +227,25 @@
         labels=("database", "result"),
         values=dict(stats.results),
     )
-    found = {name: stats.histogram(name) for name in stats.databases}
-    yield Histogram(
-        name=f"{_PREFIX}statement_seconds",
-        help_text="Time from a statement's arrival to its answer",
-        label="database",
-        bounds_s=tuple(bound / 1_000 for bound in LATENCY_BOUNDS_MS),
-        values={k: (c, s / NS_PER_S) for k, (c, s) in found.items()},
+    yield _durations(
+        "statement_seconds",
+        "Time from a statement's arrival to its answer",
+        "database",
+        LATENCY_BOUNDS_MS,
+        stats.latencies,
     )
 
 
 def _stage_metrics(stats: StageStats) -> Iterator[Metric]:
     found = list(stats.histograms.items())
     for stage in Stage:
-        yield Histogram(
-            name=f"{_PREFIX}stage_{stage}_seconds",
-            help_text="Time of statements in this stage, by class",
-            label="class",
-            bounds_s=tuple(bound / 1_000 for bound in STAGE_BOUNDS_MS),
-            values={
-                label: (histogram.cumulative(), histogram.sum_ns / NS_PER_S)
+        yield _durations(
+            f"stage_{stage}_seconds",
+            "Time of statements in this stage, by class",
+            "class",
+            STAGE_BOUNDS_MS,
+            {
+                label: histogram
                 for (label, of_stage), histogram in found
                 if of_stage is stage
             },
@@ -397,18 +397,12 @@
         labels=("priority", "reason"),
         values=refused,
     )
-    yield Histogram(
-        name=f"{_PREFIX}queue_wait_seconds",
-        help_text="Time for which requests waited for a connection",
-        label="priority",
-        bounds_s=tuple(bound / 1_000 for bound in QUEUE_WAIT_BOUNDS_MS),
-        values={
-            str(priority): (
-                histogram.cumulative(),
-                histogram.sum_ns / NS_PER_S,
-            )
-            for priority, histogram in waits.waits.items()
-        },
+    yield _durations(
+        "queue_wait_seconds",
+        "Time for which requests waited for a connection",
+        "priority",
+        QUEUE_WAIT_BOUNDS_MS,
+        {str(priority): waits.waits[priority] for priority in waits.waits},
     )
 
 
@@ -450,17 +444,12 @@
             labels=(label,),
             values={(key,): value for key, value in values.items()},
         )
-    yield Histogram(
-        name=f"{_PREFIX}limit_wait_seconds",
-        help_text="Time that admitted operations waited for a token",
-        label="result",
-        bounds_s=tuple(bound / 1_000 for bound in WAIT_BOUNDS_MS),
-        values={
-            "granted": (
-                stats.waits.cumulative(),
-                stats.waits.sum_ns / NS_PER_S,
-            )
-        },
+    yield _durations(
+        "limit_wait_seconds",
+        "Time that admitted operations waited for a token",
+        "result",
+        WAIT_BOUNDS_MS,
+        {"granted": stats.waits},
     )
     yield _gauge(
         "limit_refused_teams", "Teams refused here now", limits.refused_teams
@@ -477,6 +466,25 @@
     return Gauge(name=_PREFIX + name, help_text=help_text, values={"": value})
 
 
+def _durations(
+    name: str,
+    help_text: str,
+    label: str,
+    bounds_ms: Sequence[int],
+    histograms: Mapping[str, DurationHistogram],
+) -> Histogram:
+    return Histogram(
+        name=_PREFIX + name,
+        help_text=help_text,
+        label=label,
+        bounds_s=tuple(bound / 1_000 for bound in bounds_ms),
+        values={
+            value: (histogram.cumulative(), histogram.sum_ns / NS_PER_S)
+            for value, histogram in list(histograms.items())
+        },
+    )
+
+
 def _labelled_gauge(
     name: str, help_text: str, label: str, values: Mapping[str, float]
 ) -> Gauge:
--- a/src/rosemarysaddle/session/_statement_stats.py
+++ b/src/rosemarysaddle/session/_statement_stats.py
@@ -34,12 +34,13 @@
 
     :param results: number of statements by database and result, which
         is ``done`` or the reason of a refusal
+    :param latencies: times from arrival to answer, by database
     """
 
     results: collections.Counter[tuple[str, str]] = attrs.field(
         factory=collections.Counter, init=False
     )
-    _latencies: dict[str, DurationHistogram] = attrs.field(
+    latencies: dict[str, DurationHistogram] = attrs.field(
         factory=dict, init=False
     )
 
@@ -51,23 +52,8 @@
             nanoseconds
         """
         self.results[database, result] += 1
-        latencies = self._latencies.get(database)
+        latencies = self.latencies.get(database)
         if latencies is None:
             latencies = DurationHistogram(bounds_ms=LATENCY_BOUNDS_MS)
-            self._latencies[database] = latencies
+            self.latencies[database] = latencies
         latencies.record(spent_ns)
-
-    def histogram(self, database: str) -> tuple[list[int], int]:
-        """Return the latency histogram of a database.
-
-        :return: cumulative counts, one for each of
-            ``LATENCY_BOUNDS_MS`` and the last for all statements, and
-            the sum of the latencies in nanoseconds
-        """
-        latencies = self._latencies[database]
-        return latencies.cumulative(), latencies.sum_ns
-
-    @property
-    def databases(self) -> list[str]:
-        """Databases with recorded statements, sorted by name."""
-        return sorted(self._latencies)
