Do not wait for a voter that cannot win an election

Found by reading: a voter left each poll that it supported 100 ms, and a rival with an earlier name 260 ms, every time, also one that receives nothing though it sends, or that lacks entries. Now a voter waits for each other one once until it has polled itself, and only for rivals that could win: with all of its entries, and not of an earlier term. Ruled out: shorter votes (80 and 60 ms), whose second tries collide.

--- a/benchmarks/election.py
+++ b/benchmarks/election.py
@@ -50,6 +50,7 @@
 FIRST_LAUNCH_MS: Final = 5_000.0
 LAUNCH_SPREAD_MS: Final = 400.0
 END_MS: Final = 15_000.0
+NEWEST_ENTRY: Final = LogEntry(index=1, term=2, kind="noop", payload="{}")
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -58,12 +59,16 @@
 
     :param start_ms: bounds of the time from launch to listening
     :param lost: voters that stay down
+    :param deaf: voters that receive nothing, though they send
+    :param behind: voters that lack the newest entry
     :param leader_ms: time of the first current leader
     """
 
     seed: int
     start_ms: tuple[float, float] = SLOW_START_MS
     lost: tuple[str, ...] = ()
+    deaf: tuple[str, ...] = ()
+    behind: tuple[str, ...] = ()
     leader_ms: float = attrs.field(default=math.inf, init=False)
     _logs: dict[str, LogNode] = attrs.field(factory=dict, init=False)
     _listen_ms: list[float] = attrs.field(factory=list, init=False)
@@ -100,7 +105,7 @@
             term=2,
             voted_for="a",
             snapshot_voters=",".join(VOTERS),
-            entries=(LogEntry(index=1, term=2, kind="noop", payload="{}"),),
+            entries=() if voter in self.behind else (NEWEST_ENTRY,),
         )
         self._logs[voter] = LogNode(
             host=voter,
@@ -138,6 +143,8 @@
                 )
 
     def _deliver(self, source: str, send: Send) -> None:
+        if send.peer in self.deaf:
+            return
         log = self._logs[send.peer]
         effects = log.receive(source, send.message, self._now_ns)
         self._execute(send.peer, effects)
--- a/src/rosemarysaddle/decide/control_log/_election.py
+++ b/src/rosemarysaddle/decide/control_log/_election.py
@@ -26,7 +26,7 @@
 # votes are split.
 VOTE_TIMEOUT_MS: Final = 100
 # Longest random delay before a vote that was not won is tried again.
-MAX_RETRY_DELAY_MS: Final = 160
+MAX_RETRY_DELAY_MS: Final = 100
 
 
 @attrs.define(kw_only=True)
@@ -55,6 +55,7 @@
     _has_seen_leader: bool = attrs.field(default=False, init=False)
     _votes: set[str] = attrs.field(factory=set, init=False)
     _restarted: set[str] = attrs.field(factory=set, init=False)
+    _yielded_to: set[str] = attrs.field(factory=set, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Set the timers for the start of the host."""
@@ -74,17 +75,24 @@
         delay_ms += next(self.jitter_ms) % POLL_JITTER_MS
         self.due_ns = now_ns + delay_ms * NS_PER_MS
 
-    def yield_to(self, now_ns: int, *, is_rival: bool = False) -> None:
+    def yield_to(
+        self, voter: str, now_ns: int, *, is_rival: bool = False
+    ) -> None:
         """Leave another voter the time to be elected.
 
-        Voters that stand at the same time would split the votes.
+        Voters that stand at the same time would split the votes.  Each
+        voter is left the time once until this host has polled itself:
+        one that hears no answers would poll for ever.
 
         :param is_rival: whether both stand now, so that the other one
             has to try again
         """
+        if voter in self._yielded_to:
+            return
+        self._yielded_to.add(voter)
         delay_ms = VOTE_TIMEOUT_MS
         if is_rival:
-            delay_ms += MAX_RETRY_DELAY_MS
+            delay_ms += MAX_RETRY_DELAY_MS + VOTE_TIMEOUT_MS
         self.due_ns = max(self.due_ns, now_ns + delay_ms * NS_PER_MS)
 
     # --- leaders ---
@@ -126,6 +134,7 @@
     def start_pre_vote(self, now_ns: int) -> None:
         """Start to ask whether an election could succeed."""
         self.is_pre_vote = True
+        self._yielded_to.clear()
         self._votes = {self.host}
         self._restarted = {self.host} if self.has_seen_no_leader else set()
         self.poll_soon(now_ns)
--- a/src/rosemarysaddle/decide/control_log/_log.py
+++ b/src/rosemarysaddle/decide/control_log/_log.py
@@ -443,19 +443,29 @@
             self._become_follower(request.term, now_ns)
             effects.append(self._set_term(request.term, ""))
         granted = self._may_vote(request)
-        if self.role is Role.CANDIDATE and source < self.host:
-            self._election.yield_to(now_ns, is_rival=True)
+        if self._is_rival(request) and source < self.host:
+            self._election.yield_to(source, now_ns, is_rival=True)
         elif granted and request.pre:
-            self._election.yield_to(now_ns)
+            self._election.yield_to(source, now_ns)
         elif granted:
             self._election.postpone(now_ns)
             effects.append(self._set_term(request.term, request.candidate))
         reply = self._vote_reply(source, request, now_ns, granted=granted)
         return [*effects, reply]
 
-    def _may_vote(self, request: VoteRequest) -> bool:
+    def _is_rival(self, request: VoteRequest) -> bool:
+        """Tell whether a candidate could win the vote of this one."""
+        if self.role is not Role.CANDIDATE or not self._holds_enough(request):
+            return False
+        return request.term >= self.term + request.pre
+
+    def _holds_enough(self, request: VoteRequest) -> bool:
+        """Tell whether a candidate holds all entries of this host."""
         own_last = (self._entries.term_at(self.last_index), self.last_index)
-        if (request.last_term, request.last_index) < own_last:
+        return (request.last_term, request.last_index) >= own_last
+
+    def _may_vote(self, request: VoteRequest) -> bool:
+        if not self._holds_enough(request):
             return False
         if request.pre:
             return request.term > self.term
--- a/tests/decide/test_election.py
+++ b/tests/decide/test_election.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
 from benchmarks.election import (
@@ -36,3 +38,23 @@
 
     assert times_ms[len(times_ms) * 9 // 10] <= TARGET_MS
     assert times_ms[-1] <= 1_000
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        pytest.param({"deaf": ("a",)}, id="first one hears nothing"),
+        pytest.param({"deaf": ("a", "b")}, id="two hear nothing"),
+        pytest.param({"behind": ("a", "b")}, id="two lack an entry"),
+        pytest.param({"deaf": ("a",), "behind": ("b",)}, id="both"),
+    ],
+)
+def test_voter_that_cannot_win_prevents_no_election(
+    fault: dict[str, Any],
+) -> None:
+    """Guards against hosts that wait for one that polls in vain."""
+    for seed in SEEDS:
+        play = ElectionPlay(seed=seed, **fault)
+        play.run()
+
+        assert play.after_possible_ms <= 2_500
