Say why the launcher reads the clock before its imports

The comment claimed that the imports outlast the answers of an earlier process, which they need not. Comment only; formatter, linter, types and the tests of the launcher pass.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -22,8 +22,9 @@
     # Nearly all objects that imports create stay: looking for others
     # takes a twentieth of the start. The node enables it again.
     gc.disable()
-    # On the clock of leases, which `rosemarysaddle._clock` reads.  The
-    # imports take longer than any answer of an earlier process counts.
+    # On the clock of leases, which `rosemarysaddle._clock` reads.  An
+    # earlier process has answered no leader since then, so the wait
+    # before the first vote includes the imports.
     started_ns = time.clock_gettime_ns(time.CLOCK_BOOTTIME)
     platform, node = import_packages()
     status: int = node.run_node(
