Log and count what happens when a target leaves

Nothing told when a host learns that a target leaves, that the stop was acknowledged, that a departure is due or what it waits for, nor that work still starts at a leaving target.

Now: event=stop-acknowledged and event=departure at control hosts, event=target-leaving and event=work-at-leaving-target at entry hosts, the gauge leaving_primaries at both, and a histogram of the age of the announcement at each start of work at a leaving target.

No logic is changed.

--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -147,6 +147,10 @@
         promotion_quorum,
         write_quorum,
     )
+    from rosemarysaddle.decide.primaries._departure import (
+        Departure,
+        DepartureStatus,
+    )
     from rosemarysaddle.decide.primaries._registry import is_update
     from rosemarysaddle.decide.primaries._terms import GroupTerm
     from rosemarysaddle.decide.reads._freshness import (
@@ -190,6 +194,8 @@
     "ControlNode",
     "CountingHosts",
     "DemandRate",
+    "Departure",
+    "DepartureStatus",
     "DocumentKind",
     "Effect",
     "EntryKind",
@@ -388,6 +394,7 @@
             "promotion_quorum",
             "write_quorum",
         ),
+        "primaries._departure": ("Departure", "DepartureStatus"),
         "primaries._registry": ("is_update",),
         "primaries._terms": ("GroupTerm",),
         "reads._freshness": ("PositionHistory", "newer_point"),
--- a/src/rosemarysaddle/decide/control_log/_state.py
+++ b/src/rosemarysaddle/decide/control_log/_state.py
@@ -189,6 +189,16 @@
         instances = tuple(_as_instance(r) for r in records)
         return Group(name=name, instances=instances)
 
+    def leaving_primaries(self) -> list[TargetRecord]:
+        """List the primaries of open groups that are about to stop."""
+        return [r for r in self.targets.leaving if self._is_open_primary(r)]
+
+    def _is_open_primary(self, record: TargetRecord) -> bool:
+        term = self.terms.get(record.group)
+        return (
+            term is not None and term.is_open and term.primary == record.target
+        )
+
     def tenant(self, name: str) -> Tenant | None:
         """Look up a tenant by name."""
         return self.inventory.tenants.get(name)
--- a/src/rosemarysaddle/decide/load/_load_balancing.py
+++ b/src/rosemarysaddle/decide/load/_load_balancing.py
@@ -55,6 +55,8 @@
         centre and the target's, see :func:`compute_transfer_cost_ns`
     :param slots: statements that the target runs at once
     :param leaving: whether it announced its planned stop
+    :param leaving_since_ns: time at which this host learned of that; 0
+        if it does not leave
     :param running: statements of this host that run there
     :param queued: statements of this host in its admission queue
     :param latency_ns: moving average of the time a statement takes
@@ -77,6 +79,7 @@
     transfer_cost_ns: int = 0
     slots: int = 1
     leaving: bool = False
+    leaving_since_ns: int = 0
     running: int = 0
     queued: int = 0
     latency_ns: int = INITIAL_LATENCY_NS
--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -31,6 +31,10 @@
     eligible_reports,
     promotion_quorum,
 )
+from rosemarysaddle.decide.primaries._departure import (
+    Departure,
+    DepartureStatus,
+)
 from rosemarysaddle.decide.primaries._succession import (
     SuccessorCriteria,
     choose_successor,
@@ -48,6 +52,7 @@
     from collections.abc import Sequence
 
     from rosemarysaddle.decide.control_log._context import LeaderContext
+    from rosemarysaddle.decide.primaries._registry import TargetRecord
     from rosemarysaddle.decide.primaries._terms import GroupTerm
     from rosemarysaddle.schema import Group
 
@@ -295,6 +300,37 @@
         self.changes[group] = change
         return self._promote(change, now_ns)
 
+    def departures(self, now_ns: int) -> list[Departure]:
+        """List the groups whose primary leaves or is being replaced.
+
+        :param now_ns: monotonic time, in nanoseconds
+        """
+        return [
+            Departure(
+                group=record.group,
+                primary=record.target,
+                status=self._departure_status(record, now_ns),
+            )
+            for record in self.context.state.targets.leaving
+            if self._is_primary(record)
+        ]
+
+    def _is_primary(self, record: TargetRecord) -> bool:
+        term = self.context.state.terms.get(record.group)
+        return term is not None and term.primary == record.target
+
+    def _departure_status(
+        self, record: TargetRecord, now_ns: int
+    ) -> DepartureStatus:
+        change = self.changes.get(record.group)
+        if change is not None:
+            return DepartureStatus.CHANGING
+        if not self.context.lists_all_leases(now_ns):
+            return DepartureStatus.WAITS_FOR_LEASES
+        if not self._choose_replacement(record.group, record.target):
+            return DepartureStatus.NO_OTHER_TARGET
+        return DepartureStatus.DUE
+
     def _replace_leaving_primaries(self, now_ns: int) -> list[Effect]:
         effects: list[Effect] = []
         # A change now would block writes until the leases of an earlier
--- a/src/rosemarysaddle/decide/primaries/_registry.py
+++ b/src/rosemarysaddle/decide/primaries/_registry.py
@@ -76,6 +76,9 @@
     _by_address: dict[str, TargetRecord] = attrs.field(
         factory=dict, init=False, eq=False
     )
+    _leaving: dict[str, TargetRecord] = attrs.field(
+        factory=dict, init=False, eq=False
+    )
 
     def __attrs_post_init__(self) -> None:
         """Build the indexes of the records."""
@@ -120,15 +123,23 @@
         """Find the target registered at an address."""
         return self._by_address.get(address)
 
+    @property
+    def leaving(self) -> list[TargetRecord]:
+        """Targets that have announced their planned stop."""
+        return list(self._leaving.values())
+
     def _index(self, record: TargetRecord) -> None:
         self._by_group.setdefault(record.group, {})[record.target] = record
         self._by_address[record.address] = record
+        if record.leaving:
+            self._leaving[record.target] = record
 
     def _unindex(self, record: TargetRecord) -> None:
         group = self._by_group[record.group]
         del group[record.target]
         if not group:
             del self._by_group[record.group]
+        self._leaving.pop(record.target, None)
         if self._by_address.get(record.address) is record:
             del self._by_address[record.address]
 
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -48,6 +48,7 @@
     unwrap_relayed,
     wrap_relayed,
 )
+from rosemarysaddle.node._departure_log import DepartureLog
 from rosemarysaddle.node._follower_log import FollowerLog
 from rosemarysaddle.node._identity import (
     load_or_create_host_name,
@@ -79,7 +80,7 @@
     from collections.abc import Iterable, Sequence
 
     from rosemarysaddle._prometheus import Metric
-    from rosemarysaddle.decide import Effect
+    from rosemarysaddle.decide import Departure, Effect
     from rosemarysaddle.node._platform import Platform
     from rosemarysaddle.schema import Message, Node
     from rosemarysaddle.web import HttpServer
@@ -136,6 +137,9 @@
     _jobs: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
     _logged_state: tuple[object, ...] = attrs.field(default=(), init=False)
     _follower_log: FollowerLog = attrs.field(factory=FollowerLog, init=False)
+    _departure_log: DepartureLog = attrs.field(
+        factory=DepartureLog, init=False
+    )
     _leader_known: asyncio.Event = attrs.field(
         factory=asyncio.Event, init=False
     )
@@ -366,11 +370,19 @@
 
     async def _announce(self, announcement: Announcement) -> bool:
         deadline_ns = clock_ns() + ANSWER_TIMEOUT_MS * NS_PER_MS
+        is_new = is_update(announcement, self.control.state.targets)
         while is_update(announcement, self.control.state.targets):
             if self.is_stopping or clock_ns() >= deadline_ns:
                 return False
             self._send_to_leader(announcement)
             await self._wait_change(RESEND_INTERVAL_S)
+        if announcement.leaving:
+            log_event(
+                "stop-acknowledged",
+                f"target={announcement.target} group={announcement.group}"
+                f" gone={announcement.gone} first={is_new}"
+                f" index={self.control.state.index}",
+            )
         return True
 
     async def _propose_change(
@@ -436,9 +448,15 @@
             now_ns = clock_ns()
             self._execute_effects(self.control.tick(now_ns))
             self._follower_log.update(self.control.log, now_ns)
+            self._departure_log.update(self._departures(now_ns), now_ns)
             self._record_start(now_ns)
             await asyncio.sleep(CONTROL_TICK_S)
 
+    def _departures(self, now_ns: int) -> list[Departure]:
+        if not self.control.leads(now_ns):
+            return []
+        return self.control.primaries.departures(now_ns)
+
     def _record_start(self, now_ns: int) -> None:
         record, leads = self._timeline.record, self.control.leads(now_ns)
         record(StartStep.LEADER_KNOWN, reached=bool(self.control.log.leader))
--- a/src/rosemarysaddle/node/_host_metrics.py
+++ b/src/rosemarysaddle/node/_host_metrics.py
@@ -19,6 +19,7 @@
     LATENCY_BOUNDS_MS,
     STAGE_BOUNDS_MS,
     WAIT_BOUNDS_MS,
+    WORK_AGE_BOUNDS_MS,
     Stage,
 )
 
@@ -116,6 +117,14 @@
     yield _gauge("lease_left_seconds", "Time left on the lease", left_s)
     yield from _state_metrics(node.state)
     yield from _target_metrics(router)
+    yield _durations(
+        "leaving_target_work_age_seconds",
+        "Time since the announced stop of a target at each start of work"
+        " there",
+        "role",
+        WORK_AGE_BOUNDS_MS,
+        {str(role): ages for role, ages in router.leaving.work_ages.items()},
+    )
     if router.rate_limits.is_enabled:
         yield from _limit_metrics(router.rate_limits)
     yield _gauge(
@@ -290,6 +299,11 @@
     yield _labelled_gauge(
         "group_serving", "Whether its primary serves", "group", serving
     )
+    yield _gauge(
+        "leaving_primaries",
+        "Open groups whose primary has announced its planned stop",
+        len(state.leaving_primaries()),
+    )
 
 
 def _target_metrics(router: Router) -> Iterator[Metric]:
--- a/src/rosemarysaddle/session/__init__.py
+++ b/src/rosemarysaddle/session/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from rosemarysaddle.session._caller import CallerCodec, CallerSession
+from rosemarysaddle.session._leaving_targets import WORK_AGE_BOUNDS_MS
 from rosemarysaddle.session._rate_limits import RateLimits
 from rosemarysaddle.session._router import (
     MAX_PLAN_AGE_MS,
@@ -27,6 +28,7 @@
     "MAX_PLAN_AGE_MS",
     "STAGE_BOUNDS_MS",
     "WAIT_BOUNDS_MS",
+    "WORK_AGE_BOUNDS_MS",
     "CallerCodec",
     "CallerSession",
     "RateLimits",
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -41,6 +41,7 @@
 from rosemarysaddle.link import Address
 from rosemarysaddle.session._admission import AdmissionQueue
 from rosemarysaddle.session._lagging_replicas import LaggingReplicas
+from rosemarysaddle.session._leaving_targets import LeavingTargets
 from rosemarysaddle.session._positions import PositionTracker
 from rosemarysaddle.session._rate_limits import RateLimits
 from rosemarysaddle.session._stages import StageStats
@@ -126,6 +127,7 @@
     loan_client: LoanClient = attrs.field(init=False)
     positions: PositionTracker = attrs.field(init=False)
     lagging: LaggingReplicas = attrs.field(init=False)
+    leaving: LeavingTargets = attrs.field(factory=LeavingTargets, init=False)
     stage_stats: StageStats = attrs.field(factory=StageStats, init=False)
     statement_stats: StatementStats = attrs.field(
         factory=StatementStats, init=False
@@ -471,7 +473,9 @@
             if target_state is None or _is_outdated(target_state, record):
                 self._add_target(name)
                 target_state = self.targets[name]
-            target_state.leaving = record.leaving
+            self.leaving.update(
+                target_state, record, index=self.node.state.index
+            )
             self.pools[name].apply_share(self._compute_share(record))
         self.notify_waiters()
 
--- a/src/rosemarysaddle/session/_target_access.py
+++ b/src/rosemarysaddle/session/_target_access.py
@@ -25,6 +25,7 @@
     shared_name,
 )
 from rosemarysaddle.session import _deadlines
+from rosemarysaddle.session._leaving_targets import WorkRole
 from rosemarysaddle.session._stages import Stage, StageTimes, service_class
 
 if TYPE_CHECKING:
@@ -106,11 +107,26 @@
         )
         self.stages.add(Stage.CONNECTION, asked_ns)
         self._record_wait(target, connection, asked_ns)
-        if isinstance(connection, OpenFault) or self.may_run():
+        if isinstance(connection, OpenFault):
+            return connection
+        if self.may_run():
+            self._record_new_work(target)
             return connection
         self._release(connection)
         return OpenFault(code=FaultCode.BUSY, peer=target)
 
+    def _record_new_work(self, target: str) -> None:
+        target_state = self.router.targets.get(target)
+        if target_state is None:
+            return
+        term = self.router.node.state.terms.get(target_state.group)
+        is_primary = term is not None and term.primary == target
+        self.router.leaving.record_new_work(
+            target_state,
+            WorkRole.PRIMARY if is_primary else WorkRole.REPLICA,
+            clock_ns(),
+        )
+
     def _record_wait(
         self,
         target: str,
