Examine a group until its primary stays

Callers' writes went on to a primary that had announced its stop, until it ended. Cause: the leader examined a leaving primary once. The check was used up when the planned change started, and a change that ended with the same primary left nothing that started another one.

Ruled out: a plan without the group for a while (each newer plan marks its groups as changed).

--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -100,6 +100,7 @@
     _evidence: dict[str, Evidence] = attrs.field(factory=dict, init=False)
     _groups_to_open: set[str] = attrs.field(factory=set, init=False)
     _confirming: set[str] = attrs.field(factory=set, init=False)
+    # Groups whose primary may leave; the others are not examined.
     _departure_checks: set[str] = attrs.field(factory=set, init=False)
     _grace_until_ns: dict[str, int] = attrs.field(factory=dict, init=False)
 
@@ -135,7 +136,11 @@
         """Advance a change whose log entry has been committed."""
         if entry.kind not in {EntryKind.CLOSE, EntryKind.OPEN}:
             return []
-        change = self.changes.get(json.loads(entry.payload)["group"])
+        group = json.loads(entry.payload)["group"]
+        if entry.kind == EntryKind.OPEN:
+            # The new primary may have announced its stop meanwhile.
+            self._departure_checks.add(group)
+        change = self.changes.get(group)
         if change is None:
             return []
         if entry.kind == EntryKind.CLOSE and change.phase is Phase.CLOSE:
@@ -327,37 +332,44 @@
             return DepartureStatus.CHANGING
         if not self.context.lists_all_leases(now_ns):
             return DepartureStatus.WAITS_FOR_LEASES
-        if not self._choose_replacement(record.group, record.target):
+        if not self._choose_replacement(record.group):
             return DepartureStatus.NO_OTHER_TARGET
         return DepartureStatus.DUE
 
     def _replace_leaving_primaries(self, now_ns: int) -> list[Effect]:
+        """Start the planned changes that are due.
+
+        A group is examined until its primary stays, as a change may end
+        with another primary that leaves, or be impossible for now.
+        """
         effects: list[Effect] = []
         # A change now would block writes until the leases of an earlier
         # leader have expired.  A leaving target serves for longer than
         # that, so the change can wait.
         if not self.context.lists_all_leases(now_ns):
             return effects
-        for group in list(self._departure_checks):
+        for group in sorted(self._departure_checks - self.changes.keys()):
             term = self.context.state.terms.get(group)
-            if group in self.changes:
+            if not self._is_departing(group, term):
+                self._departure_checks.discard(group)
                 continue
-            self._departure_checks.discard(group)
-            if term is None or not term.is_open:
-                continue
-            replacement = self._choose_replacement(group, term.primary)
+            replacement = self._choose_replacement(group)
             if replacement:
                 effects.extend(
                     self.start_planned_change(group, replacement, now_ns)
                 )
         return effects
 
-    def _choose_replacement(self, group: str, primary: str) -> str:
+    def _is_departing(self, group: str, term: GroupTerm | None) -> bool:
+        """Tell whether the primary of an open group leaves or left."""
+        if term is None or not term.is_open or not self._is_route_group(group):
+            return False
+        record = self.context.state.targets.records.get(term.primary)
+        return record is None or record.group != group or record.leaving
+
+    def _choose_replacement(self, group: str) -> str:
         records = self.context.state.targets.of_group(group)
-        staying = [r.target for r in records if not r.leaving]
-        if primary in staying or not self._is_route_group(group):
-            return ""
-        return staying[0] if staying else ""
+        return next((r.target for r in records if not r.leaving), "")
 
     def _is_fully_announced(self, group: Group) -> bool:
         if self._is_route_group(group.name):
--- a/tests/decide/announced_group.py
+++ b/tests/decide/announced_group.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
@@ -17,6 +17,9 @@
 from rosemarysaddle.schema import Announcement, ChangeProposal, LeaseRenewal
 from tests.helpers import NS_PER_MS, make_leader
 
+if TYPE_CHECKING:
+    from collections.abc import Collection, Mapping
+
 __all__ = ("PLAN", "TARGETS", "Harness")
 
 START_NS = 10_000 * NS_PER_MS
@@ -127,6 +130,52 @@
         ]
         self._take(self.leader.on_probe("g", attempt, reports, self.now_ns))
 
+    def run(
+        self,
+        spent_ms: int,
+        answering: Collection[str] = TARGETS,
+        *,
+        positions: Mapping[str, int] | None = None,
+    ) -> list[str]:
+        """Advance the time while some targets answer probes.
+
+        Every promotion succeeds at once.
+
+        :param positions: log position of each target; 7 if not given
+        :return: targets that were promoted, in order
+        """
+        promoted = []
+        for _ in range(0, spent_ms, 50):
+            self.effects.clear()
+            self.elapse(50)
+            for probe in self.found(ProbeGroup):
+                reports = [
+                    self._report(target, (positions or {}).get(target, 7))
+                    for target in answering
+                ]
+                found = self.leader.on_probe(
+                    "g", probe.attempt, reports, self.now_ns
+                )
+                self._take(found)
+            for order in self.found(PromoteTarget):
+                self._take(
+                    self.leader.on_promoted(
+                        "g", order.term, done=True, now_ns=self.now_ns
+                    )
+                )
+                promoted.append(order.target)
+        return promoted
+
+    def _report(self, target: str, position: int) -> TargetReport:
+        term = self.leader.state.terms["g"]
+        return TargetReport(
+            target=target,
+            reachable=True,
+            role="primary" if target == term.primary else "replica",
+            term=1,
+            position=position,
+        )
+
     def promoted(self) -> None:
         """Confirm the newest order to promote."""
         order = self.found(PromoteTarget)[-1]
