Never open a group again with a primary that must go

If no other target answered the leader for 5 s, a planned change ended with the former primary, though it had announced its stop. Callers' new work went on to it past the bound of 7 s after the acknowledgement.

Now the group stays closed while another target is registered that stays, and opens as soon as one answers. A replica that answers only then gets the usual 5 s to catch up with the former primary; without that, the writes that only the primary holds would be lost at once. A group in which no target stays keeps its primary, as before.

Cost: writes of such a group are refused for longer where the other targets are out of reach of control only, by what the leaving target would have served beyond its bound.

--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -38,6 +38,7 @@
 from rosemarysaddle.decide.primaries._succession import (
     SuccessorCriteria,
     choose_successor,
+    find_candidates,
 )
 from rosemarysaddle.schema import (
     Announcement,
@@ -618,9 +619,13 @@
         state = self.context.state
         term = state.terms.get(change.group)
         records = state.targets.of_group(change.group)
+        former = "" if term is None else term.primary
         criteria = SuccessorCriteria(
-            former="" if term is None else term.primary,
+            former=former,
             leaving={r.target for r in records if r.leaving},
+            others_stay=any(
+                r.target != former for r in records if not r.leaving
+            ),
             allow_lagging=now_ns >= change.candidate_deadline_ns,
             keeps_former=change.keeps_former,
             reuse_former=change.keeps_former
@@ -628,6 +633,14 @@
         )
         choice = choose_successor(reports, criteria)
         if choice is None:
+            if criteria.former_must_go and not find_candidates(
+                reports, criteria
+            ):
+                # A replica that answers only now gets the same time to
+                # catch up as one that answered at first.
+                change.candidate_deadline_ns = (
+                    now_ns + CANDIDATE_TIMEOUT_MS * NS_PER_MS
+                )
             change.blocked_reason = (
                 "no eligible target is known to hold all writes of the primary"
             )
--- a/src/rosemarysaddle/decide/primaries/_succession.py
+++ b/src/rosemarysaddle/decide/primaries/_succession.py
@@ -16,7 +16,7 @@
 
     from rosemarysaddle.decide._effects import TargetReport
 
-__all__ = ("SuccessorCriteria", "choose_successor")
+__all__ = ("SuccessorCriteria", "choose_successor", "find_candidates")
 
 
 @attrs.frozen(kw_only=True)
@@ -25,6 +25,8 @@
 
     :param former: primary of the closed term, or empty for a new group
     :param leaving: targets that are about to stop
+    :param others_stay: whether another target than the former primary
+        is registered and stays
     :param allow_lagging: whether a lagging replica may be chosen
     :param keeps_former: whether the former primary may stay
     :param reuse_former: whether the former primary is chosen now if the
@@ -34,9 +36,20 @@
     former: str
     leaving: Collection[str]
     allow_lagging: bool
+    others_stay: bool = False
     keeps_former: bool = False
     reuse_former: bool = False
 
+    @property
+    def former_must_go(self) -> bool:
+        """Tell whether the former primary may not be chosen again.
+
+        A target may stop soon after its announcement, and gets no new
+        work by then.  Without a target that stays, there is no other
+        choice for the writes of the group.
+        """
+        return self.former in self.leaving and self.others_stay
+
 
 def choose_successor(
     reports: Sequence[TargetReport], criteria: SuccessorCriteria
@@ -62,11 +75,7 @@
         # A former primary that was only full holds writes that no
         # replica may have.
         return None
-    candidates = [
-        r
-        for r in answers
-        if r.target not in criteria.leaving and r is not former
-    ]
+    candidates = find_candidates(reports, criteria)
     if not candidates:
         if criteria.keeps_former and not criteria.reuse_former:
             return None
@@ -82,11 +91,27 @@
     return best
 
 
+def find_candidates(
+    reports: Sequence[TargetReport], criteria: SuccessorCriteria
+) -> list[TargetReport]:
+    """List reports of targets that may replace the former primary."""
+    return [
+        r
+        for r in reports
+        if r.reachable
+        and _has_status(r)
+        and r.target not in criteria.leaving
+        and r.target != criteria.former
+    ]
+
+
 def _reuse_former(
     former: TargetReport | None, criteria: SuccessorCriteria
 ) -> TargetReport | None:
     if former is None or not _has_status(former):
         return None
+    if criteria.former_must_go:
+        return None
     leaves = former.target in criteria.leaving
     return former if criteria.allow_lagging or not leaves else None
 
