Do not end a relief with a primary that announced its stop

A relief keeps the former primary where no replica catches up within 600 ms. One that announced its stop meanwhile was promoted again after 650 ms and replaced by another change right after, so callers' writes stopped twice (new test, failed before: t1 was promoted). The change now goes on as a planned one, which waits up to 5 s for a replica.

--- a/src/rosemarysaddle/decide/primaries/_succession.py
+++ b/src/rosemarysaddle/decide/primaries/_succession.py
@@ -84,7 +84,8 @@
     lags = former is not None and (
         not _has_status(former) or _progress(best) < _progress(former)
     )
-    if lags and criteria.reuse_former and _is_readable(former):
+    reuses_former = criteria.reuse_former and not criteria.former_must_go
+    if lags and reuses_former and _is_readable(former):
         return former
     if lags and not criteria.allow_lagging:
         return None
--- a/tests/decide/test_departures.py
+++ b/tests/decide/test_departures.py
@@ -65,3 +65,18 @@
 
     term = harness.leader.state.terms["g"]
     assert (term.primary, term.is_open) == ("t1", True)
+
+
+def test_relief_does_not_end_with_a_primary_that_announced_its_stop() -> None:
+    """Guards against a second change, which stops the writes again."""
+    harness = Harness.open()
+    harness.leader.primaries.start_planned_change(
+        "g", "t2", harness.now_ns, keeps_former=True
+    )
+    harness.announce("t1", leaving=True)
+
+    early = harness.run(1_500, positions={"t1": 9})
+    later = harness.run(500, positions={"t1": 9, "t3": 9})
+
+    assert early == []
+    assert later == ["t3"]
