Make the test of kept status connections find its fault

Opening and status took 200 ms of the 250 ms after which the reader tries a second connection by design, so a pause of 50 ms was enough.

It also passed on code that opens a connection for each status, as the target was confirmed by the first one. Now the promotion takes effect after 400 ms, so several statuses are read, and each wait is 20 ms.

--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -71,6 +71,7 @@
 
     target: FullTarget
     loop: asyncio.AbstractEventLoop
+    delay_s: float = PROMOTE_DELAY_S
     orders: list[PromotionOrder] = attrs.field(factory=list)
 
     def promote(
@@ -81,7 +82,7 @@
             return False
         self.orders.append(order)
         self.loop.call_soon_threadsafe(
-            self.loop.call_later, PROMOTE_DELAY_S, self._take_effect
+            self.loop.call_later, self.delay_s, self._take_effect
         )
         return True
 
@@ -101,11 +102,14 @@
 
 
 async def _promote(
-    target: FullTarget, *, may_be_primary: bool = False
+    target: FullTarget,
+    *,
+    may_be_primary: bool = False,
+    delay_s: float = PROMOTE_DELAY_S,
 ) -> tuple[bool, AcceptingPromoter]:
     server = await asyncio.start_server(target.serve, IP, PORT)
     promoter = AcceptingPromoter(
-        target=target, loop=asyncio.get_running_loop()
+        target=target, loop=asyncio.get_running_loop(), delay_s=delay_s
     )
     orders = _orders(promoter)
     order = PromoteTarget(
@@ -149,10 +153,12 @@
 
 def test_confirmation_waits_in_the_queue_once_for_each_status() -> None:
     """Guards against status reads that add openings to a full queue."""
-    target = FullTarget(wait_s=0.1)
+    # Far below the time after which a second connection is tried.
+    target = FullTarget(wait_s=0.02)
 
-    asyncio.run(_promote(target))
+    asyncio.run(_promote(target, delay_s=0.4))
 
+    assert target.status_reads > 1
     assert target.connections == 1
 
 
