Bound new work at leaving targets at each entry host

Hosts sent writes to whatever primary their lease covers. While the leader waited for leases of an earlier one, or where no other target of the group stays, that went on for as long as the target ran; a statement that waited for a connection was sent without another look.

Each host now keeps a deadline for a leaving target: the newest view known to be without the announcement, plus leaving_work_ms (drainMs of the sheet, 7 s by default), less 1 s for the way. The announcement was acknowledged after that view, so the deadline holds however late the host learned of it. It is checked when a write gets its ticket and again when work gets its connection; a statement refused there was not sent.

Tests of the age of the view and of the settings pass with the new fields.

--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -113,6 +113,8 @@
     :param relay: choice of the neighbours that relay renewals
     :param view_confirmed_ns: monotonic time at which the state held all
         that was committed, as the leader has confirmed; 0 before that
+    :param earlier_view_ns: ``view_confirmed_ns`` of the state before
+        the newest change: what it added was committed later than this
     """
 
     host: str
@@ -135,6 +137,7 @@
     unanswered_since_ns: int = attrs.field(default=0, init=False)
     relay: RelayChoice = attrs.field(init=False)
     view_confirmed_ns: int = attrs.field(default=0, init=False)
+    earlier_view_ns: int = attrs.field(default=0, init=False)
     # Index that the last grant named, and when its renewal was sent.
     _named_view: tuple[int, int] = attrs.field(default=(0, 0), init=False)
     _neighbours_tag: int = attrs.field(default=0, init=False)
@@ -232,6 +235,7 @@
                 self._on_delta(message, now_ns)
             case ViewSnapshot():
                 if message.index > self.state.index:
+                    self.earlier_view_ns = self.view_confirmed_ns
                     self.state = ClusterState.load(message.state)
                     self._confirm_view()
             case Announcement():
@@ -559,6 +563,8 @@
         return []
 
     def _on_delta(self, delta: ViewDelta, now_ns: int) -> None:
+        if delta.entries and delta.entries[-1].index > self.state.index:
+            self.earlier_view_ns = self.view_confirmed_ns
         for entry in delta.entries:
             if entry.index > self.state.index + 1:
                 # Entries are missing; the leader sends them on renewal.
--- a/src/rosemarysaddle/decide/load/_load_balancing.py
+++ b/src/rosemarysaddle/decide/load/_load_balancing.py
@@ -57,6 +57,8 @@
     :param leaving: whether it announced its planned stop
     :param leaving_since_ns: time at which this host learned of that; 0
         if it does not leave
+    :param work_deadline_ns: time from which it gets no new work, if it
+        leaves
     :param running: statements of this host that run there
     :param queued: statements of this host in its admission queue
     :param latency_ns: moving average of the time a statement takes
@@ -80,6 +82,7 @@
     slots: int = 1
     leaving: bool = False
     leaving_since_ns: int = 0
+    work_deadline_ns: int = 0
     running: int = 0
     queued: int = 0
     latency_ns: int = INITIAL_LATENCY_NS
@@ -93,6 +96,10 @@
     _wait_ns: int = attrs.field(default=0, init=False)
     _waited_ns: int = attrs.field(default=0, init=False)
 
+    def takes_new_work(self, now_ns: int) -> bool:
+        """Tell whether new work may still be sent to the target."""
+        return not self.leaving or now_ns < self.work_deadline_ns
+
     def record_latency(self, latency_ns: int) -> None:
         """Add the time that a statement took to the moving average."""
         self.latency_ns += (
--- a/src/rosemarysaddle/node/_entry.py
+++ b/src/rosemarysaddle/node/_entry.py
@@ -129,6 +129,7 @@
                 MAX_PLAN_AGE_MS, settings.revoke_ms or MAX_PLAN_AGE_MS
             ),
             limit_settings=_limit_settings(settings),
+            leaving_work_ms=settings.leaving_work_ms,
         )
         self.lender = Lender(
             find_pool=self.router.own_pool,
--- a/src/rosemarysaddle/schema/_documents.py
+++ b/src/rosemarysaddle/schema/_documents.py
@@ -655,6 +655,8 @@
         process, in seconds
     :param revoke_ms: Time within which a removed key ends open
         sessions, in milliseconds
+    :param leaving_work_ms: Time after the acknowledgement of a target's
+        planned stop for which new work may reach it, in milliseconds
     :param limit_window_s: Window over which the rate limits of teams
         are checked, in seconds; 0 disables them
     :param limit_overage: Fraction by which a team may exceed its limit
@@ -683,6 +685,7 @@
         "tolerated_hosts",
         "grace_s",
         "revoke_ms",
+        "leaving_work_ms",
         "limit_window_s",
         "limit_overage",
         "limit_slack",
@@ -707,6 +710,7 @@
     tolerated_hosts: int
     grace_s: int
     revoke_ms: int
+    leaving_work_ms: int
     limit_window_s: float
     limit_overage: float
     limit_slack: float
@@ -733,6 +737,7 @@
         tolerated_hosts: int = 1,
         grace_s: int = 6,
         revoke_ms: int = 0,
+        leaving_work_ms: int = 7000,
         limit_window_s: float = 0,
         limit_overage: float = 0,
         limit_slack: float = 0,
@@ -757,6 +762,7 @@
         set_field(self, "tolerated_hosts", tolerated_hosts)
         set_field(self, "grace_s", grace_s)
         set_field(self, "revoke_ms", revoke_ms)
+        set_field(self, "leaving_work_ms", leaving_work_ms)
         set_field(self, "limit_window_s", limit_window_s)
         set_field(self, "limit_overage", limit_overage)
         set_field(self, "limit_slack", limit_slack)
--- a/src/rosemarysaddle/schema/_readers.py
+++ b/src/rosemarysaddle/schema/_readers.py
@@ -92,6 +92,7 @@
         "tolerated_hosts",
         "grace_s",
         "revoke_ms",
+        "leaving_work_ms",
         "limit_window_s",
         "limit_overage",
         "limit_slack",
@@ -232,6 +233,13 @@
         if not item >= 0:
             raise UncheckedError
         fields["revoke_ms"] = item
+    if "leaving_work_ms" in value:
+        item = value["leaving_work_ms"]
+        if type(item) is not int:
+            raise UncheckedError
+        if not item >= 0:
+            raise UncheckedError
+        fields["leaving_work_ms"] = item
     if "limit_window_s" in value:
         item = value["limit_window_s"]
         if type(item) not in {int, float}:
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -41,7 +41,10 @@
 from rosemarysaddle.link import Address
 from rosemarysaddle.session._admission import AdmissionQueue
 from rosemarysaddle.session._lagging_replicas import LaggingReplicas
-from rosemarysaddle.session._leaving_targets import LeavingTargets
+from rosemarysaddle.session._leaving_targets import (
+    LEAVING_WORK_MS,
+    LeavingTargets,
+)
 from rosemarysaddle.session._positions import PositionTracker
 from rosemarysaddle.session._rate_limits import RateLimits
 from rosemarysaddle.session._stages import StageStats
@@ -110,6 +113,8 @@
     :param max_plan_age_ms: age of the plan up to which keys can be
         checked, in milliseconds
     :param limit_settings: settings of the rate limits of teams
+    :param leaving_work_ms: time after the acknowledgement of a target's
+        stop for which new work may reach it, in milliseconds
     """
 
     node: EntryNode
@@ -120,6 +125,7 @@
     contacts: ContactLog = attrs.field(factory=ContactLog)
     max_plan_age_ms: int = MAX_PLAN_AGE_MS
     limit_settings: LimitSettings = attrs.field(factory=LimitSettings)
+    leaving_work_ms: int = LEAVING_WORK_MS
     rate_limits: RateLimits = attrs.field(init=False)
     targets: dict[str, TargetState] = attrs.field(factory=dict, init=False)
     outliers: TargetOutliers = attrs.field(init=False)
@@ -127,7 +133,7 @@
     loan_client: LoanClient = attrs.field(init=False)
     positions: PositionTracker = attrs.field(init=False)
     lagging: LaggingReplicas = attrs.field(init=False)
-    leaving: LeavingTargets = attrs.field(factory=LeavingTargets, init=False)
+    leaving: LeavingTargets = attrs.field(init=False)
     stage_stats: StageStats = attrs.field(factory=StageStats, init=False)
     statement_stats: StatementStats = attrs.field(
         factory=StatementStats, init=False
@@ -159,6 +165,7 @@
             positions=self.positions,
             send=self.send,
         )
+        self.leaving = LeavingTargets(leaving_work_ms=self.leaving_work_ms)
         self.outliers = TargetOutliers(targets=self.targets)
         self.rate_limits = RateLimits(
             node=self.node, settings=self.limit_settings, regions=self.regions
@@ -251,7 +258,7 @@
         """
         now_ns = clock_ns()
         term = self.node.primary_of(group, now_ns)
-        if term is None or term.primary not in self.pools:
+        if term is None or not self.takes_new_work(term.primary):
             return Refusal(
                 reason=Reason.NO_PRIMARY,
                 step=Step.ROUTE,
@@ -260,6 +267,13 @@
             )
         return self.node.begin_write(group, now_ns)
 
+    def takes_new_work(self, target: str) -> bool:
+        """Return whether new work may be sent to a target."""
+        target_state = self.targets.get(target)
+        return target_state is not None and target_state.takes_new_work(
+            clock_ns()
+        )
+
     def has_primary(self, group: str) -> bool:
         """Return whether the lease covers a primary of a group."""
         return self.node.primary_of(group, clock_ns()) is not None
@@ -474,7 +488,10 @@
                 self._add_target(name)
                 target_state = self.targets[name]
             self.leaving.update(
-                target_state, record, index=self.node.state.index
+                target_state,
+                record,
+                index=self.node.state.index,
+                earlier_view_ns=self.node.earlier_view_ns,
             )
             self.pools[name].apply_share(self._compute_share(record))
         self.notify_waiters()
--- a/src/rosemarysaddle/session/_target_access.py
+++ b/src/rosemarysaddle/session/_target_access.py
@@ -109,7 +109,8 @@
         self._record_wait(target, connection, asked_ns)
         if isinstance(connection, OpenFault):
             return connection
-        if self.may_run():
+        # The target may have announced its stop during the wait.
+        if self.may_run() and self.router.takes_new_work(target):
             self._record_new_work(target)
             return connection
         self._release(connection)
--- a/tests/decide/test_view_age.py
+++ b/tests/decide/test_view_age.py
@@ -77,3 +77,19 @@
         node.receive("c", _grant(sent_ms, 0), 400 * NS_PER_MS)
 
     assert _confirmed_ms(node) == 300
+
+
+def test_change_is_newer_than_the_view_confirmed_before_it() -> None:
+    """Guards against a change that counts from when the host got it.
+
+    A renewal that is granted after the change was committed, and before
+    it arrives, tells nothing of the time of the change.
+    """
+    node = _node()
+    node.receive("c", _grant(100, 0), 110 * NS_PER_MS)
+    node.receive("c", _grant(1_100, 1), 1_110 * NS_PER_MS)
+
+    node.receive("c", _delta(1), 1_900 * NS_PER_MS)
+
+    assert _confirmed_ms(node) == 1_100
+    assert node.earlier_view_ns == 100 * NS_PER_MS
--- a/tests/node/test_main.py
+++ b/tests/node/test_main.py
@@ -137,6 +137,16 @@
     assert (settings.limit_overage, settings.limit_slack) == (0.1, 20)
 
 
+def test_settings_template_takes_over_the_bound_of_leaving_targets(
+    tmp_path: Path,
+) -> None:
+    """Guards against work that reaches a target after it may stop."""
+    settings = _render_settings(tmp_path, **{"bounds.drainMs": "3000"})
+
+    assert isinstance(settings, Node)
+    assert settings.leaving_work_ms == 3_000
+
+
 def test_settings_template_with_invalid_value_reports_its_path(
     tmp_path: Path,
 ) -> None:
