Examine the group that a target leaves for another one

A target that announced itself in another group left its former group with a primary that was no member: only the new group was marked as changed, so the leader never examined the former one.

--- a/src/rosemarysaddle/decide/primaries/_registry.py
+++ b/src/rosemarysaddle/decide/primaries/_registry.py
@@ -93,6 +93,7 @@
         known = self.records.get(record.target)
         if known is not None:
             self._unindex(known)
+            self.changed_groups.add(known.group)
         self.records[record.target] = record
         self._index(record)
         self.changed_groups.add(record.group)
--- a/tests/decide/test_departures.py
+++ b/tests/decide/test_departures.py
@@ -80,3 +80,15 @@
 
     assert early == []
     assert later == ["t3"]
+
+
+def test_primary_that_moves_to_another_group_is_replaced() -> None:
+    """Guards against a group whose primary belongs to another one."""
+    harness = Harness.open()
+    harness.elapse(100)
+    harness.announce("t1", group="h", incarnation_ms=200)
+
+    promoted = harness.run(1_000, answering=["t2", "t3"])
+
+    assert promoted
+    assert promoted[0] in {"t2", "t3"}
