Choose only registered targets as primary

A probe that was answered before its target ended could make that target the primary: a former primary that was gone is not listed as leaving, and a replica that was gone counted as one that stays. The promotion then failed, or new work went to a target about to end, and callers waited for another change.

--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -619,6 +619,9 @@
         state = self.context.state
         term = state.terms.get(change.group)
         records = state.targets.of_group(change.group)
+        # A target may have left since its status was read.
+        registered = {r.target for r in records}
+        reports = [r for r in reports if r.target in registered]
         former = "" if term is None else term.primary
         criteria = SuccessorCriteria(
             former=former,
--- a/tests/decide/announced_group.py
+++ b/tests/decide/announced_group.py
@@ -42,7 +42,7 @@
 
 
 def _announcement(target: str, **changes: Any) -> Announcement:
-    number = TARGETS.index(target) + 1
+    number = int(target.removeprefix("t"))
     found = Announcement(
         target=target,
         group="g",
@@ -136,13 +136,14 @@
         answering: Collection[str] = TARGETS,
         *,
         positions: Mapping[str, int] | None = None,
+        promotions_succeed: bool = True,
     ) -> list[str]:
         """Advance the time while some targets answer probes.
 
-        Every promotion succeeds at once.
+        Every promotion succeeds at once, or fails at once.
 
         :param positions: log position of each target; 7 if not given
-        :return: targets that were promoted, in order
+        :return: targets that were ordered to become primary, in order
         """
         promoted = []
         for _ in range(0, spent_ms, 50):
@@ -160,7 +161,10 @@
             for order in self.found(PromoteTarget):
                 self._take(
                     self.leader.on_promoted(
-                        "g", order.term, done=True, now_ns=self.now_ns
+                        "g",
+                        order.term,
+                        done=promotions_succeed,
+                        now_ns=self.now_ns,
                     )
                 )
                 promoted.append(order.target)
@@ -176,6 +180,19 @@
             position=position,
         )
 
+    def elect(self, *, unlisted_ms: int = 0) -> None:
+        """Elect the leader again.
+
+        :param unlisted_ms: time for which a lease of the earlier leader
+            may be valid that this one does not list
+        """
+        self.leader.primaries.on_leadership_lost()
+        self.leader.primaries.on_elected()
+        self.leader._context.leases.unlisted_until_ns = (
+            self.now_ns + unlisted_ms * NS_PER_MS
+        )
+        self.leader.state.lease_holders.add("unheard")
+
     def promoted(self) -> None:
         """Confirm the newest order to promote."""
         order = self.found(PromoteTarget)[-1]
--- a/tests/decide/test_departures.py
+++ b/tests/decide/test_departures.py
@@ -2,7 +2,19 @@
 
 from __future__ import annotations
 
-from tests.decide.announced_group import Harness
+from typing import Any
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
+
+from tests.decide.announced_group import TARGETS, Harness
+
+MAX_TARGETS = 9
+# A change takes up to 5 s, the leases of an earlier leader up to 4 s,
+# and a failed promotion starts another change.
+SETTLE_MS = 12_000
 
 
 def test_departure_stays_due_after_a_change_that_kept_the_primary() -> None:
@@ -92,3 +104,117 @@
 
     assert promoted
     assert promoted[0] in {"t2", "t3"}
+
+
+@pytest.mark.parametrize("target", ["t1", "t2"])
+def test_target_that_ended_since_its_status_was_read_is_not_promoted(
+    target: str,
+) -> None:
+    """Guards against a promotion of a target that has ended."""
+    harness = Harness.open()
+    harness.announce("t1", leaving=True)
+    harness.elapse(50)
+    harness.announce(target, leaving=True, gone=True)
+
+    promoted = harness.run(2_000, answering=[target])
+
+    assert promoted == []
+
+
+class Departures(RuleBasedStateMachine):
+    """Targets leave and join while others are silent or lag."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.harness = Harness.open()
+        self.newest = len(TARGETS)
+
+    def _staying(self) -> list[str]:
+        records = self.harness.leader.state.targets.of_group("g")
+        return [r.target for r in records if not r.leaving]
+
+    def _run(
+        self, spent_ms: int, answering: list[str], **options: Any
+    ) -> None:
+        for _ in range(0, spent_ms, 50):
+            ordered = self.harness.run(50, answering=answering, **options)
+            staying = self._staying()
+            for target in ordered:
+                assert target in staying or staying in ([], [target])
+
+    def _targets(self) -> list[str]:
+        records = self.harness.leader.state.targets.of_group("g")
+        return [r.target for r in records]
+
+    @rule()
+    def leave(self) -> None:
+        """Announce the stop of the primary."""
+        primary = self.harness.leader.state.terms["g"].primary
+        if primary in self._targets():
+            self.harness.announce(primary, leaving=True)
+
+    @rule(data=st.data())
+    def leave_any(self, data: st.DataObject) -> None:
+        """Announce the stop of a target."""
+        if self._targets():
+            target = data.draw(st.sampled_from(self._targets()))
+            self.harness.announce(target, leaving=True)
+
+    @rule(data=st.data())
+    def end(self, data: st.DataObject) -> None:
+        """Remove a target that has announced its stop."""
+        gone = sorted(set(self._targets()) - set(self._staying()))
+        if gone:
+            target = data.draw(st.sampled_from(gone))
+            self.harness.announce(target, leaving=True, gone=True)
+
+    @precondition(lambda self: self.newest < MAX_TARGETS)
+    @rule()
+    def join(self) -> None:
+        """Announce a new target."""
+        self.newest += 1
+        self.harness.announce(f"t{self.newest}")
+
+    @rule(unlisted_ms=st.sampled_from([0, 4_000]))
+    def elect(self, unlisted_ms: int) -> None:
+        """Elect another leader."""
+        self.harness.elect(unlisted_ms=unlisted_ms)
+
+    @rule(
+        spent_ms=st.sampled_from([50, 400, 6_000]),
+        answers=st.sampled_from(["all", "primary", "others", "none"]),
+        succeed=st.sampled_from([True, True, False]),
+        lag=st.booleans(),
+    )
+    def elapse(
+        self, spent_ms: int, answers: str, *, succeed: bool, lag: bool
+    ) -> None:
+        """Let time pass in which some targets do not answer."""
+        primary = self.harness.leader.state.terms["g"].primary
+        answering = {
+            "all": self._targets(),
+            "primary": [primary],
+            "others": [t for t in self._targets() if t != primary],
+            "none": [],
+        }[answers]
+        self._run(
+            spent_ms,
+            answering,
+            positions={primary: 9} if lag else None,
+            promotions_succeed=succeed,
+        )
+
+    def teardown(self) -> None:
+        """Check that a target that stays becomes the primary."""
+        self._run(SETTLE_MS, self._targets())
+        term = self.harness.leader.state.terms["g"]
+        if self._staying():
+            assert term.is_open
+            assert term.is_serving
+            assert term.primary in self._staying()
+
+
+TestDepartures = Departures.TestCase
+TestDepartures.settings = settings(
+    max_examples=100, stateful_step_count=15, deadline=None
+)
