Let targets leave in the soak, and check what still reaches them

The primary announces its stop while the other targets are out of reach for 4 to 9 s, as when they are cut off from control or too full to answer; it serves 8 to 12 s more. New work that reaches a target later than 7 s after a control host acknowledged its stop is a violation.

--- a/src/rosemarysaddle/soak/_faults.py
+++ b/src/rosemarysaddle/soak/_faults.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import signal
+import time
 from typing import TYPE_CHECKING, Final
 
 import attrs
 
+from rosemarysaddle.soak._departures import LEAVING_WORK_S, Departure
 from rosemarysaddle.soak._proxy import ProxyFault
 
 if TYPE_CHECKING:
@@ -17,7 +19,7 @@
     from rosemarysaddle.soak._nodes import Node, Nodes
     from rosemarysaddle.soak._platform import StandInPlatform
     from rosemarysaddle.soak._proxy import FaultProxy
-    from rosemarysaddle.soak._targets import TargetGroup
+    from rosemarysaddle.soak._targets import TargetGroup, TargetInstance
 
 __all__ = ("FAULTS", "FaultContext")
 
@@ -26,6 +28,10 @@
 # Longer than an election and the restart of one host.
 CATCH_UP_S: Final = 4.0
 CHANGE_INTERVAL_S: Final = 0.1
+# A leaving target serves for longer than it has to.
+EXTRA_SERVICE_RANGE_S: Final = (1.0, 5.0)
+# Around the time-out after which a change accepts any successor (5 s).
+CUT_OFF_RANGE_S: Final = (4.0, 9.0)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -186,14 +192,58 @@
     primary = context.group.current_primary
     primary.crash()
     await asyncio.sleep(context.rng.uniform(2.0, 4.0))
-    primary.is_up = True
-    primary.incarnation_ms += 1
-    await primary.listen(context.group)
-    context.group.demote_others()
+    await context.group.restart(primary)
     await context.wait_fault_duration()
     await context.release({"target"})
 
 
+async def _leave_primary(context: FaultContext) -> None:
+    await context.reserve({"target"})
+    await _leave(context, context.group.current_primary)
+    await context.release({"target"})
+
+
+async def _leave_any(context: FaultContext) -> None:
+    await context.reserve({"target"})
+    instances = context.group.instances
+    await _leave(context, instances[context.rng.choice(sorted(instances))])
+    await context.release({"target"})
+
+
+async def _leave_cut_off(context: FaultContext) -> None:
+    """Let the primary leave while no other target can be reached.
+
+    A change of primary that starts meanwhile finds no successor.
+    """
+    await context.reserve({"target"})
+    primary = context.group.current_primary
+    others = [p for n, p in context.proxies.items() if n != primary.name]
+    for proxy in others:
+        proxy.set_fault(ProxyFault.SILENT)
+    leaving = asyncio.ensure_future(_leave(context, primary))
+    await asyncio.sleep(context.rng.uniform(*CUT_OFF_RANGE_S))
+    for proxy in others:
+        proxy.set_fault(ProxyFault.NONE)
+    await leaving
+    await context.release({"target"})
+
+
+async def _leave(context: FaultContext, instance: TargetInstance) -> None:
+    """Announce an instance's stop, end it later, and start it again."""
+    departure = Departure(target=instance.name)
+    context.group.departures.append(departure)
+    instance.departure = departure
+    # A target ends even if no control host acknowledges its stop.
+    await asyncio.sleep(
+        LEAVING_WORK_S + context.rng.uniform(*EXTRA_SERVICE_RANGE_S)
+    )
+    await context.platform.send_leave(instance)
+    instance.crash()
+    departure.ended_s = time.monotonic()
+    await asyncio.sleep(RESTART_DELAY_S)
+    await context.group.restart(instance)
+
+
 async def _disrupt_primary(context: FaultContext) -> None:
     await _disrupt(context, context.group.current_primary.name)
 
@@ -234,6 +284,9 @@
     "restart-hosts": _restart_hosts,
     "lose-quorum-disk": _lose_quorum_disk,
     "crash-primary": _crash_primary,
+    "leave-primary": _leave_primary,
+    "leave-any": _leave_any,
+    "leave-cut-off": _leave_cut_off,
     "harm-primary": _disrupt_primary,
     "harm-any": _disrupt_any,
     "change": _change,
--- a/src/rosemarysaddle/soak/_platform.py
+++ b/src/rosemarysaddle/soak/_platform.py
@@ -5,6 +5,7 @@
 import asyncio
 import http.client
 import json
+import time
 from typing import TYPE_CHECKING, Any, Final
 
 import attrs
@@ -115,12 +116,27 @@
     async def _send_heartbeats(self, instance: TargetInstance) -> None:
         while True:
             if instance.is_up:
-                path = f"/rosemarysaddle/instances/{instance.name}/heartbeat"
-                await self._post_to_control(
-                    path, json.dumps(self._heartbeat_body(instance))
-                )
+                await self._send_heartbeat(instance)
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
+    async def _send_heartbeat(self, instance: TargetInstance) -> None:
+        departure = instance.departure
+        path = f"/rosemarysaddle/instances/{instance.name}/heartbeat"
+        body = json.dumps(self._heartbeat_body(instance))
+        is_done = await self._post_to_control(path, body)
+        if is_done and departure is not None:
+            now_s = time.monotonic()
+            departure.acknowledged_s = min(departure.acknowledged_s, now_s)
+
+    async def send_leave(self, instance: TargetInstance) -> bool:
+        """Tell that a target ends now.
+
+        :return: whether a control host acknowledged it
+        """
+        path = f"/rosemarysaddle/instances/{instance.name}/leave"
+        body = json.dumps({"born": instance.incarnation_ms})
+        return await self._post_to_control(path, body)
+
     def _heartbeat_body(self, instance: TargetInstance) -> dict[str, Any]:
         proxy = self.proxies[instance.name]
         return {
@@ -128,7 +144,7 @@
             "address": f"{proxy.ip}:{proxy.port}",
             "data_center": instance.data_center,
             "slots": 4,
-            "state": "ready",
+            "state": "ready" if instance.departure is None else "draining",
             "replication_role": instance.role,
             "born": instance.incarnation_ms,
         }
--- a/src/rosemarysaddle/soak/_run.py
+++ b/src/rosemarysaddle/soak/_run.py
@@ -14,6 +14,7 @@
 from rosemarysaddle.soak._builds import replace_builds
 from rosemarysaddle.soak._callers import Caller
 from rosemarysaddle.soak._check import CallHistory, find_violations
+from rosemarysaddle.soak._departures import find_late_work
 from rosemarysaddle.soak._faults import FAULTS, FaultContext
 from rosemarysaddle.soak._keys import KEY_PREFIX, TeamKeys
 from rosemarysaddle.soak._nodes import DATA_CENTERS, Nodes
@@ -190,6 +191,9 @@
                 self.call_history, self.group.current_primary.log
             )
             violations.extend(stored_violations)
+            violations.extend(
+                find_late_work(self.group.departures, self.group.work)
+            )
             violations.extend(
                 self.keys.find_violations(self.group.statements, self.folder)
             )
--- a/src/rosemarysaddle/soak/_targets.py
+++ b/src/rosemarysaddle/soak/_targets.py
@@ -14,6 +14,8 @@
 
 import attrs
 
+from rosemarysaddle.soak._departures import Departure, Work
+
 __all__ = ("Entry", "TargetGroup", "TargetInstance")
 
 APPLY_DELAY_S: Final = 0.1
@@ -38,6 +40,7 @@
     :param log: entries received, in order
     :param applied: number of log entries that reads see
     :param incarnation_ms: increases with each restart
+    :param departure: planned stop that it has announced, or None
     """
 
     name: str
@@ -50,6 +53,7 @@
     applied: int = 0
     is_up: bool = True
     incarnation_ms: int = 1
+    departure: Departure | None = None
     _transports: set[asyncio.Transport] = attrs.field(factory=set, init=False)
     _server: asyncio.Server | None = attrs.field(default=None, init=False)
 
@@ -98,13 +102,25 @@
 
     :param statements: monotonic time and request id of each statement
         of a caller that reached an instance
+    :param work: new work that reached an instance
+    :param departures: planned stops of instances
     """
 
     name: str
     instances: dict[str, TargetInstance]
     statements: list[tuple[float, str]] = attrs.field(factory=list)
+    work: list[Work] = attrs.field(factory=list)
+    departures: list[Departure] = attrs.field(factory=list)
     _promoting: bool = attrs.field(default=False, init=False)
 
+    async def restart(self, instance: TargetInstance) -> None:
+        """Start a stopped instance again, with its log."""
+        instance.is_up = True
+        instance.incarnation_ms += 1
+        instance.departure = None
+        await instance.listen(self)
+        self.demote_others()
+
     @property
     def current_primary(self) -> TargetInstance:
         """Primary of the newest term."""
@@ -192,6 +208,8 @@
     _is_read_only: bool = False
     _term: int = 0
     _writes: list[Entry] = attrs.field(factory=list)
+    # Whether a statement of the open transaction has arrived.
+    _has_statement: bool = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)  # noqa: S101
@@ -215,7 +233,7 @@
             return
         request_id, _, text = rest.partition(" ")
         if request_id != "-":
-            self.group.statements.append((time.monotonic(), request_id))
+            self._record_statement(request_id)
         if text.startswith("AFTER "):
             _, point, text = text.split(" ", 2)
             term, _, position = point.partition(".")
@@ -224,6 +242,17 @@
                 return
         self._send(self._run(request_id, text))
 
+    def _record_statement(self, request_id: str) -> None:
+        now_s = time.monotonic()
+        self.group.statements.append((now_s, request_id))
+        in_transaction = self._transaction_state == "T"
+        if not (in_transaction and self._has_statement):
+            work = Work(
+                at_s=now_s, target=self.instance.name, request_id=request_id
+            )
+            self.group.work.append(work)
+        self._has_statement = in_transaction
+
     def _run(self, request_id: str, text: str) -> str:
         verb, *arguments = text.split(" ")
         match verb:
@@ -248,6 +277,7 @@
         if not is_read_only and not _is_primary(self.instance):
             return self._refuse()
         self._transaction_state, self._is_read_only = "T", is_read_only
+        self._has_statement = False
         self._term = self.instance.term
         return self._format_done("-")
 
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -21,6 +21,7 @@
         (2, ("crash-primary", "change")),
         (3, ("lose-quorum-disk",)),
         (4, ("freeze-entry", "restart-control", "freeze-entry")),
+        (5, ("leave-cut-off", "kill-control")),
     ],
 )
 def test_run_soak_finds_no_violations(
