Resume a promotion until the group serves

A promotion whose failure came while the leader had no quorum for a moment left its group open but not serving: the change was dropped, the group had been taken off the list of groups to open, and only another election put it back. Callers got no writes until then.

A group of the route plan now stays on the list until its primary serves.

--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -265,9 +265,13 @@
         for name in sorted(self._groups_to_open - self.changes.keys()):
             term = self.context.state.terms.get(name)
             group = self.context.state.group(name)
-            if group is None or (term is not None and term.is_open):
+            if group is None:
                 self._groups_to_open.discard(name)
-                effects.extend(self._resume_promotion(name, term, now_ns))
+            elif term is not None and term.is_open:
+                if term.is_serving or not self._is_route_group(name):
+                    self._groups_to_open.discard(name)
+                else:
+                    effects.extend(self._resume_promotion(name, term, now_ns))
             elif term is not None:
                 effects.extend(self.start_change(name, term.term, now_ns))
             elif self._is_fully_announced(group):
@@ -291,13 +295,12 @@
         return group in self.context.state.routes.groups
 
     def _resume_promotion(
-        self, group: str, term: GroupTerm | None, now_ns: int
+        self, group: str, term: GroupTerm, now_ns: int
     ) -> list[Effect]:
-        """Continue a promotion that an earlier leader started."""
-        if term is None or term.is_serving or group in self.changes:
-            return []
-        if not self._is_route_group(group):
-            return []
+        """Continue a promotion that is not known to have taken effect.
+
+        An earlier leader started it, or this one lost its result.
+        """
         change = GroupChange(
             group=group, term=0, suspected_ns=now_ns, started_ns=now_ns
         )
--- a/tests/decide/test_departures.py
+++ b/tests/decide/test_departures.py
@@ -9,6 +9,7 @@
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
+from rosemarysaddle.decide import PromoteTarget
 from tests.decide.announced_group import TARGETS, Harness
 
 MAX_TARGETS = 9
@@ -121,6 +122,30 @@
     assert promoted == []
 
 
+def test_promotion_that_failed_without_a_quorum_is_ordered_again() -> None:
+    """Guards against an open group that never serves."""
+    harness = Harness.open()
+    harness.announce("t1", leaving=True)
+    harness.elapse(100)
+    harness.probe(primary="t1")
+    harness.elect()
+    harness.effects.clear()
+    harness.elapse(50)
+    order = harness.found(PromoteTarget)[-1]
+    leads = harness.leader._context.leads
+    # The quorum is out of reach for a moment, and no other host leads.
+    harness.leader._context.leads = lambda _: False
+    harness.leader.on_promoted(
+        "g", order.term, done=False, now_ns=harness.now_ns
+    )
+    harness.leader._context.leads = leads
+
+    promoted = harness.run(1_000, answering=["t2", "t3"])
+
+    assert promoted
+    assert harness.leader.state.terms["g"].is_serving
+
+
 class Departures(RuleBasedStateMachine):
     """Targets leave and join while others are silent or lag."""
 
