Search for a successor before closing the term of a leaving primary

A planned change closed the term at once, also where no other target answered or all lagged: writes waited up to 5 s for nothing while the leaving primary could serve them, and since it is never opened again, for as long as the others were out of reach.

The leader now probes first, and closes the term as soon as another target has received nearly all writes (the bound of a relief), after 3 s in any case: entry hosts send new work for 6 s at most. The probes open the connections that the change uses, in place of its warm-up probe.

New tests: a group whose replicas lag by 83 writes stays open and is handed over at once when they have caught up (before: closed at 50 ms); without a successor the change starts within 3.2 s. Three tests of planned changes answer the new probe and check the same outcomes.

--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -34,11 +34,13 @@
 from rosemarysaddle.decide.primaries._departure import (
     Departure,
     DepartureStatus,
+    SuccessorSearch,
 )
 from rosemarysaddle.decide.primaries._succession import (
     SuccessorCriteria,
     choose_successor,
     find_candidates,
+    has_ready_successor,
 )
 from rosemarysaddle.schema import (
     Announcement,
@@ -75,12 +77,16 @@
 # A replica receives the last writes within a round trip, and a second
 # probe finds one whose status could not be read at first.
 CATCH_UP_TIMEOUT_MS: Final = 600
-# A change numbers its probes from 1.  Two others here have numbers of
-# their own: the probe that confirms a suspicion, and the warm-up probe,
-# which only opens the connections for the next one; its result is
-# ignored.
+# A leaving primary serves for some seconds more than this, which the
+# change takes that then starts without a successor in sight.
+SUCCESSOR_SEARCH_MS: Final = 3_000
+# A change numbers its probes from 1.  Others here have numbers of
+# their own: the probe that confirms a suspicion, the warm-up probe,
+# which only opens the connections for the next one and whose result is
+# ignored, and the probe for a successor of a leaving primary.
 CONFIRM_ATTEMPT: Final = 0
 WARM_UP_ATTEMPT: Final = -1
+SUCCESSOR_ATTEMPT: Final = -4
 
 
 @attrs.define(kw_only=True)
@@ -103,6 +109,9 @@
     _confirming: set[str] = attrs.field(factory=set, init=False)
     # Groups whose primary may leave; the others are not examined.
     _departure_checks: set[str] = attrs.field(factory=set, init=False)
+    _searches: dict[str, SuccessorSearch] = attrs.field(
+        factory=dict, init=False
+    )
     _grace_until_ns: dict[str, int] = attrs.field(factory=dict, init=False)
 
     def on_elected(self) -> None:
@@ -111,6 +120,7 @@
         state = self.context.state
         self._groups_to_open = {*state.inventory.groups, *state.routes.groups}
         self._departure_checks = set(state.routes.groups)
+        self._searches.clear()
 
     def on_leadership_lost(self) -> None:
         """Drop the changes that only a leader may continue."""
@@ -199,6 +209,8 @@
         """
         if attempt == CONFIRM_ATTEMPT:
             return self._on_confirmation(group, reports, now_ns)
+        if attempt == SUCCESSOR_ATTEMPT:
+            return self._on_successor_probe(group, reports, now_ns)
         change = self.changes.get(group)
         if change is None or change.attempt != attempt:
             return []
@@ -338,7 +350,7 @@
             return DepartureStatus.WAITS_FOR_LEASES
         if not self._choose_replacement(record.group):
             return DepartureStatus.NO_OTHER_TARGET
-        return DepartureStatus.DUE
+        return DepartureStatus.WAITS_FOR_SUCCESSOR
 
     def _replace_leaving_primaries(self, now_ns: int) -> list[Effect]:
         """Start the planned changes that are due.
@@ -356,14 +368,78 @@
             term = self.context.state.terms.get(group)
             if not self._is_departing(group, term):
                 self._departure_checks.discard(group)
+                self._searches.pop(group, None)
                 continue
-            replacement = self._choose_replacement(group)
-            if replacement:
-                effects.extend(
-                    self.start_planned_change(group, replacement, now_ns)
-                )
+            effects.extend(self._replace_primary(group, now_ns))
         return effects
 
+    def _replace_primary(self, group: str, now_ns: int) -> list[Effect]:
+        """Search for a successor, or start the change without one."""
+        replacement = self._choose_replacement(group)
+        if not replacement:
+            return []
+        primary = self.context.state.terms[group].primary
+        search = self._searches.get(group)
+        if search is None or search.primary != primary:
+            search = self._searches[group] = SuccessorSearch(
+                primary=primary,
+                deadline_ns=now_ns + SUCCESSOR_SEARCH_MS * NS_PER_MS,
+            )
+        is_registered = primary in self.context.state.targets.records
+        if now_ns >= search.deadline_ns or not is_registered:
+            return self.start_planned_change(group, replacement, now_ns)
+        if now_ns < search.retry_at_ns:
+            return []
+        deadline_ns = now_ns + PROBE_TIMEOUT_MS * NS_PER_MS
+        search.retry_at_ns = deadline_ns + RETRY_DELAY_MS * NS_PER_MS
+        return [
+            ProbeGroup(
+                group=group,
+                attempt=SUCCESSOR_ATTEMPT,
+                deadline_ns=deadline_ns,
+                quorum=len(self.context.instances(group)),
+            )
+        ]
+
+    def _on_successor_probe(
+        self, group: str, reports: Sequence[TargetReport], now_ns: int
+    ) -> list[Effect]:
+        """Start the change of a leaving primary if another is ready."""
+        search = self._searches.get(group)
+        term = self.context.state.terms.get(group)
+        if search is None or not self._is_departing(group, term):
+            return []
+        search.retry_at_ns = now_ns + RETRY_DELAY_MS * NS_PER_MS
+        criteria = self._successor_criteria(group)
+        reports = self._registered(group, reports)
+        if not self.context.lists_all_leases(now_ns):
+            return []
+        if not has_ready_successor(reports, criteria):
+            return []
+        return self.start_planned_change(
+            group, self._choose_replacement(group), now_ns
+        )
+
+    def _registered(
+        self, group: str, reports: Sequence[TargetReport]
+    ) -> list[TargetReport]:
+        """Leave out targets that left since their status was read."""
+        records = self.context.state.targets.of_group(group)
+        registered = {r.target for r in records}
+        return [r for r in reports if r.target in registered]
+
+    def _successor_criteria(self, group: str) -> SuccessorCriteria:
+        term = self.context.state.terms.get(group)
+        records = self.context.state.targets.of_group(group)
+        former = "" if term is None else term.primary
+        return SuccessorCriteria(
+            former=former,
+            leaving={r.target for r in records if r.leaving},
+            others_stay=any(
+                r.target != former for r in records if not r.leaving
+            ),
+        )
+
     def _is_departing(self, group: str, term: GroupTerm | None) -> bool:
         """Tell whether the primary of an open group leaves or left."""
         if term is None or not term.is_open or not self._is_route_group(group):
@@ -481,7 +557,8 @@
     ) -> list[Effect]:
         """Start a change by closing the current term of a group.
 
-        A warm-up probe opens connections to the instances meanwhile.
+        A warm-up probe opens connections to the instances meanwhile,
+        if none are known to be open.
 
         :param term: term to close; 0 for a new group
         :param preferred: instance to promote in a planned change
@@ -490,6 +567,8 @@
         :param keeps_former: whether the former primary stays if no
             replica holds all its writes soon after the fence
         """
+        # The probes of a search have opened the connections already.
+        is_warm = self._searches.pop(group, None) is not None
         self.changes[group] = GroupChange(
             group=group,
             term=term,
@@ -501,6 +580,8 @@
         )
         payload = json.dumps({"group": group, "term": term})
         effects = self.context.propose(EntryKind.CLOSE, payload, now_ns)
+        if is_warm:
+            return effects
         warm_up = ProbeGroup(
             group=group,
             attempt=WARM_UP_ATTEMPT,
@@ -619,19 +700,9 @@
         reports: Sequence[TargetReport],
         now_ns: int,
     ) -> list[Effect]:
-        state = self.context.state
-        term = state.terms.get(change.group)
-        records = state.targets.of_group(change.group)
-        # A target may have left since its status was read.
-        registered = {r.target for r in records}
-        reports = [r for r in reports if r.target in registered]
-        former = "" if term is None else term.primary
-        criteria = SuccessorCriteria(
-            former=former,
-            leaving={r.target for r in records if r.leaving},
-            others_stay=any(
-                r.target != former for r in records if not r.leaving
-            ),
+        reports = self._registered(change.group, reports)
+        criteria = attrs.evolve(
+            self._successor_criteria(change.group),
             allow_lagging=now_ns >= change.candidate_deadline_ns,
             keeps_former=change.keeps_former,
             reuse_former=change.keeps_former
--- a/src/rosemarysaddle/decide/primaries/_relief.py
+++ b/src/rosemarysaddle/decide/primaries/_relief.py
@@ -19,6 +19,7 @@
 from rosemarysaddle.decide._times import NS_PER_MS
 from rosemarysaddle.decide.primaries._change import Evidence
 from rosemarysaddle.decide.primaries._primaries import PROBE_TIMEOUT_MS
+from rosemarysaddle.decide.primaries._succession import MAX_MISSING_WRITES
 from rosemarysaddle.decide.reads._freshness import newer_point
 from rosemarysaddle.decide.reads._token import LogPoint
 
@@ -51,9 +52,6 @@
 # If no replica could relieve the primary, one that was lost, or whose
 # status could not be read, is usually back by then.
 RETRY_MS: Final = 8_000
-# Writes that a healthy replica has not received yet when the status of
-# all is read, at some tens of writes per second.
-MAX_MISSING_WRITES: Final = 5
 
 
 @attrs.define(kw_only=True)
--- a/src/rosemarysaddle/decide/primaries/_succession.py
+++ b/src/rosemarysaddle/decide/primaries/_succession.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import attrs
 
@@ -16,7 +16,17 @@
 
     from rosemarysaddle.decide._effects import TargetReport
 
-__all__ = ("SuccessorCriteria", "choose_successor", "find_candidates")
+__all__ = (
+    "MAX_MISSING_WRITES",
+    "SuccessorCriteria",
+    "choose_successor",
+    "find_candidates",
+    "has_ready_successor",
+)
+
+# Writes that a healthy replica has not received yet when the status of
+# all is read, at some tens of writes per second.
+MAX_MISSING_WRITES: Final = 5
 
 
 @attrs.frozen(kw_only=True)
@@ -35,7 +45,7 @@
 
     former: str
     leaving: Collection[str]
-    allow_lagging: bool
+    allow_lagging: bool = False
     others_stay: bool = False
     keeps_former: bool = False
     reuse_former: bool = False
@@ -106,6 +116,24 @@
     ]
 
 
+def has_ready_successor(
+    reports: Sequence[TargetReport], criteria: SuccessorCriteria
+) -> bool:
+    """Tell whether a target could replace the primary without delay.
+
+    :param reports: reports read while the primary serves
+    """
+    candidates = find_candidates(reports, criteria)
+    former = next((r for r in reports if r.target == criteria.former), None)
+    if former is None or not former.reachable:
+        return bool(candidates)
+    return _has_status(former) and any(
+        r.term == former.term
+        and r.position + MAX_MISSING_WRITES >= former.position
+        for r in candidates
+    )
+
+
 def _reuse_former(
     former: TargetReport | None, criteria: SuccessorCriteria
 ) -> TargetReport | None:
--- a/tests/decide/announced_group.py
+++ b/tests/decide/announced_group.py
@@ -117,7 +117,7 @@
 
     def probe(self, *, primary: str) -> None:
         """Answer the newest probe of a change."""
-        attempt = max(p.attempt for p in self.found(ProbeGroup))
+        attempt = self.found(ProbeGroup)[-1].attempt
         reports = [
             TargetReport(
                 target=t,
--- a/tests/decide/test_announced.py
+++ b/tests/decide/test_announced.py
@@ -32,10 +32,11 @@
 def test_leaving_primary_is_replaced() -> None:
     harness = Harness.open()
     harness.announce("t1", leaving=True)
-    harness.elapse(100)
-    harness.probe(primary="t1")
 
-    assert harness.found(PromoteTarget)[-1].target in {"t2", "t3"}
+    promoted = harness.run(250)
+
+    assert len(promoted) == 1
+    assert promoted[0] in {"t2", "t3"}
 
 
 def test_planned_change_waits_for_leases_of_an_earlier_leader() -> None:
@@ -45,13 +46,12 @@
     )
     harness.leader.state.lease_holders.add("unheard")
     harness.announce("t1", leaving=True)
-    harness.elapse(800)
-    was_open = harness.leader.state.terms["g"].is_open
 
-    harness.elapse(200)
+    early = harness.run(850)
+    later = harness.run(300)
 
-    assert was_open
-    assert not harness.leader.state.terms["g"].is_open
+    assert early == []
+    assert len(later) == 1
 
 
 def test_planned_change_proceeds_once_all_holders_have_renewed() -> None:
@@ -61,11 +61,11 @@
     )
     harness.leader.state.lease_holders.add("e")
     harness.announce("t1", leaving=True)
-    harness.elapse(200)
+    harness.run(200)
     was_open = harness.leader.state.terms["g"].is_open
 
     harness.renew("e")
-    harness.elapse(100)
+    harness.run(100)
 
     assert was_open
     assert not harness.leader.state.terms["g"].is_open
--- a/tests/decide/test_departures.py
+++ b/tests/decide/test_departures.py
@@ -107,6 +107,29 @@
     assert promoted[0] in {"t2", "t3"}
 
 
+def test_group_stays_open_until_a_replica_has_nearly_all_writes() -> None:
+    """Guards against writes that wait while no target can take over."""
+    harness = Harness.open()
+    harness.announce("t1", leaving=True)
+
+    harness.run(2_000, positions={"t1": 90})
+    was_open = harness.leader.state.terms["g"].is_open
+    promoted = harness.run(800, positions={"t1": 90, "t2": 88, "t3": 90})
+
+    assert was_open
+    assert promoted == ["t3"]
+
+
+def test_change_starts_without_a_successor_before_new_work_ends() -> None:
+    """Guards against a search that outlasts the leaving primary."""
+    harness = Harness.open()
+    harness.announce("t1", leaving=True)
+
+    harness.run(3_200, answering=["t1"])
+
+    assert not harness.leader.state.terms["g"].is_open
+
+
 @pytest.mark.parametrize("target", ["t1", "t2"])
 def test_target_that_ended_since_its_status_was_read_is_not_promoted(
     target: str,
@@ -126,6 +149,8 @@
     """Guards against an open group that never serves."""
     harness = Harness.open()
     harness.announce("t1", leaving=True)
+    harness.elapse(50)
+    harness.probe(primary="t1")
     harness.elapse(100)
     harness.probe(primary="t1")
     harness.elect()
--- a/tests/decide/test_relief.py
+++ b/tests/decide/test_relief.py
@@ -13,12 +13,12 @@
 from rosemarysaddle.decide.primaries._primaries import CATCH_UP_TIMEOUT_MS
 from rosemarysaddle.decide.primaries._relief import (
     COOL_DOWN_MS,
-    MAX_MISSING_WRITES,
     MIN_DURATION_MS,
     RELIEF_ATTEMPT,
     RETRY_MS,
     choose_relief,
 )
+from rosemarysaddle.decide.primaries._succession import MAX_MISSING_WRITES
 from rosemarysaddle.schema import GroupClosed, ReplicasBehind
 from tests.decide.announced_group import TARGETS, Harness
 
