Keep the writes that only a leaving primary holds

Acknowledged writes were lost in a planned change: 5 s after its start, a lagging replica was promoted although the leaving primary still answered and held more. A target that stops as planned hands its log to the one that takes its place, so waiting for that, or for a replica that catches up, loses nothing.

New test, failed before: with replicas 83 writes behind, t2 was promoted after 8 s; now the new target with all writes is, and a lagging one only once the leaving primary has ended. The rule replaces the extended deadline for replicas that answer late. Cost: writes wait for the end of the target where no replica receives anything. Unplanned changes are as before.

--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -39,7 +39,6 @@
 from rosemarysaddle.decide.primaries._succession import (
     SuccessorCriteria,
     choose_successor,
-    find_candidates,
     has_ready_successor,
 )
 from rosemarysaddle.schema import (
@@ -710,14 +709,6 @@
         )
         choice = choose_successor(reports, criteria)
         if choice is None:
-            if criteria.former_must_go and not find_candidates(
-                reports, criteria
-            ):
-                # A replica that answers only now gets the same time to
-                # catch up as one that answered at first.
-                change.candidate_deadline_ns = (
-                    now_ns + CANDIDATE_TIMEOUT_MS * NS_PER_MS
-                )
             change.blocked_reason = (
                 "no eligible target is known to hold all writes of the primary"
             )
--- a/src/rosemarysaddle/decide/primaries/_succession.py
+++ b/src/rosemarysaddle/decide/primaries/_succession.py
@@ -20,7 +20,6 @@
     "MAX_MISSING_WRITES",
     "SuccessorCriteria",
     "choose_successor",
-    "find_candidates",
     "has_ready_successor",
 )
 
@@ -85,7 +84,7 @@
         # A former primary that was only full holds writes that no
         # replica may have.
         return None
-    candidates = find_candidates(reports, criteria)
+    candidates = _find_candidates(reports, criteria)
     if not candidates:
         if criteria.keeps_former and not criteria.reuse_former:
             return None
@@ -97,12 +96,15 @@
     reuses_former = criteria.reuse_former and not criteria.former_must_go
     if lags and reuses_former and _is_readable(former):
         return former
-    if lags and not criteria.allow_lagging:
-        return None
-    return best
+    # A target that is about to stop hands its log to the one that takes
+    # its place, so nothing that it holds has to be given up.
+    may_lag = criteria.allow_lagging and not (
+        criteria.former_must_go and _is_readable(former)
+    )
+    return best if may_lag or not lags else None
 
 
-def find_candidates(
+def _find_candidates(
     reports: Sequence[TargetReport], criteria: SuccessorCriteria
 ) -> list[TargetReport]:
     """List reports of targets that may replace the former primary."""
@@ -123,7 +125,7 @@
 
     :param reports: reports read while the primary serves
     """
-    candidates = find_candidates(reports, criteria)
+    candidates = _find_candidates(reports, criteria)
     former = next((r for r in reports if r.target == criteria.former), None)
     if former is None or not former.reachable:
         return bool(candidates)
--- a/tests/decide/test_departures.py
+++ b/tests/decide/test_departures.py
@@ -57,13 +57,32 @@
     assert later == ["t3"]
 
 
-def test_lagging_replica_is_promoted_if_it_does_not_catch_up() -> None:
+def test_lagging_replica_waits_for_the_end_of_a_leaving_primary() -> None:
+    """Guards against the loss of writes that a live target holds.
+
+    The target that takes the place of the leaving one has its log.
+    """
+    harness = Harness.open()
+    harness.announce("t1", leaving=True)
+
+    early = harness.run(15_000, positions={"t1": 90})
+    harness.announce("t4")
+    later = harness.run(
+        1_000, ["t1", "t2", "t4"], positions={"t1": 90, "t4": 90}
+    )
+
+    assert early == []
+    assert later == ["t4"]
+
+
+def test_lagging_replica_is_promoted_once_the_leaving_primary_ended() -> None:
     """Guards against a group without primary after a departure."""
     harness = Harness.open()
     harness.announce("t1", leaving=True)
-    harness.run(8_000, answering=["t1"])
+    harness.run(8_000, positions={"t1": 90})
+    harness.announce("t1", leaving=True, gone=True)
 
-    promoted = harness.run(7_000, positions={"t1": 9, "t3": 8})
+    promoted = harness.run(7_000, ["t2", "t3"], positions={"t3": 8})
 
     assert promoted == ["t3"]
 
