Split the departures off the manager of primaries

The replacement of leaving primaries is a component of its own now, as the relief is: it reads the state, and starts planned changes. What a choice of successor depends on is built in one place. A change whose connections are open already says so, instead of looking at the search.

No behaviour changes, but for one: a change that starts because its primary is gone, before any probe, opens its connections with the warm-up probe again. decide tests and 2,000 examples of the state machine pass.

--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -147,7 +147,7 @@
         promotion_quorum,
         write_quorum,
     )
-    from rosemarysaddle.decide.primaries._departure import (
+    from rosemarysaddle.decide.primaries._departures import (
         Departure,
         DepartureStatus,
     )
@@ -394,7 +394,7 @@
             "promotion_quorum",
             "write_quorum",
         ),
-        "primaries._departure": ("Departure", "DepartureStatus"),
+        "primaries._departures": ("Departure", "DepartureStatus"),
         "primaries._registry": ("is_update",),
         "primaries._terms": ("GroupTerm",),
         "reads._freshness": ("PositionHistory", "newer_point"),
--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -36,6 +36,10 @@
 from rosemarysaddle.decide.leases._neighbours import NeighbourLists
 from rosemarysaddle.decide.leases._restarted_hosts import RestartedHosts
 from rosemarysaddle.decide.leases._waiting_hosts import WaitingHosts
+from rosemarysaddle.decide.primaries._departures import (
+    SUCCESSOR_ATTEMPT,
+    DepartureManager,
+)
 from rosemarysaddle.decide.primaries._primaries import PrimaryManager
 from rosemarysaddle.decide.primaries._reconciler import (
     ADMIT_ATTEMPT,
@@ -100,6 +104,7 @@
     lease_ms: int = LEASE_MS
     wanted_voters: int = 0
     primaries: PrimaryManager = attrs.field(init=False)
+    departures: DepartureManager = attrs.field(init=False)
     applied_by_host: dict[str, int] = attrs.field(factory=dict, init=False)
     _context: LeaderContext = attrs.field(init=False)
     _reconciler: InstanceReconciler = attrs.field(init=False)
@@ -142,6 +147,9 @@
             leads=self._leads,
         )
         self.primaries = PrimaryManager(context=self._context)
+        self.departures = DepartureManager(
+            context=self._context, primaries=self.primaries
+        )
         self._reconciler = InstanceReconciler(
             context=self._context, primaries=self.primaries
         )
@@ -165,12 +173,22 @@
         """
         effects = self._process_effects(self.log.tick(now_ns), now_ns)
         if self._leads(now_ns):
+            self._examine_changed_groups()
             effects.extend(self.primaries.tick(now_ns))
+            effects.extend(self.departures.tick(now_ns))
             effects.extend(self._lease_holders.tick(now_ns))
             effects.extend(self._tick_voters(now_ns))
         effects.extend(self._answer_waiting_hosts(now_ns))
         return effects
 
+    def _examine_changed_groups(self) -> None:
+        inventory, targets = self.state.inventory, self.state.targets
+        self.primaries.examine(inventory.changed_groups)
+        self.primaries.examine(targets.changed_groups)
+        self.departures.examine(targets.changed_groups)
+        inventory.changed_groups.clear()
+        targets.changed_groups.clear()
+
     def receive(
         self, source: str, message: Message, now_ns: int
     ) -> list[Effect]:
@@ -240,6 +258,8 @@
             return self._reconciler.on_admission_probe(group, reports, now_ns)
         if attempt == RELIEF_ATTEMPT:
             return self._relief.on_probe(group, reports, now_ns)
+        if attempt == SUCCESSOR_ATTEMPT:
+            return self.departures.on_probe(group, reports, now_ns)
         return self.primaries.on_probe(group, attempt, reports, now_ns)
 
     def on_promoted(
@@ -349,6 +369,7 @@
                 now_ns, entry_hosts=self.state.entry_hosts
             )
             return []
+        self.departures.on_applied(entry)
         effects, ready = self._lease_holders.on_applied(entry, now_ns)
         for host, renewal in ready:
             effects.extend(self._on_renewal(host, renewal, now_ns))
@@ -360,6 +381,7 @@
             self.log.earlier_leader_until_ns, self.lease_ms
         )
         self.primaries.on_elected()
+        self.departures.on_elected()
         self._reconciler.on_elected()
         self._relief.on_elected()
         self._lease_holders.on_elected()
--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -31,15 +31,10 @@
     eligible_reports,
     promotion_quorum,
 )
-from rosemarysaddle.decide.primaries._departure import (
-    Departure,
-    DepartureStatus,
-    SuccessorSearch,
-)
 from rosemarysaddle.decide.primaries._succession import (
     SuccessorCriteria,
     choose_successor,
-    has_ready_successor,
+    registered_reports,
 )
 from rosemarysaddle.schema import (
     Announcement,
@@ -51,10 +46,9 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Sequence
 
     from rosemarysaddle.decide.control_log._context import LeaderContext
-    from rosemarysaddle.decide.primaries._registry import TargetRecord
     from rosemarysaddle.decide.primaries._terms import GroupTerm
     from rosemarysaddle.schema import Group
 
@@ -76,16 +70,12 @@
 # A replica receives the last writes within a round trip, and a second
 # probe finds one whose status could not be read at first.
 CATCH_UP_TIMEOUT_MS: Final = 600
-# A leaving primary serves for some seconds more than this, which the
-# change takes that then starts without a successor in sight.
-SUCCESSOR_SEARCH_MS: Final = 3_000
-# A change numbers its probes from 1.  Others here have numbers of
-# their own: the probe that confirms a suspicion, the warm-up probe,
-# which only opens the connections for the next one and whose result is
-# ignored, and the probe for a successor of a leaving primary.
+# A change numbers its probes from 1.  Two others here have numbers of
+# their own: the probe that confirms a suspicion, and the warm-up probe,
+# which only opens the connections for the next one; its result is
+# ignored.
 CONFIRM_ATTEMPT: Final = 0
 WARM_UP_ATTEMPT: Final = -1
-SUCCESSOR_ATTEMPT: Final = -4
 
 
 @attrs.define(kw_only=True)
@@ -106,11 +96,6 @@
     _evidence: dict[str, Evidence] = attrs.field(factory=dict, init=False)
     _groups_to_open: set[str] = attrs.field(factory=set, init=False)
     _confirming: set[str] = attrs.field(factory=set, init=False)
-    # Groups whose primary may leave; the others are not examined.
-    _departure_checks: set[str] = attrs.field(factory=set, init=False)
-    _searches: dict[str, SuccessorSearch] = attrs.field(
-        factory=dict, init=False
-    )
     _grace_until_ns: dict[str, int] = attrs.field(factory=dict, init=False)
 
     def on_elected(self) -> None:
@@ -118,8 +103,6 @@
         self._evidence.clear()
         state = self.context.state
         self._groups_to_open = {*state.inventory.groups, *state.routes.groups}
-        self._departure_checks = set(state.routes.groups)
-        self._searches.clear()
 
     def on_leadership_lost(self) -> None:
         """Drop the changes that only a leader may continue."""
@@ -129,7 +112,6 @@
     def tick(self, now_ns: int) -> list[Effect]:
         """Start the changes that are due, and advance running ones."""
         effects = self._start_new_groups(now_ns)
-        effects.extend(self._replace_leaving_primaries(now_ns))
         for change in list(self.changes.values()):
             effects.extend(self._advance(change, now_ns))
         return effects
@@ -146,11 +128,7 @@
         """Advance a change whose log entry has been committed."""
         if entry.kind not in {EntryKind.CLOSE, EntryKind.OPEN}:
             return []
-        group = json.loads(entry.payload)["group"]
-        if entry.kind == EntryKind.OPEN:
-            # The new primary may have announced its stop meanwhile.
-            self._departure_checks.add(group)
-        change = self.changes.get(group)
+        change = self.changes.get(json.loads(entry.payload)["group"])
         if change is None:
             return []
         if entry.kind == EntryKind.CLOSE and change.phase is Phase.CLOSE:
@@ -167,6 +145,7 @@
         now_ns: int,
         *,
         keeps_former: bool = False,
+        is_warm: bool = False,
     ) -> list[Effect]:
         """Start a planned change of primary.
 
@@ -178,6 +157,7 @@
         :param now_ns: monotonic time, in nanoseconds
         :param keeps_former: whether the former primary stays if no
             replica holds all its writes soon after the fence
+        :param is_warm: whether connections to the instances are open
         """
         term = self.context.state.terms.get(group)
         if (
@@ -189,7 +169,12 @@
         if term.primary == preferred:
             return []
         return self.start_change(
-            group, term.term, now_ns, preferred, keeps_former=keeps_former
+            group,
+            term.term,
+            now_ns,
+            preferred,
+            keeps_former=keeps_former,
+            is_warm=is_warm,
         )
 
     def on_probe(
@@ -208,8 +193,6 @@
         """
         if attempt == CONFIRM_ATTEMPT:
             return self._on_confirmation(group, reports, now_ns)
-        if attempt == SUCCESSOR_ATTEMPT:
-            return self._on_successor_probe(group, reports, now_ns)
         change = self.changes.get(group)
         if change is None or change.attempt != attempt:
             return []
@@ -270,8 +253,11 @@
             if instance.name != primary
         ]
 
+    def examine(self, groups: Iterable[str]) -> None:
+        """Open the groups that are new or closed with the next tick."""
+        self._groups_to_open.update(groups)
+
     def _start_new_groups(self, now_ns: int) -> list[Effect]:
-        self._collect_changed_groups()
         effects: list[Effect] = []
         for name in sorted(self._groups_to_open - self.changes.keys()):
             term = self.context.state.terms.get(name)
@@ -289,14 +275,6 @@
                 effects.extend(self.start_change(name, 0, now_ns))
         return effects
 
-    def _collect_changed_groups(self) -> None:
-        state = self.context.state
-        self._groups_to_open.update(state.inventory.changed_groups)
-        self._groups_to_open.update(state.targets.changed_groups)
-        self._departure_checks.update(state.targets.changed_groups)
-        state.inventory.changed_groups.clear()
-        state.targets.changed_groups.clear()
-
     def _is_route_group(self, group: str) -> bool:
         """Tell whether a group is in the route plan.
 
@@ -320,136 +298,6 @@
         self.changes[group] = change
         return self._promote(change, now_ns)
 
-    def departures(self, now_ns: int) -> list[Departure]:
-        """List the groups whose primary leaves or is being replaced.
-
-        :param now_ns: monotonic time, in nanoseconds
-        """
-        return [
-            Departure(
-                group=record.group,
-                primary=record.target,
-                status=self._departure_status(record, now_ns),
-            )
-            for record in self.context.state.targets.leaving
-            if self._is_primary(record)
-        ]
-
-    def _is_primary(self, record: TargetRecord) -> bool:
-        term = self.context.state.terms.get(record.group)
-        return term is not None and term.primary == record.target
-
-    def _departure_status(
-        self, record: TargetRecord, now_ns: int
-    ) -> DepartureStatus:
-        change = self.changes.get(record.group)
-        if change is not None:
-            return DepartureStatus.CHANGING
-        if not self.context.lists_all_leases(now_ns):
-            return DepartureStatus.WAITS_FOR_LEASES
-        if not self._choose_replacement(record.group):
-            return DepartureStatus.NO_OTHER_TARGET
-        return DepartureStatus.WAITS_FOR_SUCCESSOR
-
-    def _replace_leaving_primaries(self, now_ns: int) -> list[Effect]:
-        """Start the planned changes that are due.
-
-        A group is examined until its primary stays, as a change may end
-        with another primary that leaves, or be impossible for now.
-        """
-        effects: list[Effect] = []
-        # A change now would block writes until the leases of an earlier
-        # leader have expired.  A leaving target serves for longer than
-        # that, so the change can wait.
-        if not self.context.lists_all_leases(now_ns):
-            return effects
-        for group in sorted(self._departure_checks - self.changes.keys()):
-            term = self.context.state.terms.get(group)
-            if not self._is_departing(group, term):
-                self._departure_checks.discard(group)
-                self._searches.pop(group, None)
-                continue
-            effects.extend(self._replace_primary(group, now_ns))
-        return effects
-
-    def _replace_primary(self, group: str, now_ns: int) -> list[Effect]:
-        """Search for a successor, or start the change without one."""
-        replacement = self._choose_replacement(group)
-        if not replacement:
-            return []
-        primary = self.context.state.terms[group].primary
-        search = self._searches.get(group)
-        if search is None or search.primary != primary:
-            search = self._searches[group] = SuccessorSearch(
-                primary=primary,
-                deadline_ns=now_ns + SUCCESSOR_SEARCH_MS * NS_PER_MS,
-            )
-        is_registered = primary in self.context.state.targets.records
-        if now_ns >= search.deadline_ns or not is_registered:
-            return self.start_planned_change(group, replacement, now_ns)
-        if now_ns < search.retry_at_ns:
-            return []
-        deadline_ns = now_ns + PROBE_TIMEOUT_MS * NS_PER_MS
-        search.retry_at_ns = deadline_ns + RETRY_DELAY_MS * NS_PER_MS
-        return [
-            ProbeGroup(
-                group=group,
-                attempt=SUCCESSOR_ATTEMPT,
-                deadline_ns=deadline_ns,
-                quorum=len(self.context.instances(group)),
-            )
-        ]
-
-    def _on_successor_probe(
-        self, group: str, reports: Sequence[TargetReport], now_ns: int
-    ) -> list[Effect]:
-        """Start the change of a leaving primary if another is ready."""
-        search = self._searches.get(group)
-        term = self.context.state.terms.get(group)
-        if search is None or not self._is_departing(group, term):
-            return []
-        search.retry_at_ns = now_ns + RETRY_DELAY_MS * NS_PER_MS
-        criteria = self._successor_criteria(group)
-        reports = self._registered(group, reports)
-        if not self.context.lists_all_leases(now_ns):
-            return []
-        if not has_ready_successor(reports, criteria):
-            return []
-        return self.start_planned_change(
-            group, self._choose_replacement(group), now_ns
-        )
-
-    def _registered(
-        self, group: str, reports: Sequence[TargetReport]
-    ) -> list[TargetReport]:
-        """Leave out targets that left since their status was read."""
-        records = self.context.state.targets.of_group(group)
-        registered = {r.target for r in records}
-        return [r for r in reports if r.target in registered]
-
-    def _successor_criteria(self, group: str) -> SuccessorCriteria:
-        term = self.context.state.terms.get(group)
-        records = self.context.state.targets.of_group(group)
-        former = "" if term is None else term.primary
-        return SuccessorCriteria(
-            former=former,
-            leaving={r.target for r in records if r.leaving},
-            others_stay=any(
-                r.target != former for r in records if not r.leaving
-            ),
-        )
-
-    def _is_departing(self, group: str, term: GroupTerm | None) -> bool:
-        """Tell whether the primary of an open group leaves or left."""
-        if term is None or not term.is_open or not self._is_route_group(group):
-            return False
-        record = self.context.state.targets.records.get(term.primary)
-        return record is None or record.group != group or record.leaving
-
-    def _choose_replacement(self, group: str) -> str:
-        records = self.context.state.targets.of_group(group)
-        return next((r.target for r in records if not r.leaving), "")
-
     def _is_fully_announced(self, group: Group) -> bool:
         if self._is_route_group(group.name):
             return bool(group.instances)
@@ -553,11 +401,11 @@
         suspected_ns: int = 0,
         *,
         keeps_former: bool = False,
+        is_warm: bool = False,
     ) -> list[Effect]:
         """Start a change by closing the current term of a group.
 
-        A warm-up probe opens connections to the instances meanwhile,
-        if none are known to be open.
+        A warm-up probe opens connections to the instances meanwhile.
 
         :param term: term to close; 0 for a new group
         :param preferred: instance to promote in a planned change
@@ -565,9 +413,9 @@
             or 0 where there is none
         :param keeps_former: whether the former primary stays if no
             replica holds all its writes soon after the fence
+        :param is_warm: whether connections to the instances are open,
+            so that no warm-up probe is needed
         """
-        # The probes of a search have opened the connections already.
-        is_warm = self._searches.pop(group, None) is not None
         self.changes[group] = GroupChange(
             group=group,
             term=term,
@@ -699,9 +547,12 @@
         reports: Sequence[TargetReport],
         now_ns: int,
     ) -> list[Effect]:
-        reports = self._registered(change.group, reports)
-        criteria = attrs.evolve(
-            self._successor_criteria(change.group),
+        state = self.context.state
+        records = state.targets.of_group(change.group)
+        reports = registered_reports(reports, records)
+        criteria = SuccessorCriteria.of_group(
+            state.terms.get(change.group),
+            records,
             allow_lagging=now_ns >= change.candidate_deadline_ns,
             keeps_former=change.keeps_former,
             reuse_former=change.keeps_former
--- a/src/rosemarysaddle/decide/primaries/_succession.py
+++ b/src/rosemarysaddle/decide/primaries/_succession.py
@@ -15,12 +15,15 @@
     from collections.abc import Collection, Sequence
 
     from rosemarysaddle.decide._effects import TargetReport
+    from rosemarysaddle.decide.primaries._registry import TargetRecord
+    from rosemarysaddle.decide.primaries._terms import GroupTerm
 
 __all__ = (
     "MAX_MISSING_WRITES",
     "SuccessorCriteria",
     "choose_successor",
     "has_ready_successor",
+    "registered_reports",
 )
 
 # Writes that a healthy replica has not received yet when the status of
@@ -49,6 +52,33 @@
     keeps_former: bool = False
     reuse_former: bool = False
 
+    @classmethod
+    def of_group(
+        cls,
+        term: GroupTerm | None,
+        records: Sequence[TargetRecord],
+        *,
+        allow_lagging: bool = False,
+        keeps_former: bool = False,
+        reuse_former: bool = False,
+    ) -> SuccessorCriteria:
+        """Build the criteria for a group.
+
+        :param term: current term of the group, None for a new group
+        :param records: registered targets of the group
+        """
+        former = "" if term is None else term.primary
+        return cls(
+            former=former,
+            leaving={r.target for r in records if r.leaving},
+            others_stay=any(
+                r.target != former for r in records if not r.leaving
+            ),
+            allow_lagging=allow_lagging,
+            keeps_former=keeps_former,
+            reuse_former=reuse_former,
+        )
+
     @property
     def former_must_go(self) -> bool:
         """Tell whether the former primary may not be chosen again.
@@ -60,6 +90,14 @@
         return self.former in self.leaving and self.others_stay
 
 
+def registered_reports(
+    reports: Sequence[TargetReport], records: Sequence[TargetRecord]
+) -> list[TargetReport]:
+    """Leave out targets that left since their status was read."""
+    registered = {r.target for r in records}
+    return [r for r in reports if r.target in registered]
+
+
 def choose_successor(
     reports: Sequence[TargetReport], criteria: SuccessorCriteria
 ) -> TargetReport | None:
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -455,7 +455,7 @@
     def _departures(self, now_ns: int) -> list[Departure]:
         if not self.control.leads(now_ns):
             return []
-        return self.control.primaries.departures(now_ns)
+        return self.control.departures.list_departures(now_ns)
 
     def _record_start(self, now_ns: int) -> None:
         record, leads = self._timeline.record, self.control.leads(now_ns)
--- a/tests/decide/announced_group.py
+++ b/tests/decide/announced_group.py
@@ -188,6 +188,7 @@
         """
         self.leader.primaries.on_leadership_lost()
         self.leader.primaries.on_elected()
+        self.leader.departures.on_elected()
         self.leader._context.leases.unlisted_until_ns = (
             self.now_ns + unlisted_ms * NS_PER_MS
         )
