Give lost results of promotions and confirmations a deadline

A change whose order to promote never reported a result stayed in that phase until the next election, with its group open and not serving; a confirming probe without a result kept every later suspicion of its group from being confirmed. Both results are reported by tasks that a defect can end. Two new tests, failed before.

Each now has a deadline after which the leader goes on.

--- a/src/rosemarysaddle/decide/primaries/_change.py
+++ b/src/rosemarysaddle/decide/primaries/_change.py
@@ -79,6 +79,8 @@
     :param chosen: instance that becomes primary under the new term
     :param may_be_primary: whether the chosen instance may be the
         primary already
+    :param promote_until_ns: time from which an order to promote without
+        a result counts as failed
     :param blocked_reason: why no primary can be chosen yet, or empty
     """
 
@@ -98,6 +100,7 @@
     new_term: int = 0
     chosen: str = ""
     may_be_primary: bool = True
+    promote_until_ns: int = 0
     blocked_reason: str = ""
 
     def begin_fence(self, deadlines_ns: dict[str, int]) -> None:
--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -62,6 +62,8 @@
 PROBE_TIMEOUT_MS: Final = 500
 CONFIRM_PROBE_TIMEOUT_MS: Final = 400
 PROMOTE_TIMEOUT_MS: Final = 1_000
+# The result of a promotion arrives within this time after its deadline.
+PROMOTE_RESULT_MS: Final = 1_000
 RETRY_DELAY_MS: Final = 100
 # Suspicions of a new primary are ignored for this long.
 NEW_PRIMARY_GRACE_MS: Final = 1_500
@@ -95,7 +97,9 @@
     times: list[ChangeTimes] = attrs.field(factory=list)
     _evidence: dict[str, Evidence] = attrs.field(factory=dict, init=False)
     _groups_to_open: set[str] = attrs.field(factory=set, init=False)
-    _confirming: set[str] = attrs.field(factory=set, init=False)
+    _confirming_until_ns: dict[str, int] = attrs.field(
+        factory=dict, init=False
+    )
     _grace_until_ns: dict[str, int] = attrs.field(factory=dict, init=False)
 
     def on_elected(self) -> None:
@@ -107,7 +111,7 @@
     def on_leadership_lost(self) -> None:
         """Drop the changes that only a leader may continue."""
         self.changes.clear()
-        self._confirming.clear()
+        self._confirming_until_ns.clear()
 
     def tick(self, now_ns: int) -> list[Effect]:
         """Start the changes that are due, and advance running ones."""
@@ -323,8 +327,10 @@
             return []
         self._record_evidence(suspicion.group, suspicion.host, now_ns)
         effects = self._fail_over_if_proven(suspicion.group, now_ns)
-        if effects or suspicion.group in self._confirming:
+        if effects:
             return effects
+        if now_ns < self._confirming_until_ns.get(suspicion.group, 0):
+            return []
         return self._probe_to_confirm(suspicion.group, now_ns)
 
     def _record_evidence(self, group: str, host: str, now_ns: int) -> None:
@@ -336,12 +342,16 @@
         evidence.add(host, now_ns)
 
     def _probe_to_confirm(self, group: str, now_ns: int) -> list[Effect]:
-        self._confirming.add(group)
+        deadline_ns = now_ns + CONFIRM_PROBE_TIMEOUT_MS * NS_PER_MS
+        # A result that is lost holds up the next probe for a moment.
+        self._confirming_until_ns[group] = (
+            deadline_ns + RETRY_DELAY_MS * NS_PER_MS
+        )
         return [
             ProbeGroup(
                 group=group,
                 attempt=CONFIRM_ATTEMPT,
-                deadline_ns=now_ns + CONFIRM_PROBE_TIMEOUT_MS * NS_PER_MS,
+                deadline_ns=deadline_ns,
                 quorum=len(self.context.instances(group)),
                 fresh=True,
             )
@@ -350,7 +360,7 @@
     def _on_confirmation(
         self, group: str, reports: Sequence[TargetReport], now_ns: int
     ) -> list[Effect]:
-        self._confirming.discard(group)
+        self._confirming_until_ns.pop(group, None)
         term = self.context.state.terms.get(group)
         if (
             term is None
@@ -484,6 +494,10 @@
             change.fenced_ns = now_ns
             change.phase = Phase.PROBE
             return self._probe(change, now_ns)
+        if change.phase is Phase.PROMOTE and now_ns >= change.promote_until_ns:
+            return self.on_promoted(
+                change.group, change.new_term, done=False, now_ns=now_ns
+            )
         is_due = change.phase is Phase.PROBE and now_ns >= change.retry_at_ns
         return self._probe(change, now_ns) if is_due else []
 
@@ -597,6 +611,8 @@
 
     def _promote(self, change: GroupChange, now_ns: int) -> list[Effect]:
         change.phase = Phase.PROMOTE
+        deadline_ns = now_ns + self.promote_timeout_ms * NS_PER_MS
+        change.promote_until_ns = deadline_ns + PROMOTE_RESULT_MS * NS_PER_MS
         term = self.context.state.terms[change.group]
         return [
             PromoteTarget(
@@ -604,7 +620,7 @@
                 target=change.chosen,
                 term=change.new_term,
                 start=term.start_of(change.new_term) or 0,
-                deadline_ns=now_ns + self.promote_timeout_ms * NS_PER_MS,
+                deadline_ns=deadline_ns,
                 may_be_primary=change.may_be_primary,
             )
         ]
--- a/tests/decide/test_control.py
+++ b/tests/decide/test_control.py
@@ -31,6 +31,7 @@
     promotion_quorum,
     write_quorum,
 )
+from rosemarysaddle.decide.primaries._primaries import CONFIRM_ATTEMPT
 from rosemarysaddle.schema import (
     Announcement,
     ChangeProposal,
@@ -300,6 +301,23 @@
     assert harness.phase() == "probe"
 
 
+def test_suspicion_is_confirmed_again_if_the_result_is_lost() -> None:
+    """Guards against an outage that no later report can prove."""
+    harness = Harness.open()
+    counts = []
+    for pause_ms in (0, 0, 600):
+        harness.elapse(pause_ms)
+        harness.suspect("h2")
+        probes = [
+            e
+            for e in harness.effects
+            if isinstance(e, ProbeGroup) and e.attempt == CONFIRM_ATTEMPT
+        ]
+        counts.append(len(probes))
+
+    assert counts == [1, 1, 2]
+
+
 def test_suspicion_of_reachable_primary_changes_nothing() -> None:
     harness = Harness.open()
     harness.suspect("h2")
--- a/tests/decide/test_departures.py
+++ b/tests/decide/test_departures.py
@@ -190,6 +190,23 @@
     assert harness.leader.state.terms["g"].is_serving
 
 
+def test_promotion_without_a_result_is_given_up() -> None:
+    """Guards against a change that waits for a result that was lost."""
+    harness = Harness.open()
+    harness.announce("t1", leaving=True)
+    harness.elapse(50)
+    harness.probe(primary="t1")
+    harness.elapse(100)
+    harness.probe(primary="t1")
+    lost = harness.found(PromoteTarget)[-1]
+
+    promoted = harness.run(6_000)
+
+    assert promoted
+    assert harness.leader.state.terms["g"].term > lost.term
+    assert harness.leader.state.terms["g"].is_serving
+
+
 class Departures(RuleBasedStateMachine):
     """Targets leave and join while others are silent or lag."""
 
