Bound the log lines of departures, and share test set-ups

Read again as a newcomer: event=departure had no limit of lines a second, the constants of leaving targets stood under another one's comment, and two pairs of tests set up the same.

--- a/src/rosemarysaddle/node/_departure_log.py
+++ b/src/rosemarysaddle/node/_departure_log.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from rosemarysaddle import _log as logging
+from rosemarysaddle._events import log_event
 from rosemarysaddle.decide import NS_PER_MS
 
 if TYPE_CHECKING:
@@ -27,10 +27,10 @@
 class DepartureLog:
     """Logs each step of the replacement of a leaving primary.
 
-    :param write: called with each line to write
+    :param write: called with the kind and the text of each line
     """
 
-    write: Callable[[str], None] = logging.info
+    write: Callable[[str, str], None] = log_event
     _reported: dict[str, _Reported] = attrs.field(factory=dict, init=False)
 
     def update(self, departures: Iterable[Departure], now_ns: int) -> None:
@@ -50,13 +50,14 @@
                 continue
             known.departure = departure
             self._log(known, str(departure.status), now_ns)
-        for group in self._reported.keys() - current.keys():
+        for group in sorted(self._reported.keys() - current.keys()):
             self._log(self._reported.pop(group), "over", now_ns)
 
     def _log(self, reported: _Reported, status: str, now_ns: int) -> None:
         known_for_ms = (now_ns - reported.since_ns) // NS_PER_MS
         self.write(
-            f"event=departure group={reported.departure.group}"
+            "departure",
+            f"group={reported.departure.group}"
             f" primary={reported.departure.primary} status={status}"
-            f" known_for_ms={known_for_ms}"
+            f" known_for_ms={known_for_ms}",
         )
--- a/src/rosemarysaddle/session/_leaving_targets.py
+++ b/src/rosemarysaddle/session/_leaving_targets.py
@@ -23,13 +23,12 @@
     "WorkRole",
 )
 
-# A change of primary takes up to a second or two; work at a target that
-# has been leaving for longer is worth a line in the log.
-WORK_AGE_BOUNDS_MS: Final = (500, 1_000, 2_000, 3_000, 5_000, 7_000, 10_000)
-LATE_WORK_MS: Final = 2_000
 LEAVING_WORK_MS: Final = 7_000
 # For the preparation of a connection and the way to the target.
 SEND_RESERVE_MS: Final = 1_000
+# The usual change of primary is over by then.
+LATE_WORK_MS: Final = 2_000
+WORK_AGE_BOUNDS_MS: Final = (500, 1_000, 2_000, 3_000, 5_000, 7_000, 10_000)
 
 
 class WorkRole(enum.StrEnum):
--- a/tests/decide/test_departures.py
+++ b/tests/decide/test_departures.py
@@ -164,14 +164,20 @@
     assert promoted == []
 
 
-def test_promotion_that_failed_without_a_quorum_is_ordered_again() -> None:
-    """Guards against an open group that never serves."""
+def _order_replacement() -> Harness:
+    """Build a harness with an order to promote in place of t1."""
     harness = Harness.open()
     harness.announce("t1", leaving=True)
     harness.elapse(50)
     harness.probe(primary="t1")
     harness.elapse(100)
     harness.probe(primary="t1")
+    return harness
+
+
+def test_promotion_that_failed_without_a_quorum_is_ordered_again() -> None:
+    """Guards against an open group that never serves."""
+    harness = _order_replacement()
     harness.elect()
     harness.effects.clear()
     harness.elapse(50)
@@ -192,12 +198,7 @@
 
 def test_promotion_without_a_result_is_given_up() -> None:
     """Guards against a change that waits for a result that was lost."""
-    harness = Harness.open()
-    harness.announce("t1", leaving=True)
-    harness.elapse(50)
-    harness.probe(primary="t1")
-    harness.elapse(100)
-    harness.probe(primary="t1")
+    harness = _order_replacement()
     lost = harness.found(PromoteTarget)[-1]
 
     promoted = harness.run(6_000)
--- a/tests/node/test_departure_log.py
+++ b/tests/node/test_departure_log.py
@@ -11,7 +11,7 @@
 
 def test_each_step_of_a_departure_is_logged_once_with_its_age() -> None:
     lines: list[str] = []
-    log = DepartureLog(write=lines.append)
+    log = DepartureLog(write=lambda kind, text: lines.append(f"{kind} {text}"))
     steps: tuple[list[Departure], ...] = (
         [_departure(DepartureStatus.WAITS_FOR_LEASES)],
         [_departure(DepartureStatus.WAITS_FOR_LEASES)],
--- a/tests/session/standin.py
+++ b/tests/session/standin.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import attrs
 
@@ -15,6 +16,9 @@
 from rosemarysaddle.session import CallerSession, Router
 from tests.helpers import TEST_NETWORK
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
 IP = f"{TEST_NETWORK}.1.1"
 GROUP = "g"
 ROUTE_TIMEOUT_MS = 400
@@ -207,6 +211,23 @@
     )
 
 
+@contextlib.asynccontextmanager
+async def run_router(targets: list[StandInTarget]) -> AsyncIterator[Router]:
+    """Run targets and the router of a host that holds a lease."""
+    for target in targets:
+        await target.start()
+    router = make_router(targets)
+    router.apply_view()
+    try:
+        yield router
+    finally:
+        for pool in router.pools.values():
+            pool.close()
+        for target in targets:
+            target.stop()
+        await asyncio.sleep(0)
+
+
 async def open_caller(
     router: Router, database: str, key: str = "u1"
 ) -> Caller:
--- a/tests/session/test_leaving_targets.py
+++ b/tests/session/test_leaving_targets.py
@@ -21,8 +21,8 @@
 from tests.session.standin import (
     ROUTE_TIMEOUT_MS,
     StandInTarget,
-    make_router,
     open_caller,
+    run_router,
 )
 
 if TYPE_CHECKING:
@@ -39,16 +39,8 @@
 ) -> None:
     async def run() -> None:
         target = StandInTarget(name="t1", port=PORT)
-        await target.start()
-        router = make_router([target])
-        router.apply_view()
-        try:
+        async with run_router([target]) as router:
             await scenario(router, target)
-        finally:
-            for pool in router.pools.values():
-                pool.close()
-            target.stop()
-            await asyncio.sleep(0)
 
     asyncio.run(run())
 
--- a/tests/session/test_outage.py
+++ b/tests/session/test_outage.py
@@ -11,7 +11,7 @@
 from rosemarysaddle.decide import EntryNode
 from rosemarysaddle.schema import LeaseRefusal
 from tests.helpers import NS_PER_MS
-from tests.session.standin import StandInTarget, make_router, open_caller
+from tests.session.standin import StandInTarget, open_caller, run_router
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -31,16 +31,8 @@
 def _run(scenario: Callable[[Router], Coroutine[None, None, None]]) -> None:
     async def run() -> None:
         target = StandInTarget(name="t1", port=PORT)
-        await target.start()
-        router = make_router([target])
-        router.apply_view()
-        try:
+        async with run_router([target]) as router:
             await scenario(router)
-        finally:
-            for pool in router.pools.values():
-                pool.close()
-            target.stop()
-            await asyncio.sleep(0)
 
     asyncio.run(run())
 
