Keep a voter that lacks entries from standing after a restart of all

The log of the third control host, which had been frozen, ended at entry 17, those of the others at 18. It started last, heard from both others that they had restarted, and stood without granted polls: 540 terms, one each 150 to 200 ms. Each new term made the others wait for a full time-out, so neither ever stood.

A voter now tells that it restarted only to a candidate whose log could win its vote, and does not wait for one that could not. Ruled out: departures, which the log shows ended before.

--- a/src/rosemarysaddle/decide/control_log/_log.py
+++ b/src/rosemarysaddle/decide/control_log/_log.py
@@ -440,7 +440,11 @@
             return [reply]
         effects: list[Effect] = []
         if not request.pre and request.term > self.term:
+            due_ns = self._election.due_ns
             self._become_follower(request.term, now_ns)
+            if not self._holds_enough(request):
+                # Does not wait for a candidate that cannot win.
+                self._election.due_ns = due_ns
             effects.append(self._set_term(request.term, ""))
         granted = self._may_vote(request)
         if self._is_rival(request) and source < self.host:
@@ -486,7 +490,10 @@
             granted=granted,
             pre=request.pre,
             heard_age_ns=self._election.leader_age_ns(now_ns),
-            restarted=self._election.has_seen_no_leader,
+            # Makes the candidate stand without granted polls, so it is
+            # not told to one that could not win.
+            restarted=self._election.has_seen_no_leader
+            and self._holds_enough(request),
         )
         return Send(peer=source, message=reply)
 
--- a/tests/decide/test_election.py
+++ b/tests/decide/test_election.py
@@ -8,9 +8,12 @@
 
 from benchmarks.election import (
     FAST_START_MS,
+    NEWEST_ENTRY,
     SLOW_START_MS,
     ElectionPlay,
 )
+from rosemarysaddle.decide import LogNode, Role, Send, StoredLog
+from tests.helpers import NS_PER_MS, make_log
 
 SEEDS = range(100)
 # Callers wait for all of this time, as no host has a lease.
@@ -58,3 +61,54 @@
         play.run()
 
         assert play.after_possible_ms <= 2_500
+
+
+TICK_MS = 50
+
+
+def _start_voter(host: str, *, is_behind: bool, now_ms: int) -> LogNode:
+    stored = StoredLog(
+        term=2,
+        voted_for="a",
+        snapshot_voters="a,b,c",
+        entries=() if is_behind else (NEWEST_ENTRY,),
+    )
+    return make_log(host, stored=stored, now_ns=now_ms * NS_PER_MS)
+
+
+def _deliver(
+    logs: dict[str, LogNode], source: str, effects: list[Any], now_ns: int
+) -> None:
+    """Deliver messages at once, and those that they cause."""
+    for effect in effects:
+        if isinstance(effect, Send) and effect.peer in logs:
+            found = logs[effect.peer].receive(source, effect.message, now_ns)
+            _deliver(logs, effect.peer, found, now_ns)
+
+
+@pytest.mark.parametrize("last_ms", [0, 100, 200])
+@pytest.mark.parametrize("behind", ["a", "b", "c"])
+def test_voter_that_is_behind_does_not_disturb_others_after_a_restart(
+    behind: str, last_ms: int
+) -> None:
+    """Guards against a voter that raises the term again and again.
+
+    It starts last, so it is the first that hears of all restarts.
+    """
+    begun_ms = 5_000
+    logs: dict[str, LogNode] = {}
+    for now_ms in range(begun_ms, begun_ms + 3_000, TICK_MS):
+        for host in ("a", "b", "c"):
+            delay_ms = last_ms if host == behind else 0
+            if host not in logs and now_ms >= begun_ms + delay_ms:
+                logs[host] = _start_voter(
+                    host, is_behind=host == behind, now_ms=now_ms
+                )
+            if host in logs:
+                now_ns = now_ms * NS_PER_MS
+                _deliver(logs, host, logs[host].tick(now_ns), now_ns)
+
+    leaders = [h for h, log in logs.items() if log.role is Role.LEADER]
+    assert len(leaders) == 1
+    assert behind not in leaders
+    assert logs[behind].term <= 2 + 2
