--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A check-in of another writer names an address that can't exist."""
+"""A check-in of another writer is taken for an instance."""
 
 from __future__ import annotations
 
@@ -92,7 +92,10 @@
 
 
 async def send_bad_check_in(fleet, service, zone, record):
+    """Send a check-in without `seq` and with a number as `version`."""
     body = service.instances[1].beat()
+    del body["seq"]
+    body["version"] = 1
     body["address"] = f"{fleet.network}.5.9:{BAD_PORT}"
     body["data_center"] = zone
     body["born"] = int(time.time() * 1000)
@@ -100,7 +103,10 @@
         status, _ = await http_call(
             process.ip, "POST", "/instances/i-other-1/heartbeat", body
         )
-        record(f"check-in address={body['address']} status={status}")
+        record(
+            f"check-in of another writer address={body['address']}"
+            f" at={process.name} status={status}"
+        )
 
 
 def judge(service, requests, stopped, silent, record):
