--- a/review/5/case.py
+++ b/review/5/case.py
@@ -28,8 +28,8 @@
 WORK_S = 0.3
 PAUSE_S = 0.25
 STATEMENTS = 12
-CLIENTS = 10
-STAGGER_S = 0.05
+CLIENTS = 16
+STAGGER_S = 0.034
 
 
 async def run_transaction(session, name, requests):
