--- a/review/4/case.py
+++ b/review/4/case.py
@@ -73,7 +73,7 @@
         await asyncio.gather(*await read_at_once(front, f"w{n}", 3, warm_up))
     if is_troubled():
         await send_bad_check_in(fleet, service, front.zone, record)
-    await asyncio.sleep(2.0)
+    await asyncio.sleep(3.0)
     earlier, requests = {}, {}
     first = await read_at_once(front, "a", 6, earlier)
     await asyncio.sleep(ROUTE_TIMEOUT_S + 0.5)
