--- a/src/rosemarysaddle/decide/primaries/_terms.py
+++ b/src/rosemarysaddle/decide/primaries/_terms.py
@@ -23,6 +23,9 @@
 
     :param is_open: whether writes may run under the term
     :param is_serving: whether the primary has confirmed its promotion
+    :param target_term: newest term in which a target of the group was
+        seen to be its primary, as the targets themselves number their
+        terms; 0 where none was seen
     :param starts: start positions of recent terms, oldest first
     :param identities: identity of each instance eligible for promotion
     """
@@ -31,6 +34,7 @@
     primary: str
     is_open: bool
     is_serving: bool = False
+    target_term: int = 0
     starts: tuple[TermStart, ...] = ()
     identities: dict[str, str] = attrs.field(factory=dict)
 
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -43,6 +43,7 @@
     "StepOut",
     "Suspicion",
     "Switchover",
+    "TermReport",
     "TokenGrant",
     "TokenRequest",
     "Variable",
@@ -1069,6 +1070,45 @@
         set_field(self, "target", target)
 
 
+@record(kw_only=True, init=False)
+class TermReport(Record):
+    """Message: term report."""
+
+    __slots__ = (
+        "host",
+        "group",
+        "term",
+        "target",
+        "observed_term",
+        "read_only",
+    )
+
+    host: str
+    group: str
+    term: int
+    target: str
+    observed_term: int
+    read_only: bool
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        group: str,
+        term: int,
+        target: str,
+        observed_term: int,
+        read_only: bool,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "host", host)
+        set_field(self, "group", group)
+        set_field(self, "term", term)
+        set_field(self, "target", target)
+        set_field(self, "observed_term", observed_term)
+        set_field(self, "read_only", read_only)
+
+
 @record(kw_only=True, init=False)
 class TokenGrant(Record):
     """Message: token grant."""
@@ -1276,6 +1316,7 @@
     | StepOut
     | Suspicion
     | Switchover
+    | TermReport
     | TokenGrant
     | TokenRequest
     | ViewDelta
@@ -1349,4 +1390,5 @@
     "relayedMessage": RelayedMessage,
     "replicasBehind": ReplicasBehind,
     "leaderResigned": LeaderResigned,
+    "termReport": TermReport,
 }
--- a/src/rosemarysaddle/schema/messages.capnp
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -150,6 +150,19 @@
   pointPosition @4 :UInt64;
 }
 
+# A target has answered in a way that contradicts the recorded primary.
+struct TermReport {
+  host @0 :Text;
+  group @1 :Text;
+  # Term of the group in the sender's state.
+  term @2 :UInt64;
+  target @3 :Text;
+  # Term of the log of the target, as its answer showed it.
+  observedTerm @4 :UInt64;
+  # Whether the target, the recorded primary, refused to write.
+  readOnly @5 :Bool;
+}
+
 struct ViewDelta {
   entries @0 :List(LogEntry);
 }
@@ -348,5 +361,6 @@
     relayedMessage @35 :RelayedMessage;
     replicasBehind @36 :ReplicasBehind;
     leaderResigned @37 :LeaderResigned;
+    termReport @38 :TermReport;
   }
 }
