Log answers whose term contradicts the recorded primary

A term that goes back at a target, one above the recorded term of the group, and a write that ran below it are logged as target-term with what was observed, recorded and believed. primary-read-only tells that the leased primary refuses writes. A refused statement names the position that it asked of replicas, the session's own and the newest one known.

PositionHistory no longer takes a position of an earlier term than its newest one, which would let reads pass at a log that lacks what was acknowledged; position-ignored tells so. It does take one where the recorded promotion is later than both: what it lacks was rolled back then, and reads would otherwise wait for the group's next write.

The new tests fail before: no line was logged, and the older position replaced the newer one.

--- a/src/rosemarysaddle/decide/reads/_freshness.py
+++ b/src/rosemarysaddle/decide/reads/_freshness.py
@@ -50,25 +50,41 @@
         factory=collections.deque, init=False
     )
 
-    def add_sample(self, asked_ns: int, point: LogPoint) -> None:
+    def add_sample(
+        self, asked_ns: int, point: LogPoint, *, recorded_term: int = 0
+    ) -> bool:
         """Add a position that the primary reported.
 
         A sample that follows the newest one too closely is ignored, and
         samples older than the retention time are dropped.
 
+        A position of an earlier term than the newest one shows a log
+        that lacks what the group has acknowledged, unless the primary
+        was promoted in a later term than both: what it lacks has been
+        rolled back then, and the earlier samples are dropped.
+
         :param asked_ns: time at which the lease covered the primary,
             before the position was requested, in nanoseconds
         :param point: position that the primary reported
+        :param recorded_term: term of the target in which it was
+            promoted, 0 if unknown
+        :return: False if the position is of an earlier term and must
+            not be relied on
         """
         samples = self._samples
+        if samples and point.term < samples[-1].point.term:
+            if recorded_term <= samples[-1].point.term:
+                return False
+            samples.clear()
         if samples and asked_ns < samples[-1].asked_ns + (
             MIN_SAMPLE_INTERVAL_MS * NS_PER_MS
         ):
-            return
+            return True
         samples.append(_Sample(asked_ns=asked_ns, point=point))
         oldest_ns = asked_ns - SAMPLE_RETENTION_MS * NS_PER_MS
         while samples[0].asked_ns < oldest_ns:
             samples.popleft()
+        return True
 
     def newest_ns(self) -> int:
         """Return the request time of the newest sample, or 0."""
--- a/src/rosemarysaddle/decide/reads/_token.py
+++ b/src/rosemarysaddle/decide/reads/_token.py
@@ -37,6 +37,10 @@
     term: int
     position: int
 
+    def __str__(self) -> str:
+        """Return the position as the log of a host shows it."""
+        return f"{self.term}.{self.position}"
+
 
 @attrs.frozen(kw_only=True)
 class SessionToken:
--- a/src/rosemarysaddle/session/_caller.py
+++ b/src/rosemarysaddle/session/_caller.py
@@ -453,7 +453,7 @@
             self.refuse_and_close(bad_request("open"))
             return
         began_ns = clock_ns()
-        self.runner.stages.clear()
+        self.runner.clear()
         in_transaction = self._transaction is not None
         result = await self._dispatch(statement)
         spent_ns = clock_ns() - began_ns
@@ -505,7 +505,8 @@
     ) -> None:
         route = self.router.route(self.database)
         group_description = (
-            self.router.describe_group(route.group)
+            f" {self.router.describe_group(route.group)}"
+            f" {self.runner.describe_points(route.group)}"
             if route is not None
             else ""
         )
@@ -518,7 +519,7 @@
             f" step={refusal.step} peer={refusal.peer}"
             f" outcome={refusal.outcome} spent_ms={spent_ns // NS_PER_MS}"
             f" retry_after_ms={refusal.retry_after_ms}"
-            f" {group_description}{self._describe_team()}",
+            f"{group_description}{self._describe_team()}",
         )
 
     def _refuse_revoked(self, statement: Statement) -> Refusal | None:
--- a/src/rosemarysaddle/session/_lagging_replicas.py
+++ b/src/rosemarysaddle/session/_lagging_replicas.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Sequence
 
-    from rosemarysaddle.decide import Effect, EntryNode, LogPoint, TargetState
+    from rosemarysaddle.decide import Effect, EntryNode, TargetState
     from rosemarysaddle.session._positions import PositionTracker
 
 __all__ = ("LaggingReplicas",)
@@ -36,8 +36,8 @@
             log_event(
                 "target-behind",
                 f"target={target_state.target} group={target_state.group}"
-                f" position={_describe_point(target_state.point)}"
-                f" newest={_describe_point(newest)}",
+                f" position={target_state.point or '-'}"
+                f" newest={newest or '-'}",
             )
         target_state.mark_lagging(now_ns)
 
@@ -50,7 +50,7 @@
         log_event(
             "target-caught-up",
             f"target={target_state.target} group={target_state.group}"
-            f" position={_describe_point(target_state.point)}"
+            f" position={target_state.point or '-'}"
             f" last_behind_ms={asked_ms}",
         )
         target_state.behind_ns = 0
@@ -74,7 +74,3 @@
         ]
         if replicas and all(t.is_behind(now_ns) for t in replicas):
             self.send(self.node.report_replicas_behind(group, point, now_ns))
-
-
-def _describe_point(point: LogPoint | None) -> str:
-    return f"{point.term}.{point.position}" if point is not None else "-"
--- a/src/rosemarysaddle/session/_positions.py
+++ b/src/rosemarysaddle/session/_positions.py
@@ -13,6 +13,7 @@
 import attrs
 
 from rosemarysaddle._clock import NS_PER_S, clock_ns
+from rosemarysaddle._events import log_event
 from rosemarysaddle._tasks import spawn
 from rosemarysaddle.connection import OpenFault
 from rosemarysaddle.decide import (
@@ -155,7 +156,17 @@
         :param asked_ns: :func:`clock_ns` time at which the request was
             sent
         """
-        self._history(group).add_sample(asked_ns, point)
+        term = self.owner.node.state.terms.get(group)
+        recorded = term.target_term if term is not None else 0
+        history = self._history(group)
+        if not history.add_sample(asked_ns, point, recorded_term=recorded):
+            log_event(
+                "position-ignored",
+                f"group={group} observed={point} newest={history.newest()}"
+                f" primary={term.primary if term is not None else '-'}"
+                f" recorded={recorded}"
+                f" control_term={term.term if term is not None else 0}",
+            )
 
     def refresh(self) -> None:
         """Request the positions that reads need if they are old."""
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -51,6 +51,7 @@
 from rosemarysaddle.session._stages import StageStats
 from rosemarysaddle.session._statement_stats import StatementStats
 from rosemarysaddle.session._target_outliers import TargetOutliers
+from rosemarysaddle.session._target_terms import TargetTerms
 from rosemarysaddle.session._unknown_keys import UnknownKeyCounter
 
 if TYPE_CHECKING:
@@ -139,6 +140,7 @@
     loan_client: LoanClient = attrs.field(init=False)
     positions: PositionTracker = attrs.field(init=False)
     lagging: LaggingReplicas = attrs.field(init=False)
+    target_terms: TargetTerms = attrs.field(init=False)
     leaving: LeavingTargets = attrs.field(init=False)
     stage_stats: StageStats = attrs.field(factory=StageStats, init=False)
     statement_stats: StatementStats = attrs.field(
@@ -171,6 +173,7 @@
             positions=self.positions,
             send=self.send,
         )
+        self.target_terms = TargetTerms(node=self.node)
         self.leaving = LeavingTargets(leaving_work_ms=self.leaving_work_ms)
         self.outliers = TargetOutliers(targets=self.targets)
         self.rate_limits = RateLimits(
@@ -200,7 +203,10 @@
         return (
             f"group={group} term={term.term if term is not None else 0}"
             f" primary={term.primary if term is not None else '-'}"
-            f" lease_left_ms={left_ms} position_age_ms={age_ms}"
+            f" target_term={term.target_term if term is not None else 0}"
+            f" lease_left_ms={left_ms}"
+            f" position={self.positions.newest(group) or '-'}"
+            f" position_age_ms={age_ms}"
             f" index={state.index} version={state.routes.version}"
         )
 
@@ -329,6 +335,12 @@
         """Return whether a ticket is still valid."""
         return self.node.holds(ticket, clock_ns())
 
+    def record_write(self, ticket: WriteTicket, answer: Answer) -> None:
+        """Compare the answer to a write with what its ticket is for."""
+        target_state = self.targets.get(ticket.primary)
+        if answer.fault is None and target_state is not None:
+            self.target_terms.record_write(target_state, answer.point)
+
     # --- answers ---
 
     def is_leased_primary(self, target: str) -> bool:
@@ -357,6 +369,9 @@
         target_state = self.targets.get(target)
         if target_state is None:
             return
+        self.target_terms.record_answer(
+            target_state, answer, was_leased_primary=was_leased_primary
+        )
         target_state.record_point(answer.point)
         now_ns = clock_ns()
         # The faults of an overloaded host are no evidence.
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -54,9 +54,22 @@
     """Runs the statements of one session.
 
     :param points: log position of the session's newest write, by group
+    :param asked_point: position that the last read of the present
+        statement asked of a replica, or None
     """
 
     points: dict[str, LogPoint] = attrs.field(factory=dict, init=False)
+    asked_point: LogPoint | None = attrs.field(default=None, init=False)
+
+    def clear(self) -> None:
+        """Forget what was recorded of the last statement."""
+        self.stages.clear()
+        self.asked_point = None
+
+    def describe_points(self, group: str) -> str:
+        """Describe the positions that a read needed, for the log."""
+        own = self.points.get(group)
+        return f"after={self.asked_point or '-'} own={own or '-'}"
 
     # --- outside transactions ---
 
@@ -140,9 +153,12 @@
         self, route: Route, failed: set[str], *, may_probe: bool = False
     ) -> ReadTarget | None:
         point = self.points.get(route.group)
-        return self.router.choose_read_target(
+        found = self.router.choose_read_target(
             route, point, failed, may_probe=may_probe
         )
+        if found is not None:
+            self.asked_point = found.after
+        return found
 
     async def _read_at(
         self,
@@ -209,6 +225,7 @@
             )
         finally:
             lease_held = self.router.end_write(ticket)
+        self.router.record_write(ticket, answer)
         if answer.fault is None and not lease_held:
             return unknown_outcome(
                 Reason.LEASE_ENDED, Step.EXECUTE, ticket.primary
@@ -299,7 +316,10 @@
         connection: TargetConnection,
         answer: Answer,
     ) -> Answer | Refusal:
+        ticket = transaction.ticket
         lease_held = self._end_ticket(transaction)
+        if ticket is not None and transaction.has_written:
+            self.router.record_write(ticket, answer)
         transaction.connection = None
         self._release(connection)
         if not transaction.has_written:
--- /dev/null
+++ b/src/rosemarysaddle/session/_target_terms.py
@@ -0,0 +1,114 @@
+"""Terms in the answers of targets, compared with the recorded ones.
+
+Targets number the terms of their log themselves.  An answer of a later
+term than the recorded one proves a later promotion, and a write that
+ran in an earlier term ran at a primary that has been replaced.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from rosemarysaddle._events import log_event
+from rosemarysaddle.decide import FaultCode
+
+if TYPE_CHECKING:
+    from rosemarysaddle.decide import (
+        Answer,
+        EntryNode,
+        LogPoint,
+        TargetState,
+    )
+
+__all__ = ("TargetTerms",)
+
+
+class _Conflict(enum.StrEnum):
+    """How an answer contradicts what is known of the terms."""
+
+    WENT_BACK = "went-back"
+    ABOVE_RECORDED = "above-recorded"
+    WRITE_BELOW_RECORDED = "write-below-recorded"
+
+
+@attrs.define(kw_only=True, eq=False)
+class TargetTerms:
+    """Notices answers that contradict the recorded terms of a group."""
+
+    node: EntryNode
+
+    def record_answer(
+        self,
+        target_state: TargetState,
+        answer: Answer,
+        *,
+        was_leased_primary: bool,
+    ) -> None:
+        """Compare an answer with the terms known so far.
+
+        To be called before the answer's position is stored as that of
+        the target.
+
+        :param was_leased_primary: whether the target was the leased
+            primary when the statement was sent
+        """
+        point, previous = answer.point, target_state.point
+        if point is not None:
+            recorded = self._recorded_term(target_state.group)
+            has_changed = previous is None or previous.term != point.term
+            if previous is not None and point.term < previous.term:
+                self._log_conflict(_Conflict.WENT_BACK, target_state, point)
+            elif has_changed and 0 < recorded < point.term:
+                self._log_conflict(
+                    _Conflict.ABOVE_RECORDED, target_state, point
+                )
+        if was_leased_primary and answer.fault is FaultCode.READ_ONLY:
+            log_event(
+                "primary-read-only",
+                f"{self._describe(target_state, point)} action=none",
+            )
+
+    def record_write(
+        self, target_state: TargetState, point: LogPoint | None
+    ) -> None:
+        """Compare the term of a write that has run with the recorded.
+
+        :param point: position that the target reported with the write
+        """
+        recorded = self._recorded_term(target_state.group)
+        if point is not None and point.term < recorded:
+            self._log_conflict(
+                _Conflict.WRITE_BELOW_RECORDED, target_state, point
+            )
+
+    def _recorded_term(self, group: str) -> int:
+        term = self.node.state.terms.get(group)
+        return term.target_term if term is not None else 0
+
+    def _log_conflict(
+        self,
+        conflict: _Conflict,
+        target_state: TargetState,
+        point: LogPoint,
+    ) -> None:
+        log_event(
+            "target-term",
+            f"reason={conflict} {self._describe(target_state, point)}"
+            f" previous={target_state.point or '-'} action=none",
+        )
+
+    def _describe(
+        self, target_state: TargetState, point: LogPoint | None
+    ) -> str:
+        group = target_state.group
+        term = self.node.state.terms.get(group)
+        return (
+            f"group={group} target={target_state.target}"
+            f" primary={term.primary if term is not None else '-'}"
+            f" observed={point or '-'}"
+            f" recorded={term.target_term if term is not None else 0}"
+            f" control_term={term.term if term is not None else 0}"
+        )
--- /dev/null
+++ b/tests/session/test_target_terms.py
@@ -0,0 +1,203 @@
+"""Answers that contradict the recorded terms of a group."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import attrs
+import pytest
+
+from rosemarysaddle._clock import clock_ns
+from rosemarysaddle.decide import Answer, FaultCode, LogPoint
+from rosemarysaddle.session import _caller, _positions, _target_terms
+from tests.session.standin import (
+    GROUP,
+    StandInTarget,
+    make_router,
+    open_caller,
+    run_router,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from rosemarysaddle.session import Router
+
+PORT = 17_860
+PRIMARY, REPLICA = "t0", "t1"
+
+
+@pytest.fixture(name="lines")
+def _lines(monkeypatch: pytest.MonkeyPatch) -> list[str]:
+    lines: list[str] = []
+    for module in (_caller, _positions, _target_terms):
+        monkeypatch.setattr(
+            module,
+            "log_event",
+            lambda kind, text: lines.append(f"event={kind} {text}"),
+        )
+    return lines
+
+
+def _targets() -> list[StandInTarget]:
+    return [
+        StandInTarget(name=name, port=PORT + number)
+        for number, name in enumerate((PRIMARY, REPLICA))
+    ]
+
+
+def _set_target_term(router: Router, target_term: int) -> None:
+    terms = router.node.state.terms
+    terms[GROUP] = attrs.evolve(terms[GROUP], target_term=target_term)
+
+
+def _with_router(check: Callable[[Router], None]) -> None:
+    """Check the router of a host whose targets are not reached."""
+
+    async def run() -> None:
+        router = make_router(_targets())
+        router.apply_view()
+        _set_target_term(router, 2)
+        check(router)
+
+    asyncio.run(run())
+
+
+def _answer(
+    router: Router,
+    target: str,
+    point: LogPoint,
+    fault: FaultCode | None = None,
+) -> None:
+    router.record_answer(
+        target,
+        Answer(point=point, fault=fault),
+        asked_ns=clock_ns(),
+        was_leased_primary=router.is_leased_primary(target),
+    )
+
+
+def test_term_that_goes_back_is_logged(lines: list[str]) -> None:
+    """Guards against an earlier log that no line tells of."""
+
+    def check(router: Router) -> None:
+        _answer(router, REPLICA, LogPoint(term=2, position=84))
+        assert not lines
+        _answer(router, REPLICA, LogPoint(term=1, position=95))
+        _answer(router, REPLICA, LogPoint(term=1, position=96))
+
+    _with_router(check)
+
+    assert lines == [
+        (
+            "event=target-term reason=went-back group=g target=t1 primary=t0"
+            " observed=1.95 recorded=2 control_term=1 previous=2.84"
+            " action=none"
+        )
+    ]
+
+
+def test_term_above_the_recorded_one_is_logged_once(
+    lines: list[str],
+) -> None:
+    """Guards against a later promotion that no line tells of."""
+
+    def check(router: Router) -> None:
+        for position in (90, 91):
+            _answer(router, REPLICA, LogPoint(term=3, position=position))
+
+    _with_router(check)
+
+    assert len(lines) == 1
+    assert "reason=above-recorded" in lines[0]
+    assert "observed=3.90 recorded=2" in lines[0]
+
+
+def test_primary_that_refuses_writes_is_logged(lines: list[str]) -> None:
+    """Guards against a demoted primary that no line tells of."""
+
+    def check(router: Router) -> None:
+        point = LogPoint(term=2, position=84)
+        _answer(router, REPLICA, point, FaultCode.READ_ONLY)
+        assert not lines
+        _answer(router, PRIMARY, point, FaultCode.READ_ONLY)
+
+    _with_router(check)
+
+    assert lines == [
+        (
+            "event=primary-read-only group=g target=t0 primary=t0"
+            " observed=2.84 recorded=2 control_term=1 action=none"
+        )
+    ]
+
+
+@pytest.mark.parametrize(
+    "texts", [["WRITE 1 x"], ["BEGIN", "WRITE 1 x", "COMMIT"]]
+)
+def test_write_in_an_earlier_term_is_logged(
+    lines: list[str], texts: list[str]
+) -> None:
+    """Guards against a write at an old primary that no line tells."""
+
+    async def run() -> None:
+        async with run_router(_targets()) as router:
+            _set_target_term(router, 2)
+            caller = await open_caller(router, "own")
+            for text in texts:
+                await caller.query(text)
+
+    asyncio.run(run())
+
+    found = [line for line in lines if "event=target-term" in line]
+    assert len(found) == 1
+    assert "reason=write-below-recorded" in found[0]
+    assert "target=t0 primary=t0 observed=1." in found[0]
+
+
+def test_position_of_an_earlier_term_is_not_recorded(
+    lines: list[str],
+) -> None:
+    """Guards against reads that an old log answers as if up to date."""
+
+    def check(router: Router) -> None:
+        newest = LogPoint(term=2, position=84)
+        now_ns = clock_ns()
+        router.positions.record(GROUP, now_ns - 10**9, newest)
+        old = LogPoint(term=1, position=95)
+        router.positions.record(GROUP, now_ns, old)
+
+        assert router.positions.newest(GROUP) == newest
+
+    _with_router(check)
+
+    assert lines == [
+        (
+            "event=position-ignored group=g observed=1.95 newest=2.84"
+            " primary=t0 recorded=2 control_term=1"
+        )
+    ]
+
+
+def test_refused_read_names_the_position_it_asked_for(
+    lines: list[str],
+) -> None:
+    """Guards against a refusal that hides what the replicas lacked."""
+    targets = _targets()
+    targets[1].faults["READ"] = ["BEHIND"] * 20
+
+    async def run() -> None:
+        async with run_router(targets) as router:
+            point = LogPoint(term=2, position=84)
+            router.positions.record(GROUP, clock_ns(), point)
+            router.targets[PRIMARY].is_unreachable = True
+            caller = await open_caller(router, "old")
+            await caller.query("READ 1")
+
+    asyncio.run(run())
+
+    refused = [line for line in lines if line.startswith("event=refused")]
+    assert len(refused) == 1
+    assert "position=2.84" in refused[0]
+    assert refused[0].endswith("after=2.84 own=-")
