Log why a group changes its primary, and on what evidence

Now each change is logged with its reason (change-started), what its choice was based on (primary-chosen: role, the target's own term, its log, the age of the status), what it waits for (change-waits) and when the new primary serves (primary-serves). Decisions return such lines as an effect, as they touch no log themselves.

Decisions compare logs as before.

--- a/src/rosemarysaddle/daemon/_host.py
+++ b/src/rosemarysaddle/daemon/_host.py
@@ -14,6 +14,7 @@
 from absl import logging
 
 from rosemarysaddle._clock import clock_ns
+from rosemarysaddle._events import log_event
 from rosemarysaddle._jitter import election_jitter
 from rosemarysaddle._process import (
     IO_EXIT_STATUS,
@@ -30,6 +31,7 @@
     ControlNode,
     EntryNode,
     FollowPrimary,
+    LogDecision,
     LogNode,
     ProbeGroup,
     PromoteTarget,
@@ -392,6 +394,8 @@
                     spawn(self._probe(effect), self._jobs)
                 case PromoteTarget():
                     spawn(self._promote(effect), self._jobs)
+                case LogDecision():
+                    log_event(effect.event, effect.text)
                 case FollowPrimary():
                     spawn(self._order_follow(effect), self._jobs)
                 case _:
--- a/src/rosemarysaddle/decide/_effects.py
+++ b/src/rosemarysaddle/decide/_effects.py
@@ -18,6 +18,7 @@
     "Effect",
     "FollowPrimary",
     "LoadSnapshot",
+    "LogDecision",
     "ProbeGroup",
     "PromoteTarget",
     "SaveEntries",
@@ -76,6 +77,11 @@
     :param reachable: whether the instance answered
     :param refused: whether it refused the connection at once
     :param role: replication role, or empty where the status is unknown
+    :param term: term in which it has the role
+    :param log_term: term of the newest log entry that it has received;
+        0 where it is that of the role
+    :param asked_ns: monotonic time at which the status was requested,
+        in nanoseconds; the status is at least as new
     :param identity: identifier that the instance generated when its
         disk was new
     """
@@ -85,9 +91,16 @@
     refused: bool = False
     role: str = ""
     term: int = 0
+    log_term: int = 0
     position: int = 0
+    asked_ns: int = 0
     identity: str = ""
 
+    @property
+    def progress(self) -> tuple[int, int]:
+        """Newest log position, in the order of the log."""
+        return (self.log_term or self.term, self.position)
+
 
 @attrs.frozen(kw_only=True)
 class ProbeGroup:
@@ -129,6 +142,18 @@
     may_be_primary: bool = True
 
 
+@attrs.frozen(kw_only=True)
+class LogDecision:
+    """Write a decision to the log of the host.
+
+    :param event: name of the event
+    :param text: inputs and outcome as ``key=value``
+    """
+
+    event: str
+    text: str
+
+
 @attrs.frozen(kw_only=True)
 class FollowPrimary:
     """Order an instance to replicate from the primary of a term.
@@ -147,6 +172,7 @@
     Committed
     | FollowPrimary
     | LoadSnapshot
+    | LogDecision
     | ProbeGroup
     | PromoteTarget
     | SaveEntries
--- a/src/rosemarysaddle/decide/primaries/_change.py
+++ b/src/rosemarysaddle/decide/primaries/_change.py
@@ -19,6 +19,7 @@
     from rosemarysaddle.decide._effects import TargetReport
 
 __all__ = (
+    "ChangeReason",
     "ChangeTimes",
     "Evidence",
     "GroupChange",
@@ -45,6 +46,18 @@
     PROMOTE = "promote"
 
 
+class ChangeReason(enum.StrEnum):
+    """Why a change of primary was started."""
+
+    NEW_GROUP = "new-group"
+    SUSPECTED = "suspected"
+    PLANNED = "planned"
+    CLOSED = "closed"
+    """The term was closed by a change that did not end."""
+    PROMOTION_FAILED = "promotion-failed"
+    NEW_IDENTITY = "new-identity"
+
+
 @attrs.frozen(kw_only=True)
 class ChangeTimes:
     """Times of a finished change: monotonic, in nanoseconds.
@@ -76,6 +89,7 @@
     :param candidate_deadline_ns: time from which another instance than
         the preferred one, or one that lacks writes, may be chosen, and
         from which a new group may open without some of its instances
+    :param reason: why the change was started, for the log
     :param has_open_order: whether the promotion of the primary of
         ``term`` was ordered with an unknown result
     :param chosen: instance that becomes primary under the new term
@@ -100,6 +114,7 @@
     fenced_ns: int = 0
     chosen_ns: int = 0
     new_term: int = 0
+    reason: str = ""
     has_open_order: bool = False
     chosen: str = ""
     may_be_primary: bool = True
--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -15,6 +15,7 @@
 from rosemarysaddle.decide._effects import (
     Effect,
     FollowPrimary,
+    LogDecision,
     ProbeGroup,
     PromoteTarget,
     Send,
@@ -23,6 +24,7 @@
 from rosemarysaddle.decide._times import NS_PER_MS
 from rosemarysaddle.decide.control_log._state import EntryKind
 from rosemarysaddle.decide.primaries._change import (
+    ChangeReason,
     ChangeTimes,
     Evidence,
     GroupChange,
@@ -181,6 +183,7 @@
             preferred,
             keeps_former=keeps_former,
             is_warm=is_warm,
+            reason=ChangeReason.PLANNED,
         )
 
     def on_probe(
@@ -207,7 +210,12 @@
         return self._choose(change, reports, now_ns)
 
     def on_promoted(
-        self, group: str, term: int, *, done: bool, now_ns: int
+        self,
+        group: str,
+        term: int,
+        *,
+        done: bool,
+        now_ns: int,
     ) -> list[Effect]:
         """Handle an instance's answer to its promotion.
 
@@ -219,17 +227,18 @@
         change = self.changes.get(group)
         if change is None or change.new_term != term:
             return []
+        del self.changes[group]
         if not done:
-            del self.changes[group]
             if not self.context.leads(now_ns):
                 return []
-            effects = self.start_change(group, term, now_ns)
+            effects = self.start_change(
+                group, term, now_ns, reason=ChangeReason.PROMOTION_FAILED
+            )
             if group in self.changes:
                 self.changes[group].has_open_order = change.is_over(now_ns)
             return effects
         self.times.append(change.times(now_ns))
         del self.times[:-MAX_KEPT_TIMES]
-        del self.changes[group]
         self._groups_to_open.discard(group)
         self._evidence.pop(group, None)
         if self._is_route_group(group):
@@ -237,8 +246,18 @@
                 now_ns + NEW_PRIMARY_GRACE_MS * NS_PER_MS
             )
         payload = json.dumps({"group": group, "term": term})
+        log = LogDecision(
+            event="primary-serves",
+            text=f"group={group} term={term} primary={change.chosen}"
+            f" reason={change.reason}"
+            f" spent_ms={(now_ns - change.started_ns) // NS_PER_MS}",
+        )
         serving = self.context.propose(EntryKind.SERVING, payload, now_ns)
-        return [*serving, *self._order_replicas(group)]
+        return [log, *serving, *self._order_replicas(group)]
+
+    def is_new_primary(self, group: str, now_ns: int) -> bool:
+        """Tell whether a group's primary was promoted just now."""
+        return now_ns < self._grace_until_ns.get(group, 0)
 
     def follow(self, group: str, target: str) -> FollowPrimary:
         """Order an instance to replicate from its group's primary."""
@@ -279,9 +298,17 @@
                 else:
                     effects.extend(self._resume_promotion(name, term, now_ns))
             elif term is not None:
-                effects.extend(self.start_change(name, term.term, now_ns))
+                effects.extend(
+                    self.start_change(
+                        name, term.term, now_ns, reason=ChangeReason.CLOSED
+                    )
+                )
             elif self._is_fully_announced(group):
-                effects.extend(self.start_change(name, 0, now_ns))
+                effects.extend(
+                    self.start_change(
+                        name, 0, now_ns, reason=ChangeReason.NEW_GROUP
+                    )
+                )
         return effects
 
     def _is_route_group(self, group: str) -> bool:
@@ -300,7 +327,11 @@
         An earlier leader started it, or this one lost its result.
         """
         change = GroupChange(
-            group=group, term=0, suspected_ns=now_ns, started_ns=now_ns
+            group=group,
+            term=0,
+            suspected_ns=now_ns,
+            started_ns=now_ns,
+            reason=ChangeReason.CLOSED,
         )
         change.chosen = term.primary
         change.new_term = term.term
@@ -328,7 +359,7 @@
             return []
         if suspicion.group in self.changes:
             return []
-        if now_ns < self._grace_until_ns.get(suspicion.group, 0):
+        if self.is_new_primary(suspicion.group, now_ns):
             return []
         self._record_evidence(suspicion.group, suspicion.host, now_ns)
         effects = self._fail_over_if_proven(suspicion.group, now_ns)
@@ -404,7 +435,11 @@
             return []
         term = self.context.state.terms[group].term
         return self.start_change(
-            group, term, now_ns, suspected_ns=evidence.first_ns
+            group,
+            term,
+            now_ns,
+            suspected_ns=evidence.first_ns,
+            reason=ChangeReason.SUSPECTED,
         )
 
     def start_change(
@@ -417,6 +452,7 @@
         *,
         keeps_former: bool = False,
         is_warm: bool = False,
+        reason: str = "",
     ) -> list[Effect]:
         """Start a change by closing the current term of a group.
 
@@ -430,6 +466,7 @@
             replica holds all its writes soon after the fence
         :param is_warm: whether connections to the instances are open,
             so that no warm-up probe is needed
+        :param reason: why the change is started, for the log
         """
         self.changes[group] = GroupChange(
             group=group,
@@ -439,9 +476,13 @@
             preferred=preferred,
             keeps_former=keeps_former,
             candidate_deadline_ns=now_ns + CANDIDATE_TIMEOUT_MS * NS_PER_MS,
+            reason=reason,
         )
         payload = json.dumps({"group": group, "term": term})
-        effects = self.context.propose(EntryKind.CLOSE, payload, now_ns)
+        effects = [
+            self._log_start(self.changes[group]),
+            *self.context.propose(EntryKind.CLOSE, payload, now_ns),
+        ]
         if is_warm:
             return effects
         warm_up = ProbeGroup(
@@ -452,6 +493,18 @@
         )
         return [*effects, warm_up]
 
+    def _log_start(self, change: GroupChange) -> Effect:
+        term = self.context.state.terms.get(change.group)
+        primary = "-" if term is None else term.primary
+        target_term = 0 if term is None else term.target_term
+        return LogDecision(
+            event="change-started",
+            text=f"group={change.group} term={change.term}"
+            f" primary={primary} target_term={target_term}"
+            f" reason={change.reason or '-'}"
+            f" preferred={change.preferred or '-'}",
+        )
+
     def _fence(self, change: GroupChange, now_ns: int) -> list[Effect]:
         change.begin_fence(self.context.leases.deadlines_ns(now_ns))
         close = CloseGroup(
@@ -591,12 +644,48 @@
         )
         choice = choose_successor(reports, criteria)
         if choice is None:
-            change.blocked_reason = (
+            change.retry_at_ns = now_ns + RETRY_DELAY_MS * NS_PER_MS
+            reason = (
                 "no eligible target is known to hold all writes of the primary"
             )
-            change.retry_at_ns = now_ns + RETRY_DELAY_MS * NS_PER_MS
+            return self._block(change, reason, now_ns)
+        change.may_be_primary = choice.role != "replica"
+        log = self._log_choice(change, choice, criteria, now_ns)
+        return [log, *self._open(change, choice, (), now_ns)]
+
+    def _block(
+        self, change: GroupChange, reason: str, now_ns: int
+    ) -> list[Effect]:
+        """Record why no primary can be chosen yet, once a reason."""
+        if change.blocked_reason == reason:
             return []
-        return self._open(change, choice, (), now_ns)
+        change.blocked_reason = reason
+        spent_ms = (now_ns - change.started_ns) // NS_PER_MS
+        text = (
+            f"group={change.group} term={change.term} spent_ms={spent_ms}"
+            f" reason={reason!r}"
+        )
+        return [LogDecision(event="change-waits", text=text)]
+
+    def _log_choice(
+        self,
+        change: GroupChange,
+        choice: TargetReport,
+        criteria: SuccessorCriteria,
+        now_ns: int,
+    ) -> Effect:
+        age_ms = (now_ns - choice.asked_ns) // NS_PER_MS
+        return LogDecision(
+            event="primary-chosen",
+            text=f"group={change.group} term={change.term}"
+            f" former={criteria.former or '-'}"
+            f" target={choice.target}"
+            f" role={choice.role} observed_term={choice.term}"
+            f" log={choice.progress[0]}.{choice.position} age_ms={age_ms}"
+            f" may_be_primary={change.may_be_primary}"
+            f" lagging_allowed={criteria.allow_lagging}"
+            f" open_order={criteria.has_open_order}",
+        )
 
     def _open(
         self,
@@ -608,7 +697,6 @@
         newest = max((r.term for r in reports), default=0)
         change.new_term = max(change.term, newest) + 1
         change.chosen = choice.target
-        change.may_be_primary = choice.role != "replica"
         change.chosen_ns = now_ns
         change.phase = Phase.OPEN
         change.blocked_reason = ""
--- a/src/rosemarysaddle/decide/primaries/_reconciler.py
+++ b/src/rosemarysaddle/decide/primaries/_reconciler.py
@@ -20,6 +20,7 @@
 )
 from rosemarysaddle.decide._times import NS_PER_MS
 from rosemarysaddle.decide.control_log._state import EntryKind
+from rosemarysaddle.decide.primaries._change import ChangeReason
 from rosemarysaddle.decide.primaries._primaries import (
     PROBE_TIMEOUT_MS,
     PROMOTE_TIMEOUT_MS,
@@ -179,7 +180,9 @@
         term = self.context.state.terms[group]
         known = term.identities.get(term.primary, "")
         if announcement.identity != known:
-            return self.primaries.start_change(group, term.term, now_ns)
+            return self.primaries.start_change(
+                group, term.term, now_ns, reason=ChangeReason.NEW_IDENTITY
+            )
         if announcement.term >= term.term and announcement.role == "primary":
             return []
         return [
--- a/src/rosemarysaddle/decide/primaries/_relief.py
+++ b/src/rosemarysaddle/decide/primaries/_relief.py
@@ -167,7 +167,7 @@
         r
         for r in reports
         if r.role == "replica"
-        and r.term == point.term
+        and r.progress[0] == point.term
         and r.target not in leaving
         and r.position + MAX_MISSING_WRITES >= point.position
     ]
--- a/src/rosemarysaddle/decide/primaries/_succession.py
+++ b/src/rosemarysaddle/decide/primaries/_succession.py
@@ -223,7 +223,7 @@
     if former is None or not former.reachable:
         return bool(candidates)
     return _has_status(former) and any(
-        r.term == former.term
+        r.progress[0] == former.progress[0]
         and r.position + MAX_MISSING_WRITES >= former.position
         for r in candidates
     )
@@ -258,4 +258,4 @@
 
 
 def _progress(report: TargetReport) -> tuple[int, int]:
-    return (report.term, report.position)
+    return report.progress
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -32,6 +32,7 @@
     ControlNode,
     DocumentKind,
     FollowPrimary,
+    LogDecision,
     LogNode,
     ProbeGroup,
     PromoteTarget,
@@ -684,6 +685,8 @@
                     spawn(self._probe(effect), self._jobs)
                 case PromoteTarget():
                     spawn(self._promote(effect), self._jobs)
+                case LogDecision():
+                    log_event(effect.event, effect.text)
                 case FollowPrimary():
                     pass  # the replicas of the platform do this by themselves
                 case _:
--- a/src/rosemarysaddle/node/_orders.py
+++ b/src/rosemarysaddle/node/_orders.py
@@ -155,6 +155,7 @@
     async def _probe_instance(
         self, instance: Instance, deadline_ns: int, *, fresh: bool
     ) -> TargetReport | None:
+        asked_ns = clock_ns()
         try:
             found = await self._reader.read(instance, deadline_ns, fresh=fresh)
         except Exception as error:  # noqa: BLE001  # of this target only
@@ -174,5 +175,7 @@
             reachable=True,
             role=found.status.role,
             term=found.status.term,
+            log_term=found.status.log_term,
             position=found.status.position,
+            asked_ns=asked_ns,
         )
--- a/src/rosemarysaddle/node/_platform.py
+++ b/src/rosemarysaddle/node/_platform.py
@@ -21,12 +21,14 @@
     """Status that a target reports of itself.
 
     :param role: ``primary`` or ``replica``
-    :param term: term of the position
+    :param term: term in which it has the role
+    :param log_term: term of the position
     :param position: latest log position that it has received
     """
 
     role: str
     term: int
+    log_term: int
     position: int
 
 
--- a/src/rosemarysaddle/platform/_http.py
+++ b/src/rosemarysaddle/platform/_http.py
@@ -13,6 +13,7 @@
 
 from rosemarysaddle import _log as logging
 from rosemarysaddle._clock import NS_PER_S, clock_ns
+from rosemarysaddle._formats import parse_number
 from rosemarysaddle.decide import NS_PER_MS
 from rosemarysaddle.link import Address
 from rosemarysaddle.node import TargetStatus
@@ -136,8 +137,8 @@
 def read_status(answer: Answer) -> TargetStatus | None:
     """Decode the one row that answers a status request.
 
-    The row holds role, term, received position as ``term.position``,
-    held term, lag, busy slots and connections.
+    The row holds role, term of the role, received position as
+    ``term.position``, held term, lag, busy slots and connections.
 
     :return: the status, or None if the answer holds none
     """
@@ -146,11 +147,14 @@
     fields = answer.rows[0].split()
     if len(fields) < _MIN_STATUS_FIELDS or fields[0] not in _ROLES:
         return None
-    point = parse_point(fields[2])
-    if point is None:
+    term, point = parse_number(fields[1]), parse_point(fields[2])
+    if term is None or point is None:
         return None
     return TargetStatus(
-        role=fields[0], term=point.term, position=point.position
+        role=fields[0],
+        term=term,
+        log_term=point.term,
+        position=point.position,
     )
 
 
--- a/tests/decide/test_announced.py
+++ b/tests/decide/test_announced.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from rosemarysaddle.decide import PromoteTarget
+from rosemarysaddle.decide import LogDecision, PromoteTarget
 from tests.decide.announced_group import PLAN, TARGETS, Harness
 from tests.helpers import NS_PER_MS
 
@@ -138,3 +138,21 @@
     harness.elapse(200)
 
     assert len(harness.found(PromoteTarget)) == 1
+
+
+def test_steps_of_a_change_are_logged() -> None:
+    """Guards against a change that nobody can explain afterwards."""
+    harness = Harness.open()
+    harness.announce("t1", leaving=True)
+    harness.elapse(50)
+    harness.probe(primary="t1")
+    harness.elapse(50)
+    harness.probe(primary="t1")
+    harness.promoted()
+
+    lines = {e.event: e.text for e in harness.found(LogDecision)}
+    assert "primary=t1" in lines["change-started"]
+    assert "reason=planned" in lines["change-started"]
+    assert "former=t1" in lines["primary-chosen"]
+    assert "role=replica" in lines["primary-chosen"]
+    assert "reason=planned" in lines["primary-serves"]
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -266,7 +266,7 @@
         del self
         if instance.name == "odd":
             raise OverflowError
-        status = TargetStatus(role="primary", term=1, position=2)
+        status = TargetStatus(role="primary", term=1, log_term=1, position=2)
         return StatusResult(status=status, is_reachable=True)
 
     monkeypatch.setattr(StatusReader, "read", read)
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -326,3 +326,12 @@
 
     assert _leave(host, body) == status
     assert bool(host.announced) is (status == "200")
+
+
+def test_status_tells_the_term_of_the_role_and_that_of_the_log() -> None:
+    """Guards against a new primary that is taken for an old one."""
+    status = read_status(Answer(rows=("primary 2 1.83 0 0 1 11",)))
+
+    assert status is not None
+    assert (status.role, status.term) == ("primary", 2)
+    assert (status.log_term, status.position) == (1, 83)
