Believe the role of a target only together with its term

Cause: a target that was out of reach while another one was promoted came back in its old role, while the promoted one was down. Its word "primary" was taken for the outcome of the change: it was opened with no order (probed t1:primary:1.46, promoted done=True, no promotion-ordered), and it was the best of what had answered within half a second.

The log now holds the newest term in which a primary of the group served, as targets number their terms. A target is the primary if it leads the newest term that anybody knows of; one that leads a later term than the group was served in has been promoted and is followed. Any other one needs an order, which has taken effect once the target leads a later term. A former primary that lost the role is a replica like others.

Why it works: a promotion always starts a new term, so that of two targets that say "primary" the one of the later term is right.

Tests of orders are adapted to the result of a promotion, which names the term; they check what they did before.

--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -272,15 +272,27 @@
         return self.primaries.on_probe(group, attempt, reports, now_ns)
 
     def on_promoted(
-        self, group: str, term: int, *, done: bool, now_ns: int
+        self,
+        group: str,
+        term: int,
+        *,
+        done: bool,
+        now_ns: int,
+        target_term: int = 0,
     ) -> list[Effect]:
         """Handle an instance's answer to its promotion.
 
         :param done: whether it is now primary under the term
         :param now_ns: monotonic time, in nanoseconds
+        :param target_term: term in which it is primary, as instances
+            number their terms
         """
         return self.primaries.on_promoted(
-            group, term, done=done, now_ns=now_ns
+            group,
+            term,
+            done=done,
+            now_ns=now_ns,
+            target_term=target_term,
         )
 
     def leads(self, now_ns: int) -> bool:
--- a/src/rosemarysaddle/decide/_effects.py
+++ b/src/rosemarysaddle/decide/_effects.py
@@ -101,6 +101,11 @@
         """Newest log position, in the order of the log."""
         return (self.log_term or self.term, self.position)
 
+    @property
+    def newest_term(self) -> int:
+        """Newest term that the instance knows of."""
+        return max(self.term, self.log_term)
+
 
 @attrs.frozen(kw_only=True)
 class ProbeGroup:
@@ -130,8 +135,12 @@
     :param start: position at which the term began, which the instance
         must have reached
     :param deadline_ns: monotonic deadline of the promotion
+    :param above_term: the promotion is done once the instance reports
+        to be the primary in a later term, as instances number theirs
     :param may_be_primary: whether the instance may be the primary
         already, so that its status is read before the order is sent
+    :param may_order: whether the order may be sent; it is not where the
+        instance reported that it is the primary
     """
 
     group: str
@@ -139,7 +148,9 @@
     term: int
     start: int
     deadline_ns: int
+    above_term: int = 0
     may_be_primary: bool = True
+    may_order: bool = True
 
 
 @attrs.frozen(kw_only=True)
--- a/src/rosemarysaddle/decide/control_log/_state.py
+++ b/src/rosemarysaddle/decide/control_log/_state.py
@@ -195,7 +195,7 @@
         if kind == EntryKind.OPEN:
             self._open(payload)
         if kind == EntryKind.SERVING:
-            self._serve(payload["group"], payload["term"])
+            self._serve(payload)
         if kind == EntryKind.ADMIT:
             self._admit(payload)
 
@@ -393,25 +393,33 @@
         if current is not None and current.term == term:
             self.terms[group] = attrs.evolve(current, is_open=False)
 
-    def _serve(self, group: str, term: int) -> None:
+    def _serve(self, payload: dict[str, Any]) -> None:
+        group, term = payload["group"], payload["term"]
         current = self.terms.get(group)
-        if current is not None and current.term == term:
-            self.terms[group] = attrs.evolve(current, is_serving=True)
+        if current is None or current.term != term:
+            return
+        # Earlier builds leave out the target's own term.
+        target_term = max(current.target_term, payload.get("target_term", 0))
+        self.terms[group] = attrs.evolve(
+            current, is_serving=True, target_term=target_term
+        )
 
     def _open(self, payload: dict[str, Any]) -> None:
         group = str(payload["group"])
         term = int(payload["term"])
         current = self.terms.get(group)
         starts: tuple[TermStart, ...] = ()
+        target_term = 0
         if current is not None:
             if term <= current.term:
                 return
-            starts = current.starts
+            starts, target_term = current.starts, current.target_term
         start = TermStart(term=term, position=int(payload["start"]))
         self.terms[group] = GroupTerm(
             term=term,
             primary=str(payload["primary"]),
             is_open=True,
+            target_term=target_term,
             starts=(*starts, start)[-MAX_KEPT_STARTS:],
             identities=payload.get("identities", {}),
         )
--- a/src/rosemarysaddle/decide/primaries/_change.py
+++ b/src/rosemarysaddle/decide/primaries/_change.py
@@ -89,12 +89,16 @@
     :param candidate_deadline_ns: time from which another instance than
         the preferred one, or one that lacks writes, may be chosen, and
         from which a new group may open without some of its instances
-    :param reason: why the change was started, for the log
     :param has_open_order: whether the promotion of the primary of
         ``term`` was ordered with an unknown result
+    :param reason: why the change was started, for the log
     :param chosen: instance that becomes primary under the new term
+    :param above_term: the chosen instance takes up the role in a term
+        above this one, as instances number their terms
     :param may_be_primary: whether the chosen instance may be the
         primary already
+    :param may_order: whether the chosen instance may have to be
+        promoted
     :param promote_until_ns: time until which the order to promote is
         repeated while its result is unknown
     :param blocked_reason: why no primary can be chosen yet, or empty
@@ -114,10 +118,12 @@
     fenced_ns: int = 0
     chosen_ns: int = 0
     new_term: int = 0
-    reason: str = ""
     has_open_order: bool = False
+    reason: str = ""
     chosen: str = ""
+    above_term: int = 0
     may_be_primary: bool = True
+    may_order: bool = True
     promote_until_ns: int = 0
     blocked_reason: str = ""
 
--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -36,6 +36,8 @@
 from rosemarysaddle.decide.primaries._succession import (
     SuccessorCriteria,
     choose_successor,
+    needs_order,
+    newest_known_term,
     registered_reports,
 )
 from rosemarysaddle.schema import (
@@ -216,6 +218,7 @@
         *,
         done: bool,
         now_ns: int,
+        target_term: int = 0,
     ) -> list[Effect]:
         """Handle an instance's answer to its promotion.
 
@@ -223,6 +226,8 @@
 
         :param done: whether it is now primary under the term
         :param now_ns: monotonic time, in nanoseconds
+        :param target_term: term in which it is primary, as instances
+            number their terms
         """
         change = self.changes.get(group)
         if change is None or change.new_term != term:
@@ -245,11 +250,14 @@
             self._grace_until_ns[group] = (
                 now_ns + NEW_PRIMARY_GRACE_MS * NS_PER_MS
             )
-        payload = json.dumps({"group": group, "term": term})
+        payload = json.dumps(
+            {"group": group, "term": term, "target_term": target_term}
+        )
         log = LogDecision(
             event="primary-serves",
             text=f"group={group} term={term} primary={change.chosen}"
-            f" reason={change.reason}"
+            f" target_term={target_term} reason={change.reason}"
+            f" ordered={change.may_order}"
             f" spent_ms={(now_ns - change.started_ns) // NS_PER_MS}",
         )
         serving = self.context.propose(EntryKind.SERVING, payload, now_ns)
@@ -335,6 +343,7 @@
         )
         change.chosen = term.primary
         change.new_term = term.term
+        change.above_term = max(0, term.target_term - 1)
         self.changes[group] = change
         return self._promote(change, now_ns)
 
@@ -649,7 +658,13 @@
                 "no eligible target is known to hold all writes of the primary"
             )
             return self._block(change, reason, now_ns)
-        change.may_be_primary = choice.role != "replica"
+        change.may_order = needs_order(choice, reports, criteria.target_term)
+        change.may_be_primary = not change.may_order
+        change.above_term = (
+            newest_known_term(reports, criteria.target_term)
+            if change.may_order
+            else choice.term - 1
+        )
         log = self._log_choice(change, choice, criteria, now_ns)
         return [log, *self._open(change, choice, (), now_ns)]
 
@@ -679,10 +694,10 @@
             event="primary-chosen",
             text=f"group={change.group} term={change.term}"
             f" former={criteria.former or '-'}"
-            f" target={choice.target}"
+            f" target_term={criteria.target_term} target={choice.target}"
             f" role={choice.role} observed_term={choice.term}"
             f" log={choice.progress[0]}.{choice.position} age_ms={age_ms}"
-            f" may_be_primary={change.may_be_primary}"
+            f" order={change.may_order} above_term={change.above_term}"
             f" lagging_allowed={criteria.allow_lagging}"
             f" open_order={criteria.has_open_order}",
         )
@@ -726,6 +741,8 @@
                 term=change.new_term,
                 start=term.start_of(change.new_term) or 0,
                 deadline_ns=deadline_ns,
+                above_term=change.above_term,
                 may_be_primary=change.may_be_primary,
+                may_order=change.may_order,
             )
         ]
--- a/src/rosemarysaddle/decide/primaries/_succession.py
+++ b/src/rosemarysaddle/decide/primaries/_succession.py
@@ -7,6 +7,11 @@
 With synchronous replicas, a write is acknowledged once so many of them
 have it.  The choice then waits until enough replicas have answered for
 one of them to hold every such write, however long that takes.
+
+What a target says of its role counts together with the term in which it
+has it.  One that leads a later term than the group was served in has
+been promoted and is followed; the primary of an earlier term is an old
+one.
 """
 
 from __future__ import annotations
@@ -26,13 +31,17 @@
     "MAX_MISSING_WRITES",
     "SuccessorCriteria",
     "choose_successor",
+    "find_promoted",
     "has_ready_successor",
+    "needs_order",
+    "newest_known_term",
     "registered_reports",
 )
 
 # Writes that a healthy replica has not received yet when the status of
 # all is read, at some tens of writes per second.
 MAX_MISSING_WRITES: Final = 5
+PRIMARY_ROLE: Final = "primary"
 
 
 @attrs.frozen(kw_only=True)
@@ -40,6 +49,8 @@
     """What the choice of a primary depends on, besides the reports.
 
     :param former: primary of the closed term, or empty for a new group
+    :param target_term: newest term, as targets number them, in which a
+        primary of the group served; 0 if it is not known
     :param leaving: targets that are about to stop
     :param others_stay: whether another target than the former primary
         is registered and stays
@@ -57,6 +68,7 @@
 
     former: str
     leaving: Collection[str]
+    target_term: int = 0
     allow_lagging: bool = False
     others_stay: bool = False
     keeps_former: bool = False
@@ -85,6 +97,7 @@
         former = "" if term is None else term.primary
         return cls(
             former=former,
+            target_term=0 if term is None else term.target_term,
             leaving={r.target for r in records if r.leaving},
             others_stay=any(
                 r.target != former for r in records if not r.leaving
@@ -130,6 +143,11 @@
         return None
     if not criteria.former:
         return _current_primary(answers, criteria)
+    promoted = find_promoted(
+        answers, former=criteria.former, target_term=criteria.target_term
+    )
+    if promoted is not None:
+        return promoted
     former = next((r for r in reports if r.target == criteria.former), None)
     former = former if former is not None and former.reachable else None
     if criteria.has_open_order and _is_readable(former):
@@ -138,6 +156,69 @@
     return _replace_former(reports, former, criteria)
 
 
+def find_promoted(
+    reports: Sequence[TargetReport], *, former: str, target_term: int
+) -> TargetReport | None:
+    """Find the primary of a later term than the group was served in.
+
+    :param former: primary of the group's present or closed term
+    :param target_term: newest term in which a primary served; if it is
+        not known, the one that the former primary reports stands for it
+    :return: its report, or None if there is none, or if a target knows
+        of a later term still
+    """
+    answers = [r for r in reports if _has_status(r)]
+    known = target_term or max(
+        (r.term for r in answers if r.target == former), default=0
+    )
+    if not known:
+        return None
+    newest = max(r.newest_term for r in answers)
+    return next(
+        (
+            r
+            for r in answers
+            if r.role == PRIMARY_ROLE and r.term == newest > known
+        ),
+        None,
+    )
+
+
+def needs_order(
+    choice: TargetReport,
+    reports: Sequence[TargetReport],
+    target_term: int,
+) -> bool:
+    """Tell whether the chosen target has to be promoted.
+
+    It need not if it is the primary of the newest term of all: then
+    nobody was promoted after it.
+    """
+    if choice.role != PRIMARY_ROLE:
+        return True
+    return choice.term < newest_known_term(reports, target_term)
+
+
+def newest_known_term(
+    reports: Sequence[TargetReport], target_term: int
+) -> int:
+    """Return the newest term of a group that is known of, or 0.
+
+    :param target_term: newest term in which a primary served
+    """
+    reported = [r.newest_term for r in reports if _has_status(r)]
+    return max([target_term, *reported])
+
+
+def _has_followed(report: TargetReport, criteria: SuccessorCriteria) -> bool:
+    """Tell whether a target may hold the writes of the last primary.
+
+    One that knows of earlier terms only was cut off since then, and
+    lacks all of them.
+    """
+    return criteria.allow_lagging or report.newest_term >= criteria.target_term
+
+
 def _replace_former(
     reports: Sequence[TargetReport],
     former: TargetReport | None,
@@ -207,10 +288,18 @@
         if r.reachable
         and _has_status(r)
         and r.target not in criteria.leaving
-        and r.target != criteria.former
+        and _may_replace(r, criteria)
+        and _has_followed(r, criteria)
     ]
 
 
+def _may_replace(report: TargetReport, criteria: SuccessorCriteria) -> bool:
+    # A former primary that lost the role is like any other replica.
+    if report.target != criteria.former:
+        return True
+    return report.role != PRIMARY_ROLE
+
+
 def has_ready_successor(
     reports: Sequence[TargetReport], criteria: SuccessorCriteria
 ) -> bool:
@@ -234,7 +323,7 @@
 ) -> TargetReport | None:
     if former is None or not _has_status(former):
         return None
-    if criteria.former_must_go:
+    if criteria.former_must_go or not _has_followed(former, criteria):
         return None
     leaves = former.target in criteria.leaving
     return former if criteria.allow_lagging or not leaves else None
@@ -243,9 +332,9 @@
 def _current_primary(
     answers: Sequence[TargetReport], criteria: SuccessorCriteria
 ) -> TargetReport | None:
-    primaries = [r for r in answers if r.role == "primary"]
+    primaries = [r for r in answers if r.role == PRIMARY_ROLE]
     if primaries:
-        return max(primaries, key=_progress)
+        return max(primaries, key=lambda r: (r.term, *r.progress))
     return max(answers, key=_progress) if criteria.allow_lagging else None
 
 
--- a/src/rosemarysaddle/decide/primaries/_terms.py
+++ b/src/rosemarysaddle/decide/primaries/_terms.py
@@ -23,9 +23,9 @@
 
     :param is_open: whether writes may run under the term
     :param is_serving: whether the primary has confirmed its promotion
-    :param target_term: newest term in which a target of the group was
-        seen to be its primary, as the targets themselves number their
-        terms; 0 where none was seen
+    :param target_term: newest term in which a target was confirmed as
+        the group's primary, as the targets number their terms; 0 where
+        none was
     :param starts: start positions of recent terms, oldest first
     :param identities: identity of each instance eligible for promotion
     """
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -713,18 +713,23 @@
 
     async def _promote(self, order: PromoteTarget) -> None:
         instance = self.control.state.instance(order.target)
-        done = await self._orders.promote(order, instance)
+        result = await self._orders.promote(order, instance)
         logging.info(
-            "event=promoted group=%s target=%s term=%d done=%s",
+            "event=promoted group=%s target=%s term=%d target_term=%d done=%s",
             order.group,
             order.target,
             order.term,
-            done,
+            result.target_term,
+            result.done,
         )
         self._run(
             "promoted",
             lambda: self.control.on_promoted(
-                order.group, order.term, done=done, now_ns=clock_ns()
+                order.group,
+                order.term,
+                done=result.done,
+                now_ns=clock_ns(),
+                target_term=result.target_term,
             ),
         )
 
--- a/src/rosemarysaddle/node/_orders.py
+++ b/src/rosemarysaddle/node/_orders.py
@@ -17,11 +17,16 @@
     from collections.abc import Callable, Sequence
 
     from rosemarysaddle.decide import ProbeGroup, PromoteTarget
-    from rosemarysaddle.node._platform import Platform, Promoter
+    from rosemarysaddle.node._platform import (
+        Platform,
+        Promoter,
+        TargetStatus,
+    )
     from rosemarysaddle.schema import Instance
 
-__all__ = ("AnnouncedTargetOrders",)
+__all__ = ("AnnouncedTargetOrders", "PromotionResult")
 
+PRIMARY_ROLE: Final = "primary"
 POLL_INTERVAL_S: Final = 0.05
 # Limits the check whether an earlier leader's promotion took effect.
 STATUS_TIMEOUT_MS: Final = 400
@@ -30,6 +35,18 @@
 CONFIRM_TIMEOUT_MS: Final = 1_500
 
 
+@attrs.frozen(kw_only=True)
+class PromotionResult:
+    """What became of the promotion of a target.
+
+    :param done: whether the target is the primary
+    :param target_term: term in which it is, as targets number theirs
+    """
+
+    done: bool
+    target_term: int = 0
+
+
 @attrs.define(kw_only=True, eq=False)
 class AnnouncedTargetOrders:
     """Reads the status of targets and has the platform promote them.
@@ -88,17 +105,18 @@
 
     async def promote(
         self, order: PromoteTarget, instance: Instance | None
-    ) -> bool:
-        """Make an instance the primary of its group.
-
-        :return: whether the instance reports that it is the primary
-        """
+    ) -> PromotionResult:
+        """Make an instance the primary of its group."""
         if instance is None:
-            return False
-        if order.may_be_primary and await self._is_primary(
-            instance, order, STATUS_TIMEOUT_MS
-        ):
-            return True
+            return PromotionResult(done=False)
+        if order.may_be_primary:
+            status = await self._read_status(
+                instance, order, STATUS_TIMEOUT_MS
+            )
+            if _has_role(status, order):
+                return _result(status)
+        if not order.may_order:
+            return await self._confirm(order, instance)
         promotion = PromotionOrder(
             group=order.group,
             target=order.target,
@@ -114,7 +132,24 @@
             promotion.fencing_token,
             accepted,
         )
-        return accepted and await self._wait_until_primary(order, instance)
+        if not accepted:
+            return PromotionResult(done=False)
+        return _result(await self._wait_until_primary(order, instance))
+
+    async def _confirm(
+        self, order: PromoteTarget, instance: Instance
+    ) -> PromotionResult:
+        """Read the status of a target that said it is the primary."""
+        while clock_ns() < order.deadline_ns:
+            status = await self._read_status(
+                instance, order, CONFIRM_TIMEOUT_MS
+            )
+            if status is not None:
+                return PromotionResult(
+                    done=_has_role(status, order), target_term=status.term
+                )
+            await asyncio.sleep(POLL_INTERVAL_S)
+        return PromotionResult(done=False)
 
     async def _send(self, promotion: PromotionOrder) -> bool:
         """Send an order until the platform answers.
@@ -134,23 +169,30 @@
                 await asyncio.sleep(POLL_INTERVAL_S)
         return bool(accepted)
 
-    async def _is_primary(
+    async def _read_status(
         self, instance: Instance, order: PromoteTarget, timeout_ms: int
-    ) -> bool:
+    ) -> TargetStatus | None:
         limit_ns = clock_ns() + timeout_ms * NS_PER_MS
         found = await self._reader.read(
             instance, min(order.deadline_ns, limit_ns)
         )
-        return found.status is not None and found.status.role == "primary"
+        return found.status
 
     async def _wait_until_primary(
         self, order: PromoteTarget, instance: Instance
-    ) -> bool:
+    ) -> TargetStatus | None:
+        """Read the status until the target has taken up the role.
+
+        :return: its status then, or None after the deadline
+        """
         while clock_ns() < order.deadline_ns:
             await asyncio.sleep(POLL_INTERVAL_S)
-            if await self._is_primary(instance, order, CONFIRM_TIMEOUT_MS):
-                return True
-        return False
+            status = await self._read_status(
+                instance, order, CONFIRM_TIMEOUT_MS
+            )
+            if _has_role(status, order):
+                return status
+        return None
 
     async def _probe_instance(
         self, instance: Instance, deadline_ns: int, *, fresh: bool
@@ -179,3 +221,17 @@
             position=found.status.position,
             asked_ns=asked_ns,
         )
+
+
+def _has_role(status: TargetStatus | None, order: PromoteTarget) -> bool:
+    """Tell whether a target leads the term that the order is about."""
+    if status is None or status.role != PRIMARY_ROLE:
+        return False
+    return status.term > order.above_term
+
+
+def _result(status: TargetStatus | None) -> PromotionResult:
+    """Build the result from the status of the new primary."""
+    if status is None:
+        return PromotionResult(done=False)
+    return PromotionResult(done=True, target_term=status.term)
--- a/tests/decide/announced_group.py
+++ b/tests/decide/announced_group.py
@@ -70,15 +70,18 @@
     effects: list[Any] = attrs.field(factory=list)
 
     @classmethod
-    def open(cls) -> Harness:
-        """Build a harness with a group whose primary is t1."""
+    def open(cls, *, target_term: int = 1) -> Harness:
+        """Build a harness with a group whose primary is t1.
+
+        :param target_term: term in which the primary says it serves
+        """
         harness = cls()
         harness.plan(PLAN, version=4)
         for target in TARGETS:
             harness.announce(target)
         harness.elapse(50)
         harness.probe(primary="t1")
-        harness.promoted()
+        harness.promoted(target_term=target_term)
         harness.effects.clear()
         return harness
 
@@ -194,11 +197,24 @@
         )
         self.leader.state.lease_holders.add("unheard")
 
-    def promoted(self) -> None:
-        """Confirm the newest order to promote."""
+    def answer(self, *reports: TargetReport) -> None:
+        """Answer the newest probe with the reports of some targets."""
+        attempt = self.found(ProbeGroup)[-1].attempt
+        found = self.leader.on_probe("g", attempt, reports, self.now_ns)
+        self._take(found)
+
+    def promoted(
+        self, *, done: bool = True, target_term: int = 1, **result: Any
+    ) -> None:
+        """Tell the result of the newest order to promote."""
         order = self.found(PromoteTarget)[-1]
         found = self.leader.on_promoted(
-            "g", order.term, done=True, now_ns=self.now_ns
+            "g",
+            order.term,
+            done=done,
+            now_ns=self.now_ns,
+            target_term=target_term,
+            **result,
         )
         self._take(found)
 
--- a/tests/decide/test_succession.py
+++ b/tests/decide/test_succession.py
@@ -7,6 +7,8 @@
 from rosemarysaddle.decide.primaries._succession import (
     SuccessorCriteria,
     choose_successor,
+    find_promoted,
+    needs_order,
 )
 
 
@@ -205,3 +207,83 @@
     choice = choose_successor([former, _report("c", 9)], criteria)
 
     assert (choice.target if choice else None) == chosen
+
+
+@pytest.mark.parametrize(
+    ("reports", "allow_lagging", "chosen"),
+    [
+        pytest.param(
+            [_report("c", 9, role="primary", term=1)],
+            False,
+            None,
+            id="only an old primary answers",
+        ),
+        pytest.param(
+            [_report("c", 9, role="primary", term=1), _report("b", 5, term=2)],
+            False,
+            "b",
+            id="a replica has followed the last primary",
+        ),
+        pytest.param(
+            [_report("c", 9, role="primary", term=1)],
+            True,
+            "c",
+            id="nobody else answers for long",
+        ),
+        pytest.param(
+            [_report("a", 5, term=2), _report("b", 4, term=2)],
+            False,
+            "a",
+            id="the last primary lost its role and has most",
+        ),
+    ],
+)
+def test_old_primary_is_no_choice_while_others_may_answer(
+    reports: list[TargetReport], chosen: str | None, *, allow_lagging: bool
+) -> None:
+    """Guards against a target that slept through the last promotion."""
+    criteria = SuccessorCriteria(
+        former="a",
+        leaving=(),
+        target_term=2,
+        others_stay=True,
+        allow_lagging=allow_lagging,
+    )
+
+    choice = choose_successor(reports, criteria)
+
+    assert (choice.target if choice else None) == chosen
+
+
+@pytest.mark.parametrize(
+    ("report", "is_needed"),
+    [
+        pytest.param(_report("a", 9, role="primary", term=2), False),
+        pytest.param(_report("a", 9, role="primary", term=3), False),
+        pytest.param(_report("a", 9, role="primary", term=1), True),
+        pytest.param(_report("a", 9, term=2), True),
+    ],
+)
+def test_primary_of_an_earlier_term_has_to_be_promoted(
+    report: TargetReport, *, is_needed: bool
+) -> None:
+    """Guards against a group that is opened at an old primary."""
+    assert needs_order(report, [report], target_term=2) is is_needed
+
+
+def test_target_that_leads_a_later_term_is_followed() -> None:
+    """Guards against a choice by progress after another's promotion."""
+    criteria = SuccessorCriteria(former="a", leaving=(), target_term=1)
+    promoted = _report("c", 3, role="primary", term=2)
+
+    assert choose_successor([PRIMARY, promoted], criteria) is promoted
+
+
+def test_target_is_not_followed_if_another_knows_a_later_term() -> None:
+    """Guards against following one of two promotions, the first."""
+    promoted = _report("c", 3, role="primary", term=2)
+    later = _report("b", 3, term=3)
+
+    found = find_promoted([promoted, later], former="a", target_term=1)
+
+    assert found is None
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -16,7 +16,10 @@
     TargetReport,
 )
 from rosemarysaddle.node import TargetStatus
-from rosemarysaddle.node._orders import AnnouncedTargetOrders
+from rosemarysaddle.node._orders import (
+    AnnouncedTargetOrders,
+    PromotionResult,
+)
 from rosemarysaddle.node._status_reader import StatusReader, StatusResult
 from rosemarysaddle.platform import UsersPlatform
 from rosemarysaddle.schema import Instance
@@ -45,6 +48,7 @@
     wait_s: float
     silent: int = 0
     role: str = "replica"
+    term: int = 2
     status_reads: int = 0
     connections: int = 0
     writers: list[asyncio.StreamWriter] = attrs.field(factory=list)
@@ -62,7 +66,7 @@
                 writer.write(b"READY I 1.5\r\n")
             elif number > self.silent:
                 self.status_reads += 1
-                row = f"ROW {self.role} 2 1.5 0 12 5 30\r\n"
+                row = f"ROW {self.role} {self.term} 1.5 0 12 5 30\r\n"
                 writer.write(row.encode() + b"DONE -\r\nREADY I 1.5\r\n")
         writer.close()
 
@@ -90,6 +94,7 @@
 
     def _take_effect(self) -> None:
         self.target.role = "primary"
+        self.target.term += 1
 
 
 def _orders(promoter: Any) -> AnnouncedTargetOrders:
@@ -107,8 +112,10 @@
     target: FullTarget,
     *,
     may_be_primary: bool = False,
+    may_order: bool = True,
+    above_term: int = 0,
     delay_s: float = PROMOTE_DELAY_S,
-) -> tuple[bool, AcceptingPromoter]:
+) -> tuple[PromotionResult, AcceptingPromoter]:
     server = await asyncio.start_server(target.serve, IP, PORT)
     promoter = AcceptingPromoter(
         target=target, loop=asyncio.get_running_loop(), delay_s=delay_s
@@ -120,7 +127,9 @@
         term=2,
         start=5,
         deadline_ns=clock_ns() + 4_000 * NS_PER_MS,
+        above_term=above_term,
         may_be_primary=may_be_primary,
+        may_order=may_order,
     )
     try:
         return await orders.promote(order, INSTANCE), promoter
@@ -147,9 +156,9 @@
     """
     target = FullTarget(wait_s=wait_s, silent=silent)
 
-    done, promoter = asyncio.run(_promote(target))
+    result, promoter = asyncio.run(_promote(target))
 
-    assert done
+    assert result == PromotionResult(done=True, target_term=3)
     assert len(promoter.orders) == 1
 
 
@@ -168,9 +177,9 @@
     """Guards against an order that repeats one of an earlier leader."""
     target = FullTarget(wait_s=0.0, role="primary")
 
-    done, promoter = asyncio.run(_promote(target, may_be_primary=True))
+    result, promoter = asyncio.run(_promote(target, may_be_primary=True))
 
-    assert done
+    assert result.done
     assert not promoter.orders
 
 
@@ -321,8 +330,34 @@
         deadline_ns=clock_ns() + 4_000 * NS_PER_MS,
     )
 
-    done = asyncio.run(_orders(promoter).promote(order, INSTANCE))
+    result = asyncio.run(_orders(promoter).promote(order, INSTANCE))
 
-    assert not done
+    assert not result.done
     assert [o.target for o in promoter.orders] == ["t"] * 3
     assert len({o.fencing_token for o in promoter.orders}) == 1
+
+
+def test_primary_of_an_earlier_term_is_ordered_to_lead_the_next() -> None:
+    """Guards against a role that is believed without its term."""
+    target = FullTarget(wait_s=0.0, role="primary", term=2)
+
+    result, promoter = asyncio.run(
+        _promote(target, may_be_primary=True, above_term=2)
+    )
+
+    assert result == PromotionResult(done=True, target_term=3)
+    assert len(promoter.orders) == 1
+
+
+@pytest.mark.parametrize("role", ["primary", "replica"])
+def test_target_that_said_it_leads_is_not_ordered_to(role: str) -> None:
+    """Guards against an order that the log does not hold."""
+    target = FullTarget(wait_s=0.0, role=role)
+
+    result, promoter = asyncio.run(
+        _promote(target, may_be_primary=True, may_order=False, above_term=1)
+    )
+
+    assert result.done is (role == "primary")
+    assert result.target_term == 2
+    assert not promoter.orders
