Keep to the target of an order to promote that is in doubt

Cause: an order that had not been seen to take effect was a flag of one change. It kept the next one to the same target only while that target answered, and was gone with the next change and the next leader. Another target was opened, and replaced when the order took effect.

An order is now part of the control log from the entry that opens its term on, as its own, until it is settled: refused (409 and other 4xx), not taken (429, no connection), taken effect by the only call that could, void as its target is gone for good, or timed out. A refusal speaks for its own order, not for an earlier one or the calls of an earlier leader. While one is in doubt, no other target is chosen. The platform gives no bound; after 9.5 s the group goes on with another target, and the log says so: with detection and fence a change is to be over within 16 s.

The client tells four answers instead of two and a half, and waits for each call until the change's deadline instead of one second, so that a late answer is heard.

--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -279,6 +279,7 @@
         done: bool,
         now_ns: int,
         target_term: int = 0,
+        is_settled: bool = False,
     ) -> list[Effect]:
         """Handle an instance's answer to its promotion.
 
@@ -286,6 +287,8 @@
         :param now_ns: monotonic time, in nanoseconds
         :param target_term: term in which it is primary, as instances
             number their terms
+        :param is_settled: whether the order to promote it can have no
+            further effect
         """
         return self.primaries.on_promoted(
             group,
@@ -293,6 +296,7 @@
             done=done,
             now_ns=now_ns,
             target_term=target_term,
+            is_settled=is_settled,
         )
 
     def leads(self, now_ns: int) -> bool:
--- a/src/rosemarysaddle/decide/control_log/_state.py
+++ b/src/rosemarysaddle/decide/control_log/_state.py
@@ -22,6 +22,7 @@
 from rosemarysaddle.decide.primaries._terms import (
     MAX_KEPT_STARTS,
     GroupTerm,
+    PromotionInDoubt,
     TermStart,
 )
 from rosemarysaddle.schema import (
@@ -65,7 +66,8 @@
     """Kinds of entries in the control log.
 
     ``CHANGE`` changes a document.  ``CLOSE``, ``OPEN`` and ``SERVING``
-    are the steps of a change of primary.  ``ADMIT`` makes an instance
+    are the steps of a change of primary; ``SETTLED`` ends the doubt
+    about an order to promote.  ``ADMIT`` makes an instance
     with a new identity eligible for promotion.  ``TARGET`` and ``GONE``
     add and remove an announced target.  ``MEMBERS`` sets the voters,
     ``HOSTS`` the count of entry hosts, and ``HOLDERS`` the hosts that
@@ -77,6 +79,7 @@
     CLOSE: Final = "close"
     OPEN: Final = "open"
     SERVING: Final = "serving"
+    SETTLED: Final = "settled"
     ADMIT: Final = "admit"
     MEMBERS: Final = MEMBERS
     TARGET: Final = "target"
@@ -196,6 +199,8 @@
             self._open(payload)
         if kind == EntryKind.SERVING:
             self._serve(payload)
+        if kind == EntryKind.SETTLED:
+            self._settle(payload)
         if kind == EntryKind.ADMIT:
             self._admit(payload)
 
@@ -404,22 +409,37 @@
             current, is_serving=True, target_term=target_term
         )
 
+    def _settle(self, payload: dict[str, Any]) -> None:
+        group = payload["group"]
+        current = self.terms.get(group)
+        if current is not None:
+            self.terms[group] = current.without_order(payload["term"])
+
     def _open(self, payload: dict[str, Any]) -> None:
         group = str(payload["group"])
         term = int(payload["term"])
         current = self.terms.get(group)
+        primary = str(payload["primary"])
         starts: tuple[TermStart, ...] = ()
         target_term = 0
+        in_doubt: tuple[PromotionInDoubt, ...] = ()
         if current is not None:
             if term <= current.term:
                 return
             starts, target_term = current.starts, current.target_term
+            in_doubt = current.in_doubt
+        if "above_term" in payload:
+            order = PromotionInDoubt(
+                target=primary, term=term, above_term=payload["above_term"]
+            )
+            in_doubt = (*in_doubt, order)
         start = TermStart(term=term, position=int(payload["start"]))
         self.terms[group] = GroupTerm(
             term=term,
-            primary=str(payload["primary"]),
+            primary=primary,
             is_open=True,
             target_term=target_term,
+            in_doubt=in_doubt,
             starts=(*starts, start)[-MAX_KEPT_STARTS:],
             identities=payload.get("identities", {}),
         )
@@ -507,7 +527,13 @@
 
 def _load_term(row: dict[str, Any]) -> GroupTerm:
     starts = [_build(TermStart, start) for start in row.get("starts", ())]
-    return _build(GroupTerm, {**row, "starts": tuple(starts)})
+    in_doubt = [
+        _build(PromotionInDoubt, order) for order in row.get("in_doubt", ())
+    ]
+    return _build(
+        GroupTerm,
+        {**row, "starts": tuple(starts), "in_doubt": tuple(in_doubt)},
+    )
 
 
 def _build(row_class: type[T], row: dict[str, Any]) -> T:
--- a/src/rosemarysaddle/decide/primaries/_change.py
+++ b/src/rosemarysaddle/decide/primaries/_change.py
@@ -89,8 +89,6 @@
     :param candidate_deadline_ns: time from which another instance than
         the preferred one, or one that lacks writes, may be chosen, and
         from which a new group may open without some of its instances
-    :param has_open_order: whether the promotion of the primary of
-        ``term`` was ordered with an unknown result
     :param reason: why the change was started, for the log
     :param chosen: instance that becomes primary under the new term
     :param above_term: the chosen instance takes up the role in a term
@@ -118,7 +116,6 @@
     fenced_ns: int = 0
     chosen_ns: int = 0
     new_term: int = 0
-    has_open_order: bool = False
     reason: str = ""
     chosen: str = ""
     above_term: int = 0
@@ -135,10 +132,6 @@
         self.phase = Phase.FENCE
         self.fence_deadlines_ns = deadlines_ns
 
-    def is_over(self, now_ns: int) -> bool:
-        """Tell whether the order to promote ended without a result."""
-        return now_ns >= self.promote_until_ns
-
     def is_fenced(self, now_ns: int) -> bool:
         """Tell whether no host can write under the old term."""
         return all(now_ns >= d for d in self.fence_deadlines_ns.values())
--- /dev/null
+++ b/src/rosemarysaddle/decide/primaries/_orders_in_doubt.py
@@ -0,0 +1,132 @@
+"""Orders to promote whose outcome is not known.
+
+An order that the platform has read may take effect at any time, also
+after its target was lost and came back.  Writes that run at another
+target by then are lost, so the group waits for the named target.  The
+platform gives no bound for that, and a group without a primary is no
+use either.  Once ``MAX_DOUBT_MS`` have passed, the order counts as
+ended, and another target may be promoted.  If it takes effect all the
+same, the group follows the target that it names.
+
+The log records an order with the term that it opens, so that a later
+leader knows of it.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from rosemarysaddle.decide._effects import Effect, LogDecision
+from rosemarysaddle.decide._times import NS_PER_MS
+from rosemarysaddle.decide.control_log._state import EntryKind
+
+if TYPE_CHECKING:
+    from rosemarysaddle.decide.control_log._context import LeaderContext
+    from rosemarysaddle.decide.primaries._terms import PromotionInDoubt
+
+__all__ = ("MAX_DOUBT_MS", "OrdersInDoubt", "Settlement")
+
+# A change of primary is to be over within 16 s.  Its detection and the
+# fence of the old term take up to 5.3 s, a promotion 1 s.
+MAX_DOUBT_MS: Final = 9_500
+
+
+class Settlement:
+    """Why the doubt about an order has ended."""
+
+    TOOK_EFFECT: Final = "took-effect"
+    REFUSED: Final = "refused"
+    TARGET_GONE: Final = "target-gone"
+    TIMED_OUT: Final = "timed-out"
+
+
+@attrs.define(kw_only=True)
+class OrdersInDoubt:
+    """Orders of all groups that may yet take effect.
+
+    :param context: state and log of the leader
+    """
+
+    context: LeaderContext
+    _groups: set[str] = attrs.field(factory=set, init=False)
+    _deadlines_ns: dict[tuple[str, int], int] = attrs.field(
+        factory=dict, init=False
+    )
+
+    def on_elected(self) -> None:
+        """Give the orders of earlier leaders their time anew."""
+        self._deadlines_ns.clear()
+        terms = self.context.state.terms
+        self._groups = {g for g, term in terms.items() if term.in_doubt}
+
+    def examine(self, group: str) -> None:
+        """Watch the orders of a group whose term was opened."""
+        self._groups.add(group)
+
+    def targets(self, group: str, now_ns: int) -> tuple[str, ...]:
+        """List the targets of a group whose promotion is in doubt.
+
+        :param now_ns: monotonic time, in nanoseconds
+        """
+        targets = (
+            order.target
+            for order in self._orders(group)
+            if not self._end_reason(group, order, now_ns)
+        )
+        return tuple(dict.fromkeys(targets))
+
+    def settle(
+        self, group: str, term: int, reason: str, now_ns: int
+    ) -> list[Effect]:
+        """Record that an order has no effect any more, and why.
+
+        :param term: term of the group that was opened with the order
+        """
+        current = self.context.state.terms.get(group)
+        order = None if current is None else current.order_of(term)
+        if order is None:
+            return []
+        self._deadlines_ns.pop((group, term), None)
+        payload = json.dumps({"group": group, "term": term})
+        text = (
+            f"group={group} target={order.target} term={term}"
+            f" above_term={order.above_term} reason={reason}"
+        )
+        return [
+            LogDecision(event="promotion-settled", text=text),
+            *self.context.propose(EntryKind.SETTLED, payload, now_ns),
+        ]
+
+    def tick(self, now_ns: int) -> list[Effect]:
+        """End the doubt about orders that are overdue or void."""
+        effects: list[Effect] = []
+        for group in sorted(self._groups):
+            orders = self._orders(group)
+            if not orders:
+                self._groups.discard(group)
+            for order in orders:
+                reason = self._end_reason(group, order, now_ns)
+                if reason:
+                    effects.extend(
+                        self.settle(group, order.term, reason, now_ns)
+                    )
+        return effects
+
+    def _orders(self, group: str) -> tuple[PromotionInDoubt, ...]:
+        term = self.context.state.terms.get(group)
+        return () if term is None else term.in_doubt
+
+    def _end_reason(
+        self, group: str, order: PromotionInDoubt, now_ns: int
+    ) -> str:
+        """Tell why an order counts as ended; empty if it does not."""
+        record = self.context.state.targets.records.get(order.target)
+        if record is None or record.group != group:
+            return Settlement.TARGET_GONE
+        deadline_ns = self._deadlines_ns.setdefault(
+            (group, order.term), now_ns + MAX_DOUBT_MS * NS_PER_MS
+        )
+        return Settlement.TIMED_OUT if now_ns >= deadline_ns else ""
--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -33,6 +33,10 @@
     eligible_reports,
     promotion_quorum,
 )
+from rosemarysaddle.decide.primaries._orders_in_doubt import (
+    OrdersInDoubt,
+    Settlement,
+)
 from rosemarysaddle.decide.primaries._succession import (
     SuccessorCriteria,
     choose_successor,
@@ -101,6 +105,7 @@
     announced: dict[str, Announcement] = attrs.field(factory=dict)
     changes: dict[str, GroupChange] = attrs.field(factory=dict)
     times: list[ChangeTimes] = attrs.field(factory=list)
+    orders: OrdersInDoubt = attrs.field(init=False)
     _evidence: dict[str, Evidence] = attrs.field(factory=dict, init=False)
     _groups_to_open: set[str] = attrs.field(factory=set, init=False)
     _confirming_until_ns: dict[str, int] = attrs.field(
@@ -108,9 +113,14 @@
     )
     _grace_until_ns: dict[str, int] = attrs.field(factory=dict, init=False)
 
+    def __attrs_post_init__(self) -> None:
+        """Create the list of orders in doubt."""
+        self.orders = OrdersInDoubt(context=self.context)
+
     def on_elected(self) -> None:
         """Reset the state when this host is elected leader."""
         self._evidence.clear()
+        self.orders.on_elected()
         state = self.context.state
         self._groups_to_open = {*state.inventory.groups, *state.routes.groups}
 
@@ -121,7 +131,8 @@
 
     def tick(self, now_ns: int) -> list[Effect]:
         """Start the changes that are due, and advance running ones."""
-        effects = self._start_new_groups(now_ns)
+        effects = self.orders.tick(now_ns)
+        effects.extend(self._start_new_groups(now_ns))
         for change in list(self.changes.values()):
             effects.extend(self._advance(change, now_ns))
         return effects
@@ -138,7 +149,10 @@
         """Advance a change whose log entry has been committed."""
         if entry.kind not in {EntryKind.CLOSE, EntryKind.OPEN}:
             return []
-        change = self.changes.get(json.loads(entry.payload)["group"])
+        group = json.loads(entry.payload)["group"]
+        if entry.kind == EntryKind.OPEN:
+            self.orders.examine(group)
+        change = self.changes.get(group)
         if change is None:
             return []
         if entry.kind == EntryKind.CLOSE and change.phase is Phase.CLOSE:
@@ -161,6 +175,8 @@
 
         Nothing is done if a change of the group is in progress, if the
         instance is its primary already, or if this host does not lead.
+        A primary whose own promotion may be carried out once more keeps
+        the role until that is settled.
 
         :param group: name of the group
         :param preferred: instance to promote
@@ -178,6 +194,8 @@
             return []
         if term.primary == preferred:
             return []
+        if term.primary in self.orders.targets(group, now_ns):
+            return []
         return self.start_change(
             group,
             term.term,
@@ -219,6 +237,7 @@
         done: bool,
         now_ns: int,
         target_term: int = 0,
+        is_settled: bool = False,
     ) -> list[Effect]:
         """Handle an instance's answer to its promotion.
 
@@ -228,20 +247,26 @@
         :param now_ns: monotonic time, in nanoseconds
         :param target_term: term in which it is primary, as instances
             number their terms
+        :param is_settled: whether the order to promote it can have no
+            further effect
         """
         change = self.changes.get(group)
         if change is None or change.new_term != term:
             return []
         del self.changes[group]
+        settled = []
+        if is_settled:
+            outcome = Settlement.TOOK_EFFECT if done else Settlement.REFUSED
+            settled = self.orders.settle(group, term, outcome, now_ns)
         if not done:
             if not self.context.leads(now_ns):
-                return []
-            effects = self.start_change(
-                group, term, now_ns, reason=ChangeReason.PROMOTION_FAILED
-            )
-            if group in self.changes:
-                self.changes[group].has_open_order = change.is_over(now_ns)
-            return effects
+                return settled
+            return [
+                *settled,
+                *self.start_change(
+                    group, term, now_ns, reason=ChangeReason.PROMOTION_FAILED
+                ),
+            ]
         self.times.append(change.times(now_ns))
         del self.times[:-MAX_KEPT_TIMES]
         self._groups_to_open.discard(group)
@@ -257,15 +282,11 @@
             event="primary-serves",
             text=f"group={group} term={term} primary={change.chosen}"
             f" target_term={target_term} reason={change.reason}"
-            f" ordered={change.may_order}"
+            f" ordered={change.may_order} settled={is_settled}"
             f" spent_ms={(now_ns - change.started_ns) // NS_PER_MS}",
         )
         serving = self.context.propose(EntryKind.SERVING, payload, now_ns)
-        return [log, *serving, *self._order_replicas(group)]
-
-    def is_new_primary(self, group: str, now_ns: int) -> bool:
-        """Tell whether a group's primary was promoted just now."""
-        return now_ns < self._grace_until_ns.get(group, 0)
+        return [log, *settled, *serving, *self._order_replicas(group)]
 
     def follow(self, group: str, target: str) -> FollowPrimary:
         """Order an instance to replicate from its group's primary."""
@@ -343,7 +364,14 @@
         )
         change.chosen = term.primary
         change.new_term = term.term
-        change.above_term = max(0, term.target_term - 1)
+        order = term.order_of(term.term)
+        if self._is_route_group(group):
+            change.may_order = order is not None
+            change.above_term = (
+                max(0, term.target_term - 1)
+                if order is None
+                else order.above_term
+            )
         self.changes[group] = change
         return self._promote(change, now_ns)
 
@@ -368,7 +396,7 @@
             return []
         if suspicion.group in self.changes:
             return []
-        if self.is_new_primary(suspicion.group, now_ns):
+        if now_ns < self._grace_until_ns.get(suspicion.group, 0):
             return []
         self._record_evidence(suspicion.group, suspicion.host, now_ns)
         effects = self._fail_over_if_proven(suspicion.group, now_ns)
@@ -489,7 +517,7 @@
         )
         payload = json.dumps({"group": group, "term": term})
         effects = [
-            self._log_start(self.changes[group]),
+            self._log_start(self.changes[group], now_ns),
             *self.context.propose(EntryKind.CLOSE, payload, now_ns),
         ]
         if is_warm:
@@ -502,16 +530,18 @@
         )
         return [*effects, warm_up]
 
-    def _log_start(self, change: GroupChange) -> Effect:
+    def _log_start(self, change: GroupChange, now_ns: int) -> Effect:
         term = self.context.state.terms.get(change.group)
         primary = "-" if term is None else term.primary
         target_term = 0 if term is None else term.target_term
+        in_doubt = self.orders.targets(change.group, now_ns)
         return LogDecision(
             event="change-started",
             text=f"group={change.group} term={change.term}"
             f" primary={primary} target_term={target_term}"
             f" reason={change.reason or '-'}"
-            f" preferred={change.preferred or '-'}",
+            f" preferred={change.preferred or '-'}"
+            f" in_doubt={','.join(in_doubt) or '-'}",
         )
 
     def _fence(self, change: GroupChange, now_ns: int) -> list[Effect]:
@@ -584,7 +614,11 @@
         deadline_ns = now_ns + timeout_ms * NS_PER_MS
         change.retry_at_ns = deadline_ns + RETRY_DELAY_MS * NS_PER_MS
         count = len(self.context.instances(change.group))
-        needs_all = bool(change.preferred) or not change.term
+        needs_all = (
+            bool(change.preferred)
+            or not change.term
+            or bool(self.orders.targets(change.group, now_ns))
+        )
         if self._is_route_group(change.group) and not needs_all:
             # All instances except the primary, presumed lost.
             count = max(2, count) - 1
@@ -641,6 +675,7 @@
         state = self.context.state
         records = state.targets.of_group(change.group)
         reports = registered_reports(reports, records)
+        in_doubt = self.orders.targets(change.group, now_ns)
         criteria = SuccessorCriteria.of_group(
             state.terms.get(change.group),
             records,
@@ -649,13 +684,16 @@
             reuse_former=change.keeps_former
             and now_ns >= change.fenced_ns + CATCH_UP_TIMEOUT_MS * NS_PER_MS,
             sync_replicas=self._sync_replicas(change.group),
-            has_open_order=change.has_open_order,
+            in_doubt=in_doubt,
         )
         choice = choose_successor(reports, criteria)
         if choice is None:
             change.retry_at_ns = now_ns + RETRY_DELAY_MS * NS_PER_MS
             reason = (
-                "no eligible target is known to hold all writes of the primary"
+                f"the promotion of {','.join(in_doubt)} may yet take effect"
+                if in_doubt
+                else "no eligible target is known to hold all writes of the"
+                " primary"
             )
             return self._block(change, reason, now_ns)
         change.may_order = needs_order(choice, reports, criteria.target_term)
@@ -699,7 +737,7 @@
             f" log={choice.progress[0]}.{choice.position} age_ms={age_ms}"
             f" order={change.may_order} above_term={change.above_term}"
             f" lagging_allowed={criteria.allow_lagging}"
-            f" open_order={criteria.has_open_order}",
+            f" in_doubt={','.join(criteria.in_doubt) or '-'}",
         )
 
     def _open(
@@ -715,18 +753,19 @@
         change.chosen_ns = now_ns
         change.phase = Phase.OPEN
         change.blocked_reason = ""
-        payload = json.dumps(
-            {
-                "group": change.group,
-                "term": change.new_term,
-                "primary": choice.target,
-                "start": choice.position,
-                "identities": {
-                    **self.context.identities(change.group),
-                    **{r.target: r.identity for r in reports},
-                },
-            }
-        )
+        body = {
+            "group": change.group,
+            "term": change.new_term,
+            "primary": choice.target,
+            "start": choice.position,
+            "identities": {
+                **self.context.identities(change.group),
+                **{r.target: r.identity for r in reports},
+            },
+        }
+        if change.may_order and self._is_route_group(change.group):
+            body["above_term"] = change.above_term
+        payload = json.dumps(body)
         return self.context.propose(EntryKind.OPEN, payload, now_ns)
 
     def _promote(self, change: GroupChange, now_ns: int) -> list[Effect]:
--- a/src/rosemarysaddle/decide/primaries/_succession.py
+++ b/src/rosemarysaddle/decide/primaries/_succession.py
@@ -11,7 +11,8 @@
 What a target says of its role counts together with the term in which it
 has it.  One that leads a later term than the group was served in has
 been promoted and is followed; the primary of an earlier term is an old
-one.
+one.  While an order to promote a target may yet take effect, writes at
+another one would be lost, so that no other one is chosen.
 """
 
 from __future__ import annotations
@@ -51,6 +52,8 @@
     :param former: primary of the closed term, or empty for a new group
     :param target_term: newest term, as targets number them, in which a
         primary of the group served; 0 if it is not known
+    :param in_doubt: targets whose promotion was ordered with an unknown
+        result, and may yet take effect
     :param leaving: targets that are about to stop
     :param others_stay: whether another target than the former primary
         is registered and stays
@@ -62,20 +65,18 @@
         time that it is acknowledged
     :param replicas: number of registered targets besides the former
         primary
-    :param has_open_order: whether the promotion of the former primary
-        was ordered with an unknown result, and may yet take effect
     """
 
     former: str
     leaving: Collection[str]
     target_term: int = 0
+    in_doubt: Collection[str] = ()
     allow_lagging: bool = False
     others_stay: bool = False
     keeps_former: bool = False
     reuse_former: bool = False
     sync_replicas: int = 0
     replicas: int = 0
-    has_open_order: bool = False
 
     @classmethod
     def of_group(
@@ -87,7 +88,7 @@
         keeps_former: bool = False,
         reuse_former: bool = False,
         sync_replicas: int = 0,
-        has_open_order: bool = False,
+        in_doubt: Collection[str] = (),
     ) -> SuccessorCriteria:
         """Build the criteria for a group.
 
@@ -98,6 +99,7 @@
         return cls(
             former=former,
             target_term=0 if term is None else term.target_term,
+            in_doubt=in_doubt,
             leaving={r.target for r in records if r.leaving},
             others_stay=any(
                 r.target != former for r in records if not r.leaving
@@ -107,7 +109,6 @@
             reuse_former=reuse_former,
             sync_replicas=sync_replicas,
             replicas=sum(r.target != former for r in records),
-            has_open_order=has_open_order,
         )
 
     @property
@@ -148,11 +149,10 @@
     )
     if promoted is not None:
         return promoted
+    if criteria.in_doubt:
+        return _choose_in_doubt(answers, criteria)
     former = next((r for r in reports if r.target == criteria.former), None)
     former = former if former is not None and former.reachable else None
-    if criteria.has_open_order and _is_readable(former):
-        # Writes at another target would be lost once it takes effect.
-        return former
     return _replace_former(reports, former, criteria)
 
 
@@ -210,6 +210,20 @@
     return max([target_term, *reported])
 
 
+def _choose_in_doubt(
+    answers: Sequence[TargetReport], criteria: SuccessorCriteria
+) -> TargetReport | None:
+    """Choose a target whose promotion may yet take effect anyway."""
+    candidates = [
+        r
+        for r in answers
+        if r.target in criteria.in_doubt
+        and _has_followed(r, criteria)
+        and not (r.target in criteria.leaving and criteria.others_stay)
+    ]
+    return max(candidates, key=_progress, default=None)
+
+
 def _has_followed(report: TargetReport, criteria: SuccessorCriteria) -> bool:
     """Tell whether a target may hold the writes of the last primary.
 
--- a/src/rosemarysaddle/decide/primaries/_terms.py
+++ b/src/rosemarysaddle/decide/primaries/_terms.py
@@ -1,10 +1,10 @@
-"""Terms of a group and the positions at which they began."""
+"""Terms of a group, their starts, and orders to promote in doubt."""
 
 from __future__ import annotations
 
 import attrs
 
-__all__ = ("MAX_KEPT_STARTS", "GroupTerm", "TermStart")
+__all__ = ("MAX_KEPT_STARTS", "GroupTerm", "PromotionInDoubt", "TermStart")
 
 MAX_KEPT_STARTS = 16
 
@@ -17,6 +17,21 @@
     position: int
 
 
+@attrs.frozen(kw_only=True)
+class PromotionInDoubt:
+    """Order to promote a target that may yet take effect.
+
+    :param target: target that the order names
+    :param term: term of the group that was opened with the order
+    :param above_term: the target takes up the role in a term above this
+        one, as targets number their terms
+    """
+
+    target: str
+    term: int
+    above_term: int
+
+
 @attrs.frozen(kw_only=True)
 class GroupTerm:
     """Current term of a group.
@@ -26,6 +41,7 @@
     :param target_term: newest term in which a target was confirmed as
         the group's primary, as the targets number their terms; 0 where
         none was
+    :param in_doubt: orders to promote whose outcome is not known
     :param starts: start positions of recent terms, oldest first
     :param identities: identity of each instance eligible for promotion
     """
@@ -35,6 +51,7 @@
     is_open: bool
     is_serving: bool = False
     target_term: int = 0
+    in_doubt: tuple[PromotionInDoubt, ...] = ()
     starts: tuple[TermStart, ...] = ()
     identities: dict[str, str] = attrs.field(factory=dict)
 
@@ -47,3 +64,15 @@
             if start.term == term:
                 return start.position
         return None
+
+    def order_of(self, term: int) -> PromotionInDoubt | None:
+        """Return the order in doubt that opened a term, or None."""
+        for order in self.in_doubt:
+            if order.term == term:
+                return order
+        return None
+
+    def without_order(self, term: int) -> GroupTerm:
+        """Drop the order that opened a term."""
+        kept = tuple(order for order in self.in_doubt if order.term != term)
+        return attrs.evolve(self, in_doubt=kept)
--- a/src/rosemarysaddle/node/__init__.py
+++ b/src/rosemarysaddle/node/__init__.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from rosemarysaddle.node._main import run_node
     from rosemarysaddle.node._platform import (
+        OrderAnswer,
         Platform,
         Promoter,
         PromotionOrder,
@@ -20,6 +21,7 @@
     )
 
 __all__ = (
+    "OrderAnswer",
     "Platform",
     "Promoter",
     "PromotionOrder",
@@ -33,6 +35,7 @@
     modules={
         "_main": ("run_node",),
         "_platform": (
+            "OrderAnswer",
             "Platform",
             "Promoter",
             "PromotionOrder",
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -715,12 +715,14 @@
         instance = self.control.state.instance(order.target)
         result = await self._orders.promote(order, instance)
         logging.info(
-            "event=promoted group=%s target=%s term=%d target_term=%d done=%s",
+            "event=promoted group=%s target=%s term=%d target_term=%d"
+            " done=%s settled=%s",
             order.group,
             order.target,
             order.term,
             result.target_term,
             result.done,
+            result.is_settled,
         )
         self._run(
             "promoted",
@@ -730,6 +732,7 @@
                 done=result.done,
                 now_ns=clock_ns(),
                 target_term=result.target_term,
+                is_settled=result.is_settled,
             ),
         )
 
--- a/src/rosemarysaddle/node/_orders.py
+++ b/src/rosemarysaddle/node/_orders.py
@@ -10,7 +10,7 @@
 from rosemarysaddle import _log as logging
 from rosemarysaddle._clock import clock_ns
 from rosemarysaddle.decide import NS_PER_MS, TargetReport
-from rosemarysaddle.node._platform import PromotionOrder
+from rosemarysaddle.node._platform import OrderAnswer, PromotionOrder
 from rosemarysaddle.node._status_reader import StatusReader
 
 if TYPE_CHECKING:
@@ -28,6 +28,10 @@
 
 PRIMARY_ROLE: Final = "primary"
 POLL_INTERVAL_S: Final = 0.05
+# Time without an answer after which an order is sent again.
+RESEND_S: Final = 1.0
+# An order may take effect before it is answered.
+SLOW_ANSWER_MS: Final = 400
 # Limits the check whether an earlier leader's promotion took effect.
 STATUS_TIMEOUT_MS: Final = 400
 # A full target queues the opening of a connection and the status
@@ -41,10 +45,60 @@
 
     :param done: whether the target is the primary
     :param target_term: term in which it is, as targets number theirs
+    :param is_settled: whether the order can have no further effect
     """
 
     done: bool
     target_term: int = 0
+    is_settled: bool = False
+
+
+@attrs.define(kw_only=True, eq=False)
+class _OrderCalls:
+    """Calls of the platform for one order.
+
+    :param running: calls without an answer so far
+    :param answers: answers to the others, in the order of their arrival
+    """
+
+    running: set[asyncio.Task[OrderAnswer]] = attrs.field(factory=set)
+    answers: list[OrderAnswer] = attrs.field(factory=list)
+
+    def start(
+        self,
+        promoter: Promoter,
+        promotion: PromotionOrder,
+        may_send: Callable[[], bool],
+    ) -> None:
+        """Start one more call, which runs until it is answered."""
+        work = asyncio.to_thread(
+            promoter.promote, promotion, may_send=may_send
+        )
+        self.running.add(asyncio.create_task(work))
+
+    def collect(self) -> None:
+        """Move the calls that have ended to the answers."""
+        ended = {call for call in self.running if call.done()}
+        self.running -= ended
+        self.answers.extend(call.result() for call in ended)
+
+    @property
+    def has_verdict(self) -> bool:
+        """Whether the platform accepted or refused the order."""
+        verdicts = {OrderAnswer.ACCEPTED, OrderAnswer.REFUSED}
+        return not verdicts.isdisjoint(self.answers)
+
+    def are_settled(self, *, has_effect: bool) -> bool:
+        """Tell whether no call can have a further effect.
+
+        :param has_effect: whether the target was seen to be promoted,
+            which took one of the calls
+        """
+        may_have_effect = len(self.running) + sum(
+            answer in {OrderAnswer.ACCEPTED, OrderAnswer.UNKNOWN}
+            for answer in self.answers
+        )
+        return may_have_effect <= int(has_effect)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -108,33 +162,21 @@
     ) -> PromotionResult:
         """Make an instance the primary of its group."""
         if instance is None:
-            return PromotionResult(done=False)
+            return PromotionResult(
+                done=False, is_settled=not order.may_be_primary
+            )
         if order.may_be_primary:
             status = await self._read_status(
                 instance, order, STATUS_TIMEOUT_MS
             )
             if _has_role(status, order):
-                return _result(status)
+                return PromotionResult(
+                    done=True,
+                    target_term=status.term if status is not None else 0,
+                )
         if not order.may_order:
             return await self._confirm(order, instance)
-        promotion = PromotionOrder(
-            group=order.group,
-            target=order.target,
-            leader=self.host,
-            fencing_token=self.fencing_token(),
-            deadline_ns=order.deadline_ns,
-        )
-        accepted = await self._send(promotion)
-        logging.info(
-            "event=promotion-ordered group=%s target=%s token=%d taken=%s",
-            order.group,
-            order.target,
-            promotion.fencing_token,
-            accepted,
-        )
-        if not accepted:
-            return PromotionResult(done=False)
-        return _result(await self._wait_until_primary(order, instance))
+        return await self._order(order, instance)
 
     async def _confirm(
         self, order: PromoteTarget, instance: Instance
@@ -146,28 +188,83 @@
             )
             if status is not None:
                 return PromotionResult(
-                    done=_has_role(status, order), target_term=status.term
+                    done=_has_role(status, order),
+                    target_term=status.term,
+                    is_settled=True,
                 )
             await asyncio.sleep(POLL_INTERVAL_S)
-        return PromotionResult(done=False)
+        return PromotionResult(done=False, is_settled=True)
 
-    async def _send(self, promotion: PromotionOrder) -> bool:
-        """Send an order until the platform answers.
+    async def _order(
+        self, order: PromoteTarget, instance: Instance
+    ) -> PromotionResult:
+        """Send an order and wait until it has taken effect."""
+        promotion = PromotionOrder(
+            group=order.group,
+            target=order.target,
+            leader=self.host,
+            fencing_token=self.fencing_token(),
+            deadline_ns=order.deadline_ns,
+        )
+        calls = _OrderCalls()
+        sending = asyncio.create_task(self._send(promotion, calls))
+        waiting = asyncio.create_task(
+            self._wait_until_primary(order, instance, calls)
+        )
+        try:
+            await asyncio.wait(
+                [sending, waiting], return_when=asyncio.FIRST_COMPLETED
+            )
+            # Only a refusal ends the sending before the effect is seen.
+            if not waiting.done() and OrderAnswer.REFUSED in calls.answers:
+                status = None
+            else:
+                status = await waiting
+        finally:
+            sending.cancel()
+            waiting.cancel()
+        calls.collect()
+        has_effect = status is not None
+        logging.info(
+            "event=promotion-ordered group=%s target=%s token=%d"
+            " above_term=%d calls=%s unanswered=%d done=%s",
+            order.group,
+            order.target,
+            promotion.fencing_token,
+            order.above_term,
+            ",".join(a.name.lower() for a in calls.answers) or "-",
+            len(calls.running),
+            has_effect,
+        )
+        return PromotionResult(
+            done=has_effect,
+            target_term=0 if status is None else status.term,
+            # An earlier leader may have made calls of its own.
+            is_settled=calls.are_settled(has_effect=has_effect)
+            and not order.may_be_primary,
+        )
 
-        One that was not answered may take effect at any time: another
-        target that is promoted meanwhile would lose its writes then.
-        An order that names the present primary changes nothing.
+    async def _send(
+        self, promotion: PromotionOrder, calls: _OrderCalls
+    ) -> None:
+        """Send an order until the platform accepts or refuses it.
 
-        :return: whether the platform accepted it
+        An order that names the present primary changes nothing, so one
+        that is not answered is sent again.  The first call goes on.
         """
-        accepted: bool | None = None
-        while accepted is None and clock_ns() < promotion.deadline_ns:
-            accepted = await asyncio.to_thread(
-                self.promoter.promote, promotion, may_send=self.leads
+        pause_s = POLL_INTERVAL_S
+        while clock_ns() < promotion.deadline_ns and self.leads():
+            calls.start(self.promoter, promotion, self.leads)
+            await asyncio.wait(
+                calls.running,
+                timeout=RESEND_S,
+                return_when=asyncio.FIRST_COMPLETED,
             )
-            if accepted is None:
-                await asyncio.sleep(POLL_INTERVAL_S)
-        return bool(accepted)
+            calls.collect()
+            if calls.has_verdict:
+                return
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, RESEND_S)
 
     async def _read_status(
         self, instance: Instance, order: PromoteTarget, timeout_ms: int
@@ -179,14 +276,18 @@
         return found.status
 
     async def _wait_until_primary(
-        self, order: PromoteTarget, instance: Instance
+        self, order: PromoteTarget, instance: Instance, calls: _OrderCalls
     ) -> TargetStatus | None:
         """Read the status until the target has taken up the role.
 
         :return: its status then, or None after the deadline
         """
+        read_from_ns = clock_ns() + SLOW_ANSWER_MS * NS_PER_MS
         while clock_ns() < order.deadline_ns:
             await asyncio.sleep(POLL_INTERVAL_S)
+            is_slow = clock_ns() >= read_from_ns
+            if not is_slow and OrderAnswer.ACCEPTED not in calls.answers:
+                continue
             status = await self._read_status(
                 instance, order, CONFIRM_TIMEOUT_MS
             )
@@ -228,10 +329,3 @@
     if status is None or status.role != PRIMARY_ROLE:
         return False
     return status.term > order.above_term
-
-
-def _result(status: TargetStatus | None) -> PromotionResult:
-    """Build the result from the status of the new primary."""
-    if status is None:
-        return PromotionResult(done=False)
-    return PromotionResult(done=True, target_term=status.term)
--- a/src/rosemarysaddle/node/_platform.py
+++ b/src/rosemarysaddle/node/_platform.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING, Any, Protocol
 
 import attrs
@@ -13,7 +14,26 @@
     from rosemarysaddle.decide import Answer
     from rosemarysaddle.session import CallerCodec
 
-__all__ = ("Platform", "Promoter", "PromotionOrder", "TargetStatus")
+__all__ = (
+    "OrderAnswer",
+    "Platform",
+    "Promoter",
+    "PromotionOrder",
+    "TargetStatus",
+)
+
+
+class OrderAnswer(enum.Enum):
+    """Answer of the platform to an order."""
+
+    ACCEPTED = enum.auto()
+    """It takes effect soon, unless the target is lost meanwhile."""
+    REFUSED = enum.auto()
+    """It has no effect: the target cannot be promoted."""
+    NOT_TAKEN = enum.auto()
+    """It has no effect: the platform did not read it, or is busy."""
+    UNKNOWN = enum.auto()
+    """It was sent and not answered, and may take effect at any time."""
 
 
 @attrs.frozen(kw_only=True)
@@ -38,8 +58,8 @@
 
     :param leader: name of the control leader
     :param fencing_token: number that increases with each new leader
-    :param deadline_ns: monotonic time at which to stop trying, in
-        nanoseconds
+    :param deadline_ns: monotonic time until which to wait for the
+        answer, in nanoseconds
     """
 
     group: str
@@ -54,13 +74,11 @@
 
     def promote(
         self, order: PromotionOrder, *, may_send: Callable[[], bool]
-    ) -> bool | None:
+    ) -> OrderAnswer:
         """Send a promotion order; called from a worker thread.
 
         :param may_send: called right before the order is sent; the
             order is dropped if it returns false
-        :return: whether the platform accepted the order; None if it was
-            sent and not answered, and may take effect later
         """
 
 
--- a/src/rosemarysaddle/platform/_http.py
+++ b/src/rosemarysaddle/platform/_http.py
@@ -16,7 +16,7 @@
 from rosemarysaddle._formats import parse_number
 from rosemarysaddle.decide import NS_PER_MS
 from rosemarysaddle.link import Address
-from rosemarysaddle.node import TargetStatus
+from rosemarysaddle.node import OrderAnswer, TargetStatus
 from rosemarysaddle.platform._announcements import (
     read_announcement,
     read_incarnation_ms,
@@ -40,7 +40,7 @@
 
 _ROLES: Final = {"primary", "replica"}
 _MIN_STATUS_FIELDS: Final = 4
-_PROMOTE_TIMEOUT_S: Final = 1.0
+_CONNECT_TIMEOUT_S: Final = 1.0
 _MIN_TIMEOUT_S: Final = 0.05
 
 
@@ -169,27 +169,25 @@
 
     def promote(
         self, order: PromotionOrder, *, may_send: Callable[[], bool]
-    ) -> bool | None:
-        """Send a promotion order.
+    ) -> OrderAnswer:
+        """Send a promotion order and wait for its answer.
 
-        If no answer arrives, the connection is reset, so that a delayed
-        order cannot arrive after those of a later leader.  The platform
-        may have read it all the same.
+        If none arrives by the deadline, the connection is reset, so
+        that a delayed order cannot arrive after those of a later
+        leader.  The platform may have read it all the same.
 
         :param may_send: called right before the order is sent; the
             order is dropped if it returns false
-        :return: whether the platform accepted the order; None if it was
-            sent and not answered
         """
         # Imports the packages for e-mail and TLS; CherryPy has imported
         # them on a control host that serves its API.
         import http.client  # noqa: PLC0415
 
         address = Address.parse(self.address)
-        remaining_s = (order.deadline_ns - clock_ns()) / NS_PER_S
-        timeout_s = max(_MIN_TIMEOUT_S, min(remaining_s, _PROMOTE_TIMEOUT_S))
         connection = http.client.HTTPConnection(
-            address.ip, address.port, timeout=timeout_s
+            address.ip,
+            address.port,
+            timeout=min(_left_s(order), _CONNECT_TIMEOUT_S),
         )
         body = json.dumps({"group": order.group, "identifier": order.target})
         headers = {
@@ -198,34 +196,63 @@
             "Fencing-Token": str(order.fencing_token),
         }
         was_sent = False
+        status = 0
         try:
             connection.connect()
             connection.sock.setsockopt(
                 socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
             )
+            connection.sock.settimeout(_left_s(order))
             if not may_send():
-                return False
+                return OrderAnswer.NOT_TAKEN
             was_sent = True
             connection.request("POST", "/promote", body, headers)
             status = connection.getresponse().status
         except (OSError, http.client.HTTPException) as error:
             logging.info(
-                "event=promotion-failed group=%s target=%s sent=%s reason=%r",
+                "event=promotion-failed group=%s target=%s token=%d sent=%s"
+                " reason=%r",
                 order.group,
                 order.target,
+                order.fencing_token,
                 was_sent,
                 error,
             )
-            return None if was_sent else False
         finally:
             connection.close()
-        logging.info(
-            "event=promotion-answered group=%s target=%s status=%d",
-            order.group,
-            order.target,
-            status,
-        )
-        return status == http.HTTPStatus.OK
+        answer = _read_order_answer(status, was_sent=was_sent)
+        if status:
+            logging.info(
+                "event=promotion-answered group=%s target=%s token=%d"
+                " status=%d answer=%s",
+                order.group,
+                order.target,
+                order.fencing_token,
+                status,
+                answer.name.lower(),
+            )
+        return answer
+
+
+def _left_s(order: PromotionOrder) -> float:
+    left_s = (order.deadline_ns - clock_ns()) / NS_PER_S
+    return max(_MIN_TIMEOUT_S, left_s)
+
+
+def _read_order_answer(status: int, *, was_sent: bool) -> OrderAnswer:
+    """Tell what the status of the platform's answer says of the order.
+
+    :param status: HTTP status, 0 if there was no answer
+    """
+    if status == http.HTTPStatus.OK:
+        return OrderAnswer.ACCEPTED
+    if status == http.HTTPStatus.TOO_MANY_REQUESTS:
+        return OrderAnswer.NOT_TAKEN
+    is_error = status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
+    if status and not is_error:
+        return OrderAnswer.REFUSED
+    # A server that fails may have carried out the order before.
+    return OrderAnswer.UNKNOWN if was_sent else OrderAnswer.NOT_TAKEN
 
 
 def _now_ms() -> int:
--- /dev/null
+++ b/tests/decide/test_orders_in_doubt.py
@@ -0,0 +1,209 @@
+"""Orders to promote that may take effect after the change has ended."""
+
+from __future__ import annotations
+
+import json
+
+from rosemarysaddle.decide import (
+    ClusterState,
+    LogDecision,
+    PromoteTarget,
+    TargetReport,
+)
+from rosemarysaddle.decide.primaries._orders_in_doubt import MAX_DOUBT_MS
+from rosemarysaddle.schema import LogEntry
+from tests.decide.announced_group import Harness
+
+
+def _reports(*targets: str) -> list[TargetReport]:
+    return [
+        TargetReport(
+            target=target, reachable=True, role="replica", term=1, position=7
+        )
+        for target in targets
+    ]
+
+
+def _order_without_result(*, is_settled: bool = False) -> tuple[Harness, str]:
+    """Order a promotion that is not seen to take effect.
+
+    :param is_settled: whether it is known to have none
+    :return: the harness and the target that the order names
+    """
+    harness = Harness.open()
+    harness.replace_primary()
+    harness.elapse(50)
+    harness.answer(*_reports("t2", "t3"))
+    target = harness.found(PromoteTarget)[-1].target
+    harness.promoted(done=False, is_settled=is_settled)
+    harness.effects.clear()
+    return harness, target
+
+
+def _choose(harness: Harness, spent_ms: int, *answering: str) -> list[str]:
+    """Advance the time while some targets answer each probe.
+
+    :return: targets that were ordered to become primary
+    """
+    ordered: list[str] = []
+    for _ in range(0, spent_ms, 50):
+        harness.effects.clear()
+        harness.elapse(50)
+        if harness.leader.primaries.changes["g"].phase == "probe":
+            harness.answer_change(*_reports(*answering))
+        ordered.extend(o.target for o in harness.found(PromoteTarget))
+        if ordered:
+            break
+    return ordered
+
+
+def _other(target: str) -> str:
+    return "t3" if target == "t2" else "t2"
+
+
+def test_no_other_target_is_promoted_while_an_order_is_in_doubt() -> None:
+    """Guards against writes that a late promotion gives up."""
+    harness, target = _order_without_result()
+
+    ordered = _choose(harness, MAX_DOUBT_MS - 500, _other(target))
+
+    assert ordered == []
+    assert "may yet take effect" in (
+        harness.leader.primaries.changes["g"].blocked_reason
+    )
+
+
+def test_target_of_an_order_in_doubt_is_promoted_once_it_answers() -> None:
+    """Guards against a wait for an order that was lost."""
+    harness, target = _order_without_result()
+    _choose(harness, 2_000, _other(target))
+
+    assert _choose(harness, 500, "t2", "t3") == [target]
+
+
+def test_doubt_about_an_order_ends() -> None:
+    """Guards against a group that waits for a target that is lost."""
+    harness, target = _order_without_result()
+
+    ordered = _choose(harness, MAX_DOUBT_MS + 1_000, _other(target))
+
+    assert ordered == [_other(target)]
+
+
+def test_doubt_outlasts_a_change_of_leader() -> None:
+    """Guards against a new leader that promotes another target."""
+    harness, target = _order_without_result()
+
+    harness.elect()
+    harness.elapse(50)
+
+    assert _choose(harness, 3_000, _other(target)) == []
+
+
+def test_refused_order_is_not_in_doubt() -> None:
+    """Guards against a wait for an order that has no effect."""
+    harness, target = _order_without_result(is_settled=True)
+
+    assert _choose(harness, 1_000, _other(target)) == [_other(target)]
+
+
+def test_refusal_of_a_repeat_leaves_the_first_order_in_doubt() -> None:
+    """Guards against a refusal that speaks for an earlier call."""
+    harness, target = _order_without_result()
+    harness.elapse(50)
+    harness.answer_change(*_reports(target))
+    harness.promoted(done=False, is_settled=True)
+
+    assert _choose(harness, 1_000, _other(target)) == []
+
+
+def test_primary_whose_order_may_be_repeated_is_not_replaced_by_plan() -> None:
+    """Guards against a late call that gives up later writes."""
+    harness = Harness.open()
+    harness.replace_primary()
+    harness.elapse(50)
+    harness.answer(*_reports("t2", "t3"))
+    harness.promoted(target_term=2)
+    serving = harness.leader.state.terms["g"].primary
+
+    early = harness.leader.primaries.start_planned_change(
+        "g", "t1", harness.now_ns
+    )
+    harness.elapse(MAX_DOUBT_MS + 100)
+    later = harness.leader.primaries.start_planned_change(
+        "g", "t1", harness.now_ns
+    )
+
+    assert serving in {"t2", "t3"}
+    assert early == []
+    assert later
+
+
+def test_order_in_doubt_that_took_effect_is_followed_without_another() -> None:
+    """Guards against a second promotion of the same target."""
+    harness, target = _order_without_result()
+    harness.elapse(50)
+    promoted = TargetReport(
+        target=target, reachable=True, role="primary", term=2, position=7
+    )
+    harness.answer_change(*_reports(_other(target)), promoted)
+    order = harness.found(PromoteTarget)[-1]
+    harness.promoted(target_term=2)
+
+    term = harness.leader.state.terms["g"]
+    assert (order.target, order.may_order) == (target, False)
+    assert (term.primary, term.is_serving, term.target_term) == (
+        target,
+        True,
+        2,
+    )
+
+
+def test_order_for_a_target_that_left_for_good_is_void() -> None:
+    """Guards against a wait for a target that does not come back."""
+    harness, target = _order_without_result()
+    harness.announce(target, gone=True)
+
+    assert _choose(harness, 500, _other(target)) == [_other(target)]
+
+
+def test_decisions_about_a_change_are_logged_with_both_terms() -> None:
+    """Guards against a change that nobody can explain afterwards."""
+    harness = Harness.open()
+    harness.replace_primary()
+    harness.elapse(50)
+    harness.answer(*_reports("t2", "t3"))
+    harness.promoted(target_term=2, is_settled=True)
+
+    lines = {e.event: e.text for e in harness.found(LogDecision)}
+    assert "reason=suspected" in lines["change-started"]
+    assert "target_term=1" in lines["primary-chosen"]
+    assert "order=True above_term=1" in lines["primary-chosen"]
+    assert "term=2" in lines["primary-serves"]
+    assert "target_term=2" in lines["primary-serves"]
+    assert "reason=took-effect" in lines["promotion-settled"]
+
+
+def test_snapshot_keeps_terms_and_orders_in_doubt() -> None:
+    """Guards against a doubt that is forgotten with a compaction."""
+    state = _order_without_result()[0].leader.state
+
+    assert ClusterState.load(state.dump()).terms == state.terms
+
+
+def test_entries_of_an_earlier_build_leave_the_term_unknown() -> None:
+    """Guards against a state that an upgrade cannot read."""
+    state = ClusterState()
+    opened = {"group": "g", "term": 1, "primary": "t1", "start": 0}
+    served = {"group": "g", "term": 1}
+    for index, (kind, payload) in enumerate(
+        [("open", opened), ("serving", served)], start=1
+    ):
+        state.apply(
+            LogEntry(
+                index=index, term=1, kind=kind, payload=json.dumps(payload)
+            )
+        )
+
+    term = state.terms["g"]
+    assert (term.is_serving, term.target_term, term.in_doubt) == (True, 0, ())
