Follow or replace a primary whose role differs from the record

Cause: nothing compared the recorded primary with the roles that targets report. A role is no part of a target's record, so that a heartbeat with another one was no update and went no further than the control host that got it.

Each control host now passes such a heartbeat on to the leader, which reads the status of the target. A target that leads a later term is followed; a recorded primary that lost the role is replaced; the term of one that served before an upgrade is recorded. A word alone, which may be late, changes nothing. Reports of entry hosts (TermReport) are handled the same way. Each difference is logged with both terms and what was done about it.

Tests: tests/decide/test_roles.py; the module did not exist before.

--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -56,6 +56,11 @@
     RELIEF_ATTEMPT,
     PrimaryRelief,
 )
+from rosemarysaddle.decide.primaries._roles import (
+    ROLE_ATTEMPT,
+    RoleWatch,
+    contradicts_state,
+)
 from rosemarysaddle.schema import (
     Announcement,
     ChangeProposal,
@@ -73,6 +78,7 @@
     StepOut,
     Suspicion,
     Switchover,
+    TermReport,
     ViewDelta,
     ViewSnapshot,
 )
@@ -115,6 +121,7 @@
     _context: LeaderContext = attrs.field(init=False)
     _reconciler: InstanceReconciler = attrs.field(init=False)
     _relief: PrimaryRelief = attrs.field(init=False)
+    _roles: RoleWatch = attrs.field(init=False)
     _lease_holders: LeaseHolderRegistry = attrs.field(init=False)
     _voter_manager: VoterManager = attrs.field(init=False)
     _last_proposed_plan: tuple[int, str] = attrs.field(
@@ -165,6 +172,9 @@
         self._relief = PrimaryRelief(
             context=self._context, primaries=self.primaries
         )
+        self._roles = RoleWatch(
+            context=self._context, primaries=self.primaries
+        )
         self._lease_holders = LeaseHolderRegistry(context=self._context)
         self._voter_manager = VoterManager(
             log=self.log, wanted=self.wanted_voters
@@ -185,6 +195,7 @@
             self._examine_changed_groups()
             effects.extend(self.primaries.tick(now_ns))
             effects.extend(self.departures.tick(now_ns))
+            effects.extend(self._roles.tick(now_ns))
             effects.extend(self._lease_holders.tick(now_ns))
             effects.extend(self._tick_voters(now_ns))
         effects.extend(self._answer_waiting_hosts(now_ns))
@@ -216,7 +227,7 @@
                 return self.primaries.on_lease_returned(message.host, now_ns)
             case GroupClosed():
                 return self.primaries.on_closed(message, now_ns)
-            case Suspicion() | ReplicasBehind():
+            case Suspicion() | ReplicasBehind() | TermReport():
                 return self._on_outage_report(message, now_ns)
             case ChangeProposal():
                 return self._on_proposal(source, message, now_ns)
@@ -230,10 +241,12 @@
                 return self._receive_from_control(source, message, now_ns)
 
     def _on_outage_report(
-        self, report: Suspicion | ReplicasBehind, now_ns: int
+        self, report: Suspicion | ReplicasBehind | TermReport, now_ns: int
     ) -> list[Effect]:
         if isinstance(report, Suspicion):
             return self.primaries.on_suspicion(report, now_ns)
+        if isinstance(report, TermReport):
+            return self._roles.on_report(report, now_ns)
         return self._relief.on_report(report, now_ns)
 
     def _receive_from_control(
@@ -269,6 +282,8 @@
             return self._relief.on_probe(group, reports, now_ns)
         if attempt == SUCCESSOR_ATTEMPT:
             return self.departures.on_probe(group, reports, now_ns)
+        if attempt == ROLE_ATTEMPT:
+            return self._roles.on_probe(group, reports, now_ns)
         return self.primaries.on_probe(group, attempt, reports, now_ns)
 
     def on_promoted(
@@ -299,6 +314,10 @@
             is_settled=is_settled,
         )
 
+    def contradicts_state(self, announcement: Announcement) -> bool:
+        """Tell whether a target tells another role than recorded."""
+        return contradicts_state(announcement, self.state)
+
     def leads(self, now_ns: int) -> bool:
         """Tell whether this host may act as leader.
 
@@ -413,6 +432,7 @@
         self.departures.on_elected()
         self._reconciler.on_elected()
         self._relief.on_elected()
+        self._roles.on_elected()
         self._lease_holders.on_elected()
         self._restarted_hosts.on_elected()
 
@@ -534,16 +554,21 @@
             self.primaries.announced[announcement.target] = announcement
         if not self._leads(now_ns):
             return []
+        effects = (
+            []
+            if outdated
+            else self._roles.on_announcement(announcement, now_ns)
+        )
         is_change = (
             self._runs_all_the_same(announcement, now_ns)
             if outdated
             else is_update(announcement, self.state.targets)
         )
         if not is_change or not is_well_formed(record_of(announcement)):
-            return []
+            return effects
         kind = EntryKind.GONE if announcement.gone else EntryKind.TARGET
         payload = json.dumps(attrs.asdict(record_of(announcement)))
-        return self._propose(kind, payload, now_ns)
+        return [*effects, *self._propose(kind, payload, now_ns)]
 
     def _runs_all_the_same(
         self, announcement: Announcement, now_ns: int
--- a/src/rosemarysaddle/decide/_effects.py
+++ b/src/rosemarysaddle/decide/_effects.py
@@ -115,6 +115,7 @@
     :param deadline_ns: monotonic time at which to report the answers
         received so far
     :param quorum: number of answers that suffices
+    :param needed: names of targets whose answers suffice, or empty
     :param fresh: whether to probe over new connections only
     :param identities: expected identity of each instance, or empty to
         accept every answer
@@ -124,6 +125,7 @@
     attempt: int
     deadline_ns: int
     quorum: int
+    needed: tuple[str, ...] = ()
     fresh: bool = False
     identities: Mapping[str, str] = attrs.field(factory=dict)
 
--- a/src/rosemarysaddle/decide/primaries/_change.py
+++ b/src/rosemarysaddle/decide/primaries/_change.py
@@ -55,6 +55,10 @@
     CLOSED = "closed"
     """The term was closed by a change that did not end."""
     PROMOTION_FAILED = "promotion-failed"
+    LATER_TERM = "later-term"
+    """A target has been promoted after the recorded primary."""
+    ROLE_LOST = "role-lost"
+    """The recorded primary is one no more."""
     NEW_IDENTITY = "new-identity"
 
 
--- /dev/null
+++ b/src/rosemarysaddle/decide/primaries/_roles.py
@@ -0,0 +1,247 @@
+"""Differences between the recorded primary and what targets say.
+
+Somebody else may have promoted a target, an order that was in doubt may
+have taken effect, a primary may have lost its role, and one that was
+cut off goes on in its old one.  A target tells a change of its role at
+once, and repeats its role every second or two; entry hosts report
+answers that contradict the recorded primary.  Such a word only leads to
+a reading of the target's own status, which has the term of its role.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Final
+
+import attrs
+
+from rosemarysaddle.decide._effects import (
+    Effect,
+    LogDecision,
+    ProbeGroup,
+    TargetReport,
+)
+from rosemarysaddle.decide._times import NS_PER_MS
+from rosemarysaddle.decide.control_log._state import EntryKind
+from rosemarysaddle.decide.primaries._change import ChangeReason
+from rosemarysaddle.decide.primaries._primaries import (
+    PROBE_TIMEOUT_MS,
+)
+from rosemarysaddle.decide.primaries._succession import PRIMARY_ROLE
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from rosemarysaddle.decide.control_log._context import LeaderContext
+    from rosemarysaddle.decide.control_log._state import ClusterState
+    from rosemarysaddle.decide.primaries._primaries import PrimaryManager
+    from rosemarysaddle.decide.primaries._terms import GroupTerm
+    from rosemarysaddle.schema import Announcement, TermReport
+
+__all__ = ("ROLE_ATTEMPT", "RoleWatch", "contradicts_state")
+
+# Attempt number of a probe of roles; it differs from those that
+# `_primaries`, `_reconciler`, `_relief` and `_departures` use.
+ROLE_ATTEMPT: Final = -5
+CHECK_INTERVAL_MS: Final = 300
+# Groups without a known term whose primary is asked with one tick.
+MAX_CHECKS_AT_ONCE: Final = 8
+
+
+def contradicts_state(announcement: Announcement, state: ClusterState) -> bool:
+    """Tell whether a target's role differs from the recorded one."""
+    term = state.terms.get(announcement.group)
+    if term is None or not term.is_serving or not term.is_open:
+        return False
+    if announcement.group not in state.routes.groups or announcement.gone:
+        return False
+    says_primary = announcement.role == PRIMARY_ROLE
+    return bool(announcement.role) and says_primary is not (
+        announcement.target == term.primary
+    )
+
+
+@attrs.define(kw_only=True)
+class _Check:
+    """Reading of the status of targets whose role may differ.
+
+    :param targets: targets to read
+    :param retry_at_ns: time before which the group is not read again
+    """
+
+    targets: set[str] = attrs.field(factory=set)
+    retry_at_ns: int = 0
+
+
+@attrs.define(kw_only=True)
+class RoleWatch:
+    """Follows or replaces targets whose role differs."""
+
+    context: LeaderContext
+    primaries: PrimaryManager
+    _checks: dict[str, _Check] = attrs.field(factory=dict, init=False)
+    _groups_without_term: set[str] = attrs.field(factory=set, init=False)
+
+    def on_elected(self) -> None:
+        """Reset the state when this host is elected leader."""
+        self._checks.clear()
+        state = self.context.state
+        # An earlier build did not record the term of the primary.
+        self._groups_without_term = {
+            group
+            for group in state.routes.groups
+            if group in state.terms and not state.terms[group].target_term
+        }
+
+    def tick(self, now_ns: int) -> list[Effect]:
+        """Read the status of the primaries whose term is not known."""
+        effects: list[Effect] = []
+        for group in sorted(self._groups_without_term)[:MAX_CHECKS_AT_ONCE]:
+            term = self._watched_term(group)
+            if term is None or term.target_term:
+                self._groups_without_term.discard(group)
+            else:
+                effects.extend(self._check(group, term.primary, now_ns))
+        return effects
+
+    def on_announcement(
+        self, announcement: Announcement, now_ns: int
+    ) -> list[Effect]:
+        """Read the status of a target that tells another role."""
+        group = announcement.group
+        if self._watched_term(group) is None or not self.context.leads(now_ns):
+            return []
+        if not contradicts_state(announcement, self.context.state):
+            return []
+        return self._check(group, announcement.target, now_ns)
+
+    def on_report(self, report: TermReport, now_ns: int) -> list[Effect]:
+        """Handle the report of an entry host about a target's answer.
+
+        An answer that shows a later term proves a later promotion, and
+        a primary that refuses a write has lost the role.
+        """
+        group = report.group
+        term = self._watched_term(group)
+        if term is None or not self.context.leads(now_ns):
+            return []
+        if report.term != term.term or not term.target_term:
+            return []
+        if report.observed_term > term.target_term:
+            reason = ChangeReason.LATER_TERM
+        elif report.read_only and report.target == term.primary:
+            reason = ChangeReason.ROLE_LOST
+        else:
+            return self._check(group, report.target, now_ns)
+        text = (
+            f"group={group} term={term.term} target_term={term.target_term}"
+            f" primary={term.primary} target={report.target}"
+            f" observed_term={report.observed_term}"
+            f" read_only={report.read_only} host={report.host}"
+            f" action={reason}"
+        )
+        return [
+            LogDecision(event="role-differs", text=text),
+            *self.primaries.start_change(
+                group, term.term, now_ns, reason=reason
+            ),
+        ]
+
+    def on_probe(
+        self, group: str, reports: Sequence[TargetReport], now_ns: int
+    ) -> list[Effect]:
+        """Act on the status of the targets that were to be read."""
+        check = self._checks.get(group)
+        if check is None or not self.context.leads(now_ns):
+            return []
+        names, check.targets = check.targets, set()
+        effects: list[Effect] = []
+        for report in reports:
+            if report.target in names and report.role:
+                effects.extend(self._handle_status(group, report, now_ns))
+        return effects
+
+    def _handle_status(
+        self, group: str, report: TargetReport, now_ns: int
+    ) -> list[Effect]:
+        term = self._watched_term(group)
+        if term is None:
+            return []
+        leads = report.role == PRIMARY_ROLE
+        is_recorded = report.target == term.primary
+        is_later = report.newest_term > term.target_term
+        if is_recorded and leads:
+            if not is_later:
+                return []
+            return self._log(group, term, report, "record-term", now_ns) + (
+                self._record_term(group, term, report, now_ns)
+            )
+        if is_recorded or (is_later and leads and term.target_term):
+            reason = (
+                ChangeReason.ROLE_LOST
+                if is_recorded
+                else ChangeReason.LATER_TERM
+            )
+            return [
+                *self._log(group, term, report, reason, now_ns),
+                *self.primaries.start_change(
+                    group, term.term, now_ns, reason=reason
+                ),
+            ]
+        return []
+
+    def _record_term(
+        self, group: str, term: GroupTerm, report: TargetReport, now_ns: int
+    ) -> list[Effect]:
+        payload = json.dumps(
+            {
+                "group": group,
+                "term": term.term,
+                "target_term": report.term,
+            }
+        )
+        return self.context.propose(EntryKind.SERVING, payload, now_ns)
+
+    def _log(
+        self,
+        group: str,
+        term: GroupTerm,
+        report: TargetReport,
+        action: str,
+        now_ns: int,
+    ) -> list[Effect]:
+        age_ms = (now_ns - report.asked_ns) // NS_PER_MS
+        text = (
+            f"group={group} term={term.term} target_term={term.target_term}"
+            f" primary={term.primary} target={report.target}"
+            f" role={report.role} observed_term={report.term}"
+            f" log={report.progress[0]}.{report.position} age_ms={age_ms}"
+            f" action={action}"
+        )
+        return [LogDecision(event="role-differs", text=text)]
+
+    def _check(self, group: str, target: str, now_ns: int) -> list[Effect]:
+        check = self._checks.setdefault(group, _Check())
+        check.targets.add(target)
+        if now_ns < check.retry_at_ns:
+            return []
+        check.retry_at_ns = now_ns + CHECK_INTERVAL_MS * NS_PER_MS
+        return [
+            ProbeGroup(
+                group=group,
+                attempt=ROLE_ATTEMPT,
+                deadline_ns=now_ns + PROBE_TIMEOUT_MS * NS_PER_MS,
+                quorum=len(self.context.instances(group)),
+                needed=tuple(sorted(check.targets)),
+            )
+        ]
+
+    def _watched_term(self, group: str) -> GroupTerm | None:
+        """Return the term of a group that serves, with no change."""
+        state = self.context.state
+        term = state.terms.get(group)
+        if term is None or not term.is_serving or not term.is_open:
+            return None
+        if group in self.primaries.changes or group not in state.routes.groups:
+            return None
+        return term
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -399,6 +399,10 @@
     async def _announce(self, announcement: Announcement) -> bool:
         is_new = is_update(announcement, self.control.state.targets)
         was_outdated = self._is_outdated(announcement)
+        if not was_outdated and self.control.contradicts_state(announcement):
+            # The record of the target has no role, so that a change of
+            # it is no update.
+            self._send_to_leader(announcement)
         limit_ms = CONTEST_TIMEOUT_MS if was_outdated else ANSWER_TIMEOUT_MS
         is_committed = await self._commit(
             announcement, clock_ns() + limit_ms * NS_PER_MS
--- a/src/rosemarysaddle/node/_orders.py
+++ b/src/rosemarysaddle/node/_orders.py
@@ -133,11 +133,12 @@
     ) -> list[TargetReport]:
         """Read the status of the instances of a group.
 
-        Stops as soon as a quorum of instances has answered, at the
-        latest when the deadline has passed.
+        Stops as soon as a quorum of instances has answered, or those
+        that are needed, at the latest when the deadline has passed.
 
         :return: the reports that arrived until then
         """
+        needed = set(probe.needed)
         tasks = [
             asyncio.create_task(
                 self._probe_instance(
@@ -151,7 +152,10 @@
             report = await done
             if report is not None:
                 reports.append(report)
-            if sum(bool(r.role) for r in reports) >= probe.quorum:
+            answered = {r.target for r in reports if r.role}
+            if len(answered) >= probe.quorum:
+                break
+            if needed and needed <= answered:
                 break
         for task in tasks:
             task.cancel()
--- a/tests/decide/announced_group.py
+++ b/tests/decide/announced_group.py
@@ -15,7 +15,12 @@
     TargetReport,
 )
 from rosemarysaddle.decide.primaries._change import ChangeReason
-from rosemarysaddle.schema import Announcement, ChangeProposal, LeaseRenewal
+from rosemarysaddle.schema import (
+    Announcement,
+    ChangeProposal,
+    LeaseRenewal,
+    TermReport,
+)
 from tests.helpers import NS_PER_MS, make_leader
 
 if TYPE_CHECKING:
@@ -194,6 +199,7 @@
         self.leader.primaries.on_leadership_lost()
         self.leader.primaries.on_elected()
         self.leader.departures.on_elected()
+        self.leader._roles.on_elected()
         self.leader._context.leases.unlisted_until_ns = (
             self.now_ns + unlisted_ms * NS_PER_MS
         )
@@ -234,6 +240,18 @@
         )
         self._take(found)
 
+    def report_term(self, target: str, **observed: Any) -> None:
+        """Deliver the report of an entry host about an answer."""
+        report = TermReport(
+            host="e",
+            group="g",
+            term=self.leader.state.terms["g"].term,
+            target=target,
+            observed_term=observed.get("observed_term", 0),
+            read_only=observed.get("read_only", False),
+        )
+        self._take(self.leader.receive("e", report, self.now_ns))
+
     def found(self, kind: type) -> list[Any]:
         """List the effects of a class."""
         return [e for e in self.effects if isinstance(e, kind)]
--- /dev/null
+++ b/tests/decide/test_roles.py
@@ -0,0 +1,102 @@
+"""Targets whose role differs from the recorded one."""
+
+from __future__ import annotations
+
+import pytest
+
+from rosemarysaddle.decide import ProbeGroup, PromoteTarget, TargetReport
+from tests.decide.announced_group import Harness
+
+
+def _report(target: str, role: str, term: int) -> TargetReport:
+    return TargetReport(
+        target=target,
+        reachable=True,
+        role=role,
+        term=term,
+        log_term=1,
+        position=7,
+    )
+
+
+def _is_open(harness: Harness) -> bool:
+    return harness.leader.state.terms["g"].is_open
+
+
+def test_target_that_was_promoted_by_somebody_else_is_followed() -> None:
+    """Guards against writes at a primary that was replaced."""
+    harness = Harness.open()
+
+    harness.announce("t2", role="primary")
+    harness.answer(_report("t2", "primary", 2))
+    was_open = _is_open(harness)
+    harness.elapse(50)
+    harness.answer(_report("t1", "primary", 1), _report("t2", "primary", 2))
+    order = harness.found(PromoteTarget)[-1]
+    harness.promoted(target_term=2)
+
+    term = harness.leader.state.terms["g"]
+    assert not was_open
+    assert (order.target, order.may_order) == ("t2", False)
+    assert (term.primary, term.is_serving, term.target_term) == ("t2", True, 2)
+
+
+def test_late_word_of_a_role_changes_nothing() -> None:
+    """Guards against changes on a heartbeat that was held up."""
+    harness = Harness.open()
+
+    harness.announce("t2", role="primary")
+    harness.answer(_report("t2", "replica", 1))
+
+    assert _is_open(harness)
+
+
+@pytest.mark.parametrize("by_report", [False, True])
+def test_primary_that_lost_its_role_is_replaced(*, by_report: bool) -> None:
+    """Guards against a group that takes no write any more."""
+    harness = Harness.open()
+
+    if by_report:
+        harness.report_term("t1", read_only=True)
+    else:
+        harness.announce("t1", role="replica")
+        harness.answer(_report("t1", "replica", 1))
+    was_open = _is_open(harness)
+    harness.elapse(50)
+    harness.answer(*(_report(t, "replica", 1) for t in ("t1", "t2", "t3")))
+
+    order = harness.found(PromoteTarget)[-1]
+    assert not was_open
+    assert order.may_order
+    assert order.above_term == 1
+
+
+def test_answer_of_a_later_term_closes_the_present_one() -> None:
+    """Guards against writes after a promotion that a replica saw."""
+    harness = Harness.open()
+
+    harness.report_term("t3", observed_term=2)
+
+    assert not _is_open(harness)
+
+
+def test_answer_of_the_present_term_changes_nothing() -> None:
+    """Guards against changes on a report that is out of date."""
+    harness = Harness.open()
+
+    harness.report_term("t3", observed_term=1)
+
+    assert _is_open(harness)
+
+
+def test_term_of_a_primary_that_served_before_an_upgrade_is_read() -> None:
+    """Guards against a group whose term stays unknown for good."""
+    harness = Harness.open(target_term=0)
+    harness.elect()
+
+    harness.elapse(50)
+    harness.answer(_report("t1", "primary", 4))
+
+    assert harness.found(ProbeGroup)
+    assert harness.leader.state.terms["g"].target_term == 4
+    assert _is_open(harness)
