Tell an old primary the term of the present one

A primary that cannot reach the one promoted after it keeps its role until it can, and goes on committing for whoever believes it. The platform has an order for that, DEMOTE, which was used nowhere.

An old primary whose status can be read is sent it with the present term, from 1.5 s after a promotion on: by then one that has the path has found out by itself. Before the promotion it would protect nothing that the fence does not, and leave the group without a primary if the promotion fails (docs/design/promotions.md).

--- a/src/rosemarysaddle/connection/_connection.py
+++ b/src/rosemarysaddle/connection/_connection.py
@@ -105,6 +105,13 @@
     def encode_status(self) -> bytes:
         """Encode a request for the status of the target."""
 
+    def encode_demote(self, term: int) -> bytes:
+        """Encode the order to leave the role of primary.
+
+        :param term: term of the present primary; an earlier one ends.
+            The target answers with its status.
+        """
+
 
 class Channel(Protocol):
     """Transport to a target: a socket, or a link to a lender."""
--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -14,6 +14,7 @@
     from rosemarysaddle.decide._control import ControlNode
     from rosemarysaddle.decide._effects import (
         Committed,
+        DemoteTarget,
         Effect,
         FollowPrimary,
         LoadSnapshot,
@@ -198,6 +199,7 @@
     "ControlNode",
     "CountingHosts",
     "DemandRate",
+    "DemoteTarget",
     "Departure",
     "DepartureStatus",
     "DocumentKind",
@@ -300,6 +302,7 @@
         "_control": ("ControlNode",),
         "_effects": (
             "Committed",
+            "DemoteTarget",
             "Effect",
             "FollowPrimary",
             "LoadSnapshot",
--- a/src/rosemarysaddle/decide/_effects.py
+++ b/src/rosemarysaddle/decide/_effects.py
@@ -15,6 +15,7 @@
 
 __all__ = (
     "Committed",
+    "DemoteTarget",
     "Effect",
     "FollowPrimary",
     "LoadSnapshot",
@@ -155,6 +156,19 @@
     may_order: bool = True
 
 
+@attrs.frozen(kw_only=True)
+class DemoteTarget:
+    """Tell an instance that it is no longer the primary.
+
+    :param term: term of the present primary, as instances number their
+        terms
+    """
+
+    group: str
+    target: str
+    term: int
+
+
 @attrs.frozen(kw_only=True)
 class LogDecision:
     """Write a decision to the log of the host.
@@ -183,6 +197,7 @@
 
 Effect = (
     Committed
+    | DemoteTarget
     | FollowPrimary
     | LoadSnapshot
     | LogDecision
--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -288,6 +288,10 @@
         serving = self.context.propose(EntryKind.SERVING, payload, now_ns)
         return [log, *settled, *serving, *self._order_replicas(group)]
 
+    def is_new_primary(self, group: str, now_ns: int) -> bool:
+        """Tell whether a group's primary was promoted just now."""
+        return now_ns < self._grace_until_ns.get(group, 0)
+
     def follow(self, group: str, target: str) -> FollowPrimary:
         """Order an instance to replicate from its group's primary."""
         term = self.context.state.terms[group]
@@ -396,7 +400,7 @@
             return []
         if suspicion.group in self.changes:
             return []
-        if now_ns < self._grace_until_ns.get(suspicion.group, 0):
+        if self.is_new_primary(suspicion.group, now_ns):
             return []
         self._record_evidence(suspicion.group, suspicion.host, now_ns)
         effects = self._fail_over_if_proven(suspicion.group, now_ns)
--- a/src/rosemarysaddle/decide/primaries/_roles.py
+++ b/src/rosemarysaddle/decide/primaries/_roles.py
@@ -16,6 +16,7 @@
 import attrs
 
 from rosemarysaddle.decide._effects import (
+    DemoteTarget,
     Effect,
     LogDecision,
     ProbeGroup,
@@ -75,7 +76,7 @@
 
 @attrs.define(kw_only=True)
 class RoleWatch:
-    """Follows or replaces targets whose role differs."""
+    """Follows, replaces or corrects targets whose role differs."""
 
     context: LeaderContext
     primaries: PrimaryManager
@@ -188,8 +189,24 @@
                     group, term.term, now_ns, reason=reason
                 ),
             ]
+        if leads and report.term < term.target_term:
+            return self._correct(group, term, report, now_ns)
         return []
 
+    def _correct(
+        self, group: str, term: GroupTerm, report: TargetReport, now_ns: int
+    ) -> list[Effect]:
+        """Tell an old primary of the present term.
+
+        Right after a change it finds out by itself.
+        """
+        if self.primaries.is_new_primary(group, now_ns):
+            return []
+        order = DemoteTarget(
+            group=group, target=report.target, term=term.target_term
+        )
+        return [*self._log(group, term, report, "demote", now_ns), order]
+
     def _record_term(
         self, group: str, term: GroupTerm, report: TargetReport, now_ns: int
     ) -> list[Effect]:
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -30,6 +30,7 @@
     NS_PER_MS,
     ClusterState,
     ControlNode,
+    DemoteTarget,
     DocumentKind,
     FollowPrimary,
     LogDecision,
@@ -689,6 +690,8 @@
                     spawn(self._probe(effect), self._jobs)
                 case PromoteTarget():
                     spawn(self._promote(effect), self._jobs)
+                case DemoteTarget():
+                    spawn(self._demote(effect), self._jobs)
                 case LogDecision():
                     log_event(effect.event, effect.text)
                 case FollowPrimary():
@@ -740,6 +743,15 @@
             ),
         )
 
+    async def _demote(self, order: DemoteTarget) -> None:
+        instance = self.control.state.instance(order.target)
+        status = await self._orders.demote(order, instance)
+        log_event(
+            "demoted",
+            f"group={order.group} target={order.target} term={order.term}"
+            f" role={'-' if status is None else status.role}",
+        )
+
     # --- helpers ---
 
     def _group_of(self, target: str) -> str:
--- a/src/rosemarysaddle/node/_orders.py
+++ b/src/rosemarysaddle/node/_orders.py
@@ -16,7 +16,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from rosemarysaddle.decide import ProbeGroup, PromoteTarget
+    from rosemarysaddle.decide import (
+        DemoteTarget,
+        ProbeGroup,
+        PromoteTarget,
+    )
     from rosemarysaddle.node._platform import (
         Platform,
         Promoter,
@@ -299,6 +303,21 @@
                 return status
         return None
 
+    async def demote(
+        self, order: DemoteTarget, instance: Instance | None
+    ) -> TargetStatus | None:
+        """Tell an old primary of the term of the present one.
+
+        :return: its status after that, or None if it did not answer
+        """
+        if instance is None:
+            return None
+        deadline_ns = clock_ns() + STATUS_TIMEOUT_MS * NS_PER_MS
+        found = await self._reader.read(
+            instance, deadline_ns, demote_term=order.term
+        )
+        return found.status
+
     async def _probe_instance(
         self, instance: Instance, deadline_ns: int, *, fresh: bool
     ) -> TargetReport | None:
--- a/src/rosemarysaddle/node/_status_reader.py
+++ b/src/rosemarysaddle/node/_status_reader.py
@@ -79,25 +79,41 @@
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set, init=False)
 
     async def read(
-        self, instance: Instance, deadline_ns: int, *, fresh: bool = False
+        self,
+        instance: Instance,
+        deadline_ns: int,
+        *,
+        fresh: bool = False,
+        demote_term: int = 0,
     ) -> StatusResult:
         """Read the status of a target.
 
         :param deadline_ns: :func:`clock_ns` time until which to wait
         :param fresh: whether to open another connection in any case
+        :param demote_term: term of the present primary, to make the
+            target a replica first if it leads an earlier one; 0 if not
         """
         kept = None if fresh else self._find(instance.name)
         if kept is None:
             kept = self._open(instance)
         used = [kept]
-        tasks = {asyncio.create_task(self._read_over(kept, deadline_ns))}
+        request = (
+            kept.connection.codec.encode_demote(demote_term)
+            if demote_term
+            else kept.connection.codec.encode_status()
+        )
+        tasks = {
+            asyncio.create_task(self._read_over(kept, request, deadline_ns))
+        }
         hedge_ns = clock_ns() + HEDGE_DELAY_MS * NS_PER_MS
         status = await _first_status(tasks, min(deadline_ns, hedge_ns))
         if status is None and tasks and not fresh:
             second = self._open(instance)
             used.append(second)
             tasks.add(
-                asyncio.create_task(self._read_over(second, deadline_ns))
+                asyncio.create_task(
+                    self._read_over(second, request, deadline_ns)
+                )
             )
         if status is None:
             status = await _first_status(tasks, deadline_ns)
@@ -110,12 +126,12 @@
         )
 
     async def _read_over(
-        self, kept: _Kept, deadline_ns: int
+        self, kept: _Kept, request: bytes, deadline_ns: int
     ) -> TargetStatus | None:
         is_open = await _is_done(kept.opening, deadline_ns)
         if not is_open or not kept.opening.result():
             return None
-        return await self._ask(kept, deadline_ns)
+        return await self._ask(kept, request, deadline_ns)
 
     def _find(self, target: str) -> _Kept | None:
         kept = self._kept.get(target)
@@ -158,20 +174,19 @@
         )
         return answer.fault is None
 
-    async def _ask(self, kept: _Kept, deadline_ns: int) -> TargetStatus | None:
+    async def _ask(
+        self, kept: _Kept, request: bytes, deadline_ns: int
+    ) -> TargetStatus | None:
         connection = kept.connection
         while clock_ns() < deadline_ns and not connection.is_lost:
             # The request stays in the target's queue if this attempt
             # ends before its answer, which belongs to no other one.
-            request = asyncio.create_task(
-                connection.ask(
-                    connection.codec.encode_status(),
-                    deadline_ns=kept.until_ns,
-                )
+            asking = asyncio.create_task(
+                connection.ask(request, deadline_ns=kept.until_ns)
             )
-            if not await _is_done(request, deadline_ns):
+            if not await _is_done(asking, deadline_ns):
                 return None
-            answer = request.result()
+            answer = asking.result()
             if answer.fault is not FaultCode.BUSY:
                 return self.read_status(answer)
             await asyncio.sleep(BUSY_PAUSE_S)
--- a/src/rosemarysaddle/platform/_wire.py
+++ b/src/rosemarysaddle/platform/_wire.py
@@ -309,6 +309,10 @@
         """Encode a status request."""
         return _internal_query("STATUS")
 
+    def encode_demote(self, term: int) -> bytes:
+        """Encode the order to become a replica."""
+        return _internal_query(f"DEMOTE {term}")
+
     def _collect(self, keyword: str, rest: str) -> bool:
         if keyword == "ROW":
             self._rows.append(rest)
--- a/tests/decide/test_roles.py
+++ b/tests/decide/test_roles.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from rosemarysaddle.decide import ProbeGroup, PromoteTarget, TargetReport
+from rosemarysaddle.decide import (
+    DemoteTarget,
+    ProbeGroup,
+    PromoteTarget,
+    TargetReport,
+)
 from tests.decide.announced_group import Harness
 
 
@@ -51,6 +56,20 @@
     assert _is_open(harness)
 
 
+def test_old_primary_is_told_of_the_present_term() -> None:
+    """Guards against two targets that both go on as primary."""
+    harness = Harness.open(target_term=3)
+    harness.elapse(2_000)
+
+    harness.announce("t2", role="primary")
+    harness.answer(_report("t2", "primary", 2))
+
+    assert _is_open(harness)
+    assert harness.found(DemoteTarget) == [
+        DemoteTarget(group="g", target="t2", term=3)
+    ]
+
+
 @pytest.mark.parametrize("by_report", [False, True])
 def test_primary_that_lost_its_role_is_replaced(*, by_report: bool) -> None:
     """Guards against a group that takes no write any more."""
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -12,6 +12,7 @@
 from rosemarysaddle._clock import clock_ns
 from rosemarysaddle.decide import (
     NS_PER_MS,
+    DemoteTarget,
     ProbeGroup,
     PromoteTarget,
     TargetReport,
@@ -51,6 +52,7 @@
     role: str = "replica"
     term: int = 2
     status_reads: int = 0
+    demoted_terms: list[int] = attrs.field(factory=list)
     connections: int = 0
     writers: list[asyncio.StreamWriter] = attrs.field(factory=list)
 
@@ -67,10 +69,16 @@
                 writer.write(b"READY I 1.5\r\n")
             elif number > self.silent:
                 self.status_reads += 1
+                self._demote_if_told(line.decode().split())
                 row = f"ROW {self.role} {self.term} 1.5 0 12 5 30\r\n"
                 writer.write(row.encode() + b"DONE -\r\nREADY I 1.5\r\n")
         writer.close()
 
+    def _demote_if_told(self, words: list[str]) -> None:
+        if words[2] == "DEMOTE":
+            self.demoted_terms.append(int(words[3]))
+            self.role = "replica"
+
 
 @attrs.define(kw_only=True)
 class AcceptingPromoter:
@@ -470,3 +478,22 @@
 
     assert result == PromotionResult(done=False, is_settled=True)
     assert 1 < platform.calls <= 6
+
+
+def test_old_primary_is_told_the_term_of_the_present_one() -> None:
+    """Guards against an old primary that never hears of the new one."""
+    target = FullTarget(wait_s=0.0, role="primary")
+
+    async def scenario() -> TargetStatus | None:
+        server = await asyncio.start_server(target.serve, IP, PORT)
+        order = DemoteTarget(group="g", target="t", term=4)
+        try:
+            return await _orders(None).demote(order, INSTANCE)
+        finally:
+            server.close()
+
+    status = asyncio.run(scenario())
+
+    assert status is not None
+    assert status.role == "replica"
+    assert target.demoted_terms == [4]
