Write under no term that a later promotion has replaced

An entry host believed the recorded primary for as long as its lease held.

The term in each answer is now held against the recorded target term. A later one proves a promotion: the group is overtaken until the control hosts have recorded that term, and meanwhile no write starts or is acknowledged there. Where no term is recorded, nothing changes but the report of a primary that refuses to write.

What is kept is dropped once the term is recorded or the group is gone.

The new tests fail before: writes began and were acknowledged after an answer of a later term, and a refusing primary was not reported.

--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -18,6 +18,10 @@
 from rosemarysaddle.decide.control_log._state import ClusterState
 from rosemarysaddle.decide.leases._lease import HostLease
 from rosemarysaddle.decide.leases._relay import RelayChoice, is_relayable
+from rosemarysaddle.decide.primaries._observed_terms import (
+    ObservedTerm,
+    ObservedTerms,
+)
 from rosemarysaddle.schema import (
     Announcement,
     CloseGroup,
@@ -29,6 +33,7 @@
     Neighbours,
     ReplicasBehind,
     Suspicion,
+    TermReport,
     ViewDelta,
     ViewSnapshot,
 )
@@ -156,6 +161,7 @@
     )
     _drains: dict[str, _Drain] = attrs.field(factory=dict, init=False)
     _next_suspicion_ns: dict[str, int] = attrs.field(factory=dict, init=False)
+    _observed: ObservedTerms = attrs.field(factory=ObservedTerms, init=False)
     _stopping: bool = attrs.field(default=False, init=False)
     _has_heard_control: bool = attrs.field(default=False, init=False)
     _is_redirected: bool = attrs.field(default=False, init=False)
@@ -169,11 +175,14 @@
         self.relay = RelayChoice(host=self.host, own=self.lending_address)
 
     def tick(self, now_ns: int) -> list[Effect]:
-        """Finish drains and renew the lease if they are due.
+        """Finish drains, repeat reports and renew the lease when due.
 
         :param now_ns: monotonic time, in nanoseconds
         """
         effects = self._finish_drains(now_ns)
+        self._observed.forget_settled(self._recorded_term, now_ns)
+        for observed in self._observed.due_reports(now_ns):
+            effects.extend(self._report_term(observed, now_ns))
         if now_ns >= self._renew_at_ns and not self._stopping:
             effects.extend(self._renew(now_ns))
         return self._also_relayed(effects)
@@ -337,7 +346,10 @@
 
         A ticket of a term that drains is valid until the deadline of
         the drain, any other as long as the lease covers its term.
+        None is once a later promotion has been observed.
         """
+        if self.is_overtaken(ticket.group):
+            return False
         drain = self._drains.get(ticket.group)
         if drain is not None and drain.term == ticket.term:
             return now_ns < drain.deadline_ns
@@ -352,9 +364,15 @@
         )
 
     def covers(self, term: GroupTerm, group: str, now_ns: int) -> bool:
-        """Tell whether the lease covers a term of a group."""
+        """Tell whether the lease covers a term of a group.
+
+        It covers none while a later promotion has been observed that is
+        not recorded yet.
+        """
         if not term.is_open or group in self._drains:
             return False
+        if self.is_overtaken(group):
+            return False
         return self.lease.covers(
             group,
             term.term,
@@ -394,6 +412,48 @@
             [Send(peer=self._leader(), message=suspicion)]
         )
 
+    def observe_term(
+        self,
+        group: str,
+        target: str,
+        observed_term: int,
+        now_ns: int,
+        *,
+        read_only: bool = False,
+    ) -> list[Effect]:
+        """Compare the term in a target's answer with the recorded one.
+
+        A later term means that another promotion has taken effect: the
+        group takes no write until it is recorded.  This is reported to
+        the leader, and so is a recorded primary that refuses to write.
+
+        :param observed_term: term of the target's log; 0 if unknown
+        :param read_only: whether the target, leased as the primary,
+            refused to write
+        """
+        term = self.state.terms.get(group)
+        if term is None:
+            return []
+        is_later = 0 < term.target_term < observed_term
+        is_read_only_primary = (
+            read_only and term.primary == target and group not in self._drains
+        )
+        if not is_later and not is_read_only_primary:
+            return []
+        observed = ObservedTerm(group=group, target=target, term=observed_term)
+        if is_later:
+            self._observed.record(observed)
+        return self._also_relayed(
+            self._report_term(observed, now_ns, read_only=is_read_only_primary)
+        )
+
+    def is_overtaken(self, group: str) -> bool:
+        """Tell whether an unrecorded promotion was observed."""
+        term = self.state.terms.get(group)
+        return term is not None and (
+            0 < term.target_term < self._observed.newest(group)
+        )
+
     def report_replicas_behind(
         self, group: str, point: LogPoint, now_ns: int
     ) -> list[Effect]:
@@ -650,6 +710,36 @@
         message = GroupClosed(host=self.host, group=group, term=term)
         return Send(peer=leader, message=message)
 
+    def _recorded_term(self, group: str) -> int | None:
+        """Return the recorded target term of a group, or None."""
+        term = self.state.terms.get(group)
+        if term is None or self.state.group(group) is None:
+            return None
+        return term.target_term
+
+    def _report_term(
+        self, observed: ObservedTerm, now_ns: int, *, read_only: bool = False
+    ) -> list[Effect]:
+        """Report a term to the leader, except in a change of primary.
+
+        Reports about one group are limited, see :class:`ObservedTerms`.
+        """
+        group = observed.group
+        term = self.state.terms.get(group)
+        if term is None or not (term.is_open and term.is_serving):
+            return []
+        if not self._observed.start_report(group, now_ns):
+            return []
+        report = TermReport(
+            host=self.host,
+            group=group,
+            term=term.term,
+            target=observed.target,
+            observed_term=observed.term,
+            read_only=read_only,
+        )
+        return [Send(peer=self._leader(), message=report)]
+
     def _finish_drains(self, now_ns: int) -> list[Effect]:
         effects: list[Effect] = []
         for group, drain in list(self._drains.items()):
--- a/src/rosemarysaddle/decide/leases/_relay.py
+++ b/src/rosemarysaddle/decide/leases/_relay.py
@@ -19,6 +19,7 @@
     LeaseReturn,
     ReplicasBehind,
     Suspicion,
+    TermReport,
 )
 
 if TYPE_CHECKING:
@@ -49,6 +50,7 @@
             | LeaseReturn()
             | Suspicion()
             | ReplicasBehind()
+            | TermReport()
         ):
             return message.host == host
         case _:
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -173,7 +173,7 @@
             positions=self.positions,
             send=self.send,
         )
-        self.target_terms = TargetTerms(node=self.node)
+        self.target_terms = TargetTerms(node=self.node, send=self.send)
         self.leaving = LeavingTargets(leaving_work_ms=self.leaving_work_ms)
         self.outliers = TargetOutliers(targets=self.targets)
         self.rate_limits = RateLimits(
@@ -369,11 +369,14 @@
         target_state = self.targets.get(target)
         if target_state is None:
             return
+        now_ns = clock_ns()
         self.target_terms.record_answer(
-            target_state, answer, was_leased_primary=was_leased_primary
+            target_state,
+            answer,
+            now_ns,
+            was_leased_primary=was_leased_primary,
         )
         target_state.record_point(answer.point)
-        now_ns = clock_ns()
         # The faults of an overloaded host are no evidence.
         if now_ns >= self._overloaded_until_ns:
             self.outliers.record_statement(
--- a/src/rosemarysaddle/session/_target_terms.py
+++ b/src/rosemarysaddle/session/_target_terms.py
@@ -16,8 +16,11 @@
 from rosemarysaddle.decide import FaultCode
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
     from rosemarysaddle.decide import (
         Answer,
+        Effect,
         EntryNode,
         LogPoint,
         TargetState,
@@ -36,14 +39,19 @@
 
 @attrs.define(kw_only=True, eq=False)
 class TargetTerms:
-    """Notices answers that contradict the recorded terms of a group."""
+    """Notices answers that contradict the recorded terms of a group.
+
+    :param send: executes the effects of decisions of the node
+    """
 
     node: EntryNode
+    send: Callable[[Sequence[Effect]], None]
 
     def record_answer(
         self,
         target_state: TargetState,
         answer: Answer,
+        now_ns: int,
         *,
         was_leased_primary: bool,
     ) -> None:
@@ -56,19 +64,35 @@
             primary when the statement was sent
         """
         point, previous = answer.point, target_state.point
-        if point is not None:
+        is_read_only = (
+            was_leased_primary and answer.fault is FaultCode.READ_ONLY
+        )
+        effects = self.node.observe_term(
+            target_state.group,
+            target_state.target,
+            point.term if point is not None else 0,
+            now_ns,
+            read_only=is_read_only,
+        )
+        if effects:
+            self.send(effects)
+        action = "reported" if effects else "none"
+        if point is not None and (
+            previous is None or previous.term != point.term or effects
+        ):
             recorded = self._recorded_term(target_state.group)
-            has_changed = previous is None or previous.term != point.term
             if previous is not None and point.term < previous.term:
-                self._log_conflict(_Conflict.WENT_BACK, target_state, point)
-            elif has_changed and 0 < recorded < point.term:
                 self._log_conflict(
-                    _Conflict.ABOVE_RECORDED, target_state, point
+                    _Conflict.WENT_BACK, target_state, point, action
+                )
+            if 0 < recorded < point.term:
+                self._log_conflict(
+                    _Conflict.ABOVE_RECORDED, target_state, point, action
                 )
-        if was_leased_primary and answer.fault is FaultCode.READ_ONLY:
+        if is_read_only:
             log_event(
                 "primary-read-only",
-                f"{self._describe(target_state, point)} action=none",
+                f"{self._describe(target_state, point)} action={action}",
             )
 
     def record_write(
@@ -81,7 +105,7 @@
         recorded = self._recorded_term(target_state.group)
         if point is not None and point.term < recorded:
             self._log_conflict(
-                _Conflict.WRITE_BELOW_RECORDED, target_state, point
+                _Conflict.WRITE_BELOW_RECORDED, target_state, point, "none"
             )
 
     def _recorded_term(self, group: str) -> int:
@@ -93,11 +117,12 @@
         conflict: _Conflict,
         target_state: TargetState,
         point: LogPoint,
+        action: str,
     ) -> None:
         log_event(
             "target-term",
             f"reason={conflict} {self._describe(target_state, point)}"
-            f" previous={target_state.point or '-'} action=none",
+            f" previous={target_state.point or '-'} action={action}",
         )
 
     def _describe(
