Acknowledge no write that ran at a replaced primary

The ticket of a write now carries the target term that was recorded when it was issued. A primary that commits in its own term answers with that term; a lower one shows that it took the write as the primary of an earlier term. Such a write is answered with an unknown outcome, of the new reason primary-replaced, as it may be rolled back or not, and is reported to the leader. Tickets without a recorded term are treated as before.

The new tests fail before: the answers were OK.

--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -81,11 +81,15 @@
     :param group: name of the group
     :param term: term of the group in which the ticket is valid
     :param primary: target that is the primary in this term
+    :param target_term: term of the target in which it is the primary;
+        0 if unknown.  A write in an earlier one has run at a primary
+        that was replaced
     """
 
     group: str
     term: int
     primary: str
+    target_term: int = 0
 
 
 @attrs.define(kw_only=True)
@@ -293,7 +297,12 @@
         if not self.covers(term, group, now_ns):
             return _refuse(self._refusal_reason(now_ns), group)
         self._running_writes[group] = self._running_writes.get(group, 0) + 1
-        return WriteTicket(group=group, term=term.term, primary=term.primary)
+        return WriteTicket(
+            group=group,
+            term=term.term,
+            primary=term.primary,
+            target_term=term.target_term,
+        )
 
     def primary_of(self, group: str, now_ns: int) -> GroupTerm | None:
         """Find the term of a group whose primary may be relied on now.
@@ -447,6 +456,17 @@
             self._report_term(observed, now_ns, read_only=is_read_only_primary)
         )
 
+    def report_earlier_term(
+        self, group: str, target: str, observed_term: int, now_ns: int
+    ) -> list[Effect]:
+        """Report that the primary answered from an earlier log.
+
+        :param observed_term: term of the log of the target, earlier
+            than that of what the group has acknowledged
+        """
+        observed = ObservedTerm(group=group, target=target, term=observed_term)
+        return self._also_relayed(self._report_term(observed, now_ns))
+
     def is_overtaken(self, group: str) -> bool:
         """Tell whether an unrecorded promotion was observed."""
         term = self.state.terms.get(group)
--- a/src/rosemarysaddle/decide/_reasons.py
+++ b/src/rosemarysaddle/decide/_reasons.py
@@ -57,6 +57,7 @@
     CONNECTION_LOST = "connection-lost"
     UNCONFIRMED = "unconfirmed"
     LEASE_ENDED = "lease-ended"
+    PRIMARY_REPLACED = "primary-replaced"
     HOST_UNREACHABLE = "host-unreachable"
     NOT_LEADER = "not-leader"
     DEFECT = "defect"
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -335,11 +335,15 @@
         """Return whether a ticket is still valid."""
         return self.node.holds(ticket, clock_ns())
 
-    def record_write(self, ticket: WriteTicket, answer: Answer) -> None:
-        """Compare the answer to a write with what its ticket is for."""
-        target_state = self.targets.get(ticket.primary)
-        if answer.fault is None and target_state is not None:
-            self.target_terms.record_write(target_state, answer.point)
+    def confirm_write(self, ticket: WriteTicket, answer: Answer) -> bool:
+        """Check that a write has run in the term of its ticket.
+
+        :param answer: answer to the write, or to the commit
+        :return: False if it must not be acknowledged
+        """
+        return answer.fault is not None or self.target_terms.confirm_write(
+            ticket, answer.point, clock_ns()
+        )
 
     # --- answers ---
 
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -225,7 +225,10 @@
             )
         finally:
             lease_held = self.router.end_write(ticket)
-        self.router.record_write(ticket, answer)
+        if not self.router.confirm_write(ticket, answer):
+            return unknown_outcome(
+                Reason.PRIMARY_REPLACED, Step.EXECUTE, ticket.primary
+            )
         if answer.fault is None and not lease_held:
             return unknown_outcome(
                 Reason.LEASE_ENDED, Step.EXECUTE, ticket.primary
@@ -318,8 +321,6 @@
     ) -> Answer | Refusal:
         ticket = transaction.ticket
         lease_held = self._end_ticket(transaction)
-        if ticket is not None and transaction.has_written:
-            self.router.record_write(ticket, answer)
         transaction.connection = None
         self._release(connection)
         if not transaction.has_written:
@@ -334,6 +335,12 @@
             return unknown_outcome(
                 Reason.CONNECTION_LOST, Step.COMMIT, transaction.target
             )
+        if ticket is not None and not self.router.confirm_write(
+            ticket, answer
+        ):
+            return unknown_outcome(
+                Reason.PRIMARY_REPLACED, Step.COMMIT, transaction.target
+            )
         if not lease_held:
             return unknown_outcome(
                 Reason.LEASE_ENDED, Step.COMMIT, transaction.target
--- a/src/rosemarysaddle/session/_target_terms.py
+++ b/src/rosemarysaddle/session/_target_terms.py
@@ -24,6 +24,7 @@
         EntryNode,
         LogPoint,
         TargetState,
+        WriteTicket,
     )
 
 __all__ = ("TargetTerms",)
@@ -90,23 +91,33 @@
                     _Conflict.ABOVE_RECORDED, target_state, point, action
                 )
         if is_read_only:
-            log_event(
-                "primary-read-only",
-                f"{self._describe(target_state, point)} action={action}",
+            description = self._describe(
+                target_state.group, target_state.target, point
             )
+            log_event("primary-read-only", f"{description} action={action}")
 
-    def record_write(
-        self, target_state: TargetState, point: LogPoint | None
-    ) -> None:
-        """Compare the term of a write that has run with the recorded.
+    def confirm_write(
+        self, ticket: WriteTicket, point: LogPoint | None, now_ns: int
+    ) -> bool:
+        """Check the term in which a write has run, and report it.
 
         :param point: position that the target reported with the write
+        :return: False if the write has run at a primary that had been
+            replaced, so that it must not be acknowledged
         """
-        recorded = self._recorded_term(target_state.group)
-        if point is not None and point.term < recorded:
-            self._log_conflict(
-                _Conflict.WRITE_BELOW_RECORDED, target_state, point, "none"
-            )
+        if point is None or point.term >= ticket.target_term:
+            return True
+        effects = self.node.report_earlier_term(
+            ticket.group, ticket.primary, point.term, now_ns
+        )
+        self.send(effects)
+        description = self._describe(ticket.group, ticket.primary, point)
+        log_event(
+            "target-term",
+            f"reason={_Conflict.WRITE_BELOW_RECORDED} {description}"
+            f" ticket={ticket.target_term} action=not-acknowledged",
+        )
+        return False
 
     def _recorded_term(self, group: str) -> int:
         term = self.node.state.terms.get(group)
@@ -119,19 +130,19 @@
         point: LogPoint,
         action: str,
     ) -> None:
+        group, target = target_state.group, target_state.target
         log_event(
             "target-term",
-            f"reason={conflict} {self._describe(target_state, point)}"
+            f"reason={conflict} {self._describe(group, target, point)}"
             f" previous={target_state.point or '-'} action={action}",
         )
 
     def _describe(
-        self, target_state: TargetState, point: LogPoint | None
+        self, group: str, target: str, point: LogPoint | None
     ) -> str:
-        group = target_state.group
         term = self.node.state.terms.get(group)
         return (
-            f"group={group} target={target_state.target}"
+            f"group={group} target={target}"
             f" primary={term.primary if term is not None else '-'}"
             f" observed={point or '-'}"
             f" recorded={term.target_term if term is not None else 0}"
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -188,6 +188,7 @@
         (Reason.BAD_REQUEST, Outcome.NOT_RUN, "MALFORMED"),
         (Reason.CONNECTION_LOST, Outcome.UNKNOWN, "UNSURE"),
         (Reason.LEASE_ENDED, Outcome.UNKNOWN, "UNSURE"),
+        (Reason.PRIMARY_REPLACED, Outcome.UNKNOWN, "UNSURE"),
         (Reason.DEADLINE_PASSED, Outcome.UNKNOWN, "TIMEOUT"),
     ],
 )
--- a/tests/session/standin.py
+++ b/tests/session/standin.py
@@ -51,6 +51,7 @@
 
     :param faults: faults by verb, each used for one statement: a code
         to answer with, ``silent`` or ``drop``
+    :param term: term of its log
     :param received: received statements, each with the number of its
         connection
     :param connections: number of connections accepted so far
@@ -60,6 +61,7 @@
     name: str
     port: int
     role: str = "primary"
+    term: int = 1
     position: int = 5
     faults: dict[str, list[str]] = attrs.field(factory=dict)
     received: list[tuple[int, str]] = attrs.field(factory=list)
@@ -134,7 +136,8 @@
         self._send(f"{row}DONE {self.target.name}.{verb}\r\n")
 
     def _send(self, text: str) -> None:
-        ready = f"READY {self.state} 1.{self.target.position}\r\n"
+        point = f"{self.target.term}.{self.target.position}"
+        ready = f"READY {self.state} {point}\r\n"
         self.transport.write((text + ready).encode())
 
 
--- a/tests/session/test_target_terms.py
+++ b/tests/session/test_target_terms.py
@@ -14,8 +14,10 @@
     FaultCode,
     LogPoint,
     Refusal,
+    Send,
     WriteTicket,
 )
+from rosemarysaddle.schema import TermReport
 from rosemarysaddle.session import _caller, _positions, _target_terms
 from tests.session.standin import (
     GROUP,
@@ -28,7 +30,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from rosemarysaddle.decide import Effect
     from rosemarysaddle.session import Router
+    from rosemarysaddle.session._runner import Runner
 
 PORT = 17_860
 PRIMARY, REPLICA = "t0", "t1"
@@ -155,27 +159,69 @@
     ]
 
 
-@pytest.mark.parametrize(
-    "texts", [["WRITE 1 x"], ["BEGIN", "WRITE 1 x", "COMMIT"]]
-)
-def test_write_in_an_earlier_term_is_logged(
-    lines: list[str], texts: list[str]
-) -> None:
-    """Guards against a write at an old primary that no line tells."""
+IN_TRANSACTION = ["BEGIN", "WRITE 1 x", "COMMIT"]
 
-    async def run() -> None:
+
+def _run_at(
+    target_term: int, texts: list[str], sent: list[Effect] | None = None
+) -> tuple[list[str], Runner]:
+    """Run statements at a primary whose log is in term 1.
+
+    :param target_term: recorded term
+    :param sent: collects what is sent to the leader
+    :return: the answers, and the runner of the session
+    """
+
+    async def run() -> tuple[list[str], Runner]:
         async with run_router(_targets()) as router:
-            _set_target_term(router, 2)
+            _set_target_term(router, target_term)
+            if sent is not None:
+                router.target_terms.send = sent.extend
             caller = await open_caller(router, "own")
-            for text in texts:
-                await caller.query(text)
+            answers = [await caller.query(text) for text in texts]
+            return answers, caller.session.runner
 
-    asyncio.run(run())
+    return asyncio.run(run())
+
+
+@pytest.mark.parametrize("texts", [["WRITE 1 x"], IN_TRANSACTION])
+def test_write_in_an_earlier_term_is_not_acknowledged(
+    lines: list[str], texts: list[str]
+) -> None:
+    """Guards against commits acknowledged at an old primary."""
+    sent: list[Effect] = []
+
+    answers, runner = _run_at(2, texts, sent)
 
+    assert answers[-1] == "UNSURE I"
+    assert not runner.points
+    (report,) = [e.message for e in sent if isinstance(e, Send)]
+    assert isinstance(report, TermReport)
+    assert (report.target, report.observed_term) == (PRIMARY, 1)
     found = [line for line in lines if "event=target-term" in line]
     assert len(found) == 1
     assert "reason=write-below-recorded" in found[0]
-    assert "target=t0 primary=t0 observed=1." in found[0]
+    assert "action=not-acknowledged" in found[0]
+    assert any("reason=primary-replaced" in line for line in lines)
+
+
+@pytest.mark.parametrize("target_term", [0, 1])
+@pytest.mark.parametrize("texts", [["WRITE 1 x"], IN_TRANSACTION])
+def test_write_in_the_recorded_term_is_acknowledged(
+    texts: list[str], target_term: int
+) -> None:
+    """Guards against refusals where no other term is recorded."""
+    answers, runner = _run_at(target_term, texts)
+
+    assert answers[-1] == "OK I"
+    assert runner.points[GROUP].term == 1
+
+
+def test_transaction_that_wrote_nothing_ends_in_an_earlier_term() -> None:
+    """Guards against a doubt about a commit that changes nothing."""
+    answers, _ = _run_at(2, ["BEGIN", "READ 1", "COMMIT"])
+
+    assert answers == ["OK T", "OK T", "OK I"]
 
 
 def test_position_of_an_earlier_term_is_not_recorded(
