Give out no rows of the log of a replaced primary

Reads at the leased primary carry no position, and the term in its answer was not looked at.

The answer of the leased primary must now show at least the term of the newest position that the session or its host knows of the group, taken when the read or the transaction begins. Otherwise its rows are dropped, the leader gets a report, and the read is treated as one at a replica that is behind: it is tried elsewhere and then refused. A transaction is not begun there. A primary that was promoted in a later term than that position may lack it, as what it lacks has been rolled back.

The new tests fail before: the rows were given out, in and outside of transactions.

--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -37,6 +37,7 @@
     WorkEstimates,
     WriteTicket,
     compute_transfer_cost_ns,
+    newer_point,
     share_connections,
 )
 from rosemarysaddle.link import Address
@@ -101,10 +102,13 @@
 
     :param after: log position that the target must have reached, or
         None for the primary
+    :param min_term: term that the log of the primary must have reached,
+        which its answer shows; 0 for a replica
     """
 
     target: str
     after: LogPoint | None
+    min_term: int = 0
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -265,8 +269,38 @@
         )
         if chosen is None:
             return None
-        after = None if chosen.target == primary else point
-        return ReadTarget(target=chosen.target, after=after)
+        if chosen.target != primary:
+            return ReadTarget(target=chosen.target, after=point)
+        min_term = self.required_term(group, session_point)
+        return ReadTarget(target=chosen.target, after=None, min_term=min_term)
+
+    def required_term(self, group: str, session_point: LogPoint | None) -> int:
+        """Find the term that the log of a group's primary must show.
+
+        A primary that was promoted after the newest known position may
+        lack it: what it lacks has been rolled back.
+
+        :param session_point: log position of the session's newest write
+        """
+        known = newer_point(session_point, self.positions.newest(group))
+        term = self.node.state.terms.get(group)
+        if known is None or (
+            term is not None and term.target_term > known.term
+        ):
+            return 0
+        return known.term
+
+    def confirm_read(
+        self, group: str, target: str, answer: Answer, min_term: int
+    ) -> bool:
+        """Check that a read has run on a log that is recent enough.
+
+        :param min_term: term that the log must have reached
+        :return: False if its rows must not be given to the caller
+        """
+        return answer.fault is not None or self.target_terms.confirm_read(
+            group, target, answer.point, min_term, clock_ns()
+        )
 
     # --- writes ---
 
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -34,13 +34,13 @@
     unknown_outcome,
     write_refusal,
 )
+from rosemarysaddle.session._router import ReadTarget
 from rosemarysaddle.session._stages import Stage
 from rosemarysaddle.session._target_access import MAX_TRIES, TargetAccess
 
 if TYPE_CHECKING:
     from rosemarysaddle.schema import Route
     from rosemarysaddle.session._admission import AdmissionQueue
-    from rosemarysaddle.session._router import ReadTarget
     from rosemarysaddle.session._transaction import Transaction
 
 __all__ = ("Runner", "writes")
@@ -186,7 +186,11 @@
         finally:
             if queue is not None:
                 queue.leave()
-        return answer
+        if self.router.confirm_read(
+            route.group, read_target.target, answer, read_target.min_term
+        ):
+            return answer
+        return Answer(fault=FaultCode.BEHIND, text="replaced primary")
 
     async def _enter_queue(
         self, route: Route, target: str, deadline_ns: int
@@ -292,12 +296,20 @@
         answer = await self._ask_pinned(connection, statement, deadline_ns)
         if self._writes(statement):
             transaction.has_written = True
-        if answer.fault is None and answer.state is SessionState.TRANSACTION:
+        is_current = self.router.confirm_read(
+            transaction.route.group,
+            transaction.target,
+            answer,
+            transaction.min_term,
+        )
+        is_open = answer.state is SessionState.TRANSACTION
+        if answer.fault is None and is_open and is_current:
             return answer
         log_event(
             "transaction-ended",
             f"id={statement.request_id} target={transaction.target}"
-            f" fault={answer.fault} state={answer.state}",
+            f" fault={answer.fault} state={answer.state}"
+            f" position={answer.point or '-'}",
         )
         self.abandon(transaction)
         return transaction_ended(transaction)
@@ -445,9 +457,7 @@
         if read_target is None:
             failed.clear()
             return FaultCode.BEHIND
-        fault = await self._begin(
-            transaction, read_target.target, read_target.after, deadline_ns
-        )
+        fault = await self._begin(transaction, read_target, deadline_ns)
         if fault is not None:
             failed.add(read_target.target)
         return fault
@@ -462,11 +472,15 @@
         if isinstance(ticket, Refusal):
             return FaultCode.READ_ONLY
         transaction.ticket = ticket
+        min_term = self.router.required_term(
+            route.group, self.points.get(route.group)
+        )
+        primary = ReadTarget(
+            target=ticket.primary, after=None, min_term=min_term
+        )
         fault: FaultCode | None = FaultCode.OTHER
         try:
-            fault = await self._begin(
-                transaction, ticket.primary, None, deadline_ns
-            )
+            fault = await self._begin(transaction, primary, deadline_ns)
         finally:
             if fault is not None:
                 self._end_ticket(transaction)
@@ -475,10 +489,10 @@
     async def _begin(
         self,
         transaction: Transaction,
-        target: str,
-        after: LogPoint | None,
+        read_target: ReadTarget,
         deadline_ns: int,
     ) -> FaultCode | None:
+        target = read_target.target
         connection = await self._connect(
             transaction.route, target, deadline_ns, pinned=True
         )
@@ -489,7 +503,7 @@
         asked_ns = clock_ns()
         was_leased_primary = self.router.is_leased_primary(target)
         data = connection.codec.encode_begin(
-            is_read_only=transaction.is_read_only, after=after
+            is_read_only=transaction.is_read_only, after=read_target.after
         )
         answer = await connection.ask(data, deadline_ns=deadline_ns)
         self.stages.add(Stage.EXECUTION, asked_ns)
@@ -502,7 +516,14 @@
         if answer.fault is not None:
             self._release(connection)
             return answer.fault
+        if not self.router.confirm_read(
+            transaction.route.group, target, answer, read_target.min_term
+        ):
+            # Closes the connection, as it is in a transaction.
+            self._release(connection)
+            return FaultCode.BEHIND
         self.has_run = True
+        transaction.min_term = read_target.min_term
         transaction.connection = connection
         transaction.target = target
         return None
--- a/src/rosemarysaddle/session/_target_terms.py
+++ b/src/rosemarysaddle/session/_target_terms.py
@@ -36,6 +36,7 @@
     WENT_BACK = "went-back"
     ABOVE_RECORDED = "above-recorded"
     WRITE_BELOW_RECORDED = "write-below-recorded"
+    READ_BELOW_KNOWN = "read-below-known"
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -107,18 +108,50 @@
         """
         if point is None or point.term >= ticket.target_term:
             return True
-        effects = self.node.report_earlier_term(
-            ticket.group, ticket.primary, point.term, now_ns
-        )
-        self.send(effects)
         description = self._describe(ticket.group, ticket.primary, point)
         log_event(
             "target-term",
             f"reason={_Conflict.WRITE_BELOW_RECORDED} {description}"
             f" ticket={ticket.target_term} action=not-acknowledged",
         )
+        self._report(ticket.group, ticket.primary, point, now_ns)
         return False
 
+    def confirm_read(
+        self,
+        group: str,
+        target: str,
+        point: LogPoint | None,
+        min_term: int,
+        now_ns: int,
+    ) -> bool:
+        """Check the log on which the primary has run a read.
+
+        :param point: position that the target reported with the answer
+        :param min_term: term of the newest position that is known of
+            the group or of the session
+        :return: False if the log is that of a replaced primary
+        """
+        if point is None or point.term >= min_term:
+            return True
+        log_event(
+            "target-term",
+            f"reason={_Conflict.READ_BELOW_KNOWN}"
+            f" {self._describe(group, target, point)} known={min_term}"
+            " action=not-given",
+        )
+        self._report(group, target, point, now_ns)
+        return False
+
+    def _report(
+        self, group: str, target: str, point: LogPoint, now_ns: int
+    ) -> None:
+        effects = self.node.report_earlier_term(
+            group, target, point.term, now_ns
+        )
+        if effects:
+            self.send(effects)
+
     def _recorded_term(self, group: str) -> int:
         term = self.node.state.terms.get(group)
         return term.target_term if term is not None else 0
--- a/src/rosemarysaddle/session/_transaction.py
+++ b/src/rosemarysaddle/session/_transaction.py
@@ -22,6 +22,8 @@
         its first statement and after its end
     :param target: target at which it has begun, or empty
     :param ticket: ticket for the primary if it may write, once begun
+    :param min_term: term that the log of the primary must have reached
+        when it was begun; 0 at a replica
     :param has_written: whether it has run a write
     :param team: team for which it was begun, or empty
     :param retry_after_ms: time after which a connection may be free for
@@ -33,6 +35,7 @@
     connection: TargetConnection | None = None
     target: str = ""
     ticket: WriteTicket | None = None
+    min_term: int = 0
     has_written: bool = False
     team: str = ""
     retry_after_ms: int = 0
--- a/tests/session/test_target_terms.py
+++ b/tests/session/test_target_terms.py
@@ -33,6 +33,7 @@
     from rosemarysaddle.decide import Effect
     from rosemarysaddle.session import Router
     from rosemarysaddle.session._runner import Runner
+    from tests.session.standin import Caller
 
 PORT = 17_860
 PRIMARY, REPLICA = "t0", "t1"
@@ -224,6 +225,94 @@
     assert answers == ["OK T", "OK T", "OK I"]
 
 
+NEWEST = LogPoint(term=2, position=84)
+
+
+def _know_newest(caller: Caller, router: Router, *, is_own: bool) -> None:
+    """Let a session or its host know a position of term 2."""
+    if is_own:
+        caller.session.runner.points[GROUP] = NEWEST
+    else:
+        router.positions.record(GROUP, clock_ns(), NEWEST)
+
+
+@pytest.mark.parametrize("is_own", [True, False])
+@pytest.mark.parametrize(
+    ("texts", "refusal"),
+    [
+        (["READ 1"], "BUSY I"),
+        (["BEGIN READ", "READ 1"], "ABORTED E"),
+        (["BEGIN", "READ 1"], "ABORTED E"),
+    ],
+)
+def test_no_row_of_an_earlier_log_is_given_out(
+    lines: list[str], texts: list[str], refusal: str, *, is_own: bool
+) -> None:
+    """Guards against reads without the session's own commit."""
+    sent: list[Effect] = []
+
+    async def run() -> list[str]:
+        async with run_router(_targets()) as router:
+            router.target_terms.send = sent.extend
+            caller = await open_caller(router, "own")
+            _know_newest(caller, router, is_own=is_own)
+            return [await caller.query(text) for text in texts]
+
+    assert asyncio.run(run())[-1] == refusal
+    assert any("reason=read-below-known" in line for line in lines)
+    reports = [e.message for e in sent if isinstance(e, Send)]
+    assert all(isinstance(r, TermReport) for r in reports)
+    assert reports
+
+
+@pytest.mark.parametrize("texts", [["READ 1"], ["BEGIN READ", "READ 1"]])
+def test_read_is_retried_after_an_answer_from_an_earlier_log(
+    texts: list[str],
+) -> None:
+    """Guards against refusals while a replica can serve the read."""
+    targets = _targets()
+    targets[1].term = 2
+
+    async def run() -> str:
+        async with run_router(targets) as router:
+            router.targets[REPLICA].transfer_cost_ns = 10**9
+            caller = await open_caller(router, "old")
+            _know_newest(caller, router, is_own=False)
+            answers = [await caller.ask(f"QUERY 5c {text}") for text in texts]
+            return answers[-1]
+
+    assert "DONE t1.READ" in asyncio.run(run())
+    assert "READ" in "".join(targets[0].texts)
+
+
+def test_primary_promoted_later_serves_what_it_has() -> None:
+    """Guards against reads that wait for a group's next write."""
+
+    async def run() -> str:
+        async with run_router(_targets()) as router:
+            _set_target_term(router, 3)
+            caller = await open_caller(router, "own")
+            _know_newest(caller, router, is_own=True)
+            return await caller.query("READ 1")
+
+    assert asyncio.run(run()) == "OK I"
+
+
+def test_transaction_goes_on_after_a_later_promotion() -> None:
+    """Guards against reads that owe more than when they began."""
+
+    async def run() -> list[str]:
+        async with run_router(_targets()) as router:
+            caller = await open_caller(router, "own")
+            answers = [await caller.query("BEGIN READ")]
+            answers.append(await caller.query("READ 1"))
+            _know_newest(caller, router, is_own=False)
+            answers.append(await caller.query("READ 1"))
+            return answers
+
+    assert asyncio.run(run()) == ["OK T"] * 3
+
+
 def test_position_of_an_earlier_term_is_not_recorded(
     lines: list[str],
 ) -> None:
