Check writes against known positions where no term is recorded

A primary commits in its own term, so a write below the term of a position that the session or its host knows of the group has run at a primary that was replaced. It is answered with an unknown outcome and reported, like one below the recorded term.

The new test fails before: the write was acknowledged.

--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -369,14 +369,25 @@
         """Return whether a ticket is still valid."""
         return self.node.holds(ticket, clock_ns())
 
-    def confirm_write(self, ticket: WriteTicket, answer: Answer) -> bool:
-        """Check that a write has run in the term of its ticket.
+    def confirm_write(
+        self,
+        ticket: WriteTicket,
+        answer: Answer,
+        session_point: LogPoint | None,
+    ) -> bool:
+        """Check that a write has run in no earlier term than is known.
 
         :param answer: answer to the write, or to the commit
+        :param session_point: log position of the session's newest write
         :return: False if it must not be acknowledged
         """
+        known = newer_point(session_point, self.positions.newest(ticket.group))
+        known_term = known.term if known is not None else 0
         return answer.fault is not None or self.target_terms.confirm_write(
-            ticket, answer.point, clock_ns()
+            ticket,
+            answer.point,
+            max(ticket.target_term, known_term),
+            clock_ns(),
         )
 
     # --- answers ---
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -229,7 +229,8 @@
             )
         finally:
             lease_held = self.router.end_write(ticket)
-        if not self.router.confirm_write(ticket, answer):
+        own = self.points.get(ticket.group)
+        if not self.router.confirm_write(ticket, answer, own):
             return unknown_outcome(
                 Reason.PRIMARY_REPLACED, Step.EXECUTE, ticket.primary
             )
@@ -347,8 +348,9 @@
             return unknown_outcome(
                 Reason.CONNECTION_LOST, Step.COMMIT, transaction.target
             )
+        own = self.points.get(transaction.route.group)
         if ticket is not None and not self.router.confirm_write(
-            ticket, answer
+            ticket, answer, own
         ):
             return unknown_outcome(
                 Reason.PRIMARY_REPLACED, Step.COMMIT, transaction.target
--- a/src/rosemarysaddle/session/_target_terms.py
+++ b/src/rosemarysaddle/session/_target_terms.py
@@ -98,21 +98,26 @@
             log_event("primary-read-only", f"{description} action={action}")
 
     def confirm_write(
-        self, ticket: WriteTicket, point: LogPoint | None, now_ns: int
+        self,
+        ticket: WriteTicket,
+        point: LogPoint | None,
+        min_term: int,
+        now_ns: int,
     ) -> bool:
-        """Check the term in which a write has run, and report it.
+        """Check the term in which a write has run.
 
         :param point: position that the target reported with the write
+        :param min_term: newest term that is known of the group
         :return: False if the write has run at a primary that had been
             replaced, so that it must not be acknowledged
         """
-        if point is None or point.term >= ticket.target_term:
+        if point is None or point.term >= min_term:
             return True
         description = self._describe(ticket.group, ticket.primary, point)
         log_event(
             "target-term",
             f"reason={_Conflict.WRITE_BELOW_RECORDED} {description}"
-            f" ticket={ticket.target_term} action=not-acknowledged",
+            f" known={min_term} action=not-acknowledged",
         )
         self._report(ticket.group, ticket.primary, point, now_ns)
         return False
--- a/tests/session/test_target_terms.py
+++ b/tests/session/test_target_terms.py
@@ -265,6 +265,21 @@
     assert reports
 
 
+@pytest.mark.parametrize("is_own", [True, False])
+def test_write_below_a_known_position_is_not_acknowledged(
+    *, is_own: bool
+) -> None:
+    """Guards against old primaries of a group without recorded term."""
+
+    async def run() -> str:
+        async with run_router(_targets()) as router:
+            caller = await open_caller(router, "own")
+            _know_newest(caller, router, is_own=is_own)
+            return await caller.query("WRITE 1 x")
+
+    assert asyncio.run(run()) == "UNSURE I"
+
+
 @pytest.mark.parametrize("texts", [["READ 1"], ["BEGIN READ", "READ 1"]])
 def test_read_is_retried_after_an_answer_from_an_earlier_log(
     texts: list[str],
