Let the soak lose primaries and orders around a change of primary

Faults: the crash of a target that was promoted a moment ago; a dark primary that wakes in its old role while the promoted one, and half of the time the third, is down; a platform that carries orders out late, loses them or their answers, or is down for 10 s.

--- a/src/rosemarysaddle/soak/_faults.py
+++ b/src/rosemarysaddle/soak/_faults.py
@@ -11,6 +11,8 @@
 
 from rosemarysaddle.soak._departures import LEAVING_WORK_S, Departure
 from rosemarysaddle.soak._disk_faults import DiskFault
+from rosemarysaddle.soak._log_checks import Freeze
+from rosemarysaddle.soak._orders import OrderFault
 from rosemarysaddle.soak._proxy import ProxyFault
 
 if TYPE_CHECKING:
@@ -35,6 +37,14 @@
 EXTRA_SERVICE_RANGE_S: Final = (1.0, 5.0)
 # Around the time-out after which a change accepts any successor (5 s).
 CUT_OFF_RANGE_S: Final = (4.0, 9.0)
+# How long a promoted target serves, and how long it is down then.
+SERVES_RANGE_S: Final = (0.0, 2.0)
+DOWN_RANGE_S: Final = (1.0, 5.0)
+PROMOTION_TIMEOUT_S: Final = 12.0
+PROMOTION_POLL_S: Final = 0.005
+ORDER_DELAYS_S: Final = (1.2, 2.5, 6.0, 10.0)
+ORDER_FAULT_RANGE_S: Final = (3.0, 8.0)
+PLATFORM_DOWN_S: Final = 10.0
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -45,8 +55,10 @@
     :param violations: what faults themselves have found
     :param disturbed_s: monotonic time at which the last fault of each
         name ended
+    :param freezes: hosts that were frozen
     :param reserved: names of nodes that a running fault uses, and
-        "target" while one is crashed; other faults wait for them
+        "target" while one is crashed, or "platform" while orders fail;
+        other faults wait for them
     """
 
     nodes: Nodes
@@ -55,6 +67,7 @@
     platform: StandInPlatform
     rng: random.Random
     violations: list[str] = attrs.field(factory=list)
+    freezes: list[Freeze] = attrs.field(factory=list)
     reserved: set[str] = attrs.field(factory=set)
     disturbed_s: dict[str, float] = attrs.field(factory=dict)
     begun_s: float = attrs.field(factory=time.monotonic)
@@ -105,9 +118,13 @@
 
 async def _freeze(context: FaultContext, nodes: list[Node]) -> None:
     node = await context.reserve_node(nodes)
+    frozen_s = time.monotonic()
     node.send_signal(signal.SIGSTOP)
     await context.wait_fault_duration()
     node.send_signal(signal.SIGCONT)
+    context.freezes.append(
+        Freeze(host=node.name, from_s=frozen_s, until_s=time.monotonic())
+    )
     await context.release({node.name})
 
 
@@ -254,6 +271,106 @@
     await context.release({"target"})
 
 
+async def _crash_promoted(context: FaultContext) -> None:
+    """Crash a target that was promoted a moment ago."""
+    await context.reserve({"target"})
+    group = context.group
+    first, count = group.current_primary, len(group.promotions)
+    context.crash(first)
+    restarting = asyncio.ensure_future(_restart_later(context, first))
+    if await _is_promoted(context, count):
+        await asyncio.sleep(context.rng.uniform(*SERVES_RANGE_S))
+        promoted = group.current_primary
+        if promoted is not first:
+            context.crash(promoted)
+            await _restart_later(context, promoted)
+    await restarting
+    await context.release({"target"})
+
+
+async def _wake_old_primary(context: FaultContext) -> None:
+    """Wake a dark primary while the promoted one is down."""
+    await context.reserve({"target"})
+    group = context.group
+    first, count = group.current_primary, len(group.promotions)
+    darken(context, first)
+    if await _is_promoted(context, count):
+        await asyncio.sleep(context.rng.uniform(*SERVES_RANGE_S))
+        promoted = group.current_primary
+        others = [
+            each
+            for each in group.instances.values()
+            if each is promoted
+            or (each is not first and context.rng.random() < 1 / 2)
+        ]
+        for each in others:
+            context.crash(each)
+        await context.wait_fault_duration()
+        await wake(context, first)
+        await asyncio.gather(*(_restart_later(context, o) for o in others))
+    else:
+        await wake(context, first)
+    await context.release({"target"})
+
+
+async def _restart_later(
+    context: FaultContext, instance: TargetInstance
+) -> None:
+    await asyncio.sleep(context.rng.uniform(*DOWN_RANGE_S))
+    await context.restart(instance)
+
+
+async def _is_promoted(context: FaultContext, count: int) -> bool:
+    """Wait for another promotion.
+
+    :param count: number of promotions before
+    :return: whether there was one in time
+    """
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + PROMOTION_TIMEOUT_S
+    while loop.time() < deadline_s:
+        if len(context.group.promotions) > count:
+            return True
+        await asyncio.sleep(PROMOTION_POLL_S)
+    return False
+
+
+async def _delay_orders(context: FaultContext) -> None:
+    """Let the platform carry orders out late."""
+    delay_s = context.rng.choice(ORDER_DELAYS_S)
+    duration_s = context.rng.uniform(*ORDER_FAULT_RANGE_S)
+    await _fail_orders(context, OrderFault.LATE, duration_s, delay_s)
+
+
+async def _lose_order_answers(context: FaultContext) -> None:
+    duration_s = context.rng.uniform(*ORDER_FAULT_RANGE_S)
+    await _fail_orders(context, OrderFault.ANSWER_LOST, duration_s)
+
+
+async def _lose_orders(context: FaultContext) -> None:
+    duration_s = context.rng.uniform(*ORDER_FAULT_RANGE_S)
+    await _fail_orders(context, OrderFault.CALL_LOST, duration_s)
+
+
+async def _stop_platform(context: FaultContext) -> None:
+    await _fail_orders(context, OrderFault.CALL_LOST, PLATFORM_DOWN_S)
+
+
+async def _fail_orders(
+    context: FaultContext,
+    fault: OrderFault,
+    duration_s: float,
+    delay_s: float = 0.0,
+) -> None:
+    """Let orders fail while a primary is replaced."""
+    await context.reserve({"platform"})
+    context.group.keeps_orders = context.rng.random() < 1 / 2
+    context.platform.orders.set_fault(fault, delay_s)
+    await asyncio.sleep(duration_s)
+    context.platform.orders.set_fault(OrderFault.NONE)
+    await context.release({"platform"})
+
+
 async def _leave_primary(context: FaultContext) -> None:
     await context.reserve({"target"})
     await leave(context, context.group.current_primary)
@@ -395,4 +512,10 @@
     "lose-disk": _lose_disk,
     "release-entries": _release_entries,
     "odd-entries": _send_odd_entries,
+    "crash-promoted": _crash_promoted,
+    "wake-old-primary": _wake_old_primary,
+    "late-orders": _delay_orders,
+    "lost-answers": _lose_order_answers,
+    "lost-orders": _lose_orders,
+    "platform-down": _stop_platform,
 }
--- a/src/rosemarysaddle/soak/_log_checks.py
+++ b/src/rosemarysaddle/soak/_log_checks.py
@@ -26,6 +26,7 @@
 
 __all__ = (
     "SENDER_SLACK_S",
+    "Freeze",
     "WriteWatch",
     "find_lost_at_promotion",
     "find_old_primary_commits",
@@ -40,17 +41,38 @@
 WATCH_INTERVAL_S: Final = 0.1
 
 
+@attrs.frozen(kw_only=True)
+class Freeze:
+    """Time in which a host was frozen, in monotonic seconds."""
+
+    host: str
+    from_s: float
+    until_s: float
+
+    def may_delay(self, entry: Entry) -> bool:
+        """Return whether the host may have sent an entry late."""
+        return entry.sender == self.host and (
+            self.from_s <= entry.at_s <= self.until_s + SENDER_SLACK_S
+        )
+
+
 def find_old_primary_commits(
-    history: CallHistory, group: TargetGroup
+    history: CallHistory, group: TargetGroup, freezes: Iterable[Freeze] = ()
 ) -> list[str]:
-    """Find acknowledged commits of a term that had been replaced."""
+    """Find acknowledged commits of a term that had been replaced.
+
+    :param freezes: a host that is just thawed may have sent a commit
+        before
+    """
+    freezes = list(freezes)
     found: list[str] = []
     for entry in _acknowledged(history, group):
         replaced_s = min(
             (p.at_s for p in group.promotions if p.term > entry.term),
             default=math.inf,
         )
-        if entry.at_s > replaced_s + SENDER_SLACK_S:
+        is_late = entry.at_s > replaced_s + SENDER_SLACK_S
+        if is_late and not any(f.may_delay(entry) for f in freezes):
             found.append(
                 f"{entry.request_id}: committed at {entry.target} in term"
                 f" {entry.term} {entry.at_s - replaced_s:.1f} s after the"
@@ -84,13 +106,21 @@
     """
     if not group.sync_replicas:
         return []
-    rolled_back = find_rolled_back(group)
-    return [
-        f"{entry.request_id}: acknowledged, and not in the log of a"
-        " promoted target"
-        for entry in _acknowledged(history, group)
-        if entry.request_id in rolled_back
-    ]
+    found: list[str] = []
+    for entry in _acknowledged(history, group):
+        lost = [
+            p
+            for p in group.promotions
+            if entry.at_s <= p.at_s and _lacks(p, entry)
+        ]
+        if lost:
+            found.append(
+                f"{entry.request_id}: acknowledged by {entry.target} at"
+                f" {entry.term}.{entry.position}, and not in the log of"
+                f" {lost[0].target}, promoted for term {lost[0].term}"
+                f" {lost[0].at_s - entry.at_s:.3f} s later"
+            )
+    return found
 
 
 def find_stale_reads(
--- a/src/rosemarysaddle/soak/_proxy.py
+++ b/src/rosemarysaddle/soak/_proxy.py
@@ -66,7 +66,6 @@
 
     def cut(self) -> None:
         """Hold back all bytes and leave new connections unanswered."""
-        self.set_fault(ProxyFault.SILENT)
         if self._server is not None:
             self._server.close()
         listener = socket.socket()
@@ -84,7 +83,6 @@
     async def join(self) -> None:
         """Undo a cut."""
         self._close_cut()
-        self.set_fault(ProxyFault.NONE)
         if self._is_open:
             await self.start()
 
@@ -158,8 +156,10 @@
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK_BYTES):
                 fault = self.fault
-                if fault is ProxyFault.SILENT or (
-                    fault is ProxyFault.ONE_WAY and is_reply
+                if (
+                    self._cut_sockets
+                    or fault is ProxyFault.SILENT
+                    or (fault is ProxyFault.ONE_WAY and is_reply)
                 ):
                     await asyncio.Event().wait()
                 if fault is ProxyFault.DELAY:
--- a/src/rosemarysaddle/soak/_run.py
+++ b/src/rosemarysaddle/soak/_run.py
@@ -355,7 +355,9 @@
     def _check_history(self) -> list[str]:
         """Check what callers were told against the targets' logs."""
         history, group = self.call_history, self.group
-        self.old_primary_commits = find_old_primary_commits(history, group)
+        self.old_primary_commits = find_old_primary_commits(
+            history, group, self.context.freezes
+        )
         history.stale.extend(
             find_stale_reads(history, group, MAX_STALENESS_MS / 1_000)
         )
--- a/src/rosemarysaddle/soak/_targets.py
+++ b/src/rosemarysaddle/soak/_targets.py
@@ -43,6 +43,7 @@
     :param term: term of the primary that committed it
     :param position: number of the entry in the log of that term
     :param target: name of that primary
+    :param sender: name of the host that sent it
     :param at_s: monotonic time of the commit
     """
 
@@ -52,6 +53,7 @@
     term: int = attrs.field(default=0, eq=False)
     position: int = attrs.field(default=0, eq=False)
     target: str = attrs.field(default="", eq=False)
+    sender: str = attrs.field(default="", eq=False)
     at_s: float = attrs.field(default=0.0, eq=False)
 
 
@@ -483,6 +485,7 @@
     instance: TargetInstance
     _transport: asyncio.Transport | None = None
     _buffer: bytes = b""
+    _sender: str = ""
     _transaction_state: str = "I"
     _is_read_only: bool = False
     _term: int = 0
@@ -530,6 +533,7 @@
     def _handle_line(self, line: str) -> None:
         verb, _, rest = line.partition(" ")
         if verb == "START":
+            self._sender = rest.split(" ")[1]
             self._send("")
             return
         request_id, _, text = rest.partition(" ")
@@ -626,7 +630,10 @@
 
     def _write(self, request_id: str, arguments: list[str]) -> str:
         entry = Entry(
-            request_id=request_id, key=arguments[0], value=int(arguments[1])
+            request_id=request_id,
+            key=arguments[0],
+            value=int(arguments[1]),
+            sender=self._sender,
         )
         if self._transaction_state == "T":
             if self._is_demoted():
--- a/tests/soak/test_log_checks.py
+++ b/tests/soak/test_log_checks.py
@@ -9,6 +9,7 @@
 from rosemarysaddle.soak import CallHistory
 from rosemarysaddle.soak._check import Ack, ReadCall
 from rosemarysaddle.soak._log_checks import (
+    Freeze,
     WriteWatch,
     find_lost_at_promotion,
     find_old_primary_commits,
@@ -83,6 +84,21 @@
     assert bool(found) is is_found
 
 
+@pytest.mark.parametrize(
+    ("until_s", "is_found"), [(12.0, False), (11.5, True)]
+)
+def test_a_host_that_is_just_thawed_may_be_late(
+    until_s: float, *, is_found: bool
+) -> None:
+    """Guards against an excuse for hosts that were thawed before."""
+    entry = attrs.evolve(_entry("x", 1, 4, 12.2), sender="entry-1")
+    freeze = Freeze(host="entry-1", from_s=9.5, until_s=until_s)
+
+    found = find_old_primary_commits(_history("x"), _group(entry), [freeze])
+
+    assert bool(found) is is_found
+
+
 def test_commits_that_nobody_was_told_of_are_not_found() -> None:
     """Guards against a report of commits without acknowledgement."""
     group = _group(_entry("x", 1, 4, 12.0))
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -38,3 +38,19 @@
     assert report.told["DONE"]
     assert report.plans_checked
     assert teams is ("NOACCESS" in report.told)
+
+
+@pytest.mark.parametrize("sync_replicas", [0, 1])
+def test_changes_of_primary_under_faults_keep_what_was_acknowledged(
+    sync_replicas: int,
+) -> None:
+    """Guards against faults around a change of primary that add up."""
+    report = run_soak(
+        seed=7,
+        faults=("late-orders", "wake-old-primary", "crash-promoted"),
+        slot=SLOT,
+        sync_replicas=sync_replicas,
+    )
+
+    assert report.violations == ()
+    assert report.told["DONE"]
