Let the soak crash a target that is about to be promoted

The order for it was accepted; it is dropped, or takes effect when the target is back, as the seed says.

--- a/src/rosemarysaddle/soak/_faults.py
+++ b/src/rosemarysaddle/soak/_faults.py
@@ -14,6 +14,7 @@
 from rosemarysaddle.soak._log_checks import Freeze
 from rosemarysaddle.soak._orders import OrderFault
 from rosemarysaddle.soak._proxy import ProxyFault
+from rosemarysaddle.soak._targets import PROMOTION_DELAY_S
 
 if TYPE_CHECKING:
     import random
@@ -24,7 +25,7 @@
     from rosemarysaddle.soak._proxy import FaultProxy
     from rosemarysaddle.soak._targets import TargetGroup, TargetInstance
 
-__all__ = ("FAULTS", "FaultContext", "darken", "leave", "wake")
+__all__ = ("FAULTS", "FaultContext", "darken", "leave", "wait_until", "wake")
 
 FAULT_DURATION_RANGE_S: Final = (0.5, 3.0)
 RESTART_DELAY_S: Final = 0.5
@@ -271,6 +272,24 @@
     await context.release({"target"})
 
 
+async def _crash_ordered(context: FaultContext) -> None:
+    """Crash a target before the order for it takes effect."""
+    await context.reserve({"target", "platform"})
+    group, calls = context.group, context.platform.orders.calls
+    group.keeps_orders = context.rng.random() < 1 / 2
+    first, count = group.current_primary, len(calls)
+    context.crash(first)
+    restarting = asyncio.ensure_future(_restart_later(context, first))
+    if await wait_until(lambda: len(calls) > count):
+        ordered = group.instances[calls[count].target]
+        await asyncio.sleep(context.rng.uniform(0.0, PROMOTION_DELAY_S))
+        if ordered is not first:
+            context.crash(ordered)
+            await _restart_later(context, ordered)
+    await restarting
+    await context.release({"target", "platform"})
+
+
 async def _crash_promoted(context: FaultContext) -> None:
     """Crash a target that was promoted a moment ago."""
     await context.reserve({"target"})
@@ -278,7 +297,7 @@
     first, count = group.current_primary, len(group.promotions)
     context.crash(first)
     restarting = asyncio.ensure_future(_restart_later(context, first))
-    if await _is_promoted(context, count):
+    if await wait_until(lambda: len(group.promotions) > count):
         await asyncio.sleep(context.rng.uniform(*SERVES_RANGE_S))
         promoted = group.current_primary
         if promoted is not first:
@@ -294,7 +313,7 @@
     group = context.group
     first, count = group.current_primary, len(group.promotions)
     darken(context, first)
-    if await _is_promoted(context, count):
+    if await wait_until(lambda: len(group.promotions) > count):
         await asyncio.sleep(context.rng.uniform(*SERVES_RANGE_S))
         promoted = group.current_primary
         others = [
@@ -320,16 +339,12 @@
     await context.restart(instance)
 
 
-async def _is_promoted(context: FaultContext, count: int) -> bool:
-    """Wait for another promotion.
-
-    :param count: number of promotions before
-    :return: whether there was one in time
-    """
+async def wait_until(condition: Callable[[], bool]) -> bool:
+    """Wait for a part of a change of primary, and tell if it came."""
     loop = asyncio.get_running_loop()
     deadline_s = loop.time() + PROMOTION_TIMEOUT_S
     while loop.time() < deadline_s:
-        if len(context.group.promotions) > count:
+        if condition():
             return True
         await asyncio.sleep(PROMOTION_POLL_S)
     return False
@@ -512,6 +527,7 @@
     "lose-disk": _lose_disk,
     "release-entries": _release_entries,
     "odd-entries": _send_odd_entries,
+    "crash-ordered": _crash_ordered,
     "crash-promoted": _crash_promoted,
     "wake-old-primary": _wake_old_primary,
     "late-orders": _delay_orders,
--- a/src/rosemarysaddle/soak/_plays.py
+++ b/src/rosemarysaddle/soak/_plays.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Final
 
-from rosemarysaddle.soak._faults import darken, leave, wake
+from rosemarysaddle.soak._faults import darken, leave, wait_until, wake
 from rosemarysaddle.soak._orders import OrderFault
 
 if TYPE_CHECKING:
@@ -26,8 +26,6 @@
 CRASH_AFTER_PROMOTION_S: Final = 0.02
 # Longer than an old primary keeps its role.
 SETTLE_S: Final = 3.0
-POLL_INTERVAL_S: Final = 0.005
-PROMOTION_TIMEOUT_S: Final = 12.0
 
 
 async def _dark_then_crash(context: FaultContext) -> None:
@@ -92,7 +90,7 @@
         leave(context, context.group.current_primary)
     )
     orders = context.platform.orders
-    if await _wait_until(lambda: bool(orders.calls)):
+    if await wait_until(lambda: bool(orders.calls)):
         orders.set_fault(OrderFault.NONE)
         ordered = context.group.instances[orders.calls[0].target]
         await asyncio.sleep(CRASH_AFTER_ORDER_S)
@@ -140,22 +138,12 @@
 
 async def _wait_for_promotion(context: FaultContext) -> TargetInstance | None:
     group = context.group
-    if not await _wait_until(lambda: bool(group.promotions)):
+    if not await wait_until(lambda: bool(group.promotions)):
         context.violations.append("no promotion took effect")
         return None
     return group.current_primary
 
 
-async def _wait_until(condition: Callable[[], bool]) -> bool:
-    loop = asyncio.get_running_loop()
-    deadline_s = loop.time() + PROMOTION_TIMEOUT_S
-    while loop.time() < deadline_s:
-        if condition():
-            return True
-        await asyncio.sleep(POLL_INTERVAL_S)
-    return False
-
-
 async def _sleep_until(at_s: float) -> None:
     loop = asyncio.get_running_loop()
     await asyncio.sleep(max(0.0, at_s - loop.time()))
--- a/src/rosemarysaddle/soak/_targets.py
+++ b/src/rosemarysaddle/soak/_targets.py
@@ -21,6 +21,7 @@
     from collections.abc import Mapping
 
 __all__ = (
+    "PROMOTION_DELAY_S",
     "Entry",
     "Promotion",
     "ReadRun",
