--- a/src/rosemarysaddle/decide/primaries/_orders_in_doubt.py
+++ b/src/rosemarysaddle/decide/primaries/_orders_in_doubt.py
@@ -66,6 +66,11 @@
         """Watch the orders of a group whose term was opened."""
         self._groups.add(group)
 
+    @property
+    def count(self) -> int:
+        """Number of orders that may yet take effect."""
+        return sum(len(self._orders(group)) for group in self._groups)
+
     def targets(self, group: str, now_ns: int) -> tuple[str, ...]:
         """List the targets of a group whose promotion is in doubt.
 
--- a/src/rosemarysaddle/node/_host_metrics.py
+++ b/src/rosemarysaddle/node/_host_metrics.py
@@ -193,6 +193,11 @@
     yield _gauge("leases", "Entry hosts that hold a lease", leases)
     changes = len(control.primaries.changes)
     yield _gauge("changes", "Changes of primary in progress", changes)
+    yield _gauge(
+        "promotions_in_doubt",
+        "Orders to promote that may yet take effect",
+        control.primaries.orders.count,
+    )
     yield from _state_metrics(control.state)
 
 
