Pass over a target whose order to promote had no effect

A target that holds most and takes no effect of its order was chosen again once the doubt about it had ended, and again: no write for 36 s and on in a model of the platform, while two other targets were healthy.

Targets whose order has timed out are passed over until the group has a primary, if there is another candidate.

--- a/src/rosemarysaddle/decide/primaries/_orders_in_doubt.py
+++ b/src/rosemarysaddle/decide/primaries/_orders_in_doubt.py
@@ -52,6 +52,9 @@
 
     context: LeaderContext
     _groups: set[str] = attrs.field(factory=set, init=False)
+    _without_effect: dict[str, set[str]] = attrs.field(
+        factory=dict, init=False
+    )
     _deadlines_ns: dict[tuple[str, int], int] = attrs.field(
         factory=dict, init=False
     )
@@ -59,6 +62,7 @@
     def on_elected(self) -> None:
         """Give the orders of earlier leaders their time anew."""
         self._deadlines_ns.clear()
+        self._without_effect.clear()
         terms = self.context.state.terms
         self._groups = {g for g, term in terms.items() if term.in_doubt}
 
@@ -83,6 +87,17 @@
         )
         return tuple(dict.fromkeys(targets))
 
+    def without_effect(self, group: str) -> frozenset[str]:
+        """List targets whose order had no effect in time.
+
+        They are known until the group has a primary.
+        """
+        return frozenset(self._without_effect.get(group, ()))
+
+    def end_outage(self, group: str) -> None:
+        """Forget the orders without effect of a group that serves."""
+        self._without_effect.pop(group, None)
+
     def settle(
         self, group: str, term: int, reason: str, now_ns: int
     ) -> list[Effect]:
@@ -95,6 +110,8 @@
         if order is None:
             return []
         self._deadlines_ns.pop((group, term), None)
+        if reason == Settlement.TIMED_OUT:
+            self._without_effect.setdefault(group, set()).add(order.target)
         payload = json.dumps({"group": group, "term": term})
         text = (
             f"group={group} target={order.target} term={term}"
--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -271,6 +271,7 @@
         del self.times[:-MAX_KEPT_TIMES]
         self._groups_to_open.discard(group)
         self._evidence.pop(group, None)
+        self.orders.end_outage(group)
         if self._is_route_group(group):
             self._grace_until_ns[group] = (
                 now_ns + NEW_PRIMARY_GRACE_MS * NS_PER_MS
@@ -689,6 +690,7 @@
             and now_ns >= change.fenced_ns + CATCH_UP_TIMEOUT_MS * NS_PER_MS,
             sync_replicas=self._sync_replicas(change.group),
             in_doubt=in_doubt,
+            avoided=self.orders.without_effect(change.group),
         )
         choice = choose_successor(reports, criteria)
         if choice is None:
--- a/src/rosemarysaddle/decide/primaries/_succession.py
+++ b/src/rosemarysaddle/decide/primaries/_succession.py
@@ -57,6 +57,8 @@
     :param leaving: targets that are about to stop
     :param others_stay: whether another target than the former primary
         is registered and stays
+    :param avoided: targets that took no effect of an order; others go
+        first
     :param allow_lagging: whether a lagging replica may be chosen
     :param keeps_former: whether the former primary may stay
     :param reuse_former: whether the former primary is chosen now if the
@@ -71,6 +73,7 @@
     leaving: Collection[str]
     target_term: int = 0
     in_doubt: Collection[str] = ()
+    avoided: Collection[str] = ()
     allow_lagging: bool = False
     others_stay: bool = False
     keeps_former: bool = False
@@ -89,6 +92,7 @@
         reuse_former: bool = False,
         sync_replicas: int = 0,
         in_doubt: Collection[str] = (),
+        avoided: Collection[str] = (),
     ) -> SuccessorCriteria:
         """Build the criteria for a group.
 
@@ -100,6 +104,7 @@
             former=former,
             target_term=0 if term is None else term.target_term,
             in_doubt=in_doubt,
+            avoided=avoided,
             leaving={r.target for r in records if r.leaving},
             others_stay=any(
                 r.target != former for r in records if not r.leaving
@@ -296,7 +301,7 @@
     reports: Sequence[TargetReport], criteria: SuccessorCriteria
 ) -> list[TargetReport]:
     """List reports of targets that may replace the former primary."""
-    return [
+    candidates = [
         r
         for r in reports
         if r.reachable
@@ -305,6 +310,8 @@
         and _may_replace(r, criteria)
         and _has_followed(r, criteria)
     ]
+    others = [r for r in candidates if r.target not in criteria.avoided]
+    return others or candidates
 
 
 def _may_replace(report: TargetReport, criteria: SuccessorCriteria) -> bool:
--- a/tests/decide/test_orders_in_doubt.py
+++ b/tests/decide/test_orders_in_doubt.py
@@ -90,6 +90,16 @@
     assert ordered == [_other(target)]
 
 
+def test_target_that_takes_no_effect_of_orders_is_passed_over() -> None:
+    """Guards against one target that is ordered again and again."""
+    harness, target = _order_without_result()
+    harness.elapse(MAX_DOUBT_MS + 100)
+
+    ordered = _choose(harness, 1_000, "t2", "t3")
+
+    assert ordered == [_other(target)]
+
+
 def test_doubt_outlasts_a_change_of_leader() -> None:
     """Guards against a new leader that promotes another target."""
     harness, target = _order_without_result()
