Start no write before the promoted target serves

A group of the route plan is open, for the log, from the choice of its primary on, while the target may still have the role in an earlier term. Sessions asked for a serving primary first; the entry host's own right to write did not. It does now, so that no caller of it can forget to.

Found by a model of the decisions, which asks for the right alone.

--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -294,6 +294,9 @@
         term = self.state.terms.get(group)
         if term is None or not term.is_open:
             return _refuse(Reason.NO_PRIMARY, group)
+        if group in self.state.routes.groups and not term.is_serving:
+            # The target may have the role in an earlier term still.
+            return _refuse(Reason.NO_PRIMARY, group)
         if not self.covers(term, group, now_ns):
             return _refuse(self._refusal_reason(now_ns), group)
         self._running_writes[group] = self._running_writes.get(group, 0) + 1
