Forget the target term where an earlier build changes the primary

Cause: an earlier build does not record the term of the target. The one recorded before it stayed in force, entry hosts saw a later one and held the group for overtaken.

An entry that a group serves without a term makes the term unknown.

--- a/src/rosemarysaddle/decide/control_log/_state.py
+++ b/src/rosemarysaddle/decide/control_log/_state.py
@@ -407,12 +407,13 @@
         current = self.terms.get(group)
         if current is None or current.term != term:
             return
-        # Earlier builds leave out the target's own term.
+        # An earlier build leaves out the target's own term, which may
+        # be later than the recorded one.
         served = payload.get("target_term", 0)
         self.terms[group] = attrs.evolve(
             current,
             is_serving=True,
-            target_term=max(current.target_term, served),
+            target_term=max(current.target_term, served) if served else 0,
             known_term=max(current.known_term, served),
         )
 
--- a/tests/decide/test_orders_in_doubt.py
+++ b/tests/decide/test_orders_in_doubt.py
@@ -217,3 +217,25 @@
 
     term = state.terms["g"]
     assert (term.is_serving, term.target_term, term.in_doubt) == (True, 0, ())
+
+
+def test_term_is_unknown_once_an_earlier_build_has_changed_the_primary() -> (
+    None
+):
+    """Guards against hosts that hold a group for overtaken for good."""
+    harness = Harness.open(target_term=3)
+    state = harness.leader.state
+    for kind, payload in (
+        ("open", {"group": "g", "term": 2, "primary": "t2", "start": 0}),
+        ("serving", {"group": "g", "term": 2}),
+    ):
+        state.apply(
+            LogEntry(
+                index=state.index + 1,
+                term=9,
+                kind=kind,
+                payload=json.dumps(payload),
+            )
+        )
+
+    assert state.terms["g"].target_term == 0
