Let a former primary vouch only in the term that it served

What a review showed on real processes, with one synchronous replica: the former primary restarted empty under its name and answered first, beside a replica that lagged; the replica was promoted, and acknowledged writes that only the third target held were lost.

Cause: any answer of the former primary counted as proof of how far it got, and it counted among the replicas as well. A target whose order was in doubt was chosen without any such proof.

It vouches as the primary of the term that it served, or not at all, and is no replica in the count. The rule holds for a target in doubt too.

--- a/src/rosemarysaddle/decide/primaries/_succession.py
+++ b/src/rosemarysaddle/decide/primaries/_succession.py
@@ -225,6 +225,7 @@
         if r.target in criteria.in_doubt
         and _has_followed(r, criteria)
         and not (r.target in criteria.leaving and criteria.others_stay)
+        and (not criteria.sync_replicas or _holds_all(r, answers, criteria))
     ]
     return max(candidates, key=_progress, default=None)
 
@@ -285,16 +286,23 @@
 ) -> bool:
     """Tell whether a target holds each write that was acknowledged.
 
-    Either the former primary tells how far it got, or so many replicas
-    answer that one of them has acknowledged the newest write.
+    Either the former primary tells how far it got, in the term in which
+    it served, or so many replicas answer that one of them has
+    acknowledged the newest write.
     """
     answers = [r for r in reports if r.reachable and _has_status(r)]
     if any(_progress(r) > _progress(best) for r in answers):
         return False
-    if any(r.target == criteria.former for r in answers):
+    if any(
+        r.target == criteria.former
+        and r.role == PRIMARY_ROLE
+        and r.term >= criteria.target_term
+        for r in answers
+    ):
         return True
+    replicas = [r for r in answers if r.target != criteria.former]
     needed = criteria.replicas - criteria.sync_replicas + 1
-    return len(answers) >= needed
+    return len(replicas) >= needed
 
 
 def _find_candidates(
--- a/tests/decide/test_succession.py
+++ b/tests/decide/test_succession.py
@@ -295,3 +295,35 @@
     assert find_promoted([promoted, later], criteria) is None
     later_known = attrs.evolve(criteria, known_term=3)
     assert find_promoted([promoted], later_known) is None
+
+
+@pytest.mark.parametrize(
+    "reports",
+    [
+        pytest.param(
+            [_report("a", 0, term=0), _report("b", 9, term=4)],
+            id="the former primary came back empty",
+        ),
+        pytest.param(
+            [
+                _report("a", 5, role="primary", term=3),
+                _report("b", 9, term=4),
+            ],
+            id="the former primary leads an earlier term",
+        ),
+    ],
+)
+def test_former_primary_vouches_only_in_the_term_that_it_served(
+    reports: list[TargetReport],
+) -> None:
+    """Guards against the loss of what a silent replica acknowledged."""
+    criteria = SuccessorCriteria(
+        former="a",
+        leaving=(),
+        target_term=4,
+        others_stay=True,
+        sync_replicas=1,
+        replicas=2,
+    )
+
+    assert choose_successor(reports, criteria) is None
