End the repeats of an order whose outcome stays unknown

What a review showed on real processes: the platform accepted each order for one target and carried out none; ten orders, no write for 42 s, to the end, with another target up.

Cause: each repeat was an order of its own, with 9.5 s of doubt of its own, so that the doubt had no end.

A target is ordered anew only within 4.5 s of the first order. The doubt about the last repeat ends 14 s after that, and another target is chosen.

--- a/src/rosemarysaddle/decide/primaries/_orders_in_doubt.py
+++ b/src/rosemarysaddle/decide/primaries/_orders_in_doubt.py
@@ -32,6 +32,8 @@
 # A change of primary is to be over within 16 s.  Its detection and the
 # fence of the old term take up to 5.3 s, a promotion 1 s.
 MAX_DOUBT_MS: Final = 9_500
+# A repeat is in doubt for as long, counted from its own start.
+MAX_REPEAT_MS: Final = 4_500
 
 
 class Settlement:
@@ -52,6 +54,11 @@
 
     context: LeaderContext
     _groups: set[str] = attrs.field(factory=set, init=False)
+    # Since when each target of a group has been ordered, and which ones
+    # had no effect, until the group has a primary.
+    _ordered_ns: dict[str, dict[str, int]] = attrs.field(
+        factory=dict, init=False
+    )
     _without_effect: dict[str, set[str]] = attrs.field(
         factory=dict, init=False
     )
@@ -62,6 +69,7 @@
     def on_elected(self) -> None:
         """Give the orders of earlier leaders their time anew."""
         self._deadlines_ns.clear()
+        self._ordered_ns.clear()
         self._without_effect.clear()
         terms = self.context.state.terms
         self._groups = {g for g, term in terms.items() if term.in_doubt}
@@ -87,6 +95,19 @@
         )
         return tuple(dict.fromkeys(targets))
 
+    def repeatable(self, group: str, now_ns: int) -> tuple[str, ...]:
+        """List the targets in doubt that may be ordered once more.
+
+        Repeats have an end, so that the doubt has one.
+        """
+        oldest_ns = now_ns - MAX_REPEAT_MS * NS_PER_MS
+        since_ns = self._ordered_ns.get(group, {})
+        return tuple(
+            target
+            for target in self.targets(group, now_ns)
+            if since_ns.get(target, now_ns) >= oldest_ns
+        )
+
     def without_effect(self, group: str) -> frozenset[str]:
         """List targets whose order had no effect in time.
 
@@ -96,6 +117,7 @@
 
     def end_outage(self, group: str) -> None:
         """Forget the orders without effect of a group that serves."""
+        self._ordered_ns.pop(group, None)
         self._without_effect.pop(group, None)
 
     def settle(
@@ -148,6 +170,7 @@
         record = self.context.state.targets.records.get(order.target)
         if record is None or record.group != group:
             return Settlement.TARGET_GONE
+        self._ordered_ns.setdefault(group, {}).setdefault(order.target, now_ns)
         deadline_ns = self._deadlines_ns.setdefault(
             (group, order.term), now_ns + MAX_DOUBT_MS * NS_PER_MS
         )
--- a/src/rosemarysaddle/decide/primaries/_succession.py
+++ b/src/rosemarysaddle/decide/primaries/_succession.py
@@ -53,6 +53,8 @@
     :param target_term: newest term, as targets number them, in which a
         primary of the group served; 0 if it is not known
     :param known_term: newest term that a target was seen to know of
+    :param repeatable: targets that may be ordered again while they are
+        in doubt
     :param in_doubt: targets whose promotion was ordered with an unknown
         result, and may yet take effect
     :param leaving: targets that are about to stop
@@ -75,6 +77,7 @@
     target_term: int = 0
     known_term: int = 0
     in_doubt: Collection[str] = ()
+    repeatable: Collection[str] = ()
     avoided: Collection[str] = ()
     allow_lagging: bool = False
     others_stay: bool = False
@@ -95,6 +98,7 @@
         sync_replicas: int = 0,
         known_term: int = 0,
         in_doubt: Collection[str] = (),
+        repeatable: Collection[str] = (),
         avoided: Collection[str] = (),
     ) -> SuccessorCriteria:
         """Build the criteria for a group.
@@ -108,6 +112,7 @@
             target_term=0 if term is None else term.target_term,
             known_term=known_term,
             in_doubt=in_doubt,
+            repeatable=repeatable,
             avoided=avoided,
             leaving={r.target for r in records if r.leaving},
             others_stay=any(
@@ -223,6 +228,7 @@
         r
         for r in answers
         if r.target in criteria.in_doubt
+        and r.target in criteria.repeatable
         and _has_followed(r, criteria)
         and not (r.target in criteria.leaving and criteria.others_stay)
         and (not criteria.sync_replicas or _holds_all(r, answers, criteria))
--- a/tests/decide/test_orders_in_doubt.py
+++ b/tests/decide/test_orders_in_doubt.py
@@ -13,6 +13,7 @@
 from rosemarysaddle.decide.primaries._orders_in_doubt import MAX_DOUBT_MS
 from rosemarysaddle.schema import LogEntry
 from tests.decide.announced_group import Harness
+from tests.helpers import NS_PER_MS
 
 
 def _reports(*targets: str) -> list[TargetReport]:
@@ -90,6 +91,20 @@
     assert ordered == [_other(target)]
 
 
+def test_repeats_of_an_order_have_an_end() -> None:
+    """Guards against one order that is repeated for good."""
+    harness, target = _order_without_result()
+    since_ns = harness.now_ns
+    ordered: list[str] = []
+    while not ordered or ordered[-1] == target:
+        ordered.extend(_choose(harness, 30_000, "t2", "t3"))
+        harness.elapse(1_000)
+        harness.promoted(done=False)
+        assert harness.now_ns < since_ns + 16_000 * NS_PER_MS
+
+    assert ordered[-1] == _other(target)
+
+
 def test_target_that_takes_no_effect_of_orders_is_passed_over() -> None:
     """Guards against one target that is ordered again and again."""
     harness, target = _order_without_result()
--- a/tests/decide/test_succession.py
+++ b/tests/decide/test_succession.py
@@ -206,6 +206,7 @@
         leaving=(),
         others_stay=True,
         in_doubt=("a",),
+        repeatable=("a",),
     )
 
     choice = choose_successor([former, _report("c", 9)], criteria)
