Share the check of the log on which a primary has run

The checks of reads and of writes differed in the reason that they log. Lines of target-term name it as write-below-known, beside read-below-known, and the action as withheld in both.

--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -298,8 +298,8 @@
         :param min_term: term that the log must have reached
         :return: False if its rows must not be given to the caller
         """
-        return answer.fault is not None or self.target_terms.confirm_read(
-            group, target, answer.point, min_term, clock_ns()
+        return answer.fault is not None or self.target_terms.confirm(
+            group, target, answer.point, clock_ns(), min_term=min_term
         )
 
     # --- writes ---
@@ -383,11 +383,13 @@
         """
         known = newer_point(session_point, self.positions.newest(ticket.group))
         known_term = known.term if known is not None else 0
-        return answer.fault is not None or self.target_terms.confirm_write(
-            ticket,
+        return answer.fault is not None or self.target_terms.confirm(
+            ticket.group,
+            ticket.primary,
             answer.point,
-            max(ticket.target_term, known_term),
             clock_ns(),
+            min_term=max(ticket.target_term, known_term),
+            has_written=True,
         )
 
     # --- answers ---
--- a/src/rosemarysaddle/session/_target_terms.py
+++ b/src/rosemarysaddle/session/_target_terms.py
@@ -24,7 +24,6 @@
         EntryNode,
         LogPoint,
         TargetState,
-        WriteTicket,
     )
 
 __all__ = ("TargetTerms",)
@@ -35,7 +34,7 @@
 
     WENT_BACK = "went-back"
     ABOVE_RECORDED = "above-recorded"
-    WRITE_BELOW_RECORDED = "write-below-recorded"
+    WRITE_BELOW_KNOWN = "write-below-known"
     READ_BELOW_KNOWN = "read-below-known"
 
 
@@ -97,65 +96,44 @@
             )
             log_event("primary-read-only", f"{description} action={action}")
 
-    def confirm_write(
-        self,
-        ticket: WriteTicket,
-        point: LogPoint | None,
-        min_term: int,
-        now_ns: int,
-    ) -> bool:
-        """Check the term in which a write has run.
-
-        :param point: position that the target reported with the write
-        :param min_term: newest term that is known of the group
-        :return: False if the write has run at a primary that had been
-            replaced, so that it must not be acknowledged
-        """
-        if point is None or point.term >= min_term:
-            return True
-        description = self._describe(ticket.group, ticket.primary, point)
-        log_event(
-            "target-term",
-            f"reason={_Conflict.WRITE_BELOW_RECORDED} {description}"
-            f" known={min_term} action=not-acknowledged",
-        )
-        self._report(ticket.group, ticket.primary, point, now_ns)
-        return False
-
-    def confirm_read(
+    def confirm(
         self,
         group: str,
         target: str,
         point: LogPoint | None,
-        min_term: int,
         now_ns: int,
+        *,
+        min_term: int,
+        has_written: bool = False,
     ) -> bool:
-        """Check the log on which the primary has run a read.
+        """Check the log on which a primary has run a statement.
+
+        An earlier one than that of the group is reported.
 
         :param point: position that the target reported with the answer
-        :param min_term: term of the newest position that is known of
-            the group or of the session
-        :return: False if the log is that of a replaced primary
+        :param min_term: newest term that is known of the group
+        :param has_written: whether the statement has committed a write
+        :return: False if the answer must not be given to the caller, as
+            the primary had been replaced
         """
         if point is None or point.term >= min_term:
             return True
+        conflict = (
+            _Conflict.WRITE_BELOW_KNOWN
+            if has_written
+            else _Conflict.READ_BELOW_KNOWN
+        )
         log_event(
             "target-term",
-            f"reason={_Conflict.READ_BELOW_KNOWN}"
-            f" {self._describe(group, target, point)} known={min_term}"
-            " action=not-given",
+            f"reason={conflict} {self._describe(group, target, point)}"
+            f" known={min_term} action=withheld",
         )
-        self._report(group, target, point, now_ns)
-        return False
-
-    def _report(
-        self, group: str, target: str, point: LogPoint, now_ns: int
-    ) -> None:
         effects = self.node.report_earlier_term(
             group, target, point.term, now_ns
         )
         if effects:
             self.send(effects)
+        return False
 
     def _recorded_term(self, group: str) -> int:
         term = self.node.state.terms.get(group)
