Send no order to promote after its deadline

What a review showed: 300 groups ordered at once while the platform is silent share a pool of 12 threads; 286 of 298 orders were sent after their deadline, the last one 1.3 s late. At 2,460 groups, one data centre of the size expected, that comes to over 9.5 s: after the doubt about the order has ended, a late order made by ourselves.

The client compares the deadline right before it sends. Such an order is not taken, and known to be without effect.

--- a/src/rosemarysaddle/platform/_http.py
+++ b/src/rosemarysaddle/platform/_http.py
@@ -176,6 +176,9 @@
         that a delayed order cannot arrive after those of a later
         leader.  The platform may have read it all the same.
 
+        An order that has waited for a thread until its deadline is not
+        sent any more.
+
         :param may_send: called right before the order is sent; the
             order is dropped if it returns false
         """
@@ -203,7 +206,7 @@
                 socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
             )
             connection.sock.settimeout(_left_s(order))
-            if not may_send():
+            if clock_ns() >= order.deadline_ns or not may_send():
                 return OrderAnswer.NOT_TAKEN
             was_sent = True
             connection.request("POST", "/promote", body, headers)
--- /dev/null
+++ b/tests/platform/test_promotion_client.py
@@ -0,0 +1,37 @@
+"""Orders that the platform's client sends, or does not."""
+
+from __future__ import annotations
+
+import socket
+
+from rosemarysaddle._clock import clock_ns
+from rosemarysaddle.node import OrderAnswer, PromotionOrder
+from rosemarysaddle.platform._http import PromotionClient
+
+
+def test_order_whose_deadline_has_passed_is_not_sent() -> None:
+    """Guards against a late order that gives up another's writes."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        ip, port = server.getsockname()
+        client = PromotionClient(address=f"{ip}:{port}")
+        order = PromotionOrder(
+            group="g",
+            target="t",
+            leader="c",
+            fencing_token=1,
+            deadline_ns=clock_ns() - 1,
+        )
+
+        answer = client.promote(order, may_send=lambda: True)
+
+        server.settimeout(1.0)
+        connection, _ = server.accept()
+        with connection:
+            connection.settimeout(1.0)
+            try:
+                received = connection.recv(64)
+            except ConnectionResetError:
+                received = b""
+
+    assert answer is OrderAnswer.NOT_TAKEN
+    assert received == b""
