Repeat an order to promote after three seconds instead of one

Each repeat beside an unanswered call is one more order that may be carried out late.

The connection of a call outlasts a short loss of the path now, so that a repeat is of use only where the platform itself has lost the call.

--- a/src/rosemarysaddle/node/_orders.py
+++ b/src/rosemarysaddle/node/_orders.py
@@ -32,8 +32,11 @@
 
 PRIMARY_ROLE: Final = "primary"
 POLL_INTERVAL_S: Final = 0.05
-# Time without an answer after which an order is sent again.
-RESEND_S: Final = 1.0
+# Time without an answer after which an order is sent again.  The call
+# goes on, and its connection outlasts a short loss of the path.
+RESEND_S: Final = 3.0
+# Longest pause before an order that was not taken is sent again.
+MAX_PAUSE_S: Final = 1.0
 # An order may take effect before it is answered.
 SLOW_ANSWER_MS: Final = 400
 # Limits the check whether an earlier leader's promotion took effect.
@@ -272,7 +275,7 @@
             if calls.has_verdict:
                 return
             await asyncio.sleep(pause_s)
-            pause_s = min(2 * pause_s, RESEND_S)
+            pause_s = min(2 * pause_s, MAX_PAUSE_S)
 
     async def _read_status(
         self, instance: Instance, order: PromoteTarget, timeout_ms: int
