Follow no promotion that is older than an order in doubt

In a model of the platform, a target that had been promoted by an earlier call was followed while an order for another target, sent after it, was in doubt.

A promotion is followed if its term is above the one that each order in doubt has to exceed: only then can it have come after them.

--- a/src/rosemarysaddle/decide/primaries/_orders_in_doubt.py
+++ b/src/rosemarysaddle/decide/primaries/_orders_in_doubt.py
@@ -95,6 +95,17 @@
         )
         return tuple(dict.fromkeys(targets))
 
+    def newest_term(self, group: str, now_ns: int) -> int:
+        """Return the newest term that orders in doubt are above."""
+        return max(
+            (
+                order.above_term
+                for order in self._orders(group)
+                if not self._end_reason(group, order, now_ns)
+            ),
+            default=0,
+        )
+
     def repeatable(self, group: str, now_ns: int) -> tuple[str, ...]:
         """List the targets in doubt that may be ordered once more.
 
--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -713,6 +713,7 @@
             sync_replicas=self._sync_replicas(change.group),
             known_term=change.known_term,
             in_doubt=in_doubt,
+            doubt_term=self.orders.newest_term(change.group, now_ns),
             repeatable=self.orders.repeatable(change.group, now_ns),
             avoided=self.orders.without_effect(change.group),
         )
--- a/src/rosemarysaddle/decide/primaries/_succession.py
+++ b/src/rosemarysaddle/decide/primaries/_succession.py
@@ -53,6 +53,8 @@
     :param target_term: newest term, as targets number them, in which a
         primary of the group served; 0 if it is not known
     :param known_term: newest term that a target was seen to know of
+    :param doubt_term: newest term that an order in doubt has to exceed;
+        a promotion up to that term is older than the order
     :param repeatable: targets that may be ordered again while they are
         in doubt
     :param in_doubt: targets whose promotion was ordered with an unknown
@@ -77,6 +79,7 @@
     target_term: int = 0
     known_term: int = 0
     in_doubt: Collection[str] = ()
+    doubt_term: int = 0
     repeatable: Collection[str] = ()
     avoided: Collection[str] = ()
     allow_lagging: bool = False
@@ -98,6 +101,7 @@
         sync_replicas: int = 0,
         known_term: int = 0,
         in_doubt: Collection[str] = (),
+        doubt_term: int = 0,
         repeatable: Collection[str] = (),
         avoided: Collection[str] = (),
     ) -> SuccessorCriteria:
@@ -112,6 +116,7 @@
             target_term=0 if term is None else term.target_term,
             known_term=known_term,
             in_doubt=in_doubt,
+            doubt_term=doubt_term,
             repeatable=repeatable,
             avoided=avoided,
             leaving={r.target for r in records if r.leaving},
@@ -174,7 +179,8 @@
     """Find the primary of a later term than the group was served in.
 
     Where that term is not known, the one that the former primary
-    reports stands for it.
+    reports stands for it.  A promotion that is older than an order in
+    doubt does not count, as the order would overtake it.
 
     :return: its report, or None if there is none, or if a later term
         still is known
@@ -185,6 +191,7 @@
     )
     if not served:
         return None
+    served = max(served, criteria.doubt_term)
     newest = newest_known_term(answers, criteria.known_term)
     return next(
         (
--- a/tests/decide/test_succession.py
+++ b/tests/decide/test_succession.py
@@ -328,3 +328,22 @@
     )
 
     assert choose_successor(reports, criteria) is None
+
+
+def test_promotion_that_is_older_than_an_order_in_doubt_is_not_followed() -> (
+    None
+):
+    """Guards against writes that the order in doubt gives up."""
+    criteria = SuccessorCriteria(
+        former="a",
+        leaving=(),
+        target_term=1,
+        in_doubt=("b",),
+        doubt_term=2,
+        repeatable=("b",),
+    )
+    older = _report("c", 3, role="primary", term=2)
+    later = _report("c", 3, role="primary", term=3)
+
+    assert choose_successor([older], criteria) is None
+    assert choose_successor([later], criteria) is later
