Read the targets of a group whose order has timed out

What a review showed on real processes: a target that was promoted late and crashed at once was noticed by nobody for 10 s, in which 2,603 writes were acknowledged at the primary before it. A replica knew of the new term all the while; its status was not read, and answers show the term of its log, which is the former one until a write.

For a minute after an order has timed out, all targets of the group are read about three times a second. A later term that any of them knows of closes the present one.

--- a/src/rosemarysaddle/decide/primaries/_orders_in_doubt.py
+++ b/src/rosemarysaddle/decide/primaries/_orders_in_doubt.py
@@ -32,6 +32,8 @@
 # A change of primary is to be over within 16 s.  Its detection and the
 # fence of the old term take up to 5.3 s, a promotion 1 s.
 MAX_DOUBT_MS: Final = 9_500
+# Time for which the targets are read after an order has timed out.
+WATCH_TIMED_OUT_MS: Final = 60_000
 # A repeat is in doubt for as long, counted from its own start.
 MAX_REPEAT_MS: Final = 4_500
 
@@ -54,6 +56,7 @@
 
     context: LeaderContext
     _groups: set[str] = attrs.field(factory=set, init=False)
+    _watched_until_ns: dict[str, int] = attrs.field(factory=dict, init=False)
     # Since when each target of a group has been ordered, and which ones
     # had no effect, until the group has a primary.
     _ordered_ns: dict[str, dict[str, int]] = attrs.field(
@@ -69,6 +72,7 @@
     def on_elected(self) -> None:
         """Give the orders of earlier leaders their time anew."""
         self._deadlines_ns.clear()
+        self._watched_until_ns.clear()
         self._ordered_ns.clear()
         self._without_effect.clear()
         terms = self.context.state.terms
@@ -145,6 +149,9 @@
         self._deadlines_ns.pop((group, term), None)
         if reason == Settlement.TIMED_OUT:
             self._without_effect.setdefault(group, set()).add(order.target)
+            self._watched_until_ns[group] = (
+                now_ns + WATCH_TIMED_OUT_MS * NS_PER_MS
+            )
         payload = json.dumps({"group": group, "term": term})
         text = (
             f"group={group} target={order.target} term={term}"
@@ -155,6 +162,13 @@
             *self.context.propose(EntryKind.SETTLED, payload, now_ns),
         ]
 
+    def groups_to_watch(self, now_ns: int) -> list[str]:
+        """List groups where an order that timed out may take effect."""
+        for group, until_ns in list(self._watched_until_ns.items()):
+            if now_ns >= until_ns:
+                del self._watched_until_ns[group]
+        return list(self._watched_until_ns)
+
     def tick(self, now_ns: int) -> list[Effect]:
         """End the doubt about orders that are overdue or void."""
         effects: list[Effect] = []
--- a/src/rosemarysaddle/decide/primaries/_roles.py
+++ b/src/rosemarysaddle/decide/primaries/_roles.py
@@ -108,6 +108,9 @@
                 if now_ns < check.retry_at_ns
             }
         effects: list[Effect] = []
+        for group in self.primaries.orders.groups_to_watch(now_ns):
+            if self._watched_term(group) is not None:
+                effects.extend(self._check(group, "", now_ns))
         groups = self._groups_without_term
         for _ in range(min(MAX_CHECKS_AT_ONCE, len(groups))):
             group = groups.popleft()
@@ -269,8 +272,10 @@
         return [LogDecision(event="role-differs", text=text)]
 
     def _check(self, group: str, target: str, now_ns: int) -> list[Effect]:
+        """Read the status of a target, or of all without a name."""
         check = self._checks.setdefault(group, _Check())
-        check.targets.add(target)
+        if target:
+            check.targets.add(target)
         if now_ns < check.retry_at_ns:
             return []
         check.retry_at_ns = now_ns + CHECK_INTERVAL_MS * NS_PER_MS
--- a/tests/decide/test_orders_in_doubt.py
+++ b/tests/decide/test_orders_in_doubt.py
@@ -91,6 +91,24 @@
     assert ordered == [_other(target)]
 
 
+def test_targets_are_read_after_an_order_has_timed_out() -> None:
+    """Guards against a late promotion that only a replica knows of."""
+    harness, target = _order_without_result()
+    _choose(harness, MAX_DOUBT_MS + 1_000, _other(target))
+    harness.promoted(target_term=2, is_settled=True)
+    harness.effects.clear()
+    harness.elapse(500)
+
+    harness.answer(
+        TargetReport(
+            target="t1", reachable=True, role="replica", term=3, position=7
+        )
+    )
+
+    term = harness.leader.state.terms["g"]
+    assert (term.is_open, term.known_term) == (False, 3)
+
+
 def test_repeats_of_an_order_have_an_end() -> None:
     """Guards against one order that is repeated for good."""
     harness, target = _order_without_result()
