Dial a control host less often that sends heartbeats but no answer

What callers saw: nothing.

Cause: a heartbeat counted as an answer, so that it reset the growing time between dials. A heartbeat is sent 400 ms after the last message at the earliest, and a connection counts as silent after 300 ms, so each heartbeat was followed by a dial.

Why this works: a heartbeat shows that the network works, and a further connection brings no answer that the present one would not bring. After two dials the silence that is allowed exceeds the heartbeat interval, so that a living host is not dialled again. An answer resets the time as before.

--- a/src/rosemarysaddle/link/_peers.py
+++ b/src/rosemarysaddle/link/_peers.py
@@ -67,7 +67,8 @@
     :param last_received_at_s: time of the event loop, in seconds
     :param last_sent_at_s: time of the event loop, in seconds
     :param source: name of the peer; empty until it is known
-    :param has_received: whether the peer has sent anything
+    :param has_answered: whether the peer has sent anything besides
+        heartbeats
     """
 
     reader: asyncio.StreamReader
@@ -78,7 +79,7 @@
     last_received_at_s: float
     last_sent_at_s: float = 0.0
     source: str = ""
-    has_received: bool = False
+    has_answered: bool = False
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -326,8 +327,8 @@
             if not self._is_silent(current, peer):
                 connection.writer.transport.abort()
                 return False
-            if not current.has_received:
-                # The network works but the peer's process does not, so
+            if not current.has_answered:
+                # The network works but the peer does not answer, so
                 # further connections would only queue up there.
                 silence_s = self._silence_s.get(peer, RETRY_SILENCE_S)
                 self._silence_s[peer] = min(2 * silence_s, PEER_TIMEOUT_S)
@@ -425,15 +426,18 @@
         if self.network_conditions.is_partitioned(*ip_pair):
             return
         connection.last_received_at_s = asyncio.get_running_loop().time()
-        connection.has_received = True
+        is_heartbeat = isinstance(envelope.body, Heartbeat)
+        if not is_heartbeat:
+            connection.has_answered = True
         if connection.is_outbound:
-            self._silence_s.pop(connection.source, None)
+            if not is_heartbeat:
+                self._silence_s.pop(connection.source, None)
             self._record_regained(connection.source)
         else:
             connection.source = _connection_key(envelope.source)
             self._inbound[connection.source] = connection
             self._send_heartbeat_if_due(connection)
-        if not isinstance(envelope.body, Heartbeat):
+        if not is_heartbeat:
             self.receive(envelope.source, envelope.body)
 
     def _send_heartbeat_if_due(self, connection: _Connection) -> None:
--- a/tests/link/test_retry.py
+++ b/tests/link/test_retry.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 import attrs
+import pytest
 
 from rosemarysaddle._clock import clock_ns
 from rosemarysaddle.decide import EntryNode, Send
@@ -18,12 +19,21 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    import pytest
-
 IP = f"{TEST_NETWORK}.1.7"
 PORT = 17_650
 CONTROL_HOSTS = 3
 TICK_S = 0.1
+MAX_SILENCE_S = 1.2
+
+
+class _ControlNetwork(PeerNetwork):
+    """Connections of a control host that may be frozen."""
+
+    is_frozen = False
+
+    def _send_heartbeat_if_due(self, connection: Any) -> None:
+        if not self.is_frozen:
+            super()._send_heartbeat_if_due(connection)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -37,13 +47,13 @@
     network: Any = None
     node: Any = None
     lossy: Any = None
-    _control: list[PeerNetwork] = attrs.field(factory=list)
+    _control: list[_ControlNetwork] = attrs.field(factory=list)
 
     async def start(self) -> None:
         links = {PORT + n: PORT + 10 + n for n in range(CONTROL_HOSTS)}
         self.lossy = LossyNetwork(ip=IP, targets=links)
         for number in range(CONTROL_HOSTS):
-            host = PeerNetwork(
+            host = _ControlNetwork(
                 host=f"{IP}:{PORT + number}",
                 listen=Address(ip=IP, port=PORT + 10 + number),
                 addresses={},
@@ -74,6 +84,11 @@
         for host in self._control:
             await host.stop()
 
+    def stop_answering(self, *, is_frozen: bool) -> None:
+        self.is_answering = False
+        for host in self._control:
+            host.is_frozen = is_frozen
+
     async def run(self, spent_s: float) -> None:
         loop = asyncio.get_running_loop()
         end_s = loop.time() + spent_s
@@ -194,6 +209,26 @@
     _run(monkeypatch, scenario)
 
 
+@pytest.mark.parametrize("is_frozen", [False, True])
+def test_control_hosts_without_an_answer_are_dialled_less_and_less(
+    monkeypatch: pytest.MonkeyPatch, *, is_frozen: bool
+) -> None:
+    """Guards against a dial after each heartbeat of such a host."""
+
+    async def scenario(deployment: _Deployment) -> None:
+        await deployment.run(1.2)
+        deployment.stop_answering(is_frozen=is_frozen)
+        await deployment.run(3)
+        loop = asyncio.get_running_loop()
+        began_s, dials = loop.time(), deployment.lossy.dials
+        await deployment.run(3)
+        spent_s = loop.time() - began_s
+        per_host = 1 + spent_s / MAX_SILENCE_S
+        assert deployment.lossy.dials - dials <= CONTROL_HOSTS * per_host
+
+    _run(monkeypatch, scenario)
+
+
 def test_retries_of_2600_hosts_stay_below_the_planned_rate() -> None:
     # A fleet that lost its leader must not overload the next one.
     node = EntryNode(host="e", data_center="d", address="", control=["a", "b"])
