Begin no transaction at a stand-in that lost the lead meanwhile

What callers saw: after a change of primary the instances of a group did not converge; one replica stood still at its position for good.

Cause: a write waits for the lock of its stand-in. It looked at the role before it waited and after it had begun a transaction, so where the primary was replaced meanwhile, it began one on a replica. The next record from the new primary then failed with "cannot start a transaction within a transaction", which ended the task that replicates.

Why this works: the role is looked at once the lock is held and before anything begins.

--- a/src/rosemarysaddle/standin/_server.py
+++ b/src/rosemarysaddle/standin/_server.py
@@ -281,6 +281,9 @@
             raise MysqlError(
                 "lock wait timeout exceeded", ER.LOCK_WAIT_TIMEOUT
             ) from error
+        if self._instance.role != PRIMARY:
+            self._instance.write_lock.release()
+            raise MysqlError("instance is no longer the primary", _READ_ONLY)
         self._holds_lock = True
         self._epoch = self._instance.epoch
         self._instance.writer.execute("BEGIN IMMEDIATE")
--- a/tests/target/test_contract.py
+++ b/tests/target/test_contract.py
@@ -313,6 +313,38 @@
     assert fault.kind is FaultKind.READ_ONLY
 
 
+def test_write_that_waited_for_a_replaced_primary_begins_nothing(
+    targets: Targets,
+) -> None:
+    """Guards against a transaction that ends replication to it."""
+    holder, waiter = targets.session(0), targets.session(0)
+    holder.execute(INSERT, ("a", 1))
+    results: list[StatementResult | TargetFault] = []
+    thread = threading.Thread(
+        target=lambda: results.append(waiter.execute(INSERT, ("b", 1)))
+    )
+    thread.start()
+    time.sleep(0.2)
+    new = targets.session(1)
+    assert new.promote(2, start=0) is None
+    assert targets.session(0).follow(primary="t1", term=2, start=0) is None
+
+    assert isinstance(holder.commit(), TargetFault)
+
+    thread.join()
+    fault = results[0]
+    assert isinstance(fault, TargetFault)
+    assert fault.kind is FaultKind.READ_ONLY
+    new.execute(INSERT, ("c", 1))
+    assert new.commit() is None
+    position = _status(new).point.position
+    replica = targets.session(0)
+    deadline_s = time.monotonic() + 5
+    while _status(replica).point.position < position:
+        assert time.monotonic() < deadline_s
+        time.sleep(0.05)
+
+
 def test_connections_are_limited(targets: Targets) -> None:
     sessions = [targets.connect(2) for _ in range(6)]
 
