Let stand-in targets drop connections that have gone silent

Cause: a stand-in counted a frozen connection with a statement under way to its limit for good, and kept its transaction's lock, although the client had closed it. Hosts open new connections beside those; once the limit is reached, the control leader's probes are refused as well. Its change of primary has closed the term by then and probes on without a result: "too few eligible instances answered", attempt 166 after 30 s. The users' pages say that a target drops a connection whose remote end is unreachable after 3 s.

The new test fails before (still full after 4 s).

Why this works: the stand-in rolls such a connection back after 3 s and counts it no longer. Its client is not told and still has to find out by itself.

--- a/src/rosemarysaddle/standin/_server.py
+++ b/src/rosemarysaddle/standin/_server.py
@@ -43,6 +43,8 @@
 
 CUT_POLL_INTERVAL_S: Final = 0.02
 LOCK_WAIT_TIMEOUT_S: Final = 5.0
+# A target drops a connection whose remote end is unreachable by then.
+SILENT_TIMEOUT_S: Final = 3.0
 _READ_ONLY: Final = ER.OPTION_PREVENTS_STATEMENT
 
 Rows = tuple[list[tuple[Any, ...]], list[str]]
@@ -62,9 +64,13 @@
     connect_ms: float = 0.0
     sessions: set[_Session] = attrs.field(factory=set, init=False)
     _server: MysqlServer | None = attrs.field(default=None, init=False)
+    _loop: asyncio.AbstractEventLoop | None = attrs.field(
+        default=None, init=False
+    )
 
     async def start(self) -> None:
         """Start listening."""
+        self._loop = asyncio.get_running_loop()
         self._server = _Listener(
             server=self,
             session_factory=self._create_session,
@@ -95,9 +101,19 @@
         await self.start()
 
     def freeze_connections(self) -> None:
-        """Stop answering on all open connections; new ones work."""
-        for session in self.sessions:
+        """Stop answering on all open connections; new ones work.
+
+        The target drops them after ``SILENT_TIMEOUT_S``, which their
+        clients do not learn.
+        """
+        frozen = list(self.sessions)
+        for session in frozen:
             session.frozen = True
+        loop = self._loop
+        if loop is not None:
+            loop.call_soon_threadsafe(
+                loop.call_later, SILENT_TIMEOUT_S, _drop, frozen
+            )
 
     async def simulate_connect(self, peer_ip: str) -> None:
         """Wait as long as a new connection takes.
@@ -119,6 +135,11 @@
         return session
 
 
+def _drop(sessions: Sequence[_Session]) -> None:
+    for session in sessions:
+        session.drop()
+
+
 class _Listener(MysqlServer):
     def __init__(self, *, server: StandInServer, **kwargs: Any) -> None:
         super().__init__(**kwargs)
@@ -160,12 +181,18 @@
         self._instance = instance
 
     async def add(self, connection: Connection) -> int:
-        if len(self._connections) >= self._instance.connections:
+        held = [c for c in self._connections.values() if _is_held(c)]
+        if len(held) >= self._instance.connections:
             raise TooManyConnections
         connection_id: int = await super().add(connection)
         return connection_id
 
 
+def _is_held(connection: Connection) -> bool:
+    session = connection.session
+    return not (isinstance(session, _Session) and session.is_dropped)
+
+
 class _Session(BaseSession):
     """One connection to a stand-in."""
 
@@ -174,6 +201,7 @@
         self.username = None
         self.database = None
         self.frozen = False
+        self.is_dropped = False
         self._server = server
         self._instance = server.instance
         self._epoch = server.instance.epoch
@@ -204,6 +232,11 @@
         if self._connection is not None:
             self._connection.stream.writer.transport.abort()
 
+    def drop(self) -> None:
+        """Roll back; the client is not told."""
+        self.is_dropped = True
+        self._rollback()
+
     async def handle_query(self, sql: str, attrs: dict[str, str]) -> Any:
         """Run one statement with the simulated delays and faults."""
         del attrs
@@ -281,7 +314,7 @@
             raise MysqlError(
                 "lock wait timeout exceeded", ER.LOCK_WAIT_TIMEOUT
             ) from error
-        if self._instance.role != PRIMARY:
+        if self.is_dropped or self._instance.role != PRIMARY:
             self._instance.write_lock.release()
             raise MysqlError("instance is no longer the primary", _READ_ONLY)
         self._holds_lock = True
--- a/tests/target/test_contract.py
+++ b/tests/target/test_contract.py
@@ -38,6 +38,7 @@
 INSERT = "INSERT INTO t (k, v) VALUES (%s, %s)"
 SELECT = "SELECT k, v FROM t ORDER BY k"
 TIMEOUT_NS = 5_000_000_000
+MAX_SILENT_S = 4.0
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -377,6 +378,33 @@
     assert isinstance(targets.session(0).read(SELECT, ()), StatementResult)
 
 
+def test_frozen_connections_count_for_a_bounded_time(
+    targets: Targets,
+) -> None:
+    """Guards against a target that stays full after such a fault."""
+    sessions = [targets.session(0) for _ in range(4)]
+    assert not isinstance(sessions[0].execute(INSERT, ("a", 1)), TargetFault)
+    targets.servers[0].freeze_connections()
+    deadline_s = time.monotonic() + MAX_SILENT_S
+    for session in sessions:
+        session.set_deadline(time.monotonic_ns() + 50_000_000)
+        assert isinstance(session.read(SELECT, ()), TargetFault)
+        session.close()
+
+    fault = targets.connect(0)
+
+    assert isinstance(fault, TargetFault)
+    assert fault.kind is FaultKind.FULL
+    while isinstance(targets.connect(0), TargetFault):
+        assert time.monotonic() < deadline_s
+        time.sleep(0.05)
+    result = targets.session(0).read(INSERT, ("b", 2))
+    assert not isinstance(result, TargetFault)
+    rows = targets.session(0).read(SELECT, ())
+    assert isinstance(rows, StatementResult)
+    assert rows.rows == (("b", 2),)
+
+
 def test_interrupt_ends_a_statement_of_another_thread(
     targets: Targets,
 ) -> None:
