Settle an order in doubt once

An order that had ended was settled with each tick until the entry was committed, and its time-out began anew in between. What was remembered of the orders of one outage stayed for the next one, in which the target could then not be ordered again.

Found by a review; the test failed before (two entries in a second).

--- a/src/rosemarysaddle/decide/primaries/_orders_in_doubt.py
+++ b/src/rosemarysaddle/decide/primaries/_orders_in_doubt.py
@@ -45,6 +45,7 @@
     REFUSED: Final = "refused"
     TARGET_GONE: Final = "target-gone"
     TIMED_OUT: Final = "timed-out"
+    RECORDED: Final = "recorded"
 
 
 @attrs.define(kw_only=True)
@@ -65,13 +66,16 @@
     _without_effect: dict[str, set[str]] = attrs.field(
         factory=dict, init=False
     )
-    _deadlines_ns: dict[tuple[str, int], int] = attrs.field(
+    # By group, and by the term that the order opened.
+    _deadlines_ns: dict[str, dict[int, int]] = attrs.field(
         factory=dict, init=False
     )
+    _settling: dict[str, set[int]] = attrs.field(factory=dict, init=False)
 
     def on_elected(self) -> None:
         """Give the orders of earlier leaders their time anew."""
         self._deadlines_ns.clear()
+        self._settling.clear()
         self._watched_until_ns.clear()
         self._ordered_ns.clear()
         self._without_effect.clear()
@@ -144,9 +148,10 @@
         """
         current = self.context.state.terms.get(group)
         order = None if current is None else current.order_of(term)
-        if order is None:
+        settling = self._settling.setdefault(group, set())
+        if order is None or term in settling:
             return []
-        self._deadlines_ns.pop((group, term), None)
+        settling.add(term)
         if reason == Settlement.TIMED_OUT:
             self._without_effect.setdefault(group, set()).add(order.target)
             self._watched_until_ns[group] = (
@@ -175,7 +180,7 @@
         for group in sorted(self._groups):
             orders = self._orders(group)
             if not orders:
-                self._groups.discard(group)
+                self._forget(group)
             for order in orders:
                 reason = self._end_reason(group, order, now_ns)
                 if reason:
@@ -184,6 +189,13 @@
                     )
         return effects
 
+    def _forget(self, group: str) -> None:
+        """Forget the orders of a group, none of which is in doubt."""
+        self._groups.discard(group)
+        self._deadlines_ns.pop(group, None)
+        self._settling.pop(group, None)
+        self._ordered_ns.pop(group, None)
+
     def _orders(self, group: str) -> tuple[PromotionInDoubt, ...]:
         term = self.context.state.terms.get(group)
         return () if term is None else term.in_doubt
@@ -192,11 +204,13 @@
         self, group: str, order: PromotionInDoubt, now_ns: int
     ) -> str:
         """Tell why an order counts as ended; empty if it does not."""
+        if order.term in self._settling.get(group, ()):
+            return Settlement.RECORDED
         record = self.context.state.targets.records.get(order.target)
         if record is None or record.group != group:
             return Settlement.TARGET_GONE
         self._ordered_ns.setdefault(group, {}).setdefault(order.target, now_ns)
-        deadline_ns = self._deadlines_ns.setdefault(
-            (group, order.term), now_ns + MAX_DOUBT_MS * NS_PER_MS
+        deadline_ns = self._deadlines_ns.setdefault(group, {}).setdefault(
+            order.term, now_ns + MAX_DOUBT_MS * NS_PER_MS
         )
         return Settlement.TIMED_OUT if now_ns >= deadline_ns else ""
--- a/tests/decide/test_orders_in_doubt.py
+++ b/tests/decide/test_orders_in_doubt.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import json
+from typing import Any
 
 from rosemarysaddle.decide import (
     ClusterState,
+    EntryKind,
     LogDecision,
     PromoteTarget,
     TargetReport,
@@ -109,6 +111,24 @@
     assert (term.is_open, term.known_term) == (False, 3)
 
 
+def test_order_is_settled_once() -> None:
+    """Guards against entries that are proposed with each tick."""
+    harness, _ = _order_without_result()
+    proposed: list[str] = []
+
+    def propose(kind: str, payload: str, now_ns: int) -> list[Any]:
+        # The entry is never committed.
+        del payload, now_ns
+        proposed.append(kind)
+        return []
+
+    harness.leader._context.propose = propose
+
+    harness.elapse(MAX_DOUBT_MS + 1_000)
+
+    assert proposed.count(EntryKind.SETTLED) == 1
+
+
 def test_repeats_of_an_order_have_an_end() -> None:
     """Guards against one order that is repeated for good."""
     harness, target = _order_without_result()
