Pause between promotions that fail again and again

From the second failure of an outage on, the next change pauses before it reads its targets: 0.2 s, doubled each time, at most 2 s.

--- a/src/rosemarysaddle/decide/primaries/_change.py
+++ b/src/rosemarysaddle/decide/primaries/_change.py
@@ -88,6 +88,7 @@
         holds all its writes soon after the fence
     :param fence_deadlines_ns: lease deadline of each host that may
         still write under the old term
+    :param probe_from_ns: time before which no instance is probed
     :param attempt: number of the latest probe
     :param retry_at_ns: time of the next probe
     :param candidate_deadline_ns: time from which another instance than
@@ -115,6 +116,7 @@
     keeps_former: bool = False
     phase: Phase = Phase.CLOSE
     fence_deadlines_ns: dict[str, int] = attrs.field(factory=dict)
+    probe_from_ns: int = 0
     attempt: int = 0
     retry_at_ns: int = 0
     candidate_deadline_ns: int = 0
--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -75,6 +75,10 @@
 # The result of a promotion arrives within this time after its deadline.
 PROMOTE_RESULT_MS: Final = 1_000
 RETRY_DELAY_MS: Final = 100
+# Pause after the second failed promotion of an outage; doubles with
+# each further one.
+FAILED_PAUSE_MS: Final = 200
+MAX_FAILED_PAUSE_MS: Final = 2_000
 # Suspicions of a new primary are ignored for this long.
 NEW_PRIMARY_GRACE_MS: Final = 1_500
 CANDIDATE_TIMEOUT_MS: Final = 5_000
@@ -112,6 +116,7 @@
         factory=dict, init=False
     )
     _grace_until_ns: dict[str, int] = attrs.field(factory=dict, init=False)
+    _failed_promotions: dict[str, int] = attrs.field(factory=dict, init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the list of orders in doubt."""
@@ -120,6 +125,7 @@
     def on_elected(self) -> None:
         """Reset the state when this host is elected leader."""
         self._evidence.clear()
+        self._failed_promotions.clear()
         self.orders.on_elected()
         state = self.context.state
         self._groups_to_open = {*state.inventory.groups, *state.routes.groups}
@@ -261,16 +267,16 @@
         if not done:
             if not self.context.leads(now_ns):
                 return settled
-            return [
-                *settled,
-                *self.start_change(
-                    group, term, now_ns, reason=ChangeReason.PROMOTION_FAILED
-                ),
-            ]
+            started = self.start_change(
+                group, term, now_ns, reason=ChangeReason.PROMOTION_FAILED
+            )
+            self._pause(group, now_ns)
+            return [*settled, *started]
         self.times.append(change.times(now_ns))
         del self.times[:-MAX_KEPT_TIMES]
         self._groups_to_open.discard(group)
         self._evidence.pop(group, None)
+        self._failed_promotions.pop(group, None)
         self.orders.end_outage(group)
         if self._is_route_group(group):
             self._grace_until_ns[group] = (
@@ -289,6 +295,20 @@
         serving = self.context.propose(EntryKind.SERVING, payload, now_ns)
         return [log, *settled, *serving, *self._order_replicas(group)]
 
+    def _pause(self, group: str, now_ns: int) -> None:
+        """Let a change wait after repeated failures.
+
+        A platform that refuses each order at once takes few a second.
+        """
+        failures = self._failed_promotions.get(group, 0)
+        self._failed_promotions[group] = failures + 1
+        change = self.changes.get(group)
+        if change is not None and failures:
+            pause_ms = min(
+                FAILED_PAUSE_MS << (failures - 1), MAX_FAILED_PAUSE_MS
+            )
+            change.probe_from_ns = now_ns + pause_ms * NS_PER_MS
+
     def is_new_primary(self, group: str, now_ns: int) -> bool:
         """Tell whether a group's primary was promoted just now."""
         return now_ns < self._grace_until_ns.get(group, 0)
@@ -611,7 +631,11 @@
         if self.context.state.group(change.group) is None:
             self.changes.pop(change.group, None)
             return []
-        if change.phase is Phase.FENCE and self._is_fenced(change, now_ns):
+        if (
+            change.phase is Phase.FENCE
+            and now_ns >= change.probe_from_ns
+            and self._is_fenced(change, now_ns)
+        ):
             change.fenced_ns = now_ns
             change.phase = Phase.PROBE
             return self._probe(change, now_ns)
--- a/tests/decide/test_orders_in_doubt.py
+++ b/tests/decide/test_orders_in_doubt.py
@@ -111,6 +111,17 @@
     assert (term.is_open, term.known_term) == (False, 3)
 
 
+def test_refused_orders_are_repeated_less_and_less() -> None:
+    """Guards against one group that takes all calls of the platform."""
+    harness = Harness.open()
+    harness.replace_primary()
+
+    ordered = harness.run(10_000, ("t2", "t3"), promotions_succeed=False)
+
+    # After 0, 0, 0.2, 0.4, 0.8 and 1.6 s, then each 2 s.
+    assert 5 <= len(ordered) <= 10
+
+
 def test_order_is_settled_once() -> None:
     """Guards against entries that are proposed with each tick."""
     harness, _ = _order_without_result()
