Reuse no former primary that came back empty

What a review showed on real processes, with one synchronous replica: the former primary restarted empty under its name; after 5 s it was opened again (primary-chosen log=1.0 lagging_allowed=True), although the other targets held 52 and 497 more entries. The code before has the same rule.

It is reused for want of a replica that is known to hold all writes only while it still is the primary of the term that it served. The test failed before with lagging allowed.

--- a/src/rosemarysaddle/decide/primaries/_succession.py
+++ b/src/rosemarysaddle/decide/primaries/_succession.py
@@ -277,7 +277,9 @@
     best = max(candidates, key=_progress)
     if criteria.sync_replicas and not _holds_all(best, reports, criteria):
         reuses = criteria.reuse_former or criteria.allow_lagging
-        return _reuse_former(former, criteria) if reuses else None
+        if not reuses or not _vouches(former, criteria):
+            return None
+        return _reuse_former(former, criteria)
     lags = former is not None and (
         not _has_status(former) or _progress(best) < _progress(former)
     )
@@ -306,18 +308,26 @@
     answers = [r for r in reports if r.reachable and _has_status(r)]
     if any(_progress(r) > _progress(best) for r in answers):
         return False
-    if any(
-        r.target == criteria.former
-        and r.role == PRIMARY_ROLE
-        and r.term >= criteria.target_term
-        for r in answers
-    ):
+    former = next((r for r in answers if r.target == criteria.former), None)
+    if _vouches(former, criteria):
         return True
     replicas = [r for r in answers if r.target != criteria.former]
     needed = criteria.replicas - criteria.sync_replicas + 1
     return len(replicas) >= needed
 
 
+def _vouches(former: TargetReport | None, criteria: SuccessorCriteria) -> bool:
+    """Tell whether the former primary still has all that it had.
+
+    One that restarted may have come back with an empty log.
+    """
+    return (
+        former is not None
+        and former.role == PRIMARY_ROLE
+        and former.term >= criteria.target_term
+    )
+
+
 def _find_candidates(
     reports: Sequence[TargetReport], criteria: SuccessorCriteria
 ) -> list[TargetReport]:
--- a/tests/decide/test_succession.py
+++ b/tests/decide/test_succession.py
@@ -314,8 +314,9 @@
         ),
     ],
 )
+@pytest.mark.parametrize("allow_lagging", [False, True])
 def test_former_primary_vouches_only_in_the_term_that_it_served(
-    reports: list[TargetReport],
+    reports: list[TargetReport], *, allow_lagging: bool
 ) -> None:
     """Guards against the loss of what a silent replica acknowledged."""
     criteria = SuccessorCriteria(
@@ -323,6 +324,7 @@
         leaving=(),
         target_term=4,
         others_stay=True,
+        allow_lagging=allow_lagging,
         sync_replicas=1,
         replicas=2,
     )
