Give out no rows from before a position that is known

The answer's term was compared with the known one, not its position. The whole position is now, where the term of the primary is recorded; without one, a promotion may have gone unseen that rolled the known position back.

--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -102,13 +102,13 @@
 
     :param after: log position that the target must have reached, or
         None for the primary
-    :param min_term: term that the log of the primary must have reached,
-        which its answer shows; 0 for a replica
+    :param min_point: position that the log of the primary must have
+        reached, which its answer shows; None for a replica
     """
 
     target: str
     after: LogPoint | None
-    min_term: int = 0
+    min_point: LogPoint | None = None
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -271,35 +271,44 @@
             return None
         if chosen.target != primary:
             return ReadTarget(target=chosen.target, after=point)
-        min_term = self.required_term(group, session_point)
-        return ReadTarget(target=chosen.target, after=None, min_term=min_term)
+        min_point = self.required_point_of_primary(group, session_point)
+        return ReadTarget(
+            target=chosen.target, after=None, min_point=min_point
+        )
 
-    def required_term(self, group: str, session_point: LogPoint | None) -> int:
-        """Find the term that the log of a group's primary must show.
+    def required_point_of_primary(
+        self, group: str, session_point: LogPoint | None
+    ) -> LogPoint | None:
+        """Find the position that a group's primary must have reached.
 
         A primary that was promoted after the newest known position may
         lack it: what it lacks has been rolled back.
 
         :param session_point: log position of the session's newest write
+        :return: the position, or None if none is known
         """
         known = newer_point(session_point, self.positions.newest(group))
         term = self.node.state.terms.get(group)
-        if known is None or (
-            term is not None and term.target_term > known.term
-        ):
-            return 0
-        return known.term
+        served = term.target_term if term is not None else 0
+        if known is None or served > known.term:
+            return None
+        # Without a recorded term, a promotion may have gone unseen.
+        return known if served else LogPoint(term=known.term, position=0)
 
     def confirm_read(
-        self, group: str, target: str, answer: Answer, min_term: int
+        self,
+        group: str,
+        target: str,
+        answer: Answer,
+        min_point: LogPoint | None,
     ) -> bool:
         """Check that a read has run on a log that is recent enough.
 
-        :param min_term: term that the log must have reached
+        :param min_point: position that the log must have reached
         :return: False if its rows must not be given to the caller
         """
         return answer.fault is not None or self.target_terms.confirm(
-            group, target, answer.point, clock_ns(), min_term=min_term
+            group, target, answer.point, clock_ns(), min_point=min_point
         )
 
     # --- writes ---
@@ -388,7 +397,9 @@
             ticket.primary,
             answer.point,
             clock_ns(),
-            min_term=max(ticket.target_term, known_term),
+            min_point=LogPoint(
+                term=max(ticket.target_term, known_term), position=0
+            ),
             has_written=True,
         )
 
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -187,7 +187,7 @@
             if queue is not None:
                 queue.leave()
         if self.router.confirm_read(
-            route.group, read_target.target, answer, read_target.min_term
+            route.group, read_target.target, answer, read_target.min_point
         ):
             return answer
         return Answer(fault=FaultCode.BEHIND, text="replaced primary")
@@ -301,7 +301,7 @@
             transaction.route.group,
             transaction.target,
             answer,
-            transaction.min_term,
+            transaction.min_point,
         )
         is_open = answer.state is SessionState.TRANSACTION
         if answer.fault is None and is_open and is_current:
@@ -474,11 +474,11 @@
         if isinstance(ticket, Refusal):
             return FaultCode.READ_ONLY
         transaction.ticket = ticket
-        min_term = self.router.required_term(
+        min_point = self.router.required_point_of_primary(
             route.group, self.points.get(route.group)
         )
         primary = ReadTarget(
-            target=ticket.primary, after=None, min_term=min_term
+            target=ticket.primary, after=None, min_point=min_point
         )
         fault: FaultCode | None = FaultCode.OTHER
         try:
@@ -519,13 +519,13 @@
             self._release(connection)
             return answer.fault
         if not self.router.confirm_read(
-            transaction.route.group, target, answer, read_target.min_term
+            transaction.route.group, target, answer, read_target.min_point
         ):
             # Closes the connection, as it is in a transaction.
             self._release(connection)
             return FaultCode.BEHIND
         self.has_run = True
-        transaction.min_term = read_target.min_term
+        transaction.min_point = read_target.min_point
         transaction.connection = connection
         transaction.target = target
         return None
--- a/src/rosemarysaddle/session/_target_terms.py
+++ b/src/rosemarysaddle/session/_target_terms.py
@@ -13,7 +13,7 @@
 import attrs
 
 from rosemarysaddle._events import log_event
-from rosemarysaddle.decide import FaultCode
+from rosemarysaddle.decide import FaultCode, newer_point
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -103,7 +103,7 @@
         point: LogPoint | None,
         now_ns: int,
         *,
-        min_term: int,
+        min_point: LogPoint | None,
         has_written: bool = False,
     ) -> bool:
         """Check the log on which a primary has run a statement.
@@ -111,12 +111,13 @@
         An earlier one than that of the group is reported.
 
         :param point: position that the target reported with the answer
-        :param min_term: newest term that is known of the group
+        :param min_point: newest position that is known of the group, or
+            None
         :param has_written: whether the statement has committed a write
         :return: False if the answer must not be given to the caller, as
             the primary had been replaced
         """
-        if point is None or point.term >= min_term:
+        if point is None or newer_point(point, min_point) is point:
             return True
         conflict = (
             _Conflict.WRITE_BELOW_KNOWN
@@ -126,7 +127,7 @@
         log_event(
             "target-term",
             f"reason={conflict} {self._describe(group, target, point)}"
-            f" known={min_term} action=withheld",
+            f" known={min_point} action=withheld",
         )
         effects = self.node.report_earlier_term(
             group, target, point.term, now_ns
--- a/src/rosemarysaddle/session/_transaction.py
+++ b/src/rosemarysaddle/session/_transaction.py
@@ -8,7 +8,7 @@
 
 if TYPE_CHECKING:
     from rosemarysaddle.connection import TargetConnection
-    from rosemarysaddle.decide import WriteTicket
+    from rosemarysaddle.decide import LogPoint, WriteTicket
     from rosemarysaddle.schema import Route
 
 __all__ = ("Transaction",)
@@ -22,8 +22,8 @@
         its first statement and after its end
     :param target: target at which it has begun, or empty
     :param ticket: ticket for the primary if it may write, once begun
-    :param min_term: term that the log of the primary must have reached
-        when it was begun; 0 at a replica
+    :param min_point: position that the log of the primary must have
+        reached when it was begun, or None at a replica
     :param has_written: whether it has run a write
     :param team: team for which it was begun, or empty
     :param retry_after_ms: time after which a connection may be free for
@@ -35,7 +35,7 @@
     connection: TargetConnection | None = None
     target: str = ""
     ticket: WriteTicket | None = None
-    min_term: int = 0
+    min_point: LogPoint | None = None
     has_written: bool = False
     team: str = ""
     retry_after_ms: int = 0
--- a/tests/session/test_target_terms.py
+++ b/tests/session/test_target_terms.py
@@ -373,3 +373,28 @@
     assert len(refused) == 1
     assert "position=2.84" in refused[0]
     assert refused[0].endswith("after=2.84 own=-")
+
+
+@pytest.mark.parametrize(
+    ("observed", "is_current"),
+    [
+        (LogPoint(term=2, position=83), False),
+        (LogPoint(term=2, position=84), True),
+        (LogPoint(term=3, position=1), True),
+    ],
+)
+def test_rows_from_before_a_known_position_are_not_given_out(
+    observed: LogPoint, *, is_current: bool
+) -> None:
+    """Guards against a primary that came back with a shorter log."""
+
+    def check(router: Router) -> None:
+        own = LogPoint(term=2, position=84)
+        needed = router.required_point_of_primary(GROUP, own)
+        answer = Answer(point=observed)
+
+        assert router.confirm_read(GROUP, PRIMARY, answer, needed) is (
+            is_current
+        )
+
+    _with_router(check)
