--- a/src/rosemarysaddle/soak/_log_checks.py
+++ b/src/rosemarysaddle/soak/_log_checks.py
@@ -183,8 +183,18 @@
 
 
 def _rolled_back_s(entry: Entry, promotions: Sequence[Promotion]) -> float:
+    """Return when a promotion rolled a commit back, or infinity.
+
+    A commit at an old primary after a promotion was not rolled back by
+    that one.
+    """
     return min(
-        (p.at_s for p in promotions if _lacks(p, entry)), default=math.inf
+        (
+            p.at_s
+            for p in promotions
+            if _lacks(p, entry) and entry.at_s <= p.at_s + SENDER_SLACK_S
+        ),
+        default=math.inf,
     )
 
 
