--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -15,7 +15,6 @@
 from rosemarysaddle.decide._effects import (
     Effect,
     FollowPrimary,
-    LogDecision,
     ProbeGroup,
     PromoteTarget,
     Send,
@@ -23,6 +22,7 @@
 )
 from rosemarysaddle.decide._times import NS_PER_MS
 from rosemarysaddle.decide.control_log._state import EntryKind
+from rosemarysaddle.decide.primaries._announced_choice import AnnouncedChoice
 from rosemarysaddle.decide.primaries._change import (
     ChangeReason,
     ChangeTimes,
@@ -33,17 +33,11 @@
     eligible_reports,
     promotion_quorum,
 )
+from rosemarysaddle.decide.primaries._change_log import log_serving, log_start
 from rosemarysaddle.decide.primaries._orders_in_doubt import (
     OrdersInDoubt,
     Settlement,
 )
-from rosemarysaddle.decide.primaries._succession import (
-    SuccessorCriteria,
-    choose_successor,
-    needs_order,
-    newest_known_term,
-    registered_reports,
-)
 from rosemarysaddle.schema import (
     Announcement,
     CloseGroup,
@@ -83,9 +77,6 @@
 NEW_PRIMARY_GRACE_MS: Final = 1_500
 CANDIDATE_TIMEOUT_MS: Final = 5_000
 MAX_KEPT_TIMES: Final = 256
-# A replica receives the last writes within a round trip, and a second
-# probe finds one whose status could not be read at first.
-CATCH_UP_TIMEOUT_MS: Final = 600
 # A change numbers its probes from 1.  Two others here have numbers of
 # their own: the probe that confirms a suspicion, and the warm-up probe,
 # which only opens the connections for the next one; its result is
@@ -110,6 +101,7 @@
     changes: dict[str, GroupChange] = attrs.field(factory=dict)
     times: list[ChangeTimes] = attrs.field(factory=list)
     orders: OrdersInDoubt = attrs.field(init=False)
+    _announced_choice: AnnouncedChoice = attrs.field(init=False)
     _evidence: dict[str, Evidence] = attrs.field(factory=dict, init=False)
     _groups_to_open: set[str] = attrs.field(factory=set, init=False)
     _confirming_until_ns: dict[str, int] = attrs.field(
@@ -119,8 +111,11 @@
     _failed_promotions: dict[str, int] = attrs.field(factory=dict, init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create the list of orders in doubt."""
+        """Create the parts for groups of the route plan."""
         self.orders = OrdersInDoubt(context=self.context)
+        self._announced_choice = AnnouncedChoice(
+            context=self.context, orders=self.orders
+        )
 
     def on_elected(self) -> None:
         """Reset the state when this host is elected leader."""
@@ -285,13 +280,7 @@
         payload = json.dumps(
             {"group": group, "term": term, "target_term": target_term}
         )
-        log = LogDecision(
-            event="primary-serves",
-            text=f"group={group} term={term} primary={change.chosen}"
-            f" target_term={target_term} reason={change.reason}"
-            f" ordered={change.may_order} settled={is_settled}"
-            f" spent_ms={(now_ns - change.started_ns) // NS_PER_MS}",
-        )
+        log = log_serving(change, target_term, now_ns, is_settled=is_settled)
         serving = self.context.propose(EntryKind.SERVING, payload, now_ns)
         return [log, *settled, *serving, *self._order_replicas(group)]
 
@@ -545,8 +534,14 @@
         )
         payload = json.dumps({"group": group, "term": term})
         effects = [
-            self._log_start(self.changes[group], now_ns),
-            *self._record_seen(self.changes[group], known_term, now_ns),
+            log_start(
+                self.changes[group],
+                self.context.state.terms.get(group),
+                self.orders.targets(group, now_ns),
+            ),
+            *self._announced_choice.record_seen(
+                self.changes[group], known_term, now_ns
+            ),
             *self.context.propose(EntryKind.CLOSE, payload, now_ns),
         ]
         if is_warm:
@@ -559,35 +554,6 @@
         )
         return [*effects, warm_up]
 
-    def _record_seen(
-        self, change: GroupChange, known_term: int, now_ns: int
-    ) -> list[Effect]:
-        """Record a term that a target knows of, if it is later."""
-        term = self.context.state.terms.get(change.group)
-        recorded = 0 if term is None else term.known_term
-        change.known_term = max(change.known_term, recorded)
-        if term is None or known_term <= change.known_term:
-            return []
-        change.known_term = known_term
-        payload = json.dumps(
-            {"group": change.group, "target_term": known_term}
-        )
-        return self.context.propose(EntryKind.SEEN, payload, now_ns)
-
-    def _log_start(self, change: GroupChange, now_ns: int) -> Effect:
-        term = self.context.state.terms.get(change.group)
-        primary = "-" if term is None else term.primary
-        target_term = 0 if term is None else term.target_term
-        in_doubt = self.orders.targets(change.group, now_ns)
-        return LogDecision(
-            event="change-started",
-            text=f"group={change.group} term={change.term}"
-            f" primary={primary} target_term={target_term}"
-            f" reason={change.reason or '-'}"
-            f" preferred={change.preferred or '-'}"
-            f" in_doubt={','.join(in_doubt) or '-'}",
-        )
-
     def _fence(self, change: GroupChange, now_ns: int) -> list[Effect]:
         change.begin_fence(self.context.leases.deadlines_ns(now_ns))
         close = CloseGroup(
@@ -656,7 +622,7 @@
     def _probe(self, change: GroupChange, now_ns: int) -> list[Effect]:
         change.attempt += 1
         timeout_ms = PROBE_TIMEOUT_MS
-        if self._sync_replicas(change.group):
+        if self._announced_choice.sync_replicas(change.group):
             # The one slow replica may be the one that is needed.
             timeout_ms *= min(change.attempt, MAX_PROBE_TIMEOUTS)
         deadline_ns = now_ns + timeout_ms * NS_PER_MS
@@ -689,7 +655,13 @@
         now_ns: int,
     ) -> list[Effect]:
         if self._is_route_group(change.group):
-            return self._choose_announced(change, reports, now_ns)
+            announced, effects = self._announced_choice.choose(
+                change, reports, now_ns
+            )
+            if announced is None:
+                change.retry_at_ns = now_ns + RETRY_DELAY_MS * NS_PER_MS
+                return effects
+            return [*effects, *self._open(change, announced, (), now_ns)]
         count = len(self.context.instances(change.group))
         eligible = eligible_reports(
             reports, self.context.identities(change.group)
@@ -710,90 +682,6 @@
             return self._probe(change, now_ns)
         return self._open(change, choice, eligible, now_ns)
 
-    def _sync_replicas(self, group: str) -> int:
-        policy = self.context.state.routes.groups.get(group)
-        return 0 if policy is None else policy.sync_replicas
-
-    def _choose_announced(
-        self,
-        change: GroupChange,
-        reports: Sequence[TargetReport],
-        now_ns: int,
-    ) -> list[Effect]:
-        state = self.context.state
-        records = state.targets.of_group(change.group)
-        reports = registered_reports(reports, records)
-        in_doubt = self.orders.targets(change.group, now_ns)
-        seen = self._record_seen(
-            change, newest_known_term(reports, change.known_term), now_ns
-        )
-        criteria = SuccessorCriteria.of_group(
-            state.terms.get(change.group),
-            records,
-            allow_lagging=now_ns >= change.candidate_deadline_ns,
-            keeps_former=change.keeps_former,
-            reuse_former=change.keeps_former
-            and now_ns >= change.fenced_ns + CATCH_UP_TIMEOUT_MS * NS_PER_MS,
-            sync_replicas=self._sync_replicas(change.group),
-            known_term=change.known_term,
-            in_doubt=in_doubt,
-            doubt_term=self.orders.newest_term(change.group, now_ns),
-            repeatable=self.orders.repeatable(change.group, now_ns),
-            avoided=self.orders.without_effect(change.group),
-        )
-        choice = choose_successor(reports, criteria)
-        if choice is None:
-            change.retry_at_ns = now_ns + RETRY_DELAY_MS * NS_PER_MS
-            reason = (
-                f"the promotion of {','.join(in_doubt)} may yet take effect"
-                if in_doubt
-                else "no eligible target is known to hold all writes of the"
-                " primary"
-            )
-            return [*seen, *self._block(change, reason, now_ns)]
-        change.may_order = needs_order(choice, reports, change.known_term)
-        change.may_be_primary = not change.may_order
-        change.above_term = (
-            change.known_term if change.may_order else choice.term - 1
-        )
-        log = self._log_choice(change, choice, criteria, now_ns)
-        return [*seen, log, *self._open(change, choice, (), now_ns)]
-
-    def _block(
-        self, change: GroupChange, reason: str, now_ns: int
-    ) -> list[Effect]:
-        """Record why no primary can be chosen yet, once a reason."""
-        if change.blocked_reason == reason:
-            return []
-        change.blocked_reason = reason
-        spent_ms = (now_ns - change.started_ns) // NS_PER_MS
-        text = (
-            f"group={change.group} term={change.term} spent_ms={spent_ms}"
-            f" reason={reason!r}"
-        )
-        return [LogDecision(event="change-waits", text=text)]
-
-    def _log_choice(
-        self,
-        change: GroupChange,
-        choice: TargetReport,
-        criteria: SuccessorCriteria,
-        now_ns: int,
-    ) -> Effect:
-        age_ms = (now_ns - choice.asked_ns) // NS_PER_MS
-        return LogDecision(
-            event="primary-chosen",
-            text=f"group={change.group} term={change.term}"
-            f" former={criteria.former or '-'}"
-            f" target_term={criteria.target_term}"
-            f" known_term={criteria.known_term} target={choice.target}"
-            f" role={choice.role} observed_term={choice.term}"
-            f" log={choice.progress[0]}.{choice.position} age_ms={age_ms}"
-            f" order={change.may_order} above_term={change.above_term}"
-            f" lagging_allowed={criteria.allow_lagging}"
-            f" in_doubt={','.join(criteria.in_doubt) or '-'}",
-        )
-
     def _open(
         self,
         change: GroupChange,
--- a/tests/decide/test_relief.py
+++ b/tests/decide/test_relief.py
@@ -10,7 +10,9 @@
     PromoteTarget,
     TargetReport,
 )
-from rosemarysaddle.decide.primaries._primaries import CATCH_UP_TIMEOUT_MS
+from rosemarysaddle.decide.primaries._announced_choice import (
+    CATCH_UP_TIMEOUT_MS,
+)
 from rosemarysaddle.decide.primaries._relief import (
     COOL_DOWN_MS,
     MIN_DURATION_MS,
