Order a target in doubt again for as long as the group waits for it

Repeats begin within 10 s of the first order now, and the doubt about all of them ends 14 s after it.

--- a/src/rosemarysaddle/decide/primaries/_orders_in_doubt.py
+++ b/src/rosemarysaddle/decide/primaries/_orders_in_doubt.py
@@ -34,8 +34,10 @@
 MAX_DOUBT_MS: Final = 9_500
 # Time for which the targets are read after an order has timed out.
 WATCH_TIMED_OUT_MS: Final = 60_000
-# A repeat is in doubt for as long, counted from its own start.
-MAX_REPEAT_MS: Final = 4_500
+# The doubt about a target that is ordered again ends by then, counted
+# from its first order.  The last repeat has its time to be answered.
+MAX_TARGET_DOUBT_MS: Final = 14_000
+MAX_REPEAT_MS: Final = 10_000
 
 
 class Settlement:
@@ -209,8 +211,11 @@
         record = self.context.state.targets.records.get(order.target)
         if record is None or record.group != group:
             return Settlement.TARGET_GONE
-        self._ordered_ns.setdefault(group, {}).setdefault(order.target, now_ns)
+        first_ns = self._ordered_ns.setdefault(group, {}).setdefault(
+            order.target, now_ns
+        )
+        latest_ns = first_ns + MAX_TARGET_DOUBT_MS * NS_PER_MS
         deadline_ns = self._deadlines_ns.setdefault(group, {}).setdefault(
-            order.term, now_ns + MAX_DOUBT_MS * NS_PER_MS
+            order.term, min(now_ns + MAX_DOUBT_MS * NS_PER_MS, latest_ns)
         )
         return Settlement.TIMED_OUT if now_ns >= deadline_ns else ""
