Let the target of a planned change follow the present primary

An instance that reports an earlier term, or the role of primary, is ordered to follow. The test failed before.

--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -679,9 +679,27 @@
             change.retry_at_ns = now_ns + RETRY_DELAY_MS * NS_PER_MS
             return []
         if preferred_lags and now_ns < change.candidate_deadline_ns:
-            return self._probe(change, now_ns)
+            return [
+                *self._let_preferred_follow(change, reports),
+                *self._probe(change, now_ns),
+            ]
         return self._open(change, choice, eligible, now_ns)
 
+    def _let_preferred_follow(
+        self, change: GroupChange, reports: Sequence[TargetReport]
+    ) -> list[Effect]:
+        """Let a preferred instance follow that is in an earlier term.
+
+        One that was cut off has not been told of the present primary,
+        and catches up with nobody.
+        """
+        term = self.context.state.terms[change.group]
+        for report in reports:
+            is_earlier = report.term < term.term or report.role == "primary"
+            if report.target == change.preferred and is_earlier:
+                return [self.follow(change.group, change.preferred)]
+        return []
+
     def _open(
         self,
         change: GroupChange,
--- a/tests/decide/test_control.py
+++ b/tests/decide/test_control.py
@@ -398,6 +398,20 @@
     assert harness.leader.state.terms[GROUP].primary == "db-1b"
 
 
+def test_preferred_instance_of_an_earlier_term_is_told_to_follow() -> None:
+    """Guards against a planned change that waits until it times out."""
+    harness = Harness.open()
+    harness.send("h2", Switchover(group=GROUP, target="db-1b"))
+    harness.effects.clear()
+
+    harness.probe(
+        [_report("db-1a", 9), _report("db-1b", 4, term=0), _report("db-1c")]
+    )
+
+    orders = [e for e in harness.effects if isinstance(e, FollowPrimary)]
+    assert [(o.target, o.primary) for o in orders] == [("db-1b", "db-1a")]
+
+
 def test_drain_ends_when_the_lease_expires() -> None:
     harness = Harness.open()
     ticket = harness.write("h1")
