Leave out statuses that were read before a primary was promoted

A status of the warm-up probe, or of another probe that waits for a target that is lost, can arrive after the change has ended. Found by reading; the test failed before.

--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -108,6 +108,7 @@
         factory=dict, init=False
     )
     _grace_until_ns: dict[str, int] = attrs.field(factory=dict, init=False)
+    _served_since_ns: dict[str, int] = attrs.field(factory=dict, init=False)
     _failed_promotions: dict[str, int] = attrs.field(factory=dict, init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -120,6 +121,7 @@
     def on_elected(self) -> None:
         """Reset the state when this host is elected leader."""
         self._evidence.clear()
+        self._served_since_ns.clear()
         self._failed_promotions.clear()
         self.orders.on_elected()
         state = self.context.state
@@ -274,6 +276,7 @@
         self._failed_promotions.pop(group, None)
         self.orders.end_outage(group)
         if self._is_route_group(group):
+            self._served_since_ns[group] = now_ns
             self._grace_until_ns[group] = (
                 now_ns + NEW_PRIMARY_GRACE_MS * NS_PER_MS
             )
@@ -298,6 +301,14 @@
             )
             change.probe_from_ns = now_ns + pause_ms * NS_PER_MS
 
+    def served_since_ns(self, group: str) -> int:
+        """Return when this leader saw the primary of a group promoted.
+
+        :return: monotonic time in nanoseconds, 0 if an earlier leader
+            saw it
+        """
+        return self._served_since_ns.get(group, 0)
+
     def is_new_primary(self, group: str, now_ns: int) -> bool:
         """Tell whether a group's primary was promoted just now."""
         return now_ns < self._grace_until_ns.get(group, 0)
--- a/src/rosemarysaddle/decide/primaries/_roles.py
+++ b/src/rosemarysaddle/decide/primaries/_roles.py
@@ -26,9 +26,7 @@
 from rosemarysaddle.decide._times import NS_PER_MS
 from rosemarysaddle.decide.control_log._state import EntryKind
 from rosemarysaddle.decide.primaries._change import ChangeReason
-from rosemarysaddle.decide.primaries._primaries import (
-    PROBE_TIMEOUT_MS,
-)
+from rosemarysaddle.decide.primaries._primaries import PROBE_TIMEOUT_MS
 from rosemarysaddle.decide.primaries._succession import PRIMARY_ROLE
 
 if TYPE_CHECKING:
@@ -190,6 +188,9 @@
     ) -> list[Effect]:
         leads = report.role == PRIMARY_ROLE
         if report.target == term.primary:
+            if 0 < report.asked_ns <= self.primaries.served_since_ns(group):
+                # Read for the change that promoted it.
+                return []
             if not leads or report.term < term.target_term:
                 reason = ChangeReason.ROLE_LOST
                 return self._replace(group, term, report, reason, now_ns)
--- a/tests/decide/test_roles.py
+++ b/tests/decide/test_roles.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import attrs
 import pytest
 
 from rosemarysaddle.decide import (
@@ -46,6 +47,23 @@
     assert (term.primary, term.is_serving, term.target_term) == ("t2", True, 2)
 
 
+def test_status_from_before_the_promotion_changes_nothing() -> None:
+    """Guards against a change on what was read for the one before."""
+    harness = Harness.open()
+    before = attrs.evolve(
+        _report("t1", "replica", 1), asked_ns=harness.now_ns - 1
+    )
+    harness.elapse(50)
+    after = attrs.evolve(before, asked_ns=harness.now_ns)
+
+    harness.leader.on_probe("g", -1, [before], harness.now_ns)
+    was_open = _is_open(harness)
+    harness.leader.on_probe("g", -1, [after], harness.now_ns)
+
+    assert was_open
+    assert not _is_open(harness)
+
+
 def test_late_word_of_a_role_changes_nothing() -> None:
     """Guards against changes on a heartbeat that was held up."""
     harness = Harness.open()
