Count what a host has sent once a key is removed, not what arrived

Traced: with the event loop held up for 70 ms, the retry and the test itself are due in one turn of the loop. The retry is sent at 80.26 ms, the plan is applied at 84.01 ms, and the target, which runs on the same loop, reads the retry after that.

The test counts the requests that the host hands to its connections: none may follow the removal. That is as strict, and earlier by the way to the target.

--- a/tests/session/test_team_keys.py
+++ b/tests/session/test_team_keys.py
@@ -7,7 +7,7 @@
 import pytest
 
 from rosemarysaddle import _log as logging
-from rosemarysaddle.connection import Lender
+from rosemarysaddle.connection import Lender, TargetConnection
 from rosemarysaddle.decide import Reason, Refusal, RouteTable, Step
 from rosemarysaddle.node._host_metrics import entry_metrics
 from rosemarysaddle.session._rate_limits import NO_TOKEN, AdmissionToken
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
+    from rosemarysaddle.decide import Answer
     from rosemarysaddle.session import Router
 
     Scenario = Callable[[Router, StandInTarget], Coroutine[Any, Any, None]]
@@ -62,6 +63,21 @@
     asyncio.run(run())
 
 
+def _record_asked(monkeypatch: pytest.MonkeyPatch) -> list[bytes]:
+    """Record the requests that hosts send to targets."""
+    asked: list[bytes] = []
+    ask = TargetConnection.ask
+
+    async def record(
+        self: TargetConnection, data: bytes, *, deadline_ns: int
+    ) -> Answer:
+        asked.append(data)
+        return await ask(self, data, deadline_ns=deadline_ns)
+
+    monkeypatch.setattr(TargetConnection, "ask", record)
+    return asked
+
+
 async def _open(router: Router, database: str, key: str) -> Caller:
     return await open_caller(router, database, key)
 
@@ -262,23 +278,30 @@
 )
 @pytest.mark.parametrize("teams", [{}, {"y": KEY}])
 def test_statement_that_waits_is_not_sent_once_its_key_is_removed(
-    before: list[str], text: str, answer: str, teams: dict[str, str]
+    before: list[str],
+    text: str,
+    answer: str,
+    teams: dict[str, str],
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
+    # The target may receive after the removal what was sent before it.
+    asked = _record_asked(monkeypatch)
+
     async def scenario(router: Router, target: StandInTarget) -> None:
         caller = await _open(router, "own", KEY)
         for statement in before:
             await caller.query(statement)
-        sent = len(target.received)
+        sent = len(asked)
         for verb in ("READ", "WRITE", "COMMIT", "BEGIN"):
             target.faults[verb] = ["BUSY"] * 99
         waiting = asyncio.create_task(caller.query(text))
         await asyncio.sleep(0.05)
-        assert len(target.received) > sent
+        assert len(asked) > sent
         _put_plan(router, 3, **teams)
         _apply_plan(router, caller)
-        sent = len(target.received)
+        sent = len(asked)
         assert await waiting == answer
-        assert len(target.received) == sent
+        assert len(asked) == sent
         if answer.endswith("E"):
             assert await caller.query("ROLLBACK") == "OK I"
         target.faults.clear()
