Ask every target once the first answers did not suffice

A probe ended with any n-1 answers, the recorded primary's among them, which proves nothing where it is none. The first probe of an unplanned change waits for the others by name now, later ones for all. The primary of the term that served last vouches for its writes also where the recorded one is a target that never took up the role.

--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -639,26 +639,40 @@
         deadline_ns = now_ns + timeout_ms * NS_PER_MS
         change.retry_at_ns = deadline_ns + RETRY_DELAY_MS * NS_PER_MS
         count = len(self.context.instances(change.group))
-        needs_all = (
-            bool(change.preferred)
-            or not change.term
-            or bool(self.orders.targets(change.group, now_ns))
-        )
-        if self._is_route_group(change.group) and not needs_all:
-            # All instances except the primary, presumed lost.
-            count = max(2, count) - 1
-            needs_all = True
-        quorum = count if needs_all else promotion_quorum(count)
+        needed: tuple[str, ...] = ()
+        if self._is_route_group(change.group):
+            quorum = count
+            if change.term and not change.preferred:
+                # The primary is presumed lost.
+                needed = self._find_others(change.group)
+            if change.attempt > 1 or self.orders.targets(change.group, now_ns):
+                # What has answered so far was not enough.
+                needed = ()
+        elif change.preferred or not change.term:
+            quorum = count
+        else:
+            quorum = promotion_quorum(count)
         return [
             ProbeGroup(
                 group=change.group,
                 attempt=change.attempt,
                 deadline_ns=deadline_ns,
                 quorum=quorum,
+                needed=needed,
                 identities=self.context.identities(change.group),
             )
         ]
 
+    def _find_others(self, group: str) -> tuple[str, ...]:
+        """List the instances of a group besides its primary."""
+        term = self.context.state.terms.get(group)
+        primary = "" if term is None else term.primary
+        return tuple(
+            instance.name
+            for instance in self.context.instances(group)
+            if instance.name != primary
+        )
+
     def _choose(
         self,
         change: GroupChange,
--- a/src/rosemarysaddle/decide/primaries/_succession.py
+++ b/src/rosemarysaddle/decide/primaries/_succession.py
@@ -277,7 +277,7 @@
     best = max(candidates, key=_progress)
     if criteria.sync_replicas and not _holds_all(best, reports, criteria):
         reuses = criteria.reuse_former or criteria.allow_lagging
-        if not reuses or not _vouches(former, criteria):
+        if former is None or not reuses or not _served(former, criteria):
             return None
         return _reuse_former(former, criteria)
     lags = former is not None and (
@@ -301,31 +301,30 @@
 ) -> bool:
     """Tell whether a target holds each write that was acknowledged.
 
-    Either the former primary tells how far it got, in the term in which
-    it served, or so many replicas answer that one of them has
-    acknowledged the newest write.
+    Either the primary that served last tells how far it got, or so many
+    replicas answer that one of them has acknowledged the newest write.
     """
     answers = [r for r in reports if r.reachable and _has_status(r)]
     if any(_progress(r) > _progress(best) for r in answers):
         return False
-    former = next((r for r in answers if r.target == criteria.former), None)
-    if _vouches(former, criteria):
+    if any(_served(r, criteria) for r in answers):
         return True
     replicas = [r for r in answers if r.target != criteria.former]
     needed = criteria.replicas - criteria.sync_replicas + 1
     return len(replicas) >= needed
 
 
-def _vouches(former: TargetReport | None, criteria: SuccessorCriteria) -> bool:
-    """Tell whether the former primary still has all that it had.
+def _served(report: TargetReport, criteria: SuccessorCriteria) -> bool:
+    """Tell whether a target is the primary in the term served last.
 
-    One that restarted may have come back with an empty log.
+    It has all writes then.  One that restarted may have come back with
+    an empty log, as a replica.
     """
-    return (
-        former is not None
-        and former.role == PRIMARY_ROLE
-        and former.term >= criteria.target_term
-    )
+    if report.role != PRIMARY_ROLE:
+        return False
+    if criteria.target_term:
+        return report.term == criteria.target_term
+    return report.target == criteria.former
 
 
 def _find_candidates(
--- a/tests/decide/test_announced.py
+++ b/tests/decide/test_announced.py
@@ -6,7 +6,12 @@
 
 import pytest
 
-from rosemarysaddle.decide import LogDecision, PromoteTarget
+from rosemarysaddle.decide import (
+    LogDecision,
+    ProbeGroup,
+    PromoteTarget,
+    TargetReport,
+)
 from tests.decide.announced_group import PLAN, TARGETS, Harness
 from tests.helpers import NS_PER_MS
 
@@ -156,3 +161,20 @@
     assert "former=t1" in lines["primary-chosen"]
     assert "role=replica" in lines["primary-chosen"]
     assert "reason=planned" in lines["primary-serves"]
+
+
+def test_all_targets_are_asked_once_the_first_answers_did_not_suffice() -> (
+    None
+):
+    """Guards against a slow target that no probe ever waits for."""
+    harness = Harness.open()
+    harness.replace_primary()
+    harness.elapse(50)
+    first = harness.found(ProbeGroup)[-1]
+    harness.answer(TargetReport(target="t2", reachable=False))
+    harness.elapse(700)
+
+    again = harness.found(ProbeGroup)[-1]
+
+    assert (first.needed, first.quorum) == (("t2", "t3"), 3)
+    assert (again.needed, again.quorum) == ((), 3)
--- a/tests/decide/test_succession.py
+++ b/tests/decide/test_succession.py
@@ -349,3 +349,19 @@
 
     assert choose_successor([older], criteria) is None
     assert choose_successor([later], criteria) is later
+
+
+def test_primary_that_served_last_vouches_after_a_failed_promotion() -> None:
+    """Guards against a group that waits for a replica for good."""
+    criteria = SuccessorCriteria(
+        former="b",
+        leaving=(),
+        target_term=1,
+        others_stay=True,
+        sync_replicas=1,
+        replicas=2,
+    )
+
+    choice = choose_successor([PRIMARY, _report("b", 9)], criteria)
+
+    assert choice is PRIMARY
