Count synchronous replicas besides the target that served last

Both real replicas had answered.

The log holds who served in the newest term; the replicas are the others.

--- a/src/rosemarysaddle/decide/control_log/_state.py
+++ b/src/rosemarysaddle/decide/control_log/_state.py
@@ -414,6 +414,7 @@
             current,
             is_serving=True,
             target_term=max(current.target_term, served) if served else 0,
+            served_by=current.primary if served else "",
             known_term=max(current.known_term, served),
         )
 
@@ -434,13 +435,13 @@
         current = self.terms.get(group)
         primary = str(payload["primary"])
         starts: tuple[TermStart, ...] = ()
-        target_term, known_term = 0, 0
+        target_term, known_term, served_by = 0, 0, ""
         in_doubt: tuple[PromotionInDoubt, ...] = ()
         if current is not None:
             if term <= current.term:
                 return
             starts, target_term = current.starts, current.target_term
-            known_term = current.known_term
+            known_term, served_by = current.known_term, current.served_by
             in_doubt = current.in_doubt
         if "above_term" in payload:
             order = PromotionInDoubt(
@@ -453,6 +454,7 @@
             primary=primary,
             is_open=True,
             target_term=target_term,
+            served_by=served_by,
             known_term=known_term,
             in_doubt=in_doubt,
             starts=(*starts, start)[-MAX_KEPT_STARTS:],
--- a/src/rosemarysaddle/decide/primaries/_succession.py
+++ b/src/rosemarysaddle/decide/primaries/_succession.py
@@ -52,6 +52,7 @@
     :param former: primary of the closed term, or empty for a new group
     :param target_term: newest term, as targets number them, in which a
         primary of the group served; 0 if it is not known
+    :param served_by: target that served in that term, or empty
     :param known_term: newest term that a target was seen to know of
     :param doubt_term: newest term that an order in doubt has to exceed;
         a promotion up to that term is older than the order
@@ -70,13 +71,14 @@
         replicas lag or do not answer
     :param sync_replicas: number of replicas that hold a write by the
         time that it is acknowledged
-    :param replicas: number of registered targets besides the former
-        primary
+    :param replicas: number of registered targets besides the one that
+        served last
     """
 
     former: str
     leaving: Collection[str]
     target_term: int = 0
+    served_by: str = ""
     known_term: int = 0
     in_doubt: Collection[str] = ()
     doubt_term: int = 0
@@ -111,9 +113,11 @@
         :param records: registered targets of the group
         """
         former = "" if term is None else term.primary
+        served_by = "" if term is None else term.served_by
         return cls(
             former=former,
             target_term=0 if term is None else term.target_term,
+            served_by=served_by,
             known_term=known_term,
             in_doubt=in_doubt,
             doubt_term=doubt_term,
@@ -127,7 +131,7 @@
             keeps_former=keeps_former,
             reuse_former=reuse_former,
             sync_replicas=sync_replicas,
-            replicas=sum(r.target != former for r in records),
+            replicas=sum(r.target != (served_by or former) for r in records),
         )
 
     @property
@@ -309,7 +313,8 @@
         return False
     if any(_served(r, criteria) for r in answers):
         return True
-    replicas = [r for r in answers if r.target != criteria.former]
+    served_by = criteria.served_by or criteria.former
+    replicas = [r for r in answers if r.target != served_by]
     needed = criteria.replicas - criteria.sync_replicas + 1
     return len(replicas) >= needed
 
--- a/src/rosemarysaddle/decide/primaries/_terms.py
+++ b/src/rosemarysaddle/decide/primaries/_terms.py
@@ -41,6 +41,7 @@
     :param target_term: newest term in which a target was confirmed as
         the group's primary, as the targets number their terms; 0 where
         none was
+    :param served_by: target that served in that term, or empty
     :param known_term: newest term that a target was seen to know of;
         a primary of an earlier one has been replaced
     :param in_doubt: orders to promote whose outcome is not known
@@ -53,6 +54,7 @@
     is_open: bool
     is_serving: bool = False
     target_term: int = 0
+    served_by: str = ""
     known_term: int = 0
     in_doubt: tuple[PromotionInDoubt, ...] = ()
     starts: tuple[TermStart, ...] = ()
--- a/tests/decide/test_succession.py
+++ b/tests/decide/test_succession.py
@@ -365,3 +365,25 @@
     choice = choose_successor([PRIMARY, _report("b", 9)], criteria)
 
     assert choice is PRIMARY
+
+
+@pytest.mark.parametrize(
+    ("served_by", "chosen"), [("a", "c"), ("b", None)], ids=["a", "b"]
+)
+def test_replicas_are_counted_besides_the_target_that_served(
+    served_by: str, chosen: str | None
+) -> None:
+    """Guards against a wait for a primary that is lost."""
+    criteria = SuccessorCriteria(
+        former="b",
+        leaving=(),
+        target_term=1,
+        served_by=served_by,
+        others_stay=True,
+        sync_replicas=1,
+        replicas=2,
+    )
+
+    choice = choose_successor([_report("b", 7), _report("c", 8)], criteria)
+
+    assert (choice.target if choice else None) == chosen
