Order the old primary anew after an order has timed out

The order for t2 had taken effect 7 s after it was sent, while t2 could not be reached; 9.5 s after it was sent it counted as ended, and t1, the primary of the term before, was opened without an order, as nobody who answered knew of a later term.

An order for t1 comes after the one for t2: if that one had taken effect, t1 leads a later term then. If it had not, the platform changes nothing; t1 is the present primary if it still leads its term 1.5 s after its order was accepted.

--- a/src/rosemarysaddle/decide/_effects.py
+++ b/src/rosemarysaddle/decide/_effects.py
@@ -142,6 +142,10 @@
         to be the primary in a later term, as instances number theirs
     :param may_be_primary: whether the instance may be the primary
         already, so that its status is read before the order is sent
+    :param may_be_present: whether the instance may be the present
+        primary, for which the order changes nothing.  It is done too
+        once the instance leads the term ``above_term`` still, some time
+        after the order was accepted
     :param may_order: whether the order may be sent; it is not where the
         instance reported that it is the primary
     """
@@ -153,6 +157,7 @@
     deadline_ns: int
     above_term: int = 0
     may_be_primary: bool = True
+    may_be_present: bool = False
     may_order: bool = True
 
 
--- a/src/rosemarysaddle/decide/primaries/_announced_choice.py
+++ b/src/rosemarysaddle/decide/primaries/_announced_choice.py
@@ -86,7 +86,15 @@
                 " primary"
             )
             return None, [*effects, *self._block(change, reason, now_ns)]
-        change.may_order = needs_order(choice, reports, change.known_term)
+        needs = needs_order(choice, reports, change.known_term)
+        # An order that timed out may have taken effect where nobody
+        # sees it.  One more order, for the old primary, comes after it.
+        change.may_be_present = (
+            not needs
+            and choice.term == criteria.target_term
+            and bool(criteria.avoided)
+        )
+        change.may_order = needs or change.may_be_present
         change.may_be_primary = not change.may_order
         change.above_term = (
             change.known_term if change.may_order else choice.term - 1
--- a/src/rosemarysaddle/decide/primaries/_change.py
+++ b/src/rosemarysaddle/decide/primaries/_change.py
@@ -101,6 +101,8 @@
         above this one, as instances number their terms
     :param may_be_primary: whether the chosen instance may be the
         primary already
+    :param may_be_present: whether the chosen instance may be the
+        present primary although another one was ordered to be
     :param may_order: whether the chosen instance may have to be
         promoted
     :param promote_until_ns: time until which the order to promote is
@@ -128,6 +130,7 @@
     chosen: str = ""
     above_term: int = 0
     may_be_primary: bool = True
+    may_be_present: bool = False
     may_order: bool = True
     promote_until_ns: int = 0
     blocked_reason: str = ""
--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -767,6 +767,7 @@
                 deadline_ns=deadline_ns,
                 above_term=change.above_term,
                 may_be_primary=change.may_be_primary,
+                may_be_present=change.may_be_present,
                 may_order=change.may_order,
             )
         ]
--- a/src/rosemarysaddle/node/_orders.py
+++ b/src/rosemarysaddle/node/_orders.py
@@ -37,6 +37,9 @@
 RESEND_S: Final = 3.0
 # Longest pause before an order that was not taken is sent again.
 MAX_PAUSE_S: Final = 1.0
+# Time after which an accepted order would have taken effect.  The
+# platform promotes within a second.
+PRESENT_PRIMARY_MS: Final = 1_500
 # An order may take effect before it is answered.
 SLOW_ANSWER_MS: Final = 400
 # Limits the check whether an earlier leader's promotion took effect.
@@ -66,10 +69,13 @@
 
     :param running: calls without an answer so far
     :param answers: answers to the others, in the order of their arrival
+    :param accepted_ns: :func:`clock_ns` time at which the first
+        accepted call was known, or 0
     """
 
     running: set[asyncio.Task[OrderAnswer]] = attrs.field(factory=set)
     answers: list[OrderAnswer] = attrs.field(factory=list)
+    accepted_ns: int = 0
 
     def start(
         self,
@@ -88,6 +94,8 @@
         ended = {call for call in self.running if call.done()}
         self.running -= ended
         self.answers.extend(call.result() for call in ended)
+        if OrderAnswer.ACCEPTED in self.answers and not self.accepted_ns:
+            self.accepted_ns = clock_ns()
 
     @property
     def has_verdict(self) -> bool:
@@ -299,11 +307,14 @@
             is_slow = clock_ns() >= read_from_ns
             if not is_slow and OrderAnswer.ACCEPTED not in calls.answers:
                 continue
+            asked_ns = clock_ns()
             status = await self._read_status(
                 instance, order, CONFIRM_TIMEOUT_MS
             )
             if _has_role(status, order):
                 return status
+            if _is_present_primary(status, order, calls, asked_ns):
+                return status
         return None
 
     async def demote(
@@ -355,3 +366,20 @@
     if status is None or status.role != PRIMARY_ROLE:
         return False
     return status.term > order.above_term
+
+
+def _is_present_primary(
+    status: TargetStatus | None,
+    order: PromoteTarget,
+    calls: _OrderCalls,
+    asked_ns: int,
+) -> bool:
+    """Tell whether an order changed nothing, as its target leads.
+
+    :param asked_ns: :func:`clock_ns` time at which the status was read
+    """
+    if status is None or not order.may_be_present or not calls.accepted_ns:
+        return False
+    if asked_ns < calls.accepted_ns + PRESENT_PRIMARY_MS * NS_PER_MS:
+        return False
+    return status.role == PRIMARY_ROLE and status.term == order.above_term
--- a/tests/decide/promotion_world.py
+++ b/tests/decide/promotion_world.py
@@ -281,19 +281,21 @@
 
     def _promote(self, order: PromoteTarget) -> Process:
         leader, target = self.leader, self.targets[order.target]
-        status, is_settled = None, False
+        status, is_settled, is_present = None, False, False
         if order.may_be_primary:
             status = yield from self._read(target, 400)
         if not _has_role(status, order) and order.may_order:
-            status, is_settled = yield from self._order_promotion(
-                order, target
-            )
+            (
+                status,
+                is_settled,
+                is_present,
+            ) = yield from self._order_promotion(order, target)
         elif not _has_role(status, order):
             status, is_settled = None, True
             while status is None and self.now_ns < order.deadline_ns:
                 yield self.now_ns + POLL_MS * NS_PER_MS
                 status = yield from self._read(target, self._left(order))
-        done = _has_role(status, order)
+        done = is_present or _has_role(status, order)
         if leader is self.leader:
             effects = leader.on_promoted(
                 GROUP,
@@ -315,7 +317,7 @@
         calls = Calls()
         self.spawn(self._send(order, calls))
         slow_ns = self.now_ns + 400 * NS_PER_MS
-        status = None
+        status, is_present, accepted_ns = None, False, 0
         while self.now_ns < order.deadline_ns:
             yield self.now_ns + POLL_MS * NS_PER_MS
             if OrderAnswer.REFUSED in calls.answers:
@@ -323,17 +325,31 @@
             is_slow = self.now_ns >= slow_ns
             if not is_slow and OrderAnswer.ACCEPTED not in calls.answers:
                 continue
+            if OrderAnswer.ACCEPTED in calls.answers and not accepted_ns:
+                accepted_ns = self.now_ns
+            asked_ns = self.now_ns
             status = yield from self._read(target, self._left(order))
             if _has_role(status, order):
                 break
+            is_present = (
+                order.may_be_present
+                and accepted_ns > 0
+                and asked_ns >= accepted_ns + 1_500 * NS_PER_MS
+                and status is not None
+                and status.role == "primary"
+                and status.term == order.above_term
+            )
+            if is_present:
+                break
         calls.has_ended = True
         self.note(
             f"order {target.name} above={order.above_term} running="
             f"{calls.running} {[a.name for a in calls.answers]}"
-            f" done={_has_role(status, order)}"
+            f" done={_has_role(status, order)} present={is_present}"
         )
-        is_settled = calls.are_settled(has_effect=_has_role(status, order))
-        return status, is_settled and not order.may_be_primary
+        has_effect = is_present or _has_role(status, order)
+        is_settled = calls.are_settled(has_effect=has_effect)
+        return status, is_settled and not order.may_be_primary, is_present
 
     def _send(self, order: PromoteTarget, calls: Calls) -> Process:
         leader, pause_ms = self.leader, POLL_MS
--- a/tests/decide/test_orders_in_doubt.py
+++ b/tests/decide/test_orders_in_doubt.py
@@ -164,6 +164,24 @@
     assert ordered == [_other(target)]
 
 
+def test_old_primary_is_ordered_anew_after_an_order_has_timed_out() -> None:
+    """Guards against a promotion that nobody who answers has seen."""
+    harness, target = _order_without_result()
+    _choose(harness, MAX_DOUBT_MS + 500)
+
+    harness.elapse(700)
+    old_primary = TargetReport(
+        target="t1", reachable=True, role="primary", term=1, position=9
+    )
+    harness.answer_change(old_primary)
+
+    order = harness.found(PromoteTarget)[-1]
+    assert target != "t1"
+    assert (order.target, order.above_term) == ("t1", 1)
+    assert order.may_order
+    assert order.may_be_present
+
+
 def test_doubt_outlasts_a_change_of_leader() -> None:
     """Guards against a new leader that promotes another target."""
     harness, target = _order_without_result()
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -497,3 +497,41 @@
     assert status is not None
     assert status.role == "replica"
     assert target.demoted_terms == [4]
+
+
+@pytest.mark.parametrize("may_be_present", [False, True])
+def test_order_for_the_present_primary_is_done_though_nothing_changes(
+    *, may_be_present: bool
+) -> None:
+    """Guards against an old primary that can never be opened again."""
+    target = FullTarget(wait_s=0.0, role="primary")
+
+    @attrs.define
+    class Platform:
+        def promote(
+            self, order: PromotionOrder, *, may_send: Callable[[], bool]
+        ) -> OrderAnswer:
+            del order, may_send
+            return OrderAnswer.ACCEPTED
+
+    async def scenario() -> PromotionResult:
+        server = await asyncio.start_server(target.serve, IP, PORT)
+        order = PromoteTarget(
+            group="g",
+            target="t",
+            term=2,
+            start=5,
+            deadline_ns=clock_ns() + 2_500 * NS_PER_MS,
+            above_term=2,
+            may_be_primary=False,
+            may_be_present=may_be_present,
+        )
+        try:
+            return await _orders(Platform()).promote(order, INSTANCE)
+        finally:
+            server.close()
+
+    result = asyncio.run(scenario())
+
+    assert result.done is may_be_present
+    assert result.is_settled is may_be_present
