--- /dev/null
+++ b/review/6/case.py
@@ -0,0 +1,148 @@
+"""A replica that acknowledged commits leaves; then the primary crashes."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from pathlib import Path
+
+HERE = Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent / "standins_2"))
+
+from sim import (  # noqa: E402
+    DRAIN_MS,
+    Bed,
+    Client,
+    Instance,
+    Record,
+    Service,
+    route,
+    run_case,
+)
+
+DEAF_S = 6.0  # `replica_lag`, how "deaf crash": for_s 6.0 in the site file
+DOWN_S = 7.0  # `srv_crash` of a primary: for_s 7.0 in the site file
+DEAF_BEFORE_END_S = 2.0
+CRASH_AFTER_END_S = 0.2
+SUCCESSOR_AFTER_S = 5.0
+WRITERS = 4
+
+
+class Writer:
+    """Writes without a pause and keeps what was acknowledged."""
+
+    def __init__(self, bed: Bed, number: int) -> None:
+        self.bed, self.number = bed, number
+        self.acked: dict[str, float] = {}
+        self.client = Client(bed, f"w{number}", "book")
+
+    async def run(self) -> None:
+        """Write until cancelled."""
+        turn = self.number
+        while True:
+            if self.client.writer is None:
+                turn += 1
+                node = self.bed.entries[turn % len(self.bed.entries)]
+                if not (await self.client.open(node.ip)).startswith("READY"):
+                    await asyncio.sleep(0.2)
+                    continue
+            request_id = self.client.next_id()
+            answer, _, _ = await self.client.ask(request_id, "WRITE 1a4 x")
+            self.bed.record(f"{request_id} WRITE: {answer}")
+            if answer.startswith("DONE "):
+                self.acked[request_id] = time.monotonic()
+            await asyncio.sleep(0.05)
+
+
+async def replace(bed: Bed, service: Service, old: Instance) -> Instance:
+    """Replace an instance as planned; return its successor, not started.
+
+    It drains, serves for ``drainMs`` and a little longer, leaves and
+    ends.  A new instance at its address gets its log.
+    """
+    old.draining = True
+    while old.name not in service.acked_leaving_s:
+        await asyncio.sleep(0.02)
+    bed.record(f"drain of {old.name} is acknowledged")
+    await asyncio.sleep(DRAIN_MS / 1_000 + 0.2)
+    await service.leave(old)
+    successor = Instance(f"{old.name}n", old.ip, old.zone)
+    successor.log, successor.applied = list(old.log), old.applied
+    successor.term = old.term
+    return successor
+
+
+async def case(record: Record, trouble: bool) -> int:
+    """Run the case."""
+    bed = Bed(record)
+    try:
+        service = await bed.add_service("hop", sync=1)
+        await bed.start()
+        plan = bed.plan([route("book", "hop", "primary")])
+        if not await bed.configure(plan, 20.0):
+            return 2
+        if not await bed.wait_ready(20.0):
+            return 2
+        writers = [Writer(bed, n) for n in range(WRITERS)]
+        tasks = [asyncio.create_task(w.run()) for w in writers]
+        await asyncio.sleep(4.0)
+        if not any(w.acked for w in writers):
+            return 2
+        names = sorted(service.instances)
+        primary, leaving, other = (service.instances[n] for n in names)
+        replacing = asyncio.create_task(replace(bed, service, leaving))
+        if trouble:
+            while leaving.name not in service.acked_leaving_s:
+                await asyncio.sleep(0.02)
+            await asyncio.sleep(DRAIN_MS / 1_000 + 0.2 - DEAF_BEFORE_END_S)
+            other.deaf = True
+            record(f"{other.name} receives nothing")
+        successor = await replacing
+        ended_s = time.monotonic()
+        if trouble:
+            await asyncio.sleep(CRASH_AFTER_END_S)
+            service.crash(primary)
+            await asyncio.sleep(DEAF_S - DEAF_BEFORE_END_S - CRASH_AFTER_END_S)
+            other.deaf = False
+            record(f"{other.name} receives again")
+        await asyncio.sleep(
+            max(0.0, ended_s + SUCCESSOR_AFTER_S - time.monotonic())
+        )
+        await service.start(successor)
+        if trouble:
+            await asyncio.sleep(DOWN_S - SUCCESSOR_AFTER_S)
+            await service.start(primary)
+        await asyncio.sleep(8.0)
+        for task in tasks:
+            task.cancel()
+        return judge(record, service, writers)
+    finally:
+        bed.end()
+
+
+def judge(record: Record, service: Service, writers: list[Writer]) -> int:
+    """Check LOST for a service with ``syncReplicas``."""
+    lost: list[str] = []
+    for promotion in service.promotions:
+        lost.extend(
+            f"{request_id} is not in the log of {promotion['name']}"
+            for w in writers
+            for request_id, acked_s in w.acked.items()
+            if acked_s < promotion["at_s"]
+            and request_id not in promotion["ids"]
+        )
+    total = sum(len(w.acked) for w in writers)
+    record(
+        f"acknowledged {total}, promotions {len(service.promotions)},"
+        f" acknowledged and not in the log of the promoted {len(lost)}"
+    )
+    for line in lost[:20]:
+        record(f"LOST {line}")
+    if not total:
+        return 2
+    return 1 if lost else 0
+
+
+if __name__ == "__main__":
+    sys.exit(run_case(case, HERE))
