--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -13,13 +14,13 @@
 from sim import (  # noqa: E402
     DRAIN_MS,
     Bed,
-    Client,
     Instance,
     Record,
     Service,
     route,
     run_case,
 )
+from writers import Writer, judge_lost  # noqa: E402
 
 DEAF_S = 6.0  # `replica_lag`, how "deaf crash": for_s 6.0 in the site file
 DOWN_S = 7.0  # `srv_crash` of a primary: for_s 7.0 in the site file
@@ -29,32 +30,6 @@
 WRITERS = 4
 
 
-class Writer:
-    """Writes without a pause and keeps what was acknowledged."""
-
-    def __init__(self, bed: Bed, number: int) -> None:
-        self.bed, self.number = bed, number
-        self.acked: dict[str, float] = {}
-        self.client = Client(bed, f"w{number}", "book")
-
-    async def run(self) -> None:
-        """Write until cancelled."""
-        turn = self.number
-        while True:
-            if self.client.writer is None:
-                turn += 1
-                node = self.bed.entries[turn % len(self.bed.entries)]
-                if not (await self.client.open(node.ip)).startswith("READY"):
-                    await asyncio.sleep(0.2)
-                    continue
-            request_id = self.client.next_id()
-            answer, _, _ = await self.client.ask(request_id, "WRITE 1a4 x")
-            self.bed.record(f"{request_id} WRITE: {answer}")
-            if answer.startswith("DONE "):
-                self.acked[request_id] = time.monotonic()
-            await asyncio.sleep(0.05)
-
-
 async def replace(bed: Bed, service: Service, old: Instance) -> Instance:
     """Replace an instance as planned; return its successor, not started.
 
@@ -96,8 +71,9 @@
             while leaving.name not in service.acked_leaving_s:
                 await asyncio.sleep(0.02)
             await asyncio.sleep(DRAIN_MS / 1_000 + 0.2 - DEAF_BEFORE_END_S)
-            other.deaf = True
-            record(f"{other.name} receives nothing")
+            # TROUBLE=crash: the crash alone, as a check of the stand-ins.
+            other.deaf = os.environ.get("TROUBLE") != "crash"
+            record(f"{other.name} receives nothing: {other.deaf}")
         successor = await replacing
         ended_s = time.monotonic()
         if trouble:
@@ -116,33 +92,10 @@
         await asyncio.sleep(8.0)
         for task in tasks:
             task.cancel()
-        return judge(record, service, writers)
+        return judge_lost(record, service, writers)
     finally:
         bed.end()
 
 
-def judge(record: Record, service: Service, writers: list[Writer]) -> int:
-    """Check LOST for a service with ``syncReplicas``."""
-    lost: list[str] = []
-    for promotion in service.promotions:
-        lost.extend(
-            f"{request_id} is not in the log of {promotion['name']}"
-            for w in writers
-            for request_id, acked_s in w.acked.items()
-            if acked_s < promotion["at_s"]
-            and request_id not in promotion["ids"]
-        )
-    total = sum(len(w.acked) for w in writers)
-    record(
-        f"acknowledged {total}, promotions {len(service.promotions)},"
-        f" acknowledged and not in the log of the promoted {len(lost)}"
-    )
-    for line in lost[:20]:
-        record(f"LOST {line}")
-    if not total:
-        return 2
-    return 1 if lost else 0
-
-
 if __name__ == "__main__":
     sys.exit(run_case(case, HERE))
