--- a/review/6/case.py
+++ b/review/6/case.py
@@ -5,7 +5,6 @@
 import asyncio
 import os
 import sys
-import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
@@ -26,7 +25,7 @@
 DOWN_S = 7.0  # `srv_crash` of a primary: for_s 7.0 in the site file
 DEAF_BEFORE_END_S = 2.0
 CRASH_AFTER_END_S = 0.2
-SUCCESSOR_AFTER_S = 5.0
+SUCCESSOR_AFTER_S = 1.0
 WRITERS = 4
 
 
@@ -48,6 +47,12 @@
     return successor
 
 
+async def start_later(service: Service, successor: Instance) -> None:
+    """Start the successor of an instance that ended just now."""
+    await asyncio.sleep(SUCCESSOR_AFTER_S)
+    await service.start(successor)
+
+
 async def case(record: Record, trouble: bool) -> int:
     """Run the case."""
     bed = Bed(record)
@@ -75,20 +80,18 @@
             other.deaf = os.environ.get("TROUBLE") != "crash"
             record(f"{other.name} receives nothing: {other.deaf}")
         successor = await replacing
-        ended_s = time.monotonic()
+        starting = asyncio.create_task(start_later(service, successor))
         if trouble:
             await asyncio.sleep(CRASH_AFTER_END_S)
             service.crash(primary)
             await asyncio.sleep(DEAF_S - DEAF_BEFORE_END_S - CRASH_AFTER_END_S)
             other.deaf = False
             record(f"{other.name} receives again")
-        await asyncio.sleep(
-            max(0.0, ended_s + SUCCESSOR_AFTER_S - time.monotonic())
-        )
-        await service.start(successor)
-        if trouble:
-            await asyncio.sleep(DOWN_S - SUCCESSOR_AFTER_S)
+            await asyncio.sleep(
+                DOWN_S + CRASH_AFTER_END_S + DEAF_BEFORE_END_S - DEAF_S
+            )
             await service.start(primary)
+        await starting
         await asyncio.sleep(8.0)
         for task in tasks:
             task.cancel()
