--- a/review/standins_2/sim.py
+++ b/review/standins_2/sim.py
@@ -11,7 +11,6 @@
 import contextlib
 import json
 import os
-import random
 import shutil
 import signal
 import socket
@@ -268,6 +267,10 @@
         entry = Entry(instance.term, number, ids)
         instance.log.append(entry)
         instance.applied = len(instance.log)
+        self.record(
+            f"{instance.name} commits {' '.join(ids)} as"
+            f" {entry.term}.{entry.number}"
+        )
         for request_id in ids:
             self.runs[request_id] += 1
         if not self.sync:
@@ -873,14 +876,17 @@
 
 def _free_network() -> str:
     """Find a loopback network with free ports."""
-    while True:
-        network = f"127.{random.randrange(70, 120)}"
-        with socket.socket() as probe:
+    for attempt in range(50):
+        network = f"127.{70 + (os.getpid() + attempt) % 50}"
+        with socket.socket() as control, socket.socket() as peers:
             try:
-                probe.bind((f"{network}.0.1", CONTROL_PORT))
+                control.bind((f"{network}.0.1", CONTROL_PORT))
+                peers.bind((f"{network}.0.1", PEERS_PORT))
             except OSError:
                 continue
         return network
+    message = "no free loopback network"
+    raise OSError(message)
 
 
 def run_case(
@@ -891,7 +897,7 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         return asyncio.run(_limited(work, record, trouble=trouble))
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record(f"could not run: {error!r}")
         return 2
 
@@ -902,5 +908,10 @@
     *,
     trouble: bool,
 ) -> int:
+    task = asyncio.current_task()
+    if task is not None:
+        loop = asyncio.get_running_loop()
+        # The processes end with the case, also if it is stopped.
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
     async with asyncio.timeout(110):
         return await work(record, trouble)
