Count replicas that have left as holders of acknowledged writes

Cause: the choice asks whether so many replicas have answered that one of them holds every acknowledged write, and takes their number from the targets that are registered now.

Change: the control log keeps members that were removed, with their incarnation. They count as replicas that do not answer until the primary has told a later position that enough others have reached, or until the target that took over their address and log answers. The same for a target dropped with its address, a primary that left, and a raised number of synchronous replicas.

--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -41,6 +41,10 @@
     SUCCESSOR_ATTEMPT,
     DepartureManager,
 )
+from rosemarysaddle.decide.primaries._member_watch import (
+    MEMBERS_ATTEMPT,
+    FormerMemberWatch,
+)
 from rosemarysaddle.decide.primaries._primaries import PrimaryManager
 from rosemarysaddle.decide.primaries._reconciler import (
     ADMIT_ATTEMPT,
@@ -122,6 +126,7 @@
     _reconciler: InstanceReconciler = attrs.field(init=False)
     _relief: PrimaryRelief = attrs.field(init=False)
     _roles: RoleWatch = attrs.field(init=False)
+    _former_members: FormerMemberWatch = attrs.field(init=False)
     _lease_holders: LeaseHolderRegistry = attrs.field(init=False)
     _voter_manager: VoterManager = attrs.field(init=False)
     _last_proposed_plan: tuple[int, str] = attrs.field(
@@ -175,6 +180,9 @@
         self._roles = RoleWatch(
             context=self._context, primaries=self.primaries
         )
+        self._former_members = FormerMemberWatch(
+            context=self._context, primaries=self.primaries
+        )
         self._lease_holders = LeaseHolderRegistry(context=self._context)
         self._voter_manager = VoterManager(
             log=self.log, wanted=self.wanted_voters
@@ -196,6 +204,7 @@
             effects.extend(self.primaries.tick(now_ns))
             effects.extend(self.departures.tick(now_ns))
             effects.extend(self._roles.tick(now_ns))
+            effects.extend(self._former_members.tick(now_ns))
             effects.extend(self._lease_holders.tick(now_ns))
             effects.extend(self._tick_voters(now_ns))
         effects.extend(self._answer_waiting_hosts(now_ns))
@@ -279,6 +288,7 @@
         effects = self._roles.on_probe(group, reports, now_ns)
         return [
             *effects,
+            *self._former_members.on_probe(group, reports, now_ns),
             *self._handle_probe(group, attempt, reports, now_ns),
         ]
 
@@ -295,7 +305,7 @@
             return self._relief.on_probe(group, reports, now_ns)
         if attempt == SUCCESSOR_ATTEMPT:
             return self.departures.on_probe(group, reports, now_ns)
-        if attempt == ROLE_ATTEMPT:
+        if attempt in {ROLE_ATTEMPT, MEMBERS_ATTEMPT}:
             return []
         return self.primaries.on_probe(group, attempt, reports, now_ns)
 
@@ -431,6 +441,7 @@
             routes = self.state.routes
             self._last_proposed_plan = (routes.version, routes.source)
         self.departures.on_applied(entry)
+        self._former_members.on_applied(entry, now_ns)
         effects, ready = self._lease_holders.on_applied(entry, now_ns)
         for host, renewal in ready:
             effects.extend(self._on_renewal(host, renewal, now_ns))
@@ -446,6 +457,7 @@
         self._reconciler.on_elected()
         self._relief.on_elected()
         self._roles.on_elected()
+        self._former_members.on_elected()
         self._lease_holders.on_elected()
         self._restarted_hosts.on_elected()
 
--- a/src/rosemarysaddle/decide/control_log/_state.py
+++ b/src/rosemarysaddle/decide/control_log/_state.py
@@ -14,6 +14,10 @@
 from rosemarysaddle.decide.configuration._inventory import InventoryTable
 from rosemarysaddle.decide.configuration._route_plan import RouteTable
 from rosemarysaddle.decide.control_log._voters import MEMBERS
+from rosemarysaddle.decide.primaries._former_members import (
+    FormerMember,
+    FormerMemberTable,
+)
 from rosemarysaddle.decide.primaries._registry import (
     TargetRecord,
     TargetTable,
@@ -40,7 +44,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from rosemarysaddle.decide.control_log._log import StoredLog
     from rosemarysaddle.schema import RequestClass, Tenant
@@ -70,7 +74,9 @@
     about an order to promote, and ``SEEN`` is the newest term that a
     target was seen to know of.  ``ADMIT`` makes an instance
     with a new identity eligible for promotion.  ``TARGET`` and ``GONE``
-    add and remove an announced target.  ``MEMBERS`` sets the voters,
+    add and remove an announced target.  ``HELD`` names former members
+    of a group whose acknowledged writes others hold.  ``MEMBERS`` sets
+    the voters,
     ``HOSTS`` the count of entry hosts, and ``HOLDERS`` the hosts that
     may hold a lease.
     """
@@ -86,6 +92,7 @@
     MEMBERS: Final = MEMBERS
     TARGET: Final = "target"
     GONE: Final = "gone"
+    HELD: Final = "held"
     HOSTS: Final = "hosts"
     HOLDERS: Final = "holders"
 
@@ -142,6 +149,7 @@
     lease_holders: set[str] = attrs.field(factory=set)
     routes: RouteTable = attrs.field(factory=RouteTable)
     targets: TargetTable = attrs.field(factory=TargetTable)
+    former_members: FormerMemberTable = attrs.field(factory=FormerMemberTable)
     faults: list[str] = attrs.field(factory=list, eq=False)
     skipped_index: int = attrs.field(default=0, eq=False)
     _classes: dict[str, RequestClass] = attrs.field(factory=dict, init=False)
@@ -188,11 +196,35 @@
         if entry.kind == EntryKind.TARGET:
             record = TargetRecord(**payload)
             if is_well_formed(record):
-                self.targets.put(record)
+                self._keep_former(self.targets.put(record))
+                # An incarnation held for ended may go on all the same.
+                key = (record.target, record.incarnation_ms)
+                self.former_members.remove(record.group, {key})
             else:
                 self._record_fault(entry, "malformed record")
         if entry.kind == EntryKind.GONE:
-            self.targets.drop(payload["target"], payload["incarnation_ms"])
+            gone = self.targets.drop(
+                payload["target"], payload["incarnation_ms"]
+            )
+            # It has told its end itself, so that was planned.
+            self._keep_former(attrs.evolve(r, leaving=True) for r in gone)
+
+    def _keep_former(self, records: Iterable[TargetRecord]) -> None:
+        """Keep members that may have acknowledged writes of a group."""
+        for record in records:
+            policy = self.routes.groups.get(record.group)
+            term = self.terms.get(record.group)
+            if policy is None or term is None or not policy.sync_replicas:
+                continue
+            led = term.served_by == record.target
+            member = FormerMember(
+                target=record.target,
+                incarnation_ms=record.incarnation_ms,
+                address=record.address,
+                was_leaving=record.leaving,
+                led_term=term.target_term if led else 0,
+            )
+            self.former_members.add(record.group, member)
 
     def _apply_group(self, kind: str, payload: dict[str, Any]) -> None:
         if kind == EntryKind.CLOSE:
@@ -207,6 +239,8 @@
             self._see(payload["group"], payload["target_term"])
         if kind == EntryKind.ADMIT:
             self._admit(payload)
+        if kind == EntryKind.HELD:
+            self._confirm_held(payload)
 
     def _apply_hosts(self, kind: str, payload: dict[str, Any]) -> None:
         if kind == EntryKind.MEMBERS:
@@ -280,6 +314,7 @@
             "lease_holders": sorted(self.lease_holders),
             "routes": self.routes.source,
             "targets": self.targets.dump(),
+            "former_members": self.former_members.dump(),
         }
         return json.dumps(body, separators=(",", ":"))
 
@@ -314,6 +349,10 @@
             lease_holders=set(body["lease_holders"]),
             routes=_load_routes(body["routes"]),
             targets=TargetTable.load(body["targets"]),
+            # An earlier build leaves them out.
+            former_members=FormerMemberTable.load(
+                body.get("former_members", {})
+            ),
         )
 
     def _change(self, change: ChangeProposal) -> ChangeReply:
@@ -332,12 +371,14 @@
         # The plan was checked before it was proposed.  A plan that is
         # sent again or is older changes nothing.
         if change.base_version > self.routes.version:
+            before = self.routes
             self.routes = (
-                self.routes.patched(change.payload)
+                before.patched(change.payload)
                 if change.kind == DocumentKind.ROUTES_PATCH
                 else RouteTable.of(change.payload)
             )
             self.targets.changed_groups.update(self.routes.groups)
+            self._follow_sync_replicas(before)
         return ChangeReply(
             change_id=change.change_id,
             accepted=True,
@@ -346,6 +387,20 @@
             path="",
         )
 
+    def _follow_sync_replicas(self, before: RouteTable) -> None:
+        """Note changed numbers of synchronous replicas."""
+        for name in before.groups.keys() | self.routes.groups.keys():
+            old, new = before.groups.get(name), self.routes.groups.get(name)
+            if new is None:
+                self.former_members.forget(name)
+            elif old is not None and old.sync_replicas != new.sync_replicas:
+                self.former_members.change_sync_replicas(
+                    name,
+                    before=old.sync_replicas,
+                    after=new.sync_replicas,
+                    plan_version=self.routes.version,
+                )
+
     def _decide(self, change: ChangeProposal) -> ChangeReply:
         current = self.version_of(change.kind)
         if change.base_version != current:
@@ -415,6 +470,7 @@
             is_serving=True,
             target_term=max(current.target_term, served) if served else 0,
             served_by=current.primary if served else "",
+            served_in=current.term if served else 0,
             known_term=max(current.known_term, served),
         )
 
@@ -423,6 +479,14 @@
         if current is not None and target_term > current.known_term:
             self.terms[group] = attrs.evolve(current, known_term=target_term)
 
+    def _confirm_held(self, payload: dict[str, Any]) -> None:
+        group = payload["group"]
+        keys = {(target, born_ms) for target, born_ms in payload["members"]}
+        self.former_members.remove(group, keys)
+        self.former_members.confirm_sync_replicas(
+            group, payload["plan_version"]
+        )
+
     def _settle(self, payload: dict[str, Any]) -> None:
         group = payload["group"]
         current = self.terms.get(group)
@@ -435,13 +499,14 @@
         current = self.terms.get(group)
         primary = str(payload["primary"])
         starts: tuple[TermStart, ...] = ()
-        target_term, known_term, served_by = 0, 0, ""
+        target_term, known_term, served_by, served_in = 0, 0, "", 0
         in_doubt: tuple[PromotionInDoubt, ...] = ()
         if current is not None:
             if term <= current.term:
                 return
             starts, target_term = current.starts, current.target_term
             known_term, served_by = current.known_term, current.served_by
+            served_in = current.served_in
             in_doubt = current.in_doubt
         if "above_term" in payload:
             order = PromotionInDoubt(
@@ -455,6 +520,7 @@
             is_open=True,
             target_term=target_term,
             served_by=served_by,
+            served_in=served_in,
             known_term=known_term,
             in_doubt=in_doubt,
             starts=(*starts, start)[-MAX_KEPT_STARTS:],
--- a/src/rosemarysaddle/decide/primaries/_announced_choice.py
+++ b/src/rosemarysaddle/decide/primaries/_announced_choice.py
@@ -71,6 +71,10 @@
             reuse_former=change.keeps_former
             and now_ns >= change.fenced_ns + CATCH_UP_TIMEOUT_MS * NS_PER_MS,
             sync_replicas=self.sync_replicas(change.group),
+            held_by=state.former_members.sync_replicas(
+                change.group, self.sync_replicas(change.group)
+            ),
+            former_members=state.former_members.of_group(change.group),
             known_term=change.known_term,
             in_doubt=in_doubt,
             doubt_term=self.orders.newest_term(change.group, now_ns),
@@ -79,12 +83,7 @@
         )
         choice = choose_successor(reports, criteria)
         if choice is None:
-            reason = (
-                f"the promotion of {','.join(in_doubt)} may yet take effect"
-                if in_doubt
-                else "no eligible target is known to hold all writes of the"
-                " primary"
-            )
+            reason = _describe_wait(criteria, reports)
             return None, [*effects, *self._block(change, reason, now_ns)]
         needs = needs_order(choice, reports, change.known_term)
         # An order that timed out may have taken effect where nobody
@@ -135,3 +134,21 @@
             return []
         change.blocked_reason = reason
         return [log_wait(change, reason, now_ns)]
+
+
+def _describe_wait(
+    criteria: SuccessorCriteria, reports: Sequence[TargetReport]
+) -> str:
+    """Tell for whom a choice waits."""
+    if criteria.in_doubt:
+        targets = ",".join(criteria.in_doubt)
+        return f"the promotion of {targets} may yet take effect"
+    answered = ",".join(sorted(r.target for r in reports if r.role))
+    text = (
+        "no eligible target is known to hold all writes of the primary"
+        f" {criteria.former or '-'}; answered: {answered or '-'}"
+    )
+    former = ",".join(
+        f"{m.target}@{m.incarnation_ms}" for m in criteria.former_members
+    )
+    return f"{text}; former members that may: {former}" if former else text
--- a/src/rosemarysaddle/decide/primaries/_registry.py
+++ b/src/rosemarysaddle/decide/primaries/_registry.py
@@ -109,38 +109,47 @@
         for record in self.records.values():
             self._index(record)
 
-    def put(self, record: TargetRecord) -> None:
-        """Add or replace a target and drop another at its address."""
+    def put(self, record: TargetRecord) -> list[TargetRecord]:
+        """Add or replace a target and drop another at its address.
+
+        :return: records of the incarnations that it replaces
+        """
+        replaced = []
         other = self._by_address.get(record.address)
         if other is not None and other.target != record.target:
-            self.drop(other.target, other.incarnation_ms)
+            replaced.extend(self.drop(other.target, other.incarnation_ms))
         known = self.records.get(record.target)
         if known is not None:
             self._unindex(known)
             self.changed_groups.add(known.group)
+            if known.group != record.group:
+                replaced.append(known)
         # The incarnation is not gone: see ContestedTargets.
         if self.gone_ms.get(record.target, -1) >= record.incarnation_ms:
             del self.gone_ms[record.target]
         self.records[record.target] = record
         self._index(record)
         self.changed_groups.add(record.group)
+        return replaced
 
-    def drop(self, target: str, incarnation_ms: int) -> None:
+    def drop(self, target: str, incarnation_ms: int) -> list[TargetRecord]:
         """Remove a target that is gone.
 
         Nothing changes if a newer incarnation is registered.
 
         :param incarnation_ms: incarnation that is gone
+        :return: the record that was removed, if there was one
         """
         record = self.records.get(target)
         if record is None or record.incarnation_ms > incarnation_ms:
-            return
+            return []
         del self.records[target]
         self._unindex(record)
         self.changed_groups.add(record.group)
         self.gone_ms[target] = incarnation_ms
         if len(self.gone_ms) > MAX_DEPARTED_TARGETS:
             del self.gone_ms[next(iter(self.gone_ms))]
+        return [record]
 
     def of_group(self, group: str) -> list[TargetRecord]:
         """List the targets of a group, sorted by name."""
--- a/src/rosemarysaddle/decide/primaries/_succession.py
+++ b/src/rosemarysaddle/decide/primaries/_succession.py
@@ -6,7 +6,9 @@
 
 With synchronous replicas, a write is acknowledged once so many of them
 have it.  The choice then waits until enough replicas have answered for
-one of them to hold every such write, however long that takes.
+one of them to hold every such write, however long that takes.  Those
+that have left or started again since then count as replicas that do not
+answer.
 
 What a target says of its role counts together with the term in which it
 has it.  One that leads a later term than the group was served in has
@@ -21,10 +23,13 @@
 
 import attrs
 
+from rosemarysaddle.decide.primaries._former_members import find_continued
+
 if TYPE_CHECKING:
-    from collections.abc import Collection, Sequence
+    from collections.abc import Collection, Mapping, Sequence
 
     from rosemarysaddle.decide._effects import TargetReport
+    from rosemarysaddle.decide.primaries._former_members import FormerMember
     from rosemarysaddle.decide.primaries._registry import TargetRecord
     from rosemarysaddle.decide.primaries._terms import GroupTerm
 
@@ -71,8 +76,15 @@
         replicas lag or do not answer
     :param sync_replicas: number of replicas that hold a write by the
         time that it is acknowledged
+    :param held_by: least number of replicas that hold each write that
+        was acknowledged; an earlier plan may have asked for fewer
     :param replicas: number of registered targets besides the one that
         served last
+    :param former_members: members that are registered no more and may
+        have acknowledged writes that others lack
+    :param continued: former members whose log a registered target was
+        given, by target
+    :param start: position at which the term began that served last
     """
 
     former: str
@@ -89,7 +101,15 @@
     keeps_former: bool = False
     reuse_former: bool = False
     sync_replicas: int = 0
+    held_by: int = attrs.field(
+        default=attrs.Factory(lambda self: self.sync_replicas, takes_self=True)
+    )
     replicas: int = 0
+    former_members: Collection[FormerMember] = ()
+    continued: Mapping[str, Collection[FormerMember]] = attrs.field(
+        factory=dict
+    )
+    start: int = 0
 
     @classmethod
     def of_group(
@@ -101,6 +121,8 @@
         keeps_former: bool = False,
         reuse_former: bool = False,
         sync_replicas: int = 0,
+        held_by: int = 0,
+        former_members: Sequence[FormerMember] = (),
         known_term: int = 0,
         in_doubt: Collection[str] = (),
         doubt_term: int = 0,
@@ -111,12 +133,14 @@
 
         :param term: current term of the group, None for a new group
         :param records: registered targets of the group
+        :param former_members: all former members of the group
         """
         former = "" if term is None else term.primary
         served_by = "" if term is None else term.served_by
+        target_term = 0 if term is None else term.target_term
         return cls(
             former=former,
-            target_term=0 if term is None else term.target_term,
+            target_term=target_term,
             served_by=served_by,
             known_term=known_term,
             in_doubt=in_doubt,
@@ -131,7 +155,13 @@
             keeps_former=keeps_former,
             reuse_former=reuse_former,
             sync_replicas=sync_replicas,
+            held_by=held_by,
             replicas=sum(r.target != (served_by or former) for r in records),
+            former_members=former_members,
+            continued={
+                r.target: find_continued(r, former_members) for r in records
+            },
+            start=0 if term is None else term.start_of(term.served_in) or 0,
         )
 
     @property
@@ -314,9 +344,33 @@
     if any(_served(r, criteria) for r in answers):
         return True
     served_by = criteria.served_by or criteria.former
-    replicas = [r for r in answers if r.target != served_by]
-    needed = criteria.replicas - criteria.sync_replicas + 1
-    return len(replicas) >= needed
+    continued = [
+        member
+        for report in answers
+        if _shows_log(report, criteria)
+        for member in criteria.continued.get(report.target, ())
+    ]
+    if any(_has_led(member, criteria) for member in continued):
+        return True
+    # The primary of the closed term acknowledged nothing by itself.
+    former = [m for m in criteria.former_members if not _has_led(m, criteria)]
+    members = criteria.replicas + len(former)
+    answered = sum(r.target != served_by for r in answers) + len(continued)
+    return answered >= min(members, members - criteria.held_by + 1)
+
+
+def _shows_log(report: TargetReport, criteria: SuccessorCriteria) -> bool:
+    """Tell whether a target has the log of the term served last.
+
+    One that ends before the term began holds none of its writes.
+    """
+    follows = report.newest_term >= criteria.target_term
+    return follows and report.position >= criteria.start
+
+
+def _has_led(member: FormerMember, criteria: SuccessorCriteria) -> bool:
+    """Tell whether a former member was the primary that served last."""
+    return 0 < criteria.target_term == member.led_term
 
 
 def _served(report: TargetReport, criteria: SuccessorCriteria) -> bool:
--- a/src/rosemarysaddle/decide/primaries/_terms.py
+++ b/src/rosemarysaddle/decide/primaries/_terms.py
@@ -42,6 +42,7 @@
         the group's primary, as the targets number their terms; 0 where
         none was
     :param served_by: target that served in that term, or empty
+    :param served_in: term of the group in which it served, or 0
     :param known_term: newest term that a target was seen to know of;
         a primary of an earlier one has been replaced
     :param in_doubt: orders to promote whose outcome is not known
@@ -55,6 +56,7 @@
     is_serving: bool = False
     target_term: int = 0
     served_by: str = ""
+    served_in: int = 0
     known_term: int = 0
     in_doubt: tuple[PromotionInDoubt, ...] = ()
     starts: tuple[TermStart, ...] = ()
--- a/src/rosemarysaddle/node/_host_metrics.py
+++ b/src/rosemarysaddle/node/_host_metrics.py
@@ -193,6 +193,19 @@
     yield _gauge("leases", "Entry hosts that hold a lease", leases)
     changes = len(control.primaries.changes)
     yield _gauge("changes", "Changes of primary in progress", changes)
+    yield _gauge(
+        "changes_waiting",
+        "Changes of primary that find no target to promote",
+        sum(
+            bool(c.blocked_reason) for c in control.primaries.changes.values()
+        ),
+    )
+    yield _gauge(
+        "former_members",
+        "Targets that have left or restarted and may hold writes that no"
+        " other one of their group is known to hold",
+        control.state.former_members.count,
+    )
     yield _gauge(
         "promotions_in_doubt",
         "Orders to promote that may yet take effect",
--- a/tests/decide/promotion_model.py
+++ b/tests/decide/promotion_model.py
@@ -59,6 +59,7 @@
     :param is_apart: whether it and the other targets cannot reach each
         other
     :param answer_ms: time that it takes to answer a status request
+    :param has_left: whether it has said that it is gone, and has ended
     :param meets_ns: time since which it reaches the newest primary
     """
 
@@ -73,6 +74,8 @@
     is_lagging: bool = False
     answer_ms: int = 2
     started_ms: int = 100
+    is_leaving: bool = False
+    has_left: bool = False
     meets_ns: int = -1
     orders: list[Callable[[], None]] = attrs.field(factory=list)
 
--- a/tests/decide/promotion_world.py
+++ b/tests/decide/promotion_world.py
@@ -103,6 +103,7 @@
     pending: int = 0
     newest: str = "t1"
     rng: random.Random = attrs.field(init=False)
+    _plan_version: int = 4
     _ids: itertools.count[int] = attrs.field(factory=itertools.count)
 
     def __attrs_post_init__(self) -> None:
@@ -169,6 +170,13 @@
         order = Switchover(group=GROUP, target=target)
         self._to_leader("op", order)
 
+    def change_sync_replicas(self, count: int) -> None:
+        """Propose a plan with another number of replicas to wait for."""
+        self.note(f"the plan asks for {count} synchronous replicas")
+        self.sync_replicas = count
+        self._plan_version += 1
+        self._propose_plan()
+
     def _propose_plan(self) -> None:
         route = {
             "name": "r",
@@ -178,11 +186,12 @@
             "group": GROUP,
         }
         group = {"name": GROUP, "sync_replicas": self.sync_replicas}
-        plan = {"version": 4, "groups": [group], "routes": [route]}
+        version = self._plan_version
+        plan = {"version": version, "groups": [group], "routes": [route]}
         change = ChangeProposal(
-            change_id="1",
+            change_id=str(version),
             kind=DocumentKind.ROUTES,
-            base_version=4,
+            base_version=version,
             author="op",
             payload=json.dumps(plan),
         )
@@ -501,7 +510,7 @@
         self.later(spent_ms, lambda: self._bring_back(target))
 
     def _bring_back(self, target: Target) -> None:
-        if target.is_up:
+        if target.is_up or target.has_left:
             return
         self.note(f"{target.name} is back")
         target.is_up = True
@@ -513,6 +522,43 @@
             order()
         self._announce(target)
 
+    def leave(self, name: str, spent_ms: int, successor_ms: int) -> None:
+        """Stop a target as planned; a new one then gets its log.
+
+        :param spent_ms: time for which it serves after its announcement
+        :param successor_ms: time from its end to the new one's start
+        """
+        target = self.targets[name]
+        if not target.is_up or target.is_leaving:
+            return
+        self.note(f"{name} leaves in {spent_ms} ms")
+        target.is_leaving = True
+        self._announce(target)
+        self.later(spent_ms, lambda: self._end(target, successor_ms))
+
+    def _end(self, target: Target, successor_ms: int) -> None:
+        if not target.is_up:
+            # It has crashed meanwhile, and starts anew.
+            target.is_leaving = False
+            return
+        self.note(f"{target.name} has left")
+        target.has_left = True
+        self._announce(target)
+        target.is_up = False
+        self.later(successor_ms, lambda: self._start_successor(target))
+
+    def _start_successor(self, target: Target) -> None:
+        successor = Target(
+            name=f"{target.name}n",
+            address=target.address,
+            term=target.term,
+            log=target.log,
+            started_ms=target.started_ms + 1,
+        )
+        self.note(f"{successor.name} starts with the log of {target.name}")
+        self.targets[successor.name] = successor
+        self.spawn(self._announce_often(successor))
+
     def disturb(self, name: str, spent_ms: int, **fault: Any) -> None:
         """Set fields of a target for some time."""
         target = self.targets[name]
@@ -534,18 +580,18 @@
         self.modes.clear()
         self.platform_down_until_ns = 0
         self.cut_off.clear()
-        for target in self.targets.values():
+        for target in list(self.targets.values()):
             target.is_dark = target.is_apart = target.is_lagging = False
             target.answer_ms = 2
             self._bring_back(target)
 
     def _announce_often(self, target: Target) -> Process:
-        while True:
+        while not target.has_left:
             self._announce(target)
             yield self.now_ns + ANNOUNCE_MS * NS_PER_MS
 
     def _announce(self, target: Target) -> None:
-        if not target.is_seen:
+        if not (target.is_seen or target.has_left):
             return
         announcement = Announcement(
             target=target.name,
@@ -555,10 +601,11 @@
             role=target.role,
             term=0,
             position=0,
-            leaving=False,
+            leaving=target.is_leaving,
             identity="",
             slots=2,
             incarnation_ms=target.started_ms,
+            gone=target.has_left,
         )
         delay_ms = self.rng.choice(ANNOUNCEMENT_DELAYS_MS)
         self.later(delay_ms, lambda: self._to_leader("x", announcement))
