Count an earlier incarnation of a replica as another member

Cause: the answer of the empty replica counted for what the incarnation before had received. The registry knows incarnations; the choice did not use them.

Change: a record that a later incarnation of its target replaces is kept as a former member of the group.

--- a/src/rosemarysaddle/decide/primaries/_registry.py
+++ b/src/rosemarysaddle/decide/primaries/_registry.py
@@ -122,7 +122,7 @@
         if known is not None:
             self._unindex(known)
             self.changed_groups.add(known.group)
-            if known.group != record.group:
+            if not _is_same_member(known, record):
                 replaced.append(known)
         # The incarnation is not gone: see ContestedTargets.
         if self.gone_ms.get(record.target, -1) >= record.incarnation_ms:
@@ -238,3 +238,11 @@
     return other is not None and (
         other.incarnation_ms > announcement.incarnation_ms
     )
+
+
+def _is_same_member(known: TargetRecord, record: TargetRecord) -> bool:
+    """Tell whether two records are of one incarnation in one group."""
+    return (known.group, known.incarnation_ms) == (
+        record.group,
+        record.incarnation_ms,
+    )
--- a/tests/decide/promotion_world.py
+++ b/tests/decide/promotion_world.py
@@ -171,7 +171,7 @@
         self._to_leader("op", order)
 
     def change_sync_replicas(self, count: int) -> None:
-        """Propose a plan with another number of replicas to wait for."""
+        """Propose a plan that waits for another number of replicas."""
         self.note(f"the plan asks for {count} synchronous replicas")
         self.sync_replicas = count
         self._plan_version += 1
@@ -522,6 +522,15 @@
             order()
         self._announce(target)
 
+    def wipe(self, name: str, spent_ms: int) -> None:
+        """Crash a replica, which starts again with nothing."""
+        target = self.targets[name]
+        if not target.is_up or target.role == "primary":
+            return
+        self.crash(name, spent_ms)
+        self.note(f"{name} loses its log")
+        target.log, target.term = (), 1
+
     def leave(self, name: str, spent_ms: int, successor_ms: int) -> None:
         """Stop a target as planned; a new one then gets its log.
 
--- a/tests/decide/test_promotion_members.py
+++ b/tests/decide/test_promotion_members.py
@@ -87,11 +87,38 @@
     _assert_holds(world)
 
 
-def test_primary_is_lost_while_another_replica_holds_all() -> None:
+@pytest.mark.parametrize("lagging", ["t3", ""])
+@pytest.mark.parametrize("down_ms", [7_000, FOR_GOOD_MS])
+def test_replica_started_again_with_nothing(
+    down_ms: int, lagging: str
+) -> None:
+    """Guards against an empty replica that counts as one with a log."""
+    world = World(sync_replicas=1)
+    if lagging:
+        world.disturb(lagging, LAGS_MS, is_lagging=True)
+    world.run(2_000)
+
+    world.wipe("t2", 1_000)
+    world.disturb("t2", 3_000, is_lagging=True)
+    world.run(2_500)
+    world.crash("t1", down_ms)
+    world.run(10_000)
+
+    _assert_holds(world)
+
+
+@pytest.mark.parametrize("is_planned", [True, False])
+def test_primary_is_lost_while_another_replica_holds_all(
+    *, is_planned: bool
+) -> None:
     """Guards against waiting for members whose writes others hold."""
     world = World(sync_replicas=1)
 
-    _let_replica_leave(world, lagging="", successor_ms=FOR_GOOD_MS)
+    if is_planned:
+        _let_replica_leave(world, lagging="", successor_ms=FOR_GOOD_MS)
+    else:
+        world.wipe("t2", 500)
+        world.run(3_000)
     world.crash("t1", FOR_GOOD_MS)
     crashed_ns = world.now_ns
     world.run(PROMPT_MS)
