Choose a primary by what entry hosts have acknowledged

Counting answers leaves two gaps.

An entry host now tells with GroupClosed between which positions the newest write is that it has acknowledged: after the position that it knew when it sent the write, at the latest at the one that the primary told with the commit. A target behind the least of these is not chosen by counting. One that has reached the newest of them, and the position at which the term began, lacks nothing, whoever answers, provided that all hosts that held a lease in the term have told; the control log has the hosts, and when one left. Otherwise the count decides. A replica that has not followed a term in which nothing was acknowledged is chosen at once instead of after 5 s.

--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -22,6 +22,7 @@
     ObservedTerm,
     ObservedTerms,
 )
+from rosemarysaddle.decide.reads._acknowledged import AcknowledgedWrites
 from rosemarysaddle.schema import (
     Announcement,
     CloseGroup,
@@ -84,12 +85,15 @@
     :param target_term: term of the target in which it is the primary;
         0 if unknown.  A write in an earlier one has run at a primary
         that was replaced
+    :param known_point: newest position of the primary that was known
+        when the ticket was issued
     """
 
     group: str
     term: int
     primary: str
     target_term: int = 0
+    known_point: LogPoint | None = None
 
 
 @attrs.define(kw_only=True)
@@ -165,6 +169,9 @@
     )
     _drains: dict[str, _Drain] = attrs.field(factory=dict, init=False)
     _next_suspicion_ns: dict[str, int] = attrs.field(factory=dict, init=False)
+    _acknowledged: AcknowledgedWrites = attrs.field(
+        factory=AcknowledgedWrites, init=False
+    )
     _observed: ObservedTerms = attrs.field(factory=ObservedTerms, init=False)
     _stopping: bool = attrs.field(default=False, init=False)
     _has_heard_control: bool = attrs.field(default=False, init=False)
@@ -282,13 +289,20 @@
             return ""
         return self.last_leader if now_ns < self.lease.deadline_ns else ""
 
-    def begin_write(self, group: str, now_ns: int) -> WriteTicket | Refusal:
+    def begin_write(
+        self,
+        group: str,
+        now_ns: int,
+        *,
+        known_point: LogPoint | None = None,
+    ) -> WriteTicket | Refusal:
         """Begin a write to a group.
 
         The caller ends it with :meth:`end_write`.
 
         :param group: name of the group
         :param now_ns: monotonic time, in nanoseconds
+        :param known_point: newest known position of the primary
         :return: ticket of the write, or why the group takes no write
         """
         term = self.state.terms.get(group)
@@ -305,6 +319,7 @@
             term=term.term,
             primary=term.primary,
             target_term=term.target_term,
+            known_point=known_point,
         )
 
     def primary_of(self, group: str, now_ns: int) -> GroupTerm | None:
@@ -341,17 +356,29 @@
             return 0
         return min(MAX_OUTAGE_RETRY_MS, spent_ms // 2)
 
-    def end_write(self, ticket: WriteTicket, now_ns: int) -> bool:
+    def end_write(
+        self,
+        ticket: WriteTicket,
+        now_ns: int,
+        *,
+        has_committed: bool = False,
+        point: LogPoint | None = None,
+    ) -> bool:
         """End a write.
 
         :param ticket: ticket of the write
         :param now_ns: monotonic time, in nanoseconds
+        :param has_committed: whether the primary has committed it
+        :param point: position that the primary told with the commit
         :return: whether the write may be acknowledged
         """
         self._running_writes[ticket.group] -= 1
         if self._running_writes[ticket.group] == 0:
             del self._running_writes[ticket.group]
-        return self.holds(ticket, now_ns)
+        is_valid = self.holds(ticket, now_ns)
+        if has_committed and is_valid:
+            self._acknowledged.record(ticket.group, point, ticket.known_point)
+        return is_valid
 
     def holds(self, ticket: WriteTicket, now_ns: int) -> bool:
         """Tell whether a ticket is still valid.
@@ -730,7 +757,17 @@
     def _close_group(self, leader: str, group: str, term: int) -> Send:
         self._drains.pop(group, None)
         self.lease.close(group, term)
-        message = GroupClosed(host=self.host, group=group, term=term)
+        bounds = self._acknowledged.of_group(group)
+        message = GroupClosed(
+            host=self.host,
+            group=group,
+            term=term,
+            least_term=bounds.least.term,
+            least_position=bounds.least.position,
+            newest_term=bounds.newest.term,
+            newest_position=bounds.newest.position,
+            is_bounded=bounds.is_bounded,
+        )
         return Send(peer=leader, message=message)
 
     def _recorded_term(self, group: str) -> int | None:
--- a/src/rosemarysaddle/decide/control_log/_state.py
+++ b/src/rosemarysaddle/decide/control_log/_state.py
@@ -131,6 +131,8 @@
     :param replies: reply to each recent change, by its identifier
     :param entry_hosts: recorded count of entry hosts
     :param lease_holders: entry hosts that may hold a lease
+    :param holders_left_index: log index of the newest entry that
+        removed one of them
     :param faults: entries that were skipped, and why; for the log of
         this host
     :param skipped_index: index of the last one
@@ -147,6 +149,7 @@
     voters: tuple[str, ...] = ()
     entry_hosts: int = 0
     lease_holders: set[str] = attrs.field(factory=set)
+    holders_left_index: int = 0
     routes: RouteTable = attrs.field(factory=RouteTable)
     targets: TargetTable = attrs.field(factory=TargetTable)
     former_members: FormerMemberTable = attrs.field(factory=FormerMemberTable)
@@ -248,6 +251,8 @@
         if kind == EntryKind.HOSTS:
             self.entry_hosts = int(payload["count"])
         if kind == EntryKind.HOLDERS:
+            if payload["out"]:
+                self.holders_left_index = self.index
             self.lease_holders.difference_update(payload["out"])
             self.lease_holders.update(payload["in"])
 
@@ -312,6 +317,7 @@
             "voters": self.voters,
             "entry_hosts": self.entry_hosts,
             "lease_holders": sorted(self.lease_holders),
+            "holders_left_index": self.holders_left_index,
             "routes": self.routes.source,
             "targets": self.targets.dump(),
             "former_members": self.former_members.dump(),
@@ -347,6 +353,8 @@
             voters=tuple(body["voters"]),
             entry_hosts=int(body["entry_hosts"]),
             lease_holders=set(body["lease_holders"]),
+            # A snapshot of an earlier build does not tell who has left.
+            holders_left_index=body.get("holders_left_index", body["index"]),
             routes=_load_routes(body["routes"]),
             targets=TargetTable.load(body["targets"]),
             # An earlier build leaves them out.
@@ -471,6 +479,11 @@
             target_term=max(current.target_term, served) if served else 0,
             served_by=current.primary if served else "",
             served_in=current.term if served else 0,
+            served_index=(
+                current.served_index
+                if current.served_in == current.term
+                else self.index
+            ),
             known_term=max(current.known_term, served),
         )
 
@@ -499,7 +512,8 @@
         current = self.terms.get(group)
         primary = str(payload["primary"])
         starts: tuple[TermStart, ...] = ()
-        target_term, known_term, served_by, served_in = 0, 0, "", 0
+        target_term, known_term = 0, 0
+        served_by, served_in, served_index = "", 0, 0
         in_doubt: tuple[PromotionInDoubt, ...] = ()
         if current is not None:
             if term <= current.term:
@@ -507,13 +521,18 @@
             starts, target_term = current.starts, current.target_term
             known_term, served_by = current.known_term, current.served_by
             served_in = current.served_in
+            served_index = current.served_index
             in_doubt = current.in_doubt
         if "above_term" in payload:
             order = PromotionInDoubt(
                 target=primary, term=term, above_term=payload["above_term"]
             )
             in_doubt = (*in_doubt, order)
-        start = TermStart(term=term, position=int(payload["start"]))
+        start = TermStart(
+            term=term,
+            position=int(payload["start"]),
+            log_term=int(payload.get("start_term", 0)),
+        )
         self.terms[group] = GroupTerm(
             term=term,
             primary=primary,
@@ -521,6 +540,7 @@
             target_term=target_term,
             served_by=served_by,
             served_in=served_in,
+            served_index=served_index,
             known_term=known_term,
             in_doubt=in_doubt,
             starts=(*starts, start)[-MAX_KEPT_STARTS:],
--- a/src/rosemarysaddle/decide/primaries/_announced_choice.py
+++ b/src/rosemarysaddle/decide/primaries/_announced_choice.py
@@ -27,6 +27,9 @@
 
     from rosemarysaddle.decide._effects import Effect, TargetReport
     from rosemarysaddle.decide.control_log._context import LeaderContext
+    from rosemarysaddle.decide.primaries._acknowledged_reports import (
+        AcknowledgedReports,
+    )
     from rosemarysaddle.decide.primaries._change import GroupChange
     from rosemarysaddle.decide.primaries._orders_in_doubt import OrdersInDoubt
 
@@ -43,6 +46,7 @@
 
     context: LeaderContext
     orders: OrdersInDoubt
+    acknowledged: AcknowledgedReports
 
     def choose(
         self,
@@ -75,6 +79,8 @@
                 change.group, self.sync_replicas(change.group)
             ),
             former_members=state.former_members.of_group(change.group),
+            least_acknowledged=self.acknowledged.least(change.group),
+            newest_acknowledged=self.acknowledged.newest(change.group),
             known_term=change.known_term,
             in_doubt=in_doubt,
             doubt_term=self.orders.newest_term(change.group, now_ns),
--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -22,6 +22,9 @@
 )
 from rosemarysaddle.decide._times import NS_PER_MS
 from rosemarysaddle.decide.control_log._state import EntryKind
+from rosemarysaddle.decide.primaries._acknowledged_reports import (
+    AcknowledgedReports,
+)
 from rosemarysaddle.decide.primaries._announced_choice import AnnouncedChoice
 from rosemarysaddle.decide.primaries._change import (
     ChangeReason,
@@ -101,6 +104,7 @@
     changes: dict[str, GroupChange] = attrs.field(factory=dict)
     times: list[ChangeTimes] = attrs.field(factory=list)
     orders: OrdersInDoubt = attrs.field(init=False)
+    _acknowledged: AcknowledgedReports = attrs.field(init=False)
     _announced_choice: AnnouncedChoice = attrs.field(init=False)
     _evidence: dict[str, Evidence] = attrs.field(factory=dict, init=False)
     _groups_to_open: set[str] = attrs.field(factory=set, init=False)
@@ -114,8 +118,11 @@
     def __attrs_post_init__(self) -> None:
         """Create the parts for groups of the route plan."""
         self.orders = OrdersInDoubt(context=self.context)
+        self._acknowledged = AcknowledgedReports(context=self.context)
         self._announced_choice = AnnouncedChoice(
-            context=self.context, orders=self.orders
+            context=self.context,
+            orders=self.orders,
+            acknowledged=self._acknowledged,
         )
 
     def on_elected(self) -> None:
@@ -130,6 +137,7 @@
     def on_leadership_lost(self) -> None:
         """Drop the changes that only a leader may continue."""
         self.changes.clear()
+        self._acknowledged.clear()
         self._confirming_until_ns.clear()
 
     def tick(self, now_ns: int) -> list[Effect]:
@@ -274,6 +282,7 @@
         self._groups_to_open.discard(group)
         self._evidence.pop(group, None)
         self._failed_promotions.pop(group, None)
+        self._acknowledged.forget(group)
         self.orders.end_outage(group)
         if self._is_route_group(group):
             self._served_since_ns[group] = now_ns
@@ -580,6 +589,7 @@
         if change is None or change.term != closed.term:
             return []
         change.fence_deadlines_ns.pop(closed.host, None)
+        self._acknowledged.record(closed)
         return self._advance(change, now_ns)
 
     def on_first_renewal(self, host: str) -> None:
@@ -743,6 +753,7 @@
             "term": change.new_term,
             "primary": choice.target,
             "start": choice.position,
+            "start_term": choice.progress[0],
             "identities": {
                 **self.context.identities(change.group),
                 **{r.target: r.identity for r in reports},
--- a/src/rosemarysaddle/decide/primaries/_succession.py
+++ b/src/rosemarysaddle/decide/primaries/_succession.py
@@ -85,6 +85,10 @@
     :param continued: former members whose log a registered target was
         given, by target
     :param start: position at which the term began that served last
+    :param least_acknowledged: position that the newest acknowledged
+        write has reached, term first
+    :param newest_acknowledged: position that no acknowledged write is
+        after, or None if it is not known
     """
 
     former: str
@@ -110,6 +114,8 @@
         factory=dict
     )
     start: int = 0
+    least_acknowledged: tuple[int, int] = (0, 0)
+    newest_acknowledged: tuple[int, int] | None = None
 
     @classmethod
     def of_group(
@@ -123,6 +129,8 @@
         sync_replicas: int = 0,
         held_by: int = 0,
         former_members: Sequence[FormerMember] = (),
+        least_acknowledged: tuple[int, int] = (0, 0),
+        newest_acknowledged: tuple[int, int] | None = None,
         known_term: int = 0,
         in_doubt: Collection[str] = (),
         doubt_term: int = 0,
@@ -162,6 +170,8 @@
                 r.target: find_continued(r, former_members) for r in records
             },
             start=0 if term is None else term.start_of(term.served_in) or 0,
+            least_acknowledged=least_acknowledged,
+            newest_acknowledged=newest_acknowledged,
         )
 
     @property
@@ -281,9 +291,25 @@
     """Tell whether a target may hold the writes of the last primary.
 
     One that knows of earlier terms only was cut off since then, and
-    lacks all of them.
+    lacks all of them, unless none was acknowledged.
     """
-    return criteria.allow_lagging or report.newest_term >= criteria.target_term
+    if criteria.allow_lagging or _has_acknowledged(report, criteria):
+        return True
+    return report.newest_term >= criteria.target_term
+
+
+def _has_acknowledged(
+    report: TargetReport, criteria: SuccessorCriteria
+) -> bool:
+    """Tell whether a target has reached all acknowledged writes.
+
+    A later log than that of the last term comes from another promotion
+    and tells nothing about that term.
+    """
+    newest = criteria.newest_acknowledged
+    if newest is None or report.progress[0] > criteria.target_term:
+        return False
+    return _progress(report) >= newest
 
 
 def _replace_former(
@@ -335,12 +361,18 @@
 ) -> bool:
     """Tell whether a target holds each write that was acknowledged.
 
-    Either the primary that served last tells how far it got, or so many
-    replicas answer that one of them has acknowledged the newest write.
+    Entry hosts tell how far these go, the last primary tells how far it
+    got, or so many replicas answer that one of them has acknowledged
+    the newest write.
     """
     answers = [r for r in reports if r.reachable and _has_status(r)]
     if any(_progress(r) > _progress(best) for r in answers):
         return False
+    if _progress(best) < criteria.least_acknowledged:
+        # A replica that answers may have lost its log, unannounced.
+        return False
+    if _has_acknowledged(best, criteria):
+        return True
     if any(_served(r, criteria) for r in answers):
         return True
     served_by = criteria.served_by or criteria.former
--- a/src/rosemarysaddle/decide/primaries/_terms.py
+++ b/src/rosemarysaddle/decide/primaries/_terms.py
@@ -11,10 +11,15 @@
 
 @attrs.frozen(kw_only=True)
 class TermStart:
-    """Position at which a term of a group began."""
+    """Position at which a term of a group began.
+
+    :param log_term: term of the entry at that position, as targets
+        number their terms; 0 if it is not known
+    """
 
     term: int
     position: int
+    log_term: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -43,6 +48,7 @@
         none was
     :param served_by: target that served in that term, or empty
     :param served_in: term of the group in which it served, or 0
+    :param served_index: log index from which on it served, or 0
     :param known_term: newest term that a target was seen to know of;
         a primary of an earlier one has been replaced
     :param in_doubt: orders to promote whose outcome is not known
@@ -57,6 +63,7 @@
     target_term: int = 0
     served_by: str = ""
     served_in: int = 0
+    served_index: int = 0
     known_term: int = 0
     in_doubt: tuple[PromotionInDoubt, ...] = ()
     starts: tuple[TermStart, ...] = ()
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -450,11 +450,21 @@
         "host",
         "group",
         "term",
+        "least_term",
+        "least_position",
+        "newest_term",
+        "newest_position",
+        "is_bounded",
     )
 
     host: str
     group: str
     term: int
+    least_term: int
+    least_position: int
+    newest_term: int
+    newest_position: int
+    is_bounded: bool
 
     def __init__(
         self,
@@ -462,11 +472,21 @@
         host: str,
         group: str,
         term: int,
+        least_term: int = 0,
+        least_position: int = 0,
+        newest_term: int = 0,
+        newest_position: int = 0,
+        is_bounded: bool = False,
     ) -> None:
         set_field = object.__setattr__
         set_field(self, "host", host)
         set_field(self, "group", group)
         set_field(self, "term", term)
+        set_field(self, "least_term", least_term)
+        set_field(self, "least_position", least_position)
+        set_field(self, "newest_term", newest_term)
+        set_field(self, "newest_position", newest_position)
+        set_field(self, "is_bounded", is_bounded)
 
 
 @record(kw_only=True, init=False)
--- a/src/rosemarysaddle/schema/messages.capnp
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -129,6 +129,14 @@
   host @0 :Text;
   group @1 :Text;
   term @2 :UInt64;
+  # Bounds of the position of the newest write that the sender has
+  # acknowledged, as targets number it.
+  leastTerm @3 :UInt64 = 0;
+  leastPosition @4 :UInt64 = 0;
+  newestTerm @5 :UInt64 = 0;
+  newestPosition @6 :UInt64 = 0;
+  # Whether it is known that no write was acknowledged after them.
+  isBounded @7 :Bool = false;
 }
 
 struct Suspicion {
--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -327,7 +327,9 @@
                 peer=group,
                 retry_after_ms=RETRY_AFTER_MS,
             )
-        return self.node.begin_write(group, now_ns)
+        return self.node.begin_write(
+            group, now_ns, known_point=self.positions.newest(group)
+        )
 
     def takes_new_work(self, target: str) -> bool:
         """Return whether new work may be sent to a target."""
@@ -364,13 +366,22 @@
             retry_after_ms=retry_ms,
         )
 
-    def end_write(self, ticket: WriteTicket) -> bool:
+    def end_write(
+        self, ticket: WriteTicket, answer: Answer | None = None
+    ) -> bool:
         """Return a ticket.
 
+        :param answer: answer to its write, or to the commit of its
+            writes; None if there is none
         :return: whether it was valid until now, so that the answer of
             the primary may be acknowledged
         """
-        is_valid = self.node.end_write(ticket, clock_ns())
+        is_valid = self.node.end_write(
+            ticket,
+            clock_ns(),
+            has_committed=answer is not None and answer.fault is None,
+            point=None if answer is None else answer.point,
+        )
         self.send(self.node.tick(clock_ns()))
         return is_valid
 
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -223,12 +223,13 @@
         deadline_ns: int,
     ) -> Answer | Refusal:
         """Run a write under a ticket, which ends with it."""
+        answer: Answer | None = None
         try:
             answer = await self._write_admitted(
                 route, ticket, statement, deadline_ns
             )
         finally:
-            lease_held = self.router.end_write(ticket)
+            lease_held = self.router.end_write(ticket, answer)
         own = self.points.get(ticket.group)
         if not self.router.confirm_write(ticket, answer, own):
             return unknown_outcome(
@@ -333,7 +334,8 @@
         answer: Answer,
     ) -> Answer | Refusal:
         ticket = transaction.ticket
-        lease_held = self._end_ticket(transaction)
+        committed = answer if transaction.has_written else None
+        lease_held = self._end_ticket(transaction, committed)
         transaction.connection = None
         self._release(connection)
         if not transaction.has_written:
@@ -383,13 +385,17 @@
             transaction.connection = None
         self._end_ticket(transaction)
 
-    def _end_ticket(self, transaction: Transaction) -> bool:
+    def _end_ticket(
+        self, transaction: Transaction, committed: Answer | None = None
+    ) -> bool:
         """Return the ticket of a transaction, if it has one.
 
+        :param committed: answer to the commit of its writes, if there
+            was one
         :return: whether the answer of the primary may be acknowledged
         """
         ticket, transaction.ticket = transaction.ticket, None
-        return ticket is None or self.router.end_write(ticket)
+        return ticket is None or self.router.end_write(ticket, committed)
 
     async def _pinned_connection(
         self, transaction: Transaction, deadline_ns: int
--- a/tests/decide/promotion_world.py
+++ b/tests/decide/promotion_world.py
@@ -28,6 +28,7 @@
     WriteTicket,
 )
 from rosemarysaddle.decide.primaries._orders_in_doubt import MAX_DOUBT_MS
+from rosemarysaddle.decide.reads._token import LogPoint
 from rosemarysaddle.node._platform import OrderAnswer
 from rosemarysaddle.schema import (
     Announcement,
@@ -104,6 +105,8 @@
     newest: str = "t1"
     rng: random.Random = attrs.field(init=False)
     _plan_version: int = 4
+    # Newest position of a primary that each entry host was told.
+    _points: dict[str, LogPoint] = attrs.field(factory=dict)
     _ids: itertools.count[int] = attrs.field(factory=itertools.count)
 
     def __attrs_post_init__(self) -> None:
@@ -627,7 +630,9 @@
             yield self.now_ns + WRITE_PAUSE_MS * NS_PER_MS
 
     def _write(self, entry: EntryNode) -> Process:
-        ticket = entry.begin_write(GROUP, self.now_ns)
+        ticket = entry.begin_write(
+            GROUP, self.now_ns, known_point=self._points.get(entry.host)
+        )
         if not isinstance(ticket, WriteTicket):
             return
         target = self.targets[ticket.primary]
@@ -662,7 +667,11 @@
             entry.end_write(ticket, self.now_ns)
             return
         self._observe(entry, target)
-        holds = entry.end_write(ticket, self.now_ns)
+        point = LogPoint(term=target.log[-1][0], position=len(target.log))
+        self._points[entry.host] = point
+        holds = entry.end_write(
+            ticket, self.now_ns, has_committed=True, point=point
+        )
         if term < ticket.target_term:
             effects = entry.report_earlier_term(
                 GROUP, target.name, term, self.now_ns
--- a/tests/decide/test_closing_orders.py
+++ b/tests/decide/test_closing_orders.py
@@ -64,7 +64,7 @@
     effects = node.receive("a", _ORDER, START_NS)
 
     assert [e.message for e in effects] == [  # type: ignore[union-attr]
-        GroupClosed(host="h", group="g", term=1)
+        GroupClosed(host="h", group="g", term=1, is_bounded=True)
     ]
     assert isinstance(node.begin_write("g", START_NS), WriteTicket)
 
--- a/tests/decide/test_promotion_members.py
+++ b/tests/decide/test_promotion_members.py
@@ -6,11 +6,21 @@
 
 from __future__ import annotations
 
+import os
+import random
+
 import pytest
 
 from tests.decide.promotion_world import World
 from tests.helpers import NS_PER_MS
 
+# More seeds by hand: MEMBER_SEEDS=0-1000 pytest -k random_members
+FIRST_SEED, LAST_SEED = (
+    int(n) for n in os.environ.get("MEMBER_SEEDS", "0-60").split("-")
+)
+SEEDS_PER_TEST = 20
+STEPS = 24
+
 SERVES_MS = 3_000
 LAGS_MS = 6_000
 LAGS_BEFORE_MS = 2_000
@@ -142,3 +152,71 @@
 
     assert waited
     assert [p.target for p in world.promotions] == ["t3"]
+
+
+class _Walk:
+    """Random faults of members, one after the other."""
+
+    def __init__(self, seed: int) -> None:
+        self.rng = random.Random(f"members:{seed}")  # noqa: S311
+        self.world = World(
+            seed=seed,
+            size=self.rng.choice([2, 3, 3, 4, 5]),
+            sync_replicas=1,
+        )
+
+    def run(self) -> World:
+        """Run all steps; the world then still has its faults."""
+        steps = [
+            self._crash,
+            self._lag,
+            self._lag,
+            self._wipe,
+            self._leave,
+            self._leave,
+            self._switch_over,
+            self.world.change_leader,
+        ]
+        for _ in range(STEPS):
+            self.rng.choice(steps)()
+            self.world.run(self.rng.choice([50, 200, 800, 2_000]))
+        return self.world
+
+    def _pick(self) -> str:
+        names = [n for n, t in self.world.targets.items() if not t.has_left]
+        return self.rng.choice(names)
+
+    def _duration_ms(self) -> int:
+        return self.rng.choice([300, 1_500, 4_000, 7_000])
+
+    def _crash(self) -> None:
+        self.world.crash(self.world.newest, self._duration_ms())
+
+    def _lag(self) -> None:
+        self.world.disturb(self._pick(), self._duration_ms(), is_lagging=True)
+
+    def _wipe(self) -> None:
+        # No order protects a target that loses its log once it has been
+        # ordered to lead.
+        if not self.world.pending and not self.world.leader.primaries.changes:
+            self.world.wipe(self._pick(), self._duration_ms())
+
+    def _leave(self) -> None:
+        # Members are replaced one after the other.
+        present = [t for t in self.world.targets.values() if not t.has_left]
+        if len(present) < self.world.size or any(
+            t.is_leaving for t in present
+        ):
+            return
+        successor_ms = self.rng.choice([50, 1_000, 5_000])
+        self.world.leave(self._pick(), self._duration_ms(), successor_ms)
+
+    def _switch_over(self) -> None:
+        self.world.switch_over(self._pick())
+
+
+@pytest.mark.parametrize("first", range(FIRST_SEED, LAST_SEED, SEEDS_PER_TEST))
+def test_random_members(first: int) -> None:
+    """Guards against lost commits where members come and go."""
+    for seed in range(first, min(first + SEEDS_PER_TEST, LAST_SEED)):
+        _assert_holds(_Walk(seed).run())
