--- a/src/rosemarysaddle/run.py
+++ b/src/rosemarysaddle/run.py
@@ -44,7 +44,7 @@
 )
 from rosemarysaddle.serve import EntryServer
 from rosemarysaddle.soak import (
-    FAULTS,
+    ALL_FAULTS,
     PLAYS,
     checked_out_build,
     run_play,
@@ -114,6 +114,7 @@
     control_hosts: int = 1,
     teams: bool = False,
     sync_replicas: int | None = None,
+    members: bool = False,
     play: str = "",
     from_build: str = "",
 ) -> int:
@@ -129,13 +130,15 @@
     :param teams: whether callers have teams, whose keys are removed
     :param sync_replicas: number of replicas that have received a commit
         when it is acknowledged; drawn from the seed if not given
+    :param members: whether faults are drawn too in which a replica is
+        replaced or comes back with nothing
     :param play: name of scripted faults around one change of primary to
         run instead, with one control host in each data centre
     :param from_build: commit with which all hosts start; they are
         replaced by the present build, and half of them back, during the
         faults
     """
-    unknown = sorted(set(only) - set(FAULTS))
+    unknown = sorted(set(only) - set(ALL_FAULTS))
     if play and play not in PLAYS:
         unknown.append(play)
     if unknown:
@@ -162,6 +165,7 @@
                 control_hosts=control_hosts,
                 teams=teams,
                 sync_replicas=sync_replicas,
+                members=members,
                 earlier_build=build,
             )
             failed_runs += _report_soak(result)
--- a/src/rosemarysaddle/soak/__init__.py
+++ b/src/rosemarysaddle/soak/__init__.py
@@ -8,12 +8,12 @@
 
 from rosemarysaddle.soak._builds import checked_out_build
 from rosemarysaddle.soak._check import CallHistory, find_violations
-from rosemarysaddle.soak._faults import FAULTS
+from rosemarysaddle.soak._member_faults import ALL_FAULTS
 from rosemarysaddle.soak._plays import PLAYS
 from rosemarysaddle.soak._run import SoakReport, run_play, run_soak
 
 __all__ = (
-    "FAULTS",
+    "ALL_FAULTS",
     "PLAYS",
     "CallHistory",
     "SoakReport",
--- a/src/rosemarysaddle/soak/_platform.py
+++ b/src/rosemarysaddle/soak/_platform.py
@@ -102,6 +102,11 @@
             for instance in self.group.instances.values()
         ]
 
+    def announce(self, instance: TargetInstance) -> None:
+        """Start the heartbeats of a new instance."""
+        task = asyncio.ensure_future(self._send_heartbeats(instance))
+        self._heartbeat_tasks.append(task)
+
     async def stop(self) -> None:
         """Stop the heartbeats and the promotion server."""
         for task in self._heartbeat_tasks:
--- a/src/rosemarysaddle/soak/_run.py
+++ b/src/rosemarysaddle/soak/_run.py
@@ -25,6 +25,7 @@
     find_rolled_back,
     find_stale_reads,
 )
+from rosemarysaddle.soak._member_faults import ALL_FAULTS
 from rosemarysaddle.soak._nodes import DATA_CENTERS, Nodes, find_defects
 from rosemarysaddle.soak._orders import OrderFault
 from rosemarysaddle.soak._plan_watch import APPLY_S, CONTACT_S, PlanWatch
@@ -98,6 +99,7 @@
     control_hosts: int = 1,
     teams: bool = False,
     sync_replicas: int | None = None,
+    members: bool = False,
     earlier_build: Path | None = None,
 ) -> SoakReport:
     """Run one seed.
@@ -114,11 +116,13 @@
         and put back during the faults
     :param sync_replicas: number of replicas that have received a commit
         when it is acknowledged; the seed determines it if None
+    :param members: whether the faults of members are drawn too
     :param earlier_build: folder of the sources of a build with which
         all hosts start, and that is replaced during the faults
     """
     rng = random.Random(f"soak:{seed}")  # noqa: S311
-    names = tuple(faults) or tuple(rng.choices(sorted(FAULTS), k=count))
+    drawn = ALL_FAULTS if members else FAULTS
+    names = tuple(faults) or tuple(rng.choices(sorted(drawn), k=count))
     if sync_replicas is None:
         sync_replicas = random.Random(f"sync:{seed}").randrange(2)  # noqa: S311
     soak = _SoakRun(
@@ -453,7 +457,7 @@
 
 
 async def _run_fault(name: str, context: FaultContext) -> None:
-    await FAULTS[name](context)
+    await ALL_FAULTS[name](context)
 
 
 async def _wait_until(condition: Callable[[], Any], limit_s: float) -> bool:
--- a/src/rosemarysaddle/soak/_targets.py
+++ b/src/rosemarysaddle/soak/_targets.py
@@ -119,6 +119,7 @@
     :param applied: number of log entries that reads see
     :param hold: term until which it receives nothing, or 0
     :param is_dark: whether no other instance can reach it
+    :param is_deaf: whether it receives no commits
     :param receive_delay_s: time until it has received a commit
     :param answer_delay_s: time until it handles a statement
     :param incarnation_ms: increases with each restart
@@ -137,6 +138,7 @@
     hold: int = 0
     is_up: bool = True
     is_dark: bool = False
+    is_deaf: bool = False
     receive_delay_s: float = 0.0
     answer_delay_s: float = 0.0
     incarnation_ms: int = 1
@@ -173,6 +175,11 @@
         for transport in list(self._transports):
             transport.abort()
 
+    def lose_log(self) -> None:
+        """Forget all that was received, as if the disk were new."""
+        self.log, self.starts, self.term = [], {1: 0}, 1
+        self.applied = 0
+
     def demote(self) -> None:
         """Become a replica; what waits for replicas is not answered."""
         self.role = "replica"
@@ -325,6 +332,29 @@
             if not self._leads(instance):
                 self._give_lead(instance)
 
+    def succeed(self, ended: TargetInstance) -> TargetInstance:
+        """Put a new instance with its log in place of an ended one.
+
+        :return: the new one, which is not started yet
+        """
+        name, _, generation = ended.name.partition("-")
+        successor = TargetInstance(
+            name=f"{name}-{int(generation or 0) + 1}",
+            ip=ended.ip,
+            port=ended.port,
+            data_center=ended.data_center,
+            term=ended.term,
+            log=list(ended.log),
+            starts=ended.starts,
+            applied=ended.applied,
+            is_up=False,
+            receive_delay_s=ended.receive_delay_s,
+            incarnation_ms=ended.incarnation_ms,
+        )
+        del self.instances[ended.name]
+        self.instances[successor.name] = successor
+        return successor
+
     async def run(self) -> None:
         """Let instances follow the newest primary."""
         while True:
@@ -460,7 +490,9 @@
         count: int,
     ) -> None:
         is_source = _is_primary(source) and source.term == term
-        is_replica = not _is_primary(other) and not other.hold
+        is_replica = not _is_primary(other) and not (
+            other.hold or other.is_deaf
+        )
         if not (is_source and is_replica and source.reaches(other)):
             return
         if other.term > term:
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -54,3 +54,14 @@
 
     assert report.violations == ()
     assert report.told["DONE"]
+
+
+@pytest.mark.parametrize("fault", ["leave-then-crash", "empty-then-crash"])
+def test_acknowledged_writes_outlive_the_members_that_had_them(
+    fault: str,
+) -> None:
+    """Guards against a successor that lacks what a former one had."""
+    report = run_soak(seed=11, faults=(fault,), slot=SLOT, sync_replicas=1)
+
+    assert report.violations == ()
+    assert report.told["DONE"]
