Let the model wait for a promotion as long as the node does

The model of changes of primary ran its leader with a deadline of 1 s for a promotion, while a control host gives it 4 s. Calls were never made anew after 3 s, and an order for the present primary could not be told from one without effect, which shows 1.5 s after its answer: walk 288 ended without a primary for that reason alone.

Walks 0 to 79, which are part of the tests, pass.

--- a/tests/decide/promotion_world.py
+++ b/tests/decide/promotion_world.py
@@ -30,6 +30,7 @@
 from rosemarysaddle.decide.primaries._orders_in_doubt import MAX_DOUBT_MS
 from rosemarysaddle.decide.reads._token import LogPoint
 from rosemarysaddle.node._platform import OrderAnswer
+from rosemarysaddle.node._timing import PROMOTE_TIMEOUT_MS
 from rosemarysaddle.schema import (
     Announcement,
     ChangeProposal,
@@ -151,6 +152,8 @@
         log = make_log("a", voters=("a",), stored=stored, now_ns=started_ns)
         state = ClusterState.from_stored(stored)
         self.leader = ControlNode(log=log, state=state, data_center="dc-1")
+        # As in `node._control`.
+        self.leader.primaries.promote_timeout_ms = PROMOTE_TIMEOUT_MS
 
     def change_leader(self) -> None:
         """Replace the control leader by one that loads its state.
