Split the choice of a primary, and pass results as one value

What became of an order to promote goes through node, control host and manager as one PromotionResult instead of four parameters in each. The role of a primary is compared with one constant in primaries/. No behaviour changes.

--- a/src/rosemarysaddle/daemon/_host.py
+++ b/src/rosemarysaddle/daemon/_host.py
@@ -35,6 +35,7 @@
     LogNode,
     ProbeGroup,
     PromoteTarget,
+    PromotionResult,
     SaveEntries,
     SaveSnapshot,
     SaveVote,
@@ -442,8 +443,8 @@
         effects = self.control.on_promoted(
             order.group,
             order.term,
-            done=done,
-            now_ns=clock_ns(),
+            PromotionResult(done=done),
+            clock_ns(),
         )
         self._execute_effects(effects)
 
--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -17,6 +17,7 @@
     Committed,
     Effect,
     LoadSnapshot,
+    PromotionResult,
     Send,
     TargetReport,
 )
@@ -313,33 +314,14 @@
         self,
         group: str,
         term: int,
-        *,
-        done: bool,
+        result: PromotionResult,
         now_ns: int,
-        target_term: int = 0,
-        is_settled: bool = False,
-        has_open_calls: bool = False,
     ) -> list[Effect]:
-        """Handle an instance's answer to its promotion.
+        """Handle the result of the promotion that opened a term.
 
-        :param done: whether it is now primary under the term
         :param now_ns: monotonic time, in nanoseconds
-        :param target_term: term in which it is primary, as instances
-            number their terms
-        :param is_settled: whether the order to promote it can have no
-            further effect
-        :param has_open_calls: whether the platform has not answered
-            all calls to promote it
         """
-        return self.primaries.on_promoted(
-            group,
-            term,
-            done=done,
-            now_ns=now_ns,
-            target_term=target_term,
-            is_settled=is_settled,
-            has_open_calls=has_open_calls,
-        )
+        return self.primaries.on_promoted(group, term, result, now_ns)
 
     def on_order_answered(
         self, group: str, target: str, now_ns: int
--- a/src/rosemarysaddle/decide/_effects.py
+++ b/src/rosemarysaddle/decide/_effects.py
@@ -22,6 +22,7 @@
     "LogDecision",
     "ProbeGroup",
     "PromoteTarget",
+    "PromotionResult",
     "SaveEntries",
     "SaveSnapshot",
     "SaveVote",
@@ -161,6 +162,23 @@
     may_order: bool = True
 
 
+@attrs.frozen(kw_only=True)
+class PromotionResult:
+    """What became of an order to promote a target.
+
+    :param done: whether the target is the primary
+    :param target_term: term in which it is, as targets number theirs
+    :param is_settled: whether the order can have no further effect
+    :param has_open_calls: whether calls for the target, of this order
+        or an earlier one, are not answered yet
+    """
+
+    done: bool
+    target_term: int = 0
+    is_settled: bool = False
+    has_open_calls: bool = False
+
+
 @attrs.frozen(kw_only=True)
 class DemoteTarget:
     """Tell an instance that it is no longer the primary.
--- a/src/rosemarysaddle/decide/primaries/_announced_choice.py
+++ b/src/rosemarysaddle/decide/primaries/_announced_choice.py
@@ -14,8 +14,8 @@
 from rosemarysaddle.decide._times import NS_PER_MS
 from rosemarysaddle.decide.control_log._state import EntryKind
 from rosemarysaddle.decide.primaries._change_log import log_choice, log_wait
+from rosemarysaddle.decide.primaries._criteria import SuccessorCriteria
 from rosemarysaddle.decide.primaries._succession import (
-    SuccessorCriteria,
     choose_successor,
     needs_order,
     newest_known_term,
--- a/src/rosemarysaddle/decide/primaries/_change_log.py
+++ b/src/rosemarysaddle/decide/primaries/_change_log.py
@@ -14,9 +14,9 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from rosemarysaddle.decide._effects import TargetReport
+    from rosemarysaddle.decide._effects import PromotionResult, TargetReport
     from rosemarysaddle.decide.primaries._change import GroupChange
-    from rosemarysaddle.decide.primaries._succession import SuccessorCriteria
+    from rosemarysaddle.decide.primaries._criteria import SuccessorCriteria
     from rosemarysaddle.decide.primaries._terms import GroupTerm
 
 __all__ = ("log_choice", "log_serving", "log_start", "log_wait")
@@ -75,18 +75,14 @@
 
 
 def log_serving(
-    change: GroupChange, target_term: int, now_ns: int, *, is_settled: bool
+    change: GroupChange, result: PromotionResult, now_ns: int
 ) -> LogDecision:
-    """Tell that the new primary serves.
-
-    :param is_settled: whether the order for it can have no further
-        effect
-    """
+    """Tell that the new primary serves."""
     spent_ms = (now_ns - change.started_ns) // NS_PER_MS
     return LogDecision(
         event="primary-serves",
         text=f"group={change.group} term={change.new_term}"
-        f" primary={change.chosen} target_term={target_term}"
+        f" primary={change.chosen} target_term={result.target_term}"
         f" reason={change.reason} ordered={change.may_order}"
-        f" settled={is_settled} spent_ms={spent_ms}",
+        f" settled={result.is_settled} spent_ms={spent_ms}",
     )
--- a/src/rosemarysaddle/decide/primaries/_departures.py
+++ b/src/rosemarysaddle/decide/primaries/_departures.py
@@ -17,12 +17,12 @@
 from rosemarysaddle.decide._effects import Effect, ProbeGroup, TargetReport
 from rosemarysaddle.decide._times import NS_PER_MS
 from rosemarysaddle.decide.control_log._state import EntryKind
+from rosemarysaddle.decide.primaries._criteria import SuccessorCriteria
 from rosemarysaddle.decide.primaries._primaries import (
     PROBE_TIMEOUT_MS,
     RETRY_DELAY_MS,
 )
 from rosemarysaddle.decide.primaries._succession import (
-    SuccessorCriteria,
     has_ready_successor,
     registered_reports,
 )
--- a/src/rosemarysaddle/decide/primaries/_primaries.py
+++ b/src/rosemarysaddle/decide/primaries/_primaries.py
@@ -17,6 +17,7 @@
     FollowPrimary,
     ProbeGroup,
     PromoteTarget,
+    PromotionResult,
     Send,
     TargetReport,
 )
@@ -37,6 +38,7 @@
     promotion_quorum,
 )
 from rosemarysaddle.decide.primaries._change_log import log_serving, log_start
+from rosemarysaddle.decide.primaries._held_writes import PRIMARY_ROLE
 from rosemarysaddle.decide.primaries._orders_in_doubt import (
     OrdersInDoubt,
     Settlement,
@@ -244,37 +246,28 @@
         self,
         group: str,
         term: int,
-        *,
-        done: bool,
+        result: PromotionResult,
         now_ns: int,
-        target_term: int = 0,
-        is_settled: bool = False,
-        has_open_calls: bool = False,
     ) -> list[Effect]:
-        """Handle an instance's answer to its promotion.
+        """Handle the result of the promotion that opened a term.
 
         A failed promotion starts another change under a newer term.
 
-        :param done: whether it is now primary under the term
         :param now_ns: monotonic time, in nanoseconds
-        :param target_term: term in which it is primary, as instances
-            number their terms
-        :param is_settled: whether the order to promote it can have no
-            further effect
-        :param has_open_calls: whether the platform has not answered
-            all calls to promote it
         """
         change = self.changes.get(group)
         if change is None or change.new_term != term:
             return []
         del self.changes[group]
-        if has_open_calls:
+        if result.has_open_calls:
             self.orders.record_open_calls(group, change.chosen, now_ns)
         settled = []
-        if is_settled:
-            outcome = Settlement.TOOK_EFFECT if done else Settlement.REFUSED
+        if result.is_settled:
+            outcome = (
+                Settlement.TOOK_EFFECT if result.done else Settlement.REFUSED
+            )
             settled = self.orders.settle(group, term, outcome, now_ns)
-        if not done:
+        if not result.done:
             if not self.context.leads(now_ns):
                 return settled
             started = self.start_change(
@@ -295,9 +288,9 @@
                 now_ns + NEW_PRIMARY_GRACE_MS * NS_PER_MS
             )
         payload = json.dumps(
-            {"group": group, "term": term, "target_term": target_term}
+            {"group": group, "term": term, "target_term": result.target_term}
         )
-        log = log_serving(change, target_term, now_ns, is_settled=is_settled)
+        log = log_serving(change, result, now_ns)
         serving = self.context.propose(EntryKind.SERVING, payload, now_ns)
         return [log, *settled, *serving, *self._order_replicas(group)]
 
@@ -635,7 +628,10 @@
             change.promote_until_ns + PROMOTE_RESULT_MS * NS_PER_MS
         ):
             return self.on_promoted(
-                change.group, change.new_term, done=False, now_ns=now_ns
+                change.group,
+                change.new_term,
+                PromotionResult(done=False),
+                now_ns,
             )
         is_due = change.phase is Phase.PROBE and now_ns >= change.retry_at_ns
         return self._probe(change, now_ns) if is_due else []
@@ -735,7 +731,7 @@
         """
         term = self.context.state.terms[change.group]
         for report in reports:
-            is_earlier = report.term < term.term or report.role == "primary"
+            is_earlier = report.term < term.term or report.role == PRIMARY_ROLE
             if report.target == change.preferred and is_earlier:
                 return [self.follow(change.group, change.preferred)]
         return []
--- a/src/rosemarysaddle/decide/primaries/_reconciler.py
+++ b/src/rosemarysaddle/decide/primaries/_reconciler.py
@@ -21,6 +21,7 @@
 from rosemarysaddle.decide._times import NS_PER_MS
 from rosemarysaddle.decide.control_log._state import EntryKind
 from rosemarysaddle.decide.primaries._change import ChangeReason
+from rosemarysaddle.decide.primaries._held_writes import PRIMARY_ROLE
 from rosemarysaddle.decide.primaries._primaries import (
     PROBE_TIMEOUT_MS,
     PROMOTE_TIMEOUT_MS,
@@ -114,7 +115,7 @@
     def _follow_if_lagging(
         self, announcement: Announcement, term: GroupTerm
     ) -> list[Effect]:
-        if announcement.role == "primary" or announcement.term < term.term:
+        if announcement.role == PRIMARY_ROLE or announcement.term < term.term:
             return [
                 self.primaries.follow(announcement.group, announcement.target)
             ]
@@ -183,7 +184,10 @@
             return self.primaries.start_change(
                 group, term.term, now_ns, reason=ChangeReason.NEW_IDENTITY
             )
-        if announcement.term >= term.term and announcement.role == "primary":
+        if (
+            announcement.term >= term.term
+            and announcement.role == PRIMARY_ROLE
+        ):
             return []
         return [
             PromoteTarget(
--- a/src/rosemarysaddle/decide/primaries/_relief.py
+++ b/src/rosemarysaddle/decide/primaries/_relief.py
@@ -19,7 +19,9 @@
 from rosemarysaddle.decide._times import NS_PER_MS
 from rosemarysaddle.decide.primaries._change import Evidence
 from rosemarysaddle.decide.primaries._primaries import PROBE_TIMEOUT_MS
-from rosemarysaddle.decide.primaries._succession import MAX_MISSING_WRITES
+from rosemarysaddle.decide.primaries._succession import (
+    MAX_MISSING_WRITES,
+)
 from rosemarysaddle.decide.reads._freshness import newer_point
 from rosemarysaddle.decide.reads._token import LogPoint
 
--- a/src/rosemarysaddle/decide/primaries/_roles.py
+++ b/src/rosemarysaddle/decide/primaries/_roles.py
@@ -26,8 +26,8 @@
 from rosemarysaddle.decide._times import NS_PER_MS
 from rosemarysaddle.decide.control_log._state import EntryKind
 from rosemarysaddle.decide.primaries._change import ChangeReason
+from rosemarysaddle.decide.primaries._held_writes import PRIMARY_ROLE
 from rosemarysaddle.decide.primaries._primaries import PROBE_TIMEOUT_MS
-from rosemarysaddle.decide.primaries._succession import PRIMARY_ROLE
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -735,13 +735,7 @@
         self._run(
             "promoted",
             lambda: self.control.on_promoted(
-                order.group,
-                order.term,
-                done=result.done,
-                now_ns=clock_ns(),
-                target_term=result.target_term,
-                is_settled=result.is_settled,
-                has_open_calls=result.has_open_calls,
+                order.group, order.term, result, clock_ns()
             ),
         )
 
--- a/src/rosemarysaddle/node/_orders.py
+++ b/src/rosemarysaddle/node/_orders.py
@@ -11,7 +11,7 @@
 
 from rosemarysaddle import _log as logging
 from rosemarysaddle._clock import NS_PER_S, clock_ns
-from rosemarysaddle.decide import NS_PER_MS, TargetReport
+from rosemarysaddle.decide import NS_PER_MS, PromotionResult, TargetReport
 from rosemarysaddle.node._platform import OrderAnswer, PromotionOrder
 from rosemarysaddle.node._status_reader import StatusReader
 
@@ -30,7 +30,7 @@
     )
     from rosemarysaddle.schema import Instance
 
-__all__ = ("AnnouncedTargetOrders", "PromotionResult")
+__all__ = ("AnnouncedTargetOrders",)
 
 PRIMARY_ROLE: Final = "primary"
 POLL_INTERVAL_S: Final = 0.05
@@ -55,23 +55,6 @@
 CONFIRM_TIMEOUT_MS: Final = 1_500
 
 
-@attrs.frozen(kw_only=True)
-class PromotionResult:
-    """What became of the promotion of a target.
-
-    :param done: whether the target is the primary
-    :param target_term: term in which it is, as targets number theirs
-    :param is_settled: whether the order can have no further effect
-    :param has_open_calls: whether calls for the target, of this order
-        or an earlier one, are not answered yet
-    """
-
-    done: bool
-    target_term: int = 0
-    is_settled: bool = False
-    has_open_calls: bool = False
-
-
 @attrs.define(kw_only=True, eq=False)
 class _OrderCalls:
     """Calls of the platform for one order.
--- a/tests/decide/announced_group.py
+++ b/tests/decide/announced_group.py
@@ -12,6 +12,7 @@
     DocumentKind,
     ProbeGroup,
     PromoteTarget,
+    PromotionResult,
     TargetReport,
 )
 from rosemarysaddle.decide.primaries._change import ChangeReason
@@ -172,9 +173,10 @@
                     self.leader.on_promoted(
                         "g",
                         order.term,
-                        done=promotions_succeed,
-                        now_ns=self.now_ns,
-                        is_settled=True,
+                        PromotionResult(
+                            done=promotions_succeed, is_settled=True
+                        ),
+                        self.now_ns,
                     )
                 )
                 promoted.append(order.target)
@@ -233,10 +235,8 @@
         found = self.leader.on_promoted(
             "g",
             order.term,
-            done=done,
-            now_ns=self.now_ns,
-            target_term=target_term,
-            **result,
+            PromotionResult(done=done, target_term=target_term, **result),
+            self.now_ns,
         )
         self._take(found)
 
--- a/tests/decide/promotion_world.py
+++ b/tests/decide/promotion_world.py
@@ -22,6 +22,7 @@
     LogDecision,
     ProbeGroup,
     PromoteTarget,
+    PromotionResult,
     Send,
     StoredLog,
     TargetReport,
@@ -315,15 +316,15 @@
                 status = yield from self._read(target, self._left(order))
         done = is_present or _has_role(status, order)
         if leader is self.leader:
-            effects = leader.on_promoted(
-                GROUP,
-                order.term,
+            result = PromotionResult(
                 done=done,
-                now_ns=self.now_ns,
                 target_term=status.term if done and status else 0,
                 is_settled=is_settled,
                 has_open_calls=order.target in self._opened,
             )
+            effects = leader.on_promoted(
+                GROUP, order.term, result, self.now_ns
+            )
             self._execute(effects)
 
     def _left(self, order: PromoteTarget) -> int:
--- a/tests/decide/relay_fleet.py
+++ b/tests/decide/relay_fleet.py
@@ -15,6 +15,7 @@
     LogNode,
     ProbeGroup,
     PromoteTarget,
+    PromotionResult,
     RelayRoutes,
     Send,
     SendRelayed,
@@ -291,7 +292,7 @@
             node = self.control[name]
             if isinstance(task, PromoteTarget):
                 effects = node.on_promoted(
-                    GROUP, task.term, done=True, now_ns=self.now_ns
+                    GROUP, task.term, PromotionResult(done=True), self.now_ns
                 )
             else:
                 reports = [
--- a/tests/decide/test_acknowledged.py
+++ b/tests/decide/test_acknowledged.py
@@ -10,8 +10,8 @@
 
 from rosemarysaddle.decide import LogPoint, TargetReport
 from rosemarysaddle.decide.control_log._state import EntryKind
+from rosemarysaddle.decide.primaries._criteria import SuccessorCriteria
 from rosemarysaddle.decide.primaries._succession import (
-    SuccessorCriteria,
     choose_successor,
 )
 from rosemarysaddle.decide.reads._acknowledged import AcknowledgedWrites
--- a/tests/decide/test_control.py
+++ b/tests/decide/test_control.py
@@ -21,6 +21,7 @@
     FollowPrimary,
     ProbeGroup,
     PromoteTarget,
+    PromotionResult,
     Reason,
     Refusal,
     RouteTable,
@@ -194,7 +195,7 @@
         """Report the result of the ordered promotion."""
         term = self.leader.primaries.changes[GROUP].new_term
         effects = self.leader.on_promoted(
-            GROUP, term, done=done, now_ns=self.now_ns
+            GROUP, term, PromotionResult(done=done), self.now_ns
         )
         self.deliver(effects)
 
--- a/tests/decide/test_departures.py
+++ b/tests/decide/test_departures.py
@@ -9,7 +9,7 @@
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
-from rosemarysaddle.decide import PromoteTarget
+from rosemarysaddle.decide import PromoteTarget, PromotionResult
 from tests.decide.announced_group import TARGETS, Harness
 
 MAX_TARGETS = 9
@@ -186,7 +186,7 @@
     # The quorum is out of reach for a moment, and no other host leads.
     harness.leader._context.leads = lambda _: False
     harness.leader.on_promoted(
-        "g", order.term, done=False, now_ns=harness.now_ns
+        "g", order.term, PromotionResult(done=False), harness.now_ns
     )
     harness.leader._context.leads = leads
 
--- a/tests/decide/test_former_members.py
+++ b/tests/decide/test_former_members.py
@@ -14,13 +14,13 @@
     ProbeGroup,
     TargetReport,
 )
+from rosemarysaddle.decide.primaries._criteria import SuccessorCriteria
 from rosemarysaddle.decide.primaries._former_members import (
     FormerMember,
     find_continued,
 )
 from rosemarysaddle.decide.primaries._registry import TargetRecord
 from rosemarysaddle.decide.primaries._succession import (
-    SuccessorCriteria,
     choose_successor,
 )
 from rosemarysaddle.decide.primaries._terms import GroupTerm
--- a/tests/decide/test_relief.py
+++ b/tests/decide/test_relief.py
@@ -20,7 +20,9 @@
     RETRY_MS,
     choose_relief,
 )
-from rosemarysaddle.decide.primaries._succession import MAX_MISSING_WRITES
+from rosemarysaddle.decide.primaries._succession import (
+    MAX_MISSING_WRITES,
+)
 from rosemarysaddle.schema import GroupClosed, ReplicasBehind
 from tests.decide.announced_group import TARGETS, Harness
 
--- a/tests/decide/test_succession.py
+++ b/tests/decide/test_succession.py
@@ -5,8 +5,8 @@
 
 from rosemarysaddle.decide import TargetReport
 from rosemarysaddle.decide.primaries._change import MIN_OUTAGE_MS, Evidence
+from rosemarysaddle.decide.primaries._criteria import SuccessorCriteria
 from rosemarysaddle.decide.primaries._succession import (
-    SuccessorCriteria,
     choose_successor,
     find_promoted,
     needs_order,
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -15,13 +15,11 @@
     DemoteTarget,
     ProbeGroup,
     PromoteTarget,
+    PromotionResult,
     TargetReport,
 )
 from rosemarysaddle.node import OrderAnswer, TargetStatus
-from rosemarysaddle.node._orders import (
-    AnnouncedTargetOrders,
-    PromotionResult,
-)
+from rosemarysaddle.node._orders import AnnouncedTargetOrders
 from rosemarysaddle.node._status_reader import StatusReader, StatusResult
 from rosemarysaddle.platform import UsersPlatform
 from rosemarysaddle.schema import Instance
