Use one function where the last changes wrote one again

The soak announced and ended a leaving target in two places, a test built the same order twice and the same harness twice, and the newest acknowledged position was found with a call that depends on a host having reported.

--- a/src/rosemarysaddle/decide/primaries/_acknowledged_reports.py
+++ b/src/rosemarysaddle/decide/primaries/_acknowledged_reports.py
@@ -86,21 +86,16 @@
         )
         if start is None or not start.log_term:
             return None
-        return max(
-            (start.log_term, start.position),
-            *(
-                (c.newest_term, c.newest_position)
-                for c in found.by_host.values()
-            ),
-        )
+        told = [
+            (c.newest_term, c.newest_position) for c in found.by_host.values()
+        ]
+        return max([(start.log_term, start.position), *told])
 
     def _has_all(self, found: _Reports, term: GroupTerm) -> bool:
         """Tell whether all hosts have reported that had a lease."""
         state = self.context.state
-        if not term.served_index or (
-            state.holders_left_index > term.served_index
-        ):
+        if not 0 < term.served_index > state.holders_left_index:
             return False
-        return state.lease_holders <= found.by_host.keys() and all(
-            closed.is_bounded for closed in found.by_host.values()
-        )
+        if not state.lease_holders <= found.by_host.keys():
+            return False
+        return all(closed.is_bounded for closed in found.by_host.values())
--- a/src/rosemarysaddle/decide/primaries/_held_writes.py
+++ b/src/rosemarysaddle/decide/primaries/_held_writes.py
@@ -56,7 +56,7 @@
     ]
     if any(_has_led(member, criteria) for member in continued):
         return True
-    # The primary of the closed term acknowledged nothing by itself.
+    # The primary's own copy is none of the counted ones.
     former = [m for m in criteria.former_members if not _has_led(m, criteria)]
     members = criteria.replicas + len(former)
     answered = sum(r.target != served_by for r in answers) + len(continued)
--- a/src/rosemarysaddle/soak/_faults.py
+++ b/src/rosemarysaddle/soak/_faults.py
@@ -25,7 +25,15 @@
     from rosemarysaddle.soak._proxy import FaultProxy
     from rosemarysaddle.soak._targets import TargetGroup, TargetInstance
 
-__all__ = ("FAULTS", "FaultContext", "darken", "leave", "wait_until", "wake")
+__all__ = (
+    "FAULTS",
+    "FaultContext",
+    "darken",
+    "end_target",
+    "leave",
+    "wait_until",
+    "wake",
+)
 
 FAULT_DURATION_RANGE_S: Final = (0.5, 3.0)
 RESTART_DELAY_S: Final = 0.5
@@ -419,18 +427,27 @@
 
 async def leave(context: FaultContext, instance: TargetInstance) -> None:
     """Announce an instance's stop, end it later, and start it again."""
+    extra_s = context.rng.uniform(*EXTRA_SERVICE_RANGE_S)
+    await end_target(context, instance, LEAVING_WORK_S + extra_s)
+    await asyncio.sleep(RESTART_DELAY_S)
+    await context.restart(instance)
+
+
+async def end_target(
+    context: FaultContext, instance: TargetInstance, serves_s: float
+) -> None:
+    """Announce an instance's stop, and end it later.
+
+    :param serves_s: time from the announcement to the end
+    """
     departure = Departure(target=instance.name)
     context.group.departures.append(departure)
     instance.departure = departure
     # A target ends even if no control host acknowledges its stop.
-    await asyncio.sleep(
-        LEAVING_WORK_S + context.rng.uniform(*EXTRA_SERVICE_RANGE_S)
-    )
+    await asyncio.sleep(serves_s)
     await context.platform.send_leave(instance)
     context.crash(instance)
     departure.ended_s = time.monotonic()
-    await asyncio.sleep(RESTART_DELAY_S)
-    await context.restart(instance)
 
 
 def darken(context: FaultContext, instance: TargetInstance) -> None:
--- a/src/rosemarysaddle/soak/_member_faults.py
+++ b/src/rosemarysaddle/soak/_member_faults.py
@@ -7,11 +7,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING, Final
 
-from rosemarysaddle.soak._departures import LEAVING_WORK_S, Departure
-from rosemarysaddle.soak._faults import FAULTS
+from rosemarysaddle.soak._departures import LEAVING_WORK_S
+from rosemarysaddle.soak._faults import FAULTS, end_target
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -44,19 +43,6 @@
     await start_successor(context, instance)
 
 
-async def end_target(
-    context: FaultContext, instance: TargetInstance, serves_s: float
-) -> None:
-    """Announce a target's stop, and end it later."""
-    departure = Departure(target=instance.name)
-    context.group.departures.append(departure)
-    instance.departure = departure
-    await asyncio.sleep(serves_s)
-    await context.platform.send_leave(instance)
-    context.crash(instance)
-    departure.ended_s = time.monotonic()
-
-
 async def start_successor(
     context: FaultContext, instance: TargetInstance
 ) -> TargetInstance:
--- a/tests/decide/test_orders_in_doubt.py
+++ b/tests/decide/test_orders_in_doubt.py
@@ -30,10 +30,10 @@
     ]
 
 
-def _order_without_result(*, is_settled: bool = False) -> tuple[Harness, str]:
+def _order_without_result(**result: Any) -> tuple[Harness, str]:
     """Order a promotion that is not seen to take effect.
 
-    :param is_settled: whether it is known to have none
+    :param result: fields of its result, which is not known otherwise
     :return: the harness and the target that the order names
     """
     harness = Harness.open()
@@ -41,7 +41,7 @@
     harness.elapse(50)
     harness.answer(*_reports("t2", "t3"))
     target = harness.found(PromoteTarget)[-1].target
-    harness.promoted(done=False, is_settled=is_settled)
+    harness.promoted(done=False, **result)
     harness.effects.clear()
     return harness, target
 
@@ -279,18 +279,6 @@
     assert "reason=took-effect" in lines["promotion-settled"]
 
 
-def _order_without_answer() -> tuple[Harness, str]:
-    """Order a promotion whose call the platform does not answer."""
-    harness = Harness.open()
-    harness.replace_primary()
-    harness.elapse(50)
-    harness.answer(*_reports("t2", "t3"))
-    target = harness.found(PromoteTarget)[-1].target
-    harness.promoted(done=False, has_open_calls=True)
-    harness.effects.clear()
-    return harness, target
-
-
 def _fail_orders(harness: Harness, spent_ms: int) -> list[str]:
     """Let each order end without a result while all targets answer."""
     until_ns = harness.now_ns + spent_ms * NS_PER_MS
@@ -306,7 +294,7 @@
 
 def test_order_without_an_answer_stays_in_doubt() -> None:
     """Guards against an order that is carried out after its doubt."""
-    harness, target = _order_without_answer()
+    harness, target = _order_without_result(has_open_calls=True)
 
     ordered = _fail_orders(harness, 20_000)
 
@@ -315,7 +303,7 @@
 
 def test_target_that_does_not_answer_is_passed_over() -> None:
     """Guards against a group that waits for a target that is lost."""
-    harness, target = _order_without_answer()
+    harness, target = _order_without_result(has_open_calls=True)
 
     early = _choose(harness, MAX_DOUBT_MS - 500, _other(target))
     later = _choose(harness, 1_500, _other(target))
@@ -325,7 +313,7 @@
 
 def test_answered_order_may_take_effect_a_little_later() -> None:
     """Guards against a doubt that ends with the answer, or never."""
-    harness, target = _order_without_answer()
+    harness, target = _order_without_result(has_open_calls=True)
     _fail_orders(harness, 12_000)
     harness.leader.on_order_answered("g", target, harness.now_ns)
 
