Start a host again in the soak that a SIGHUP has ended

A control host wrote no line after its start (its settings were written anew, so it had been started), and another one then lost its disk as drawn, which left no quorum.

Cause: SIGHUP goes to any host at any time. One that has just been started has no handler for it yet and is ended by it. The platform starts processes again that end; the soak did not.

Change: the soak starts a host again that SIGHUP has ended; one that a fault has stopped stays down until that fault starts it.

--- a/src/rosemarysaddle/soak/_faults.py
+++ b/src/rosemarysaddle/soak/_faults.py
@@ -495,7 +495,14 @@
 
 
 async def _send_sighup(context: FaultContext) -> None:
-    context.rng.choice(context.nodes.all).send_signal(signal.SIGHUP)
+    """Send a signal that ends a process which has just been started.
+
+    The platform starts processes again that end.
+    """
+    node = context.rng.choice(context.nodes.all)
+    node.send_signal(signal.SIGHUP)
+    await asyncio.sleep(RESTART_DELAY_S)
+    node.start_if_ended_by(signal.SIGHUP)
 
 
 async def _release_entries(context: FaultContext) -> None:
--- a/src/rosemarysaddle/soak/_nodes.py
+++ b/src/rosemarysaddle/soak/_nodes.py
@@ -105,6 +105,11 @@
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(number)
 
+    def start_if_ended_by(self, number: signal.Signals) -> None:
+        """Start the process again if a signal has ended it."""
+        if self.process is not None and self.process.poll() == -number:
+            self.start()
+
     def stop_process(
         self, stop_signal: signal.Signals = signal.SIGKILL
     ) -> None:
--- a/tests/soak/test_nodes.py
+++ b/tests/soak/test_nodes.py
@@ -1,5 +1,8 @@
 from __future__ import annotations
 
+import signal
+import subprocess
+import sys
 from typing import TYPE_CHECKING
 
 import pytest
@@ -51,3 +54,30 @@
 
     expected = None if leader is None else nodes.control[leader]
     assert nodes.find_leader() is expected
+
+
+@pytest.mark.parametrize(
+    ("sent", "is_started"), [(signal.SIGHUP, True), (signal.SIGKILL, False)]
+)
+def test_process_that_a_signal_has_ended_is_started_again(
+    sent: signal.Signals,
+    tmp_path: Path,
+    monkeypatch: pytest.MonkeyPatch,
+    *,
+    is_started: bool,
+) -> None:
+    """Guards against a host that stays away, or comes back too soon."""
+    node = _nodes(tmp_path).control[0]
+    started: list[str] = []
+    monkeypatch.setattr(
+        type(node), "start", lambda self: started.append(self.name)
+    )
+    command = [sys.executable, "-c", "import time; time.sleep(60)"]
+    node.process = subprocess.Popen(command)  # noqa: S603
+
+    node.start_if_ended_by(signal.SIGHUP)
+    node.send_signal(sent)
+    node.process.wait(10)
+    node.start_if_ended_by(signal.SIGHUP)
+
+    assert started == [node.name] * is_started
