--- a/review/standins_3/platform_standin.py
+++ b/review/standins_3/platform_standin.py
@@ -36,7 +36,7 @@
 WORK_S = 0.005
 RECEIVE_S = 0.006
 APPLY_S = 0.060
-PROMOTE_S = 0.3
+PROMOTE_S = 1.0
 HEARTBEAT_S = 1.2
 DEMOTION_S = 1.0
 CALL_TIMEOUT_S = 1.0
@@ -123,6 +123,14 @@
                 future.set_result(False)
         self.waiting.clear()
 
+    async def restart(self, *, leads: bool) -> None:
+        """Start again with the log; as primary if nobody was promoted."""
+        self.role = "primary" if leads else "replica"
+        self.born = int(time.time() * 1000)
+        self.seq = 0
+        self.service.record.add(f"{self.name} is back as {self.role}")
+        await self.start()
+
     # --- check-ins ---
 
     def body(self) -> dict[str, object]:
