Remove a lost disk's vote before the new one joins

Cause: which name of an address is newer was read from the order of two lists, in which a removed voter that was still followed came last. It got its vote back, some sixteen changes for each loss, and for half of that time four voters were listed of which one was dead. Below it, adding the new name before removing the dead one leaves that window in any case, if only for a round trip.

A name now counts as newer once it has answered a message sent after the other one was last heard, which holds in whatever order messages arrive. The dead name is removed first, since it only raises the number of votes a majority needs, and is followed no longer. A learner has to have answered since it follows: a late request to join of an ended process could get a vote in a short log.

--- a/src/rosemarysaddle/decide/control_log/_follower.py
+++ b/src/rosemarysaddle/decide/control_log/_follower.py
@@ -79,6 +79,7 @@
     :param next_index: index of the next entry to send; in a probe, the
         one after the probed index
     :param match_index: last index known to be replicated
+    :param followed_ns: time since which the leader replicates to it
     :param acked_sent_ns: newest send time that the follower echoed
     :param send_at_ns: time of the next heartbeat
     :param last_heard_ns: time of the last reply
@@ -95,6 +96,7 @@
 
     next_index: int
     match_index: int = 0
+    followed_ns: int = 0
     acked_sent_ns: int = 0
     send_at_ns: int = 0
     last_heard_ns: int = 0
--- a/src/rosemarysaddle/decide/control_log/_log.py
+++ b/src/rosemarysaddle/decide/control_log/_log.py
@@ -197,6 +197,25 @@
         follower = self._replicator.followers.get(peer)
         return self.elected_ns if follower is None else follower.last_heard_ns
 
+    def last_acked_ns(self, peer: str) -> int:
+        """Return when the newest message that a follower answered left.
+
+        :return: monotonic time of sending, in nanoseconds; -1 if it has
+            answered none, or is not followed
+        """
+        follower = self._replicator.followers.get(peer)
+        if follower is None or not follower.acked_sent_ns:
+            return -1
+        return follower.acked_sent_ns
+
+    def has_answered_as_learner(self, peer: str) -> bool:
+        """Tell whether a host has answered since it is a follower."""
+        follower = self._replicator.followers.get(peer)
+        return (
+            follower is not None
+            and self.last_acked_ns(peer) >= follower.followed_ns
+        )
+
     def lag(self, peer: str) -> int:
         """Count the entries that a follower is not known to hold."""
         return self._replicator.lag(peer)
--- a/src/rosemarysaddle/decide/control_log/_replication.py
+++ b/src/rosemarysaddle/decide/control_log/_replication.py
@@ -82,6 +82,7 @@
     ) -> Follower:
         return Follower(
             next_index=self.entries.last_index + 1,
+            followed_ns=now_ns,
             last_heard_ns=now_ns,
             in_step_ns=now_ns,
             has_probe_entry=has_probe_entry,
--- a/src/rosemarysaddle/decide/control_log/_voter_manager.py
+++ b/src/rosemarysaddle/decide/control_log/_voter_manager.py
@@ -4,6 +4,11 @@
 acknowledged with an earlier disk never count for it.  It joins as a
 learner, without a vote.  Once it has caught up, it replaces a voter
 that is unreachable or stepping out, or adds a missing one.
+
+The name of a lost disk never answers again, so its vote is removed
+before the new name gets one: a dead name never makes up a majority, but
+raises the number of votes that one needs.  A voter that is only silent
+may come back, so it is removed after its replacement is added.
 """
 
 from __future__ import annotations
@@ -65,37 +70,60 @@
 
         :param now_ns: time of the decision, in nanoseconds
         """
-        self._drop_silent_learners(now_ns)
+        self._drop_ended_learners(now_ns)
         if not self.log.may_change_voters():
             return []
         if not self.log.has_recorded_voters:
             return self.log.record_voters(now_ns)
-        outgoing = self._voters_to_remove(now_ns)
         voters = self.log.voters
-        if len(voters) > self.wanted and outgoing:
-            remaining = [v for v in voters if v != outgoing[0]]
+        replaced = self._replaced_voters()
+        if replaced:
+            return self._remove_replaced(replaced[0], now_ns)
+        unavailable = self._unavailable_voters(now_ns)
+        if len(voters) > self.wanted and unavailable:
+            remaining = [v for v in voters if v != unavailable[0]]
             return self.log.set_voters(remaining, now_ns)
         learner = self._promotable_learner(now_ns)
-        if learner and (outgoing or len(voters) < self.wanted):
+        if learner and (unavailable or len(voters) < self.wanted):
             return self.log.set_voters([*voters, learner], now_ns)
         return []
 
-    def _voters_to_remove(self, now_ns: int) -> list[str]:
-        """List the voters to remove, in order of preference.
+    def _replaced_voters(self) -> list[str]:
+        """List the voters whose host has a newer name."""
+        return [v for v in self.log.voters if self._is_replaced(v)]
+
+    def _is_replaced(self, name: str) -> bool:
+        """Tell whether a newer name of the same host has answered.
 
-        A voter whose address has a newer name is the same host with an
-        earlier disk.  It never answers again, so it comes first and is
-        not waited for.
+        One process at a time runs at an address.  A name that has
+        answered a message sent after another one was last heard runs
+        after it, in whatever order their messages have arrived.
         """
-        # Voters are listed in the order in which they were added.
-        newest = {
-            address_of(host): host
-            for host in (*self.log.voters, *self.log.learners)
-        }
-        others = [v for v in self.log.voters if v != self.log.host]
-        replaced = [v for v in others if newest[address_of(v)] != v]
-        unavailable = [v for v in others if self._is_unavailable(v, now_ns)]
-        return [*replaced, *(v for v in unavailable if v not in replaced)]
+        if name == self.log.host:
+            return False
+        heard_ns = self.log.last_heard_ns(name)
+        return any(
+            self.log.last_acked_ns(other) >= heard_ns
+            for other in self._other_names(name)
+        )
+
+    def _other_names(self, name: str) -> list[str]:
+        address = address_of(name)
+        known = {*self.log.voters, *self.log.learners}
+        return [n for n in known if n != name and address_of(n) == address]
+
+    def _remove_replaced(self, voter: str, now_ns: int) -> list[Effect]:
+        remaining = [v for v in self.log.voters if v != voter]
+        effects = self.log.set_voters(remaining, now_ns)
+        self.log.drop_learner(voter)
+        return effects
+
+    def _unavailable_voters(self, now_ns: int) -> list[str]:
+        return [
+            v
+            for v in self.log.voters
+            if v != self.log.host and self._is_unavailable(v, now_ns)
+        ]
 
     def _is_unavailable(self, voter: str, now_ns: int) -> bool:
         if now_ns < self._leaving_until_ns.get(voter, 0):
@@ -107,12 +135,21 @@
         for host in sorted(self.log.learners):
             silent_ns = now_ns - self.log.last_heard_ns(host)
             is_live = silent_ns < VOTER_TIMEOUT_MS * NS_PER_MS
-            if is_live and self.log.lag(host) <= MAX_LEARNER_LAG_ENTRIES:
+            # A request to join may arrive after its sender has ended.
+            has_answered = self.log.has_answered_as_learner(host)
+            is_close = self.log.lag(host) <= MAX_LEARNER_LAG_ENTRIES
+            if (
+                is_live
+                and has_answered
+                and is_close
+                and not self._other_names(host)
+            ):
                 return host
         return ""
 
-    def _drop_silent_learners(self, now_ns: int) -> None:
+    def _drop_ended_learners(self, now_ns: int) -> None:
         for host in self.log.learners:
             silent_ns = now_ns - self.log.last_heard_ns(host)
-            if silent_ns > LEARNER_TIMEOUT_MS * NS_PER_MS:
+            is_silent = silent_ns > LEARNER_TIMEOUT_MS * NS_PER_MS
+            if is_silent or self._is_replaced(host):
                 self.log.drop_learner(host)
--- a/tests/decide/cluster.py
+++ b/tests/decide/cluster.py
@@ -87,11 +87,17 @@
             self.sent_snapshots += 1
 
     def deliver(self, source: str, send: Send) -> None:
-        host = self.hosts.get(send.peer)
-        if host is None or (source, send.peer) in self.cut:
+        peer = self._host_at(address_of(send.peer))
+        if not peer or (source, peer) in self.cut:
             return
+        host = self.hosts[peer]
         effects = host.log.receive(source, send.message, self.now_ns)
-        self.absorb(send.peer, effects)
+        self.absorb(peer, effects)
+
+    def _host_at(self, address: str) -> str:
+        """Return the present name at an address, or an empty one."""
+        names = [h for h in self.hosts if address_of(h) == address]
+        return names[0] if names else ""
 
     def step(self, spent_ms: int = STEP_MS) -> None:
         """Let time pass; what is on its way arrives."""
@@ -127,10 +133,13 @@
     def restart(self, name: str) -> None:
         self.start(name, self.hosts[name].disk)
 
-    def lose_disk(self, name: str) -> None:
+    def lose_disk(self, name: str) -> str:
+        """Replace a host by an empty one; return its new name."""
         del self.hosts[name]
         self.names += 1
-        self.start(f"{address_of(name)}#{self.names}", FakeDisk())
+        new_name = f"{address_of(name)}#{self.names}"
+        self.start(new_name, FakeDisk())
+        return new_name
 
     @property
     def is_settled(self) -> bool:
