Count a former member until its end is seen

The lower bound that a quiet entry host tells is old and hid nothing here, as it did with busy traffic.

A former member has ended once its address refuses a connection, another target answers there, or it has started again. Only a position of the primary read after that proves that others hold what it acknowledged. The check runs at growing intervals, up to a minute.

--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from rosemarysaddle.decide._control import ControlNode
     from rosemarysaddle.decide._effects import (
+        CheckEnded,
         Committed,
         DemoteTarget,
         Effect,
@@ -189,6 +190,7 @@
     "WEIGHT_SCALE",
     "Answer",
     "ChangeTimes",
+    "CheckEnded",
     "CloseSession",
     "ClusterState",
     "Committed",
@@ -303,6 +305,7 @@
     modules={
         "_control": ("ControlNode",),
         "_effects": (
+            "CheckEnded",
             "Committed",
             "DemoteTarget",
             "Effect",
--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -89,7 +89,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Collection, Iterable, Sequence
 
     from rosemarysaddle.schema import Message
 
@@ -293,6 +293,16 @@
             *self._handle_probe(group, attempt, reports, now_ns),
         ]
 
+    def on_end_checked(
+        self, group: str, ended: Collection[tuple[str, int]], now_ns: int
+    ) -> list[Effect]:
+        """Handle the result of a check of a group's former members.
+
+        :param ended: name and incarnation of each that runs no more
+        :param now_ns: monotonic time, in nanoseconds
+        """
+        return self._former_members.on_end_checked(group, ended, now_ns)
+
     def _handle_probe(
         self,
         group: str,
--- a/src/rosemarysaddle/decide/_effects.py
+++ b/src/rosemarysaddle/decide/_effects.py
@@ -11,9 +11,11 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from rosemarysaddle.decide.primaries._former_members import FormerMember
     from rosemarysaddle.schema import LogEntry
 
 __all__ = (
+    "CheckEnded",
     "Committed",
     "DemoteTarget",
     "Effect",
@@ -132,6 +134,18 @@
     identities: Mapping[str, str] = attrs.field(factory=dict)
 
 
+@attrs.frozen(kw_only=True)
+class CheckEnded:
+    """Find out which former members of a group run no more.
+
+    :param deadline_ns: monotonic time at which to report what is known
+    """
+
+    group: str
+    members: tuple[FormerMember, ...]
+    deadline_ns: int
+
+
 @attrs.frozen(kw_only=True)
 class PromoteTarget:
     """Order an instance to become primary under a term.
@@ -219,7 +233,8 @@
 
 
 Effect = (
-    Committed
+    CheckEnded
+    | Committed
     | DemoteTarget
     | FollowPrimary
     | LoadSnapshot
--- a/src/rosemarysaddle/decide/primaries/_former_members.py
+++ b/src/rosemarysaddle/decide/primaries/_former_members.py
@@ -103,6 +103,10 @@
         """Number of former members that still count."""
         return sum(len(members) for members in self._members.values())
 
+    def has_lower_count(self, group: str) -> bool:
+        """Tell whether an earlier plan asked for fewer replicas."""
+        return group in self._lowest
+
     def of_group(self, group: str) -> tuple[FormerMember, ...]:
         """List the former members of a group, oldest first."""
         return self._members.get(group, ())
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -28,6 +28,7 @@
 from rosemarysaddle._tasks import spawn
 from rosemarysaddle.decide import (
     NS_PER_MS,
+    CheckEnded,
     ClusterState,
     ControlNode,
     DemoteTarget,
@@ -687,12 +688,13 @@
                         # What follows relies on what is not stored.
                         self._leave_log()
                         return
-                case ProbeGroup():
-                    spawn(self._probe(effect), self._jobs)
-                case PromoteTarget():
-                    spawn(self._promote(effect), self._jobs)
-                case DemoteTarget():
-                    spawn(self._demote(effect), self._jobs)
+                case (
+                    ProbeGroup()
+                    | CheckEnded()
+                    | PromoteTarget()
+                    | DemoteTarget()
+                ):
+                    spawn(self._reach_targets(effect), self._jobs)
                 case LogDecision():
                     log_event(effect.event, effect.text)
                 case FollowPrimary():
@@ -702,6 +704,19 @@
                         "event=unknown-effect kind=%s", type(effect).__name__
                     )
 
+    async def _reach_targets(
+        self, effect: ProbeGroup | CheckEnded | PromoteTarget | DemoteTarget
+    ) -> None:
+        match effect:
+            case ProbeGroup():
+                await self._probe(effect)
+            case CheckEnded():
+                await self._check_ended(effect)
+            case PromoteTarget():
+                await self._promote(effect)
+            case DemoteTarget():
+                await self._demote(effect)
+
     async def _probe(self, probe: ProbeGroup) -> None:
         group = self.control.state.group(probe.group)
         instances = group.instances if group else ()
@@ -719,6 +734,15 @@
             ),
         )
 
+    async def _check_ended(self, check: CheckEnded) -> None:
+        ended = await self._orders.find_ended(check)
+        self._run(
+            "end-checked",
+            lambda: self.control.on_end_checked(
+                check.group, ended, clock_ns()
+            ),
+        )
+
     async def _promote(self, order: PromoteTarget) -> None:
         instance = self.control.state.instance(order.target)
         result = await self._orders.promote(order, instance)
--- a/src/rosemarysaddle/node/_orders.py
+++ b/src/rosemarysaddle/node/_orders.py
@@ -19,6 +19,7 @@
     from collections.abc import Callable, Sequence
 
     from rosemarysaddle.decide import (
+        CheckEnded,
         DemoteTarget,
         ProbeGroup,
         PromoteTarget,
@@ -183,6 +184,27 @@
             task.cancel()
         return reports
 
+    async def find_ended(self, check: CheckEnded) -> set[tuple[str, int]]:
+        """Find the former members of a group that run no more.
+
+        :return: name and incarnation of each
+        """
+        checks = [
+            self._reader.has_ended(
+                member.target,
+                group=check.group,
+                address=member.address,
+                deadline_ns=check.deadline_ns,
+            )
+            for member in check.members
+        ]
+        results = await asyncio.gather(*checks)
+        return {
+            member.key
+            for member, has_ended in zip(check.members, results, strict=True)
+            if has_ended
+        }
+
     async def promote(
         self, order: PromoteTarget, instance: Instance | None
     ) -> PromotionResult:
--- a/src/rosemarysaddle/node/_status_reader.py
+++ b/src/rosemarysaddle/node/_status_reader.py
@@ -37,6 +37,8 @@
 # A target that fails part of its requests may never answer one of them,
 # while the next one takes some milliseconds.
 HEDGE_DELAY_MS: Final = 250
+# Name of this host in the log of a target.
+CALLER_LABEL: Final = "control"
 
 
 @attrs.frozen(kw_only=True)
@@ -125,6 +127,34 @@
             or any(each.connection.was_connected for each in used),
         )
 
+    async def has_ended(
+        self, target: str, *, group: str, address: str, deadline_ns: int
+    ) -> bool:
+        """Tell whether a target is known to run no more.
+
+        That is the case if its address refuses a connection, or if
+        another target answers there.  No answer tells nothing, nor does
+        a connection that is reset, as a network may do that too.
+
+        :param deadline_ns: :func:`clock_ns` time until which to wait
+        """
+        connection = TargetConnection(
+            target=target, codec=self.new_codec(), on_lost=_ignore
+        )
+        message = connection.codec.encode_open(
+            group=group, label=CALLER_LABEL, target=target
+        )
+        answer = await open_connection(
+            connection,
+            Address.parse(address),
+            message,
+            deadline_ns=deadline_ns,
+        )
+        connection.abort()
+        if answer.fault is FaultCode.LOST:
+            return answer.text == ConnectionRefusedError.__name__
+        return answer.fault is FaultCode.WRONG_TARGET
+
     async def _read_over(
         self, kept: _Kept, request: bytes, deadline_ns: int
     ) -> TargetStatus | None:
@@ -163,7 +193,7 @@
     ) -> bool:
         message = connection.codec.encode_open(
             group=self.group_of(instance.name),
-            label="control",
+            label=CALLER_LABEL,
             target=instance.name,
         )
         answer = await open_connection(
--- a/tests/decide/announced_group.py
+++ b/tests/decide/announced_group.py
@@ -8,6 +8,7 @@
 import attrs
 
 from rosemarysaddle.decide import (
+    CheckEnded,
     ControlNode,
     DocumentKind,
     ProbeGroup,
@@ -221,6 +222,12 @@
         found = self.leader.on_probe("g", attempt, reports, self.now_ns)
         self._take(found)
 
+    def end_members(self, *targets: str) -> None:
+        """Tell which of the members asked for last have ended."""
+        members = self.found(CheckEnded)[-1].members
+        ended = {m.key for m in members if m.target in targets}
+        self._take(self.leader.on_end_checked("g", ended, self.now_ns))
+
     def answer_change(self, *reports: TargetReport) -> None:
         """Answer the newest probe of the change in progress."""
         attempt = self.leader.primaries.changes["g"].attempt
--- a/tests/decide/promotion_model.py
+++ b/tests/decide/promotion_model.py
@@ -61,7 +61,8 @@
     :param is_apart: whether it and the other targets cannot reach each
         other
     :param answer_ms: time that it takes to answer a status request
-    :param has_left: whether it has said that it is gone, and has ended
+    :param has_left: whether it has said that it is gone; it may go on
+        for a while
     :param meets_ns: time since which it reaches the newest primary
     """
 
--- a/tests/decide/promotion_world.py
+++ b/tests/decide/promotion_world.py
@@ -14,6 +14,7 @@
 import attrs
 
 from rosemarysaddle.decide import (
+    CheckEnded,
     ClusterState,
     ControlNode,
     DemoteTarget,
@@ -78,6 +79,7 @@
 class World(Timeline):
     """One group with its targets, hosts and the platform.
 
+    :param write_pause_ms: pause between the writes of an entry host
     :param modes: what the platform does with the next calls, each with
         its delay in milliseconds; prompt when the list is empty
     :param acknowledged: commits that a caller was told of and that no
@@ -91,6 +93,7 @@
     seed: int = 0
     size: int = 3
     sync_replicas: int = 0
+    write_pause_ms: int = WRITE_PAUSE_MS
     modes: list[tuple[OrderMode, int]] = attrs.field(factory=list)
     carried: Carried = Carried.AT_RETURN
     platform_down_until_ns: int = 0
@@ -132,8 +135,12 @@
         self._propose_plan()
         for target in self.targets.values():
             self.spawn(self._announce_often(target))
-        for entry in self.entries.values():
-            self.spawn(self._write_often(entry))
+        pause_ms = self.write_pause_ms // len(self.entries)
+        for number, entry in enumerate(self.entries.values()):
+            self.later(
+                number * pause_ms,
+                lambda entry=entry: self.spawn(self._write_often(entry)),  # type: ignore[misc]
+            )
         self.run(2_000)
         assert self.last_ack_ns, "the group never took a write"
 
@@ -219,6 +226,8 @@
                     self._send_to_entry(effect.peer, effect.message)
                 case ProbeGroup():
                     self.spawn(self._probe(effect))
+                case CheckEnded():
+                    self.spawn(self._check_ended(effect))
                 case PromoteTarget():
                     self.spawn(self._promote(effect))
                 case DemoteTarget():
@@ -298,6 +307,23 @@
             or TargetReport(target=target.name, reachable=target.is_seen)
         )
 
+    def _check_ended(self, check: CheckEnded) -> Process:
+        leader = self.leader
+        yield self.now_ns + 2 * NS_PER_MS
+        ended = set()
+        for member in check.members:
+            at_address = [
+                t
+                for t in self.targets.values()
+                if t.address == member.address and t.is_up
+            ]
+            if any(t.is_dark for t in at_address):
+                yield check.deadline_ns
+            elif member.target not in [t.name for t in at_address]:
+                ended.add(member.key)
+        if leader is self.leader:
+            self._execute(leader.on_end_checked(GROUP, ended, self.now_ns))
+
     def _promote(self, order: PromoteTarget) -> Process:
         leader, target = self.leader, self.targets[order.target]
         status, is_settled, is_present = None, False, False
@@ -579,11 +605,19 @@
         self.note(f"{name} loses its log")
         target.log, target.term = (), 1
 
-    def leave(self, name: str, spent_ms: int, successor_ms: int) -> None:
+    def leave(
+        self,
+        name: str,
+        spent_ms: int,
+        successor_ms: int,
+        goes_on_ms: int = 0,
+    ) -> None:
         """Stop a target as planned; a new one then gets its log.
 
         :param spent_ms: time for which it serves after its announcement
         :param successor_ms: time from its end to the new one's start
+        :param goes_on_ms: time for which it goes on after it has said
+            that it is gone, as it got no answer
         """
         target = self.targets[name]
         if not target.is_up or target.is_leaving:
@@ -591,16 +625,28 @@
         self.note(f"{name} leaves in {spent_ms} ms")
         target.is_leaving = True
         self._announce(target)
-        self.later(spent_ms, lambda: self._end(target, successor_ms))
+        self.later(
+            spent_ms,
+            lambda: self._say_gone(target, successor_ms, goes_on_ms),
+        )
 
-    def _end(self, target: Target, successor_ms: int) -> None:
+    def _say_gone(
+        self, target: Target, successor_ms: int, goes_on_ms: int
+    ) -> None:
         if not target.is_up:
             # It has crashed meanwhile, and starts anew.
             target.is_leaving = False
             return
-        self.note(f"{target.name} has left")
+        self.note(f"{target.name} says that it is gone")
         target.has_left = True
         self._announce(target)
+        if goes_on_ms:
+            self.later(goes_on_ms, lambda: self._end(target, successor_ms))
+        else:
+            self._end(target, successor_ms)
+
+    def _end(self, target: Target, successor_ms: int) -> None:
+        self.note(f"{target.name} ends")
         target.is_up = False
         self.later(successor_ms, lambda: self._start_successor(target))
 
@@ -672,7 +718,7 @@
     def _write_often(self, entry: EntryNode) -> Process:
         while True:
             self.spawn(self._write(entry))
-            yield self.now_ns + WRITE_PAUSE_MS * NS_PER_MS
+            yield self.now_ns + self.write_pause_ms * NS_PER_MS
 
     def _write(self, entry: EntryNode) -> Process:
         ticket = entry.begin_write(
--- a/tests/decide/test_former_members.py
+++ b/tests/decide/test_former_members.py
@@ -9,6 +9,7 @@
 import pytest
 
 from rosemarysaddle.decide import (
+    CheckEnded,
     ClusterState,
     LogDecision,
     ProbeGroup,
@@ -188,6 +189,8 @@
     harness = _open_group()
     harness.announce("t2", gone=True)
     harness.elapse(100)
+    harness.end_members("t2")
+    harness.elapse(100)
 
     _answer(harness, t1=9, t3=8)
     was_kept = _former(harness)
@@ -201,12 +204,58 @@
     )
 
 
+def test_member_that_goes_on_after_its_leave_call_counts() -> None:
+    """Guards against an end that nothing has shown."""
+    harness = _open_group()
+    harness.announce("t2", gone=True)
+    for _ in range(20):
+        harness.elapse(500)
+        harness.end_members()
+        _answer(harness, t1=9, t3=9)
+    was_kept = _former(harness)
+
+    harness.elapse(60_000)
+    harness.end_members("t2")
+    harness.elapse(100)
+    _answer(harness, t1=9, t3=9)
+
+    assert was_kept == ["t2"]
+    assert not _former(harness)
+
+
+def test_address_without_an_answer_is_read_less_and_less_often() -> None:
+    """Guards against connections without an end to a lost host."""
+    harness = _open_group()
+    harness.announce("t2", gone=True)
+    harness.effects.clear()
+
+    for _ in range(600):
+        harness.elapse(500)
+        if harness.found(CheckEnded):
+            harness.end_members()
+
+    assert _former(harness) == ["t2"]
+    assert len(harness.found(CheckEnded)) < 20
+
+
+def test_member_that_started_again_has_ended() -> None:
+    """Guards against asking an address for a former incarnation."""
+    harness = _open_group()
+    harness.announce("t2", incarnation_ms=2)
+    harness.elapse(100)
+
+    _answer(harness, t1=9, t2=9, t3=9)
+
+    assert not _former(harness)
+
+
 def test_position_from_before_the_end_of_a_member_proves_nothing() -> None:
     """Guards against writes that it acknowledged on its way out."""
     harness = _open_group()
-    asked_ns = harness.now_ns
     harness.announce("t2", gone=True)
     harness.elapse(100)
+    asked_ns = harness.now_ns - 1
+    harness.end_members("t2")
     reports = [
         attrs.evolve(_report("t1", 9, role="primary"), asked_ns=asked_ns),
         attrs.evolve(_report("t3", 9), asked_ns=harness.now_ns),
@@ -221,6 +270,8 @@
     """Guards against status requests without an end."""
     harness = _open_group()
     harness.announce("t2", gone=True)
+    harness.elapse(100)
+    harness.end_members("t2")
     harness.effects.clear()
 
     for _ in range(20):
--- a/tests/decide/test_promotion_members.py
+++ b/tests/decide/test_promotion_members.py
@@ -69,6 +69,48 @@
     _assert_holds(world)
 
 
+@pytest.mark.parametrize("goes_on_ms", [500, 1_500, 3_500, 20_000])
+@pytest.mark.parametrize("earlier_ms", range(0, 750, 150))
+def test_replica_goes_on_after_its_leave_call(
+    earlier_ms: int, goes_on_ms: int
+) -> None:
+    """Guards against a member that counts as ended while it runs.
+
+    It got no answer to its leave call; the other replica receives
+    nothing, so that it alone acknowledges what is written.
+    """
+    world = World(sync_replicas=1, write_pause_ms=1_500)
+    world.run(earlier_ms)
+    world.leave("t2", SERVES_MS, FOR_GOOD_MS, goes_on_ms)
+    world.run(SERVES_MS + goes_on_ms // 4)
+    world.disturb("t3", goes_on_ms, is_lagging=True)
+    world.run(goes_on_ms - goes_on_ms // 4 - 20)
+
+    world.crash("t1", 7_000)
+    world.run(12_000)
+
+    _assert_holds(world)
+
+
+@pytest.mark.parametrize("goes_on_ms", [500, 3_500])
+def test_primary_is_lost_while_a_former_replica_goes_on(
+    goes_on_ms: int,
+) -> None:
+    """Guards against waiting for a member whose writes others have."""
+    world = World(sync_replicas=1, write_pause_ms=600)
+    world.leave("t2", SERVES_MS, FOR_GOOD_MS, goes_on_ms)
+    world.run(SERVES_MS + goes_on_ms // 2)
+
+    world.crash("t1", FOR_GOOD_MS)
+    crashed_ns = world.now_ns
+    world.run(PROMPT_MS)
+
+    assert world.promotions
+    spent_ns = world.promotions[0].effect_ns - crashed_ns
+    assert spent_ns <= PROMPT_MS * NS_PER_MS
+    _assert_holds(world)
+
+
 def test_replica_has_left_and_another_was_replaced_before() -> None:
     """Guards against counting a replaced member for ever, or not."""
     world = World(sync_replicas=1)
@@ -209,7 +251,12 @@
         ):
             return
         successor_ms = self.rng.choice([50, 1_000, 5_000])
-        self.world.leave(self._pick(), self._duration_ms(), successor_ms)
+        self.world.leave(
+            self._pick(),
+            self._duration_ms(),
+            successor_ms,
+            goes_on_ms=self.rng.choice([0, 0, 300, 4_000]),
+        )
 
     def _switch_over(self) -> None:
         self.world.switch_over(self._pick())
--- a/tests/node/test_orders.py
+++ b/tests/node/test_orders.py
@@ -12,12 +12,14 @@
 from rosemarysaddle._clock import clock_ns
 from rosemarysaddle.decide import (
     NS_PER_MS,
+    CheckEnded,
     DemoteTarget,
     ProbeGroup,
     PromoteTarget,
     PromotionResult,
     TargetReport,
 )
+from rosemarysaddle.decide.primaries._former_members import FormerMember
 from rosemarysaddle.node import OrderAnswer, TargetStatus
 from rosemarysaddle.node._orders import AnnouncedTargetOrders
 from rosemarysaddle.node._status_reader import StatusReader, StatusResult
@@ -33,6 +35,9 @@
 IP = f"{TEST_NETWORK}.1.1"
 PORT = 19_310
 PROMOTE_DELAY_S = 0.05
+MEMBER = FormerMember(
+    target="m", incarnation_ms=1, address=f"{IP}:{PORT}", was_leaving=True
+)
 INSTANCE = Instance(name="t", address=f"{IP}:{PORT}", data_center="dc-1")
 
 
@@ -605,3 +610,63 @@
     assert result.done is may_be_present
     # A slow platform may carry it out later all the same.
     assert not result.is_settled
+
+
+@attrs.define(kw_only=True)
+class OpeningTarget:
+    """Target that answers each opening in one way.
+
+    :param answer: answer to the opening; nothing if empty, and the
+        connection is reset if None
+    """
+
+    answer: bytes | None
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readline()
+        if self.answer is None:
+            writer.transport.abort()
+            return
+        writer.write(self.answer)
+        await reader.read()
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    ("answer", "has_ended"),
+    [
+        pytest.param(b"READY I 1.5\r\n", False, id="it-runs"),
+        pytest.param(b"ERROR TOOMANY\r\n", False, id="it-is-full"),
+        pytest.param(b"ERROR WRONGHOST\r\n", True, id="another-is-there"),
+        pytest.param(None, False, id="the-connection-is-reset"),
+        pytest.param(b"", False, id="nothing-answers"),
+    ],
+)
+def test_former_member_has_ended_once_another_answers(
+    answer: bytes | None, *, has_ended: bool
+) -> None:
+    """Guards against an end that nothing has shown."""
+
+    async def scenario() -> set[tuple[str, int]]:
+        target = OpeningTarget(answer=answer)
+        server = await asyncio.start_server(target.serve, IP, PORT)
+        async with server:
+            return await _find_ended()
+
+    assert asyncio.run(scenario()) == ({MEMBER.key} if has_ended else set())
+
+
+def test_former_member_has_ended_once_its_address_refuses() -> None:
+    """Guards against a member that counts for good."""
+    assert asyncio.run(_find_ended()) == {MEMBER.key}
+
+
+async def _find_ended() -> set[tuple[str, int]]:
+    check = CheckEnded(
+        group="g",
+        members=(MEMBER,),
+        deadline_ns=clock_ns() + 200 * NS_PER_MS,
+    )
+    return await _orders(None).find_ended(check)
