Tell values apart that compare equal in patches of a plan

A field that changes from 1 to true or 1.0 was lost: the patch is made by an equality of Python, for which these are one value, and the check of the patch used the same equality. The plan that was acknowledged was read back with the value before.

A field, route or team is now left out of a patch only if its JSON is the same.

Measured: the four cases of the new test failed before.

--- a/src/rosemarysaddle/decide/configuration/_plan_patch.py
+++ b/src/rosemarysaddle/decide/configuration/_plan_patch.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-__all__ = ("apply_patch", "apply_patches", "make_patch")
+__all__ = ("apply_patch", "apply_patches", "is_same_json", "make_patch")
 
 _ROUTES: Final = "routes"
 # Also the field of a patch with its steps for the teams.  Patches of
@@ -20,21 +20,23 @@
 _TEAMS: Final = "teams"
 
 
-def make_patch(old: str, new: str) -> str | None:
+def make_patch(old: str, new: str, *, decoded: Any = None) -> str | None:
     """Make the patch that turns one plan into another.
 
     :param old: text of the old plan; empty if there is none
     :param new: text of the new plan
+    :param decoded: decoded text of the new plan, if at hand
     :return: text of the patch, or None if the whole plan is shorter or
         a patch would not reproduce the content of the new plan
     """
     if not old:
         return None
-    before, after = json.loads(old), json.loads(new)
+    before = json.loads(old)
+    after = json.loads(new) if decoded is None else decoded
     routes = _make_steps(before[_ROUTES], after[_ROUTES])
     if routes is None:
         return None
-    rest = {k: v for k, v in after.items() if before.get(k) != v}
+    rest = {k: v for k, v in after.items() if not _has(before, k, v)}
     rest.pop(_ROUTES, None)
     patch = {**routes, "base": before.get("version"), "rest": rest}
     if _TEAMS in rest and _TEAMS in before:
@@ -83,11 +85,15 @@
         return None
     steps = {
         "remove": [name for name in known if name not in wanted],
-        "put": [item for n, item in wanted.items() if known.get(n) != item],
+        "put": [i for name, i in wanted.items() if not _has(known, name, i)],
     }
     return steps if _apply_steps(before, steps) == after else None
 
 
+def _has(items: dict[str, Any], name: str, value: Any) -> bool:
+    return name in items and is_same_json(items[name], value)
+
+
 def _apply_steps(
     items: list[dict[str, Any]], steps: dict[str, Any]
 ) -> list[dict[str, Any]]:
@@ -102,3 +108,26 @@
 def _index_by_name(items: list[dict[str, Any]]) -> dict[str, Any] | None:
     found = {item["name"]: item for item in items}
     return found if len(found) == len(items) else None
+
+
+def is_same_json(first: Any, second: Any) -> bool:
+    """Tell whether two decoded values are the same JSON.
+
+    Unlike an equality of Python, ``1``, ``1.0`` and ``true`` differ.
+    The order of the fields of an object does not matter.
+    """
+    if type(first) is not type(second):
+        return False
+    # Faster than the comparison below, and seldom not enough.
+    if repr(first) == repr(second):
+        return True
+    if isinstance(first, dict):
+        return first.keys() == second.keys() and all(
+            is_same_json(value, second[name]) for name, value in first.items()
+        )
+    if isinstance(first, list):
+        return len(first) == len(second) and all(
+            map(is_same_json, first, second)
+        )
+    # Those whose text differs: also zeros of different sign.
+    return False
--- a/tests/decide/test_plan_patch.py
+++ b/tests/decide/test_plan_patch.py
@@ -134,3 +134,23 @@
     old: str, new: str
 ) -> None:
     assert make_patch(old, new) is None
+
+
+@pytest.mark.parametrize(
+    ("before", "after"),
+    [("1", "true"), ("1", "1.0"), ("0", "false"), ("0.0", "-0.0")],
+)
+def test_patch_tells_values_apart_that_compare_equal(
+    before: str, after: str
+) -> None:
+    """Guards against a changed note that is lost in the patch."""
+    plans = [_plan(version, {"a": 1}) for version in (1, 2)]
+    old, new = (
+        f'{plan[:-1]}, "note": {note}}}'
+        for plan, note in zip(plans, (before, after), strict=True)
+    )
+
+    patch = make_patch(old, new)
+
+    assert patch is not None
+    assert json.dumps(json.loads(patch)["rest"]["note"]) == after
