Refuse plans that hosts could not read alike

Cause: the verdict was given by the recursion limit where the text was read first, a thread of the HTTP server. The leader reads it deeper in its stack, entry hosts elsewhere still.

A plan is now accepted by bounds that depend on its text alone, checked once before the log: 64 levels, and numbers with a finite value as a 64-bit float. The leader applies them too, as a host of an earlier build may pass a plan on; such a proposal is refused with its path.

--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -22,6 +22,10 @@
     TargetReport,
 )
 from rosemarysaddle.decide._times import LEASE_MS
+from rosemarysaddle.decide.configuration._json_bounds import (
+    ValueFault,
+    decode_json,
+)
 from rosemarysaddle.decide.configuration._plan_patch import make_patch
 from rosemarysaddle.decide.control_log._context import LeaderContext
 from rosemarysaddle.decide.control_log._log import LogNode, Role
@@ -680,18 +684,37 @@
         proposers.append(source)
         if len(proposers) > 1:
             return []
-        payload = json.dumps(attrs.asdict(self._as_plan_patch(change)))
+        proposed = self._as_plan_patch(change)
+        if isinstance(proposed, ValueFault):
+            reply = ChangeReply(
+                change_id=change.change_id,
+                accepted=False,
+                version=self.state.routes.version,
+                reason=proposed.reason,
+                path=proposed.path,
+            )
+            return self._reply_to_proposers(reply)
+        payload = json.dumps(attrs.asdict(proposed))
         return self._propose(EntryKind.CHANGE, payload, now_ns)
 
-    def _as_plan_patch(self, change: ChangeProposal) -> ChangeProposal:
-        """Replace a newer plan by a patch of the last proposed one."""
+    def _as_plan_patch(
+        self, change: ChangeProposal
+    ) -> ChangeProposal | ValueFault:
+        """Replace a newer plan by a patch of the last proposed one.
+
+        :return: a fault if some host could not read the plan; a host of
+            an earlier build may have passed it on
+        """
         version, source = self._last_proposed_plan
         if change.kind != DocumentKind.ROUTES:
             return change
         if change.base_version <= version:
             return change
+        decoded = decode_json(change.payload)
+        if isinstance(decoded, ValueFault):
+            return decoded
+        patch = make_patch(source, change.payload, decoded=decoded)
         self._last_proposed_plan = (change.base_version, change.payload)
-        patch = make_patch(source, change.payload)
         if patch is None:
             return change
         kind = DocumentKind.ROUTES_PATCH
--- a/src/rosemarysaddle/decide/configuration/_route_plan.py
+++ b/src/rosemarysaddle/decide/configuration/_route_plan.py
@@ -4,10 +4,14 @@
 
 import enum
 import json
-from typing import TYPE_CHECKING, Any, Final, NoReturn
+from typing import TYPE_CHECKING, Any, Final
 
 import attrs
 
+from rosemarysaddle.decide.configuration._json_bounds import (
+    ValueFault,
+    decode_json,
+)
 from rosemarysaddle.decide.configuration._plan_patch import (
     apply_patch,
     apply_patches,
@@ -40,6 +44,8 @@
 # Patches of a plan's text that are collected before they are applied.
 # At 32,000 routes, applying them takes 0.3 s and 256 of them 50 kB.
 MAX_PATCHES: Final = 256
+# Length of the path that a refusal shows.
+MAX_PATH_CHARS: Final = 200
 # Faults of a text with one of these names show none of its values: one
 # that is misplaced or of the wrong type may be a key.
 _NAMES_NEAR_KEYS: Final = frozenset({"teams", "api_keys"})
@@ -189,11 +195,10 @@
     :param source: identifier of the change, named in a fault
     :return: the plan, or path and reason of the first fault
     """
-    try:
-        value = json.loads(text, parse_constant=_refuse_constant)
-    except (ValueError, RecursionError) as error:
-        return SchemaFault(source=source, path="$", reason=str(error))
-    may_contain_keys = any(name in text for name in _NAMES_NEAR_KEYS) or (
+    value = decode_json(text)
+    if isinstance(value, ValueFault):
+        return SchemaFault(source=source, path=value.path, reason=value.reason)
+    may_contain_keys = _mentions_keys(text) or (
         isinstance(value, dict) and not _NAMES_NEAR_KEYS.isdisjoint(value)
     )
     plan = parse_document(
@@ -208,6 +213,10 @@
     return fault or plan
 
 
+def _mentions_keys(text: str) -> bool:
+    return any(name in text for name in _NAMES_NEAR_KEYS)
+
+
 def _has_lone_surrogate(text: str, value: Any) -> bool:
     """Tell whether decoded JSON holds text that cannot be sent."""
     if "\\ud" not in text and "\\uD" not in text:
@@ -237,8 +246,3 @@
         return None
     path, reason = fault
     return SchemaFault(source=source, path=path, reason=reason)
-
-
-def _refuse_constant(name: str) -> NoReturn:
-    message = f"{name} is not a JSON number"
-    raise ValueError(message)
--- a/src/rosemarysaddle/platform/_http.py
+++ b/src/rosemarysaddle/platform/_http.py
@@ -135,8 +135,12 @@
         if isinstance(result, SchemaFault):
             logging.info("event=plan-refused reason=%s", result)
             return 400, {"error": str(result)}
-        is_accepted = result is not None and result.accepted
-        return (200, {}) if is_accepted else (503, {})
+        if result is None:
+            return 503, {}
+        if result.path:
+            # The leader could not read it.
+            return 400, {"error": f"{result.path}: {result.reason}"}
+        return (200, {}) if result.accepted else (503, {})
 
 
 def read_status(answer: Answer) -> TargetStatus | None:
