Reject a message that has made a step raise before

The log is still loaded again after the first error, since memory may be ahead of the disk, and a step of the host's own that always raises still ends the process.

Measured: the new test counts 9 errors and the end of the process before, one error and no end now.

--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -67,6 +67,7 @@
 from rosemarysaddle.node._lazy_http import LazyHttpServer
 from rosemarysaddle.node._log_disk import LogDisk
 from rosemarysaddle.node._orders import AnnouncedTargetOrders
+from rosemarysaddle.node._rejected_messages import RejectedMessages
 from rosemarysaddle.node._skipped_entries import log_skipped_entries
 from rosemarysaddle.node._start_timeline import StartStep, StartTimeline
 from rosemarysaddle.node._timing import (
@@ -139,6 +140,9 @@
     is_stopping: bool = attrs.field(default=False, init=False)
     _disk: LogDisk = attrs.field(init=False)
     _defects: int = attrs.field(default=0, init=False)
+    _rejected: RejectedMessages = attrs.field(
+        factory=RejectedMessages, init=False
+    )
     _orders: AnnouncedTargetOrders = attrs.field(init=False)
     _loop: asyncio.AbstractEventLoop = attrs.field(init=False)
     _http: HttpServer = attrs.field(init=False)
@@ -528,7 +532,7 @@
         self._departure_log.update(self._departures(now_ns), now_ns)
         self._record_start(now_ns)
 
-    def _run(self, name: str, step: Callable[[], Sequence[Effect]]) -> None:
+    def _run(self, name: str, step: Callable[[], Sequence[Effect]]) -> bool:
         """Run a step of the control node and execute its effects.
 
         A step that raises may leave state in memory that the disk
@@ -536,9 +540,10 @@
         the process.
 
         :param name: name of the step in the log
+        :return: False if the step raised
         """
         if self._disk.has_failed:
-            return
+            return True
         try:
             self._execute_effects(step())
         except Exception as error:  # noqa: BLE001  # of any part of the node
@@ -553,6 +558,8 @@
                 end_process(SOFTWARE_EXIT_STATUS)
             self._disk.fail(clock_ns())
             self._leave_log()
+            return False
+        return True
 
     def _leave_log(self) -> None:
         """Hand the leadership over; vote and answer no more for now."""
@@ -616,11 +623,17 @@
         if isinstance(message, RelayedMessage):
             self._receive_relayed(source, message)
             return
+        kind = type(message).__name__
+        if self._rejected.has(message, clock_ns()):
+            log_event("message-rejected", f"peer={source} kind={kind}")
+            return
         index = self.control.state.index
-        self._run(
-            type(message).__name__,
+        has_run = self._run(
+            kind,
             lambda: self.control.receive(source, message, clock_ns()),
         )
+        if not has_run:
+            self._rejected.add(message, clock_ns())
         if self.control.state.index != index:
             spawn(self._notify(), self._jobs)
 
--- a/tests/node/test_control.py
+++ b/tests/node/test_control.py
@@ -5,15 +5,24 @@
 
 import pytest
 
-from rosemarysaddle.node._control import ControlHost
+from rosemarysaddle._clock import NS_PER_S, clock_ns
+from rosemarysaddle.decide import ControlNode
+from rosemarysaddle.node import _control
+from rosemarysaddle.node._control import MAX_DEFECTS, ControlHost
 from rosemarysaddle.platform import UsersPlatform
-from rosemarysaddle.schema import Announcement, AppendRequest, Node
+from rosemarysaddle.schema import (
+    Announcement,
+    AppendRequest,
+    ChangeProposal,
+    Node,
+)
 from tests.helpers import TEST_NETWORK
 
 if TYPE_CHECKING:
     from pathlib import Path
 
-    from rosemarysaddle.decide import Role
+    from rosemarysaddle.decide import Effect, Role
+    from rosemarysaddle.schema import Message
 
 IP = f"{TEST_NETWORK}.1.1"
 PLAN = (
@@ -183,3 +192,41 @@
         return found
 
     assert asyncio.run(scenario()) is True
+
+
+def test_message_that_raises_each_time_does_not_end_the_process(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against one order that ends every leader in turn."""
+    ends: list[int] = []
+    monkeypatch.setattr(_control, "end_process", ends.append)
+    receive = ControlNode.receive
+
+    def fail(
+        self: ControlNode, source: str, message: Message, now_ns: int
+    ) -> list[Effect]:
+        if isinstance(message, ChangeProposal):
+            raise RecursionError
+        return receive(self, source, message, now_ns)
+
+    monkeypatch.setattr(ControlNode, "receive", fail)
+
+    async def scenario() -> tuple[int, bool]:
+        host = _host(tmp_path, first_start=True)
+        await _start_and_wait_for_leader(host)
+        for number in range(2 * MAX_DEFECTS):
+            change = ChangeProposal(
+                change_id=str(number),
+                kind="routes",
+                base_version=3,
+                author="operator",
+                payload=PLAN,
+            )
+            host._receive(host.host, change)
+            host._try_to_recover(clock_ns() + NS_PER_S)
+        has_failed = host._disk.has_failed
+        await host.stop()
+        return host._defects, has_failed
+
+    assert asyncio.run(scenario()) == (1, False)
+    assert not ends
