Give hosts that differ the whole route plan

Cause: a patch names the version that it changes, so hosts noticed that they differ; they skipped the patch, and every later one. Skipping is the same on every host for what is in an entry, not for what a host runs out of.

A host whose plan a patch does not fit now reports that until it holds the missed version. The leader proposes the whole plan, which all other hosts ignore; a leader that lacks it itself asks the other voters. A control host that lacks a plan answers reads of it with 503. New: log line plan-differs, metric plan_missing.

--- a/src/rosemarysaddle/decide/_control.py
+++ b/src/rosemarysaddle/decide/_control.py
@@ -27,6 +27,7 @@
     decode_json,
 )
 from rosemarysaddle.decide.configuration._plan_patch import make_patch
+from rosemarysaddle.decide.configuration._plan_repair import PlanRepair
 from rosemarysaddle.decide.control_log._context import LeaderContext
 from rosemarysaddle.decide.control_log._log import LogNode, Role
 from rosemarysaddle.decide.control_log._state import (
@@ -83,6 +84,7 @@
     LeaseRenewal,
     LeaseReturn,
     LogEntry,
+    PlanReport,
     ReplicasBehind,
     StepOut,
     Suspicion,
@@ -161,6 +163,7 @@
     _waiting_proposers: dict[str, list[str]] = attrs.field(
         factory=dict, init=False
     )
+    _plan_repair: PlanRepair = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Create the components of a leader, with no lease granted."""
@@ -189,6 +192,7 @@
             context=self._context, primaries=self.primaries
         )
         self._lease_holders = LeaseHolderRegistry(context=self._context)
+        self._plan_repair = PlanRepair(context=self._context, log=self.log)
         self._voter_manager = VoterManager(
             log=self.log, wanted=self.wanted_voters
         )
@@ -213,6 +217,7 @@
             effects.extend(self._lease_holders.tick(now_ns))
             effects.extend(self._tick_voters(now_ns))
         effects.extend(self._answer_waiting_hosts(now_ns))
+        effects.extend(self._plan_repair.tick(now_ns))
         return effects
 
     def _examine_changed_groups(self) -> None:
@@ -241,8 +246,8 @@
                 return self.primaries.on_lease_returned(message.host, now_ns)
             case GroupClosed():
                 return self.primaries.on_closed(message, now_ns)
-            case Suspicion() | ReplicasBehind() | TermReport():
-                return self._on_outage_report(message, now_ns)
+            case Suspicion() | ReplicasBehind() | TermReport() | PlanReport():
+                return self._on_report(message, now_ns)
             case ChangeProposal():
                 return self._on_proposal(source, message, now_ns)
             case Announcement():
@@ -254,9 +259,13 @@
             case _:
                 return self._receive_from_control(source, message, now_ns)
 
-    def _on_outage_report(
-        self, report: Suspicion | ReplicasBehind | TermReport, now_ns: int
+    def _on_report(
+        self,
+        report: Suspicion | ReplicasBehind | TermReport | PlanReport,
+        now_ns: int,
     ) -> list[Effect]:
+        if isinstance(report, PlanReport):
+            return self._plan_repair.on_report(report, now_ns)
         if isinstance(report, Suspicion):
             return self.primaries.on_suspicion(report, now_ns)
         if isinstance(report, TermReport):
--- a/src/rosemarysaddle/decide/_entry.py
+++ b/src/rosemarysaddle/decide/_entry.py
@@ -15,6 +15,7 @@
 from rosemarysaddle.decide._reasons import Reason, Refusal, Step
 from rosemarysaddle.decide._send import Send, SendRelayed
 from rosemarysaddle.decide._times import NS_PER_MS, RENEWAL_INTERVAL_MS
+from rosemarysaddle.decide.configuration._plan_repair import PlanReporter
 from rosemarysaddle.decide.control_log._state import ClusterState
 from rosemarysaddle.decide.leases._lease import HostLease
 from rosemarysaddle.decide.leases._relay import RelayChoice, is_relayable
@@ -173,6 +174,7 @@
         factory=AcknowledgedWrites, init=False
     )
     _observed: ObservedTerms = attrs.field(factory=ObservedTerms, init=False)
+    _plan_reporter: PlanReporter = attrs.field(init=False)
     _stopping: bool = attrs.field(default=False, init=False)
     _has_heard_control: bool = attrs.field(default=False, init=False)
     _is_redirected: bool = attrs.field(default=False, init=False)
@@ -182,7 +184,8 @@
     _asked: tuple[str, ...] = attrs.field(default=(), init=False)
 
     def __attrs_post_init__(self) -> None:
-        """Create the choice of relays."""
+        """Create the choice of relays and the reporter of plans."""
+        self._plan_reporter = PlanReporter(host=self.host)
         self.relay = RelayChoice(host=self.host, own=self.lending_address)
 
     def tick(self, now_ns: int) -> list[Effect]:
@@ -194,6 +197,9 @@
         self._observed.forget_settled(self._recorded_term, now_ns)
         for observed in self._observed.due_reports(now_ns):
             effects.extend(self._report_term(observed, now_ns))
+        report = self._plan_reporter.due_report(self.state, now_ns)
+        if report is not None:
+            effects.append(Send(peer=self._leader(), message=report))
         if now_ns >= self._renew_at_ns and not self._stopping:
             effects.extend(self._renew(now_ns))
         return self._also_relayed(effects)
--- a/src/rosemarysaddle/decide/configuration/_route_plan.py
+++ b/src/rosemarysaddle/decide/configuration/_route_plan.py
@@ -35,7 +35,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-__all__ = ("Freshness", "RouteTable", "check_plan")
+__all__ = ("Freshness", "PlanMismatchError", "RouteTable", "check_plan")
 
 _VERSION: Final = "version"
 _GROUPS: Final = "groups"
@@ -51,6 +51,10 @@
 _NAMES_NEAR_KEYS: Final = frozenset({"teams", "api_keys"})
 
 
+class PlanMismatchError(ValueError):
+    """A patch changes another version than the one in force."""
+
+
 class Freshness(enum.StrEnum):
     """Freshness of the data that a read on a route requires."""
 
@@ -114,14 +118,14 @@
     def patched(self, patch: str) -> RouteTable:
         """Build the table of a plan that differs by a patch.
 
-        :raises ValueError: if the patch changes another version
+        :raises PlanMismatchError: if it changes another version
         """
         steps = json.loads(patch)
         # Patches of earlier builds do not name it.
         base = steps.get("base", self.version)
         if base != self.version:
             message = f"patch of version {base}, not of {self.version}"
-            raise ValueError(message)
+            raise PlanMismatchError(message)
         rest = steps["rest"]
         if self._routes is None or _TEAMS in rest:
             return RouteTable.of(apply_patch(self.source, patch))
--- a/src/rosemarysaddle/decide/control_log/_state.py
+++ b/src/rosemarysaddle/decide/control_log/_state.py
@@ -12,7 +12,10 @@
 import attrs
 
 from rosemarysaddle.decide.configuration._inventory import InventoryTable
-from rosemarysaddle.decide.configuration._route_plan import RouteTable
+from rosemarysaddle.decide.configuration._route_plan import (
+    PlanMismatchError,
+    RouteTable,
+)
 from rosemarysaddle.decide.control_log._voters import MEMBERS
 from rosemarysaddle.decide.primaries._former_members import (
     FormerMember,
@@ -136,6 +139,8 @@
     :param faults: entries that were skipped, and why; for the log of
         this host
     :param skipped_index: index of the last one
+    :param missed_plan_version: newest route plan whose patch did not
+        fit the one in force here
     """
 
     index: int = 0
@@ -155,6 +160,7 @@
     former_members: FormerMemberTable = attrs.field(factory=FormerMemberTable)
     faults: list[str] = attrs.field(factory=list, eq=False)
     skipped_index: int = attrs.field(default=0, eq=False)
+    missed_plan_version: int = attrs.field(default=-1, eq=False)
     _classes: dict[str, RequestClass] = attrs.field(factory=dict, init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -165,8 +171,9 @@
         """Apply one committed entry.
 
         Entries arrive in order.  One that was applied already is
-        ignored, and one that cannot be applied is skipped, on every
-        host alike.
+        ignored, and one that cannot be applied is skipped.  What is in
+        it was checked before, so every host does the same; one that did
+        not finds out by the next patch of the route plan.
 
         :return: reply to a change of a document, else None
         """
@@ -290,6 +297,11 @@
         """Look up a request class by name."""
         return self._classes.get(name)
 
+    @property
+    def lacks_plan(self) -> bool:
+        """Whether other hosts hold a newer route plan than this one."""
+        return self.missed_plan_version > self.routes.version
+
     def version_of(self, kind: str) -> int:
         """Return the version of a document that is in force."""
         if kind == DocumentKind.RULES:
@@ -380,11 +392,15 @@
         # sent again or is older changes nothing.
         if change.base_version > self.routes.version:
             before = self.routes
-            self.routes = (
-                before.patched(change.payload)
-                if change.kind == DocumentKind.ROUTES_PATCH
-                else RouteTable.of(change.payload)
-            )
+            try:
+                self.routes = (
+                    before.patched(change.payload)
+                    if change.kind == DocumentKind.ROUTES_PATCH
+                    else RouteTable.of(change.payload)
+                )
+            except PlanMismatchError:
+                self.missed_plan_version = change.base_version
+                raise
             self.targets.changed_groups.update(self.routes.groups)
             self._follow_sync_replicas(before)
         return ChangeReply(
--- a/src/rosemarysaddle/decide/leases/_relay.py
+++ b/src/rosemarysaddle/decide/leases/_relay.py
@@ -17,6 +17,7 @@
     GroupClosed,
     LeaseRenewal,
     LeaseReturn,
+    PlanReport,
     ReplicasBehind,
     Suspicion,
     TermReport,
@@ -51,6 +52,7 @@
             | Suspicion()
             | ReplicasBehind()
             | TermReport()
+            | PlanReport()
         ):
             return message.host == host
         case _:
--- a/src/rosemarysaddle/node/_control.py
+++ b/src/rosemarysaddle/node/_control.py
@@ -475,7 +475,8 @@
         deadline_ns = clock_ns() + ANSWER_TIMEOUT_MS * NS_PER_MS
         if not await self._catch_up(deadline_ns):
             return None
-        return self.control.state.routes.source or None
+        state = self.control.state
+        return None if state.lacks_plan else state.routes.source or None
 
     async def _catch_up(self, deadline_ns: int) -> bool:
         """Apply all that is committed now.
--- a/src/rosemarysaddle/node/_host_metrics.py
+++ b/src/rosemarysaddle/node/_host_metrics.py
@@ -317,6 +317,11 @@
     yield _gauge("state_index", "Index of last applied log entry", state.index)
     version = state.routes.version
     yield _gauge("plan_version", "Version of the route plan in use", version)
+    yield _gauge(
+        "plan_missing",
+        "Whether other hosts hold a newer plan, as a patch did not fit",
+        state.lacks_plan,
+    )
     hosts = state.entry_hosts
     yield _gauge("entry_hosts", "Registered entry hosts", hosts)
     terms = {name: term.term for name, term in state.terms.items()}
--- a/src/rosemarysaddle/schema/_messages.py
+++ b/src/rosemarysaddle/schema/_messages.py
@@ -33,6 +33,7 @@
     "Message",
     "Neighbour",
     "Neighbours",
+    "PlanReport",
     "PointReply",
     "PointRequest",
     "PreparedName",
@@ -866,6 +867,33 @@
         set_field(self, "uncounted_ms", uncounted_ms)
 
 
+@record(kw_only=True, init=False)
+class PlanReport(Record):
+    """Message: plan report."""
+
+    __slots__ = (
+        "host",
+        "version",
+        "missed_version",
+    )
+
+    host: str
+    version: int
+    missed_version: int
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        version: int,
+        missed_version: int,
+    ) -> None:
+        set_field = object.__setattr__
+        set_field(self, "host", host)
+        set_field(self, "version", version)
+        set_field(self, "missed_version", missed_version)
+
+
 @record(kw_only=True, init=False)
 class PointReply(Record):
     """Message: point reply."""
@@ -1328,6 +1356,7 @@
     | LoanRequest
     | LoanReturn
     | Neighbours
+    | PlanReport
     | PointReply
     | PointRequest
     | RelayedMessage
@@ -1411,4 +1440,5 @@
     "replicasBehind": ReplicasBehind,
     "leaderResigned": LeaderResigned,
     "termReport": TermReport,
+    "planReport": PlanReport,
 }
--- a/src/rosemarysaddle/schema/messages.capnp
+++ b/src/rosemarysaddle/schema/messages.capnp
@@ -84,6 +84,15 @@
   current @2 :Bool;
 }
 
+# A patch did not fit the sender's route plan, which differs from that of
+# the leader that made the patch.
+struct PlanReport {
+  host @0 :Text;
+  # Version that the sender holds, and the one that the patch leads to.
+  version @1 :Int64;
+  missedVersion @2 :Int64;
+}
+
 struct ClosingGroup {
   group @0 :Text;
   term @1 :UInt64;
@@ -370,5 +379,6 @@
     replicasBehind @36 :ReplicasBehind;
     leaderResigned @37 :LeaderResigned;
     termReport @38 :TermReport;
+    planReport @39 :PlanReport;
   }
 }
