Read at the primary after a write without a position

Cause: only a told position was kept, so the next read asked replicas for an earlier one.

Until the primary tells a position in an answer to a later request, the session's reads on routes that promise it its own writes go to the primary. Other routes are as before: their bound comes from positions that the primary told at a known time.

--- a/src/rosemarysaddle/session/_router.py
+++ b/src/rosemarysaddle/session/_router.py
@@ -238,6 +238,7 @@
         excluded: Collection[str],
         *,
         may_probe: bool = False,
+        needs_primary: bool = False,
     ) -> ReadTarget | None:
         """Choose the target of a read.
 
@@ -245,6 +246,8 @@
         :param excluded: targets on which the read has already failed
         :param may_probe: whether the read may go to an outlier, to find
             out whether that has recovered
+        :param needs_primary: whether only the primary is known to hold
+            what the read has to see
         :return: the target, or None if none is suitable now
         """
         now_ns = clock_ns()
@@ -252,6 +255,8 @@
         term = self.node.primary_of(group, now_ns)
         primary = term.primary if term is not None else ""
         point = self.positions.required_point(route, session_point, now_ns)
+        if needs_primary:
+            point = None
         constraints = ReadConstraints(
             point=point,
             primary=primary,
--- a/src/rosemarysaddle/session/_runner.py
+++ b/src/rosemarysaddle/session/_runner.py
@@ -16,6 +16,7 @@
 from rosemarysaddle.decide import (
     Answer,
     FaultCode,
+    Freshness,
     LogPoint,
     PreparedStatement,
     Reason,
@@ -25,6 +26,7 @@
     Statement,
     Step,
     WriteTicket,
+    newer_point,
 )
 from rosemarysaddle.session import _deadlines
 from rosemarysaddle.session._refusals import (
@@ -54,11 +56,15 @@
     """Runs the statements of one session.
 
     :param points: log position of the session's newest write, by group
+    :param unplaced_ns: :func:`clock_ns` time at which the newest write
+        was acknowledged, by group, where the primary did not tell its
+        position
     :param asked_point: position that the last read of the present
         statement asked of a replica, or None
     """
 
     points: dict[str, LogPoint] = attrs.field(factory=dict, init=False)
+    unplaced_ns: dict[str, int] = attrs.field(factory=dict, init=False)
     asked_point: LogPoint | None = attrs.field(default=None, init=False)
 
     def clear(self) -> None:
@@ -152,14 +158,39 @@
     def _choose_read_target(
         self, route: Route, failed: set[str], *, may_probe: bool = False
     ) -> ReadTarget | None:
-        point = self.points.get(route.group)
+        self._place_writes(route.group)
         found = self.router.choose_read_target(
-            route, point, failed, may_probe=may_probe
+            route,
+            self.points.get(route.group),
+            failed,
+            may_probe=may_probe,
+            # No replica is known to hold the session's own write.
+            needs_primary=route.freshness == Freshness.SESSION
+            and route.group in self.unplaced_ns,
         )
         if found is not None:
             self.asked_point = found.after
         return found
 
+    def _record_write(self, group: str, answer: Answer) -> None:
+        """Record the position of an acknowledged write, if told."""
+        if answer.point is None:
+            self.unplaced_ns[group] = clock_ns()
+            return
+        self.points[group] = answer.point
+        self.unplaced_ns.pop(group, None)
+
+    def _place_writes(self, group: str) -> None:
+        """Use a position that was told after the newest write."""
+        since_ns = self.unplaced_ns.get(group)
+        positions = self.router.positions
+        if since_ns is None or positions.newest_ns(group) < since_ns:
+            return
+        point = newer_point(self.points.get(group), positions.newest(group))
+        if point is not None:
+            self.points[group] = point
+            del self.unplaced_ns[group]
+
     async def _read_at(
         self,
         route: Route,
@@ -239,8 +270,8 @@
             return unknown_outcome(
                 Reason.LEASE_ENDED, Step.EXECUTE, ticket.primary
             )
-        if answer.fault is None and answer.point is not None:
-            self.points[ticket.group] = answer.point
+        if answer.fault is None:
+            self._record_write(ticket.group, answer)
         return answer
 
     async def _write_admitted(
@@ -361,8 +392,7 @@
             return unknown_outcome(
                 Reason.LEASE_ENDED, Step.COMMIT, transaction.target
             )
-        if answer.point is not None:
-            self.points[transaction.route.group] = answer.point
+        self._record_write(transaction.route.group, answer)
         return answer
 
     async def roll_back(self, transaction: Transaction) -> None:
--- a/tests/session/standin.py
+++ b/tests/session/standin.py
@@ -36,6 +36,13 @@
         "freshness": "bounded_staleness",
         "max_staleness_ms": 1500,
     },
+    {
+        **_ROUTE,
+        "name": "s",
+        "database": "mine",
+        "freshness": "read_your_writes",
+        "max_staleness_ms": 1500,
+    },
 ]
 PLAN = {
     "version": 1,
@@ -52,6 +59,7 @@
     :param faults: faults by verb, each used for one statement: a code
         to answer with, ``silent`` or ``drop``
     :param term: term of its log
+    :param tells_position: whether its answers name its position
     :param received: received statements, each with the number of its
         connection
     :param connections: number of connections accepted so far
@@ -63,6 +71,7 @@
     role: str = "primary"
     term: int = 1
     position: int = 5
+    tells_position: bool = True
     faults: dict[str, list[str]] = attrs.field(factory=dict)
     received: list[tuple[int, str]] = attrs.field(factory=list)
     connections: int = 0
@@ -137,6 +146,8 @@
 
     def _send(self, text: str) -> None:
         point = f"{self.target.term}.{self.target.position}"
+        if not self.target.tells_position:
+            point = "-"
         ready = f"READY {self.state} {point}\r\n"
         self.transport.write((text + ready).encode())
 
