Bound the size that a peer's message may claim

test_decoding_of_messages_never_raises failed once, with 276 ms for the two bytes 40 f6 where 200 ms are allowed. It is no matter of load: the decoder allocates the 128 MB that these bytes claim before it finds that there are no more, 0.11 s each time on the event loop, and more memory than an entry host has left.

The limit of the decoder was 64 Mi words, so 512 MB. It now follows from the length of the data, with room for what is packed best.

--- a/src/rosemarysaddle/link/_codec.py
+++ b/src/rosemarysaddle/link/_codec.py
@@ -19,6 +19,10 @@
 __all__ = ("MAX_MESSAGE_BYTES", "DecodeFault", "decode", "encode")
 
 MAX_MESSAGE_BYTES: Final = 64 * 1024 * 1024
+# Two bytes of a packed message stand for up to 256 words of zeros.  The
+# same limit counts what is read, some of it more than once.
+MAX_WORDS_PER_BYTE: Final = 4 * 128
+MIN_TRAVERSED_WORDS: Final = 64 * 1024
 # pathlib imports urllib.parse and ipaddress, which a start can do
 # without.
 _SCHEMA_PATH: Final = os.path.join(  # noqa: PTH118
@@ -65,7 +69,7 @@
         return DecodeFault(reason="message larger than 64 MiB")
     try:
         message = _CAPNP_SCHEMA.Envelope.from_bytes_packed(
-            data, traversal_limit_in_words=MAX_MESSAGE_BYTES
+            data, traversal_limit_in_words=_max_words(data)
         )
         wire_name = message.body.which()
         message_class = BODIES[str(wire_name)]
@@ -79,6 +83,16 @@
         return DecodeFault(reason=str(error).splitlines()[0])
 
 
+def _max_words(data: bytes) -> int:
+    """Return the size that a message may claim to have, in words.
+
+    The decoder allocates what the first bytes claim before it reads
+    the others.
+    """
+    words = MIN_TRAVERSED_WORDS + MAX_WORDS_PER_BYTE * len(data)
+    return min(words, MAX_MESSAGE_BYTES)
+
+
 def _write_fields(builder: Any, message: Any) -> None:
     for name, wire_name, _ in _fields(message.__class__):
         value = getattr(message, name)
