Settle orders that are overdue before a choice

Cause: once an order counts as ended, a former primary is opened only with one more order for it, which comes after the first. A status that arrived between the end of the doubt and the next tick found the order neither in doubt nor settled, so the former primary was opened without.

The choice now settles what is overdue first.

--- a/src/rosemarysaddle/decide/primaries/_announced_choice.py
+++ b/src/rosemarysaddle/decide/primaries/_announced_choice.py
@@ -66,6 +66,7 @@
         effects = self.record_seen(
             change, newest_known_term(reports, change.known_term), now_ns
         )
+        effects.extend(self.orders.settle_ended(change.group, now_ns))
         answered = {r.target for r in reports if r.role}
         silent = set(self.orders.targets(change.group, now_ns)) - answered
         effects.extend(self.orders.pass_over(change.group, silent, now_ns))
--- a/src/rosemarysaddle/decide/primaries/_orders_in_doubt.py
+++ b/src/rosemarysaddle/decide/primaries/_orders_in_doubt.py
@@ -232,15 +232,21 @@
         """End the doubt about orders that are overdue or void."""
         effects: list[Effect] = []
         for group in sorted(self._groups):
-            orders = self._orders(group)
-            if not orders:
+            if not self._orders(group):
                 self._forget(group)
-            for order in orders:
-                reason = self._end_reason(group, order, now_ns)
-                if reason:
-                    effects.extend(
-                        self.settle(group, order.term, reason, now_ns)
-                    )
+            effects.extend(self.settle_ended(group, now_ns))
+        return effects
+
+    def settle_ended(self, group: str, now_ns: int) -> list[Effect]:
+        """End the doubt about orders of a group that are overdue.
+
+        A choice has to know which of them may have taken effect unseen.
+        """
+        effects: list[Effect] = []
+        for order in self._orders(group):
+            reason = self._end_reason(group, order, now_ns)
+            if reason:
+                effects.extend(self.settle(group, order.term, reason, now_ns))
         return effects
 
     def _forget(self, group: str) -> None:
--- a/tests/decide/test_orders_in_doubt.py
+++ b/tests/decide/test_orders_in_doubt.py
@@ -311,6 +311,29 @@
     assert (early, later) == ([], [_other(target)])
 
 
+def test_old_primary_is_ordered_at_the_very_end_of_a_doubt() -> None:
+    """Guards against one that is opened as if no order had been given.
+
+    The doubt ends between two ticks, and a status arrives at once.
+    """
+    harness, _ = _order_without_result()
+    former = TargetReport(
+        target="t1", reachable=True, role="primary", term=1, position=9
+    )
+    until_ns = harness.now_ns + (MAX_DOUBT_MS - 60) * NS_PER_MS
+    while harness.now_ns < until_ns:
+        harness.elapse(50)
+        if harness.leader.primaries.changes["g"].phase == "probe":
+            harness.answer_change(former)
+    harness.effects.clear()
+
+    harness.now_ns += 200 * NS_PER_MS
+    harness.answer_change(former)
+
+    orders = harness.found(PromoteTarget)
+    assert [(o.target, o.may_order) for o in orders] == [("t1", True)]
+
+
 def test_answered_order_may_take_effect_a_little_later() -> None:
     """Guards against a doubt that ends with the answer, or never."""
     harness, target = _order_without_result(has_open_calls=True)
--- a/tests/decide/test_promotion_world.py
+++ b/tests/decide/test_promotion_world.py
@@ -330,3 +330,11 @@
         exempt += world.exempt
     # Commits that a promotion later than `MAX_DOUBT_MS` cost.
     record_property("exempt", exempt)
+
+
+def test_random_faults_at_the_end_of_a_doubt() -> None:
+    """Guards against an old primary opened while an order is settled.
+
+    Of the other seeds none has its choice between two ticks then.
+    """
+    _assert_holds(_Walk(654).run())
