Lose a disk in a row and leave unheard in the soak

New faults: a control host loses its disk two or three times in a row, and a replica goes on after a leave call that it got no answer to. New check: the leaders' logs may tell two changes of voters for each lost disk and one more for each term. A fault that cannot be played is reported beside what the run has found, instead of ending the run.

--- a/src/rosemarysaddle/soak/_departures.py
+++ b/src/rosemarysaddle/soak/_departures.py
@@ -22,11 +22,14 @@
 
     :param acknowledged_s: monotonic time at which a control host
         acknowledged the announcement, in seconds
+    :param has_left: whether the target has sent its leave call, after
+        which it says nothing more of itself
     :param ended_s: monotonic time at which the target ended
     """
 
     target: str
     acknowledged_s: float = math.inf
+    has_left: bool = False
     ended_s: float = math.inf
 
 
--- a/src/rosemarysaddle/soak/_faults.py
+++ b/src/rosemarysaddle/soak/_faults.py
@@ -40,6 +40,8 @@
 # Longer than an election and the restart of one host.
 CATCH_UP_S: Final = 4.0
 CHANGE_INTERVAL_S: Final = 0.1
+# From before a host has started to after it has joined.
+DISK_LOSS_RANGE_S: Final = (0.05, 2.5)
 # A stop takes up to the grace period.
 MAX_RELEASED: Final = 6
 # A leaving target serves for longer than it has to.
@@ -90,7 +92,12 @@
         self.proxies[instance.name].close()
 
     async def restart(self, instance: TargetInstance) -> None:
-        """Start a crashed target again, with its log."""
+        """Start a crashed target again, with its log.
+
+        Nothing is done if another fault has started it meanwhile.
+        """
+        if instance.is_up:
+            return
         await self.group.restart(instance)
         await self.proxies[instance.name].start()
 
@@ -434,18 +441,25 @@
 
 
 async def end_target(
-    context: FaultContext, instance: TargetInstance, serves_s: float
+    context: FaultContext,
+    instance: TargetInstance,
+    serves_s: float,
+    goes_on_s: float = 0.0,
 ) -> None:
     """Announce an instance's stop, and end it later.
 
-    :param serves_s: time from the announcement to the end
+    :param serves_s: time from the announcement to the leave call
+    :param goes_on_s: time for which it goes on after that, as it got no
+        answer
     """
     departure = Departure(target=instance.name)
     context.group.departures.append(departure)
     instance.departure = departure
     # A target ends even if no control host acknowledges its stop.
     await asyncio.sleep(serves_s)
+    departure.has_left = True
     await context.platform.send_leave(instance)
+    await asyncio.sleep(goes_on_s)
     context.crash(instance)
     departure.ended_s = time.monotonic()
 
@@ -526,6 +540,18 @@
     await context.release({node.name})
 
 
+async def _lose_disk_again(context: FaultContext) -> None:
+    """Restart a control host with an empty disk several times."""
+    node = await context.reserve_node(context.nodes.control)
+    for _ in range(context.rng.randint(2, 3)):
+        await asyncio.to_thread(node.stop_process)
+        node.lose_disk()
+        node.start()
+        await asyncio.sleep(context.rng.uniform(*DISK_LOSS_RANGE_S))
+    await asyncio.sleep(CATCH_UP_S)
+    await context.release({node.name})
+
+
 FAULTS: Final[dict[str, Callable[[FaultContext], Awaitable[None]]]] = {
     "freeze-entry": _freeze_entry,
     "freeze-control": _freeze_control,
@@ -549,6 +575,7 @@
     "change": _change,
     "hang-up": _send_sighup,
     "lose-disk": _lose_disk,
+    "lose-disk-again": _lose_disk_again,
     "release-entries": _release_entries,
     "odd-entries": _send_odd_entries,
     "crash-ordered": _crash_ordered,
--- a/src/rosemarysaddle/soak/_member_faults.py
+++ b/src/rosemarysaddle/soak/_member_faults.py
@@ -26,6 +26,8 @@
 DEAF_SHARE: Final = 3 / 4
 DEAF_S: Final = 6.0
 DEAF_BEFORE_RANGE_S: Final = (0.5, 3.0)
+# A target whose leave call is not answered exits some seconds later.
+UNHEARD_RANGE_S: Final = (0.5, 4.0)
 CRASH_DELAY_RANGE_S: Final = (0.0, 0.5)
 EMPTY_DOWN_RANGE_S: Final = (0.2, 1.5)
 PRIMARY_DOWN_RANGE_S: Final = (2.0, 8.0)
@@ -81,6 +83,28 @@
     await context.release({"target", "platform"})
 
 
+async def _leave_unheard(context: FaultContext) -> None:
+    """Let a replica go on after its leave call, then crash the primary.
+
+    Meanwhile it may be all that acknowledges commits.
+    """
+    await context.reserve({"target", "platform"})
+    context.group.keeps_orders = False
+    leaving, other = _draw_replicas(context)
+    serves_s = _draw_service_s(context)
+    goes_on_s = context.rng.uniform(*UNHEARD_RANGE_S)
+    deafening = asyncio.ensure_future(
+        _deafen(context, other, serves_s + goes_on_s / 4)
+    )
+    await end_target(context, leaving, serves_s, goes_on_s)
+    crashing = asyncio.ensure_future(_crash_primary(context))
+    await asyncio.sleep(context.rng.uniform(*SUCCESSOR_DELAY_RANGE_S))
+    await start_successor(context, leaving)
+    await crashing
+    await deafening
+    await context.release({"target", "platform"})
+
+
 async def _empty_then_crash(context: FaultContext) -> None:
     """Crash the primary while a replica comes back with nothing."""
     await context.reserve({"target", "platform"})
@@ -137,6 +161,7 @@
 MEMBER_FAULTS: Final[dict[str, Callable[[FaultContext], Awaitable[None]]]] = {
     "replace-any": _replace_any,
     "leave-then-crash": _leave_then_crash,
+    "leave-unheard": _leave_unheard,
     "empty-then-crash": _empty_then_crash,
 }
 ALL_FAULTS: Final = {**FAULTS, **MEMBER_FAULTS}
--- a/src/rosemarysaddle/soak/_nodes.py
+++ b/src/rosemarysaddle/soak/_nodes.py
@@ -21,7 +21,7 @@
 
     from rosemarysaddle.soak._disk_faults import DiskFault
 
-__all__ = ("Node", "Nodes", "find_defects")
+__all__ = ("Node", "Nodes", "find_defects", "find_excess_voter_changes")
 
 DATA_CENTERS: Final = ("dc-1", "dc-2", "dc-3")
 PEERS_PORT: Final = 7_440
@@ -37,6 +37,10 @@
     r"Traceback|event=(?:defect|process-ended|entry-skipped|unknown-effect)"
 )
 MAX_DEFECTS: Final = 5
+CHANGES_PER_LOSS: Final = 2
+_VOTERS_LINE: Final = re.compile(
+    rb"event=control role=leader term=(\d+) leader=\S+ voters=(\S*)"
+)
 _ROLE_LINE: Final = re.compile(rb"event=control role=(\w+) term=(\d+)")
 
 
@@ -46,6 +50,7 @@
 
     :param sources: folder of the sources of another build that it runs,
         or None for the present one
+    :param disk_losses: number of times that it has lost its disk
     """
 
     name: str
@@ -55,6 +60,7 @@
     settings: dict[str, Any]
     process: subprocess.Popen[bytes] | None = None
     sources: Path | None = None
+    disk_losses: int = 0
 
     def start(self) -> None:
         """Write the settings and start the process."""
@@ -82,6 +88,7 @@
 
     def lose_disk(self) -> None:
         """Remove the data folder of a stopped process."""
+        self.disk_losses += 1
         shutil.rmtree(self.settings["data_folder"], ignore_errors=True)
 
     def set_disk_fault(self, fault: DiskFault | None) -> None:
@@ -100,6 +107,19 @@
         role, term = lines[-1] if lines else (b"", b"0")
         return int(term) if role == b"leader" else 0
 
+    def led_voters(self) -> dict[int, list[bytes]]:
+        """Return the sets of voters that this host logged as leader.
+
+        :return: by term, each set that differs from the one before
+        """
+        found: dict[int, list[bytes]] = {}
+        log = (self.folder / "log").read_bytes()
+        for term, voters in _VOTERS_LINE.findall(log):
+            sets = found.setdefault(int(term), [])
+            if not sets or sets[-1] != voters:
+                sets.append(voters)
+        return found
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal if the process is running."""
         if self.process is not None and self.process.poll() is None:
@@ -206,3 +226,21 @@
             for line in defects[:MAX_DEFECTS]
         )
     return found
+
+
+def find_excess_voter_changes(nodes: Sequence[Node]) -> list[str]:
+    """Find more changes of voters than lost disks account for.
+
+    A vote is taken from the earlier name and given to the new one.  A
+    leader that ends meanwhile leaves one change to the next.
+
+    :param nodes: control hosts, each of which has a vote
+    """
+    terms = [sets for node in nodes for sets in node.led_voters().values()]
+    changes = sum(len(sets) - 1 for sets in terms)
+    losses = sum(node.disk_losses for node in nodes)
+    allowed = CHANGES_PER_LOSS * losses + len(terms)
+    if changes <= allowed:
+        return []
+    text = f"{changes} changes of voters for {losses} lost disks"
+    return [f"{text} and {len(terms)} terms"]
--- a/src/rosemarysaddle/soak/_platform.py
+++ b/src/rosemarysaddle/soak/_platform.py
@@ -177,7 +177,9 @@
     async def _send_heartbeats(self, instance: TargetInstance) -> None:
         while True:
             role = instance.role
-            if instance.is_up and not instance.is_dark:
+            departure = instance.departure
+            has_left = departure is not None and departure.has_left
+            if instance.is_up and not (instance.is_dark or has_left):
                 await self._send_heartbeat(instance)
             await self._wait_for_heartbeat(instance, role)
 
--- a/src/rosemarysaddle/soak/_run.py
+++ b/src/rosemarysaddle/soak/_run.py
@@ -26,7 +26,12 @@
     find_stale_reads,
 )
 from rosemarysaddle.soak._member_faults import ALL_FAULTS
-from rosemarysaddle.soak._nodes import DATA_CENTERS, Nodes, find_defects
+from rosemarysaddle.soak._nodes import (
+    DATA_CENTERS,
+    Nodes,
+    find_defects,
+    find_excess_voter_changes,
+)
 from rosemarysaddle.soak._orders import OrderFault
 from rosemarysaddle.soak._plan_watch import APPLY_S, CONTACT_S, PlanWatch
 from rosemarysaddle.soak._platform import (
@@ -324,6 +329,8 @@
             await self._stop([*calls, following])
         if self.earlier_build is None:
             violations.extend(find_defects(self.nodes.all))
+        if self.control_hosts == 1 and self.earlier_build is None:
+            violations.extend(find_excess_voter_changes(self.nodes.control))
         if not violations:
             shutil.rmtree(self.folder, ignore_errors=True)
         return SoakReport(
@@ -408,7 +415,12 @@
         for name in self.names:
             tasks.append(asyncio.ensure_future(_run_fault(name, context)))
             await asyncio.sleep(self.rng.uniform(*FAULT_SPACING_RANGE_S))
-        await asyncio.gather(*tasks)
+        results = await asyncio.gather(*tasks, return_exceptions=True)
+        context.violations.extend(
+            f"a fault could not be played: {result!r}"
+            for result in results
+            if isinstance(result, Exception)
+        )
         # Plans have to be in force everywhere again.
         await asyncio.sleep(CONTACT_S + APPLY_S)
         ended.set()
--- a/tests/soak/test_nodes.py
+++ b/tests/soak/test_nodes.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from rosemarysaddle.soak._nodes import Nodes
+from rosemarysaddle.soak._nodes import Nodes, find_excess_voter_changes
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -81,3 +81,32 @@
     node.start_if_ended_by(signal.SIGHUP)
 
     assert started == [node.name] * is_started
+
+
+@pytest.mark.parametrize(
+    ("voters", "is_found"),
+    [
+        pytest.param(["a,b,c", "a,b", "a,b,c#1"], False, id="one-loss"),
+        pytest.param(
+            ["a,b,c", "a,b,c,c#1", "a,b,c#1", "a,b,c,c#1", "a,b,c"],
+            True,
+            id="to-and-fro",
+        ),
+    ],
+)
+def test_changes_of_voters_are_bounded_by_lost_disks(
+    voters: list[str], tmp_path: Path, *, is_found: bool
+) -> None:
+    """Guards against a dead name that comes and goes."""
+    nodes = _nodes(tmp_path)
+    nodes.control[2].disk_losses = 1
+    for number, node in enumerate(nodes.control):
+        node.folder.mkdir(parents=True)
+        lines = [
+            f"event=control role=leader term=1 leader=a voters={v} learners=\n"
+            for v in voters
+            if number == 0
+        ]
+        (node.folder / "log").write_text("".join(lines), encoding="utf-8")
+
+    assert bool(find_excess_voter_changes(nodes.control)) is is_found
