Part the ends of former members from what others hold

FormerMemberWatch kept, for each group and term, both who has ended and who holds a position of the primary. The first outlives a term, and has its own timing: it is a class of its own now.

--- a/src/rosemarysaddle/decide/primaries/_member_watch.py
+++ b/src/rosemarysaddle/decide/primaries/_member_watch.py
@@ -4,11 +4,6 @@
 the primary tells a position that is newer than the end of a former
 member, and enough replicas have reached it, that member counts no more.
 Targets are read only for that, at growing intervals while they lag.
-
-A member may go on after it has said that it leaves, or after another
-one was registered at its address, and acknowledges writes meanwhile.
-It has ended once its address refuses connections or another target
-answers there, or once it has started again.
 """
 
 from __future__ import annotations
@@ -19,7 +14,6 @@
 import attrs
 
 from rosemarysaddle.decide._effects import (
-    CheckEnded,
     Effect,
     LogDecision,
     ProbeGroup,
@@ -28,6 +22,7 @@
 from rosemarysaddle.decide._times import NS_PER_MS
 from rosemarysaddle.decide.control_log._state import EntryKind
 from rosemarysaddle.decide.primaries._held_writes import PRIMARY_ROLE
+from rosemarysaddle.decide.primaries._member_ends import MemberEnds
 from rosemarysaddle.decide.primaries._primaries import PROBE_TIMEOUT_MS
 
 if TYPE_CHECKING:
@@ -46,8 +41,6 @@
 MEMBERS_ATTEMPT: Final = -6
 MIN_INTERVAL_MS: Final = 50
 MAX_INTERVAL_MS: Final = 2_000
-# An address that answers nothing at all may stay like that for good.
-MAX_END_INTERVAL_MS: Final = 60_000
 
 
 @attrs.define(kw_only=True)
@@ -55,57 +48,27 @@
     """Check of the former members of a group in one of its terms.
 
     :param term: term of the group
-    :param seen_ns: time at which each former member was first seen to
-        be removed, by name and incarnation
-    :param ended_ns: time at which each was known to have ended
     :param members: those that ended before the primary was read
     :param plan_version: plan in force by then
     :param position: progress that the primary told, or None
     :param holders: incarnation of each target known to have reached it
     :param retry_at_ns: time of the next probe
     :param interval_ms: pause before the one after that
-    :param next_end_check_ns: time of the next check of who has ended
-    :param end_interval_ms: pause before the one after that
     """
 
     term: int
-    seen_ns: dict[tuple[str, int], int] = attrs.field(factory=dict)
-    ended_ns: dict[tuple[str, int], int] = attrs.field(factory=dict)
     members: frozenset[tuple[str, int]] = frozenset()
     plan_version: int = -1
     position: tuple[int, int] | None = None
     holders: dict[str, int] = attrs.field(factory=dict)
     retry_at_ns: int = 0
     interval_ms: int = MIN_INTERVAL_MS
-    next_end_check_ns: int = 0
-    end_interval_ms: int = MIN_INTERVAL_MS
-
-    def ended_before(self, at_ns: int) -> frozenset[tuple[str, int]]:
-        """List the members that had ended by a time."""
-        return frozenset(k for k, ns in self.ended_ns.items() if ns <= at_ns)
 
-    def record_end(self, key: tuple[str, int], now_ns: int) -> None:
-        """Record that a member has ended; read the primary soon."""
-        self.ended_ns[key] = now_ns
+    def read_soon(self, now_ns: int) -> None:
+        """Read the primary at once, as a member has ended."""
         self.interval_ms = MIN_INTERVAL_MS
         self.retry_at_ns = now_ns
 
-    def forget_others(self, keys: Collection[tuple[str, int]]) -> None:
-        """Forget all but the present former members.
-
-        One that was held for ended may have been registered again.
-        """
-        for known in (self.seen_ns, self.ended_ns):
-            for key in known.keys() - keys:
-                del known[key]
-
-    def started_ns(self, target: str) -> int:
-        """Return since when the present incarnation is known, or 0."""
-        return max(
-            (at for key, at in self.seen_ns.items() if key[0] == target),
-            default=0,
-        )
-
     def forget_position(self) -> None:
         """Begin anew with a later position of the primary."""
         self.position = None
@@ -119,10 +82,12 @@
     context: LeaderContext
     primaries: PrimaryManager
     _checks: dict[str, _Check] = attrs.field(factory=dict, init=False)
+    _ends: dict[str, MemberEnds] = attrs.field(factory=dict, init=False)
 
     def on_elected(self) -> None:
         """Reset the state when this host is elected leader."""
         self._checks.clear()
+        self._ends.clear()
 
     def on_applied(self, entry: LogEntry, now_ns: int) -> None:
         """Note when a member was removed from its group."""
@@ -138,34 +103,17 @@
         groups = self.context.state.former_members.groups
         for group in self._checks.keys() - groups:
             del self._checks[group]
+            del self._ends[group]
         effects: list[Effect] = []
         for group in sorted(groups):
             term = self._serving_term(group)
             if term is not None:
                 check = self._check_of(group, term, now_ns)
-                effects.extend(self._check_ended(group, check, now_ns))
+                former = self._former(group)
+                effects.extend(self._ends[group].check(former, now_ns))
                 effects.extend(self._probe(group, check, term, now_ns))
         return effects
 
-    def _check_ended(
-        self, group: str, check: _Check, now_ns: int
-    ) -> list[Effect]:
-        """Check the members that may still run, when due."""
-        running = [
-            m for m in self._former(group) if m.key not in check.ended_ns
-        ]
-        if not running or now_ns < check.next_end_check_ns:
-            return []
-        interval_ms = PROBE_TIMEOUT_MS + check.end_interval_ms
-        check.next_end_check_ns = now_ns + interval_ms * NS_PER_MS
-        return [
-            CheckEnded(
-                group=group,
-                members=tuple(running),
-                deadline_ns=now_ns + PROBE_TIMEOUT_MS * NS_PER_MS,
-            )
-        ]
-
     def on_end_checked(
         self, group: str, ended: Collection[tuple[str, int]], now_ns: int
     ) -> list[Effect]:
@@ -176,29 +124,15 @@
         check = self._checks.get(group)
         if check is None or not self.context.leads(now_ns):
             return []
-        pause_ms = check.end_interval_ms
-        check.next_end_check_ns = now_ns + pause_ms * NS_PER_MS
-        check.end_interval_ms = min(2 * pause_ms, MAX_END_INTERVAL_MS)
-        effects: list[Effect] = []
-        for member in self._former(group):
-            if member.key not in ended or member.key in check.ended_ns:
-                continue
-            check.record_end(member.key, now_ns)
-            went_on_ms = (now_ns - check.seen_ns[member.key]) // NS_PER_MS
-            effects.append(
-                LogDecision(
-                    event="former-member-ended",
-                    text=f"group={group} member={member.target}"
-                    f"@{member.incarnation_ms} address={member.address}"
-                    f" after_ms={went_on_ms}",
-                )
-            )
-        return effects
+        lines = self._ends[group].record(self._former(group), ended, now_ns)
+        if lines:
+            check.read_soon(now_ns)
+        return list(lines)
 
     def _probe(
         self, group: str, check: _Check, term: GroupTerm, now_ns: int
     ) -> list[Effect]:
-        if now_ns < check.retry_at_ns or not self._may_confirm(group, check):
+        if now_ns < check.retry_at_ns or not self._may_confirm(group, now_ns):
             return []
         check.retry_at_ns = (
             now_ns + (PROBE_TIMEOUT_MS + check.interval_ms) * NS_PER_MS
@@ -213,42 +147,24 @@
             )
         ]
 
-    def _may_confirm(self, group: str, check: _Check) -> bool:
+    def _may_confirm(self, group: str, now_ns: int) -> bool:
         """Tell whether the position of the primary is of use now."""
         members = self.context.state.former_members
-        return members.has_lower_count(group) or any(
-            m.key in check.ended_ns for m in self._former(group)
+        return members.has_lower_count(group) or bool(
+            self._ends[group].ended_before(now_ns)
         )
 
     def _check_of(self, group: str, term: GroupTerm, now_ns: int) -> _Check:
         """Return the check of a group, with all its former members."""
         check = self._checks.get(group)
         if check is None or check.term != term.term:
-            earlier = check
-            check = _Check(term=term.term)
-            if earlier is not None:
-                check.seen_ns = earlier.seen_ns
-                check.ended_ns = earlier.ended_ns
-            self._checks[group] = check
-        former = self._former(group)
-        check.forget_others({member.key for member in former})
-        for member in former:
-            if member.key not in check.seen_ns:
-                check.seen_ns[member.key] = now_ns
-                check.next_end_check_ns = now_ns
-                check.end_interval_ms = MIN_INTERVAL_MS
-            if member.key not in check.ended_ns and self._is_back(member):
-                check.record_end(member.key, now_ns)
+            check = self._checks[group] = _Check(term=term.term)
+        ends = self._ends.setdefault(group, MemberEnds(group=group))
+        records = self.context.state.targets.records
+        if ends.follow(self._former(group), records, now_ns):
+            check.read_soon(now_ns)
         return check
 
-    def _is_back(self, member: FormerMember) -> bool:
-        """Tell whether a member has started again."""
-        record = self.context.state.targets.records.get(member.target)
-        return (
-            record is not None
-            and record.incarnation_ms > member.incarnation_ms
-        )
-
     def on_probe(
         self, group: str, reports: Sequence[TargetReport], now_ns: int
     ) -> list[Effect]:
@@ -290,8 +206,7 @@
             return
         # The reading starts after the end was known, so it covers each
         # write that such a member has acknowledged.
-        former = {m.key for m in self._former(group)}
-        ended = check.ended_before(primary.asked_ns) & former
+        ended = self._ends[group].ended_before(primary.asked_ns)
         members = self.context.state.former_members
         if not ended and not members.has_lower_count(group):
             return
@@ -316,7 +231,7 @@
                 continue
             if report.target == term.primary:
                 continue
-            if report.asked_ns <= check.started_ns(report.target):
+            if report.asked_ns <= self._ends[group].started_ns(report.target):
                 # An earlier incarnation may have answered.
                 continue
             if report.progress >= check.position:
