--- a/src/rosemarysaddle/soak/_member_faults.py
+++ b/src/rosemarysaddle/soak/_member_faults.py
@@ -66,21 +66,7 @@
 
 async def _leave_then_crash(context: FaultContext) -> None:
     """Crash the primary right after a replica has left."""
-    await context.reserve({"target", "platform"})
-    context.group.keeps_orders = False
-    leaving, other = _draw_replicas(context)
-    serves_s = _draw_service_s(context)
-    before_s = context.rng.uniform(*DEAF_BEFORE_RANGE_S)
-    deafening = asyncio.ensure_future(
-        _deafen(context, other, serves_s - before_s)
-    )
-    await end_target(context, leaving, serves_s)
-    crashing = asyncio.ensure_future(_crash_primary(context))
-    await asyncio.sleep(context.rng.uniform(*SUCCESSOR_DELAY_RANGE_S))
-    await start_successor(context, leaving)
-    await crashing
-    await deafening
-    await context.release({"target", "platform"})
+    await _crash_after_leave(context, goes_on_s=0.0)
 
 
 async def _leave_unheard(context: FaultContext) -> None:
@@ -88,14 +74,26 @@
 
     Meanwhile it may be all that acknowledges commits.
     """
+    goes_on_s = context.rng.uniform(*UNHEARD_RANGE_S)
+    await _crash_after_leave(context, goes_on_s=goes_on_s)
+
+
+async def _crash_after_leave(
+    context: FaultContext, *, goes_on_s: float
+) -> None:
+    """Let a replica leave, and crash the primary right after its end.
+
+    :param goes_on_s: time for which the replica goes on after it has
+        said that it leaves; the other one lags from then on
+    """
     await context.reserve({"target", "platform"})
     context.group.keeps_orders = False
     leaving, other = _draw_replicas(context)
     serves_s = _draw_service_s(context)
-    goes_on_s = context.rng.uniform(*UNHEARD_RANGE_S)
-    deafening = asyncio.ensure_future(
-        _deafen(context, other, serves_s + goes_on_s / 4)
-    )
+    lags_at_s = serves_s - context.rng.uniform(*DEAF_BEFORE_RANGE_S)
+    if goes_on_s:
+        lags_at_s = serves_s + goes_on_s / 4
+    deafening = asyncio.ensure_future(_deafen(context, other, lags_at_s))
     await end_target(context, leaving, serves_s, goes_on_s)
     crashing = asyncio.ensure_future(_crash_primary(context))
     await asyncio.sleep(context.rng.uniform(*SUCCESSOR_DELAY_RANGE_S))
--- a/tests/decide/cluster.py
+++ b/tests/decide/cluster.py
@@ -141,6 +141,13 @@
         self.start(new_name, FakeDisk())
         return new_name
 
+    def settle(self) -> None:
+        """Let time pass until all is settled, but not for ever."""
+        for _ in range(MAX_CONVERGENCE_MS // STEP_MS):
+            if self.is_settled:
+                return
+            self.step()
+
     @property
     def is_settled(self) -> bool:
         """Whether all hosts vote and hold a current leader's log."""
--- a/tests/decide/test_disk_lost_again.py
+++ b/tests/decide/test_disk_lost_again.py
@@ -5,7 +5,7 @@
 import pytest
 
 from rosemarysaddle.schema import JoinRequest
-from tests.decide.cluster import MAX_CONVERGENCE_MS, STEP_MS, Cluster
+from tests.decide.cluster import STEP_MS, Cluster
 
 # A vote is taken from the earlier name and given to the new one.
 CHANGES_PER_LOSS = 2
@@ -13,11 +13,8 @@
 
 
 def _settle(cluster: Cluster) -> None:
-    for _ in range(MAX_CONVERGENCE_MS // STEP_MS):
-        if cluster.is_settled:
-            return
-        cluster.step()
-    pytest.fail(f"not settled: {sorted(cluster.hosts)}")
+    cluster.settle()
+    assert cluster.is_settled, sorted(cluster.hosts)
 
 
 def _voter_changes(cluster: Cluster) -> int:
--- a/tests/decide/test_promotion_members.py
+++ b/tests/decide/test_promotion_members.py
@@ -34,6 +34,18 @@
     assert not faults, "\n".join([f"seed {world.seed}", *world.journal])
 
 
+def _assert_prompt_change(world: World) -> None:
+    """Lose the primary for good, and wait for the change."""
+    world.crash("t1", FOR_GOOD_MS)
+    crashed_ns = world.now_ns
+    world.run(PROMPT_MS)
+
+    assert world.promotions
+    spent_ns = world.promotions[0].effect_ns - crashed_ns
+    assert spent_ns <= PROMPT_MS * NS_PER_MS
+    _assert_holds(world)
+
+
 def _let_replica_leave(
     world: World,
     *,
@@ -101,14 +113,7 @@
     world.leave("t2", SERVES_MS, FOR_GOOD_MS, goes_on_ms)
     world.run(SERVES_MS + goes_on_ms // 2)
 
-    world.crash("t1", FOR_GOOD_MS)
-    crashed_ns = world.now_ns
-    world.run(PROMPT_MS)
-
-    assert world.promotions
-    spent_ns = world.promotions[0].effect_ns - crashed_ns
-    assert spent_ns <= PROMPT_MS * NS_PER_MS
-    _assert_holds(world)
+    _assert_prompt_change(world)
 
 
 def test_replica_has_left_and_another_was_replaced_before() -> None:
@@ -171,14 +176,7 @@
     else:
         world.wipe("t2", 500)
         world.run(3_000)
-    world.crash("t1", FOR_GOOD_MS)
-    crashed_ns = world.now_ns
-    world.run(PROMPT_MS)
-
-    assert world.promotions
-    spent_ns = world.promotions[0].effect_ns - crashed_ns
-    assert spent_ns <= PROMPT_MS * NS_PER_MS
-    _assert_holds(world)
+    _assert_prompt_change(world)
 
 
 def test_operator_gives_up_the_writes_of_lost_members() -> None:
--- a/tests/decide/test_second_disk_loss.py
+++ b/tests/decide/test_second_disk_loss.py
@@ -4,26 +4,19 @@
 
 import pytest
 
-from tests.decide.cluster import MAX_CONVERGENCE_MS, STEP_MS, Cluster
+from tests.decide.cluster import STEP_MS, Cluster
 
 # Round trips for joining and catching up, well below the time-out after
 # which a silent voter is removed.
 JOIN_MS = 1_000
 
 
-def _settle(cluster: Cluster) -> None:
-    for _ in range(MAX_CONVERGENCE_MS // STEP_MS):
-        if cluster.is_settled:
-            return
-        cluster.step()
-
-
 @pytest.mark.parametrize("size", [3, 5])
 def test_lost_voter_is_removed_once_its_new_name_has_a_vote(
     size: int,
 ) -> None:
     cluster = Cluster(size=size)
-    _settle(cluster)
+    cluster.settle()
     leader = cluster.leader()
     assert leader is not None
     lost = next(n for n in cluster.voters if n != leader.log.host)
@@ -38,7 +31,7 @@
 @pytest.mark.parametrize("size", [3, 5])
 def test_quorum_survives_a_second_disk_loss_after_restarts(size: int) -> None:
     cluster = Cluster(size=size)
-    _settle(cluster)
+    cluster.settle()
     leader = cluster.leader()
     assert leader is not None
     first, second = [n for n in cluster.voters if n != leader.log.host][:2]
@@ -52,6 +45,6 @@
     for _ in range(2 * JOIN_MS // STEP_MS):
         cluster.step()
     cluster.lose_disk(second)
-    _settle(cluster)
+    cluster.settle()
 
     assert cluster.is_settled
