Derive the pause between checks of an end

It was a duration that was kept beside the deadline; the time since the newest former member was seen gives the same doubling. The tests of former members pass.

--- a/src/rosemarysaddle/decide/primaries/_member_ends.py
+++ b/src/rosemarysaddle/decide/primaries/_member_ends.py
@@ -46,8 +46,9 @@
     _ended_ns: dict[tuple[str, int], int] = attrs.field(
         factory=dict, init=False
     )
+    # When the newest of them was seen, and the time of the next check.
+    _newest_ns: int = attrs.field(default=0, init=False)
     _next_check_ns: int = attrs.field(default=0, init=False)
-    _pause_ms: int = attrs.field(default=MIN_PAUSE_MS, init=False)
 
     def follow(
         self,
@@ -71,8 +72,7 @@
         for member in members:
             if member.key not in self._seen_ns:
                 self._seen_ns[member.key] = now_ns
-                self._next_check_ns = now_ns
-                self._pause_ms = MIN_PAUSE_MS
+                self._newest_ns = self._next_check_ns = now_ns
             if member.key in self._ended_ns:
                 continue
             record = records.get(member.target)
@@ -88,17 +88,21 @@
         running = [m for m in members if m.key not in self._ended_ns]
         if not running or now_ns < self._next_check_ns:
             return []
-        self._next_check_ns = (
-            now_ns + (CHECK_TIMEOUT_MS + self._pause_ms) * NS_PER_MS
-        )
+        deadline_ns = now_ns + CHECK_TIMEOUT_MS * NS_PER_MS
+        self._next_check_ns = self._pause_until_ns(deadline_ns)
         return [
             CheckEnded(
                 group=self.group,
                 members=tuple(running),
-                deadline_ns=now_ns + CHECK_TIMEOUT_MS * NS_PER_MS,
+                deadline_ns=deadline_ns,
             )
         ]
 
+    def _pause_until_ns(self, now_ns: int) -> int:
+        """Return the end of a pause, which doubles with each check."""
+        pause_ns = max(now_ns - self._newest_ns, MIN_PAUSE_MS * NS_PER_MS)
+        return now_ns + min(pause_ns, MAX_PAUSE_MS * NS_PER_MS)
+
     def record(
         self,
         members: Sequence[FormerMember],
@@ -110,8 +114,7 @@
         :param ended: name and incarnation of each that has ended
         :return: a line for each whose end was not known before
         """
-        self._next_check_ns = now_ns + self._pause_ms * NS_PER_MS
-        self._pause_ms = min(2 * self._pause_ms, MAX_PAUSE_MS)
+        self._next_check_ns = self._pause_until_ns(now_ns)
         found = [
             m
             for m in members
