Empty no target in the soak that is ordered to lead

A primary that crashed comes back with its log, by the page, and an order that the platform has read cannot be taken back, whatever the target has lost by then. The walk of members in the model leaves both out for that reason. The fault now waits until no order is under way, and is not played at a primary.

--- a/src/rosemarysaddle/soak/_member_faults.py
+++ b/src/rosemarysaddle/soak/_member_faults.py
@@ -29,6 +29,9 @@
 # A target whose leave call is not answered exits some seconds later.
 UNHEARD_RANGE_S: Final = (0.5, 4.0)
 CRASH_DELAY_RANGE_S: Final = (0.0, 0.5)
+ORDER_POLL_S: Final = 0.02
+# Longer than an order is late.
+MAX_ORDER_POLLS: Final = 1_000
 EMPTY_DOWN_RANGE_S: Final = (0.2, 1.5)
 PRIMARY_DOWN_RANGE_S: Final = (2.0, 8.0)
 
@@ -104,18 +107,31 @@
 
 
 async def _empty_then_crash(context: FaultContext) -> None:
-    """Crash the primary while a replica comes back with nothing."""
+    """Crash the primary while a replica comes back with nothing.
+
+    A primary comes back with its log, and nothing protects a target
+    that loses its log once it has been ordered to lead.
+    """
     await context.reserve({"target", "platform"})
     context.group.keeps_orders = False
     emptied, other = _draw_replicas(context)
     deafening = asyncio.ensure_future(_deafen(context, other, 0.0))
     await asyncio.sleep(context.rng.uniform(*DEAF_BEFORE_RANGE_S))
-    context.crash(emptied)
-    emptied.lose_log()
-    crashing = asyncio.ensure_future(_crash_primary(context))
-    await asyncio.sleep(context.rng.uniform(*EMPTY_DOWN_RANGE_S))
-    await context.restart(emptied)
-    await crashing
+    for _ in range(MAX_ORDER_POLLS):
+        if context.platform.orders.is_idle:
+            break
+        await asyncio.sleep(ORDER_POLL_S)
+    may_lead = (
+        emptied is context.group.current_primary
+        or not context.platform.orders.is_idle
+    )
+    if not may_lead:
+        context.crash(emptied)
+        emptied.lose_log()
+        crashing = asyncio.ensure_future(_crash_primary(context))
+        await asyncio.sleep(context.rng.uniform(*EMPTY_DOWN_RANGE_S))
+        await context.restart(emptied)
+        await crashing
     await deafening
     await context.release({"target", "platform"})
 
--- a/src/rosemarysaddle/soak/_orders.py
+++ b/src/rosemarysaddle/soak/_orders.py
@@ -57,8 +57,14 @@
     fault: OrderFault = OrderFault.NONE
     delay_s: float = 0.0
     calls: list[OrderCall] = attrs.field(factory=list)
+    _open_calls: int = attrs.field(default=0, init=False)
     _promoting: set[asyncio.Task[bool]] = attrs.field(factory=set, init=False)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no order may be carried out any more."""
+        return not self._open_calls and not self._promoting
+
     def set_fault(self, fault: OrderFault, delay_s: float = 0.0) -> None:
         """Determine what happens to the next orders."""
         self.fault, self.delay_s = fault, delay_s
@@ -68,8 +74,15 @@
 
         :return: status of the answer, or None if it is lost
         """
-        fault, delay_s = self.fault, self.delay_s
         self.calls.append(OrderCall(at_s=time.monotonic(), target=target))
+        self._open_calls += 1
+        try:
+            return await self._handle(target)
+        finally:
+            self._open_calls -= 1
+
+    async def _handle(self, target: str) -> http.HTTPStatus | None:
+        fault, delay_s = self.fault, self.delay_s
         if fault is OrderFault.CALL_LOST:
             await asyncio.sleep(NO_ANSWER_S)
             return None
