Answer changes and announcements that cannot be sent with 400

What callers saw: a change nested a few thousand deep, or with a version that is no number, was answered with 500. One with a negative version or an id that is no text was proposed; where the leader is another host it could not be encoded, and the operator waited 8 s for "unknown" although no host had been asked. Ids were cut after 64 characters, so that a second change with a like beginning got the first one's answer. An announcement with an address that is none, or a negative term, was answered with "accepted" and registered nowhere; each such name stayed in the table of the host, and each message was logged as a defect.

Cause: the administration API decoded bodies on its own, without the bounds that plans and the platform's heartbeats have.

Change: its bodies are decoded by the same bounds as plans, announcements by the check of the registry, in a module without HTTP. Ids are refused where they were cut.

--- a/src/rosemarysaddle/_formats.py
+++ b/src/rosemarysaddle/_formats.py
@@ -8,12 +8,21 @@
 import re
 from typing import Final
 
-__all__ = ("MAX_NUMBER", "is_address", "is_name", "parse_number")
+__all__ = (
+    "MAX_NUMBER",
+    "MAX_SLOTS",
+    "is_address",
+    "is_name",
+    "is_number",
+    "parse_number",
+)
 
 MAX_NAME_BYTES: Final = 255
 MAX_PORT: Final = 65_535
 # Largest integer that every field of a message and of a document holds.
 MAX_NUMBER: Final = (1 << 63) - 1
+# Most statements that a target may claim to run at once.
+MAX_SLOTS: Final = 65_535
 _ADDRESS: Final = re.compile(
     r"(?:(?:0|[1-9]\d{0,2})\.){3}(?:0|[1-9]\d{0,2}):[1-9]\d{0,4}", re.ASCII
 )
@@ -40,6 +49,11 @@
     return is_ip and int(port) <= MAX_PORT
 
 
+def is_number(value: object, least: int, most: int) -> bool:
+    """Tell whether a value is an integer from ``least`` to ``most``."""
+    return type(value) is int and least <= value <= most
+
+
 def parse_number(text: str) -> int | None:
     """Parse a decimal number that a message can hold.
 
--- a/src/rosemarysaddle/decide/__init__.py
+++ b/src/rosemarysaddle/decide/__init__.py
@@ -50,6 +50,10 @@
         shared_name,
     )
     from rosemarysaddle.decide.configuration._inventory import InventoryTable
+    from rosemarysaddle.decide.configuration._json_bounds import (
+        ValueFault,
+        decode_json,
+    )
     from rosemarysaddle.decide.configuration._route_plan import (
         Freshness,
         RouteTable,
@@ -158,6 +162,8 @@
     from rosemarysaddle.decide.primaries._registry import (
         is_outdated,
         is_update,
+        is_well_formed,
+        record_of,
     )
     from rosemarysaddle.decide.primaries._terms import GroupTerm
     from rosemarysaddle.decide.reads._freshness import (
@@ -269,6 +275,7 @@
     "TokenCodec",
     "TokenCounter",
     "TokenStock",
+    "ValueFault",
     "Waiter",
     "WorkEstimates",
     "WorkKind",
@@ -279,17 +286,20 @@
     "choose_primary",
     "choose_target",
     "compute_transfer_cost_ns",
+    "decode_json",
     "digest_key",
     "eligible_reports",
     "is_empty",
     "is_outdated",
     "is_relayable",
     "is_update",
+    "is_well_formed",
     "join_voters",
     "max_concurrent_opens",
     "newer_point",
     "promotion_quorum",
     "rank_hosts",
+    "record_of",
     "reserve_share",
     "retry_after",
     "share_connections",
@@ -342,6 +352,7 @@
             "shared_name",
         ),
         "configuration._inventory": ("InventoryTable",),
+        "configuration._json_bounds": ("ValueFault", "decode_json"),
         "configuration._route_plan": ("Freshness", "RouteTable", "check_plan"),
         "configuration._teams": ("TeamDirectory", "digest_key", "team_weight"),
         "control_log._follower": ("BEHIND_MS", "FollowerStatus"),
@@ -411,7 +422,12 @@
             "write_quorum",
         ),
         "primaries._departures": ("Departure", "DepartureStatus"),
-        "primaries._registry": ("is_outdated", "is_update"),
+        "primaries._registry": (
+            "is_outdated",
+            "is_update",
+            "is_well_formed",
+            "record_of",
+        ),
         "primaries._terms": ("GroupTerm",),
         "reads._freshness": ("PositionHistory", "newer_point"),
         "reads._replica_choice": (
--- a/src/rosemarysaddle/platform/_announcements.py
+++ b/src/rosemarysaddle/platform/_announcements.py
@@ -10,14 +10,19 @@
 import json
 from typing import Any, Final
 
-from rosemarysaddle._formats import MAX_NUMBER, is_address, is_name
+from rosemarysaddle._formats import (
+    MAX_NUMBER,
+    MAX_SLOTS,
+    is_address,
+    is_name,
+    is_number,
+)
 from rosemarysaddle.schema import Announcement
 
 __all__ = ("read_announcement", "read_incarnation_ms", "read_json_object")
 
 _ROLES: Final = ("primary", "replica")
 _STATES: Final = ("ready", "draining")
-MAX_SLOTS: Final = 65_535
 MAX_VERSION_CHARS: Final = 255
 # The times of day of two hosts may differ, or jump, by seconds.
 MAX_CLOCK_LEAD_MS: Final = 60_000
@@ -53,9 +58,9 @@
         and is_name(group)
         and is_name(data_center)
         and is_address(value.get("address"))
-        and _is_number(slots, 1, MAX_SLOTS)
-        and _is_number(seq, 0, MAX_NUMBER)
-        and _is_number(value.get("coldRemainingMs"), 0, MAX_NUMBER)
+        and is_number(slots, 1, MAX_SLOTS)
+        and is_number(seq, 0, MAX_NUMBER)
+        and is_number(value.get("coldRemainingMs"), 0, MAX_NUMBER)
         and _is_version(value.get("version"))
         and _is_one_of(value.get("state"), _STATES)
         and _is_one_of(value.get("replication_role"), _ROLES)
@@ -87,15 +92,11 @@
     """
     found = value.get("born")
     latest_ms = now_ms + MAX_CLOCK_LEAD_MS
-    if not _is_number(found, 0, latest_ms):
+    if not is_number(found, 0, latest_ms):
         return None
     return int(value["born"])
 
 
-def _is_number(value: object, least: int, most: int) -> bool:
-    return type(value) is int and least <= value <= most
-
-
 def _is_version(value: object) -> bool:
     return isinstance(value, str) and len(value) <= MAX_VERSION_CHARS
 
--- a/src/rosemarysaddle/serve/_admin.py
+++ b/src/rosemarysaddle/serve/_admin.py
@@ -5,18 +5,23 @@
 import hashlib
 import hmac
 import json
-from typing import TYPE_CHECKING, Any, Final
+from typing import TYPE_CHECKING, Any, Final, TypeVar
 
 import cattrs
 import cherrypy
 
 from rosemarysaddle._clock import clock_ns
 from rosemarysaddle.decide import NS_PER_MS, DocumentKind
-from rosemarysaddle.schema import Announcement, ChangeProposal, ChangeReply
+from rosemarysaddle.serve._admin_requests import (
+    BodyFault,
+    read_announcement,
+    read_change,
+)
 
 if TYPE_CHECKING:
     from rosemarysaddle.daemon import HostDaemon
     from rosemarysaddle.observe import Metrics
+    from rosemarysaddle.schema import ChangeReply
 
 __all__ = ("AdminApp", "AnnouncementApp")
 
@@ -24,6 +29,8 @@
 MAX_NAME_CHARS: Final = 64
 _JSON: Final = "application/json"
 
+T = TypeVar("T")
+
 
 class AdminApp:
     """CherryPy handlers of the administration API under ``/admin``."""
@@ -85,16 +92,9 @@
 
     def _change(self, kind: str) -> bytes:
         author = self._authorize()
-        body = _read_json()
-        change = ChangeProposal(
-            change_id=str(body.get("change_id", ""))[:MAX_NAME_CHARS],
-            kind=kind,
-            base_version=int(body.get("base_version", -1)),
-            author=author,
-            payload=json.dumps(body.get("document")),
+        change = _require_valid(
+            read_change(cherrypy.request.body.read(), kind=kind, author=author)
         )
-        if not change.change_id:
-            raise cherrypy.HTTPError(400, "change_id is missing")
         deadline_ns = clock_ns() + CHANGE_TIMEOUT_MS * NS_PER_MS
         reply = self._daemon.propose_from_thread(
             change, deadline_ns=deadline_ns
@@ -121,11 +121,8 @@
     def index(self) -> bytes:
         """Accept the announcement of a target."""
         _require_post()
-        try:
-            announcement = cattrs.structure(_read_json(), Announcement)
-        except (cattrs.BaseValidationError, TypeError, ValueError) as error:
-            raise cherrypy.HTTPError(400, "invalid announcement") from error
-        self._daemon.announce(announcement)
+        announcement = read_announcement(cherrypy.request.body.read())
+        self._daemon.announce(_require_valid(announcement))
         return _render({"accepted": True})
 
 
@@ -150,13 +147,9 @@
         raise cherrypy.HTTPError(405, "method not allowed: use POST")
 
 
-def _read_json() -> dict[str, Any]:
-    try:
-        body = json.loads(cherrypy.request.body.read() or b"{}")
-    except ValueError as error:
-        raise cherrypy.HTTPError(400, str(error)) from error
-    if not isinstance(body, dict):
-        raise cherrypy.HTTPError(400, "the request body is not a JSON object")
+def _require_valid(body: T | BodyFault) -> T:
+    if isinstance(body, BodyFault):
+        raise cherrypy.HTTPError(400, body.reason)
     return body
 
 
