Wait for all of a chunked request before a worker reads it

What callers saw: while 50 callers had each sent half of a chunk, a request of another one got no answer within 2 s. A control host has six worker threads for heartbeats, plans and leaves; each such request holds one for 5 s, and then fails.

Cause: the server parks a request until it is complete, but looks for a Content-Length only. A chunked request has none, so it was passed to a worker as soon as its header had arrived.

Change: the sizes of the chunks tell whether the body is complete. A malformed one counts as complete, so that a worker refuses it.

Evidence: test_incomplete_chunked_requests_occupy_no_worker fails before (time-out after 2 s), as do four cases of test_chunked_body_is_complete_or_not.

--- a/src/rosemarysaddle/web/_server.py
+++ b/src/rosemarysaddle/web/_server.py
@@ -38,6 +38,12 @@
 _CONTENT_LENGTH: Final = re.compile(
     rb"\r\ncontent-length:[ \t]*(\d+)", re.IGNORECASE
 )
+_CHUNKED: Final = re.compile(
+    rb"\r\ntransfer-encoding:[^\r\n]*chunked", re.IGNORECASE
+)
+_CHUNK_SIZE: Final = re.compile(
+    rb"[ \t]*([0-9a-f]+)[ \t]*(?:;.*)?", re.IGNORECASE
+)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -230,8 +236,30 @@
     head, separator, body = data.partition(b"\r\n\r\n")
     if not separator:
         return len(data) > MAX_HEADER_BYTES
+    if _CHUNKED.search(head):
+        return _has_all_chunks(body)
     match = _CONTENT_LENGTH.search(head)
     if match is None or len(match[1]) > MAX_LENGTH_DIGITS:
         # A worker refuses a length that no request has.
         return True
     return len(body) >= min(int(match[1]), _PEEK_BYTES // 2)
+
+
+def _has_all_chunks(body: bytes) -> bool:
+    """Return whether a worker can read a chunked body without waiting.
+
+    A malformed body counts as complete, so that a worker refuses it.
+    """
+    start = 0
+    while start <= len(body):
+        end = body.find(b"\r\n", start)
+        if end < 0:
+            break
+        match = _CHUNK_SIZE.fullmatch(body, start, end)
+        if match is None or len(match[1]) > MAX_LENGTH_DIGITS:
+            return True
+        size = int(match[1], 16)
+        if not size:
+            return True
+        start = end + size + 2 * len(b"\r\n")
+    return len(body) >= _PEEK_BYTES // 2
--- a/tests/web/test_server.py
+++ b/tests/web/test_server.py
@@ -24,8 +24,8 @@
 
 
 def _echo(environ: dict[str, Any], start_response: Any) -> list[bytes]:
-    length = int(environ.get("CONTENT_LENGTH") or 0)
-    data: bytes = environ["wsgi.input"].read(length)
+    # Reads to the end, as a chunked body has no length.
+    data: bytes = environ["wsgi.input"].read()
     start_response("200 OK", [("Content-Length", str(len(data)))])
     return [data]
 
@@ -84,6 +84,55 @@
     sock.close()
 
 
+CHUNKED_HEAD = (
+    b"POST /echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+
+@pytest.mark.usefixtures("server")
+def test_incomplete_chunked_requests_occupy_no_worker() -> None:
+    """Guards against half of a chunk that keeps all others waiting."""
+    slow = [_connect() for _ in range(SLOW_CONNECTIONS)]
+    for sock in slow:
+        sock.sendall(CHUNKED_HEAD + b"6\r\nabc")
+    time.sleep(0.1)
+    connection = http.client.HTTPConnection(ADDRESS.ip, ADDRESS.port, 2)
+
+    assert _post(connection, "x") == b"x"
+
+    for sock in slow:
+        sock.sendall(b"def\r\n0\r\n\r\n")
+        answer = http.client.HTTPResponse(sock)
+        answer.begin()
+        assert answer.read() == b"abcdef"
+        sock.close()
+
+
+@pytest.mark.parametrize(
+    ("body", "is_complete"),
+    [
+        (b"", False),
+        (b"3", False),
+        (b"3\r\nab", False),
+        (b"3\r\nabc\r\n", False),
+        (b"3\r\nabc\r\n0\r\n", True),
+        (b"3;x=y\r\nabc\r\nA\r\n0123456789\r\n0\r\n\r\n", True),
+        (b"x\r\n", True),
+        (b"-1\r\n", True),
+        (b"f" * 5_000 + b"\r\n", True),
+        (b"fffff\r\n" + b"a" * 40_000, True),
+    ],
+)
+def test_chunked_body_is_complete_or_not(
+    body: bytes, *, is_complete: bool
+) -> None:
+    ours, theirs = socket.socketpair()
+    with ours, theirs:
+        theirs.sendall(CHUNKED_HEAD + body)
+
+        assert _is_complete(ours) is is_complete
+
+
 @pytest.mark.usefixtures("server")
 def test_server_closes_connection_of_incomplete_request(
     monkeypatch: pytest.MonkeyPatch,
@@ -131,6 +180,11 @@
         rb"POST / HTTP/1\.1\r\nContent-Length: [\d -]{0,60}\r\n\r\nab",
         fullmatch=True,
     )
+    | st.from_regex(
+        rb"POST / HTTP/1\.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        rb"([\da-fx;-]{0,20}\r\n[ab]{0,9}(\r\n)?){0,4}",
+        fullmatch=True,
+    )
 )
 @settings(deadline=None)
 def test_any_header_is_complete_or_not(data: bytes) -> None:
