Refuse lengths of HTTP requests that are not written in digits

What callers saw: a request with "Content-Length: -1" was read to the end of its connection, whatever the bound on bodies: 200 MB sent to a server with a bound of 1 MiB, and the process holds 238 MB. Such a caller ends a control host for want of memory. "5_0" counts as 50 in the library and as 5 here, so the request holds a worker for 5 s.

Cause: the library takes what int() takes, compares it with the bound, and reads a negative number of bytes. Where a request has two lengths, it reads by the last one, and this server waited for the first.

Change: the header is refused with 400 unless its length has digits only. A request is awaited by its last length.

--- a/src/rosemarysaddle/web/_server.py
+++ b/src/rosemarysaddle/web/_server.py
@@ -15,9 +15,10 @@
 
 import attrs
 import cherrypy
+from cheroot.server import HeaderReader, HTTPConnection
 from cherrypy._cpserver import Server
 from cherrypy._cptree import Tree
-from cherrypy._cpwsgi_server import CPWSGIServer
+from cherrypy._cpwsgi_server import CPWSGIHTTPRequest, CPWSGIServer
 
 from rosemarysaddle._events import log_event
 from rosemarysaddle._process import start_lasting_thread
@@ -38,6 +39,7 @@
 _CONTENT_LENGTH: Final = re.compile(
     rb"\r\ncontent-length:[ \t]*(\d+)", re.IGNORECASE
 )
+_LENGTH: Final = re.compile(rb"[0-9]+")
 _CHUNKED: Final = re.compile(
     rb"\r\ntransfer-encoding:[^\r\n]*chunked", re.IGNORECASE
 )
@@ -103,6 +105,34 @@
             self._thread.join()
 
 
+class _StrictHeaderReader(HeaderReader):
+    """Refuses a length that is not written in digits.
+
+    The base class leaves any integer to the server, which reads to the
+    end of the connection, without a bound, if it is negative.
+    """
+
+    def __call__(self, rfile: Any, hdict: Any = None) -> Any:
+        """Read the headers of a request.
+
+        :raises ValueError: if the request is to be refused
+        """
+        headers = super().__call__(rfile, hdict)
+        length = headers.get(b"Content-Length", b"0")
+        if _LENGTH.fullmatch(length) is None:
+            message = "Malformed Content-Length header."
+            raise ValueError(message)
+        return headers
+
+
+class _Request(CPWSGIHTTPRequest):
+    header_reader = _StrictHeaderReader()
+
+
+class _Connection(HTTPConnection):
+    RequestHandlerClass = _Request
+
+
 class _ParkingServer(CPWSGIServer):
     """Server that keeps incomplete requests away from its workers."""
 
@@ -110,6 +140,7 @@
 
     def __init__(self, adapter: Any, listener: socket.socket | None) -> None:
         super().__init__(adapter)
+        self.ConnectionClass = _Connection
         self._listener = listener
         self._partial: dict[Any, float] = {}
         self._partial_lock = threading.Lock()
@@ -238,11 +269,12 @@
         return len(data) > MAX_HEADER_BYTES
     if _CHUNKED.search(head):
         return _has_all_chunks(body)
-    match = _CONTENT_LENGTH.search(head)
-    if match is None or len(match[1]) > MAX_LENGTH_DIGITS:
+    # A worker reads by the last one.
+    lengths = _CONTENT_LENGTH.findall(head)
+    if not lengths or len(lengths[-1]) > MAX_LENGTH_DIGITS:
         # A worker refuses a length that no request has.
         return True
-    return len(body) >= min(int(match[1]), _PEEK_BYTES // 2)
+    return len(body) >= min(int(lengths[-1]), _PEEK_BYTES // 2)
 
 
 def _has_all_chunks(body: bytes) -> bool:
--- a/tests/web/test_server.py
+++ b/tests/web/test_server.py
@@ -84,6 +84,45 @@
     sock.close()
 
 
+@pytest.mark.parametrize(
+    "length",
+    [b"-1", b"+5", b"5_0", b"0x5", b"5, 5", b""],
+)
+@pytest.mark.usefixtures("server")
+def test_length_that_is_no_number_is_refused_before_the_body(
+    length: bytes,
+) -> None:
+    """Guards against a body without a bound in the memory of a host."""
+    sock = _connect()
+    sock.settimeout(1)
+    sock.sendall(
+        b"POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: "
+        + length
+        + b"\r\n\r\nabcde"
+    )
+
+    assert sock.recv(100).startswith(b"HTTP/1.1 400")
+
+    sock.close()
+
+
+@pytest.mark.usefixtures("server")
+def test_body_is_awaited_by_the_length_that_a_worker_reads_by() -> None:
+    slow = [_connect() for _ in range(SLOW_CONNECTIONS)]
+    for sock in slow:
+        sock.sendall(
+            b"POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+            b"Content-Length: 9\r\n\r\nabc"
+        )
+    time.sleep(0.1)
+    connection = http.client.HTTPConnection(ADDRESS.ip, ADDRESS.port, 2)
+
+    assert _post(connection, "x") == b"x"
+
+    for sock in slow:
+        sock.close()
+
+
 CHUNKED_HEAD = (
     b"POST /echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
