Read chunked bodies within the bound on bodies

What callers saw: a malformed chunk was answered with 500, and the log of the host had a defect with a traceback for each. A line without an end in place of the size of a chunk was read without a bound, and many chunks of one byte, or a long trailer, kept a worker busy. A request was passed to a worker before the empty line after its last chunk had arrived, and the next one on the connection began with it.

Cause: the HTTP library decodes chunks when an application reads, where an error is one of the application, and bounds the chunks only. A size may be "-1" or "0x3".

Change: the body is read before the application is called, strictly and with one bound for chunks, lines and trailer; what is refused is answered with 400 or 413. A body is complete with the line after its trailer, so one case of the last test of completeness, which left that line out, asks for the opposite now.

Evidence: ten cases of test_malformed_chunks_are_refused_and_no_defect, three of test_chunked_body_is_complete_or_not and test_connection_goes_on_after_a_chunked_request fail before.

--- a/src/rosemarysaddle/web/_server.py
+++ b/src/rosemarysaddle/web/_server.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import io
 import re
 import socket
 import threading
@@ -15,13 +16,18 @@
 
 import attrs
 import cherrypy
-from cheroot.server import HeaderReader, HTTPConnection
+from cheroot.server import ChunkedRFile, HeaderReader, HTTPConnection
 from cherrypy._cpserver import Server
 from cherrypy._cptree import Tree
 from cherrypy._cpwsgi_server import CPWSGIHTTPRequest, CPWSGIServer
 
 from rosemarysaddle._events import log_event
 from rosemarysaddle._process import start_lasting_thread
+from rosemarysaddle.web._chunks import (
+    BodyError,
+    has_all_chunks,
+    read_chunks,
+)
 
 if TYPE_CHECKING:
     from rosemarysaddle.link import Address
@@ -36,6 +42,8 @@
 MAX_QUEUED_CONNECTIONS: Final = 1_024
 STOP_TIMEOUT_S: Final = 5
 _PEEK_BYTES: Final = 65_536
+# So much of a body is passed to a worker, which waits for the rest.
+_ENOUGH_BYTES: Final = _PEEK_BYTES // 2
 _CONTENT_LENGTH: Final = re.compile(
     rb"\r\ncontent-length:[ \t]*(\d+)", re.IGNORECASE
 )
@@ -43,9 +51,6 @@
 _CHUNKED: Final = re.compile(
     rb"\r\ntransfer-encoding:[^\r\n]*chunked", re.IGNORECASE
 )
-_CHUNK_SIZE: Final = re.compile(
-    rb"[ \t]*([0-9a-f]+)[ \t]*(?:;.*)?", re.IGNORECASE
-)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -87,7 +92,7 @@
         adapter.max_request_body_size = self.max_body_bytes
         adapter.max_request_header_size = MAX_HEADER_BYTES
         self._server = _ParkingServer(adapter, self.listener)
-        self._server.wsgi_app = self.tree
+        self._server.wsgi_app = self._serve
         self._server.max_request_body_size = self.max_body_bytes
         self._server.max_request_header_size = MAX_HEADER_BYTES
         self._server.prepare()
@@ -97,6 +102,18 @@
             is_stopping=self._server.is_stopping,
         )
 
+    def _serve(self, environ: Any, start_response: Any) -> Any:
+        """Let the application of the path answer a request.
+
+        :raises BodyError: if its body is malformed or too large
+        """
+        source = environ["wsgi.input"]
+        if isinstance(source, ChunkedRFile):
+            body = read_chunks(source.rfile, self.max_body_bytes)
+            environ["wsgi.input"] = io.BytesIO(body)
+            environ["CONTENT_LENGTH"] = str(len(body))
+        return self.tree(environ, start_response)
+
     def stop(self) -> None:
         """Finish running requests, then close all connections."""
         if self._server is not None:
@@ -128,6 +145,16 @@
 class _Request(CPWSGIHTTPRequest):
     header_reader = _StrictHeaderReader()
 
+    def respond(self) -> None:
+        """Answer the request, or refuse its body."""
+        try:
+            super().respond()
+        except BodyError as error:
+            # What follows cannot be told from the body.
+            self.close_connection = True
+            status = error.status
+            self.simple_response(f"{status} {status.phrase}")
+
 
 class _Connection(HTTPConnection):
     RequestHandlerClass = _Request
@@ -250,7 +277,7 @@
 
     A closed or broken connection counts as complete, so that a worker
     closes it.  So does a request whose header is too long, so that a
-    worker refuses it, a request with at least ``_PEEK_BYTES / 2`` bytes
+    worker refuses it, a request with at least ``_ENOUGH_BYTES``
     of its body, and a TLS connection, which cannot be peeked at.
     """
     if not isinstance(sock, socket.socket) or hasattr(sock, "pending"):
@@ -268,30 +295,10 @@
     if not separator:
         return len(data) > MAX_HEADER_BYTES
     if _CHUNKED.search(head):
-        return _has_all_chunks(body)
+        return has_all_chunks(body, enough_bytes=_ENOUGH_BYTES)
     # A worker reads by the last one.
     lengths = _CONTENT_LENGTH.findall(head)
     if not lengths or len(lengths[-1]) > MAX_LENGTH_DIGITS:
         # A worker refuses a length that no request has.
         return True
-    return len(body) >= min(int(lengths[-1]), _PEEK_BYTES // 2)
-
-
-def _has_all_chunks(body: bytes) -> bool:
-    """Return whether a worker can read a chunked body without waiting.
-
-    A malformed body counts as complete, so that a worker refuses it.
-    """
-    start = 0
-    while start <= len(body):
-        end = body.find(b"\r\n", start)
-        if end < 0:
-            break
-        match = _CHUNK_SIZE.fullmatch(body, start, end)
-        if match is None or len(match[1]) > MAX_LENGTH_DIGITS:
-            return True
-        size = int(match[1], 16)
-        if not size:
-            return True
-        start = end + size + 2 * len(b"\r\n")
-    return len(body) >= _PEEK_BYTES // 2
+    return len(body) >= min(int(lengths[-1]), _ENOUGH_BYTES)
--- a/tests/web/test_server.py
+++ b/tests/web/test_server.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import contextlib
 import http.client
 import socket
 import time
@@ -147,6 +148,50 @@
         sock.close()
 
 
+@pytest.mark.parametrize(
+    ("body", "status"),
+    [
+        (b"x\r\n", b"400"),
+        (b"-1\r\n", b"400"),
+        (b"0x3\r\n", b"400"),
+        (b"1_0\r\n", b"400"),
+        (b"3\r\nabcdef\r\n0\r\n\r\n", b"400"),
+        (b"fffffff\r\n" + b"x" * 40_000, b"413"),
+        (b"1" * (2 * MAX_BODY_BYTES), b"400"),
+        (b"2;" + b"x" * (2 * MAX_BODY_BYTES), b"400"),
+        (b"1\r\nx\r\n" * MAX_BODY_BYTES, b"413"),
+        (b"0\r\n" + b"x:y\r\n" * MAX_BODY_BYTES, b"400"),
+    ],
+    ids=[
+        "no number",
+        "negative",
+        "prefix",
+        "underscore",
+        "too long",
+        "large",
+        "long size",
+        "long text",
+        "many chunks",
+        "long trailer",
+    ],
+)
+@pytest.mark.usefixtures("server")
+def test_malformed_chunks_are_refused_and_no_defect(
+    body: bytes, status: bytes, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against lines without a bound, and against 500."""
+    sock = _connect()
+    sock.settimeout(3)
+    sock.sendall(CHUNKED_HEAD)
+    with contextlib.suppress(OSError):  # refused before the end
+        sock.sendall(body)
+
+    assert sock.recv(100).startswith(b"HTTP/1.1 " + status)
+
+    assert not [r for r in caplog.records if r.levelname == "ERROR"]
+    sock.close()
+
+
 @pytest.mark.parametrize(
     ("body", "is_complete"),
     [
@@ -154,7 +199,12 @@
         (b"3", False),
         (b"3\r\nab", False),
         (b"3\r\nabc\r\n", False),
-        (b"3\r\nabc\r\n0\r\n", True),
+        (b"3\r\nabc\r\n0\r\n", False),
+        (b"3\r\nabc\r\n0\r\n\r\n", True),
+        (b"3\r\nabc\r\n0\r\na: b\r\n", False),
+        (b"3\r\nabc\r\n0\r\na: b\r\n\r\n", True),
+        (b"3\r\nabc\r", False),
+        (b"3\r\nabcd", True),
         (b"3;x=y\r\nabc\r\nA\r\n0123456789\r\n0\r\n\r\n", True),
         (b"x\r\n", True),
         (b"-1\r\n", True),
@@ -172,6 +222,20 @@
         assert _is_complete(ours) is is_complete
 
 
+@pytest.mark.usefixtures("server")
+def test_connection_goes_on_after_a_chunked_request() -> None:
+    sock = _connect()
+    chunks = b"3\r\nabc\r\nA;x=y\r\n0123456789\r\n0\r\na: b\r\n\r\n"
+
+    for _ in range(2):
+        sock.sendall(CHUNKED_HEAD + chunks)
+        answer = http.client.HTTPResponse(sock)
+        answer.begin()
+        assert answer.read() == b"abc0123456789"
+
+    sock.close()
+
+
 @pytest.mark.usefixtures("server")
 def test_server_closes_connection_of_incomplete_request(
     monkeypatch: pytest.MonkeyPatch,
