--- a/tests/serve/test_admin.py
+++ b/tests/serve/test_admin.py
@@ -8,10 +8,23 @@
 import attrs
 import cherrypy
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
+from rosemarysaddle.link import decode, encode
 from rosemarysaddle.observe import Metrics
-from rosemarysaddle.schema import Announcement, ChangeProposal, ChangeReply
+from rosemarysaddle.schema import (
+    Announcement,
+    ChangeProposal,
+    ChangeReply,
+    Envelope,
+)
 from rosemarysaddle.serve._admin import AdminApp, AnnouncementApp
+from rosemarysaddle.serve._admin_requests import (
+    BodyFault,
+    read_announcement,
+    read_change,
+)
 
 CHANGE = {"change_id": "c-1", "base_version": 3, "document": {"a": 1}}
 ANNOUNCEMENT: dict[str, Any] = {
@@ -217,3 +230,36 @@
     status, _ = daemon.post("/announcements/", b"[" * 100_000)
 
     assert status == 400
+
+
+_VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text(alphabet=st.characters(codec=None), max_size=70),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=5), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+@given(
+    body=st.fixed_dictionaries(
+        {}, optional=dict.fromkeys((*CHANGE, *ANNOUNCEMENT), _VALUES)
+    )
+)
+def test_what_is_read_from_a_body_can_be_sent(body: dict[str, Any]) -> None:
+    """Guards against messages that no host gets."""
+    for defaults in (CHANGE, ANNOUNCEMENT):
+        data = json.dumps({**defaults, **body}).encode()
+        for message in (
+            read_change(data, kind="rules", author="someone"),
+            read_announcement(data),
+        ):
+            if isinstance(message, BodyFault):
+                continue
+            envelope = Envelope(source="h1", request_id=1, body=message)
+            assert decode(encode(envelope)) == envelope
