Let the test of SIGHUP start its process with the default action

Cause: nohup ignores SIGHUP, which processes inherit, so the one of the test was not ended by the signal. No fault of the soak: hosts set their own handler.

Change: the test sets the default action while it starts its process.

Evidence: under nohup it fails before and passes now; without it passes in both.

--- a/tests/soak/test_nodes.py
+++ b/tests/soak/test_nodes.py
@@ -73,7 +73,10 @@
         type(node), "start", lambda self: started.append(self.name)
     )
     command = [sys.executable, "-c", "import time; time.sleep(60)"]
+    # A process inherits what its parent ignores, such as under nohup.
+    before = signal.signal(signal.SIGHUP, signal.SIG_DFL)
     node.process = subprocess.Popen(command)  # noqa: S603
+    signal.signal(signal.SIGHUP, before)
 
     node.start_if_ended_by(signal.SIGHUP)
     node.send_signal(sent)
