Wait for the vote of a lost disk's host before the next fault of the soak

Cause: the soak. "lose-quorum-disk" let the next fault begin 0.5 to 3 s after it had started the host with the empty disk. That host needed 3.2 s to start; "lose-disk" took the disk of a second control host meanwhile. Of three voters one was left with the log, and no majority can be: the logs of the hosts tell names without voters for two of them.

Change: faults that lose a disk hold the host until the leader counts its new name as a voter, and report it if that takes longer than the 40 s in which everything has to work again after the faults.

--- a/src/rosemarysaddle/soak/_faults.py
+++ b/src/rosemarysaddle/soak/_faults.py
@@ -12,6 +12,7 @@
 from rosemarysaddle.soak._departures import LEAVING_WORK_S, Departure
 from rosemarysaddle.soak._disk_faults import DiskFault
 from rosemarysaddle.soak._log_checks import Freeze
+from rosemarysaddle.soak._nodes import DATA_CENTERS
 from rosemarysaddle.soak._orders import OrderFault
 from rosemarysaddle.soak._proxy import ProxyFault
 from rosemarysaddle.soak._targets import PROMOTION_DELAY_S
@@ -39,6 +40,8 @@
 RESTART_DELAY_S: Final = 0.5
 # Longer than an election and the restart of one host.
 CATCH_UP_S: Final = 4.0
+VOTE_TIMEOUT_S: Final = 40.0
+POLL_S: Final = 0.1
 CHANGE_INTERVAL_S: Final = 0.1
 # From before a host has started to after it has joined.
 DISK_LOSS_RANGE_S: Final = (0.05, 2.5)
@@ -230,9 +233,30 @@
     lost.lose_disk()
     lost.start()
     await context.wait_fault_duration()
+    await _wait_for_vote(context, lost)
     await context.release(names)
 
 
+async def _wait_for_vote(context: FaultContext, node: Node) -> None:
+    """Wait until a control host that has lost its disk votes again.
+
+    With a second disk lost before that, no majority would be left.
+    """
+    if len(context.nodes.control) > len(DATA_CENTERS) or node.sources:
+        # Not every host has a vote, or an earlier build tells it.
+        await asyncio.sleep(CATCH_UP_S)
+        return
+    deadline_s = time.monotonic() + VOTE_TIMEOUT_S
+    while not context.nodes.has_vote(node):
+        if time.monotonic() >= deadline_s:
+            context.violations.append(
+                f"{node.name} had no vote {VOTE_TIMEOUT_S:.0f} s after it"
+                " had lost its disk"
+            )
+            return
+        await asyncio.sleep(POLL_S)
+
+
 async def _fail_disk(context: FaultContext, fault: DiskFault) -> None:
     """Let the disk of one control host fail while changes are sent."""
     node = await context.reserve_node(context.nodes.control)
@@ -537,6 +561,7 @@
     node.lose_disk()
     node.start()
     await asyncio.sleep(CATCH_UP_S)
+    await _wait_for_vote(context, node)
     await context.release({node.name})
 
 
@@ -549,6 +574,7 @@
         node.start()
         await asyncio.sleep(context.rng.uniform(*DISK_LOSS_RANGE_S))
     await asyncio.sleep(CATCH_UP_S)
+    await _wait_for_vote(context, node)
     await context.release({node.name})
 
 
--- a/src/rosemarysaddle/soak/_nodes.py
+++ b/src/rosemarysaddle/soak/_nodes.py
@@ -41,6 +41,7 @@
 _VOTERS_LINE: Final = re.compile(
     rb"event=control role=leader term=(\d+) leader=\S+ voters=(\S*)"
 )
+_STARTED_LINE: Final = re.compile(rb"event=started name=(\S+)")
 _ROLE_LINE: Final = re.compile(rb"event=control role=(\w+) term=(\d+)")
 
 
@@ -51,6 +52,7 @@
     :param sources: folder of the sources of another build that it runs,
         or None for the present one
     :param disk_losses: number of times that it has lost its disk
+    :param lost_name: its name in the log before the last loss
     """
 
     name: str
@@ -61,6 +63,7 @@
     process: subprocess.Popen[bytes] | None = None
     sources: Path | None = None
     disk_losses: int = 0
+    lost_name: bytes = b""
 
     def start(self) -> None:
         """Write the settings and start the process."""
@@ -89,6 +92,7 @@
     def lose_disk(self) -> None:
         """Remove the data folder of a stopped process."""
         self.disk_losses += 1
+        self.lost_name = self.started_name()
         shutil.rmtree(self.settings["data_folder"], ignore_errors=True)
 
     def set_disk_fault(self, fault: DiskFault | None) -> None:
@@ -107,6 +111,11 @@
         role, term = lines[-1] if lines else (b"", b"0")
         return int(term) if role == b"leader" else 0
 
+    def started_name(self) -> bytes:
+        """Return the newest name that this host logged, or empty."""
+        names = _STARTED_LINE.findall((self.folder / "log").read_bytes())
+        return names[-1] if names else b""
+
     def led_voters(self) -> dict[int, list[bytes]]:
         """Return the sets of voters that this host logged as leader.
 
@@ -189,6 +198,15 @@
         leader = max(self.control, key=Node.last_led_term)
         return leader if leader.last_led_term() else None
 
+    def has_vote(self, node: Node) -> bool:
+        """Tell whether the present leader counts a host as a voter."""
+        leader = self.find_leader()
+        if leader is None:
+            return False
+        voters = leader.led_voters().get(leader.last_led_term(), [b""])[-1]
+        name = node.started_name()
+        return name != node.lost_name and name in voters.split(b",")
+
     def _node(self, name: str, role: str, ip: str, center: str) -> Node:
         seeds = [f"{self.network}.0.{n}:{CONTROL_PORT}" for n in (1, 2, 3)]
         folder = self.folder / name
--- a/tests/soak/test_nodes.py
+++ b/tests/soak/test_nodes.py
@@ -56,6 +56,35 @@
     assert nodes.find_leader() is expected
 
 
+def test_host_that_has_lost_its_disk_votes_under_its_new_name(
+    tmp_path: Path,
+) -> None:
+    """Guards against a second disk lost while no majority is left."""
+    nodes = _nodes(tmp_path)
+    lost, leader, _ = nodes.control
+    for node in nodes.control:
+        node.folder.mkdir(parents=True)
+        (node.folder / "log").touch()
+    role = "event=control role=leader term=1 leader=b voters="
+    started = "event=started name="
+    steps = [
+        (lost, f"{started}a\n", False),
+        (leader, f"{role}a,b,c learners=\n", True),
+        (None, "", False),
+        (lost, f"{started}a#1\n", False),
+        (leader, f"{role}b,c learners=a#1\n", False),
+        (leader, f"{role}b,c,a#1 learners=\n", True),
+    ]
+
+    for writer, line, has_vote in steps:
+        if writer is None:
+            lost.lose_disk()
+        else:
+            with (writer.folder / "log").open("a") as log:
+                log.write(line)
+        assert nodes.has_vote(lost) is has_vote
+
+
 @pytest.mark.parametrize(
     ("sent", "is_started"), [(signal.SIGHUP, True), (signal.SIGKILL, False)]
 )
