Use one check of numbers and of texts from outside

The registry had the comparison of is_number() written out, and an identity that may be empty had a case of its own beside the length of an id. No value is accepted or refused that was not before.

--- a/src/rosemarysaddle/decide/primaries/_registry.py
+++ b/src/rosemarysaddle/decide/primaries/_registry.py
@@ -10,7 +10,12 @@
 
 import attrs
 
-from rosemarysaddle._formats import MAX_NUMBER, is_address, is_name
+from rosemarysaddle._formats import (
+    MAX_NUMBER,
+    is_address,
+    is_name,
+    is_number,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -76,7 +81,7 @@
     return (
         all(is_name(name) for name in names)
         and is_address(record.address)
-        and all(type(n) is int and 0 <= n <= MAX_NUMBER for n in numbers)
+        and all(is_number(n, 0, MAX_NUMBER) for n in numbers)
     )
 
 
--- a/src/rosemarysaddle/serve/_admin_requests.py
+++ b/src/rosemarysaddle/serve/_admin_requests.py
@@ -21,7 +21,7 @@
 )
 from rosemarysaddle.schema import Announcement, ChangeProposal
 
-__all__ = ("MAX_ID_CHARS", "BodyFault", "read_announcement", "read_change")
+__all__ = ("BodyFault", "read_announcement", "read_change")
 
 MAX_ID_CHARS: Final = 64
 MAX_IDENTITY_CHARS: Final = 255
@@ -49,7 +49,7 @@
     if isinstance(body, BodyFault):
         return body
     change_id = str(body.get("change_id", ""))
-    if not _is_text(change_id, MAX_ID_CHARS):
+    if not _is_text(change_id, 1, MAX_ID_CHARS):
         reason = (
             f"change_id: expected 1 to {MAX_ID_CHARS} printable characters"
         )
@@ -82,10 +82,7 @@
         and is_number(announcement.position, 0, MAX_NUMBER)
         and is_number(announcement.sequence, 0, MAX_NUMBER)
         and announcement.role in {"primary", "replica"}
-        and (
-            not announcement.identity
-            or _is_text(announcement.identity, MAX_IDENTITY_CHARS)
-        )
+        and _is_text(announcement.identity, 0, MAX_IDENTITY_CHARS)
     )
     if not is_valid:
         return BodyFault(reason="a field has a value that hosts cannot use")
@@ -104,5 +101,5 @@
     return value
 
 
-def _is_text(text: str, most: int) -> bool:
-    return 0 < len(text) <= most and text.isprintable()
+def _is_text(text: str, least: int, most: int) -> bool:
+    return least <= len(text) <= most and text.isprintable()
