--- a/src/rosemarysaddle/node/_status_reader.py
+++ b/src/rosemarysaddle/node/_status_reader.py
@@ -138,17 +138,9 @@
 
         :param deadline_ns: :func:`clock_ns` time until which to wait
         """
-        connection = TargetConnection(
-            target=target, codec=self.new_codec(), on_lost=_ignore
-        )
-        message = connection.codec.encode_open(
-            group=group, label=CALLER_LABEL, target=target
-        )
-        answer = await open_connection(
-            connection,
-            Address.parse(address),
-            message,
-            deadline_ns=deadline_ns,
+        connection = self._new_connection(target)
+        answer = await _open(
+            connection, group=group, address=address, deadline_ns=deadline_ns
         )
         connection.abort()
         if answer.fault is FaultCode.LOST:
@@ -173,9 +165,7 @@
         return None if is_closed else kept
 
     def _open(self, instance: Instance) -> _Kept:
-        connection = TargetConnection(
-            target=instance.name, codec=self.new_codec(), on_lost=_ignore
-        )
+        connection = self._new_connection(instance.name)
         until_ns = clock_ns() + KEEP_MS * NS_PER_MS
         kept = _Kept(
             connection=connection,
@@ -191,19 +181,19 @@
     async def _dial(
         self, connection: TargetConnection, instance: Instance, until_ns: int
     ) -> bool:
-        message = connection.codec.encode_open(
-            group=self.group_of(instance.name),
-            label=CALLER_LABEL,
-            target=instance.name,
-        )
-        answer = await open_connection(
+        answer = await _open(
             connection,
-            Address.parse(instance.address),
-            message,
+            group=self.group_of(instance.name),
+            address=instance.address,
             deadline_ns=until_ns,
         )
         return answer.fault is None
 
+    def _new_connection(self, target: str) -> TargetConnection:
+        return TargetConnection(
+            target=target, codec=self.new_codec(), on_lost=_ignore
+        )
+
     async def _ask(
         self, kept: _Kept, request: bytes, deadline_ns: int
     ) -> TargetStatus | None:
@@ -229,6 +219,18 @@
         kept.connection.abort()
 
 
+async def _open(
+    connection: TargetConnection, *, group: str, address: str, deadline_ns: int
+) -> Answer:
+    """Connect to a target, which refuses unless it is the one named."""
+    message = connection.codec.encode_open(
+        group=group, label=CALLER_LABEL, target=connection.target
+    )
+    return await open_connection(
+        connection, Address.parse(address), message, deadline_ns=deadline_ns
+    )
+
+
 async def _is_done(task: asyncio.Task[Any], deadline_ns: int) -> bool:
     """Wait for a task, which goes on after the deadline."""
     left_s = max(0.0, (deadline_ns - clock_ns()) / NS_PER_S)
