Wait and lose disks in one way in the faults of the soak

Two of the new faults polled in loops of their own beside wait_until(), which now takes a limit, and three stopped a host, removed its disk and started it again.

--- a/src/rosemarysaddle/soak/_faults.py
+++ b/src/rosemarysaddle/soak/_faults.py
@@ -12,7 +12,6 @@
 from rosemarysaddle.soak._departures import LEAVING_WORK_S, Departure
 from rosemarysaddle.soak._disk_faults import DiskFault
 from rosemarysaddle.soak._log_checks import Freeze
-from rosemarysaddle.soak._nodes import DATA_CENTERS
 from rosemarysaddle.soak._orders import OrderFault
 from rosemarysaddle.soak._proxy import ProxyFault
 from rosemarysaddle.soak._targets import PROMOTION_DELAY_S
@@ -41,7 +40,7 @@
 # Longer than an election and the restart of one host.
 CATCH_UP_S: Final = 4.0
 VOTE_TIMEOUT_S: Final = 40.0
-POLL_S: Final = 0.1
+VOTE_POLL_S: Final = 0.1
 CHANGE_INTERVAL_S: Final = 0.1
 # From before a host has started to after it has joined.
 DISK_LOSS_RANGE_S: Final = (0.05, 2.5)
@@ -229,9 +228,7 @@
     leader.start()
     await _run_changes(context, CATCH_UP_S)
     lost = context.rng.choice(followers)
-    await asyncio.to_thread(lost.stop_process)
-    lost.lose_disk()
-    lost.start()
+    await _restart_without_disk(lost)
     await context.wait_fault_duration()
     await _wait_for_vote(context, lost)
     await context.release(names)
@@ -242,19 +239,26 @@
 
     With a second disk lost before that, no majority would be left.
     """
-    if len(context.nodes.control) > len(DATA_CENTERS) or node.sources:
+    if context.nodes.control_hosts > 1 or node.sources:
         # Not every host has a vote, or an earlier build tells it.
         await asyncio.sleep(CATCH_UP_S)
         return
-    deadline_s = time.monotonic() + VOTE_TIMEOUT_S
-    while not context.nodes.has_vote(node):
-        if time.monotonic() >= deadline_s:
-            context.violations.append(
-                f"{node.name} had no vote {VOTE_TIMEOUT_S:.0f} s after it"
-                " had lost its disk"
-            )
-            return
-        await asyncio.sleep(POLL_S)
+    has_vote = await wait_until(
+        lambda: context.nodes.has_vote(node),
+        limit_s=VOTE_TIMEOUT_S,
+        poll_s=VOTE_POLL_S,
+    )
+    if not has_vote:
+        context.violations.append(
+            f"{node.name} had no vote {VOTE_TIMEOUT_S:.0f} s after it had"
+            " lost its disk"
+        )
+
+
+async def _restart_without_disk(node: Node) -> None:
+    await asyncio.to_thread(node.stop_process)
+    node.lose_disk()
+    node.start()
 
 
 async def _fail_disk(context: FaultContext, fault: DiskFault) -> None:
@@ -378,14 +382,24 @@
     await context.restart(instance)
 
 
-async def wait_until(condition: Callable[[], bool]) -> bool:
-    """Wait for a part of a change of primary, and tell if it came."""
+async def wait_until(
+    condition: Callable[[], bool],
+    *,
+    limit_s: float = PROMOTION_TIMEOUT_S,
+    poll_s: float = PROMOTION_POLL_S,
+) -> bool:
+    """Wait for a condition, and tell if it came.
+
+    :param limit_s: time to wait; by default for a part of a change of
+        primary
+    :param poll_s: time between two checks
+    """
     loop = asyncio.get_running_loop()
-    deadline_s = loop.time() + PROMOTION_TIMEOUT_S
+    deadline_s = loop.time() + limit_s
     while loop.time() < deadline_s:
         if condition():
             return True
-        await asyncio.sleep(PROMOTION_POLL_S)
+        await asyncio.sleep(poll_s)
     return False
 
 
@@ -557,9 +571,7 @@
 async def _lose_disk(context: FaultContext) -> None:
     """Restart a control host with an empty disk."""
     node = await context.reserve_node(context.nodes.control)
-    await asyncio.to_thread(node.stop_process)
-    node.lose_disk()
-    node.start()
+    await _restart_without_disk(node)
     await asyncio.sleep(CATCH_UP_S)
     await _wait_for_vote(context, node)
     await context.release({node.name})
@@ -569,9 +581,7 @@
     """Restart a control host with an empty disk several times."""
     node = await context.reserve_node(context.nodes.control)
     for _ in range(context.rng.randint(2, 3)):
-        await asyncio.to_thread(node.stop_process)
-        node.lose_disk()
-        node.start()
+        await _restart_without_disk(node)
         await asyncio.sleep(context.rng.uniform(*DISK_LOSS_RANGE_S))
     await asyncio.sleep(CATCH_UP_S)
     await _wait_for_vote(context, node)
--- a/src/rosemarysaddle/soak/_member_faults.py
+++ b/src/rosemarysaddle/soak/_member_faults.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, Final
 
 from rosemarysaddle.soak._departures import LEAVING_WORK_S
-from rosemarysaddle.soak._faults import FAULTS, end_target
+from rosemarysaddle.soak._faults import FAULTS, end_target, wait_until
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -29,9 +29,8 @@
 # A target whose leave call is not answered exits some seconds later.
 UNHEARD_RANGE_S: Final = (0.5, 4.0)
 CRASH_DELAY_RANGE_S: Final = (0.0, 0.5)
-ORDER_POLL_S: Final = 0.02
 # Longer than an order is late.
-MAX_ORDER_POLLS: Final = 1_000
+MAX_ORDERS_S: Final = 20.0
 EMPTY_DOWN_RANGE_S: Final = (0.2, 1.5)
 PRIMARY_DOWN_RANGE_S: Final = (2.0, 8.0)
 
@@ -117,15 +116,10 @@
     emptied, other = _draw_replicas(context)
     deafening = asyncio.ensure_future(_deafen(context, other, 0.0))
     await asyncio.sleep(context.rng.uniform(*DEAF_BEFORE_RANGE_S))
-    for _ in range(MAX_ORDER_POLLS):
-        if context.platform.orders.is_idle:
-            break
-        await asyncio.sleep(ORDER_POLL_S)
-    may_lead = (
-        emptied is context.group.current_primary
-        or not context.platform.orders.is_idle
+    is_idle = await wait_until(
+        lambda: context.platform.orders.is_idle, limit_s=MAX_ORDERS_S
     )
-    if not may_lead:
+    if is_idle and emptied is not context.group.current_primary:
         context.crash(emptied)
         emptied.lose_log()
         crashing = asyncio.ensure_future(_crash_primary(context))
